--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A tour of the main job with real processes."""
--- a/peridotwell/fleet/borrowing.py
+++ b/peridotwell/fleet/borrowing.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 import trio
@@ -78,16 +78,24 @@
     def take(self, grant: Grant, now: float) -> None:
         """Book a grant and wake the call that asked for it."""
         self._last_grants[grant.sender] = grant.number
-        self.borrower.add(grant.target, grant.lent, now)
+        self.borrower.add(
+            grant.target,
+            grant.lent,
+            now,
+            may_keep=grant.may_keep,
+        )
         questions = self._questions.get(grant.target)
         if questions:
             questions.popleft().set()
 
-    def give_back(self, now: float) -> Giveback:
-        """Return idle credits; gives those that this router lent itself."""
+    def give_back(self, returns: Mapping[int, int]) -> Giveback:
+        """Return credits to their lenders.
+
+        Gives the part that this router has lent to itself.
+        """
         own = self._peers.own.sender
         by_lender: dict[int, Pairs] = {own: []}
-        for target, returned in self.borrower.give_up(now).items():
+        for target, returned in returns.items():
             lender = self._assignments.lender(target) or own
             by_lender.setdefault(lender, []).append((target, returned))
         to_self = Giveback(own, tuple(by_lender.pop(own)))
--- a/peridotwell/fleet/credit_exchange.py
+++ b/peridotwell/fleet/credit_exchange.py
@@ -1,6 +1,7 @@
 """Credits between routers: borrowing, lending, and changes of lender."""
 
 import math
+from collections.abc import Mapping
 
 from peridotwell.fleet.assignments import Assignments
 from peridotwell.fleet.borrowing import BorrowingDesk
@@ -58,7 +59,10 @@
 
     def release(self, target: Target, now: float) -> None:
         """Free the credit of a call on `target` that has ended."""
-        self._borrowing.borrower.release(target.wire_id, now)
+        number = target.wire_id
+        returned = self._borrowing.borrower.release(number, now)
+        if returned:
+            self._give_back({number: returned})
 
     def receive(self, frame: Frame, now: float) -> None:
         """Act on a frame of the lending protocol."""
@@ -82,7 +86,7 @@
         if now >= self._quiet_until:
             self._follow_changes(now)
         self._lending.forget_dead(now)
-        self._lending.take_back(self._borrowing.give_back(now))
+        self._give_back(self._borrowing.borrower.give_up(now))
         self._borrowing.report(now)
 
     def is_settled(self, now: float) -> bool:
@@ -96,6 +100,9 @@
             holdings = self._borrowing.borrower.holdings()
             self._lending.follow(reassignment, holdings, now)
 
+    def _give_back(self, returns: Mapping[int, int]) -> None:
+        self._lending.take_back(self._borrowing.give_back(returns))
+
     def _check_pulse(self, now: float) -> None:
         """Forget lent and free credits after a pause of this process.
 
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -85,11 +85,15 @@
 
 
 class Grant(Frame, frozen=True, array_like=True, tag=4):
-    """Credits lent, possibly none; `number` counts the sender's grants."""
+    """Credits lent, possibly none; `number` counts the sender's grants.
+
+    `may_keep` tells whether idle credits may be kept for a while.
+    """
 
     target: int
     lent: int
     number: int
+    may_keep: bool = False
 
 
 class Giveback(Frame, frozen=True, array_like=True, tag=5):
--- a/peridotwell/fleet/lending.py
+++ b/peridotwell/fleet/lending.py
@@ -63,17 +63,19 @@
         if peer is None or target is None:
             return
         peer.loads[ask.pool] = ask.outstanding
-        lent = self.lender.lend(
-            ask.target,
-            ask.sender,
-            ask.wanted,
-            self._loads.cap(target, now),
-        )
+        cap = self._loads.cap(target, now)
+        lent = self.lender.lend(ask.target, ask.sender, ask.wanted, cap)
         borrowing = self._borrowings.setdefault(ask.sender, _Borrowing())
         borrowing.granted += 1
         borrowing.granted_at = now
         own = self._peers.own.sender
-        grant = Grant(own, ask.target, lent, borrowing.granted)
+        grant = Grant(
+            own,
+            ask.target,
+            lent,
+            borrowing.granted,
+            self.lender.has_plenty(ask.target, cap),
+        )
         self._bus.send(peer.hello.peers, grant)
 
     def take_back(self, giveback: Giveback) -> None:
--- a/peridotwell/operators/messages.py
+++ b/peridotwell/operators/messages.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'TargetStatus',
+    'RouterAddress',
     'RouterStatus',
     'ChangeReport',
     'EncodedSketch',
@@ -26,6 +27,13 @@
     doubted: bool
 
 
+class RouterAddress(msgspec.Struct, frozen=True):
+    """Where operators reach a router."""
+
+    name: str
+    operators: str
+
+
 class RouterStatus(msgspec.Struct, frozen=True):
     """One router's view; times in seconds, sizes in bytes since its start."""
 
@@ -39,7 +47,7 @@
     running_calls: int
     waiting_calls: int
     unsettled_claims: int
-    live_routers: tuple[str, ...]
+    live_routers: tuple[RouterAddress, ...]
     control_bytes: int
     control_frames: int
     platform_calls: int
--- a/peridotwell/operators/status.py
+++ b/peridotwell/operators/status.py
@@ -5,7 +5,11 @@
 from peridotwell.fleet.bus import Bus
 from peridotwell.fleet.gossip import SharedState
 from peridotwell.metrics import Metrics
-from peridotwell.operators.messages import RouterStatus, TargetStatus
+from peridotwell.operators.messages import (
+    RouterAddress,
+    RouterStatus,
+    TargetStatus,
+)
 from peridotwell.serving.placer import Placer
 from peridotwell.serving.readiness import Readiness
 from peridotwell.store.claims import ClaimBook
@@ -56,7 +60,8 @@
             waiting_calls=self._placer.waiting(),
             unsettled_claims=self._claims.pending,
             live_routers=tuple(
-                sorted(peer.hello.name for peer in state.peers.live(now)),
+                RouterAddress(peer.hello.name, peer.hello.operators)
+                for peer in state.peers.live(now)
             ),
             control_bytes=self._bus.sent_bytes,
             control_frames=self._bus.sent_frames,
--- a/peridotwell/policy/credits.py
+++ b/peridotwell/policy/credits.py
@@ -16,6 +16,9 @@
 
 __all__ = ('load_caps', 'Lender', 'Borrower', 'Holdings')
 
+# Up to this part of the cap, borrowers may keep idle credits.
+PLENTY_FRACTION = 0.5
+
 Holdings = Mapping[int, int]
 
 
@@ -82,6 +85,10 @@
         held[borrower] = held.get(borrower, 0) + lent
         return lent
 
+    def has_plenty(self, target: int, cap: int) -> bool:
+        """Whether borrowers may keep idle credits for a while."""
+        return self.lent(target) <= cap * PLENTY_FRACTION
+
     def take_back(self, target: int, borrower: int, returned: int) -> None:
         """Book credits that `borrower` has returned."""
         held = self._lent.get(target, {})
@@ -115,18 +122,23 @@
 
 @dataclass
 class _Account:
-    """Credits of one target: held in all, spent, and idle since when."""
+    """Credits of one target: held in all, spent, and idle since when.
+
+    `may_keep` is the lender's last word on keeping idle credits.
+    """
 
     held: int = 0
     spent: int = 0
+    may_keep: bool = False
     idle_since: list[float] = field(default_factory=list)
 
 
 class Borrower:
     """Credits that this router holds, for each target.
 
-    A credit of an ended call stays for `keep_seconds`, because another call
-    for the same target may follow, and is then returned to the lender.
+    While a target has credits to spare, the credit of an ended call stays
+    for `keep_seconds`, because another call for the same target may follow.
+    Otherwise it is returned to the lender at once.
     """
 
     def __init__(self, keep_seconds: float) -> None:
@@ -145,9 +157,17 @@
             if account.held
         }
 
-    def add(self, target: int, lent: int, now: float) -> None:
+    def add(
+        self,
+        target: int,
+        lent: int,
+        now: float,
+        *,
+        may_keep: bool = False,
+    ) -> None:
         """Book credits that the lender has granted."""
         account = self._account(target)
+        account.may_keep = may_keep
         account.held += lent
         account.idle_since.extend(itertools.repeat(now, lent))
 
@@ -160,11 +180,19 @@
         account.spent += 1
         return True
 
-    def release(self, target: int, now: float) -> None:
-        """Free the credit of a call that has ended."""
+    def release(self, target: int, now: float) -> int:
+        """Free the credit of a call that has ended.
+
+        Returns the number of credits to return to the lender at once.
+        """
         account = self._account(target)
         account.spent -= 1
-        account.idle_since.append(now)
+        if account.may_keep:
+            account.idle_since.append(now)
+            return 0
+        account.held -= 1
+        self._drop_empty((target,))
+        return 1
 
     def give_up(self, now: float) -> dict[int, int]:
         """Remove and return credits idle too long, for each target."""
@@ -180,7 +208,7 @@
                 account.idle_since = kept
                 account.held -= surplus
                 returned[target] = surplus
-        self._drop_empty()
+        self._drop_empty(returned)
         return returned
 
     def drop_idle(self, targets: Iterable[int] | None = None) -> None:
@@ -188,21 +216,17 @@
 
         Without `targets`, of every target.
         """
-        chosen = tuple(self._accounts) if targets is None else targets
+        chosen = tuple(self._accounts if targets is None else targets)
         for target in chosen:
             account = self._account(target)
             account.held = account.spent
             account.idle_since.clear()
-        self._drop_empty()
+        self._drop_empty(chosen)
 
     def _account(self, target: int) -> _Account:
         return self._accounts.setdefault(target, _Account())
 
-    def _drop_empty(self) -> None:
-        empty = [
-            target
-            for target, account in self._accounts.items()
-            if not account.held
-        ]
-        for target in empty:
-            self._accounts.pop(target)
+    def _drop_empty(self, targets: Iterable[int]) -> None:
+        for target in targets:
+            if not self._account(target).held:
+                self._accounts.pop(target)
