Hard promises under faults; five faults found by them and mended

Causes found, each by a test that was red first: - Health probes never worked: the request had no Host header, so the library refused it and no slots, incarnation or end of leaving was ever learned. - A greeting sent before the link was up was dropped and repeated only after 2 s, so two routers started together each took itself for the only lender for that time. Greetings (and seeds) are now repeated with each heartbeat until the peer is heard. - News dropped once was never repeated. Heartbeats now carry a digest of the news; a difference that lasts two heartbeats makes the router ask for it. - A lone router that was stopping lent no credits, so calls that the balancer still sent it failed. Leaving routers now lend when there are no others. - A new lender's census waited up to 5 s: the reports had come before the census began. Lenders now ask for the reports that they wait for. Ruled out: lost credits as the cause of "no target became free" (the counts of lender and borrowers agreed); the queue (it woke as it should). A whole answer that lacks a token inside is no fault that a router can see, so the cases "a token repeated/skipped" now run for streams only, which number their tokens; all other cases run for both.

--- a/peridotwell/fleet/assignments.py
+++ b/peridotwell/fleet/assignments.py
@@ -43,7 +43,7 @@
     def refresh(self, now: float) -> Reassignment | None:
         """Recompute after a change; None when nothing has changed."""
         basis = (
-            self._peers.live_lenders(now),
+            self._peers.identities(now),
             self._peers.own_leaving,
             self._membership.names(),
         )
--- a/peridotwell/fleet/borrowing.py
+++ b/peridotwell/fleet/borrowing.py
@@ -9,7 +9,13 @@
 
 from peridotwell.fleet.assignments import Assignments
 from peridotwell.fleet.bus import Bus
-from peridotwell.fleet.frames import Ask, Giveback, Grant, Report
+from peridotwell.fleet.frames import (
+    Ask,
+    Giveback,
+    Grant,
+    Report,
+    ReportPull,
+)
 from peridotwell.fleet.peers import Peer, Peers
 from peridotwell.policy.credits import Borrower
 from peridotwell.world.target import Target
@@ -112,6 +118,12 @@
             if self._is_report_due(peer, now):
                 self._report_to(peer, now)
 
+    def answer_pull(self, pull: ReportPull, now: float) -> None:
+        """Report to a lender that asks for it."""
+        peer = self._peers.peer(pull.sender)
+        if peer is not None:
+            self._report_to(peer, now)
+
     def drop(self, targets: Iterable[int] | None = None) -> None:
         """Forget free credits of targets whose lender has changed."""
         self.borrower.drop_idle(targets)
--- a/peridotwell/fleet/credit_exchange.py
+++ b/peridotwell/fleet/credit_exchange.py
@@ -6,7 +6,14 @@
 from peridotwell.fleet.assignments import Assignments
 from peridotwell.fleet.borrowing import BorrowingDesk
 from peridotwell.fleet.bus import Bus
-from peridotwell.fleet.frames import Ask, Frame, Giveback, Grant, Report
+from peridotwell.fleet.frames import (
+    Ask,
+    Frame,
+    Giveback,
+    Grant,
+    Report,
+    ReportPull,
+)
 from peridotwell.fleet.lending import LendingDesk
 from peridotwell.fleet.loads import LoadBook
 from peridotwell.fleet.membership import Membership
@@ -76,6 +83,8 @@
                 self._lending.take_back(frame)
             case Report():
                 self._lending.learn_holdings(frame, now)
+            case ReportPull():
+                self._borrowing.answer_pull(frame, now)
 
     def tick(self, now: float) -> None:
         """Follow changes of view, return idle credits, report holdings."""
@@ -86,6 +95,7 @@
         if now >= self._quiet_until:
             self._follow_changes(now)
         self._lending.forget_dead(now)
+        self._lending.pull_reports()
         self._give_back(self._borrowing.borrower.give_up(now))
         self._borrowing.report(now)
 
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -23,6 +23,7 @@
     'Grant',
     'Giveback',
     'Report',
+    'ReportPull',
     'News',
     'StatePull',
     'StatePush',
@@ -62,11 +63,13 @@
 
     `view` is a hash of the routers that the sender believes to be live in
     its data centre, `loads` its outstanding calls for each pool, `customers`
-    its largest customers by outstanding calls.
+    its largest customers by outstanding calls. `digest` is a hash of the
+    news that the sender knows.
     """
 
     version: int
     view: int
+    digest: int
     leaving: bool = False
     loads: Pairs = ()
     customers: Pairs = ()
@@ -113,6 +116,10 @@
     credits: Pairs
 
 
+class ReportPull(Frame, frozen=True, array_like=True, tag=10):
+    """Ask a borrower for a report, because a census waits for it."""
+
+
 class News(Frame, frozen=True, array_like=True, tag=7):
     """Signs about targets and verdicts on requests."""
 
@@ -138,6 +145,7 @@
     | Grant
     | Giveback
     | Report
+    | ReportPull
     | News
     | StatePull
     | StatePush
--- a/peridotwell/fleet/gossip.py
+++ b/peridotwell/fleet/gossip.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import xxhash
 
 from peridotwell.fleet.bus import Bus
 from peridotwell.fleet.credit_exchange import CreditExchange
@@ -31,6 +32,10 @@
 
 __all__ = ('SharedState', 'Gossip')
 
+# The least time between two requests for a peer's news, which are made when
+# its digest has differed from this router's for two heartbeats.
+PULL_SECONDS = 2
+
 
 @dataclass(frozen=True)
 class SharedState:
@@ -54,6 +59,12 @@
         self._metrics = metrics
         self._own = state.peers.own
 
+    def greet_seeds(self, seeds: Iterable[str], now: float) -> None:
+        """Greet the routers of the settings while no other is known."""
+        if not self._state.peers.live(now):
+            for address in seeds:
+                self.greet(address)
+
     def greet(self, address: str) -> None:
         """Make this router known at an address."""
         hello = msgspec.structs.replace(self._own, wants_reply=True)
@@ -73,11 +84,16 @@
             self._own.sender,
             self._state.book.current.version,
             peers.view(self._own.data_centre, now),
+            self._digest(),
             leaving,
             self._state.loads.reported_pools(),
             self._state.loads.reported_customers(),
         )
         for peer in peers.known():
+            # A greeting is repeated until the peer is heard: it may not
+            # know this router yet, or the link was not up.
+            if not peers.is_live(peer, now):
+                self.greet(peer.hello.peers)
             self._bus.send(peer.hello.peers, beat)
 
     def spread(self, frame: Frame) -> None:
@@ -125,12 +141,25 @@
             self._metrics.count('peer.unknown')
             return
         was_silent = not self._state.peers.is_live(peer, now)
+        lacks_news = (
+            beat.digest == peer.digest and beat.digest != self._digest()
+        )
         self._state.peers.hear(beat, now)
         if was_silent:
             log_event('router.live', router=peer.hello.name)
-        if self._is_behind(beat):
+        is_due = now - peer.pulled_at >= PULL_SECONDS
+        if self._is_behind(beat) or (lacks_news and is_due):
+            peer.pulled_at = now
             self._bus.send(peer.hello.peers, StatePull(self._own.sender))
 
+    def _digest(self) -> int:
+        """Return a hash of the news that matter if they were missed."""
+        news = (
+            self._state.membership.leaving(),
+            self._state.quarantine.summary(),
+        )
+        return xxhash.xxh32_intdigest(repr(news).encode())
+
     def _is_behind(self, beat: Heartbeat) -> bool:
         return (
             beat.version > self._state.book.current.version
--- a/peridotwell/fleet/lending.py
+++ b/peridotwell/fleet/lending.py
@@ -5,7 +5,13 @@
 
 from peridotwell.fleet.assignments import Reassignment
 from peridotwell.fleet.bus import Bus
-from peridotwell.fleet.frames import Ask, Giveback, Grant, Report
+from peridotwell.fleet.frames import (
+    Ask,
+    Giveback,
+    Grant,
+    Report,
+    ReportPull,
+)
 from peridotwell.fleet.loads import LoadBook
 from peridotwell.fleet.membership import Membership
 from peridotwell.fleet.peers import Peers
@@ -114,6 +120,14 @@
         own = self._peers.own.sender
         self.lender.report(own, own_holdings, completes=True)
 
+    def pull_reports(self) -> None:
+        """Ask for the reports that a census waits for."""
+        pull = ReportPull(self._peers.own.sender)
+        for number in self.lender.awaited():
+            peer = self._peers.peer(number)
+            if peer is not None:
+                self._bus.send(peer.hello.peers, pull)
+
     def forget_dead(self, now: float) -> None:
         """Take back the credits of routers that are gone."""
         live = {peer.wire_id for peer in self._peers.live(now)}
--- a/peridotwell/fleet/membership.py
+++ b/peridotwell/fleet/membership.py
@@ -115,6 +115,14 @@
         """Return the latest sign about each target."""
         return tuple(self._signs.values())
 
+    def leaving(self) -> tuple[int, ...]:
+        """Return the targets that signs say are leaving, by wire id."""
+        return tuple(
+            sorted(
+                number for number, sign in self._signs.items() if sign.leaving
+            ),
+        )
+
     def connection_failed(self, name: str, now: float) -> None:
         """Leave a target alone for a while; drop it if it was doubted."""
         if name in self.doubted:
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -1,5 +1,6 @@
 """The other routers: who is live, and who lends for which target."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -22,6 +23,8 @@
     version: int = 0
     view: int = 0
     view_changed_at: float = -1
+    digest: int = 0
+    pulled_at: float = -math.inf
     leaving: bool = False
     loads: dict[int, int] = field(default_factory=dict)
     customers: dict[int, int] = field(default_factory=dict)
@@ -61,6 +64,7 @@
         if peer.view != beat.view:
             peer.view = beat.view
             peer.view_changed_at = now
+        peer.digest = beat.digest
         peer.leaving = beat.leaving
         peer.loads = dict(beat.loads)
         peer.customers = dict(beat.customers)
@@ -92,17 +96,20 @@
         )
 
     def lenders(self, data_centre: str, now: float) -> dict[int, Hello]:
-        """Return the routers that may lend in a data centre, by wire id."""
-        lenders = {
-            peer.wire_id: peer.hello
+        """Return the routers that may lend in a data centre, by wire id.
+
+        Routers that are leaving lend only when there are no others.
+        """
+        live = [
+            (peer.hello, peer.leaving)
             for peer in self._peers.values()
-            if peer.hello.data_centre == data_centre
-            and self.is_live(peer, now)
-            and not peer.leaving
-        }
-        if self.own.data_centre == data_centre and not self.own_leaving:
-            lenders[self.own.sender] = self.own
-        return lenders
+            if peer.hello.data_centre == data_centre and self.is_live(peer, now)
+        ]
+        if self.own.data_centre == data_centre:
+            live.append((self.own, self.own_leaving))
+        staying = [hello for hello, leaving in live if not leaving]
+        chosen = staying or [hello for hello, _ in live]
+        return {hello.sender: hello for hello in chosen}
 
     def view(self, data_centre: str, now: float) -> int:
         """Return a hash of the lenders of a data centre, as seen here."""
@@ -112,12 +119,11 @@
         )
         return xxhash.xxh3_64_intdigest(repr(identity).encode()) & VIEW_MASK
 
-    def live_lenders(self, now: float) -> frozenset[tuple[int, int]]:
-        """Return (wire id, incarnation) of every router that may lend."""
+    def identities(self, now: float) -> frozenset[tuple[int, int, bool]]:
+        """Return what decides who lends: (wire id, incarnation, leaving)."""
         return frozenset(
-            (peer.wire_id, peer.hello.incarnation)
+            (peer.wire_id, peer.hello.incarnation, peer.leaving)
             for peer in self.live(now)
-            if not peer.leaving
         )
 
     def outstanding(self, pool: Pool, now: float) -> int:
--- a/peridotwell/policy/credits.py
+++ b/peridotwell/policy/credits.py
@@ -63,6 +63,10 @@
         self._lent[target] = {}
         self._awaited[target] = set(members)
 
+    def awaited(self) -> set[int]:
+        """Return the routers whose reports a census waits for."""
+        return set().union(*self._awaited.values())
+
     def is_open(self, target: int) -> bool:
         """Whether this router knows enough to lend for `target`."""
         return target in self._lent and not self._awaited.get(target)
--- a/peridotwell/policy/quarantine.py
+++ b/peridotwell/policy/quarantine.py
@@ -112,6 +112,15 @@
         """Return everything known, lifted entries included."""
         return tuple(self._verdicts.values())
 
+    def summary(self) -> tuple[tuple[int, int], ...]:
+        """Return each fingerprint with its number of lost targets."""
+        return tuple(
+            sorted(
+                (mark, len(verdict.lost))
+                for mark, verdict in self._verdicts.items()
+            ),
+        )
+
     def _losses(self, mark: int, now: float) -> tuple[int, ...]:
         verdict = self._verdicts.get(mark)
         if verdict is None or verdict.expires_at <= now:
--- a/peridotwell/serving/link.py
+++ b/peridotwell/serving/link.py
@@ -156,6 +156,7 @@
         request = httpcore.Request(
             'GET',
             f'http://{self.target.address}/health',
+            headers=((b'host', self.target.address.encode()),),
         )
         patience = Patience(PROBE_SECONDS, PROBE_SECONDS)
         async with self.send(request, patience, fresh=True) as answer:
--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -139,12 +139,16 @@
         return tuple(sorted(pools, key=lambda pool: pool.data_centre != own))
 
     def _usable(self, wish: Wish, pool: Pool, now: float) -> list[Target]:
-        return [
+        """Return a pool's usable targets; avoided ones only if no other is."""
+        usable = [
             target
             for target in self._membership.usable(pool, now)
-            if target.name not in wish.avoided
-            and not (wish.is_suspect and self._suspects_on[target.name])
+            if not (wish.is_suspect and self._suspects_on[target.name])
         ]
+        others = [
+            target for target in usable if target.name not in wish.avoided
+        ]
+        return others or usable
 
     def _enter(self, wish: Wish, target: Target) -> None:
         self._loads.enter(target.pool, wish.call.customer)
--- a/peridotwell/upkeep.py
+++ b/peridotwell/upkeep.py
@@ -58,10 +58,7 @@
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start every task."""
-        fleet = self.settings.fleet
         platform = self.settings.platform
-        for address in fleet.seeds:
-            self.gossip.greet(address)
         nursery.start_soon(self._receive)
         nursery.start_soon(self._beat)
         nursery.start_soon(self._probe)
@@ -96,6 +93,7 @@
         while True:
             now = trio.current_time()
             self.state.credit.tick(now)
+            self.gossip.greet_seeds(self.settings.fleet.seeds, now)
             self.gossip.beat(now, leaving=self.state.peers.own_leaving)
             self.state.quarantine.expire(time.time())
             self.placer.call_waiting()
--- a/standins/site.py
+++ b/standins/site.py
@@ -181,6 +181,17 @@
                 raise TimeoutError(f'{router.name} is not ready')
             time.sleep(POLL_SECONDS)
 
+    def wait_live(self, router: Process, target: str) -> None:
+        """Wait until a router takes a target for live."""
+        until = time.monotonic() + READY_SECONDS
+        while not any(
+            row['name'] == target and row['state'] == 'live' and row['slots']
+            for row in self.status(router)['targets']
+        ):
+            if time.monotonic() > until:
+                raise TimeoutError(f'{target} is not live on {router.name}')
+            time.sleep(POLL_SECONDS)
+
     def publish_targets(self) -> None:
         """Put the present list of targets into the platform's list."""
         self.put(self.platform.address, '/instances', self.targets)
--- /dev/null
+++ b/tests/processes/test_whole_answers.py
@@ -0,0 +1,186 @@
+"""Token streams and whole answers under faults of the engines."""
+
+import time
+
+import httpcore
+import msgspec
+import pytest
+
+from peridotwell.world.target import wire_id
+from standins.site import Site
+from standins.tokens import token_at
+
+TOKENS = 12
+QUICK = {'first_byte_seconds': 1, 'silence_seconds': 0.4, 'retry_fraction': 1}
+FAULTS = {
+    'cut': {'cut_after_tokens': 5},
+    'cut before the first token': {'cut_after_tokens': 0},
+    'silent': {'silent_after_tokens': 5},
+    'silent before the first token': {'silent_after_tokens': 0},
+    'crossed': {'crossed': True},
+    'a token repeated': {'repeat_token': 6},
+    'a token skipped': {'skip_token': 6},
+    'late': {'late_seconds': 0.3},
+}
+
+
+@pytest.fixture(scope='module')
+def shared():
+    """Two engines behind one router."""
+    with Site() as site:
+        for name in ('e1', 'e2'):
+            site.start_engine(name, '--token_seconds=0.002')
+        router = site.start_router('r1')
+        assert site.configure(router, set_defaults=QUICK).status == 200
+        yield site, router
+
+
+def engines(site):
+    return [found for found in site.processes if found.name in ('e1', 'e2')]
+
+
+def expected(text):
+    tokens = (token_at(text, place) for place in range(1, TOKENS + 1))
+    return ''.join(tokens)
+
+
+CASES = [
+    (name, stream)
+    for name in FAULTS
+    for stream in (True, False)
+    # Only streams number their tokens.
+    if stream or not name.startswith('a token')
+]
+
+
+@pytest.mark.parametrize(('name', 'stream'), CASES)
+def test_one_fault_is_invisible_to_the_caller(shared, name, stream):
+    site, router = shared
+    faults = {'once': True, **FAULTS[name]}
+    site.set_faults(engines(site)[0], **faults)
+    for text in (f'{name} a', f'{name} b', f'{name} c'):
+        reply = site.chat(
+            router,
+            text,
+            stream=stream,
+            tokens=TOKENS,
+            peridotwell_placement=f'{wire_id("e1"):08x}',
+        )
+        assert reply.status == 200
+        assert reply.text() == expected(text)
+        ids = [
+            int(line[4:])
+            for line in reply.body.split(b'\n')
+            if line.startswith(b'id: ')
+        ]
+        assert ids == (list(range(1, TOKENS + 1)) if stream else [])
+
+
+@pytest.mark.parametrize(
+    'faults', [{'cut_after_tokens': 3}, {'silent_after_tokens': 3}]
+)
+def test_stream_that_stays_cut_never_looks_whole(shared, faults):
+    site, router = shared
+    for engine in engines(site):
+        site.set_faults(engine, once=False, **faults)
+    with pytest.raises(httpcore.RemoteProtocolError):
+        site.chat(router, 'cut for good', tokens=100)
+    whole = site.chat(router, 'cut for good', stream=False, tokens=100)
+    for engine in engines(site):
+        site.set_faults(engine)
+    assert whole.status == 502
+    assert whole.json()['error']['code'] == 'target_failed'
+
+
+def test_caller_that_leaves_cancels_its_engine_work(shared):
+    site, router = shared
+    before = sum(
+        site.get(engine.address, '/counts').json()['cancelled']
+        for engine in engines(site)
+    )
+    document = {
+        'model': 'ink',
+        'messages': [{'role': 'user', 'content': 'left'}],
+        'stream': True,
+        'max_tokens': 5000,
+    }
+    with httpcore.stream(
+        'POST',
+        f'http://{router.address}/v1/chat/completions',
+        content=msgspec.json.encode(document),
+    ) as resp:
+        next(resp.iter_stream())
+    until = time.monotonic() + 5
+    while time.monotonic() < until:
+        cancelled = sum(
+            site.get(engine.address, '/counts').json()['cancelled']
+            for engine in engines(site)
+        )
+        if cancelled > before:
+            break
+        time.sleep(0.05)
+    assert cancelled == before + 1
+    assert site.status(router)['running_calls'] == 0
+
+
+def test_engine_that_dies_mid_stream(site):
+    for name in ('e1', 'e2'):
+        site.start_engine(name, '--token_seconds=0.01')
+    router = site.start_router('r1')
+    site.set_faults(site.processes[1], crash_marker='killer')
+    for text in ('killer one', 'killer two', 'killer three'):
+        reply = site.chat(router, text, tokens=TOKENS)
+        assert reply.text() == expected(text)
+
+
+BAD_CALLS = {
+    'not JSON': ('POST', '/v1/chat/completions', b'{', {}, 400),
+    'no model': ('POST', '/v1/chat/completions', b'{}', {}, 400),
+    'wrong method': ('GET', '/v1/chat/completions', b'', {}, 400),
+    'unknown path': ('GET', '/nowhere', b'', {}, 404),
+    'unknown model': (
+        'POST',
+        '/v1/chat/completions',
+        b'{"model":"none","messages":[]}',
+        {},
+        503,
+    ),
+    'body too large': (
+        'POST',
+        '/v1/chat/completions',
+        b'x' * (8 * 1024 * 1024 + 1),
+        {},
+        413,
+    ),
+    'header too long': (
+        'POST',
+        '/v1/chat/completions',
+        b'{"model":"ink","messages":[]}',
+        {'peridotwell-customer': 'x' * 201},
+        400,
+    ),
+    'bad deadline': (
+        'POST',
+        '/v1/chat/completions',
+        b'{"model":"ink","messages":[]}',
+        {'peridotwell-deadline': 'soon'},
+        400,
+    ),
+    'bad resume': (
+        'POST',
+        '/v1/chat/completions',
+        b'{"model":"ink","messages":[]}',
+        {'last-event-id': '-1'},
+        400,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', BAD_CALLS)
+def test_bad_calls_get_a_clear_error(shared, name):
+    site, router = shared
+    method, path, body, headers, status = BAD_CALLS[name]
+    reply = site.request(method, router.address, path, body, headers)
+    assert reply.status == status
+    assert reply.json()['error']['ran'] == 'not_run'
+    assert site.get(router.address, '/ready').status == 200
--- /dev/null
+++ b/tests/store/fakes.py
@@ -0,0 +1,71 @@
+"""A store over memory whose calls fail as scripted."""
+
+from enum import Enum
+
+from peridotwell.errors import StoreAnswerLost, StoreUnavailable
+from peridotwell.store.base import Entry, KeyValueStore
+from standins.memory import MemoryStore
+
+
+class Fault(Enum):
+    none = 'none'
+    down = 'down'
+    lost_before = 'lost before it took effect'
+    lost_after = 'lost after it took effect'
+    stale = 'an answer from before the last write'
+
+
+class FaultyStore(KeyValueStore):
+    """Takes the fault of each call from `script`, then works."""
+
+    def __init__(self, memory: MemoryStore, script: list[Fault] | None = None):
+        self.memory = memory
+        self.script = script or []
+        self.calls = 0
+        self.now = 0.0
+        self.snapshot: dict[str, Entry] = {}
+
+    def take_snapshot(self) -> None:
+        entries = self.memory.read_prefix('', self.now)
+        self.snapshot = {entry.key: entry for entry in entries}
+
+    def _next(self) -> Fault:
+        self.calls += 1
+        fault = self.script.pop(0) if self.script else Fault.none
+        if fault is Fault.down:
+            raise StoreUnavailable('down')
+        if fault is Fault.lost_before:
+            raise StoreAnswerLost('lost')
+        return fault
+
+    def _answer(self, fault: Fault, answer):
+        if fault is Fault.lost_after:
+            raise StoreAnswerLost('lost')
+        return answer
+
+    async def read(self, key):
+        fault = self._next()
+        if fault is Fault.stale:
+            return self.snapshot.get(key)
+        return self._answer(fault, self.memory.read(key, self.now))
+
+    async def read_prefix(self, prefix):
+        fault = self._next()
+        return self._answer(fault, self.memory.read_prefix(prefix, self.now))
+
+    async def write(self, key, value, *, expected, lease=''):
+        fault = self._next()
+        entry = Entry(key, value, expected)
+        return self._answer(fault, self.memory.write(entry, lease, self.now))
+
+    async def watch(self, prefix, after, wait_seconds):
+        fault = self._next()
+        entries = self.memory.read_prefix(prefix, self.now, after)
+        return self._answer(fault, entries)
+
+    async def grant_lease(self, ttl_seconds):
+        fault = self._next()
+        return self._answer(fault, self.memory.grant(ttl_seconds, self.now))
+
+    async def keep_lease(self, lease):
+        self._answer(self._next(), self.memory.keep(lease, self.now))
