--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions and costs: `make measure`."""
--- /dev/null
+++ b/measure/passthrough.py
@@ -0,0 +1,46 @@
+"""The baseline: a pass-through of the same two HTTP libraries, no decisions.
+
+Forwards every request to the engine given by --target.
+"""
+
+import httpcore
+from absl import app, flags
+
+from peridotwell.serving.asgi import Exchange
+from standins.process import run_process
+
+__all__ = ('PassThrough',)
+
+TARGET = flags.DEFINE_string('target', None, 'host:port of the engine')
+BIND = flags.DEFINE_string('listen', '127.0.0.1:0', 'host:port to listen on')
+
+
+class PassThrough:
+    """Forwards requests and passes answers on part by part."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._pool = httpcore.AsyncConnectionPool(max_connections=1024)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Forward one request."""
+        body = await exchange.body()
+        async with self._pool.stream(
+            exchange.method,
+            f'http://{self._target}{exchange.path}',
+            headers=[(b'content-type', b'application/json')],
+            content=body,
+        ) as resp:
+            await exchange.start(resp.status)
+            async for part in resp.aiter_stream():
+                await exchange.write(part)
+            await exchange.finish()
+
+
+def main(argv: list[str]) -> None:
+    """Run the pass-through until it is ended."""
+    run_process(PassThrough(TARGET.value).handle, BIND.value)
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/measure/platform_costs.py
@@ -0,0 +1,111 @@
+"""What the platform's service is asked for, and how fast claims can go."""
+
+import time
+from collections.abc import Iterator
+
+import trio
+
+from peridotwell.store.claims import ClaimBook, ClaimState, KeptAnswer
+from peridotwell.store.http import HttpStore
+from peridotwell.world.call import Call
+from peridotwell.world.contract import Contract
+from standins.site import Site
+
+__all__ = ('CLAIM_HEADER', 'CALL_HEADER', 'claim_rows', 'call_rows')
+
+CLAIMS = 400
+CLAIMERS = 16
+WATCHED_SECONDS = 12
+CHANGE_SECONDS = 4
+CLAIM_HEADER = ('way', 'claims/s', 'writes a claim', 'reads a claim')
+CALL_HEADER = (
+    'state',
+    'routers',
+    'platform calls/s a router',
+    'control bytes/s a router',
+)
+
+Row = tuple[object, ...]
+
+
+def claim_rows() -> Iterator[Row]:
+    """Yield the rate of claims that are made and settled one by one."""
+    with Site() as site:
+        url = f'http://{site.platform.address}'
+        rate, store = trio.run(_claim_all, url)
+        counters = store.counters
+        yield (
+            'one record a key, claimed and settled',
+            round(rate),
+            round(counters.writes / CLAIMS, 2),
+            round(counters.reads / CLAIMS, 2),
+        )
+
+
+async def _claim_all(url: str) -> tuple[float, HttpStore]:
+    store = HttpStore(url, 5)
+    book = ClaimBook(store, 'r1')
+    began = time.perf_counter()
+    async with trio.open_nursery() as nursery:
+        for claimer in range(CLAIMERS):
+            nursery.start_soon(_claim_some, book, claimer)
+    return CLAIMS / (time.perf_counter() - began), store
+
+
+async def _claim_some(book: ClaimBook, claimer: int) -> None:
+    wall = time.time()
+    for number in range(CLAIMS // CLAIMERS):
+        call = Call(
+            request_id='r',
+            customer='kk',
+            priority_class='normal',
+            method='POST',
+            path='/ledger',
+            body=b'{"kg":3}',
+            contract=Contract('/ledger', 'ledger'),
+            deadline_at=0,
+            key=f'{claimer}-{number}',
+        )
+        claim = await book.claim(call, wall + 10, wall)
+        answer = KeptAnswer(200, (), b'{"receipt":1}')
+        await book.settle(claim, ClaimState.done, answer)
+
+
+def call_rows() -> Iterator[Row]:
+    """Yield a router's calls to the platform, idle and under changes."""
+    with Site() as site:
+        site.start_engine('e1')
+        routers = [
+            site.start_router(f'r{number}', stop_delay=0, quick=False)
+            for number in range(3)
+        ]
+        for state, change_every in (
+            ('idle', 0),
+            ('one change every 4 s', CHANGE_SECONDS),
+        ):
+            before = [site.status(router) for router in routers]
+            began = time.monotonic()
+            bound = 1.5
+            while time.monotonic() - began < WATCHED_SECONDS:
+                if change_every:
+                    bound += 0.1
+                    site.configure(
+                        routers[0],
+                        set_defaults={'load_bound': bound},
+                    )
+                time.sleep(change_every or WATCHED_SECONDS)
+            after = [site.status(router) for router in routers]
+            seconds = time.monotonic() - began
+            yield (
+                state,
+                len(routers),
+                _rate(before, after, 'platform_calls', seconds),
+                _rate(before, after, 'control_bytes', seconds),
+            )
+
+
+def _rate(before, after, field, seconds):  # type: ignore[no-untyped-def]
+    grown = sum(
+        new[field] - old[field] for old, new in zip(before, after, strict=True)
+    )
+    return round(grown / len(before) / seconds, 1)
--- a/peridotwell/assembly.py
+++ b/peridotwell/assembly.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from peridotwell.fleet.bus import Bus
+from peridotwell.fleet.bus import SocketBus
 from peridotwell.fleet.credit_exchange import CreditExchange
 from peridotwell.fleet.gossip import Gossip, SharedState
 from peridotwell.fleet.loads import LoadBook
@@ -38,7 +38,7 @@
     """What a running router consists of."""
 
     state: SharedState
-    bus: Bus
+    bus: SocketBus
     gossip: Gossip
     readiness: Readiness
     claims: ClaimBook
@@ -57,7 +57,7 @@
     `operators` is the address of the operators' interface; bookings run in
     `nursery`.
     """
-    bus = Bus(settings.listen.peers)
+    bus = SocketBus(settings.listen.peers)
     metrics = Metrics(settings.metrics.statsd, settings.metrics.prefix)
     store = HttpStore(
         settings.platform.url,
@@ -127,7 +127,7 @@
 def _make_state(
     settings: Settings,
     operators: str,
-    bus: Bus,
+    bus: SocketBus,
     store: KeyValueStore,
 ) -> SharedState:
     own = make_hello(
--- a/peridotwell/fleet/borrowing.py
+++ b/peridotwell/fleet/borrowing.py
@@ -1,9 +1,8 @@
 """This router as a borrower of credits from the targets' lenders."""
 
 import math
-from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -18,18 +17,19 @@
 )
 from peridotwell.fleet.peers import Peer, Peers
 from peridotwell.policy.credits import Borrower
-from peridotwell.world.target import Target
+from peridotwell.world.target import Pool, Target
 
 __all__ = ('BorrowingDesk', 'BorrowingCounters')
 
 ASK_SECONDS = 0.15
 # A lender that did not answer is not asked again for this time.
 SILENT_LENDER_SECONDS = 0.3
+# A target whose lender refused a credit is not asked for again for this time.
+FULL_SECONDS = 0.2
 KEEP_SECONDS = 1
 REPORT_SECONDS = 5
 
 Pairs = list[tuple[int, int]]
-Questions = dict[int, deque[trio.Event]]
 
 
 @dataclass
@@ -40,6 +40,14 @@
     unanswered: int = 0
 
 
+@dataclass
+class _Question:
+    """An ask that waits for its grant."""
+
+    answered: trio.Event = field(default_factory=trio.Event)
+    grant: Grant | None = None
+
+
 class BorrowingDesk:
     """Asks lenders for credits, returns idle ones, reports what it holds."""
 
@@ -54,9 +62,11 @@
         self._peers = peers
         self._assignments = assignments
         self._bus = bus
-        self._questions: Questions = {}
+        self._questions: dict[tuple[int, int], _Question] = {}
+        self._asked: dict[int, int] = {}
+        self._answered: dict[int, int] = {}
         self._silent_until: dict[int, float] = {}
-        self._last_grants: dict[int, int] = {}
+        self._full_until: dict[int, float] = {}
         self._reported_at: dict[int, float] = {}
 
     async def ask(self, target: Target, outstanding: int, now: float) -> None:
@@ -64,35 +74,47 @@
 
         `outstanding` is this router's count of calls for the target's pool.
         """
-        lender = self._assignments.lender(target.wire_id)
-        peer = lender and self._peers.peer(lender)
-        if not peer or self._silent_until.get(peer.wire_id, 0) > now:
+        number = target.wire_id
+        lender = self._assignments.lender(number)
+        if lender is None or self._full_until.get(number, 0) > now:
             return
-        self.counters.asked += 1
-        ask = Ask(
-            sender=self._peers.own.sender,
-            target=target.wire_id,
-            wanted=1,
-            pool=target.pool.wire_id,
-            outstanding=outstanding,
-        )
-        sent = self._bus.send(peer.hello.peers, ask)
-        if not (sent and await self._wait_for_grant(target.wire_id)):
-            self.counters.unanswered += 1
-            self._silent_until[peer.wire_id] = now + SILENT_LENDER_SECONDS
+        await self._ask(lender, number, target.pool, outstanding, now)
+
+    async def ask_any(
+        self,
+        lender: int,
+        pool: Pool,
+        outstanding: int,
+        now: float,
+    ) -> int:
+        """Ask a lender for a credit of any target of a pool.
+
+        Returns the target's wire id, or 0.
+        """
+        key = lender ^ pool.wire_id
+        if self._full_until.get(key, 0) > now:
+            return 0
+        grant = await self._ask(lender, 0, pool, outstanding, now)
+        if grant is None or not grant.lent:
+            self._full_until[key] = now + FULL_SECONDS
+            return 0
+        return grant.target
 
     def take(self, grant: Grant, now: float) -> None:
         """Book a grant and wake the call that asked for it."""
-        self._last_grants[grant.sender] = grant.number
+        self._answered[grant.sender] = grant.number
+        if not grant.lent:
+            self._full_until[grant.target] = now + FULL_SECONDS
         self.borrower.add(
             grant.target,
             grant.lent,
             now,
             may_keep=grant.may_keep,
         )
-        questions = self._questions.get(grant.target)
-        if questions:
-            questions.popleft().set()
+        question = self._questions.pop((grant.sender, grant.number), None)
+        if question is not None:
+            question.grant = grant
+            question.answered.set()
 
     def give_back(self, returns: Mapping[int, int]) -> Giveback:
         """Return credits to their lenders.
@@ -151,18 +173,39 @@
         report = Report(
             self._peers.own.sender,
             self._peers.view(peer.hello.data_centre, now),
-            self._last_grants.get(peer.wire_id, 0),
+            self._answered.get(peer.wire_id, 0),
             holdings,
         )
         if self._bus.send(peer.hello.peers, report):
             self._reported_at[peer.wire_id] = now
 
-    async def _wait_for_grant(self, number: int) -> bool:
-        answered = trio.Event()
-        questions = self._questions.setdefault(number, deque())
-        questions.append(answered)
-        with trio.move_on_after(ASK_SECONDS):
-            await answered.wait()
-        if not answered.is_set():
-            questions.remove(answered)
-        return answered.is_set()
+    async def _ask(
+        self,
+        lender: int,
+        number: int,
+        pool: Pool,
+        outstanding: int,
+        now: float,
+    ) -> Grant | None:
+        peer = self._peers.peer(lender)
+        if peer is None or self._silent_until.get(lender, 0) > now:
+            return None
+        self.counters.asked += 1
+        self._asked[lender] = self._asked.get(lender, 0) + 1
+        ask = Ask(
+            sender=self._peers.own.sender,
+            target=number,
+            pool=pool.wire_id,
+            outstanding=outstanding,
+            number=self._asked[lender],
+        )
+        question = _Question()
+        self._questions[lender, ask.number] = question
+        if self._bus.send(peer.hello.peers, ask):
+            with trio.move_on_after(ASK_SECONDS):
+                await question.answered.wait()
+        if question.grant is None:
+            self._questions.pop((lender, ask.number), None)
+            self.counters.unanswered += 1
+            self._silent_until[lender] = now + SILENT_LENDER_SECONDS
+        return question.grant
--- a/peridotwell/fleet/bus.py
+++ b/peridotwell/fleet/bus.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
 import trio
@@ -15,7 +16,7 @@
 
 from peridotwell.fleet.frames import Frame, encode_frame
 
-__all__ = ('Bus',)
+__all__ = ('Bus', 'SocketBus')
 
 QUEUE_FRAMES = 1000
 # Other tasks get their turn after so many frames.
@@ -36,13 +37,34 @@
 ZMTP_OVERHEAD_BYTES = 2
 
 
-class Bus:
-    """This router's sockets towards its peers."""
+class Bus(ABC):
+    """This router's links to its peers, and counts of what was sent."""
 
-    def __init__(self, bind: str) -> None:
+    def __init__(self, address: str) -> None:
+        self.address = address
         self.sent_frames = 0
         self.sent_bytes = 0
         self.dropped_frames = 0
+
+    def send(self, address: str, frame: Frame) -> bool:
+        """Queue a frame for a peer; False when it was dropped."""
+        content = encode_frame(frame)
+        if not self.transmit(address, content):
+            self.dropped_frames += 1
+            return False
+        self.sent_frames += 1
+        self.sent_bytes += len(content) + ZMTP_OVERHEAD_BYTES
+        return True
+
+    @abstractmethod
+    def transmit(self, address: str, content: bytes) -> bool:
+        """Queue an encoded frame; False when that is not possible."""
+
+
+class SocketBus(Bus):
+    """Links over ZeroMQ sockets, as described above."""
+
+    def __init__(self, bind: str) -> None:
         self._context = zmq.Context()
         self._inbox = self._context.socket(zmq.PULL)
         self._inbox.setsockopt(zmq.RCVHWM, QUEUE_FRAMES)
@@ -50,7 +72,7 @@
         host, _, port = bind.rpartition(':')
         self._inbox.bind(f'tcp://{host}:{port if int(port) else "*"}')
         endpoint = self._inbox.getsockopt(zmq.LAST_ENDPOINT)
-        self.address: str = endpoint.decode().removeprefix('tcp://')
+        super().__init__(endpoint.decode().removeprefix('tcp://'))
         self._outboxes: dict[str, zmq.Socket[bytes]] = {}
 
     def close(self) -> None:
@@ -74,17 +96,13 @@
         if outbox is not None:
             outbox.close(linger=0)
 
-    def send(self, address: str, frame: Frame) -> bool:
-        """Queue a frame for a peer; False when it was dropped."""
+    def transmit(self, address: str, content: bytes) -> bool:
+        """Queue an encoded frame; False when the peer is away or slow."""
         self.connect(address)
-        content = encode_frame(frame)
         try:
             self._outboxes[address].send(content, zmq.NOBLOCK)
         except zmq.Again:
-            self.dropped_frames += 1
             return False
-        self.sent_frames += 1
-        self.sent_bytes += len(content) + ZMTP_OVERHEAD_BYTES
         return True
 
     async def contents(self) -> AsyncIterator[bytes]:
--- a/peridotwell/fleet/credit_exchange.py
+++ b/peridotwell/fleet/credit_exchange.py
@@ -1,7 +1,7 @@
 """Credits between routers: borrowing, lending, and changes of lender."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from peridotwell.fleet.assignments import Assignments
 from peridotwell.fleet.borrowing import BorrowingDesk
@@ -18,10 +18,13 @@
 from peridotwell.fleet.loads import LoadBook
 from peridotwell.fleet.membership import Membership
 from peridotwell.fleet.peers import Peers
-from peridotwell.world.target import Target
+from peridotwell.world.target import Pool, Target
 
 __all__ = ('CreditExchange',)
 
+# Lenders asked for any credit of a pool before a call waits.
+MAX_LENDERS_ASKED = 3
+
 
 class CreditExchange:
     """The load bound as the request path sees it: acquire and release."""
@@ -34,7 +37,9 @@
         bus: Bus,
     ) -> None:
         self._peers = peers
+        self._membership = membership
         self._loads = loads
+        self._turn = 0
         self._assignments = Assignments(peers, membership)
         self._lending = LendingDesk(peers, membership, loads, bus)
         self._borrowing = BorrowingDesk(peers, self._assignments, bus)
@@ -60,14 +65,56 @@
         if self._assignments.is_own(number):
             borrower.add(number, self._lending.lend_to_self(target, now), now)
         else:
-            outstanding = self._loads.own(target.pool)
+            outstanding = self._loads.own(target.pool, now)
             await self._borrowing.ask(target, outstanding, now)
         return borrower.spend(number)
 
-    def release(self, target: Target, now: float) -> None:
-        """Free the credit of a call on `target` that has ended."""
+    async def acquire_any(self, pool: Pool, now: float) -> Target | None:
+        """Spend a credit on any target of a pool that has room."""
+        self._check_pulse(now)
+        number = self._lending.find_room(pool, now)
+        target = self._membership.numbered(number)
+        if target is not None and await self.acquire(target, now):
+            return target
+        lenders = self._peers.lenders(pool.data_centre, now).keys()
+        others = sorted(lenders - {self._peers.own.sender})
+        self._turn += 1
+        for place in range(min(len(others), MAX_LENDERS_ASKED)):
+            lender = others[(self._turn + place) % len(others)]
+            number = await self._borrowing.ask_any(
+                lender,
+                pool,
+                self._loads.own(pool, now),
+                now,
+            )
+            if number and self._borrowing.borrower.spend(number):
+                return self._membership.numbered(number)
+        return None
+
+    def spend_idle(self, targets: Iterable[Target]) -> Target | None:
+        """Spend a credit that lies idle here on one of `targets`."""
+        for target in targets:
+            if self._borrowing.borrower.spend(target.wire_id):
+                return target
+        return None
+
+    def release(
+        self,
+        target: Target,
+        now: float,
+        *,
+        is_awaited: bool = False,
+    ) -> None:
+        """Free the credit of a call on `target` that has ended.
+
+        It stays here for a moment if another call waits for one.
+        """
         number = target.wire_id
-        returned = self._borrowing.borrower.release(number, now)
+        returned = self._borrowing.borrower.release(
+            number,
+            now,
+            is_awaited=is_awaited,
+        )
         if returned:
             self._give_back({number: returned})
 
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -62,8 +62,9 @@
     """A sign of life with the sender's loads.
 
     `view` is a hash of the routers that the sender believes to be live in
-    its data centre, `loads` its outstanding calls for each pool, `customers`
-    its largest customers by outstanding calls. `digest` is a hash of the
+    its data centre, `loads` its outstanding calls for the pools whose
+    count has changed, `customers` its largest customers by outstanding
+    calls. `digest` is a hash of the
     news that the sender knows.
     """
 
@@ -76,19 +77,21 @@
 
 
 class Ask(Frame, frozen=True, array_like=True, tag=3):
-    """Ask the lender of a target for credits.
+    """Ask the lender of a target for one credit.
 
-    `outstanding` is the sender's present count for the pool.
+    With `target` 0, any of the lender's targets of the pool will do.
+    `outstanding` is the sender's present count for the pool; `number` counts
+    the sender's asks to the receiver.
     """
 
     target: int
-    wanted: int
     pool: int
     outstanding: int
+    number: int
 
 
 class Grant(Frame, frozen=True, array_like=True, tag=4):
-    """Credits lent, possibly none; `number` counts the sender's grants.
+    """The answer to ask `number`: `lent` credits, possibly none.
 
     `may_keep` tells whether idle credits may be kept for a while.
     """
@@ -108,7 +111,7 @@
 class Report(Frame, frozen=True, array_like=True, tag=6):
     """All credits that the sender holds of the receiver's targets.
 
-    `number` is the last grant received from the receiver.
+    `number` is the last ask that the receiver has answered.
     """
 
     view: int
--- a/peridotwell/fleet/gossip.py
+++ b/peridotwell/fleet/gossip.py
@@ -86,8 +86,8 @@
             peers.view(self._own.data_centre, now),
             self._digest(),
             leaving,
-            self._state.loads.reported_pools(),
-            self._state.loads.reported_customers(),
+            self._state.loads.reported_pools(now),
+            self._state.loads.reported_customers(now),
         )
         for peer in peers.known():
             # A greeting is repeated until the peer is heard: it may not
--- a/peridotwell/fleet/lending.py
+++ b/peridotwell/fleet/lending.py
@@ -16,7 +16,7 @@
 from peridotwell.fleet.membership import Membership
 from peridotwell.fleet.peers import Peers
 from peridotwell.policy.credits import Holdings, Lender
-from peridotwell.world.target import Target
+from peridotwell.world.target import Pool, Target, wire_id
 
 __all__ = ('LendingDesk',)
 
@@ -26,10 +26,10 @@
 
 @dataclass
 class _Borrowing:
-    """Grants sent to one borrower."""
+    """The last ask of one borrower that was answered."""
 
-    granted: int = 0
-    granted_at: float = -math.inf
+    answered: int = 0
+    answered_at: float = -math.inf
 
 
 class LendingDesk:
@@ -55,32 +55,43 @@
 
     def lend_to_self(self, target: Target, now: float) -> int:
         """Lend one credit to this router's own calls; returns 0 or 1."""
-        return self.lender.lend(
-            target.wire_id,
-            self._peers.own.sender,
-            1,
-            self._loads.cap(target, now),
-        )
+        cap = self._loads.caps(target.pool, now).get(target.name, 0)
+        return self._lend(target.wire_id, self._peers.own.sender, cap)
+
+    def find_room(self, pool: Pool, now: float) -> int:
+        """Return the target lent for here with the most room, or 0."""
+        best = 0
+        most_room = 0
+        for name, cap in self._loads.caps(pool, now).items():
+            number = wire_id(name)
+            room = cap - self.lender.lent(number)
+            if self.lender.is_open(number) and room > most_room:
+                best = number
+                most_room = room
+        return best
 
     def answer(self, ask: Ask, now: float) -> None:
         """Lend to a peer as far as the cap allows, and tell it."""
         peer = self._peers.peer(ask.sender)
-        target = self._membership.numbered(ask.target)
-        if peer is None or target is None:
+        pool = self._membership.numbered_pool(ask.pool)
+        if peer is None or pool is None:
             return
         peer.loads[ask.pool] = ask.outstanding
-        cap = self._loads.cap(target, now)
-        lent = self.lender.lend(ask.target, ask.sender, ask.wanted, cap)
+        number = ask.target or self.find_room(pool, now)
+        target = self._membership.numbered(number)
+        cap = 0
+        if target is not None:
+            cap = self._loads.caps(pool, now).get(target.name, 0)
+        lent = self._lend(number, ask.sender, cap)
         borrowing = self._borrowings.setdefault(ask.sender, _Borrowing())
-        borrowing.granted += 1
-        borrowing.granted_at = now
-        own = self._peers.own.sender
+        borrowing.answered = ask.number
+        borrowing.answered_at = now
         grant = Grant(
-            own,
-            ask.target,
+            self._peers.own.sender,
+            number,
             lent,
-            borrowing.granted,
-            self.lender.has_plenty(ask.target, cap),
+            ask.number,
+            self.lender.has_plenty(number, cap),
         )
         self._bus.send(peer.hello.peers, grant)
 
@@ -93,8 +104,8 @@
         """Set what a borrower holds, unless a grant is still on its way."""
         borrowing = self._borrowings.setdefault(report.sender, _Borrowing())
         on_its_way = (
-            report.number != borrowing.granted
-            and now - borrowing.granted_at < GRANT_FLIGHT_SECONDS
+            report.number != borrowing.answered
+            and now - borrowing.answered_at < GRANT_FLIGHT_SECONDS
         )
         if on_its_way:
             return
@@ -135,6 +146,9 @@
         for gone in self._borrowings.keys() - live:
             self._borrowings.pop(gone)
 
+    def _lend(self, number: int, borrower: int, cap: int) -> int:
+        return self.lender.lend(number, borrower, 1, cap)
+
     def close(self) -> None:
         """Stop lending for every target."""
         for number in self.lender.targets():
--- a/peridotwell/fleet/loads.py
+++ b/peridotwell/fleet/loads.py
@@ -1,24 +1,48 @@
 """Outstanding calls: this router's own, and the fleet's as reported."""
 
+import math
 from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from peridotwell.fleet.membership import Membership
-from peridotwell.fleet.peers import Peers
+from peridotwell.fleet.peers import Peer, Peers
 from peridotwell.policy.credits import load_caps
 from peridotwell.store.configuration import ConfigurationBook
 from peridotwell.world.target import Pool, Target, wire_id
 
 __all__ = ('LoadBook',)
 
-# Customers whose counts go into each heartbeat, largest first.
-REPORTED_CUSTOMERS = 16
-LEAST_REPORTED_CALLS = 2
+# While a pool is nearly full, heartbeats carry the counts of so many of the
+# router's largest customers; the others' usage is estimated.
+REPORTED_CUSTOMERS = 4
+PRESSURE_SECONDS = 5
+# Pools whose counts go into one heartbeat, those that changed most first.
+REPORTED_POOLS = 6
+# Demand is averaged over this time, so that calls that a surge crowds out
+# count for a while and small samples do not mislead.
+AVERAGING_SECONDS = 20
+FORGOTTEN_DEMAND = 0.1
 
 Pairs = tuple[tuple[int, int], ...]
 
 
+@dataclass(frozen=True)
+class _Average:
+    calls: float
+    at: float
+
+    def updated(self, calls: float, now: float) -> '_Average':
+        """Return the average with a new sample."""
+        weight = math.exp((self.at - now) / AVERAGING_SECONDS)
+        return _Average(self.calls * weight + calls * (1 - weight), now)
+
+
 class LoadBook:
-    """Counts of outstanding calls for each pool and customer."""
+    """Counts of outstanding calls for each target and customer.
+
+    Calls on targets that take no new work do not count for their pool.
+    """
 
     def __init__(
         self,
@@ -29,64 +53,131 @@
         self._book = book
         self._peers = peers
         self._membership = membership
-        self._by_pool: Counter[int] = Counter()
+        self._by_target: Counter[str] = Counter()
         self._by_customer: Counter[str] = Counter()
-
-    def enter(self, pool: Pool, customer: str) -> None:
-        """Book a call that goes to a pool."""
-        self._by_pool[pool.wire_id] += 1
+        self._waiting: Counter[str] = Counter()
+        self._averages: dict[str, _Average] = {}
+        self._pressure_until = -math.inf
+        self._reported: dict[int, int] = {}
+
+    def enter(self, target: Target, customer: str) -> None:
+        """Book a call that goes to a target."""
+        self._by_target[target.name] += 1
         self._by_customer[customer] += 1
 
-    def leave(self, pool: Pool, customer: str) -> None:
+    def leave(self, target: Target, customer: str) -> None:
         """Book the end of a call."""
-        self._by_pool[pool.wire_id] -= 1
-        self._by_customer[customer] -= 1
-        if self._by_customer[customer] <= 0:
-            self._by_customer.pop(customer)
+        _take_one(self._by_target, target.name)
+        _take_one(self._by_customer, customer)
+
+    def begin_wait(self, customer: str) -> None:
+        """Book a call that waits for a credit."""
+        self._waiting[customer] += 1
 
-    def own(self, pool: Pool) -> int:
+    def end_wait(self, customer: str) -> None:
+        """Book the end of a wait."""
+        _take_one(self._waiting, customer)
+
+    def own(self, pool: Pool, now: float) -> int:
         """Return this router's outstanding calls for a pool."""
-        return self._by_pool[pool.wire_id]
+        return sum(
+            self._by_target[target.name]
+            for target in self._membership.usable(pool, now)
+        )
 
     def own_total(self) -> int:
         """Return this router's outstanding calls."""
-        return self._by_pool.total()
+        return self._by_target.total()
 
     def outstanding(self, pool: Pool, now: float) -> int:
         """Return the fleet's outstanding calls for a pool."""
-        return self.own(pool) + self._peers.outstanding(pool, now)
+        return self.own(pool, now) + self._peers.outstanding(pool, now)
 
     def demand(self, now: float) -> dict[str, float]:
-        """Return the fleet's outstanding calls by customer seen here."""
-        elsewhere = self._peers.customer_usage(now)
+        """Return the calls that customers have or want on average."""
+        live = self._peers.live(now)
+        names = self._averages.keys() | self._by_customer.keys()
+        for customer in names | self._waiting.keys():
+            calls = self._by_customer[customer] + self._waiting[customer]
+            wanted = self._estimate(customer, calls, live)
+            known = self._averages.get(customer, _Average(wanted, now))
+            self._averages[customer] = known.updated(wanted, now)
+        self._averages = {
+            customer: average
+            for customer, average in self._averages.items()
+            if average.calls > FORGOTTEN_DEMAND
+        }
         return {
-            customer: calls + elsewhere.get(wire_id(customer), 0)
-            for customer, calls in self._by_customer.items()
+            customer: average.calls
+            for customer, average in self._averages.items()
         }
 
-    def reported_pools(self) -> Pairs:
-        """Return the pools' counts for a heartbeat."""
-        return tuple(
-            (pool, calls) for pool, calls in self._by_pool.items() if calls
+    def usage(self, customer: str, now: float) -> float:
+        """Return a customer's outstanding calls, fleet-wide."""
+        calls = self._by_customer[customer]
+        return self._estimate(customer, calls, self._peers.live(now))
+
+    def note_pressure(self, now: float) -> None:
+        """Book that a pool is nearly full, so that customers' counts matter."""
+        self._pressure_until = now + PRESSURE_SECONDS
+
+    def _estimate(
+        self,
+        customer: str,
+        calls: int,
+        live: Iterable[Peer],
+    ) -> float:
+        """Return a fleet-wide count from this router's own.
+
+        On routers that do not report the customer it is taken to have the
+        same part of all calls as here.
+        """
+        own_part = calls / max(self.own_total(), 1)
+        number = wire_id(customer)
+        return calls + math.fsum(
+            peer.customers.get(number, peer.total() * own_part) for peer in live
         )
 
-    def reported_customers(self) -> Pairs:
-        """Return the largest customers' counts for a heartbeat."""
+    def reported_pools(self, now: float) -> Pairs:
+        """Return the pools' counts that a heartbeat has to carry."""
+        changes = []
+        for pool in self._membership.all_pools():
+            calls = self.own(pool, now)
+            number = pool.wire_id
+            change = abs(calls - self._reported.get(number, 0))
+            if change:
+                changes.append((change, number, calls))
+        largest = sorted(changes, reverse=True)[:REPORTED_POOLS]
+        chosen = tuple((number, calls) for _, number, calls in largest)
+        self._reported.update(chosen)
+        return chosen
+
+    def all_pools(self, now: float) -> Pairs:
+        """Return every pool's count, for a router that knows none."""
         return tuple(
-            (wire_id(customer), calls)
-            for customer, calls in self._by_customer.most_common(
-                REPORTED_CUSTOMERS,
-            )
-            if calls >= LEAST_REPORTED_CALLS
+            (pool.wire_id, calls)
+            for pool in self._membership.all_pools()
+            if (calls := self.own(pool, now))
         )
 
-    def cap(self, target: Target, now: float) -> int:
-        """Return the most calls that `target` may have outstanding."""
-        pool = target.pool
+    def reported_customers(self, now: float) -> Pairs:
+        """Return the largest customers' counts, while a pool is nearly full."""
+        if now > self._pressure_until:
+            return ()
+        largest = self._by_customer.most_common(REPORTED_CUSTOMERS)
+        return tuple((wire_id(customer), calls) for customer, calls in largest)
+
+    def caps(self, pool: Pool, now: float) -> dict[str, int]:
+        """Return the most calls that each target may have outstanding."""
         cfg = self._book.current.for_call(pool=pool.name)
-        caps = load_caps(
+        return load_caps(
             self._membership.usable(pool, now),
             self.outstanding(pool, now),
             cfg.load_bound,
         )
-        return caps.get(target.name, 0)
+
+
+def _take_one(counter: Counter[str], name: str) -> None:
+    counter[name] -= 1
+    if counter[name] <= 0:
+        counter.pop(name)
--- a/peridotwell/fleet/membership.py
+++ b/peridotwell/fleet/membership.py
@@ -87,6 +87,7 @@
         self._targets: dict[str, Target] = {}
         self._by_pool: dict[Pool, tuple[Target, ...]] = {}
         self._by_number: dict[int, Target] = {}
+        self._pool_numbers: dict[int, Pool] = {}
 
     def obey_list(self, listed: Iterable[Target]) -> None:
         """Take over the platform's list, unless it lost half a pool."""
@@ -144,6 +145,10 @@
         """Return the target with that wire id."""
         return self._by_number.get(number)
 
+    def numbered_pool(self, number: int) -> Pool | None:
+        """Return the pool with that wire id."""
+        return self._pool_numbers.get(number)
+
     def names(self) -> frozenset[str]:
         """Return the names of all known targets."""
         return frozenset(self._targets)
@@ -164,6 +169,10 @@
             if self._is_usable(target, now)
         )
 
+    def all_pools(self) -> tuple[Pool, ...]:
+        """Return every pool."""
+        return tuple(self._by_pool)
+
     def pools(self, name: str) -> tuple[Pool, ...]:
         """Return the pools of that name, one for each data centre."""
         found = [pool for pool in self._by_pool if pool.name == name]
@@ -188,6 +197,7 @@
         self._by_pool = {
             pool: tuple(members) for pool, members in by_pool.items()
         }
+        self._pool_numbers = {pool.wire_id: pool for pool in by_pool}
 
     def _is_doubtful(self, name: str, missing: Iterable[str]) -> bool:
         pool = self._listed[name].pool
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -34,6 +34,10 @@
         """The number that stands for this router in frames."""
         return self.hello.sender
 
+    def total(self) -> int:
+        """Return the router's outstanding calls for all pools."""
+        return sum(self.loads.values())
+
 
 class Peers:
     """All known routers, this one included as `own`."""
@@ -66,7 +70,7 @@
             peer.view_changed_at = now
         peer.digest = beat.digest
         peer.leaving = beat.leaving
-        peer.loads = dict(beat.loads)
+        peer.loads.update(beat.loads)
         peer.customers = dict(beat.customers)
         return True
 
@@ -131,14 +135,6 @@
         number = pool.wire_id
         return sum(peer.loads.get(number, 0) for peer in self.live(now))
 
-    def customer_usage(self, now: float) -> dict[int, int]:
-        """Return the other routers' outstanding calls by customer."""
-        usage: dict[int, int] = {}
-        for peer in self.live(now):
-            for customer, calls in peer.customers.items():
-                usage[customer] = usage.get(customer, 0) + calls
-        return usage
-
 
 def choose_lender(target: Target, lenders: Iterable[int]) -> int | None:
     """Return the lender of a target by rendezvous hashing, or None."""
--- a/peridotwell/policy/credits.py
+++ b/peridotwell/policy/credits.py
@@ -18,6 +18,8 @@
 
 # Up to this part of the cap, borrowers may keep idle credits.
 PLENTY_FRACTION = 0.5
+# How long a scarce credit may lie idle until a waiting call takes it.
+HANDOVER_SECONDS = 0.1
 
 Holdings = Mapping[int, int]
 
@@ -30,15 +32,16 @@
     """Return the most work each target may hold, by target name.
 
     `outstanding` counts the pool's work without the call to be placed. The
-    cap is `bound` times the target's weighted share, rounded up, so a pool
-    whose counts are current always has room for one more call; the target's
-    own slots limit it further.
+    cap is `bound` times the target's weighted share of the work, rounded
+    down, but never less than the share's next whole number: the caps of a
+    pool then always leave room for one more call. The target's own slots
+    limit it further.
     """
     weights = math.fsum(target.weight for target in targets)
     caps = {}
     for target in targets:
         mean = (outstanding + 1) * target.weight / weights
-        cap = math.ceil(bound * mean)
+        cap = max(math.floor(bound * mean), math.floor(mean) + 1)
         caps[target.name] = min(cap, target.slots or cap)
     return caps
 
@@ -184,14 +187,21 @@
         account.spent += 1
         return True
 
-    def release(self, target: int, now: float) -> int:
+    def release(
+        self,
+        target: int,
+        now: float,
+        *,
+        is_awaited: bool = False,
+    ) -> int:
         """Free the credit of a call that has ended.
 
-        Returns the number of credits to return to the lender at once.
+        Returns the number of credits to return to the lender at once, which
+        is none if a call of this router waits for one (`is_awaited`).
         """
         account = self._account(target)
         account.spent -= 1
-        if account.may_keep:
+        if account.may_keep or is_awaited:
             account.idle_since.append(now)
             return 0
         account.held -= 1
@@ -202,10 +212,11 @@
         """Remove and return credits idle too long, for each target."""
         returned = {}
         for target, account in self._accounts.items():
+            patience = HANDOVER_SECONDS
+            if account.may_keep:
+                patience = self.keep_seconds
             kept = [
-                since
-                for since in account.idle_since
-                if now - since < self.keep_seconds
+                since for since in account.idle_since if now - since < patience
             ]
             surplus = len(account.idle_since) - len(kept)
             if surplus:
--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -21,8 +21,12 @@
 
 __all__ = ('Placer', 'Wish')
 
-# Targets asked for a credit before the call waits.
-MAX_ASKED = 8
+# Targets asked for in a chat's own order before any target will do.
+MAX_PREFERRED = 3
+# From this part of a pool's slots on, customers keep to their fair shares.
+NEARLY_FULL = 0.9
+# Calls woken at each heartbeat, because other routers may have freed credits.
+WOKEN_AT_HEARTBEAT = 2
 RETRY_AFTER_SECONDS = 2
 
 
@@ -74,9 +78,13 @@
         arrival = room.next_arrival()
         entered = trio.current_time()
         must_wait = self._must_wait(call, cfg, room, entered)
+        is_woken = False
         while True:
             if not must_wait:
-                target = await self._acquire(wish, cfg)
+                if is_woken:
+                    target = await self._take_over(wish)
+                else:
+                    target = await self._acquire(wish, cfg)
                 if target is not None:
                     self._enter(wish, target)
                     return target
@@ -88,50 +96,83 @@
                 arrival=arrival,
                 until=min(call.deadline_at, entered + cfg.queue_seconds),
             )
-            await room.wait(demand, cfg.queue_limit, now)
-            must_wait = False
+            self._loads.begin_wait(call.customer)
+            try:
+                await room.wait(demand, cfg.queue_limit, now)
+            finally:
+                self._loads.end_wait(call.customer)
+            now = trio.current_time()
+            must_wait = self._is_over_share(call, cfg, now)
+            is_woken = True
 
     def release(self, wish: Wish, target: Target) -> None:
         """End an attempt: free its credit and call the next who waits."""
         call = wish.call
-        self._loads.leave(target.pool, call.customer)
-        self._credit.release(target, trio.current_time())
+        self._loads.leave(target, call.customer)
         if wish.is_suspect:
             self._suspects_on[target.name] -= 1
-        self._rooms[call.contract.pool].call_next()
+        room = self._rooms[call.contract.pool]
+        self._credit.release(
+            target,
+            trio.current_time(),
+            is_awaited=len(room) > 0,
+        )
+        room.call_next()
 
     def call_waiting(self) -> None:
         """Let waiting calls try again, because credits may be free now."""
         for room in self._rooms.values():
-            room.call_next()
+            room.call_next(WOKEN_AT_HEARTBEAT)
 
     def waiting(self) -> int:
         """Return the number of calls that wait."""
         return sum(len(room) for room in self._rooms.values())
 
     async def _acquire(self, wish: Wish, cfg: Defaults) -> Target | None:
+        """Spend a credit on one of the best targets, else on any."""
+        for pool in self._pools(wish.call.contract.pool):
+            candidates = self._candidates(wish, cfg, pool)
+            for target in islice(candidates, MAX_PREFERRED):
+                if await self._credit.acquire(target, trio.current_time()):
+                    return target
+            found = await self._acquire_any(wish, pool)
+            if found is not None:
+                return found
+        return None
+
+    async def _take_over(self, wish: Wish) -> Target | None:
+        """Spend the credit of a call that has ended, else look for any."""
+        for pool in self._pools(wish.call.contract.pool):
+            usable = self._usable(wish, pool, trio.current_time())
+            found = self._credit.spend_idle(usable)
+            found = found or await self._acquire_any(wish, pool)
+            if found is not None:
+                return found
+        return None
+
+    async def _acquire_any(self, wish: Wish, pool: Pool) -> Target | None:
         now = trio.current_time()
-        for target in islice(self._candidates(wish, cfg, now), MAX_ASKED):
-            if await self._credit.acquire(target, trio.current_time()):
-                return target
+        found = await self._credit.acquire_any(pool, now)
+        if found is None or found in self._usable(wish, pool, now):
+            return found
+        self._credit.release(found, trio.current_time())
         return None
 
     def _candidates(
         self,
         wish: Wish,
         cfg: Defaults,
-        now: float,
+        pool: Pool,
     ) -> Iterator[Target]:
-        """Yield targets best first: this data centre's, then others'."""
+        """Yield the targets of a pool, best first."""
         call = wish.call
-        preferred = self._membership.target(wish.preferred)
-        if preferred is not None and not preferred.leaving:
-            yield preferred
+        usable = self._usable(wish, pool, trio.current_time())
+        for target in usable:
+            if target.name == wish.preferred:
+                yield target
         chat = call.chat or call.request_id
         hint = call.hint if cfg.follow_hints else ''
-        for pool in self._pools(call.contract.pool):
-            usable = self._usable(wish, pool, now)
-            yield from self._placement.order(chat, usable, hint)
+        yield from self._placement.order(chat, usable, hint)
 
     def _pools(self, name: str) -> tuple[Pool, ...]:
         pools = self._membership.pools(name)
@@ -151,7 +192,7 @@
         return others or usable
 
     def _enter(self, wish: Wish, target: Target) -> None:
-        self._loads.enter(target.pool, wish.call.customer)
+        self._loads.enter(target, wish.call.customer)
         if wish.is_suspect:
             self._suspects_on[target.name] += 1
 
@@ -164,17 +205,31 @@
     ) -> bool:
         """Whether others go first.
 
-        They do when the pool is full, and either calls wait already or the
-        customer has its fair share.
+        They do when the pool is nearly full and the customer has its fair
+        share, and when it is full and calls wait already.
         """
+        if self._is_over_share(call, cfg, now):
+            return True
         capacity = self._capacity(call.contract.pool, now)
-        if not capacity or self._outstanding(call, now) < capacity:
+        is_full = 0 < capacity <= self._outstanding(call, now)
+        return is_full and len(room) > 0
+
+    def _is_over_share(self, call: Call, cfg: Defaults, now: float) -> bool:
+        """Whether the pool is nearly full and the customer has its share."""
+        capacity = self._capacity(call.contract.pool, now)
+        if not capacity:
+            return False
+        if self._outstanding(call, now) < capacity * NEARLY_FULL:
             return False
-        return len(room) > 0 or self._overuse(call, cfg, now) > 1
+        self._loads.note_pressure(now)
+        return self._overuse(call, cfg, now) > 1
 
     def _overuse(self, call: Call, cfg: Defaults, now: float) -> float:
         """Return the customer's outstanding calls over its fair share."""
-        demand = {call.customer: float(0), **self._loads.demand(now)}
+        usage = self._loads.usage(call.customer, now)
+        demand = self._loads.demand(now)
+        own_demand = max(usage, demand.get(call.customer, 0)) + 1
+        demand[call.customer] = own_demand
         capacity = self._capacity(call.contract.pool, now)
         share = fair_share(
             capacity or sum(demand.values()) + 1,
@@ -182,7 +237,7 @@
             {call.customer: cfg.share},
             call.customer,
         )
-        return (demand[call.customer] + 1) / max(share, 1)
+        return (usage + 1) / max(share, 1)
 
     def _capacity(self, pool_name: str, now: float) -> int:
         """Return the slots of this data centre's targets (0: unlimited)."""
--- a/peridotwell/upkeep.py
+++ b/peridotwell/upkeep.py
@@ -12,7 +12,7 @@
 import trio
 
 from peridotwell.errors import StoreError
-from peridotwell.fleet.bus import Bus
+from peridotwell.fleet.bus import SocketBus
 from peridotwell.fleet.gossip import Gossip, SharedState
 from peridotwell.fleet.membership import decode_listing
 from peridotwell.fleet.registry import Registry
@@ -47,7 +47,7 @@
     settings: Settings
     state: SharedState
     gossip: Gossip
-    bus: Bus
+    bus: SocketBus
     store: HttpStore
     registry: Registry
     watch: TargetWatch
--- a/standins/site.py
+++ b/standins/site.py
@@ -33,14 +33,18 @@
 [platform]
 url = "http://{platform}"
 timeout_seconds = 0.5
-list_seconds = 0.2
-lease_seconds = 3
 [fleet]
-heartbeat_seconds = 0.1
-dead_after_seconds = 1
 stop_delay_seconds = {stop_delay}
 seeds = {seeds}
 """
+# Shorter times than the defaults, so that tests take less of them.
+QUICK = (
+    ('[fleet]', 'list_seconds = 0.2\nlease_seconds = 3\n[fleet]'),
+    (
+        'stop_delay',
+        'heartbeat_seconds = 0.1\ndead_after_seconds = 1\nstop_delay',
+    ),
+)
 
 
 @dataclass
@@ -105,7 +109,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix='peridotwell-'))
         self.processes: list[Process] = []
         self.targets: list[dict[str, Any]] = []
-        self.platform = self._start('platform', '-m', 'standins.platform')
+        self.platform = self.start('platform', '-m', 'standins.platform')
 
     def __enter__(self) -> 'Site':
         return self
@@ -128,7 +132,7 @@
         model: str = 'ink',
     ) -> Process:
         """Start an engine and put it on the platform's list."""
-        engine = self._start(name, '-m', 'standins.engine', *arguments)
+        engine = self.start(name, '-m', 'standins.engine', *arguments)
         self._list_target(engine, 'engine', model, data_centre)
         return engine
 
@@ -139,7 +143,7 @@
         pool: str = 'ledger',
     ) -> Process:
         """Start a plain service and put it on the platform's list."""
-        service = self._start(name, '-m', 'standins.service')
+        service = self.start(name, '-m', 'standins.service')
         self._list_target(service, 'service', pool, data_centre)
         return service
 
@@ -151,11 +155,18 @@
         stop_delay: float = 0.3,
         seeds: tuple[str, ...] = (),
         wait: bool = True,
+        quick: bool = True,
     ) -> Process:
-        """Start a router; by default wait until it is ready."""
+        """Start a router; by default wait until it is ready.
+
+        `quick` shortens its heartbeats and the like.
+        """
+        settings = SETTINGS
+        for mark, replacement in QUICK if quick else ():
+            settings = settings.replace(mark, replacement, 1)
         path = self.folder / f'{name}-{uuid.uuid4().hex[:6]}.toml'
         path.write_text(
-            SETTINGS.format(
+            settings.format(
                 name=name,
                 data_centre=data_centre,
                 platform=self.platform.address,
@@ -163,7 +174,7 @@
                 seeds=msgspec.json.encode(seeds).decode(),
             ),
         )
-        router = self._start(
+        router = self.start(
             name,
             '-m',
             'peridotwell.daemon',
@@ -302,7 +313,8 @@
         )
         self.publish_targets()
 
-    def _start(self, name: str, *arguments: str) -> Process:
+    def start(self, name: str, *arguments: str) -> Process:
+        """Start a Python process that announces its addresses."""
         popen = subprocess.Popen(
             [sys.executable, *arguments],
             stdout=subprocess.PIPE,
--- /dev/null
+++ b/tests/fleet/test_membership.py
@@ -0,0 +1,125 @@
+import msgspec
+import pytest
+
+from peridotwell.fleet.bus import SocketBus
+from peridotwell.fleet.frames import (
+    Ask,
+    FrameError,
+    Heartbeat,
+    Hello,
+    News,
+    decode_frame,
+    encode_frame,
+)
+from peridotwell.fleet.membership import Membership, Sign, decode_listing
+from peridotwell.world.target import Pool, wire_id
+
+POOL = Pool('dc1', 'ink')
+
+
+def listing(*names, state='live'):
+    rows = [
+        {
+            'name': name,
+            'address': 'x',
+            'kind': 'engine',
+            'pool': 'ink',
+            'data_centre': 'dc1',
+            'state': state,
+        }
+        for name in names
+    ]
+    return decode_listing(msgspec.json.encode(rows))
+
+
+def names(membership, now=0):
+    return [target.name for target in membership.usable(POOL, now)]
+
+
+def test_list_that_lost_more_than_half_a_pool_is_doubted():
+    membership = Membership()
+    membership.obey_list(listing('a', 'b', 'c', 'd'))
+    membership.obey_list(listing('a'))
+    assert names(membership) == ['a', 'b', 'c', 'd']
+    membership.obey_list(())
+    assert sorted(names(membership)) == ['a', 'b', 'c', 'd']
+    membership.connection_failed('b', 0)
+    assert 'b' not in names(membership)
+    membership.obey_list(listing('a', 'c', 'd'))
+    assert membership.doubted == frozenset()
+    membership.obey_list(listing('a', 'c'))
+    assert names(membership) == ['a', 'c']
+
+
+def test_explicit_leaving_is_obeyed_even_for_all():
+    membership = Membership()
+    membership.obey_list(listing('a', 'b'))
+    membership.obey_list(listing('a', 'b', state='leaving'))
+    assert names(membership) == []
+
+
+def test_sign_of_life_must_be_newer_than_the_sign_of_leaving():
+    membership = Membership()
+    membership.obey_list(listing('a'))
+    assert membership.learn(Sign(wire_id('a'), True, 10))
+    assert not membership.learn(Sign(wire_id('a'), False, 9))
+    assert names(membership) == []
+    assert membership.learn(Sign(wire_id('a'), False, 11, 'boot2', 8))
+    assert membership.target('a').slots == 8
+    assert names(membership) == ['a']
+
+
+def test_target_that_refuses_connections_is_left_alone_for_longer():
+    membership = Membership()
+    membership.obey_list(listing('a', 'b'))
+    pauses = []
+    for _ in range(6):
+        membership.connection_failed('a', 0)
+        pauses.append(
+            next(
+                tenths / 10
+                for tenths in range(200)
+                if 'a' in names(membership, tenths / 10)
+            )
+        )
+    assert pauses == [0.5, 1, 2, 4, 8, 8]
+    membership.connection_worked('a')
+    assert 'a' in names(membership)
+
+
+@pytest.mark.parametrize(
+    'garbage', [b'', b'x', b'\x90', b'\x92\x63\x01', b'\xff' * 40]
+)
+def test_garbage_is_a_typed_error(garbage):
+    with pytest.raises(FrameError, match='check who sends'):
+        decode_frame(garbage)
+
+
+def test_frames_survive_the_wire_and_stay_small():
+    frames = (
+        Hello(1, 'r1', 'dc1', 'a:1', 'a:2', 7),
+        Heartbeat(1, 2, 3, 4, False, ((5, 6),)),
+        Ask(2**32 - 1, 2**32 - 1, 2**32 - 1, 100, 1000),
+        News(1, (Sign(1, True, 2.5),)),
+    )
+    assert [decode_frame(encode_frame(frame)) for frame in frames] == [*frames]
+    assert len(encode_frame(frames[2])) <= 24
+
+
+async def test_bus_delivers_in_order_and_drops_for_peers_that_are_away():
+    sender, receiver = SocketBus('127.0.0.1:0'), SocketBus('127.0.0.1:0')
+    frames = [Ask(1, 2, 3, 4, number) for number in range(200)]
+    while not sender.send(receiver.address, frames[0]):
+        pass
+    for frame in frames[1:]:
+        assert sender.send(receiver.address, frame)
+    received = []
+    async for content in receiver.contents():
+        received.append(decode_frame(content))
+        if len(received) == len(frames):
+            break
+    assert received == frames
+    assert not sender.send('127.0.0.1:1', frames[0])
+    assert sender.dropped_frames
+    sender.close()
+    receiver.close()
--- /dev/null
+++ b/tests/policy/test_policies.py
@@ -0,0 +1,191 @@
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotwell.errors import Overloaded
+from peridotwell.failures import (
+    AnswerCut,
+    AnswerLost,
+    NothingSent,
+    RefusedByTarget,
+    TargetSilent,
+)
+from peridotwell.policy.admission import Demand, WaitingRoom, fair_share
+from peridotwell.policy.placement import (
+    HintedPlacement,
+    RendezvousPlacement,
+    hint_for,
+)
+from peridotwell.policy.quarantine import Quarantine, Verdict, fingerprint
+from peridotwell.policy.retry import Retries, RetryBudget, Step
+from peridotwell.world.target import Pool, Target, TargetKind
+
+POOL = Pool('dc1', 'ink')
+TARGETS = [
+    Target(f'e{place}', 'x', TargetKind.engine, POOL) for place in range(20)
+]
+CHATS = [f'chat-{number}' for number in range(400)]
+
+
+def first(chat, targets, hint=''):
+    return next(HintedPlacement().order(chat, targets, hint))
+
+
+def test_leave_moves_only_the_chats_of_that_target():
+    rest = TARGETS[1:]
+    for chat in CHATS:
+        before = first(chat, TARGETS)
+        if before != TARGETS[0]:
+            assert first(chat, rest) == before
+
+
+def test_order_has_every_target_once_and_follows_the_hint():
+    order = list(HintedPlacement().order('c', TARGETS, hint_for(TARGETS[7])))
+    assert order[0] == TARGETS[7]
+    assert sorted(target.name for target in order) == sorted(
+        target.name for target in TARGETS
+    )
+    assert first('c', TARGETS, 'gone') == next(
+        RendezvousPlacement().order('c', TARGETS)
+    )
+
+
+def test_heavier_target_gets_more_chats():
+    heavy = Target('heavy', 'x', TargetKind.engine, POOL, weight=5)
+    chosen = [first(chat, [heavy, *TARGETS[:5]]) for chat in CHATS]
+    assert 150 < chosen.count(heavy) < 250
+
+
+FAILURES = {
+    NothingSent: (Step.other_target, Step.other_target),
+    RefusedByTarget: (Step.other_target, Step.other_target),
+    AnswerLost: (Step.other_target, Step.give_up),
+    AnswerCut: (Step.other_target, Step.give_up),
+    TargetSilent: (Step.same_target, Step.give_up),
+}
+
+
+@pytest.mark.parametrize('failure', FAILURES)
+def test_next_step_for_each_failure(failure):
+    steps = (
+        Retries(RetryBudget(), idempotent=True).next_step(failure('x'), 3),
+        Retries(RetryBudget(), idempotent=False).next_step(failure('x'), 3),
+    )
+    assert steps == FAILURES[failure]
+
+
+def test_one_retry_elsewhere_within_the_budget():
+    budget = RetryBudget()
+    retries = Retries(budget, idempotent=True)
+    assert retries.next_step(AnswerLost('x'), 0) is Step.other_target
+    assert retries.next_step(AnswerLost('x'), 0) is Step.give_up
+    steps = [
+        Retries(budget, idempotent=True).next_step(AnswerLost('x'), 0)
+        for _ in range(4)
+    ]
+    assert steps.count(Step.other_target) == 2
+    budget.earn(1)
+    assert budget.spend()
+
+
+@given(
+    st.dictionaries(st.sampled_from('abcdef'), st.integers(1, 50), min_size=1),
+    st.integers(1, 100),
+)
+def test_fair_shares_fill_the_capacity_and_no_more(demand, capacity):
+    shares = {
+        name: min(demand[name], fair_share(capacity, demand, {}, name))
+        for name in demand
+    }
+    total = sum(shares.values())
+    assert total <= capacity + 1e-6
+    assert total >= min(capacity, sum(demand.values())) - 1e-6
+    smallest = min(demand, key=demand.get)
+    assert shares[smallest] >= min(
+        demand[smallest], capacity / len(demand) - 1e-6
+    )
+
+
+async def test_queue_is_bounded_and_lets_the_urgent_go_first(autojump_clock):
+    room = WaitingRoom()
+    order = []
+
+    async def wait(name, priority):
+        demand = Demand(priority, 0, room.next_arrival(), 10)
+        try:
+            await room.wait(demand, 2, 0)
+        except Overloaded as exc:
+            name = f'{name} refused, back in {exc.retry_after}'
+        order.append(name)
+
+    async with trio.open_nursery() as nursery:
+        for name, priority in (('a', 5), ('b', 5), ('c', 5), ('d', 0)):
+            nursery.start_soon(wait, name, priority)
+            await trio.testing.wait_all_tasks_blocked()
+        room.call_next(2)
+    assert order == [
+        'c refused, back in 2',
+        'b refused, back in 2',
+        'd',
+        'a',
+    ]
+
+
+async def test_wait_ends_in_time_with_a_refusal(autojump_clock):
+    room = WaitingRoom()
+    now = trio.current_time()
+    with pytest.raises(Overloaded, match='in time'):
+        await room.wait(Demand(1, 0, 1, now + 3), 9, now)
+    assert trio.current_time() - now == 3
+    assert len(room) == 0
+
+
+def verdicts():
+    return st.builds(
+        Verdict,
+        st.just(1),
+        st.lists(st.integers(0, 3), unique=True).map(
+            lambda lost: tuple(sorted(lost))
+        ),
+        st.integers(0, 2),
+        st.integers(5, 7),
+    )
+
+
+@given(verdicts(), verdicts(), verdicts())
+def test_verdicts_merge_alike_in_any_order(one, two, three):
+    assert one.merge(one) == one
+    left = one.merge(two).merge(three)
+    right = three.merge(one.merge(two))
+    assert left.lost == right.lost
+    assert left.lifted_at == right.lifted_at
+
+
+def test_request_is_refused_after_losing_two_targets_and_can_be_lifted():
+    one, other = Quarantine(), Quarantine()
+    mark = fingerprint('/v1', b'killer')
+    one.target_lost(mark, 11, 0, 60)
+    again = one.target_lost(mark, 11, 1, 60)
+    assert again.lost == (11,)
+    other.learn([again], 1)
+    assert not other.is_refused(mark, 2, 1)
+    other.target_lost(mark, 12, 2, 60)
+    one.learn(other.verdicts(), 2)
+    assert one.is_refused(mark, 2, 2)
+    assert not one.is_refused(fingerprint('/v1', b'innocent'), 2, 2)
+    assert not one.is_refused(mark, 2, 70)
+    lifted = one.lift(mark, 3)
+    other.learn([lifted], 3)
+    one.learn(other.verdicts(), 3)
+    assert not one.is_refused(mark, 2, 3)
+
+
+def test_finishing_clears_a_suspect():
+    quarantine = Quarantine()
+    mark = fingerprint('/v1', b'neighbour')
+    quarantine.target_lost(mark, 11, 0, 60)
+    assert quarantine.is_suspect(mark, 1)
+    assert quarantine.finished(mark, 2).lost == ()
+    assert not quarantine.is_suspect(mark, 3)
+    assert quarantine.finished(mark, 4) is None
