--- a/measure/run.py
+++ b/measure/run.py
@@ -14,7 +14,7 @@
 
 from absl import app, flags
 
-from measure import costs, platform_costs
+from measure import costs, platform_costs, slopes
 from measure.policies import (
     CreditPolicy,
     LaggingBoundPolicy,
@@ -55,7 +55,7 @@
 )
 ONLY = flags.DEFINE_list(
     'only',
-    ['policies', 'curve', 'costs', 'platform'],
+    ['policies', 'curve', 'costs', 'slopes', 'platform'],
     'Measurements to run.',
 )
 
@@ -188,6 +188,12 @@
     )
 
 
+def measure_slopes() -> None:
+    """Measure what each frame and each kept thing costs."""
+    _show('frames', slopes.FRAME_HEADER, list(slopes.frame_rows()))
+    _show('memory', slopes.MEMORY_HEADER, list(slopes.memory_rows()))
+
+
 def measure_platform() -> None:
     """Measure claims a second and the platform's calls."""
     _show(
@@ -210,6 +216,7 @@
         'policies': measure_policies,
         'curve': measure_curve,
         'costs': measure_costs,
+        'slopes': measure_slopes,
         'platform': measure_platform,
     }
     for name in ONLY.value:
--- a/peridotwell/fleet/borrowing.py
+++ b/peridotwell/fleet/borrowing.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from msgspec.structs import replace
 
 from peridotwell.fleet.assignments import Assignments
 from peridotwell.fleet.bus import Bus
@@ -69,16 +70,26 @@
         self._full_until: dict[int, float] = {}
         self._reported_at: dict[int, float] = {}
 
-    async def ask(self, target: Target, outstanding: int, now: float) -> None:
-        """Ask the target's lender for a credit and wait for the answer.
+    async def ask(
+        self,
+        target: Target,
+        outstanding: int,
+        now: float,
+        *,
+        is_suspect: bool = False,
+    ) -> bool:
+        """Ask the target's lender for a credit; True if it was lent.
 
         `outstanding` is this router's count of calls for the target's pool.
         """
         number = target.wire_id
         lender = self._assignments.lender(number)
         if lender is None or self._full_until.get(number, 0) > now:
-            return
-        await self._ask(lender, number, target.pool, outstanding, now)
+            return False
+        ask = self._make_ask(lender, number, target.pool, outstanding)
+        ask = replace(ask, is_suspect=is_suspect)
+        grant = await self._send_ask(lender, ask, now)
+        return grant is not None and grant.lent > 0
 
     async def ask_any(
         self,
@@ -86,6 +97,8 @@
         pool: Pool,
         outstanding: int,
         now: float,
+        *,
+        is_suspect: bool = False,
     ) -> int:
         """Ask a lender for a credit of any target of a pool.
 
@@ -94,7 +107,9 @@
         key = lender ^ pool.wire_id
         if self._full_until.get(key, 0) > now:
             return 0
-        grant = await self._ask(lender, 0, pool, outstanding, now)
+        ask = self._make_ask(lender, 0, pool, outstanding)
+        ask = replace(ask, is_suspect=is_suspect)
+        grant = await self._send_ask(lender, ask, now)
         if grant is None or not grant.lent:
             self._full_until[key] = now + FULL_SECONDS
             return 0
@@ -134,6 +149,19 @@
                 self._bus.send(peer.hello.peers, frame)
         return to_self
 
+    def clear_suspect(self, number: int) -> Giveback:
+        """Tell a target's lender that its suspect has ended.
+
+        Gives the frame, for a target that this router lends for itself.
+        """
+        own = self._peers.own.sender
+        cleared = Giveback(own, (), (number,))
+        lender = self._assignments.lender(number)
+        peer = lender and self._peers.peer(lender)
+        if peer:
+            self._bus.send(peer.hello.peers, cleared)
+        return cleared
+
     def report(self, now: float) -> None:
         """Tell each lender what is held of its targets, where it is due."""
         for peer in self._peers.live(now):
@@ -179,26 +207,32 @@
         if self._bus.send(peer.hello.peers, report):
             self._reported_at[peer.wire_id] = now
 
-    async def _ask(
+    def _make_ask(
         self,
         lender: int,
         number: int,
         pool: Pool,
         outstanding: int,
-        now: float,
-    ) -> Grant | None:
-        peer = self._peers.peer(lender)
-        if peer is None or self._silent_until.get(lender, 0) > now:
-            return None
-        self.counters.asked += 1
+    ) -> Ask:
         self._asked[lender] = self._asked.get(lender, 0) + 1
-        ask = Ask(
+        return Ask(
             sender=self._peers.own.sender,
             target=number,
             pool=pool.wire_id,
             outstanding=outstanding,
             number=self._asked[lender],
         )
+
+    async def _send_ask(
+        self,
+        lender: int,
+        ask: Ask,
+        now: float,
+    ) -> Grant | None:
+        peer = self._peers.peer(lender)
+        if peer is None or self._silent_until.get(lender, 0) > now:
+            return None
+        self.counters.asked += 1
         question = _Question()
         self._questions[lender, ask.number] = question
         if self._bus.send(peer.hello.peers, ask):
--- a/peridotwell/fleet/credit_exchange.py
+++ b/peridotwell/fleet/credit_exchange.py
@@ -55,26 +55,57 @@
         """Return this router's outstanding calls on `target`."""
         return self._borrowing.borrower.spent(target.wire_id)
 
-    async def acquire(self, target: Target, now: float) -> bool:
-        """Spend a credit on `target`, borrowing one if needed."""
+    async def acquire(
+        self,
+        target: Target,
+        now: float,
+        *,
+        is_suspect: bool = False,
+    ) -> bool:
+        """Spend a credit on `target`, borrowing one if needed.
+
+        A suspect gets one only if the target runs no other suspect, which
+        its lender knows.
+        """
         self._check_pulse(now)
         borrower = self._borrowing.borrower
         number = target.wire_id
-        if borrower.spend(number):
+        if not is_suspect and borrower.spend(number):
             return True
         if self._assignments.is_own(number):
-            borrower.add(number, self._lending.lend_to_self(target, now), now)
-        else:
-            outstanding = self._loads.own(target.pool, now)
-            await self._borrowing.ask(target, outstanding, now)
-        return borrower.spend(number)
+            lent = self._lending.lend_to_self(
+                target,
+                now,
+                is_suspect=is_suspect,
+            )
+            borrower.add(number, lent, now)
+            return lent > 0 and borrower.spend(number)
+        outstanding = self._loads.own(target.pool, now)
+        granted = await self._borrowing.ask(
+            target,
+            outstanding,
+            now,
+            is_suspect=is_suspect,
+        )
+        may_spend = granted or not is_suspect
+        return may_spend and borrower.spend(number)
 
-    async def acquire_any(self, pool: Pool, now: float) -> Target | None:
+    async def acquire_any(
+        self,
+        pool: Pool,
+        now: float,
+        *,
+        is_suspect: bool = False,
+    ) -> Target | None:
         """Spend a credit on any target of a pool that has room."""
         self._check_pulse(now)
-        number = self._lending.find_room(pool, now)
+        number = self._lending.find_room(pool, now, is_suspect=is_suspect)
         target = self._membership.numbered(number)
-        if target is not None and await self.acquire(target, now):
+        if target is not None and await self.acquire(
+            target,
+            now,
+            is_suspect=is_suspect,
+        ):
             return target
         lenders = self._peers.lenders(pool.data_centre, now).keys()
         others = sorted(lenders - {self._peers.own.sender})
@@ -86,6 +117,7 @@
                 pool,
                 self._loads.own(pool, now),
                 now,
+                is_suspect=is_suspect,
             )
             if number and self._borrowing.borrower.spend(number):
                 return self._membership.numbered(number)
@@ -104,12 +136,16 @@
         now: float,
         *,
         is_awaited: bool = False,
+        is_suspect: bool = False,
     ) -> None:
         """Free the credit of a call on `target` that has ended.
 
         It stays here for a moment if another call waits for one.
         """
         number = target.wire_id
+        if is_suspect:
+            cleared = self._borrowing.clear_suspect(number)
+            self._lending.take_back(cleared)
         returned = self._borrowing.borrower.release(
             number,
             now,
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -81,13 +81,15 @@
 
     With `target` 0, any of the lender's targets of the pool will do.
     `outstanding` is the sender's present count for the pool; `number` counts
-    the sender's asks to the receiver.
+    the sender's asks to the receiver. `is_suspect` asks for a target that
+    runs no other suspect.
     """
 
     target: int
     pool: int
     outstanding: int
     number: int
+    is_suspect: bool = False
 
 
 class Grant(Frame, frozen=True, array_like=True, tag=4):
@@ -103,9 +105,10 @@
 
 
 class Giveback(Frame, frozen=True, array_like=True, tag=5):
-    """Credits returned to their lender."""
+    """Credits returned to their lender, and targets free of suspects."""
 
     credits: Pairs
+    suspects: tuple[int, ...] = ()
 
 
 class Report(Frame, frozen=True, array_like=True, tag=6):
--- a/peridotwell/fleet/lending.py
+++ b/peridotwell/fleet/lending.py
@@ -22,6 +22,8 @@
 
 # After this time without a grant to a borrower none is on its way.
 GRANT_FLIGHT_SECONDS = 2
+# A suspect whose end was not reported occupies its target for so long.
+SUSPECT_SECONDS = 60
 
 
 @dataclass
@@ -52,19 +54,38 @@
         self._loads = loads
         self._bus = bus
         self._borrowings: dict[int, _Borrowing] = {}
+        self._suspects_until: dict[int, float] = {}
 
-    def lend_to_self(self, target: Target, now: float) -> int:
+    def lend_to_self(
+        self,
+        target: Target,
+        now: float,
+        *,
+        is_suspect: bool = False,
+    ) -> int:
         """Lend one credit to this router's own calls; returns 0 or 1."""
         cap = self._loads.caps(target.pool, now).get(target.name, 0)
-        return self._lend(target.wire_id, self._peers.own.sender, cap)
+        own = self._peers.own.sender
+        return self._lend(target.wire_id, own, cap, now, is_suspect=is_suspect)
+
+    def find_room(
+        self,
+        pool: Pool,
+        now: float,
+        *,
+        is_suspect: bool = False,
+    ) -> int:
+        """Return the target lent for here with the most room, or 0.
 
-    def find_room(self, pool: Pool, now: float) -> int:
-        """Return the target lent for here with the most room, or 0."""
+        For a suspect, only targets that run no other one.
+        """
         best = 0
         most_room = 0
         for name, cap in self._loads.caps(pool, now).items():
             number = wire_id(name)
             room = cap - self.lender.lent(number)
+            if is_suspect and self._runs_suspect(number, now):
+                continue
             if self.lender.is_open(number) and room > most_room:
                 best = number
                 most_room = room
@@ -77,12 +98,22 @@
         if peer is None or pool is None:
             return
         peer.loads[ask.pool] = ask.outstanding
-        number = ask.target or self.find_room(pool, now)
+        number = ask.target or self.find_room(
+            pool,
+            now,
+            is_suspect=ask.is_suspect,
+        )
         target = self._membership.numbered(number)
         cap = 0
         if target is not None:
             cap = self._loads.caps(pool, now).get(target.name, 0)
-        lent = self._lend(number, ask.sender, cap)
+        lent = self._lend(
+            number,
+            ask.sender,
+            cap,
+            now,
+            is_suspect=ask.is_suspect,
+        )
         borrowing = self._borrowings.setdefault(ask.sender, _Borrowing())
         borrowing.answered = ask.number
         borrowing.answered_at = now
@@ -99,6 +130,8 @@
         """Book returned credits."""
         for target, returned in giveback.credits:
             self.lender.take_back(target, giveback.sender, returned)
+        for cleared in giveback.suspects:
+            self._suspects_until.pop(cleared, None)
 
     def learn_holdings(self, report: Report, now: float) -> None:
         """Set what a borrower holds, unless a grant is still on its way."""
@@ -146,8 +179,24 @@
         for gone in self._borrowings.keys() - live:
             self._borrowings.pop(gone)
 
-    def _lend(self, number: int, borrower: int, cap: int) -> int:
-        return self.lender.lend(number, borrower, 1, cap)
+    def _lend(
+        self,
+        number: int,
+        borrower: int,
+        cap: int,
+        now: float,
+        *,
+        is_suspect: bool,
+    ) -> int:
+        if is_suspect and self._runs_suspect(number, now):
+            return 0
+        lent = self.lender.lend(number, borrower, 1, cap)
+        if lent and is_suspect:
+            self._suspects_until[number] = now + SUSPECT_SECONDS
+        return lent
+
+    def _runs_suspect(self, number: int, now: float) -> bool:
+        return self._suspects_until.get(number, -math.inf) > now
 
     def close(self) -> None:
         """Stop lending for every target."""
--- a/peridotwell/fleet/membership.py
+++ b/peridotwell/fleet/membership.py
@@ -96,7 +96,7 @@
         self.doubted = frozenset(
             name for name in missing if self._is_doubtful(name, missing)
         )
-        for kept in self.doubted:
+        for kept in sorted(self.doubted):
             fresh[kept] = self._listed[kept]
         self._listed = fresh
         self._rebuild()
--- a/peridotwell/policy/retry.py
+++ b/peridotwell/policy/retry.py
@@ -11,9 +11,9 @@
 
 __all__ = ('RetryBudget', 'Step', 'Retries')
 
-# Lets a quiet router retry at all.
-RESERVE = 3
-CAPACITY = 50
+# Lets a quiet router retry all that it had in flight on one lost engine.
+RESERVE = 20
+CAPACITY = 100
 # Targets tried in a row that did not take the request.
 MAX_UNTAKEN = 4
 
@@ -21,8 +21,8 @@
 class RetryBudget:
     """Tokens earned by first attempts and spent by retries."""
 
-    def __init__(self) -> None:
-        self._tokens = float(RESERVE)
+    def __init__(self, reserve: int = RESERVE) -> None:
+        self._tokens = float(reserve)
 
     def earn(self, fraction: float) -> None:
         """Book a first attempt, which earns `fraction` of a retry."""
--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -1,6 +1,5 @@
 """Choosing a target for one attempt of a call, within the load bound."""
 
-from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from itertools import islice
@@ -61,7 +60,6 @@
         self._credit = credit
         self._placement = HintedPlacement()
         self._rooms: dict[str, WaitingRoom] = {}
-        self._suspects_on: Counter[str] = Counter()
 
     async def place(self, wish: Wish) -> Target:
         """Return a target with a credit spent on it; see `release`.
@@ -94,7 +92,7 @@
                 priority=cfg.priority,
                 overuse=self._overuse(call, cfg, now),
                 arrival=arrival,
-                until=min(call.deadline_at, entered + cfg.queue_seconds),
+                until=_end_of_wait(wish, cfg, entered),
             )
             self._loads.begin_wait(call.customer)
             try:
@@ -109,13 +107,12 @@
         """End an attempt: free its credit and call the next who waits."""
         call = wish.call
         self._loads.leave(target, call.customer)
-        if wish.is_suspect:
-            self._suspects_on[target.name] -= 1
         room = self._rooms[call.contract.pool]
         self._credit.release(
             target,
             trio.current_time(),
             is_awaited=len(room) > 0,
+            is_suspect=wish.is_suspect,
         )
         room.call_next()
 
@@ -133,7 +130,11 @@
         for pool in self._pools(wish.call.contract.pool):
             candidates = self._candidates(wish, cfg, pool)
             for target in islice(candidates, MAX_PREFERRED):
-                if await self._credit.acquire(target, trio.current_time()):
+                if await self._credit.acquire(
+                    target,
+                    trio.current_time(),
+                    is_suspect=wish.is_suspect,
+                ):
                     return target
             found = await self._acquire_any(wish, pool)
             if found is not None:
@@ -144,7 +145,9 @@
         """Spend the credit of a call that has ended, else look for any."""
         for pool in self._pools(wish.call.contract.pool):
             usable = self._usable(wish, pool, trio.current_time())
-            found = self._credit.spend_idle(usable)
+            found = None
+            if not wish.is_suspect:
+                found = self._credit.spend_idle(usable)
             found = found or await self._acquire_any(wish, pool)
             if found is not None:
                 return found
@@ -152,10 +155,18 @@
 
     async def _acquire_any(self, wish: Wish, pool: Pool) -> Target | None:
         now = trio.current_time()
-        found = await self._credit.acquire_any(pool, now)
+        found = await self._credit.acquire_any(
+            pool,
+            now,
+            is_suspect=wish.is_suspect,
+        )
         if found is None or found in self._usable(wish, pool, now):
             return found
-        self._credit.release(found, trio.current_time())
+        self._credit.release(
+            found,
+            trio.current_time(),
+            is_suspect=wish.is_suspect,
+        )
         return None
 
     def _candidates(
@@ -181,11 +192,7 @@
 
     def _usable(self, wish: Wish, pool: Pool, now: float) -> list[Target]:
         """Return a pool's usable targets; avoided ones only if no other is."""
-        usable = [
-            target
-            for target in self._membership.usable(pool, now)
-            if not (wish.is_suspect and self._suspects_on[target.name])
-        ]
+        usable = list(self._membership.usable(pool, now))
         others = [
             target for target in usable if target.name not in wish.avoided
         ]
@@ -193,8 +200,6 @@
 
     def _enter(self, wish: Wish, target: Target) -> None:
         self._loads.enter(target, wish.call.customer)
-        if wish.is_suspect:
-            self._suspects_on[target.name] += 1
 
     def _must_wait(
         self,
@@ -262,3 +267,10 @@
                 f'No live target serves {name} now: try again.',
                 retry_after=RETRY_AFTER_SECONDS,
             )
+
+
+def _end_of_wait(wish: Wish, cfg: Defaults, entered: float) -> float:
+    """Return until when a call may wait; a suspect has run already."""
+    if wish.is_suspect:
+        return wish.call.deadline_at
+    return min(wish.call.deadline_at, entered + cfg.queue_seconds)
--- a/peridotwell/serving/watch.py
+++ b/peridotwell/serving/watch.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from peridotwell.failures import LinkError, NothingSent
+from peridotwell.failures import AnswerLost, LinkError, NothingSent
 from peridotwell.fleet.frames import News
 from peridotwell.fleet.membership import Membership, Sign
 from peridotwell.logs import log_event
@@ -18,6 +18,9 @@
 
 __all__ = ('TargetWatch',)
 
+LOSS_PROBES = 5
+LOSS_PROBE_SECONDS = 0.1
+
 
 class TargetWatch:
     """The links to all targets, and the news that they bring.
@@ -86,16 +89,29 @@
 
     async def check_lost(self, target: Target, call: Call) -> None:
         """Find out whether a broken connection means a lost target."""
-        try:
-            health = await self.link(target).health()
-        except NothingSent:
-            self.unreachable(target)
-        except LinkError:
-            return
-        else:
-            if health.boot == target.incarnation or not target.incarnation:
-                return
-        self._book_loss(target, call)
+        if await self._is_lost(target):
+            self._book_loss(target, call)
+
+    async def _is_lost(self, target: Target) -> bool:
+        """Whether no connection can be made, or another incarnation answers.
+
+        A process that is ending still takes connections and resets them, so
+        a probe that is answered by a reset is repeated.
+        """
+        for _ in range(LOSS_PROBES):
+            try:
+                health = await self.link(target).health()
+            except NothingSent:
+                self.unreachable(target)
+                return True
+            except AnswerLost:
+                await trio.sleep(LOSS_PROBE_SECONDS)
+            except LinkError:
+                return False
+            else:
+                known = target.incarnation
+                return bool(known) and health.boot != known
+        return True
 
     async def probe(self, target: Target) -> None:
         """Ask a target for its health and spread what is new."""
--- a/tests/policy/test_policies.py
+++ b/tests/policy/test_policies.py
@@ -76,7 +76,7 @@
 
 
 def test_one_retry_elsewhere_within_the_budget():
-    budget = RetryBudget()
+    budget = RetryBudget(reserve=3)
     retries = Retries(budget, idempotent=True)
     assert retries.next_step(AnswerLost('x'), 0) is Step.other_target
     assert retries.next_step(AnswerLost('x'), 0) is Step.give_up
@@ -123,7 +123,9 @@
         for name, priority in (('a', 5), ('b', 5), ('c', 5), ('d', 0)):
             nursery.start_soon(wait, name, priority)
             await trio.testing.wait_all_tasks_blocked()
-        room.call_next(2)
+        room.call_next()
+        await trio.testing.wait_all_tasks_blocked()
+        room.call_next()
     assert order == [
         'c refused, back in 2',
         'b refused, back in 2',
