Greetings that are passed on no longer ask for replies: no message storm

A router kept a peer's greeting as it came, with the wish for a reply, and introduced the peer to others by it; each introduction was answered by introductions of everyone, which multiplied until queues were full and frames were dropped. Ruled out, each by a run: a census that waits for a report (the lender was open), views that differ, missed wake-ups of the receiving socket, delays of the loopback (worst round trip of 3000 under the same load: 3.5 ms). Also contract tests of the platform's interface and of targets as bytes on the wire. They found two answers of the platform that ended the router (a read without a revision; a damaged configuration document under a change): both are typed errors now.

--- a/measure/run.py
+++ b/measure/run.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import logging
 import sys
 import time
 from collections.abc import Iterator
@@ -211,6 +212,7 @@
 def main(argv: list[str]) -> None:
     """Run the chosen measurements."""
     FOLDER.mkdir(parents=True, exist_ok=True)
+    logging.disable(logging.INFO)
     began = time.monotonic()
     steps = {
         'policies': measure_policies,
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
 import xxhash
 
 from peridotwell.fleet.frames import Heartbeat, Hello
@@ -55,7 +56,9 @@
         known = self._peers.get(hello.sender)
         if known and known.hello.incarnation >= hello.incarnation:
             return False
-        self._peers[hello.sender] = Peer(hello)
+        # A greeting that is passed on must not ask for replies again.
+        plain = msgspec.structs.replace(hello, wants_reply=False)
+        self._peers[hello.sender] = Peer(plain)
         return True
 
     def hear(self, beat: Heartbeat, now: float) -> bool:
--- a/peridotwell/store/configuration.py
+++ b/peridotwell/store/configuration.py
@@ -126,9 +126,7 @@
         that cannot be told, and StoreUnavailable.
         """
         entry = await self._store.read(CONFIGURATION_KEY)
-        stored = Configuration()
-        if entry is not None:
-            stored = decode_configuration(entry.value)
+        stored = _decode_stored(entry)
         if stored.version < self.current.version:
             raise ChangeRefused(
                 'The platform answered with an older version than the one '
@@ -172,8 +170,8 @@
             raise _undecided(change_id) from exc
         if entry is None or entry.revision <= expected:
             return False
+        stored = _decode_stored(entry)
         self.adopt_entry(entry)
-        stored = decode_configuration(entry.value)
         if change_id in {old.change_id for old in stored.history}:
             return True
         raise ChangeRefused(
@@ -182,6 +180,19 @@
         )
 
 
+def _decode_stored(entry: Entry | None) -> Configuration:
+    """Decode what operators' changes start from. Raises ChangeRefused."""
+    if entry is None:
+        return Configuration()
+    try:
+        return decode_configuration(entry.value)
+    except msgspec.DecodeError as exc:
+        raise ChangeRefused(
+            f'The stored configuration is damaged ({exc}): restore key '
+            f'{CONFIGURATION_KEY} in the platform from its history.',
+        ) from exc
+
+
 def _undecided(change_id: str) -> StoreError:
     return StoreAnswerLost(
         'The platform did not say whether the change took effect: look for '
--- a/peridotwell/store/http.py
+++ b/peridotwell/store/http.py
@@ -46,8 +46,7 @@
         resp = await self._call('GET', f'/kv/{quote(key)}')
         if resp.status == NOT_FOUND:
             return None
-        headers = dict(resp.headers)
-        return Entry(key, resp.content, int(headers[b'x-revision']))
+        return Entry(key, resp.content, _revision(resp))
 
     async def read_prefix(self, prefix: str) -> tuple[Entry, ...]:
         """Return the entries whose keys start with `prefix`."""
@@ -154,6 +153,13 @@
     }
 
 
+def _revision(resp: httpcore.Response) -> int:
+    stated = dict(resp.headers).get(b'x-revision', b'')
+    if not stated.isdigit():
+        raise StoreAnswerLost('the answer carries no revision')
+    return int(stated)
+
+
 def _decode(content: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(content, type=kind)
--- /dev/null
+++ b/tests/fleet/test_gossip.py
@@ -0,0 +1,55 @@
+"""Greetings, news and state between routers in memory."""
+
+import pytest
+import trio
+
+from measure.fleet import VirtualFleet, VirtualRouter
+from peridotwell.fleet.frames import News
+from peridotwell.fleet.membership import Sign
+from peridotwell.world.configuration import Defaults
+from peridotwell.world.target import wire_id
+
+
+@pytest.fixture
+def fleet():
+    return VirtualFleet(4, 2, 10, 1, Defaults())
+
+
+async def test_newcomer_meets_all_through_one_seed_and_few_frames(
+    autojump_clock, fleet
+):
+    async with trio.open_nursery() as nursery:
+        fleet.start(nursery)
+        await trio.sleep(5)
+        before = sum(router.bus.sent_frames for router in fleet.routers)
+        new = VirtualRouter('new', fleet.network, Defaults())
+        nursery.start_soon(new.beat, 0)
+        new.gossip.greet('router-0')
+        await trio.sleep(5)
+        met = {peer.hello.name for peer in new.peers.live(trio.current_time())}
+        assert met == {router.name for router in fleet.routers}
+        for router in fleet.routers:
+            live = router.peers.live(trio.current_time())
+            assert 'new' in {peer.hello.name for peer in live}
+        sent = sum(router.bus.sent_frames for router in fleet.routers) - before
+        heartbeats = 4 * 4 * 10
+        assert sent < 2 * heartbeats
+        nursery.cancel_scope.cancel()
+
+
+async def test_news_that_were_lost_are_asked_for(autojump_clock, fleet):
+    async with trio.open_nursery() as nursery:
+        fleet.start(nursery)
+        await trio.sleep(5)
+        knowing = fleet.routers[0]
+        sign = Sign(wire_id('engine-0'), True, 10)
+        fleet.network.is_cut = lambda source, sink: sink == 'router-2'
+        knowing.membership.learn(sign)
+        knowing.gossip.spread(News(1, (sign,)))
+        await trio.sleep(0.1)
+        fleet.network.is_cut = lambda source, sink: False
+        late = fleet.routers[2].membership
+        assert not late.target('engine-0').leaving
+        await trio.sleep(3)
+        assert late.target('engine-0').leaving
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/raw_server.py
@@ -0,0 +1,32 @@
+"""A server that answers every request with scripted bytes."""
+
+from contextlib import asynccontextmanager
+from functools import partial
+
+import trio
+
+
+@asynccontextmanager
+async def raw_server(answer: bytes, *, silent: bool = False):
+    """Yield an address whose server sends `answer`, then closes."""
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(answer)
+        if silent:
+            await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            partial(trio.serve_tcp, serve, 0, host='127.0.0.1')
+        )
+        port = listeners[0].socket.getsockname()[1]
+        yield f'127.0.0.1:{port}'
+        nursery.cancel_scope.cancel()
+
+
+def response(status, body=b'', *headers, length=None):
+    lines = [f'HTTP/1.1 {status} x', *headers]
+    if length != 0:
+        lines.append(f'content-length: {length or len(body)}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
--- /dev/null
+++ b/tests/serving/test_link.py
@@ -0,0 +1,142 @@
+"""The contract of targets, with their faults as bytes on the wire."""
+
+import httpcore
+import pytest
+
+from peridotwell.failures import (
+    AnswerCrossed,
+    AnswerCut,
+    AnswerLost,
+    NothingSent,
+    RefusedByTarget,
+    TargetSilent,
+)
+from peridotwell.serving.events import checked_events, split_events
+from peridotwell.serving.link import Patience, TargetLink
+from peridotwell.world.target import Pool, Target, TargetKind
+from tests.raw_server import raw_server, response
+
+OWN = 'x-request-id: mine'
+CHUNKED = 'transfer-encoding: chunked'
+
+
+def make_link(address):
+    return TargetLink(
+        Target('t', address, TargetKind.service, Pool('dc1', 'ledger'))
+    )
+
+
+async def fetch(address, *, fresh=True, echoes=True):
+    headers = [('host', address)]
+    if echoes:
+        headers.append(('x-request-id', 'mine'))
+    request = httpcore.Request('GET', f'http://{address}/', headers=headers)
+    patience = Patience(0.2, 0.2)
+    async with make_link(address).send(
+        request, patience, fresh=fresh
+    ) as answer:
+        return answer.status, await answer.whole()
+
+
+ANSWERS = {
+    'whole': (response(200, b'abc', OWN), False, (200, b'abc')),
+    'an error of its own': (response(500, b'x', OWN), False, (500, b'x')),
+    'chunked': (
+        response(200, b'3\r\nabc\r\n0\r\n\r\n', OWN, CHUNKED, length=0),
+        False,
+        (200, b'abc'),
+    ),
+    'refusal': (
+        response(503, b'', 'x-refused: leaving'),
+        False,
+        RefusedByTarget,
+    ),
+    'cut': (response(200, b'ab', OWN, length=9), False, AnswerCut),
+    'cut chunk': (
+        response(200, b'9\r\nabc', OWN, CHUNKED, length=0),
+        False,
+        AnswerCut,
+    ),
+    'no marked end': (response(200, b'abc', OWN, length=0), False, AnswerCut),
+    'of another request': (
+        response(200, b'x', 'x-request-id: other'),
+        False,
+        AnswerCrossed,
+    ),
+    'of nobody': (response(200, b'x'), False, AnswerCrossed),
+    'garbage': (b'\x00\x01\x02\r\n\r\n', False, AnswerLost),
+    'closed': (b'', False, AnswerLost),
+    'silent': (b'', True, TargetSilent),
+    'silent in the middle': (
+        response(200, b'ab', OWN, length=9),
+        True,
+        TargetSilent,
+    ),
+}
+
+
+@pytest.mark.parametrize('fresh', [True, False])
+@pytest.mark.parametrize('name', ANSWERS)
+async def test_every_ending_has_its_kind(name, fresh):
+    answer, silent, outcome = ANSWERS[name]
+    async with raw_server(answer, silent=silent) as address:
+        if isinstance(outcome, tuple):
+            assert await fetch(address, fresh=fresh) == outcome
+            return
+        with pytest.raises(outcome) as caught:
+            await fetch(address, fresh=fresh)
+        assert caught.value.may_have_run is (outcome is not RefusedByTarget)
+
+
+async def test_no_connection_means_nothing_was_sent():
+    with pytest.raises(NothingSent) as caught:
+        await fetch('127.0.0.1:1')
+    assert not caught.value.may_have_run
+
+
+async def test_health_that_is_garbage_is_a_typed_error():
+    async with raw_server(response(200, b'[')) as address:
+        with pytest.raises(AnswerCut):
+            await make_link(address).health()
+
+
+def event(position, owner='mine'):
+    return b'id: %d\ndata: {"id":"%b"}\n\n' % (position, owner.encode())
+
+
+DONE = b'data: [DONE]\n\n'
+STREAMS = {
+    'whole': ([event(1), event(2), DONE], 0, [1, 2, 0]),
+    'in small parts': (
+        [bytes((byte,)) for byte in event(1) + event(2) + DONE],
+        0,
+        [1, 2, 0],
+    ),
+    'resumed': ([event(3), event(4), DONE], 2, [3, 4, 0]),
+    'resumed too early': ([event(1), event(2), event(3), DONE], 2, [3, 0]),
+    'repeated': ([event(1), event(1), event(2), DONE], 0, [1, 2, 0]),
+    'gap': ([event(1), event(3)], 0, AnswerCut),
+    'resumed too late': ([event(5)], 2, AnswerCut),
+    'stopped': ([event(1)], 0, AnswerCut),
+    'stopped in an event': ([event(1)[:-3]], 0, AnswerCut),
+    'without numbers': ([b'data: {"id":"mine"}\n\n'], 0, AnswerCut),
+    'crossed': ([event(1), event(2, 'other'), DONE], 0, AnswerCrossed),
+    'endless event': ([b'x' * 600_000] * 2, 0, AnswerCut),
+}
+
+
+async def as_parts(parts):
+    for part in parts:
+        yield part
+
+
+@pytest.mark.parametrize('name', STREAMS)
+async def test_stream_is_in_order_or_an_error(name):
+    parts, received, outcome = STREAMS[name]
+    events = checked_events(split_events(as_parts(parts)), received, 'mine')
+    if isinstance(outcome, list):
+        positions = [event.position async for event in events]
+        assert positions == outcome
+        return
+    with pytest.raises(outcome):
+        positions = [event.position async for event in events]
--- a/tests/store/test_configuration.py
+++ b/tests/store/test_configuration.py
@@ -126,6 +126,8 @@
     with pytest.raises(msgspec.ValidationError):
         await book.refresh()
     assert book.current.version == 1
+    with pytest.raises(ChangeRefused, match='restore key'):
+        await book.change(make_change(1), 0)
 
 
 def test_override_applies_to_its_subject_only():
--- /dev/null
+++ b/tests/store/test_http.py
@@ -0,0 +1,69 @@
+"""The contract of the platform's interface, with its faults."""
+
+import pytest
+
+from peridotwell.errors import (
+    StoreAnswerLost,
+    StoreConflict,
+    StoreUnavailable,
+)
+from peridotwell.store.http import HttpStore
+from tests.raw_server import raw_server, response
+
+WRITES = {
+    'accepted': (response(200, b'7'), False, 7),
+    'conflict': (response(409, b'x'), False, StoreConflict),
+    'rate limit': (response(429, b'x'), False, StoreUnavailable),
+    'down': (response(503, b'x'), False, StoreUnavailable),
+    'internal error': (response(500, b'x'), False, StoreAnswerLost),
+    'garbage': (b'garbage\r\n\r\n', False, StoreAnswerLost),
+    'body is garbage': (response(200, b'{'), False, StoreAnswerLost),
+    'cut': (response(200, b'7', length=5), False, StoreAnswerLost),
+    'closed': (b'', False, StoreAnswerLost),
+    'silent': (b'', True, StoreAnswerLost),
+}
+
+
+@pytest.mark.parametrize('name', WRITES)
+async def test_outcome_of_a_write(name):
+    answer, silent, outcome = WRITES[name]
+    async with raw_server(answer, silent=silent) as address:
+        store = HttpStore(f'http://{address}', 0.2)
+        if outcome == 7:
+            assert await store.write('k', b'v', expected=0) == 7
+            return
+        with pytest.raises(outcome) as caught:
+            await store.write('k', b'v', expected=0)
+        assert caught.type is outcome
+
+
+async def test_no_connection_means_not_applied():
+    with pytest.raises(StoreUnavailable):
+        await HttpStore('http://127.0.0.1:1', 0.2).grant_lease(1)
+
+
+READS = {
+    'absent': (response(404, b'x'), None),
+    'found': (response(200, b'v', 'x-revision: 5'), (b'v', 5)),
+}
+
+
+@pytest.mark.parametrize('name', READS)
+async def test_reads(name):
+    answer, expected = READS[name]
+    async with raw_server(answer) as address:
+        entry = await HttpStore(f'http://{address}', 0.2).read('k')
+    assert (entry and (entry.value, entry.revision)) == expected
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        response(200, b'v'),
+        response(200, b'v', 'x-revision: many'),
+    ],
+)
+async def test_reads_without_a_revision_are_doubtful(answer):
+    async with raw_server(answer) as address:
+        with pytest.raises(StoreAnswerLost):
+            await HttpStore(f'http://{address}', 0.2).read('k')
