Routers, links and signs that are gone are forgotten

Change: a silent router that the platform no longer lists is forgotten and its link closed; the others are pruned with the list and the heartbeat. Unused names removed. Before: the table only grew.

--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -91,7 +91,8 @@
             self.quarantine,
             book,
         )
-        self.gossip = Gossip(state, self.bus, Metrics('', ''))
+        self.metrics = Metrics('', '')
+        self.gossip = Gossip(state, self.bus, self.metrics)
         self.gossip.listing = b'[]'
         self.placer = Placer(
             self.peers,
--- a/measure/network.py
+++ b/measure/network.py
@@ -37,10 +37,6 @@
         """Let a router receive."""
         self._receivers[address] = receiver
 
-    def detach(self, address: str) -> None:
-        """Let nothing reach an address any more."""
-        self._receivers.pop(address, None)
-
     def send(self, source: str, sink: str, content: bytes) -> bool:
         """Queue a frame; False when the other end is away."""
         if sink not in self._receivers:
@@ -72,6 +68,9 @@
         super().__init__(address)
         self._network = network
 
+    def disconnect(self, address: str) -> None:
+        """Do nothing: links in memory need no closing."""
+
     def transmit(self, address: str, content: bytes) -> bool:
         """Queue an encoded frame."""
         return self._network.send(self.address, address, content)
--- a/measure/scenario.py
+++ b/measure/scenario.py
@@ -9,7 +9,7 @@
 from trio.testing import MockClock
 
 from measure.fleet import Engine, VirtualFleet, VirtualRouter
-from measure.policies import CreditPolicy, Policy
+from measure.policies import Policy
 from peridotwell.world.configuration import Defaults
 
 __all__ = ('Size', 'Outcome', 'SIZES', 'TROUBLES', 'run_scenario')
@@ -24,7 +24,6 @@
 CACHE_FACTOR = 2
 LIST_DELAY_SECONDS = 1
 SURGE_CUSTOMER = 'surging'
-SURGE_FACTOR = 4
 SLOTS_UNDER_SURGE = 10
 MAX_REFUSALS = 6
 # The bound is a multiple of the mean load of the last second.
@@ -315,6 +314,3 @@
     clock = MockClock(autojump_threshold=0)
     trio.run(_run, run, trouble, chats, clock=clock)
     return run.outcome
-
-
-DEFAULT_POLICY = CreditPolicy
--- a/peridotwell/fleet/borrowing.py
+++ b/peridotwell/fleet/borrowing.py
@@ -164,6 +164,8 @@
 
     def report(self, now: float) -> None:
         """Tell each lender what is held of its targets, where it is due."""
+        self._full_until = _not_over(self._full_until, now)
+        self._silent_until = _not_over(self._silent_until, now)
         for peer in self._peers.live(now):
             if self._is_report_due(peer, now):
                 self._report_to(peer, now)
@@ -243,3 +245,7 @@
             self.counters.unanswered += 1
             self._silent_until[lender] = now + SILENT_LENDER_SECONDS
         return question.grant
+
+
+def _not_over(until: dict[int, float], now: float) -> dict[int, float]:
+    return {number: end for number, end in until.items() if end > now}
--- a/peridotwell/fleet/bus.py
+++ b/peridotwell/fleet/bus.py
@@ -56,6 +56,10 @@
         self.sent_bytes += len(content) + ZMTP_OVERHEAD_BYTES
         return True
 
+    @abstractmethod
+    def disconnect(self, address: str) -> None:
+        """Close the link to a peer and drop what is queued for it."""
+
     @abstractmethod
     def transmit(self, address: str, content: bytes) -> bool:
         """Queue an encoded frame; False when that is not possible."""
--- a/peridotwell/fleet/gossip.py
+++ b/peridotwell/fleet/gossip.py
@@ -73,9 +73,23 @@
     def meet(self, hellos: Iterable[Hello]) -> None:
         """Learn of routers, and greet those that are new."""
         for hello in hellos:
-            if self._state.peers.meet(hello):
-                log_event('router.met', router=hello.name)
-                self.greet(hello.peers)
+            known = self._state.peers.peer(hello.sender)
+            if not self._state.peers.meet(hello):
+                continue
+            if known is not None and known.hello.peers != hello.peers:
+                self._bus.disconnect(known.hello.peers)
+            log_event('router.met', router=hello.name)
+            self.greet(hello.peers)
+
+    def forget_gone(self, listed: Iterable[Hello], now: float) -> None:
+        """Forget routers that are silent and that the platform has dropped."""
+        senders = {hello.sender for hello in listed}
+        for peer in self._state.peers.known():
+            is_live = self._state.peers.is_live(peer, now)
+            if not is_live and peer.wire_id not in senders:
+                self._state.peers.forget(peer.wire_id)
+                self._bus.disconnect(peer.hello.peers)
+                log_event('router.forgotten', router=peer.hello.name)
 
     def beat(self, now: float, *, leaving: bool) -> None:
         """Send a heartbeat to every known router."""
--- a/peridotwell/fleet/membership.py
+++ b/peridotwell/fleet/membership.py
@@ -20,6 +20,8 @@
 LONGEST_PAUSE_SECONDS = 8
 DOUBTED_FRACTION = 0.5
 LEAST_WEIGHT = 0.01
+# Signs may come before the list names their target.
+MAX_UNLISTED_SIGNS = 1000
 
 
 class ListedTarget(msgspec.Struct, frozen=True):
@@ -99,6 +101,7 @@
         for kept in sorted(self.doubted):
             fresh[kept] = self._listed[kept]
         self._listed = fresh
+        self._forget_unlisted()
         self._rebuild()
 
     def learn(self, sign: Sign) -> bool:
@@ -183,6 +186,21 @@
         paused = pause is not None and pause.until > now
         return not (target.leaving or paused)
 
+    def _forget_unlisted(self) -> None:
+        """Drop what is kept about targets that are long gone."""
+        self._pauses = {
+            name: pause
+            for name, pause in self._pauses.items()
+            if name in self._listed
+        }
+        if len(self._signs) > len(self._listed) + MAX_UNLISTED_SIGNS:
+            numbers = {target.wire_id for target in self._listed.values()}
+            self._signs = {
+                number: sign
+                for number, sign in self._signs.items()
+                if number in numbers
+            }
+
     def _rebuild(self) -> None:
         self._targets = {
             name: _with_sign(listed, self._signs.get(listed.wire_id))
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -86,7 +86,7 @@
         return tuple(self._peers.values())
 
     def forget(self, sender: int) -> None:
-        """Remove a router that the platform no longer lists."""
+        """Remove a router that is gone."""
         self._peers.pop(sender, None)
 
     def is_live(self, peer: Peer, now: float) -> bool:
--- a/peridotwell/store/base.py
+++ b/peridotwell/store/base.py
@@ -9,8 +9,6 @@
 
 __all__ = ('Entry', 'KeyValueStore', 'StoreCounters')
 
-ABSENT = 0
-
 
 @dataclass(frozen=True)
 class Entry:
--- a/peridotwell/upkeep.py
+++ b/peridotwell/upkeep.py
@@ -101,11 +101,9 @@
             await trio.sleep(self.settings.fleet.heartbeat_seconds)
 
     async def _find_peers(self) -> None:
-        self.gossip.meet(await self.registry.others())
-        now = trio.current_time()
-        for peer in self.state.peers.known():
-            if not self.state.peers.is_live(peer, now):
-                self.gossip.greet(peer.hello.peers)
+        listed = await self.registry.others()
+        self.gossip.meet(listed)
+        self.gossip.forget_gone(listed, trio.current_time())
 
     async def _read_list(self) -> None:
         listing = await self.store.list_instances()
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -53,3 +53,25 @@
         await trio.sleep(3)
         assert late.target('engine-0').leaving
         nursery.cancel_scope.cancel()
+
+
+async def test_routers_that_are_gone_are_forgotten(autojump_clock, fleet):
+    async with trio.open_nursery() as nursery:
+        fleet.start(nursery)
+        await trio.sleep(5)
+        first, gone, cut_off, _ = fleet.routers
+        names = (gone.name, cut_off.name)
+        fleet.network.is_cut = lambda source, sink: source in names
+        await trio.sleep(5)
+        listed = [cut_off.peers.own]
+        first.gossip.forget_gone(listed, trio.current_time())
+        known = {peer.hello.name for peer in first.peers.known()}
+        assert known == {cut_off.name, fleet.routers[3].name}
+        nursery.cancel_scope.cancel()
+
+
+def test_gossip_survives_any_content(fleet):
+    router = fleet.routers[0]
+    for content in (b'', b'garbage', bytes(range(256)), b'\x92\x01'):
+        router.gossip.receive(content, 0, 0)
+    assert router.metrics.counters['peer.garbage'] == 4
--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -75,7 +75,6 @@
         return answer.body
 
 
-STEPS = ('first call', 'second call', 'third call', 'fourth call')
 FAULTS = (Fault.down, Fault.lost_before, Fault.lost_after)
 
 
