Echo of request ids as the contract says; quarantine asked after the claim

Cause, found by reading the request path as a newcomer: (1) the contract's `echoes_request_id` had no effect, every target had to echo, so the first booking on an ordinary service would have run and been called unknown; (2) a keyed request whose content is quarantined was refused as not run before its claim was looked up, also when an earlier attempt with the key may have run. Change: an answer without an id is refused only where the contract asks for the echo (engines always), another request's id is refused everywhere; plain services need not echo by default. Bookings ask the quarantine after the claim and record the refusal.

--- a/peridotwell/ctl.py
+++ b/peridotwell/ctl.py
@@ -54,6 +54,12 @@
     'Methods of a contract that may run twice.',
 )
 
+ECHOES = flags.DEFINE_bool(
+    'echoes_request_id',
+    False,
+    "Whether a contract's targets return X-Request-Id with every answer.",
+)
+
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
@@ -122,7 +128,7 @@
             _change(client, remove_overrides=(name,))
         case ['contract', 'add', prefix, pool]:
             methods = tuple(REPEATABLE.value)
-            contract = Contract(prefix, pool, methods)
+            contract = Contract(prefix, pool, methods, ECHOES.value)
             _change(client, add_contracts=(contract,))
         case ['contract', 'remove', prefix]:
             _change(client, remove_contracts=(prefix,))
--- a/peridotwell/serving/attempts.py
+++ b/peridotwell/serving/attempts.py
@@ -137,12 +137,15 @@
         self.placement = hint_for(target)
         request = _make_request(self._call, target, received)
         link = self._watch.link(target)
-        fresh = not self._call.idempotent
+        sending = link.send(
+            request,
+            self._patience,
+            fresh=not self._call.idempotent,
+            must_echo=self._call.contract.echoes_request_id,
+        )
         self.was_dispatched = True
         try:
-            async with link.send(
-                request, self._patience, fresh=fresh
-            ) as answer:
+            async with sending as answer:
                 yield answer
         finally:
             self._placer.release(wish, target)
--- a/peridotwell/serving/bookings.py
+++ b/peridotwell/serving/bookings.py
@@ -4,6 +4,7 @@
 same key gets the answer.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -44,6 +45,7 @@
 
     call: Call
     attempts: Attempts
+    check: Callable[[], None]
     ended: trio.Event = field(default_factory=trio.Event)
     answer: WholeAnswer | None = None
     error: CallError | None = None
@@ -61,13 +63,16 @@
         call: Call,
         attempts: Attempts,
         wall: float,
+        check: Callable[[], None],
     ) -> WholeAnswer:
         """Run a call at most once and return its answer.
 
-        `wall` is the present time in seconds since the epoch. Raises a
-        CallError whose run state tells whether a target ran the call.
+        `wall` is the present time in seconds since the epoch. `check` may
+        refuse the call; it is asked after the claim, so that a resend of
+        work that ran is never told that it did not. Raises a CallError whose
+        run state tells whether a target ran the call.
         """
-        work = _Work(call, attempts)
+        work = _Work(call, attempts, check)
         self._nursery.start_soon(self._work, work, wall)
         await work.ended.wait()
         if work.answer is None:
@@ -90,6 +95,7 @@
         if isinstance(claim, KeptAnswer):
             return _again(claim)
         try:
+            work.check()
             with trio.fail_at(call.deadline_at):
                 answer = await work.attempts.whole()
         except CallError as exc:
--- a/peridotwell/serving/front.py
+++ b/peridotwell/serving/front.py
@@ -1,6 +1,7 @@
 """The callers' side: one HTTP exchange from its arrival to its answer."""
 
 import time
+from functools import partial
 
 import trio
 
@@ -51,7 +52,6 @@
         book: ConfigurationBook,
     ) -> None:
         self._book = book
-        self.running = 0
         self._placer = placer
         self._watch = watch
         self._quarantine = quarantine
@@ -67,11 +67,7 @@
         elif exchange.path == READY_PATH:
             await self._answer_ready(exchange)
         else:
-            self.running += 1
-            try:
-                await self._serve(exchange)
-            finally:
-                self.running -= 1
+            await self._serve(exchange)
 
     async def _answer_ready(self, exchange: Exchange) -> None:
         reason = self._readiness.obstacle(trio.current_time())
@@ -143,7 +139,6 @@
             call.contract.pool,
             call.priority_class,
         )
-        self._check_quarantine(call, cfg)
         attempts = Attempts(
             call,
             cfg,
@@ -153,11 +148,17 @@
         )
         began = trio.current_time()
         if call.idempotent:
+            self._check_quarantine(call, cfg)
             await self._run_idempotent(exchange, call, attempts)
         else:
             wall = time.time()
             check_booking(call, cfg.claim_window_seconds, wall)
-            answer = await self._bookings.run(call, attempts, wall)
+            answer = await self._bookings.run(
+                call,
+                attempts,
+                wall,
+                partial(self._check_quarantine, call, cfg),
+            )
             await write_whole(exchange, answer, call.request_id)
         series = Series(
             call.customer,
--- a/peridotwell/serving/intake.py
+++ b/peridotwell/serving/intake.py
@@ -33,6 +33,7 @@
     (
         'connection',
         'content-length',
+        'date',
         'expect',
         'host',
         'keep-alive',
@@ -77,6 +78,7 @@
             CHAT_PREFIX,
             chat_request.model,
             repeatable_methods=('POST',),
+            echoes_request_id=True,
         )
         streamed = chat_request.stream
         chat = chat or chat_request.user
--- a/peridotwell/serving/link.py
+++ b/peridotwell/serving/link.py
@@ -135,15 +135,20 @@
         patience: Patience,
         *,
         fresh: bool = False,
+        must_echo: bool = False,
     ) -> AsyncIterator[TargetAnswer]:
-        """Send a request and yield its answer when the headers are there."""
+        """Send a request and yield its answer when the headers are there.
+
+        With `must_echo`, an answer without the request's id is refused, as
+        one with another id always is.
+        """
         timeouts = _timeouts(patience.first_byte_seconds)
         request.extensions['timeout'] = timeouts
         pool = self._fresh_pool if fresh else self._pool
         resp = await _open(pool, request)
         async with aclosing(resp):
             answer = TargetAnswer(resp)
-            _check_owner(request, answer)
+            _check_owner(request, answer, must_echo=must_echo)
             timeouts['read'] = patience.silence_seconds
             yield answer
 
@@ -185,12 +190,19 @@
         raise AnswerLost(f'The connection broke: {exc}') from exc
 
 
-def _check_owner(request: httpcore.Request, answer: TargetAnswer) -> None:
+def _check_owner(
+    request: httpcore.Request,
+    answer: TargetAnswer,
+    *,
+    must_echo: bool,
+) -> None:
     if answer.status == REFUSED_STATUS and 'x-refused' in answer.headers:
         raise RefusedByTarget(answer.headers['x-refused'])
-    expected = dict(request.headers).get(REQUEST_ID.encode())
-    echoed = answer.headers.get(REQUEST_ID)
-    if expected and echoed != expected.decode('latin-1'):
+    expected = dict(request.headers).get(REQUEST_ID.encode(), b'')
+    echoed = answer.headers.get(REQUEST_ID, '')
+    if not (echoed or must_echo):
+        return
+    if echoed != expected.decode('latin-1'):
         raise AnswerCrossed(f'The answer is for request {echoed}.')
 
 
--- a/peridotwell/world/contract.py
+++ b/peridotwell/world/contract.py
@@ -12,10 +12,11 @@
 
     `pool` names the pool that serves the prefix. Requests with a method in
     `repeatable_methods` may be sent again after a doubtful failure. Targets
-    with `echoes_request_id` return X-Request-Id with their answers.
+    with `echoes_request_id` return X-Request-Id with every answer; an answer
+    with another request's id is refused in any case.
     """
 
     prefix: str
     pool: str
     repeatable_methods: tuple[str, ...] = SAFE_METHODS
-    echoes_request_id: bool = True
+    echoes_request_id: bool = False
