Priorities reach the engines; the engine stand-in takes orders with fences

Change: X-Priority with each request; batch slots by priority, orders with a fencing number. The router itself gives no orders yet.

--- a/peridotwell/serving/attempts.py
+++ b/peridotwell/serving/attempts.py
@@ -61,6 +61,7 @@
         self._position = 0
         self._may_have_run = False
         self._call = call
+        self._priority = cfg.priority
         self._patience = Patience(cfg.first_byte_seconds, cfg.silence_seconds)
         self._placer = placer
         self._watch = watch
@@ -135,7 +136,7 @@
         target = await self._placer.place(wish)
         self._target = target
         self.placement = hint_for(target)
-        request = _make_request(self._call, target, received)
+        request = _make_request(self._call, target, received, self._priority)
         link = self._watch.link(target)
         sending = link.send(
             request,
@@ -202,10 +203,12 @@
     call: Call,
     target: Target,
     received: int,
+    priority: int,
 ) -> httpcore.Request:
     headers = dict(call.headers)
     headers['host'] = target.address
     headers['x-request-id'] = call.request_id
+    headers['x-priority'] = str(priority)
     headers['content-length'] = str(len(call.body))
     if received:
         headers['last-event-id'] = str(received)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,6 +1,7 @@
 """A model engine: batch slots, prefix cache, token streams, and faults.
 
-Answers POST /v1/chat/completions, GET /health and GET /cache-events. Faults
+Answers POST /v1/chat/completions, GET /health, GET /cache-events, and orders
+with a fencing number on POST /orders (GET reads them back). Faults
 are set by POST /faults with a JSON object of `Faults` fields.
 """
 
@@ -16,6 +17,7 @@
 from absl import app, flags
 
 from peridotwell.serving.asgi import Exchange
+from standins.batch import Batch
 from standins.process import run_process
 from standins.tokens import prompt_prefixes, token_at
 
@@ -44,6 +46,7 @@
     skip_token: int = -1
     late_seconds: float = 0
     drop_every_event: int = 0
+    ignore_fencing: bool = False
     once: bool = True
 
 
@@ -57,6 +60,7 @@
     last: int
     cached_tokens: int
     stream: bool
+    priority: int
 
 
 class Engine:
@@ -77,7 +81,9 @@
         self.report_lag_seconds = report_lag_seconds
         self.counts = {'started': 0, 'finished': 0, 'cancelled': 0, 'peak': 0}
         self._running = 0
-        self._batch = trio.Semaphore(slots)
+        self._batch = Batch(slots)
+        self.fence = 0
+        self.orders: list[dict[str, Any]] = []
         self._cache: OrderedDict[int, int] = OrderedDict()
         self._events: deque[dict[str, Any]] = deque(maxlen=EVENT_LIMIT)
         self._loads: deque[tuple[float, int]] = deque([(0, 0)])
@@ -93,11 +99,26 @@
             await exchange.answer_json(self._health(trio.current_time()))
         elif exchange.path == '/counts':
             await exchange.answer_json(self.counts)
+        elif exchange.path == '/orders':
+            await self._take_order(exchange)
         elif exchange.path == '/cache-events':
             await exchange.answer_json(list(self._events))
         else:
             await self._complete(exchange)
 
+    async def _take_order(self, exchange: Exchange) -> None:
+        """Take an order with a fencing number, unless it is an old one."""
+        if exchange.method == 'GET':
+            await exchange.answer_json(self.orders)
+            return
+        order = msgspec.json.decode(await exchange.body())
+        if order['fence'] < self.fence and not self.faults.ignore_fencing:
+            await exchange.answer_json({'fence': self.fence}, 409)
+            return
+        self.fence = max(self.fence, order['fence'])
+        self.orders.append(order)
+        await exchange.answer_json({'fence': self.fence})
+
     def _health(self, now: float) -> dict[str, Any]:
         while (
             len(self._loads) > 1
@@ -144,7 +165,7 @@
                     exchange,
                     nursery.cancel_scope,
                 )
-                async with self._batch:
+                async with self._batch.slot(generation.priority):
                     await self._respond(exchange, generation)
                 finished = True
                 nursery.cancel_scope.cancel()
@@ -172,6 +193,7 @@
             int(req.get('max_tokens', 16)),
             self._remember(messages),
             bool(req.get('stream')),
+            int(exchange.headers.get('x-priority', 1)),
         )
 
     def _remember(self, messages: list[dict[str, str]]) -> int:
