Repeated header fields pass through

Cause, found by reading: headers were kept as a mapping, so of a target's repeated fields (Set-Cookie) only the last reached the caller. Change: the answers' fields stay a list; a caller's repeated fields are combined as RFC 9110 allows. The new test fails on the old code by construction (it has no `fields`).

--- a/peridotwell/serving/answers.py
+++ b/peridotwell/serving/answers.py
@@ -67,7 +67,7 @@
 ) -> None:
     """Write a complete answer."""
     headers = (
-        *answer.headers.items(),
+        *answer.headers,
         (PLACEMENT_HEADER, answer.placement),
         (REQUEST_HEADER, request_id),
     )
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -4,7 +4,7 @@
 object with plain methods. Nothing here knows about routing.
 """
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from functools import partial
 from typing import Any
 from urllib.parse import parse_qs
@@ -38,10 +38,7 @@
         self.method: str = scope['method']
         self.path: str = scope['path']
         self.query_string: str = scope['query_string'].decode('latin-1')
-        self.headers: Mapping[str, str] = {
-            name.decode('latin-1').lower(): text.decode('latin-1')
-            for name, text in scope['headers']
-        }
+        self.headers: Mapping[str, str] = _combined(scope['headers'])
         self.status = 0
         self.is_complete = False
         self._receive = receive
@@ -171,6 +168,18 @@
         task_status.started(binds[0].removeprefix('http://'))
 
 
+def _combined(fields: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return the header fields, repeated ones as one list (RFC 9110)."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_text in fields:
+        name = raw_name.decode('latin-1').lower()
+        text = raw_text.decode('latin-1')
+        if name in headers:
+            text = f'{headers[name]}, {text}'
+        headers[name] = text
+    return headers
+
+
 def _server_config(bind: str) -> Config:
     cfg = Config()
     cfg.bind = [bind]
--- a/peridotwell/serving/attempts.py
+++ b/peridotwell/serving/attempts.py
@@ -1,6 +1,6 @@
 """The attempts of one call on its targets, with their failures."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, replace
 
@@ -36,7 +36,7 @@
     """A complete answer of a target, and the target's number for hints."""
 
     status: int
-    headers: Mapping[str, str]
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     placement: str
 
@@ -114,7 +114,7 @@
     async def _read_whole(self, answer: TargetAnswer) -> WholeAnswer:
         return WholeAnswer(
             answer.status,
-            passed_headers(answer.headers),
+            passed_headers(answer.fields),
             await answer.whole(),
             self.placement,
         )
--- a/peridotwell/serving/bookings.py
+++ b/peridotwell/serving/bookings.py
@@ -130,7 +130,7 @@
 
 def _kept(answer: WholeAnswer) -> KeptAnswer:
     body = answer.body if len(answer.body) <= MAX_KEPT_BYTES else None
-    return KeptAnswer(answer.status, tuple(answer.headers.items()), body)
+    return KeptAnswer(answer.status, answer.headers, body)
 
 
 def _again(kept: KeptAnswer) -> WholeAnswer:
@@ -140,4 +140,4 @@
             'result up in the books.',
             run_state=RunState.ran,
         )
-    return WholeAnswer(kept.status, dict(kept.headers), kept.body, '')
+    return WholeAnswer(kept.status, kept.headers, kept.body, '')
--- a/peridotwell/serving/intake.py
+++ b/peridotwell/serving/intake.py
@@ -98,17 +98,19 @@
         hint=headers.get(HINT_HEADER, ''),
         key=headers.get(KEY_HEADER, ''),
         streamed=streamed,
-        headers=passed_headers(headers),
+        headers=dict(passed_headers(headers.items())),
     )
 
 
-def passed_headers(headers: Mapping[str, str]) -> dict[str, str]:
-    """Return the headers that go on to the other side."""
-    return {
-        name: text
-        for name, text in headers.items()
+def passed_headers(
+    fields: Iterable[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    """Return the header fields that go on to the other side."""
+    return tuple(
+        (name, text)
+        for name, text in fields
         if name not in HOP_HEADERS and not name.startswith(OWN_PREFIX)
-    }
+    )
 
 
 def _check_headers(headers: Mapping[str, str]) -> None:
--- a/peridotwell/serving/link.py
+++ b/peridotwell/serving/link.py
@@ -58,16 +58,18 @@
 class TargetAnswer:
     """An answer whose headers have arrived.
 
-    Header names are lower case. `parts` yields the body as it comes and
-    raises AnswerCut or TargetSilent when it does not come whole.
+    Header names are lower case; `fields` keeps repeated ones. `parts` yields
+    the body as it comes and raises AnswerCut or TargetSilent when it does not
+    come whole.
     """
 
     def __init__(self, resp: httpcore.Response) -> None:
         self.status: int = resp.status
-        self.headers: Mapping[str, str] = {
-            name.decode('latin-1').lower(): text.decode('latin-1')
+        self.fields: tuple[tuple[str, str], ...] = tuple(
+            (name.decode('latin-1').lower(), text.decode('latin-1'))
             for name, text in resp.headers
-        }
+        )
+        self.headers: Mapping[str, str] = dict(self.fields)
         self._resp = resp
 
     async def parts(self) -> AsyncIterator[bytes]:
--- a/tests/serving/test_link.py
+++ b/tests/serving/test_link.py
@@ -12,6 +12,7 @@
     TargetSilent,
 )
 from peridotwell.serving.events import checked_events, split_events
+from peridotwell.serving.intake import passed_headers
 from peridotwell.serving.link import Patience, TargetLink
 from peridotwell.world.target import Pool, Target, TargetKind
 from tests.raw_server import raw_server, response
@@ -89,6 +90,19 @@
         assert caught.value.may_have_run is (outcome is not RefusedByTarget)
 
 
+async def test_repeated_headers_are_all_passed_on():
+    cookies = ('set-cookie: a=1', 'set-cookie: b=2', 'connection: close')
+    async with raw_server(response(200, b'', *cookies)) as address:
+        request = httpcore.Request(
+            'GET', f'http://{address}/', headers=[('host', address)]
+        )
+        async with make_link(address).send(
+            request, Patience(0.2, 0.2)
+        ) as answer:
+            passed = passed_headers(answer.fields)
+    assert passed == (('set-cookie', 'a=1'), ('set-cookie', 'b=2'))
+
+
 @pytest.mark.parametrize(
     ('answer', 'outcome'),
     [
--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -61,7 +61,7 @@
         self.executions.append(1)
         if self.failure is not None:
             raise self.failure
-        return WholeAnswer(200, {}, b'receipt', '')
+        return WholeAnswer(200, (), b'receipt', '')
 
 
 def accept():
