--- a/measure/platform_costs.py
+++ b/measure/platform_costs.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from measure.grouped_claims import GroupedBook
 from peridotwell.store.claims import ClaimBook, ClaimState, KeptAnswer
 from peridotwell.store.http import HttpStore
 from peridotwell.world.call import Call
@@ -15,6 +16,8 @@
 
 CLAIMS = 400
 CLAIMERS = 16
+GROUPING_ROUTERS = 3
+SHARDS = 2
 WATCHED_SECONDS = 12
 CHANGE_SECONDS = 4
 CLAIM_HEADER = ('way', 'claims/s', 'writes a claim', 'reads a claim')
@@ -40,6 +43,47 @@
             round(counters.writes / CLAIMS, 2),
             round(counters.reads / CLAIMS, 2),
         )
+    for name, is_shared in (
+        ('trial: grouped, 3 routers, shards of their own', False),
+        ('trial: grouped, 3 routers, the same shards', True),
+    ):
+        with Site() as site:
+            url = f'http://{site.platform.address}'
+            yield (name, *trio.run(_group_all, url, is_shared))
+
+
+async def _group_all(url: str, is_shared: bool) -> tuple[float, ...]:
+    stores = [HttpStore(url, 5) for _ in range(GROUPING_ROUTERS)]
+    began = time.perf_counter()
+    async with trio.open_nursery() as writers:
+        async with trio.open_nursery() as claimers:
+            for router, store in enumerate(stores):
+                prefix = 'all' if is_shared else f'r{router}'
+                names = [f'{prefix}-{shard}' for shard in range(SHARDS)]
+                book = GroupedBook(store, names)
+                book.start(writers)
+                for claimer in range(CLAIMERS):
+                    claimers.start_soon(
+                        _record_some,
+                        book,
+                        f'{router}-{claimer}',
+                    )
+        taken = time.perf_counter() - began
+        writers.cancel_scope.cancel()
+    claims = GROUPING_ROUTERS * (CLAIMS // CLAIMERS) * CLAIMERS
+    writes = sum(store.counters.writes for store in stores)
+    reads = sum(store.counters.reads for store in stores)
+    return (
+        round(claims / taken),
+        round(writes / claims, 2),
+        round(reads / claims, 2),
+    )
+
+
+async def _record_some(book: GroupedBook, name: str) -> None:
+    for number in range(CLAIMS // CLAIMERS):
+        await book.record(f'{name}-{number}')
+        await book.record(f'{name}-{number}')
 
 
 async def _claim_all(url: str) -> tuple[float, HttpStore]:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -46,6 +46,7 @@
     skip_token: int = -1
     late_seconds: float = 0
     drop_every_event: int = 0
+    event_lag_seconds: float = 0
     ignore_fencing: bool = False
     once: bool = True
 
@@ -85,7 +86,9 @@
         self.fence = 0
         self.orders: list[dict[str, Any]] = []
         self._cache: OrderedDict[int, int] = OrderedDict()
-        self._events: deque[dict[str, Any]] = deque(maxlen=EVENT_LIMIT)
+        self._events: deque[tuple[float, dict[str, Any]]] = deque(
+            maxlen=EVENT_LIMIT
+        )
         self._loads: deque[tuple[float, int]] = deque([(0, 0)])
         self._sequence = 0
 
@@ -102,7 +105,9 @@
         elif exchange.path == '/orders':
             await self._take_order(exchange)
         elif exchange.path == '/cache-events':
-            await exchange.answer_json(list(self._events))
+            latest = trio.current_time() - self.faults.event_lag_seconds
+            events = [event for at, event in self._events if at <= latest]
+            await exchange.answer_json(events)
         else:
             await self._complete(exchange)
 
@@ -216,7 +221,7 @@
         gap = self.faults.drop_every_event
         if not gap or self._sequence % gap:
             event = {'seq': self._sequence, 'kind': kind, 'prefix': digest}
-            self._events.append(event)
+            self._events.append((trio.current_time(), event))
 
     async def _respond(
         self,
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -60,3 +60,5 @@
     numbers = [event['seq'] for event in events]
     assert {event['kind'] for event in events} <= {'stored', 'removed'}
     assert numbers != list(range(1, len(numbers) + 1))
+    site.set_faults(process, event_lag_seconds=60, once=False)
+    assert site.get(process.address, '/cache-events').json() == []
