--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -49,16 +49,20 @@
 
     was_dispatched = True
 
-    def __init__(self, executions, failure=None):
+    def __init__(self, executions, failure=None, around=None):
         self.executions = executions
         self.failure = failure
+        self.around = around or (lambda effect: effect())
+
+    async def execute(self):
+        self.executions.append(1)
 
     async def whole(self):
         if self.failure is not None and (
             self.failure.run_state is RunState.not_run
         ):
             raise self.failure
-        self.executions.append(1)
+        await self.around(self.execute)
         if self.failure is not None:
             raise self.failure
         return WholeAnswer(200, (), b'receipt', '')
@@ -69,12 +73,18 @@
 
 
 async def book(
-    claims, executions, failure=None, key='k1', body=b'{}', check=accept
+    claims,
+    executions,
+    failure=None,
+    key='k1',
+    body=b'{}',
+    check=accept,
+    around=None,
 ):
     """Book once; returns the answer's body or the error."""
     async with trio.open_nursery() as nursery:
         bookings = Bookings(claims, nursery)
-        attempts = FakeAttempts(executions, failure)
+        attempts = FakeAttempts(executions, failure, around)
         try:
             answer = await bookings.run(
                 make_call(key, body), attempts, WALL, check
