--- a/peridotwell/operators/messages.py
+++ b/peridotwell/operators/messages.py
@@ -47,6 +47,7 @@
     running_calls: int
     waiting_calls: int
     unsettled_claims: int
+    quarantined: int
     live_routers: tuple[RouterAddress, ...]
     control_bytes: int
     control_frames: int
--- a/peridotwell/operators/status.py
+++ b/peridotwell/operators/status.py
@@ -59,6 +59,9 @@
             running_calls=state.loads.own_total(),
             waiting_calls=self._placer.waiting(),
             unsettled_claims=self._claims.pending,
+            quarantined=sum(
+                bool(verdict.lost) for verdict in state.quarantine.verdicts()
+            ),
             live_routers=tuple(
                 RouterAddress(peer.hello.name, peer.hello.operators)
                 for peer in state.peers.live(now)
--- a/peridotwell/operators/tables.py
+++ b/peridotwell/operators/tables.py
@@ -87,6 +87,9 @@
         'running',
         'waiting',
         'platform',
+        'targets live',
+        'leaving',
+        'suspects',
         'routers seen',
         'control B/s',
     )
@@ -99,6 +102,9 @@
             router.running_calls,
             router.waiting_calls,
             'reachable' if router.platform_reachable else 'unreachable',
+            _in_state(router, 'live'),
+            _in_state(router, 'leaving'),
+            router.quarantined,
             len(router.live_routers) + 1,
             round(router.control_bytes / max(router.uptime_seconds, 1)),
         )
@@ -220,6 +226,10 @@
         yield f'not yet confirmed by {", ".join(report.unconfirmed)}'
 
 
+def _in_state(router: RouterStatus, state: str) -> int:
+    return sum(target.state == state for target in router.targets)
+
+
 def _quantiles(sketch: DDSketch) -> list[float]:
     return [
         round(sketch.get_quantile_value(quantile) * MILLISECONDS, 1)
