--- a/peridotwell/fleet/loads.py
+++ b/peridotwell/fleet/loads.py
@@ -152,14 +152,6 @@
         self._reported.update(chosen)
         return chosen
 
-    def all_pools(self, now: float) -> Pairs:
-        """Return every pool's count, for a router that knows none."""
-        return tuple(
-            (pool.wire_id, calls)
-            for pool in self._membership.all_pools()
-            if (calls := self.own(pool, now))
-        )
-
     def reported_customers(self, now: float) -> Pairs:
         """Return the largest customers' counts, while a pool is nearly full."""
         if now > self._pressure_until:
