Routers share loads and cached prompts; engines copy cached parts

Ruled out: choices away from the cache by load (3% of the tokens). Found: parts that another engine had read, on engines that were replaced, and parts that the map of cached prompts had dropped because its capacity was not set for prompts heard from other routers.

Change: every router tells the others which prompts it sent where and what it has outstanding; an engine's cost is what it has to read, plus a penalty as the expected first token nears the objective; missing parts are copied from the engine that has them. A router that is behind its peers pulls entries from them.

--- a/peridotwell/fleet/directory.py
+++ b/peridotwell/fleet/directory.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Iterable
 
 from peridotwell.errors import EntryError
+from peridotwell.fleet.frames import Hello, SharedEntry
+from peridotwell.fleet.registry import ROUTERS_PREFIX, decode_router
 from peridotwell.forwarding.dialect import EntryDecoder
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
@@ -19,6 +21,8 @@
 
 # Live targets register again within this time after an outage.
 REGISTER_AGAIN_SECONDS = 2.2
+# Deletions that are remembered for routers that are behind.
+MAX_DELETED = 2000
 
 
 class Directory:
@@ -27,11 +31,16 @@
     def __init__(self, decoder: EntryDecoder) -> None:
         self.table: RoutingTable | None = None
         self.table_at = float(0)
+        # How far the store's own feed was read.
         self.revision = 0
+        # How far this router knows, from the store or from a peer.
+        self.known_revision = 0
         self.is_listed = False
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
-        self._revisions: dict[str, int] = {}
+        self._entries: dict[str, Entry] = {}
+        self._deleted: dict[str, int] = {}
+        self._numbered: dict[int, Target] = {}
         self._doubted: dict[str, float] = {}
         self._trusted_at = float(0)
         self._by_service: dict[str, tuple[Target, ...]] = {}
@@ -45,9 +54,40 @@
         """Return the targets of a service that take new work."""
         return self._by_service.get(service, ())
 
-    def target(self, name: str) -> Target | None:
-        """Return a target, leaving or not."""
-        return self._targets.get(name)
+    def all_of(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service, leaving ones included."""
+        return tuple(
+            target
+            for target in self._targets.values()
+            if target.pool.name == service
+        )
+
+    def numbered(self, number: int) -> Target | None:
+        """Return the target with that wire id."""
+        return self._numbered.get(number)
+
+    def routers(self) -> tuple[Hello, ...]:
+        """Return the routers that have registered."""
+        found = (
+            decode_router(entry.value)
+            for key, entry in self._entries.items()
+            if key.startswith(ROUTERS_PREFIX)
+        )
+        return tuple(hello for hello in found if hello is not None)
+
+    def entries_after(self, revision: int) -> tuple[SharedEntry, ...]:
+        """Return what has changed after a revision, deletions included."""
+        written = (
+            SharedEntry(entry.key, entry.revision, entry.value)
+            for entry in self._entries.values()
+            if entry.revision > revision
+        )
+        deleted = (
+            SharedEntry(key, deleted_at, None)
+            for key, deleted_at in self._deleted.items()
+            if deleted_at > revision
+        )
+        return (*written, *deleted)
 
     def all_targets(self) -> tuple[Target, ...]:
         """Return every target, leaving ones included."""
@@ -63,13 +103,13 @@
         for entry in snapshot.entries:
             self._take(entry, now)
         gone = [
-            key
-            for key, revision in self._revisions.items()
-            if key not in listed and revision <= snapshot.revision
+            entry.key
+            for entry in self._entries.values()
+            if entry.key not in listed and entry.revision <= snapshot.revision
         ]
         for key in gone:
             self._remove(key, snapshot.revision, now)
-        self.is_listed = True
+        self.revision = max(self.revision, snapshot.revision)
         self._finish(snapshot.revision, now)
 
     def take_changes(self, changes: Changes, now: float) -> None:
@@ -78,8 +118,24 @@
             self._take(entry, now)
         for key, revision in changes.deleted:
             self._remove(key, revision, now)
+        self.revision = max(self.revision, changes.revision)
         self._finish(changes.revision, now)
 
+    def take_shared(
+        self,
+        entries: Iterable[SharedEntry],
+        revision: int,
+        now: float,
+    ) -> None:
+        """Take over what another router has read from the store."""
+        for entry in entries:
+            if entry.value is None:
+                self._remove(entry.key, entry.revision, now)
+            else:
+                found = Entry(entry.key, entry.value, entry.revision)
+                self._take(found, now)
+        self._finish(revision, now)
+
     def settle(self, now: float) -> None:
         """Believe that doubted targets are gone when their time is up."""
         over = [key for key, until in self._doubted.items() if until <= now]
@@ -90,20 +146,27 @@
             self._rebuild()
 
     def _finish(self, revision: int, now: float) -> None:
-        self.revision = max(self.revision, revision)
+        self.known_revision = max(self.known_revision, revision)
+        self.is_listed = True
         self.settle(now)
         self._rebuild()
 
     def _take(self, entry: Entry, now: float) -> None:
-        if entry.revision <= self._revisions.get(entry.key, 0):
+        known = self._entries.get(entry.key)
+        if known is not None and entry.revision <= known.revision:
+            return
+        if entry.revision <= self._deleted.get(entry.key, 0):
             return
         if self._decoder.is_table(entry.key):
             self._take_table(entry, now)
         elif self._decoder.is_target(entry.key):
             self._take_target(entry)
+        elif not entry.key.startswith(ROUTERS_PREFIX):
+            return
+        self._entries[entry.key] = entry
+        self._deleted.pop(entry.key, None)
 
     def _take_table(self, entry: Entry, now: float) -> None:
-        self._revisions[entry.key] = entry.revision
         try:
             table = self._decoder.table(entry.value, entry.revision)
         except EntryError as exc:
@@ -119,7 +182,6 @@
         )
 
     def _take_target(self, entry: Entry) -> None:
-        self._revisions[entry.key] = entry.revision
         self._doubted.pop(entry.key, None)
         try:
             target = self._decoder.target(entry.key, entry.value)
@@ -137,10 +199,12 @@
         )
 
     def _remove(self, key: str, revision: int, now: float) -> None:
-        if revision < self._revisions.get(key, 0):
+        known = self._entries.get(key)
+        if known is None or revision < known.revision:
             return
         if self._decoder.is_table(key):
             return
+        self._deleted[key] = revision
         if now < self._trusted_at and key in self._targets:
             self._doubted.setdefault(key, self._trusted_at)
             log_event('target.doubted', entry=key, revision=revision)
@@ -148,22 +212,24 @@
         self._drop(key)
 
     def _drop(self, key: str) -> None:
-        self._revisions.pop(key, None)
+        self._entries.pop(key, None)
+        while len(self._deleted) > MAX_DELETED:
+            self._deleted.pop(next(iter(self._deleted)))
         target = self._targets.pop(key, None)
         if target is not None:
             log_event('target.gone', target=target.name)
 
     def _rebuild(self) -> None:
         by_service: dict[str, list[Target]] = {}
-        for target in self._usable():
+        self._numbered = {
+            target.wire_id: target for target in self._targets.values()
+        }
+        for target in self._targets.values():
+            if target.leaving:
+                continue
             by_service.setdefault(target.pool.name, []).append(target)
         self._by_service = {
             name: tuple(members) for name, members in by_service.items()
         }
         for listener in self._listeners:
             listener()
-
-    def _usable(self) -> Iterable[Target]:
-        return (
-            target for target in self._targets.values() if not target.leaving
-        )
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -27,6 +27,11 @@
     'News',
     'StatePull',
     'StatePush',
+    'CachedPrompt',
+    'Update',
+    'SharedEntry',
+    'EntriesPull',
+    'EntriesPush',
     'encode_frame',
     'decode_frame',
 )
@@ -144,6 +149,51 @@
     listing: bytes = b''
 
 
+class CachedPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """Shared prompt parts, as (number, tokens), that an engine has read."""
+
+    target: int
+    parts: Pairs
+
+
+class Update(Frame, frozen=True, array_like=True, tag=11):
+    """A forwarding router's sign of life, with what has changed.
+
+    `revision` is the store's revision that the sender has read. `running` are
+    its outstanding calls and `reading` the prompt tokens that it waits for,
+    for the targets whose count has changed, or for all if `is_full`.
+    `prompts` are those sent to engines since the last update.
+    """
+
+    revision: int
+    is_leaving: bool = False
+    is_full: bool = False
+    running: Pairs = ()
+    reading: Pairs = ()
+    prompts: tuple[CachedPrompt, ...] = ()
+
+
+class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the store; deleted at `revision` if it has no value."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class EntriesPull(Frame, frozen=True, array_like=True, tag=12):
+    """Ask for the store's entries that have changed after `revision`."""
+
+    revision: int
+
+
+class EntriesPush(Frame, frozen=True, array_like=True, tag=13):
+    """The store's entries that a router knows to be newer than asked for."""
+
+    revision: int
+    entries: tuple[SharedEntry, ...]
+
+
 _Any = (
     Hello
     | Heartbeat
@@ -155,6 +205,9 @@
     | News
     | StatePull
     | StatePush
+    | Update
+    | EntriesPull
+    | EntriesPush
 )
 _decoder: Any = msgspec.msgpack.Decoder(_Any)
 _encoder = msgspec.msgpack.Encoder()
--- a/peridotwell/fleet/gossip.py
+++ b/peridotwell/fleet/gossip.py
@@ -4,7 +4,6 @@
 cannot be decoded is counted and passed over.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -22,6 +21,7 @@
     StatePush,
     decode_frame,
 )
+from peridotwell.fleet.introductions import Introductions
 from peridotwell.fleet.loads import LoadBook
 from peridotwell.fleet.membership import Membership, decode_listing
 from peridotwell.fleet.peers import Peers
@@ -54,43 +54,12 @@
 
     def __init__(self, state: SharedState, bus: Bus, metrics: Metrics) -> None:
         self.listing = b''
+        self.introductions = Introductions(state.peers, bus)
         self._state = state
         self._bus = bus
         self._metrics = metrics
         self._own = state.peers.own
 
-    def greet_seeds(self, seeds: Iterable[str], now: float) -> None:
-        """Greet the routers of the settings while no other is known."""
-        if not self._state.peers.live(now):
-            for address in seeds:
-                self.greet(address)
-
-    def greet(self, address: str) -> None:
-        """Make this router known at an address."""
-        hello = msgspec.structs.replace(self._own, wants_reply=True)
-        self._bus.send(address, hello)
-
-    def meet(self, hellos: Iterable[Hello]) -> None:
-        """Learn of routers, and greet those that are new."""
-        for hello in hellos:
-            known = self._state.peers.peer(hello.sender)
-            if not self._state.peers.meet(hello):
-                continue
-            if known is not None and known.hello.peers != hello.peers:
-                self._bus.disconnect(known.hello.peers)
-            log_event('router.met', router=hello.name)
-            self.greet(hello.peers)
-
-    def forget_gone(self, listed: Iterable[Hello], now: float) -> None:
-        """Forget routers that are silent and that the platform has dropped."""
-        senders = {hello.sender for hello in listed}
-        for peer in self._state.peers.known():
-            is_live = self._state.peers.is_live(peer, now)
-            if not is_live and peer.wire_id not in senders:
-                self._state.peers.forget(peer.wire_id)
-                self._bus.disconnect(peer.hello.peers)
-                log_event('router.forgotten', router=peer.hello.name)
-
     def beat(self, now: float, *, leaving: bool) -> None:
         """Send a heartbeat to every known router."""
         peers = self._state.peers
@@ -107,7 +76,7 @@
             # A greeting is repeated until the peer is heard: it may not
             # know this router yet, or the link was not up.
             if not peers.is_live(peer, now):
-                self.greet(peer.hello.peers)
+                self.introductions.greet(peer.hello.peers)
             self._bus.send(peer.hello.peers, beat)
 
     def spread(self, frame: Frame) -> None:
@@ -129,7 +98,7 @@
             return
         match frame:
             case Hello():
-                self._answer_hello(frame)
+                self.introductions.answer(frame)
             case Heartbeat():
                 self._hear(frame, now)
             case News():
@@ -141,14 +110,6 @@
             case _:
                 self._state.credit.receive(frame, now)
 
-    def _answer_hello(self, hello: Hello) -> None:
-        self.meet((hello,))
-        if hello.wants_reply:
-            self._bus.send(hello.peers, self._own)
-            # Introduce the others, so that one seed is enough.
-            for peer in self._state.peers.known():
-                self._bus.send(hello.peers, peer.hello)
-
     def _hear(self, beat: Heartbeat, now: float) -> None:
         peer = self._state.peers.peer(beat.sender)
         if peer is None:
--- /dev/null
+++ b/peridotwell/fleet/introductions.py
@@ -0,0 +1,60 @@
+"""How routers come to know each other, and forget who is gone."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from peridotwell.fleet.bus import Bus
+from peridotwell.fleet.frames import Hello
+from peridotwell.fleet.peers import Peers
+from peridotwell.logs import log_event
+
+__all__ = ('Introductions',)
+
+
+class Introductions:
+    """Greets other routers and answers their greetings."""
+
+    def __init__(self, peers: Peers, bus: Bus) -> None:
+        self._peers = peers
+        self._bus = bus
+
+    def greet_seeds(self, seeds: Iterable[str], now: float) -> None:
+        """Greet the routers of the settings while no other is known."""
+        if not self._peers.live(now):
+            for address in seeds:
+                self.greet(address)
+
+    def greet(self, address: str) -> None:
+        """Make this router known at an address."""
+        hello = msgspec.structs.replace(self._peers.own, wants_reply=True)
+        self._bus.send(address, hello)
+
+    def meet(self, hellos: Iterable[Hello]) -> None:
+        """Learn of routers, and greet those that are new."""
+        for hello in hellos:
+            known = self._peers.peer(hello.sender)
+            if not self._peers.meet(hello):
+                continue
+            if known is not None and known.hello.peers != hello.peers:
+                self._bus.disconnect(known.hello.peers)
+            log_event('router.met', router=hello.name)
+            self.greet(hello.peers)
+
+    def forget_gone(self, listed: Iterable[Hello], now: float) -> None:
+        """Forget routers that are silent and that the platform has dropped."""
+        senders = {hello.sender for hello in listed}
+        for peer in self._peers.known():
+            is_live = self._peers.is_live(peer, now)
+            if not is_live and peer.wire_id not in senders:
+                self._peers.forget(peer.wire_id)
+                self._bus.disconnect(peer.hello.peers)
+                log_event('router.forgotten', router=peer.hello.name)
+
+    def answer(self, hello: Hello) -> None:
+        """Meet the sender; introduce the others, so one seed is enough."""
+        self.meet((hello,))
+        if hello.wants_reply:
+            self._bus.send(hello.peers, self._peers.own)
+            for peer in self._peers.known():
+                self._bus.send(hello.peers, peer.hello)
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from peridotwell.fleet.frames import Heartbeat, Hello
+from peridotwell.fleet.frames import Heartbeat, Hello, Update
 from peridotwell.world.target import Pool, Target, wire_id
 
 __all__ = ('Peer', 'Peers', 'choose_lender', 'make_hello')
@@ -77,6 +77,19 @@
         peer.customers = dict(beat.customers)
         return True
 
+    def hear_update(self, update: Update, now: float) -> bool:
+        """Book an update; False when its sender is not known yet."""
+        peer = self._peers.get(update.sender)
+        if peer is None:
+            return False
+        peer.heard_at = now
+        peer.version = update.revision
+        peer.leaving = update.is_leaving
+        if update.is_full:
+            peer.loads = {}
+        peer.loads.update(update.running)
+        return True
+
     def peer(self, sender: int) -> Peer | None:
         """Return a known router."""
         return self._peers.get(sender)
--- a/peridotwell/fleet/registry.py
+++ b/peridotwell/fleet/registry.py
@@ -4,11 +4,11 @@
 
 from peridotwell.errors import StoreAnswerLost, StoreConflict
 from peridotwell.fleet.frames import Hello
-from peridotwell.store.base import KeyValueStore
+from peridotwell.store.base import EntryStore, KeyValueStore
 
-__all__ = ('Registry',)
+__all__ = ('ROUTERS_PREFIX', 'Registration', 'Registry', 'decode_router')
 
-PREFIX = 'routers/'
+ROUTERS_PREFIX = 'routers/'
 MAX_ATTEMPTS = 3
 
 
@@ -23,12 +23,21 @@
     incarnation: int
 
 
-class Registry:
-    """This router's entry, and a reader of the others'."""
+def decode_router(content: bytes) -> Hello | None:
+    """Return the router of an entry; None if the entry is garbage."""
+    try:
+        found = msgspec.json.decode(content, type=Registered)
+    except msgspec.DecodeError:
+        return None
+    return Hello(**msgspec.structs.asdict(found))
+
+
+class Registration:
+    """This router's entry under a lease."""
 
     def __init__(
         self,
-        store: KeyValueStore,
+        store: EntryStore,
         own: Hello,
         lease_seconds: float,
     ) -> None:
@@ -51,22 +60,9 @@
                 return
         await self._register()
 
-    async def others(self) -> tuple[Hello, ...]:
-        """Return the other registered routers. Raises StoreError."""
-        entries = await self._store.read_prefix(PREFIX)
-        hellos = []
-        for entry in entries:
-            try:
-                found = msgspec.json.decode(entry.value, type=Registered)
-            except msgspec.DecodeError:
-                continue
-            if found.sender != self._own.sender:
-                hellos.append(Hello(**msgspec.structs.asdict(found)))
-        return tuple(hellos)
-
     async def _register(self) -> None:
         lease = await self._store.grant_lease(self._lease_seconds)
-        key = f'{PREFIX}{self._own.data_centre}/{self._own.name}'
+        key = f'{ROUTERS_PREFIX}{self._own.data_centre}/{self._own.name}'
         document = msgspec.json.encode(
             Registered(
                 self._own.sender,
@@ -91,3 +87,26 @@
             self._lease = lease
             return
         raise StoreAnswerLost('the registration is not confirmed')
+
+
+class Registry(Registration):
+    """This router's entry, and a reader of the others'."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        own: Hello,
+        lease_seconds: float,
+    ) -> None:
+        super().__init__(store, own, lease_seconds)
+        self._listing = store
+
+    async def others(self) -> tuple[Hello, ...]:
+        """Return the other registered routers. Raises StoreError."""
+        entries = await self._listing.read_prefix(ROUTERS_PREFIX)
+        found = (decode_router(entry.value) for entry in entries)
+        return tuple(
+            hello
+            for hello in found
+            if hello is not None and hello.sender != self._own.sender
+        )
--- /dev/null
+++ b/peridotwell/fleet/sharing.py
@@ -0,0 +1,225 @@
+"""What forwarding routers tell each other.
+
+Every router sends small updates to the others: what it has outstanding on
+each target, which prompts it has sent where, and how far it has read the
+store. A router that lags behind asks for the entries it lacks, so a router
+that the store turns away follows through the others.
+"""
+
+from dataclasses import dataclass
+
+from peridotwell.fleet.bus import Bus
+from peridotwell.fleet.directory import Directory
+from peridotwell.fleet.frames import (
+    CachedPrompt,
+    EntriesPull,
+    EntriesPush,
+    Frame,
+    FrameError,
+    Hello,
+    News,
+    Update,
+    decode_frame,
+)
+from peridotwell.fleet.introductions import Introductions
+from peridotwell.fleet.peers import Peers
+from peridotwell.logs import log_event
+from peridotwell.metrics import Metrics
+from peridotwell.policy.cache_map import CachedPart, CacheMap
+from peridotwell.policy.fleet_load import FleetLoad
+from peridotwell.policy.own_counts import OwnCounts
+from peridotwell.policy.quarantine import Quarantine, Verdict
+
+__all__ = ('Knowledge', 'Sharing')
+
+# The least time between two updates, by what there is to tell. New prompts
+# hurry: the next request with the same parts may be on its way.
+PROMPT_SECONDS = 0.03
+COUNTS_SECONDS = 0.2
+QUIET_SECONDS = 0.8
+# Counts are repeated in full, in case an update was lost.
+FULL_SECONDS = 2.0
+# A router that is behind a peer for so long asks it for entries.
+BEHIND_SECONDS = 0.4
+PULL_SECONDS = 0.5
+MAX_PROMPTS = 200
+
+
+@dataclass(frozen=True)
+class Knowledge:
+    """What spreads between routers.
+
+    `loads` sums the others' outstanding calls, `reading` the prompt tokens
+    that they wait for.
+    """
+
+    directory: Directory
+    caches: CacheMap
+    loads: FleetLoad
+    reading: FleetLoad
+    quarantine: Quarantine
+
+
+class Sharing:
+    """This router's side of the exchange."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        bus: Bus,
+        knowledge: Knowledge,
+        metrics: Metrics,
+    ) -> None:
+        self.peers = peers
+        self.introductions = Introductions(peers, bus)
+        self._bus = bus
+        self._knowledge = knowledge
+        self._metrics = metrics
+        self._own = peers.own.sender
+        self.running = OwnCounts()
+        self.reading = OwnCounts()
+        self._prompts: list[CachedPrompt] = []
+        self._sent_at = float(0)
+        self._full_at = float(0)
+        self._behind_since: float | None = None
+        self._pulled_at = float(0)
+
+    def routers(self, now: float) -> int:
+        """Return the number of routers seen, this one included."""
+        return len(self.peers.live(now)) + 1
+
+    def prompt_sent(
+        self,
+        target: int,
+        parts: tuple[CachedPart, ...],
+    ) -> None:
+        """Tell the others that an engine reads these parts."""
+        pairs = tuple((part.number, part.tokens) for part in parts)
+        if len(self._prompts) < MAX_PROMPTS:
+            self._prompts.append(CachedPrompt(target, pairs))
+
+    def spread(self, *verdicts: Verdict) -> None:
+        """Tell every router about requests that lose targets."""
+        self._send_all(News(self._own, (), verdicts))
+
+    def tick(self, now: float) -> None:
+        """Send what has changed; called every few hundredths of a second."""
+        if now - self._sent_at >= self._pause(now):
+            self._send_update(now)
+        self._drop_silent(now)
+        self._pull_if_behind(now)
+
+    def _pause(self, now: float) -> float:
+        """Return the time to wait after the last update."""
+        if self._prompts:
+            return PROMPT_SECONDS
+        if self.running.has_changed or self.reading.has_changed:
+            return COUNTS_SECONDS
+        return QUIET_SECONDS
+
+    def receive(self, content: bytes, now: float, wall: float) -> None:
+        """Act on one frame."""
+        try:
+            frame = decode_frame(content)
+        except FrameError as exc:
+            self._metrics.count('peer.garbage')
+            log_event('peer.garbage', error=str(exc))
+            return
+        match frame:
+            case Update():
+                self._hear(frame, now)
+            case Hello():
+                self.introductions.answer(frame)
+            case News():
+                self._knowledge.quarantine.learn(frame.verdicts, wall)
+            case EntriesPull():
+                self._push(frame)
+            case EntriesPush():
+                self._take(frame, now)
+            case _:
+                self._metrics.count('peer.unexpected')
+
+    def _send_update(self, now: float) -> None:
+        is_full = now - self._full_at >= FULL_SECONDS
+        update = Update(
+            self._own,
+            self._knowledge.directory.known_revision,
+            self.peers.own_leaving,
+            is_full,
+            self.running.take(everything=is_full),
+            self.reading.take(everything=is_full),
+            tuple(self._prompts),
+        )
+        self._send_all(update)
+        self._prompts.clear()
+        self._sent_at = now
+        if is_full:
+            self._full_at = now
+
+    def _send_all(self, frame: Frame) -> None:
+        for peer in self.peers.known():
+            self._bus.send(peer.hello.peers, frame)
+
+    def _hear(self, update: Update, now: float) -> None:
+        if not self.peers.hear_update(update, now):
+            self._metrics.count('peer.unknown')
+            return
+        for sums, pairs in (
+            (self._knowledge.loads, update.running),
+            (self._knowledge.reading, update.reading),
+        ):
+            if update.is_full:
+                sums.drop(update.sender)
+            sums.hear(update.sender, dict(pairs))
+        for prompt in update.prompts:
+            target = self._knowledge.directory.numbered(prompt.target)
+            if target is None:
+                continue
+            parts = [CachedPart(*pair) for pair in prompt.parts]
+            self._knowledge.caches.use(target.name, parts, now)
+
+    def _drop_silent(self, now: float) -> None:
+        live = {peer.wire_id for peer in self.peers.live(now)}
+        for sums in (self._knowledge.loads, self._knowledge.reading):
+            for router in sums.routers() - live:
+                sums.drop(router)
+
+    def _pull_if_behind(self, now: float) -> None:
+        """Ask the peer that has read furthest, when this router lags."""
+        ahead = max(
+            self.peers.live(now),
+            key=lambda peer: peer.version,
+            default=None,
+        )
+        own = self._knowledge.directory.known_revision
+        if ahead is None or ahead.version <= own:
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        is_late = now - self._behind_since >= BEHIND_SECONDS
+        if is_late and now - self._pulled_at >= PULL_SECONDS:
+            self._pulled_at = now
+            log_event(
+                'entries.pulled',
+                router=ahead.hello.name,
+                revision=own,
+                ahead=ahead.version,
+            )
+            self._bus.send(ahead.hello.peers, EntriesPull(self._own, own))
+
+    def _push(self, pull: EntriesPull) -> None:
+        peer = self.peers.peer(pull.sender)
+        directory = self._knowledge.directory
+        if peer is None or not directory.is_listed:
+            return
+        entries = directory.entries_after(pull.revision)
+        push = EntriesPush(self._own, directory.known_revision, entries)
+        self._bus.send(peer.hello.peers, push)
+
+    def _take(self, push: EntriesPush, now: float) -> None:
+        self._knowledge.directory.take_shared(
+            push.entries,
+            push.revision,
+            now,
+        )
--- a/peridotwell/forwarding/answers.py
+++ b/peridotwell/forwarding/answers.py
@@ -14,6 +14,7 @@
 from peridotwell.forwarding.dispatch import Dispatcher, Sending
 from peridotwell.forwarding.placement import Placement
 from peridotwell.forwarding.retries import Attempts, Verdict
+from peridotwell.policy.choice import Choice
 from peridotwell.serving.link import TargetAnswer
 
 __all__ = ('WholeReply', 'Unusable', 'Answers', 'check_answer', 'give_up')
@@ -31,7 +32,7 @@
     status: int
     fields: Fields
     body: bytes
-    target: str
+    choice: Choice
 
     @property
     def is_failure(self) -> bool:
@@ -79,10 +80,10 @@
         attempts: Attempts,
     ) -> WholeReply | LinkError:
         now = trio.current_time()
-        target = self._placement.choose(call, attempts.tried, now)
-        number = attempts.begin(target.name)
+        choice = self._placement.choose(call, attempts.tried, now)
+        number = attempts.begin(choice.target.name)
         try:
-            return await self._try(Sending(call, target, number))
+            return await self._try(Sending(call, choice, number))
         except LinkError as exc:
             return exc
 
@@ -94,7 +95,7 @@
                 answer.status,
                 self._dialect.caller_fields(answer),
                 body,
-                sending.target.name,
+                sending.choice,
             )
         self._dispatcher.succeeded(sending)
         return reply
--- a/peridotwell/forwarding/dialect.py
+++ b/peridotwell/forwarding/dialect.py
@@ -17,6 +17,7 @@
     'Fields',
     'CallerFacts',
     'ForwardCall',
+    'TargetRequest',
     'ReportedLoad',
     'CallerDialect',
     'TargetDialect',
@@ -71,6 +72,22 @@
         return self.arrived_at + self.route.objective_seconds
 
 
+@dataclass(frozen=True)
+class TargetRequest:
+    """A call on its way to a target, `now`.
+
+    `resume_after` is the id of the last event that the caller has.
+    `fetch_from` is an engine that has more of the prompt cached, from which
+    the target copies it.
+    """
+
+    call: ForwardCall
+    target: Target
+    now: float
+    resume_after: str = ''
+    fetch_from: Target | None = None
+
+
 @dataclass(frozen=True)
 class ReportedLoad:
     """What a target says of its own load; `slots` 0 if it does not say."""
@@ -92,17 +109,8 @@
     """The targets' header fields, in both directions."""
 
     @abstractmethod
-    def request_fields(
-        self,
-        call: ForwardCall,
-        target: Target,
-        now: float,
-        resume_after: str = '',
-    ) -> Fields:
-        """Return all fields of the request to a target.
-
-        `resume_after` is the id of the last event that the caller has.
-        """
+    def request_fields(self, request: TargetRequest) -> Fields:
+        """Return all fields of the request to a target."""
 
     @abstractmethod
     def is_receipted(self, answer: TargetAnswer) -> bool:
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -8,10 +8,16 @@
 import trio
 
 from peridotwell.failures import LinkError, NothingSent, RefusedByTarget
-from peridotwell.forwarding.dialect import Fields, ForwardCall, TargetDialect
+from peridotwell.forwarding.dialect import (
+    Fields,
+    ForwardCall,
+    TargetDialect,
+    TargetRequest,
+)
 from peridotwell.forwarding.links import Links
 from peridotwell.forwarding.placement import Placement
 from peridotwell.logs import log_event
+from peridotwell.policy.choice import Choice
 from peridotwell.policy.ejection import Ejection
 from peridotwell.serving.link import Patience, TargetAnswer
 from peridotwell.world.target import Target
@@ -30,10 +36,15 @@
     """One attempt: `resume_after` names the last event the caller has."""
 
     call: ForwardCall
-    target: Target
+    choice: Choice
     number: int
     resume_after: str = ''
 
+    @property
+    def target(self) -> Target:
+        """The target that runs it."""
+        return self.choice.target
+
 
 class Dispatcher:
     """Sends requests to targets and judges the targets by the outcome."""
@@ -53,16 +64,25 @@
     @asynccontextmanager
     async def send(self, sending: Sending) -> AsyncIterator[TargetAnswer]:
         """Send and yield the answer. Raises LinkError."""
-        load = self._placement.load(sending.target)
-        load.began()
+        began_at = trio.current_time()
+        call = sending.call
+        choice = sending.choice
+        self._placement.began(call, choice, began_at)
+        is_read = False
         try:
             async with self._answer(sending) as answer:
+                is_read = True
+                self._placement.prompt_read(call, choice)
+                seconds = trio.current_time() - began_at
+                self._placement.answered(call, choice, seconds)
                 yield answer
         except LinkError as exc:
             self._note_failure(sending, exc)
             raise
         finally:
-            load.ended()
+            if not is_read:
+                self._placement.prompt_read(call, choice)
+            self._placement.ended(sending.target)
 
     def succeeded(self, sending: Sending) -> None:
         """Count a whole answer."""
@@ -83,10 +103,13 @@
             ),
             headers=(
                 *self._dialect.request_fields(
-                    call,
-                    target,
-                    now,
-                    sending.resume_after,
+                    TargetRequest(
+                        call,
+                        target,
+                        now,
+                        sending.resume_after,
+                        sending.choice.fetch_from,
+                    ),
                 ),
                 *_length_field(call),
             ),
--- a/peridotwell/forwarding/front.py
+++ b/peridotwell/forwarding/front.py
@@ -22,6 +22,7 @@
 from peridotwell.forwarding.streams import Stream, StreamBroken
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Measure, Metrics, Series
+from peridotwell.policy.choice import Choice
 from peridotwell.policy.retry_window import RetryWindow
 from peridotwell.serving.asgi import Exchange
 from peridotwell.serving.presence import run_while_caller_waits
@@ -127,12 +128,12 @@
             )
             status = await stream.run()
             first_at = stream.first_event_at
-            self._log_end(call, attempts, status, stream.target, first_at)
+            self._log_end(call, attempts, status, stream.choice, first_at)
             return
         answers = Answers(engine.dispatcher, engine.placement, engine.targets)
         answer = await answers.get(call, attempts)
         now = trio.current_time()
-        self._log_end(call, attempts, answer.status, answer.target, now)
+        self._log_end(call, attempts, answer.status, answer.choice, now)
         await reply.whole(answer.status, answer.fields, answer.body)
 
     def _window(self, service: str) -> RetryWindow:
@@ -151,7 +152,7 @@
         call: ForwardCall,
         attempts: Attempts,
         status: int,
-        target: str,
+        choice: Choice | None,
         first_at: float,
     ) -> None:
         waited = first_at - call.arrived_at
@@ -163,7 +164,13 @@
             request=call.request_id,
             route=call.route.name,
             customer=call.customer,
-            target=target,
+            target=choice.target.name if choice else '',
+            subject=call.prompt.subject if call.prompt else '',
+            load=choice.load if choice else 0,
+            mean_load=round(choice.mean, 2) if choice else 0,
+            missing_tokens=choice.missing if choice else 0,
+            fetched_tokens=choice.fetched if choice else 0,
+            tokens_ahead=choice.ahead if choice else 0,
             status=status,
             attempts=attempts.number,
             first_seconds=round(waited, 4),
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -1,12 +1,19 @@
 """The life of a forwarding router, from start to stop."""
 
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
 
+from peridotwell.errors import StoreError
+from peridotwell.fleet.bus import SocketBus
 from peridotwell.fleet.directory import Directory
 from peridotwell.fleet.follower import Follower
+from peridotwell.fleet.frames import Hello
+from peridotwell.fleet.peers import Peers, make_hello
+from peridotwell.fleet.registry import Registration
+from peridotwell.fleet.sharing import Knowledge, Sharing
 from peridotwell.forwarding.dialect import (
     CallerDialect,
     EntryDecoder,
@@ -16,11 +23,14 @@
 from peridotwell.forwarding.front import Engine, ForwardingFront
 from peridotwell.forwarding.links import Links
 from peridotwell.forwarding.placement import Placement
-from peridotwell.logs import log_event
+from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics
+from peridotwell.policy.cache_map import CacheMap
 from peridotwell.policy.ejection import Ejection
+from peridotwell.policy.fleet_load import FleetLoad
+from peridotwell.policy.quarantine import Quarantine
 from peridotwell.serving.asgi import Exchange, HttpServer
-from peridotwell.store.feed import ChangeFeed
+from peridotwell.store.feed import FollowedStore
 from peridotwell.world.bounds import Bounds
 
 __all__ = ('ForwardingSettings', 'Dialects', 'ForwardingRouter')
@@ -32,6 +42,10 @@
 # Time to end what still runs before the kill.
 STOP_MARGIN_SECONDS = 0.4
 SETTLE_SECONDS = 0.5
+UPDATE_SECONDS = 0.03
+DEAD_AFTER_SECONDS = 2.0
+LEASE_RENEWALS = 3
+MILLISECONDS = 1000
 EXIT_POLL_SECONDS = 0.02
 
 
@@ -43,6 +57,7 @@
     data_centre: str
     callers: str
     readiness: str
+    peers: str
     bounds: Bounds
 
 
@@ -62,43 +77,39 @@
         self,
         settings: ForwardingSettings,
         dialects: Dialects,
-        feed: ChangeFeed,
+        store: FollowedStore,
     ) -> None:
         self.settings = settings
         self.stop_requested = trio.Event()
         self.metrics = Metrics('', 'peridotwell')
         self.directory = Directory(dialects.entries)
-        self._follower = Follower(feed, self.directory, self.metrics)
-        ejection = Ejection()
-        self._links = Links(self.directory, dialects.targets)
-        placement = Placement(
+        self._bus = SocketBus(settings.peers)
+        self._peers = Peers(_own_hello(settings), DEAD_AFTER_SECONDS)
+        knowledge = Knowledge(
             self.directory,
-            ejection,
-            settings.data_centre,
-            settings.bounds,
-            self.count_routers,
-        )
-        dispatcher = Dispatcher(
-            self._links,
-            placement,
-            ejection,
-            dialects.targets,
+            CacheMap(),
+            FleetLoad(),
+            FleetLoad(),
+            Quarantine(),
         )
-        self._front = ForwardingFront(
-            self.directory,
-            Engine(dispatcher, placement, dialects.callers, dialects.targets),
-            settings.bounds,
-            self.count_routers,
+        self._sharing = Sharing(
+            self._peers,
+            self._bus,
+            knowledge,
             self.metrics,
         )
+        self._follower = Follower(store, self.directory, self.metrics)
+        self._registration = Registration(
+            store,
+            self._peers.own,
+            settings.bounds.lease_seconds,
+        )
+        self._links = Links(self.directory, dialects.targets)
+        self._front = self._make_front(settings, dialects, knowledge)
         self._callers = HttpServer(self._front.handle)
         self._readiness = HttpServer(self._answer_ready)
         self._may_close = trio.Event()
-        self.directory.on_change(self._apply_limits)
-
-    def count_routers(self, now: float) -> int:
-        """Return the number of routers of the fleet, this one included."""
-        return 9
+        self.directory.on_change(self._apply_changes)
 
     def obstacle(self) -> str:
         """Return why this router should get no new callers, or ''."""
@@ -114,10 +125,20 @@
         """Serve until `stop_requested`, then end what runs and return."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follower.run)
-            nursery.start_soon(self._repeat, self._settle)
+            nursery.start_soon(self._receive)
+            for period, step in (
+                (UPDATE_SECONDS, self._update),
+                (SETTLE_SECONDS, self._settle),
+                (
+                    self.settings.bounds.lease_seconds / LEASE_RENEWALS,
+                    self._register,
+                ),
+            ):
+                nursery.start_soon(self._repeat, period, step)
             await nursery.start(self._serve_readiness)
             await self._serve_until_stopped()
             nursery.cancel_scope.cancel()
+        self._bus.close()
         log_event('router.stopped')
 
     async def _serve_until_stopped(self) -> None:
@@ -131,6 +152,7 @@
             stopped_at = trio.current_time()
             log_event('router.stopping', running=self._front.running)
             self._front.is_stopping = True
+            self._peers.own_leaving = True
             await trio.sleep(STOP_DELAY_SECONDS)
             self._may_close.set()
             grace = self.settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
@@ -170,16 +192,76 @@
         document = {'ready': not why, 'why': why}
         await exchange.answer_json(document, NOT_READY if why else OK)
 
-    def _apply_limits(self) -> None:
+    def _make_front(
+        self,
+        settings: ForwardingSettings,
+        dialects: Dialects,
+        knowledge: Knowledge,
+    ) -> ForwardingFront:
+        ejection = Ejection()
+        placement = Placement(
+            self.directory,
+            ejection,
+            settings.data_centre,
+            settings.bounds,
+            self._sharing,
+            knowledge,
+        )
+        dispatcher = Dispatcher(
+            self._links,
+            placement,
+            ejection,
+            dialects.targets,
+        )
+        return ForwardingFront(
+            self.directory,
+            Engine(dispatcher, placement, dialects.callers, dialects.targets),
+            settings.bounds,
+            self._sharing.routers,
+            self.metrics,
+        )
+
+    def _apply_changes(self) -> None:
         table = self.directory.table
         if table is not None:
             self._callers.keep_idle(table.limits.idle_seconds)
+        listed = self.directory.routers()
+        self._sharing.introductions.meet(listed)
+        self._sharing.introductions.forget_gone(listed, trio.current_time())
+
+    async def _receive(self) -> None:
+        async for content in self._bus.contents():
+            self._sharing.receive(content, trio.current_time(), time.time())
+
+    async def _update(self) -> None:
+        self._sharing.tick(trio.current_time())
+
+    async def _register(self) -> None:
+        try:
+            await self._registration.renew()
+        except StoreError as exc:
+            self.metrics.count('store.errors')
+            log_failure('registration.failed', code=exc.code, error=str(exc))
 
     async def _settle(self) -> None:
         self.directory.settle(trio.current_time())
         await self._links.close_gone()
 
-    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+    async def _repeat(
+        self,
+        period_seconds: float,
+        step: Callable[[], Awaitable[None]],
+    ) -> None:
         while True:
-            await trio.sleep(SETTLE_SECONDS)
             await step()
+            await trio.sleep(period_seconds)
+
+
+def _own_hello(settings: ForwardingSettings) -> Hello:
+    return make_hello(
+        settings.name,
+        settings.data_centre,
+        settings.peers,
+        '',
+        int(time.time() * MILLISECONDS),
+    )
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -18,6 +18,7 @@
 from peridotwell.forwarding.placement import Placement
 from peridotwell.forwarding.replies import Reply
 from peridotwell.forwarding.retries import Attempts, Verdict
+from peridotwell.policy.choice import Choice
 from peridotwell.serving.events import split_events
 from peridotwell.serving.link import TargetAnswer
 
@@ -49,7 +50,7 @@
         placement: Placement,
         dialect: TargetDialect,
     ) -> None:
-        self.target = ''
+        self.choice: Choice | None = None
         self.events = 0
         self.first_event_at = float(0)
         self._call = call
@@ -64,14 +65,14 @@
         """Pass the stream on and return its status. Raises CallError."""
         while True:
             now = trio.current_time()
-            target = self._placement.choose(
+            choice = self._placement.choose(
                 self._call,
                 self._attempts.tried,
                 now,
             )
-            number = self._attempts.begin(target.name)
-            self.target = target.name
-            sending = Sending(self._call, target, number, self._last_id)
+            number = self._attempts.begin(choice.target.name)
+            self.choice = choice
+            sending = Sending(self._call, choice, number, self._last_id)
             try:
                 return await self._try(sending)
             except LinkError as exc:
--- a/peridotwell/policy/cache_map.py
+++ b/peridotwell/policy/cache_map.py
@@ -47,8 +47,8 @@
 class _EngineCache:
     """The parts of one engine, least recently used first."""
 
-    def __init__(self, capacity_tokens: int) -> None:
-        self._capacity = capacity_tokens
+    def __init__(self) -> None:
+        self.capacity_tokens = UNKNOWN_CAPACITY_TOKENS
         self._tokens = 0
         self._used: OrderedDict[int, tuple[int, float]] = OrderedDict()
 
@@ -58,7 +58,7 @@
         if known is None:
             self._tokens += part.tokens
         self._used[part.number] = (part.tokens, now)
-        while self._tokens > self._capacity and len(self._used) > 1:
+        while self._tokens > self.capacity_tokens and len(self._used) > 1:
             _, (tokens, _) = self._used.popitem(last=False)
             self._tokens -= tokens
         return known is None or now - known[1] > ANNOUNCE_AGAIN_SECONDS
@@ -80,14 +80,9 @@
         target: str,
         parts: Sequence[CachedPart],
         now: float,
-        memory_tokens: int = 0,
     ) -> bool:
         """Book that a prompt goes to an engine; True if that is news."""
-        engine = self._engines.get(target)
-        if engine is None:
-            capacity = memory_tokens or UNKNOWN_CAPACITY_TOKENS
-            engine = _EngineCache(int(capacity * SHARE_FOR_PARTS))
-            self._engines[target] = engine
+        engine = self._engine(target)
         news = [engine.use(part, now) for part in parts]
         return any(news)
 
@@ -111,6 +106,11 @@
             missing -= part.tokens
         return missing
 
+    def set_memory(self, target: str, memory_tokens: int) -> None:
+        """Tell how much an engine can hold."""
+        capacity = int(memory_tokens * SHARE_FOR_PARTS)
+        self._engine(target).capacity_tokens = capacity
+
     def forget(self, target: str) -> None:
         """Forget an engine that has lost its memory."""
         self._engines.pop(target, None)
@@ -122,3 +122,6 @@
             for name, engine in self._engines.items()
             if name in targets
         }
+
+    def _engine(self, target: str) -> _EngineCache:
+        return self._engines.setdefault(target, _EngineCache())
--- /dev/null
+++ b/peridotwell/policy/choice.py
@@ -0,0 +1,60 @@
+"""A choice of a target, and the choice for plain services."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from peridotwell.policy.affinity import preference
+from peridotwell.world.target import Target
+
+__all__ = ('Choice', 'Candidate', 'mean_load', 'choose_least')
+
+
+@dataclass(frozen=True)
+class Choice:
+    """A target with what decided for it.
+
+    `load` and `mean` count requests. The tokens are those of the prompt that
+    the target does not have cached, the part of them that it can copy from
+    the engine `fetch_from`, and those of other prompts that it reads first.
+    """
+
+    target: Target
+    load: float
+    mean: float
+    missing: int = 0
+    fetched: int = 0
+    ahead: int = 0
+    fetch_from: Target | None = None
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A target that may get a request, and the requests that it holds."""
+
+    target: Target
+    load: float
+
+
+def mean_load(candidates: Sequence[Candidate]) -> float:
+    """Return the mean load of some candidates."""
+    return sum(each.load for each in candidates) / len(candidates)
+
+
+def choose_least(
+    candidates: Sequence[Candidate],
+    data_centre: str,
+    tie: str,
+) -> Choice:
+    """Return the target with the least load, a near one among equals.
+
+    `tie` decides among equals of the same data centre, so that routers do
+    not all choose the same.
+    """
+
+    def burden(candidate: Candidate) -> tuple[float, int]:
+        target = candidate.target
+        distance = target.pool.data_centre != data_centre
+        return candidate.load + distance, -preference(tie, target.name)
+
+    best = min(candidates, key=burden)
+    return Choice(best.target, best.load, mean_load(candidates))
--- /dev/null
+++ b/peridotwell/policy/fleet_load.py
@@ -0,0 +1,34 @@
+"""Sums over the other routers of what each says about each target."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+__all__ = ('FleetLoad',)
+
+
+class FleetLoad:
+    """Counts of other routers by target, with their running sums."""
+
+    def __init__(self) -> None:
+        self._by_router: dict[int, dict[int, int]] = {}
+        self._sums: Counter[int] = Counter()
+
+    def hear(self, router: int, counts: Mapping[int, int]) -> None:
+        """Replace the counts of a router for the targets given."""
+        known = self._by_router.setdefault(router, {})
+        for target, count in counts.items():
+            self._sums[target] += count - known.get(target, 0)
+            known[target] = count
+
+    def drop(self, router: int) -> None:
+        """Forget a router's counts."""
+        for target, count in self._by_router.pop(router, {}).items():
+            self._sums[target] -= count
+
+    def routers(self) -> frozenset[int]:
+        """Return the routers whose counts are included."""
+        return frozenset(self._by_router)
+
+    def outstanding(self, target: int) -> int:
+        """Return the sum of the other routers' counts for a target."""
+        return self._sums[target]
--- a/peridotwell/policy/target_load.py
+++ b/peridotwell/policy/target_load.py
@@ -9,7 +9,8 @@
 
 __all__ = ('LoadReport', 'TargetLoad')
 
-REPORT_FRESH_SECONDS = 3.0
+# Older reports say less than the routers' own counts.
+REPORT_FRESH_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
@@ -42,11 +43,14 @@
         self.report = report
         self._own_at_report = self.own
 
-    def estimate(self, now: float, routers: int) -> float:
-        """Return the requests that the target holds from all routers."""
+    def estimate(self, now: float, others: int) -> float:
+        """Return the requests that the target holds from all routers.
+
+        `others` is what the other routers say that they have outstanding.
+        """
+        counted = self.own + others
         report = self.report
         if report is None or now - report.at > REPORT_FRESH_SECONDS:
-            return float(self.own * routers)
+            return float(counted)
         since = self.own - self._own_at_report
-        total = report.running + report.waiting + since
-        return float(max(self.own, total))
+        return float(max(counted, report.running + report.waiting + since))
--- a/peridotwell/store/base.py
+++ b/peridotwell/store/base.py
@@ -7,7 +7,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-__all__ = ('Entry', 'KeyValueStore', 'StoreCounters')
+__all__ = ('Entry', 'StoreCounters', 'EntryStore', 'KeyValueStore')
 
 
 @dataclass(frozen=True)
@@ -30,8 +30,8 @@
     value_bytes: int = 0
 
 
-class KeyValueStore(ABC):
-    """Compare-and-swap, leases and watches.
+class EntryStore(ABC):
+    """Single entries with compare-and-swap, and leases.
 
     Every method may raise StoreUnavailable (not applied) or StoreAnswerLost
     (applied or not).
@@ -41,10 +41,6 @@
     async def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None when it is absent."""
 
-    @abstractmethod
-    async def read_prefix(self, prefix: str) -> tuple[Entry, ...]:
-        """Return the entries whose keys start with `prefix`, in key order."""
-
     @abstractmethod
     async def write(
         self,
@@ -59,6 +55,22 @@
         Returns the new revision. Raises StoreConflict when it differs.
         """
 
+    @abstractmethod
+    async def grant_lease(self, ttl_seconds: float) -> str:
+        """Create a lease; entries written under it vanish when it lapses."""
+
+    @abstractmethod
+    async def keep_lease(self, lease: str) -> None:
+        """Renew a lease. Raises StoreConflict when it has lapsed."""
+
+
+class KeyValueStore(EntryStore):
+    """A store whose entries can also be listed and watched by prefix."""
+
+    @abstractmethod
+    async def read_prefix(self, prefix: str) -> tuple[Entry, ...]:
+        """Return the entries whose keys start with `prefix`, in key order."""
+
     @abstractmethod
     async def watch(
         self,
@@ -67,11 +79,3 @@
         wait_seconds: float,
     ) -> tuple[Entry, ...]:
         """Return entries under `prefix` newer than `after`, or () in time."""
-
-    @abstractmethod
-    async def grant_lease(self, ttl_seconds: float) -> str:
-        """Create a lease; entries written under it vanish when it lapses."""
-
-    @abstractmethod
-    async def keep_lease(self, lease: str) -> None:
-        """Renew a lease. Raises StoreConflict when it has lapsed."""
--- a/peridotwell/store/feed.py
+++ b/peridotwell/store/feed.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from peridotwell.errors import StoreError
-from peridotwell.store.base import Entry
+from peridotwell.store.base import Entry, EntryStore
 
-__all__ = ('HistoryGone', 'Snapshot', 'Changes', 'ChangeFeed')
+__all__ = ('HistoryGone', 'Snapshot', 'Changes', 'ChangeFeed', 'FollowedStore')
 
 
 class HistoryGone(StoreError):
@@ -51,3 +51,7 @@
 
         Raises HistoryGone.
         """
+
+
+class FollowedStore(EntryStore, ChangeFeed):
+    """A store that is followed, and written to by key."""
--- a/peridotwell/upkeep.py
+++ b/peridotwell/upkeep.py
@@ -93,7 +93,9 @@
         while True:
             now = trio.current_time()
             self.state.credit.tick(now)
-            self.gossip.greet_seeds(self.settings.fleet.seeds, now)
+            self.gossip.introductions.greet_seeds(
+                self.settings.fleet.seeds, now
+            )
             self.gossip.beat(now, leaving=self.state.peers.own_leaving)
             self.state.quarantine.expire(time.time())
             self.placer.call_waiting()
@@ -102,8 +104,8 @@
 
     async def _find_peers(self) -> None:
         listed = await self.registry.others()
-        self.gossip.meet(listed)
-        self.gossip.forget_gone(listed, trio.current_time())
+        self.gossip.introductions.meet(listed)
+        self.gossip.introductions.forget_gone(listed, trio.current_time())
 
     async def _read_list(self) -> None:
         listing = await self.store.list_instances()
--- a/peridotwell/world/prompt.py
+++ b/peridotwell/world/prompt.py
@@ -32,6 +32,11 @@
         """The parts that other requests may have in common with this one."""
         return self.parts[:-1]
 
+    @property
+    def own_tokens(self) -> int:
+        """The tokens of the part that is not shared."""
+        return self.parts[-1].tokens if self.parts else self.input_tokens
+
     @property
     def subject(self) -> str:
         """The part that decides where the prompt is best cached."""
--- a/peridotwell/world/routes.py
+++ b/peridotwell/world/routes.py
@@ -86,10 +86,14 @@
 
 @dataclass(frozen=True)
 class EngineFacts:
-    """What is known of a service's engines."""
+    """What is known of a service's engines.
+
+    `can_fetch` tells whether an engine can copy cached prompts from another.
+    """
 
     slots: int
     memory_tokens: int
+    can_fetch: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -24,7 +24,7 @@
         before = sum(router.bus.sent_frames for router in fleet.routers)
         new = VirtualRouter('new', fleet.network, Defaults())
         nursery.start_soon(new.beat, 0)
-        new.gossip.greet('router-0')
+        new.gossip.introductions.greet('router-0')
         await trio.sleep(5)
         met = {peer.hello.name for peer in new.peers.live(trio.current_time())}
         assert met == {router.name for router in fleet.routers}
@@ -64,7 +64,7 @@
         fleet.network.is_cut = lambda source, sink: source in names
         await trio.sleep(5)
         listed = [cut_off.peers.own]
-        first.gossip.forget_gone(listed, trio.current_time())
+        first.gossip.introductions.forget_gone(listed, trio.current_time())
         known = {peer.hello.name for peer in first.peers.known()}
         assert known == {cut_off.name, fleet.routers[3].name}
         nursery.cancel_scope.cancel()
