--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -32,6 +32,8 @@
     'SharedEntry',
     'EntriesPull',
     'EntriesPush',
+    'CachesPull',
+    'CachesPush',
     'encode_frame',
     'decode_frame',
 )
@@ -194,6 +196,16 @@
     entries: tuple[SharedEntry, ...]
 
 
+class CachesPull(Frame, frozen=True, array_like=True, tag=14):
+    """Ask for all prompts that engines have cached, as far as known."""
+
+
+class CachesPush(Frame, frozen=True, array_like=True, tag=15):
+    """All prompts that the sender believes to be cached."""
+
+    prompts: tuple[CachedPrompt, ...]
+
+
 _Any = (
     Hello
     | Heartbeat
@@ -208,6 +220,8 @@
     | Update
     | EntriesPull
     | EntriesPush
+    | CachesPull
+    | CachesPush
 )
 _decoder: Any = msgspec.msgpack.Decoder(_Any)
 _encoder = msgspec.msgpack.Encoder()
--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -6,12 +6,15 @@
 that the store turns away follows through the others.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from peridotwell.fleet.bus import Bus
 from peridotwell.fleet.directory import Directory
 from peridotwell.fleet.frames import (
     CachedPrompt,
+    CachesPull,
+    CachesPush,
     EntriesPull,
     EntriesPush,
     Frame,
@@ -29,6 +32,7 @@
 from peridotwell.policy.fleet_load import FleetLoad
 from peridotwell.policy.own_counts import OwnCounts
 from peridotwell.policy.quarantine import Quarantine, Verdict
+from peridotwell.world.target import wire_id
 
 __all__ = ('Knowledge', 'Sharing')
 
@@ -43,6 +47,8 @@
 BEHIND_SECONDS = 0.4
 PULL_SECONDS = 0.5
 MAX_PROMPTS = 200
+# Routers that are asked for the map of caches after a start.
+PULLED_PEERS = 2
 
 
 @dataclass(frozen=True)
@@ -71,6 +77,8 @@
         metrics: Metrics,
     ) -> None:
         self.peers = peers
+        # Whether the map of caches was learned, from peers or engines.
+        self.has_caches = False
         self.introductions = Introductions(peers, bus)
         self._bus = bus
         self._knowledge = knowledge
@@ -94,9 +102,13 @@
         parts: tuple[CachedPart, ...],
     ) -> None:
         """Tell the others that an engine reads these parts."""
-        pairs = tuple((part.number, part.tokens) for part in parts)
         if len(self._prompts) < MAX_PROMPTS:
-            self._prompts.append(CachedPrompt(target, pairs))
+            self._prompts.append(CachedPrompt(target, _pairs(parts)))
+
+    def pull_caches(self, now: float) -> None:
+        """Ask a few other routers what engines have cached."""
+        for peer in self.peers.live(now)[:PULLED_PEERS]:
+            self._bus.send(peer.hello.peers, CachesPull(self._own))
 
     def spread(self, *verdicts: Verdict) -> None:
         """Tell every router about requests that lose targets."""
@@ -136,6 +148,11 @@
                 self._push(frame)
             case EntriesPush():
                 self._take(frame, now)
+            case CachesPull():
+                self._push_caches(frame)
+            case CachesPush():
+                self._learn_prompts(frame.prompts, now)
+                self.has_caches = True
             case _:
                 self._metrics.count('peer.unexpected')
 
@@ -171,13 +188,30 @@
             if update.is_full:
                 sums.drop(update.sender)
             sums.hear(update.sender, dict(pairs))
-        for prompt in update.prompts:
+        self._learn_prompts(update.prompts, now)
+
+    def _learn_prompts(
+        self,
+        prompts: Iterable[CachedPrompt],
+        now: float,
+    ) -> None:
+        for prompt in prompts:
             target = self._knowledge.directory.numbered(prompt.target)
             if target is None:
                 continue
             parts = [CachedPart(*pair) for pair in prompt.parts]
             self._knowledge.caches.use(target.name, parts, now)
 
+    def _push_caches(self, pull: CachesPull) -> None:
+        peer = self.peers.peer(pull.sender)
+        if peer is None or not self.has_caches:
+            return
+        prompts = tuple(
+            CachedPrompt(wire_id(name), _pairs(parts))
+            for name, parts in self._knowledge.caches.everything().items()
+        )
+        self._bus.send(peer.hello.peers, CachesPush(self._own, prompts))
+
     def _drop_silent(self, now: float) -> None:
         live = {peer.wire_id for peer in self.peers.live(now)}
         for sums in (self._knowledge.loads, self._knowledge.reading):
@@ -223,3 +257,7 @@
             push.revision,
             now,
         )
+
+
+def _pairs(parts: Iterable[CachedPart]) -> tuple[tuple[int, int], ...]:
+    return tuple((part.number, part.tokens) for part in parts)
--- a/peridotwell/forwarding/dialect.py
+++ b/peridotwell/forwarding/dialect.py
@@ -7,6 +7,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from peridotwell.policy.cache_map import CachedPart
 from peridotwell.serving.asgi import Exchange
 from peridotwell.serving.link import AnswerReader, TargetAnswer
 from peridotwell.world.prompt import Prompt
@@ -120,6 +121,14 @@
     def load(self, answer: TargetAnswer) -> ReportedLoad | None:
         """Return the load that the answer reports, if it does."""
 
+    @abstractmethod
+    def cache_path(self) -> str:
+        """Return the path at which an engine lists its cached parts."""
+
+    @abstractmethod
+    def cache_list(self, content: bytes) -> tuple[CachedPart, ...]:
+        """Decode an engine's list of cached parts. Raises EntryError."""
+
     @abstractmethod
     def caller_fields(self, answer: TargetAnswer) -> Fields:
         """Return the answer's fields for the caller."""
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -20,6 +20,7 @@
 from peridotwell.policy.choice import Choice
 from peridotwell.policy.ejection import Ejection
 from peridotwell.serving.link import Patience, TargetAnswer
+from peridotwell.world.routes import RequestKind
 from peridotwell.world.target import Target
 
 __all__ = ('Dispatcher', 'Sending')
@@ -27,8 +28,9 @@
 BODILESS_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'DELETE', 'TRACE'))
 LEAST_PATIENCE_SECONDS = 0.01
 # Repeatable work goes elsewhere after this multiple of its objective.
-SILENT_OBJECTIVES = 3
-LEAST_SILENT_SECONDS = 0.6
+SILENT_OBJECTIVES = 2
+STREAM_SILENT_OBJECTIVES = 3
+LEAST_SILENT_SECONDS = 0.2
 
 
 @dataclass(frozen=True)
@@ -73,6 +75,7 @@
             async with self._answer(sending) as answer:
                 is_read = True
                 self._placement.prompt_read(call, choice)
+                self.heard(sending)
                 seconds = trio.current_time() - began_at
                 self._placement.answered(call, choice, seconds)
                 yield answer
@@ -84,6 +87,10 @@
                 self._placement.prompt_read(call, choice)
             self._placement.ended(sending.target)
 
+    def heard(self, sending: Sending) -> None:
+        """Book that a part of an answer has arrived."""
+        self._placement.heard(sending.target, trio.current_time())
+
     def succeeded(self, sending: Sending) -> None:
         """Count a whole answer."""
         self._ejection.succeeded(sending.target.name)
@@ -159,8 +166,10 @@
     left = max(call.deadline_at - now, LEAST_PATIENCE_SECONDS)
     if not call.route.may_repeat:
         return Patience(left, left)
+    is_stream = call.route.kind is RequestKind.streaming
+    multiple = STREAM_SILENT_OBJECTIVES if is_stream else SILENT_OBJECTIVES
     silent = max(
-        SILENT_OBJECTIVES * call.route.objective_seconds,
+        multiple * call.route.objective_seconds,
         LEAST_SILENT_SECONDS,
     )
     return Patience(min(left, silent), min(left, silent))
--- a/peridotwell/forwarding/placement.py
+++ b/peridotwell/forwarding/placement.py
@@ -17,6 +17,7 @@
     choose_engine,
 )
 from peridotwell.policy.reading_speed import ReadingSpeed
+from peridotwell.policy.silence import TargetSilence
 from peridotwell.policy.target_load import LoadReport, TargetLoad
 from peridotwell.world.bounds import Bounds
 from peridotwell.world.prompt import Prompt
@@ -49,6 +50,7 @@
         self._knowledge = knowledge
         self._loads: dict[str, TargetLoad] = {}
         self._starts: dict[str, str] = {}
+        self._silence = TargetSilence()
         self._speeds: dict[str, ReadingSpeed] = {}
         directory.on_change(self._forget_gone)
 
@@ -56,6 +58,7 @@
         """Count a request that is sent, and the prompt that it brings."""
         target = choice.target
         self._load(target).began()
+        self._silence.sent(target.name, now)
         self._sharing.running.add(target.wire_id, 1)
         if call.prompt is None:
             return
@@ -82,9 +85,14 @@
         tokens = choice.ahead + tokens_to_read(call, choice)
         self._speed(choice.target.pool.name).answered(tokens, seconds)
 
+    def heard(self, target: Target, now: float) -> None:
+        """Book that something arrived from a target."""
+        self._silence.heard(target.name, now)
+
     def ended(self, target: Target) -> None:
         """Count the end of a request."""
         self._load(target).ended()
+        self._silence.ended(target.name)
         self._sharing.running.add(target.wire_id, -1)
 
     def reported(self, target: Target, load: ReportedLoad, now: float) -> None:
@@ -172,7 +180,7 @@
                 self._knowledge.caches.missing_tokens(target.name, parts, now),
             )
             for target in self._directory.all_of(service)
-            if not self._ejection.is_aside(target.name, now)
+            if not self._is_doubtful(target, now)
         ]
         return min(sources, key=lambda source: source.missing, default=None)
 
@@ -183,6 +191,12 @@
         others = self._knowledge.loads.outstanding(target.wire_id)
         return self._load(target).estimate(now, others)
 
+    def _is_doubtful(self, target: Target, now: float) -> bool:
+        return self._ejection.is_aside(
+            target.name,
+            now,
+        ) or self._silence.is_silent(target.name, now)
+
     def _engine_facts(self, service: str) -> EngineFacts | None:
         table = self._directory.table
         facts = table.services.get(service) if table else None
@@ -197,9 +211,13 @@
         listed = self._directory.targets(service)
         usable = self._ejection.usable(listed, now)
         fresh = [target for target in usable if target.name not in tried]
-        if fresh:
-            return fresh
-        return [target for target in listed if target.name not in tried]
+        heard = [
+            target
+            for target in fresh
+            if not self._silence.is_silent(target.name, now)
+        ]
+        untried = [target for target in listed if target.name not in tried]
+        return heard or fresh or untried
 
     def _set_memories(self) -> None:
         for target in self._directory.all_targets():
--- /dev/null
+++ b/peridotwell/forwarding/recovery.py
@@ -0,0 +1,103 @@
+"""After a start: what engines have cached, from peers and from the engines.
+
+A router that starts alone learns it from its peers. When all start at once,
+nobody knows; so each engine is asked by one of the registered routers, which
+tells the others. Engines whose router does not tell in time are asked too.
+"""
+
+from dataclasses import dataclass
+
+import httpcore
+import trio
+
+from peridotwell.errors import EntryError
+from peridotwell.failures import LinkError
+from peridotwell.fleet.directory import Directory
+from peridotwell.fleet.peers import choose_lender
+from peridotwell.fleet.sharing import Sharing
+from peridotwell.forwarding.dialect import TargetDialect
+from peridotwell.forwarding.links import Links
+from peridotwell.logs import log_event, log_failure
+from peridotwell.policy.cache_map import CacheMap
+from peridotwell.serving.link import Patience
+from peridotwell.world.target import Target
+
+__all__ = ('CacheRecovery',)
+
+POLL_SECONDS = 0.05
+# Time for the peers to tell what they know.
+TELL_SECONDS = 0.6
+LIST_PATIENCE = Patience(1, 1)
+
+
+@dataclass(frozen=True)
+class CacheRecovery:
+    """Fills the map of caches once, after a start."""
+
+    directory: Directory
+    sharing: Sharing
+    caches: CacheMap
+    links: Links
+    dialect: TargetDialect
+
+    async def run(self) -> None:
+        """Ask peers, then engines; return when the map is filled."""
+        while self.directory.table is None or not self.directory.is_listed:
+            await trio.sleep(POLL_SECONDS)
+        registered = [hello.sender for hello in self.directory.routers()]
+        own = self.sharing.peers.own.sender
+        engines = self._engines()
+        async with trio.open_nursery() as nursery:
+            for target in engines:
+                if choose_lender(target, {own, *registered}) == own:
+                    nursery.start_soon(self._ask, target)
+            nursery.start_soon(self._ask_peers)
+        if not self.sharing.has_caches:
+            await self._ask_untold(engines)
+        self.sharing.has_caches = True
+        log_event('caches.recovered')
+
+    async def _ask_peers(self) -> None:
+        with trio.move_on_after(TELL_SECONDS):
+            while not self.sharing.has_caches:
+                await trio.sleep(POLL_SECONDS)
+                self.sharing.pull_caches(trio.current_time())
+
+    async def _ask_untold(self, engines: list[Target]) -> None:
+        async with trio.open_nursery() as nursery:
+            for target in engines:
+                if not self.caches.knows(target.name):
+                    nursery.start_soon(self._ask, target)
+
+    def _engines(self) -> list[Target]:
+        table = self.directory.table
+        services = table.services if table else {}
+        return [
+            target
+            for target in self.directory.all_targets()
+            if target.pool.name in services
+            and services[target.pool.name].engine is not None
+        ]
+
+    async def _ask(self, target: Target) -> None:
+        request = httpcore.Request(
+            'GET',
+            f'http://{target.address}{self.dialect.cache_path()}',
+            headers=((b'host', target.address.encode()),),
+        )
+        link = self.links.link(target)
+        try:
+            async with link.send(request, LIST_PATIENCE) as answer:
+                content = await answer.whole(must_mark_end=False)
+            parts = self.dialect.cache_list(content)
+        except (LinkError, EntryError) as exc:
+            log_failure(
+                'caches.unknown',
+                target=target.name,
+                code=exc.code,
+                error=str(exc),
+            )
+            return
+        self.caches.use(target.name, parts, trio.current_time())
+        self.sharing.prompt_sent(target.wire_id, parts)
+        log_event('caches.listed', target=target.name, parts=len(parts))
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -23,6 +23,7 @@
 from peridotwell.forwarding.front import Engine, ForwardingFront
 from peridotwell.forwarding.links import Links
 from peridotwell.forwarding.placement import Placement
+from peridotwell.forwarding.recovery import CacheRecovery
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics
 from peridotwell.policy.cache_map import CacheMap
@@ -105,6 +106,13 @@
             settings.bounds.lease_seconds,
         )
         self._links = Links(self.directory, dialects.targets)
+        self._recovery = CacheRecovery(
+            self.directory,
+            self._sharing,
+            knowledge.caches,
+            self._links,
+            dialects.targets,
+        )
         self._front = self._make_front(settings, dialects, knowledge)
         self._callers = HttpServer(self._front.handle)
         self._readiness = HttpServer(self._answer_ready)
@@ -126,6 +134,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._receive)
+            nursery.start_soon(self._recovery.run)
             for period, step in (
                 (UPDATE_SECONDS, self._update),
                 (SETTLE_SECONDS, self._settle),
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -97,7 +97,7 @@
             check_answer(answer, self._dialect)
             if answer.status not in SUCCESSES:
                 return await self._pass_failure(answer)
-            await self._pass_events(answer)
+            await self._pass_events(answer, sending)
         self._dispatcher.succeeded(sending)
         await self._reply.end()
         return answer.status
@@ -110,7 +110,11 @@
         await self._reply.whole(answer.status, fields, body)
         return answer.status
 
-    async def _pass_events(self, answer: TargetAnswer) -> None:
+    async def _pass_events(
+        self,
+        answer: TargetAnswer,
+        sending: Sending,
+    ) -> None:
         chunks = answer.parts()
         if self._call.route.resumable:
             chunks = self._new_events(chunks)
@@ -122,6 +126,7 @@
                         answer.status,
                         self._dialect.caller_fields(answer),
                     )
+                self._dispatcher.heard(sending)
                 self.events += 1
                 await self._reply.part(chunk)
         if not self._reply.has_begun:
--- a/peridotwell/policy/cache_map.py
+++ b/peridotwell/policy/cache_map.py
@@ -6,14 +6,14 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Container, Sequence
+from collections.abc import Container, Iterator, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
 from peridotwell.world.prompt import Prompt
 
-__all__ = ('CachedPart', 'CacheMap', 'cached_parts')
+__all__ = ('CachedPart', 'CacheMap', 'part_number', 'cached_parts')
 
 # The rest holds running requests and what they generate.
 SHARE_FOR_PARTS = 0.7
@@ -33,13 +33,15 @@
     tokens: int
 
 
+def part_number(model: str, name: str) -> int:
+    """Return the number that stands for a part of a model's prompts."""
+    return xxhash.xxh3_64_intdigest(f'{model}|{name}'.encode())
+
+
 def cached_parts(prompt: Prompt) -> tuple[CachedPart, ...]:
     """Return the shared parts of a prompt, in order."""
     return tuple(
-        CachedPart(
-            xxhash.xxh3_64_intdigest(f'{prompt.model}|{part.name}'.encode()),
-            part.tokens,
-        )
+        CachedPart(part_number(prompt.model, part.name), part.tokens)
         for part in prompt.shared
     )
 
@@ -63,6 +65,11 @@
             self._tokens -= tokens
         return known is None or now - known[1] > ANNOUNCE_AGAIN_SECONDS
 
+    def parts(self) -> Iterator[CachedPart]:
+        """Yield all parts, least recently used first."""
+        for number, (tokens, _) in self._used.items():
+            yield CachedPart(number, tokens)
+
     def holds(self, part: CachedPart, now: float) -> bool:
         """Whether the part is still there, as far as known."""
         known = self._used.get(part.number)
@@ -106,6 +113,18 @@
             missing -= part.tokens
         return missing
 
+    def everything(self) -> dict[str, tuple[CachedPart, ...]]:
+        """Return the parts of each engine, least recently used first."""
+        return {
+            name: tuple(engine.parts())
+            for name, engine in self._engines.items()
+        }
+
+    def knows(self, target: str) -> bool:
+        """Whether any part of an engine is known."""
+        engine = self._engines.get(target)
+        return engine is not None and any(engine.parts())
+
     def set_memory(self, target: str, memory_tokens: int) -> None:
         """Tell how much an engine can hold."""
         capacity = int(memory_tokens * SHARE_FOR_PARTS)
