Contract tests for the platform's entries, fields, store and whole path

Stand-ins of the store and of targets with faults by call. Found by them: a router that was cancelled left its sockets open, which holds up the end of the process; they are closed in any case now. A test of the load bound was wrong (its mean left out the hot engine) and states the bound as it is promised.

--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -131,25 +131,29 @@
 
     async def run(self) -> None:
         """Serve until `stop_requested`, then end what runs and return."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follower.run)
-            nursery.start_soon(self._receive)
-            nursery.start_soon(self._recovery.run)
-            for period, step in (
-                (UPDATE_SECONDS, self._update),
-                (SETTLE_SECONDS, self._settle),
-                (
-                    self.settings.bounds.lease_seconds / LEASE_RENEWALS,
-                    self._register,
-                ),
-            ):
-                nursery.start_soon(self._repeat, period, step)
-            await nursery.start(self._serve_readiness)
-            await self._serve_until_stopped()
-            nursery.cancel_scope.cancel()
-        self._bus.close()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._start_upkeep(nursery)
+                await nursery.start(self._serve_readiness)
+                await self._serve_until_stopped()
+                nursery.cancel_scope.cancel()
+        finally:
+            # An open socket would hold up the end of the process.
+            self._bus.close()
         log_event('router.stopped')
 
+    def _start_upkeep(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._follower.run)
+        nursery.start_soon(self._receive)
+        nursery.start_soon(self._recovery.run)
+        renewal = self.settings.bounds.lease_seconds / LEASE_RENEWALS
+        for period, step in (
+            (UPDATE_SECONDS, self._update),
+            (SETTLE_SECONDS, self._settle),
+            (renewal, self._register),
+        ):
+            nursery.start_soon(self._repeat, period, step)
+
     async def _serve_until_stopped(self) -> None:
         async with trio.open_nursery() as serving:
             await serving.start(self._serve_callers)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,5 @@
+import socket
+
 import pytest
 from hypothesis import settings
 
@@ -11,3 +13,13 @@
 def site():
     with Site() as running:
         yield running
+
+
+@pytest.fixture
+def free_port():
+    def find() -> int:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            return probe.getsockname()[1]
+
+    return find
--- /dev/null
+++ b/tests/fleet/test_directory.py
@@ -0,0 +1,223 @@
+"""Tables and targets as the store tells them, through its troubles."""
+
+import trio
+
+from peridotwell.errors import EntryError, StoreAnswerLost
+from peridotwell.fleet.directory import REGISTER_AGAIN_SECONDS, Directory
+from peridotwell.fleet.follower import Follower
+from peridotwell.forwarding.dialect import EntryDecoder
+from peridotwell.metrics import Metrics
+from peridotwell.store.base import Entry
+from peridotwell.store.feed import ChangeFeed, Changes, HistoryGone, Snapshot
+from peridotwell.world.routes import RoutingTable
+from peridotwell.world.target import Pool, Target, TargetKind
+
+
+class Decoder(EntryDecoder):
+    """Tables are numbers; targets are 'ready' or 'leaving', and a start."""
+
+    def is_table(self, key):
+        return key == 'table'
+
+    def is_target(self, key):
+        return key.startswith('t/')
+
+    def table(self, content, revision):
+        if not content.isdigit():
+            raise EntryError('no number')
+        return RoutingTable(int(content), revision)
+
+    def target(self, key, content):
+        state, _, start = content.decode().partition(' ')
+        if state not in {'ready', 'leaving'}:
+            raise EntryError('no state')
+        return Target(
+            key[2:],
+            '10.0.0.1:80',
+            TargetKind.service,
+            Pool('a', 's'),
+            incarnation=start,
+            leaving=state == 'leaving',
+        )
+
+
+def entry(key, value, revision):
+    return Entry(key, value, revision)
+
+
+def filled() -> Directory:
+    directory = Directory(Decoder())
+    directory.take_snapshot(
+        Snapshot(
+            (
+                entry('table', b'1', 1),
+                entry('t/x', b'ready', 2),
+                entry('t/y', b'ready', 3),
+            ),
+            3,
+        ),
+        0,
+    )
+    return directory
+
+
+def names(directory):
+    return sorted(target.name for target in directory.targets('s'))
+
+
+def change(directory, *entries, deleted=(), revision=9, now=1):
+    directory.take_changes(Changes(entries, deleted, revision), now)
+
+
+def test_leaving_targets_get_no_new_work_and_are_still_known():
+    directory = filled()
+    change(directory, entry('t/x', b'leaving', 4))
+    assert names(directory) == ['y']
+    assert len(directory.all_of('s')) == 2
+
+
+def test_a_table_never_goes_back():
+    """A stale answer after a newer one, as the store gives under trouble."""
+    directory = filled()
+    change(directory, entry('table', b'2', 5))
+    directory.take_snapshot(Snapshot((entry('table', b'1', 1),), 3), 2)
+    assert directory.table.version == 2
+
+
+def test_a_stale_snapshot_does_not_bring_back_a_deleted_target():
+    directory = filled()
+    change(directory, deleted=(('t/x', 6),))
+    old = (
+        entry('table', b'1', 1),
+        entry('t/x', b'ready', 2),
+        entry('t/y', b'ready', 3),
+    )
+    directory.take_snapshot(Snapshot(old, 3), 2)
+    assert names(directory) == ['y']
+
+
+def test_a_table_that_cannot_be_read_changes_nothing():
+    directory = filled()
+    change(directory, entry('table', b'?', 5))
+    assert directory.table.version == 1
+
+
+def test_garbage_names_no_target_and_the_others_hold():
+    directory = filled()
+    change(directory, entry('t/x', b'\x3f', 5))
+    assert names(directory) == ['y']
+    change(directory, entry('t/x', b'ready', 6))
+    assert names(directory) == ['x', 'y']
+
+
+def test_a_target_that_starts_again_under_its_name_is_usable_again():
+    directory = filled()
+    change(directory, entry('t/x', b'leaving 1', 4))
+    change(directory, entry('t/x', b'ready 2', 5))
+    assert names(directory) == ['x', 'y']
+    (target,) = [each for each in directory.targets('s') if each.name == 'x']
+    assert target.incarnation == '2'
+
+
+def test_after_an_outage_what_vanished_is_doubted_then_believed():
+    directory = filled()
+    directory.store_regained(10)
+    change(directory, deleted=(('t/x', 6),), now=10)
+    assert names(directory) == ['x', 'y']
+    directory.settle(10 + REGISTER_AGAIN_SECONDS)
+    assert names(directory) == ['y']
+
+
+def test_after_an_outage_live_targets_register_again():
+    directory = filled()
+    directory.store_regained(10)
+    change(directory, deleted=(('t/x', 6),), now=10)
+    change(directory, entry('t/x', b'ready', 7), now=11)
+    directory.settle(20)
+    assert names(directory) == ['x', 'y']
+
+
+def test_a_planned_leave_is_believed_even_after_an_outage():
+    directory = filled()
+    directory.store_regained(10)
+    change(directory, entry('t/x', b'leaving', 6), now=10)
+    assert names(directory) == ['y']
+
+
+def test_a_router_that_is_behind_follows_through_another():
+    ahead, behind = filled(), filled()
+    change(ahead, entry('table', b'2', 5), deleted=(('t/x', 6),))
+    shared = ahead.entries_after(behind.known_revision)
+    behind.take_shared(shared, ahead.known_revision, 1)
+    assert behind.table.version == 2
+    assert names(behind) == ['y']
+    assert behind.known_revision == ahead.known_revision
+    assert behind.revision == 3
+
+
+class ScriptedFeed(ChangeFeed):
+    """Plays answers and failures in order, then waits for ever."""
+
+    def __init__(self, *script) -> None:
+        self.script = list(script)
+        self.asked = []
+
+    async def snapshot(self):
+        return await self._next('snapshot')
+
+    async def changes(self, after, wait_seconds):
+        return await self._next(after)
+
+    async def _next(self, asked):
+        self.asked.append(asked)
+        await trio.lowlevel.checkpoint()
+        if not self.script:
+            await trio.sleep_forever()
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+async def follow(directory, feed):
+    follower = Follower(feed, directory, Metrics('', ''))
+    with trio.move_on_after(5):
+        await follower.run()
+    return follower
+
+
+async def test_lost_history_leads_to_a_new_snapshot(autojump_clock):
+    directory = Directory(Decoder())
+    feed = ScriptedFeed(
+        Snapshot((entry('table', b'1', 1),), 1),
+        HistoryGone('dropped'),
+        Snapshot((entry('table', b'3', 8),), 8),
+    )
+    await follow(directory, feed)
+    assert feed.asked == ['snapshot', 1, 'snapshot', 8]
+    assert directory.table.version == 3
+
+
+async def test_a_silent_watch_is_taken_up_where_it_was(autojump_clock):
+    directory = Directory(Decoder())
+    feed = ScriptedFeed(
+        Snapshot((entry('table', b'1', 1),), 1),
+        StoreAnswerLost('no answer'),
+        StoreAnswerLost('no answer'),
+        Changes((entry('table', b'2', 4),), (), 4),
+    )
+    follower = await follow(directory, feed)
+    assert feed.asked == ['snapshot', 1, 1, 1, 4]
+    assert directory.table.version == 2
+    assert follower.is_connected
+
+
+async def test_an_outage_at_the_start_is_survived(autojump_clock):
+    directory = Directory(Decoder())
+    feed = ScriptedFeed(
+        StoreAnswerLost('no answer'),
+        StoreAnswerLost('no answer'),
+        Snapshot((entry('table', b'1', 1),), 1),
+    )
+    await follow(directory, feed)
+    assert directory.is_listed
--- /dev/null
+++ b/tests/peridotwell_platform/stand_in.py
@@ -0,0 +1,220 @@
+"""Stand-ins of the platform's store and of a target, with faults by call."""
+
+import base64
+import itertools
+from collections import deque
+from urllib.parse import parse_qsl
+
+import msgspec
+import trio
+
+from peridotwell.serving.asgi import Exchange
+
+SETTLE_SECONDS = 0.01
+
+
+class StoreStandIn:
+    """Keeps items in memory; `faults` are taken one a call, in order.
+
+    Faults: an int is answered as the status; 'silent' never answers;
+    'lost' acts and does not answer; 'garbage' answers what is no JSON.
+    """
+
+    def __init__(self) -> None:
+        self.items = {}
+        self.events = []
+        self.revision = 10
+        self.oldest = 0
+        self.leases = set()
+        self.faults = deque()
+        self.calls = []
+        self.page = 3
+        self._numbers = itertools.count(1)
+        self._changed = trio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        self.revision += 1
+        old = self.items.get(key)
+        item = {
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+            'rev': self.revision,
+            'created': old['created'] if old else self.revision,
+            'lease': lease,
+        }
+        self.items[key] = item
+        self._tell(item)
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        self.revision += 1
+        self.items.pop(key)
+        self._tell({'key': key, 'rev': self.revision, 'deleted': True})
+
+    def forget_history(self) -> None:
+        self.events.clear()
+        self.oldest = self.revision
+
+    def end_lease(self, lease: int) -> None:
+        self.leases.discard(lease)
+        for key in [k for k, i in self.items.items() if i['lease'] == lease]:
+            self.delete(key)
+
+    def _tell(self, event) -> None:
+        self.events.append(event)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def handle(self, exchange: Exchange) -> None:
+        body = await exchange.body()
+        name = exchange.path.removeprefix('/peridotwell/')
+        self.calls.append(name)
+        fault = self.faults.popleft() if self.faults else None
+        if fault == 'silent':
+            await trio.sleep_forever()
+        if isinstance(fault, int):
+            await exchange.answer_json({}, fault)
+            return
+        status, document = await self._run(exchange, name, body)
+        if fault == 'lost':
+            await trio.sleep_forever()
+        if fault == 'garbage':
+            await exchange.answer(200, b'{"items":')
+            return
+        await exchange.answer_json(document, status)
+
+    async def _run(self, exchange, name, body):
+        query = dict(parse_qsl(exchange.query_string, keep_blank_values=True))
+        match name.split('/'):
+            case ['kv-key']:
+                item = self.items.get(query['key'])
+                return (200, item) if item else (404, {})
+            case ['kv-range']:
+                return 200, self._range(query)
+            case ['kv-watch']:
+                return await self._watch(query)
+            case ['kv-txn']:
+                return self._txn(msgspec.json.decode(body))
+            case ['kv-lease']:
+                lease = next(self._numbers)
+                self.leases.add(lease)
+                return 200, {'lease': lease, 'ttl_ms': 1000}
+            case ['kv-keep', lease]:
+                known = int(lease) in self.leases
+                return (200 if known else 404), {'ttl_ms': 1000}
+        return 404, {}
+
+    def _range(self, query):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query['path_prefix'])
+            and key > query.get('after', '')
+        )
+        return {
+            'items': [self.items[key] for key in keys[: self.page]],
+            'has_more': len(keys) > self.page,
+            'current_rev': self.revision,
+        }
+
+    async def _watch(self, query):
+        after = int(query['after'])
+        if after < self.oldest:
+            return 410, {}
+        with trio.move_on_after(int(query['wait_ms']) / 1000):
+            while self.revision <= after:
+                await self._changed.wait()
+        events = [event for event in self.events if event['rev'] > after]
+        return 200, {'events': events, 'current_rev': self.revision}
+
+    def _txn(self, document):
+        for row in document['expect']:
+            item = self.items.get(row['key'])
+            if (item['rev'] if item else 0) != row['rev']:
+                return 412, {'items': []}
+        for row in document['writes']:
+            if row['lease'] and row['lease'] not in self.leases:
+                return 404, {}
+            value = base64.b64decode(row['value'])
+            self.put(row['key'], value, row['lease'])
+        return 200, {'rev': self.revision}
+
+
+class TargetStandIn:
+    """Answers as scripted and keeps what it was sent.
+
+    A script entry is a function of the exchange; the default answers 200
+    with the receipt.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.script = deque()
+        self.seen = []
+
+    async def handle(self, exchange: Exchange) -> None:
+        body = await exchange.body()
+        headers = dict(exchange.headers)
+        self.seen.append((exchange.method, exchange.raw_path, headers, body))
+        act = self.script.popleft() if self.script else plain
+        await act(self, exchange)
+
+
+def receipt(target: TargetStandIn, exchange: Exchange):
+    return (
+        ('x-request-id', exchange.headers['x-request-id']),
+        ('x-server-seal', f'seal.{target.name}'),
+        ('x-replica-load', '1,0,6'),
+    )
+
+
+async def plain(target, exchange) -> None:
+    await exchange.answer(200, b'done', receipt(target, exchange))
+
+
+def status(code: int, *, sealed: bool = True):
+    async def act(target, exchange) -> None:
+        fields = receipt(target, exchange) if sealed else ()
+        await exchange.answer(code, b'failed', fields)
+
+    return act
+
+
+async def refuse(target, exchange) -> None:
+    fields = (
+        ('x-request-id', exchange.headers['x-request-id']),
+        ('x-not-executed', '1'),
+    )
+    await exchange.answer(503, b'', fields)
+
+
+async def crossed(target, exchange) -> None:
+    fields = (('x-request-id', 'other'), ('x-server-seal', 'x'))
+    await exchange.answer(200, b'not yours', fields)
+
+
+async def unsealed(target, exchange) -> None:
+    fields = (('x-request-id', exchange.headers['x-request-id']),)
+    await exchange.answer(200, b'whose?', fields)
+
+
+async def cut(target, exchange) -> None:
+    fields = (*receipt(target, exchange), ('content-length', '100'))
+    await exchange.start(200, fields)
+    await exchange.write(b'half')
+
+
+async def silent(target, exchange) -> None:
+    await trio.sleep_forever()
+
+
+def events(first: int, last: int, *, ends: bool = True):
+    async def act(target, exchange) -> None:
+        await exchange.start(200, receipt(target, exchange))
+        for number in range(first, last + 1):
+            await exchange.write(b'id: %d\ndata: x\n\n' % number)
+            await trio.sleep(SETTLE_SECONDS)
+        if ends:
+            await exchange.finish()
+
+    return act
--- /dev/null
+++ b/tests/peridotwell_platform/test_entries.py
@@ -0,0 +1,159 @@
+"""Entries of the platform's store: decoded, or refused by name."""
+
+import msgspec
+import pytest
+from peridotwell_platform.entries import PlatformEntries
+
+from peridotwell.errors import EntryError
+from peridotwell.world.routes import RequestKind
+
+ENTRIES = PlatformEntries()
+ROUTE = {
+    'name': 'r-1',
+    'host': 'a.example',
+    'path_prefix': '/a/',
+    'kind': 'streaming',
+    'timeout_ms': 15000,
+    'slo_ms': 500,
+    'priority': 1,
+    'split': [
+        {'service': 'big', 'weight': 90},
+        {'service': 'small', 'weight': 10},
+    ],
+    'max_attempts': 2,
+    'anonymous': False,
+    'sticky': True,
+    'resumable': True,
+    'gap_target_ms': 300,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {
+            'name': 'big',
+            'health_path': '/healthz',
+            'max_conns': 360,
+            'protocol': 'h1',
+            'engine': {
+                'slots': 64,
+                'kv_capacity_tokens': 950785,
+                'kv_token_bytes': 18432,
+            },
+        },
+        {'name': 'small', 'max_conns': 100},
+    ],
+    'limits': {
+        'max_header_bytes': 1000,
+        'max_body_bytes': 2000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 't', 'api_keys': ['k1', 'k2'], 'priority': 1}],
+}
+SERVER = {
+    'service': 'big',
+    'address': '10.0.0.9:8080',
+    'zone': 'north',
+    'state': 'ready',
+    'slots': 64,
+    'born': 1700000000000,
+    'seq': 4,
+}
+
+
+def encode(document) -> bytes:
+    return msgspec.json.encode(document)
+
+
+def test_configuration_is_decoded_once_into_our_types():
+    table = ENTRIES.table(encode(CONFIG), 42)
+    route = table.route('a.example', '/a/b')
+    assert (table.version, table.revision) == (7, 42)
+    assert route.kind is RequestKind.streaming
+    assert route.may_repeat
+    assert (route.timeout_seconds, route.objective_seconds) == (15, 0.5)
+    assert route.longest_gap_seconds == 0.3
+    assert table.services['big'].engine.can_fetch
+    assert table.services['small'].engine is None
+    assert table.customer('k2').name == 't'
+    assert table.limits.body_bytes == 2000
+
+
+def test_weights_split_by_subject():
+    route = ENTRIES.table(encode(CONFIG), 1).routes[0]
+    chosen = [route.service_for(str(number)) for number in range(1000)]
+    assert 850 < chosen.count('big') < 950
+    assert route.service_for('x') == route.service_for('x')
+
+
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'may_repeat'),
+    [
+        ('idempotent', False, True),
+        ('non_idempotent', False, False),
+        ('streaming', False, False),
+        ('streaming', True, True),
+    ],
+)
+def test_what_may_run_twice_follows_from_the_kind(kind, resumable, may_repeat):
+    route = {**ROUTE, 'kind': kind, 'resumable': resumable}
+    table = ENTRIES.table(encode({**CONFIG, 'routes': [route]}), 1)
+    assert table.routes[0].may_repeat is may_repeat
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        encode({**CONFIG, 'routes': [{**ROUTE, 'kind': 'other'}]}),
+        encode({'version': 1}),
+    ],
+)
+def test_a_configuration_that_cannot_be_read_is_refused(content):
+    with pytest.raises(EntryError):
+        ENTRIES.table(content, 1)
+
+
+@pytest.mark.parametrize(
+    ('path', 'prefix'),
+    [('/a/', '/a/'), ('/a/b/c', '/a/b/'), ('/a/bc', '/a/'), ('/b/a/', None)],
+)
+def test_the_longest_prefix_of_the_host_wins(path, prefix):
+    routes = [ROUTE, {**ROUTE, 'name': 'r-2', 'path_prefix': '/a/b/'}]
+    table = ENTRIES.table(encode({**CONFIG, 'routes': routes}), 1)
+    found = table.route('A.example:80', path)
+    assert (found.prefix if found else None) == prefix
+    assert table.route('b.example', path) is None
+
+
+def test_a_target_is_decoded():
+    target = ENTRIES.target('servers/i-1', encode(SERVER))
+    assert (target.name, target.pool.name) == ('i-1', 'big')
+    assert target.pool.data_centre == 'north'
+    assert target.incarnation == '1700000000000'
+    assert not target.leaving
+
+
+def test_a_draining_target_is_leaving():
+    row = {**SERVER, 'state': 'draining'}
+    assert ENTRIES.target('servers/i-1', encode(row)).leaving
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'not json',
+        b'{"service": 1}',
+        encode({**SERVER, 'state': 'resting'}),
+        encode({**SERVER, 'address': 'nowhere'}),
+        encode({**SERVER, 'born': 'today'}),
+        encode({key: SERVER[key] for key in SERVER if key != 'service'}),
+        encode({key: SERVER[key] for key in SERVER if key != 'address'}),
+    ],
+)
+def test_garbage_names_no_target(content):
+    with pytest.raises(EntryError):
+        ENTRIES.target('servers/i-1', content)
--- /dev/null
+++ b/tests/peridotwell_platform/test_headers.py
@@ -0,0 +1,197 @@
+"""Header fields of callers and targets on the platform."""
+
+import httpcore
+import pytest
+from peridotwell_platform.headers import PlatformCallers, PlatformTargets
+
+from peridotwell.errors import BadCall, EntryError
+from peridotwell.forwarding.dialect import ForwardCall, TargetRequest
+from peridotwell.policy.cache_map import part_number
+from peridotwell.serving.asgi import Exchange
+from peridotwell.serving.link import TargetAnswer
+from peridotwell.world.routes import RequestKind, Route, WeightedService
+from peridotwell.world.target import Pool, Target, TargetKind
+
+CALLERS = PlatformCallers()
+TARGETS = PlatformTargets()
+ROUTE = Route(
+    'r', 'h', '/', RequestKind.streaming, (WeightedService('s'),), 15, 0.5
+)
+TARGET = Target('i-1', '10.0.0.1:80', TargetKind.engine, Pool('a', 's'))
+OTHER = Target('i-2', '10.0.0.2:80', TargetKind.engine, Pool('a', 's'))
+
+
+def exchange(**fields: str) -> Exchange:
+    pairs = [
+        (name.replace('_', '-').encode(), text.encode())
+        for name, text in fields.items()
+    ]
+    scope = {
+        'method': 'POST',
+        'path': '/',
+        'raw_path': b'/',
+        'query_string': b'',
+        'headers': pairs,
+    }
+    return Exchange(scope, None, None)
+
+
+def answer(status: int = 200, **fields: str) -> TargetAnswer:
+    headers = [
+        (name.replace('_', '-').encode(), text.encode())
+        for name, text in fields.items()
+    ]
+    return TargetAnswer(httpcore.Response(status, headers=headers))
+
+
+def call(facts, **changes) -> ForwardCall:
+    values = {
+        'request_id': facts.request_id,
+        'customer': 'tenant-1',
+        'route': ROUTE,
+        'service': 's',
+        'priority': 2,
+        'method': 'POST',
+        'target_path': b'/a',
+        'passed': facts.passed,
+        'body': b'',
+        'prompt': facts.prompt,
+        'arrived_at': 0,
+        'deadline_at': 10,
+        'mark': 1,
+        'table_version': 1,
+        **changes,
+    }
+    return ForwardCall(**values)
+
+
+def test_a_caller_is_read():
+    facts = CALLERS.read(
+        exchange(
+            x_request_id='1',
+            x_credential='key',
+            x_deadline_ms='1500',
+            x_model='m',
+            x_token_counts='1460,80',
+            x_prompt_prefix='a:800,b:410,c:250',
+        ),
+    )
+    assert (facts.request_id, facts.api_key) == ('1', 'key')
+    assert facts.deadline_seconds == 1.5
+    assert facts.prompt.subject == 'b'
+    assert facts.prompt.own_tokens == 250
+    assert facts.prompt.output_tokens == 80
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [{}, {'x_request_id': '1', 'x_deadline_ms': 'soon'}],
+)
+def test_a_bad_caller_is_told_what_is_wrong(fields):
+    with pytest.raises(BadCall, match='X-'):
+        CALLERS.read(exchange(**fields))
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        'x_tenant',
+        'x_hold',
+        'x_pin_ms',
+        'x_kv_backup',
+        'kv_from',
+        'kv_fetch',
+        'x_expect_replica',
+        'x_expect_version',
+        'x_request_priority',
+        'x_credential',
+        'connection',
+        'transfer_encoding',
+        'te',
+        'upgrade',
+        'content_length',
+    ],
+)
+def test_what_the_router_decides_is_not_taken_from_callers(field):
+    facts = CALLERS.read(exchange(x_request_id='1', **{field: 'forged'}))
+    names = {name for name, _ in facts.passed}
+    assert names == {b'x-request-id'}
+
+
+def test_fields_that_connection_names_stay_behind():
+    facts = CALLERS.read(
+        exchange(x_request_id='1', connection='x-hop', x_hop='1', x_keep='2'),
+    )
+    assert (b'x-keep', b'2') in facts.passed
+    assert all(name != b'x-hop' for name, _ in facts.passed)
+
+
+def test_a_request_says_who_asks_what_is_left_and_who_is_meant():
+    facts = CALLERS.read(
+        exchange(x_request_id='1', x_model='m', x_prompt_prefix='a:8,b:4'),
+    )
+    request = TargetRequest(call(facts), TARGET, 4, fetch_from=OTHER)
+    fields = dict(TARGETS.request_fields(request))
+    assert fields[b'x-deadline-ms'] == b'6000'
+    assert fields[b'x-tenant'] == b'tenant-1'
+    assert fields[b'x-expect-replica'] == b'i-1'
+    assert fields[b'kv-fetch'] == b'10.0.0.2:80'
+    assert fields[b'x-request-priority'] == b'2'
+    assert fields[b'x-request-id'] == b'1'
+
+
+def test_a_resumed_stream_names_the_last_event_once():
+    facts = CALLERS.read(exchange(x_request_id='1', last_event_id='3'))
+    request = TargetRequest(call(facts), TARGET, 4, resume_after='8')
+    found = [
+        text
+        for name, text in TARGETS.request_fields(request)
+        if name == b'last-event-id'
+    ]
+    assert found == [b'8']
+
+
+@pytest.mark.parametrize(
+    ('given', 'not_run'),
+    [
+        (answer(503, x_not_executed='1'), True),
+        (answer(429, x_not_executed='1'), True),
+        (answer(421, x_replica_id='i-2'), True),
+        (answer(503, x_server_seal='s'), False),
+        (answer(500, x_server_seal='s'), False),
+        (answer(200, x_server_seal='s'), False),
+    ],
+)
+def test_only_these_answers_say_not_run(given, not_run):
+    assert bool(TARGETS.refusal(given)) is not_run
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_a_promise_of_a_target_that_ran_is_not_handed_on(status):
+    assert not TARGETS.may_hand_on(answer(status, x_server_seal='s'))
+
+
+def test_an_encoded_body_is_not_the_targets_body():
+    assert not TARGETS.may_hand_on(answer(content_encoding='gzip'))
+
+
+@pytest.mark.parametrize('text', ['', '3', '3,0', '3,x,8', 'a,b,c'])
+def test_a_load_that_cannot_be_read_is_none(text):
+    assert TARGETS.load(answer(x_replica_load=text)) is None
+
+
+def test_a_load_is_read():
+    load = TARGETS.load(answer(x_replica_load='3,1,8'))
+    assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+
+
+def test_a_list_of_cached_parts_is_read():
+    content = b'{"epoch":1,"held":[["","a1",500,"m"]],"next_token":3}'
+    (part,) = TARGETS.cache_list(content)
+    assert part.number == part_number('m', 'a1')
+    assert part.tokens == 500
+
+
+def test_a_garbled_list_of_cached_parts_is_refused():
+    with pytest.raises(EntryError):
+        TARGETS.cache_list(b'{"held":[[1]]}')
--- /dev/null
+++ b/tests/peridotwell_platform/test_path.py
@@ -0,0 +1,329 @@
+"""The whole path over stand-ins: callers, a router, targets, the store."""
+
+import base64
+
+import httpcore
+import msgspec
+import pytest
+import trio
+from peridotwell_platform.entries import PlatformEntries
+from peridotwell_platform.headers import PlatformCallers, PlatformTargets
+from peridotwell_platform.store import PlatformStore
+
+from peridotwell.forwarding.router import (
+    Dialects,
+    ForwardingRouter,
+    ForwardingSettings,
+)
+from peridotwell.serving.asgi import serve_http
+from peridotwell.world.bounds import Bounds
+from tests.peridotwell_platform import stand_in
+
+SEAL = b'x-server-seal'
+TIMEOUT_MS = 1500
+
+
+def route(name, kind, **changes):
+    return {
+        'name': name,
+        'host': 'a.example',
+        'path_prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': TIMEOUT_MS,
+        'slo_ms': 100,
+        'service': 'svc',
+        'max_attempts': 2,
+        **changes,
+    }
+
+
+CONFIG = {
+    'version': 1,
+    'routes': [
+        route('read', 'idempotent'),
+        route('book', 'non_idempotent', max_attempts=1),
+        route('draft', 'streaming', max_attempts=1),
+        route('ask', 'streaming', resumable=True),
+        route('open', 'idempotent', anonymous=True),
+    ],
+    'services': [{'name': 'svc', 'max_conns': 10}],
+    'limits': {
+        'max_header_bytes': 2000,
+        'max_body_bytes': 5000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
+}
+
+
+class Site:
+    """A router between two targets and a store, all in this process."""
+
+    def __init__(self, store, targets, router, address):
+        self.store = store
+        self.targets = targets
+        self.router = router
+        self.address = address
+        self.pool = httpcore.AsyncConnectionPool()
+        self._number = 0
+
+    async def ask(self, path, method='GET', body=b'', **fields):
+        self._number += 1
+        headers = {
+            'host': 'a.example',
+            'x-request-id': f'id-{self._number}',
+            'x-credential': 'key-1',
+            'x-deadline-ms': '1000',
+            **{name.replace('_', '-'): text for name, text in fields.items()},
+        }
+        if body:
+            headers['content-length'] = str(len(body))
+        url = httpcore.URL(
+            scheme=b'http',
+            host=self.address.partition(':')[0].encode(),
+            port=int(self.address.partition(':')[2]),
+            target=path.encode(),
+        )
+        return await self.pool.request(
+            method,
+            url,
+            headers=[(n, t) for n, t in headers.items() if t],
+            content=body,
+            extensions={'timeout': {'read': 5}},
+        )
+
+    def script(self, *acts):
+        """Let whichever target is asked take the acts in order."""
+        shared = list(acts)
+
+        async def act(target, exchange):
+            step = shared.pop(0) if shared else stand_in.plain
+            await step(target, exchange)
+
+        for target in self.targets:
+            target.script.extend([act] * len(acts))
+
+    def runs(self):
+        return sum(len(target.seen) for target in self.targets)
+
+
+@pytest.fixture
+async def site(nursery, free_port):
+    store = stand_in.StoreStandIn()
+    store.page = 100
+    address = await nursery.start(serve_http, store.handle, '127.0.0.1:0')
+    store.put('op/config', msgspec.json.encode(CONFIG))
+    targets = [stand_in.TargetStandIn(name) for name in ('i-1', 'i-2')]
+    for target in targets:
+        place = await nursery.start(serve_http, target.handle, '127.0.0.1:0')
+        row = {
+            'service': 'svc',
+            'address': place,
+            'zone': 'north',
+            'state': 'ready',
+        }
+        store.put(f'servers/{target.name}', msgspec.json.encode(row))
+    callers = f'127.0.0.1:{free_port()}'
+    router = ForwardingRouter(
+        ForwardingSettings(
+            'r-1', 'north', callers, '127.0.0.1:0', '127.0.0.1:0', Bounds()
+        ),
+        Dialects(PlatformCallers(), PlatformTargets(), PlatformEntries()),
+        PlatformStore(address),
+    )
+    nursery.start_soon(router.run)
+    with trio.fail_after(5):
+        while router.obstacle():
+            await trio.sleep(0.01)
+    yield Site(store, targets, router, callers)
+
+
+async def test_an_answer_comes_back_as_it_is(site):
+    resp = await site.ask('/book/x?q=%2F1', 'POST', b'kilograms')
+    assert (resp.status, resp.content) == (200, b'done')
+    assert dict(resp.headers)[SEAL].startswith(b'seal.')
+    (seen,) = [each for target in site.targets for each in target.seen]
+    method, path, headers, body = seen
+    assert (method, path, body) == ('POST', b'/book/x', b'kilograms')
+    assert headers['x-tenant'] == 'tenant-1'
+    assert 'x-credential' not in headers
+    assert 0 < int(headers['x-deadline-ms']) <= 1000
+
+
+@pytest.mark.parametrize(
+    ('path', 'fields', 'status'),
+    [
+        ('/other/x', {}, 404),
+        ('/read', {}, 404),
+        ('/read/x', {'host': 'b.example'}, 404),
+        ('/read/x', {'x_credential': 'wrong'}, 401),
+        ('/read/x', {'x_credential': ''}, 401),
+        ('/open/x', {'x_credential': ''}, 200),
+        ('/read/x', {'x_request_id': ''}, 400),
+        ('/read/x', {'x_long': 'x' * 3000}, 413),
+    ],
+)
+async def test_what_is_not_allowed_is_refused_by_name(
+    site, path, fields, status
+):
+    resp = await site.ask(path, **fields)
+    assert resp.status == status
+    assert SEAL not in dict(resp.headers) or status == 200
+    assert site.runs() == (status == 200)
+
+
+async def test_a_body_over_the_limit_is_refused(site):
+    resp = await site.ask('/book/x', 'POST', b'x' * 6000)
+    assert (resp.status, site.runs()) == (413, 0)
+
+
+FAULTS_THAT_MAY_HAVE_RUN = [
+    stand_in.crossed,
+    stand_in.unsealed,
+    stand_in.cut,
+    stand_in.silent,
+    stand_in.status(503),
+    stand_in.status(429),
+    stand_in.status(421),
+]
+
+
+@pytest.mark.parametrize('fault', FAULTS_THAT_MAY_HAVE_RUN)
+async def test_a_booking_that_may_have_run_is_never_sent_again(site, fault):
+    site.script(fault, stand_in.plain)
+    resp = await site.ask('/book/x', 'POST', b'kilograms')
+    assert resp.status in {502, 504}
+    assert SEAL not in dict(resp.headers)
+    assert site.runs() == 1
+
+
+@pytest.mark.parametrize('fault', FAULTS_THAT_MAY_HAVE_RUN)
+async def test_a_lookup_is_sent_elsewhere(site, fault):
+    site.script(fault, stand_in.plain)
+    resp = await site.ask('/read/x')
+    assert (resp.status, resp.content) == (200, b'done')
+    assert site.runs() == 2
+
+
+@pytest.mark.parametrize('path', ['/book/x', '/read/x', '/draft/x'])
+async def test_what_a_target_refused_is_sent_elsewhere(site, path):
+    site.script(stand_in.refuse, stand_in.plain)
+    resp = await site.ask(path, 'POST', b'kilograms')
+    assert (resp.status, site.runs()) == (200, 2)
+
+
+async def test_refused_everywhere_says_not_run_and_when_to_come_back(site):
+    site.script(stand_in.refuse, stand_in.refuse, stand_in.refuse)
+    resp = await site.ask('/book/x', 'POST', b'kilograms')
+    assert resp.status == 503
+    assert float(dict(resp.headers)[b'retry-after']) > 0
+
+
+async def test_a_failure_of_a_target_keeps_its_status_and_receipt(site):
+    site.script(stand_in.status(500))
+    resp = await site.ask('/book/x', 'POST', b'kilograms')
+    assert resp.status == 500
+    assert SEAL in dict(resp.headers)
+    assert site.runs() == 1
+
+
+async def test_attempts_keep_the_limit_of_the_route(site):
+    site.script(*[stand_in.status(500)] * 4)
+    resp = await site.ask('/read/x')
+    assert (resp.status, site.runs()) == (500, 2)
+
+
+async def test_a_stream_passes_event_by_event(site):
+    site.script(stand_in.events(1, 5))
+    resp = await site.ask('/draft/x', 'POST', b'q')
+    assert resp.content.count(b'data: x') == 5
+
+
+async def test_a_resumable_stream_goes_on_elsewhere(site):
+    site.script(stand_in.events(1, 3, ends=False), stand_in.events(3, 5))
+    resp = await site.ask('/ask/x', 'POST', b'q')
+    numbers = [line for line in resp.content.split(b'\n') if b'id:' in line]
+    assert numbers == [b'id: %d' % number for number in range(1, 6)]
+    last = [each for target in site.targets for each in target.seen][-1]
+    assert '3' in {
+        headers.get('last-event-id')
+        for target in site.targets
+        for _, _, headers, _ in target.seen
+    }, last
+
+
+async def test_a_stream_that_may_not_resume_does_not_look_whole(site):
+    site.script(stand_in.events(1, 3, ends=False))
+    with pytest.raises(httpcore.RemoteProtocolError):
+        await site.ask('/draft/x', 'POST', b'q')
+    assert site.runs() == 1
+
+
+async def test_a_silent_target_is_answered_for_at_the_deadline(site):
+    site.script(stand_in.silent)
+    began = trio.current_time()
+    resp = await site.ask('/book/x', 'POST', b'kg', x_deadline_ms='300')
+    assert resp.status == 504
+    assert trio.current_time() - began < 0.8
+
+
+async def test_the_timeout_of_the_route_bounds_the_callers_deadline(site):
+    site.script(stand_in.silent)
+    began = trio.current_time()
+    resp = await site.ask('/book/x', 'POST', b'kg', x_deadline_ms='60000')
+    assert resp.status == 504
+    assert trio.current_time() - began < TIMEOUT_MS / 1000 + 0.5
+
+
+async def test_a_caller_that_leaves_stops_the_work(site):
+    left = trio.Event()
+
+    async def watch(target, exchange):
+        await exchange.wait_gone()
+        left.set()
+
+    site.script(watch)
+    with trio.move_on_after(0.3):
+        await site.ask('/book/x', 'POST', b'kilograms')
+    with trio.fail_after(0.5):
+        await left.wait()
+
+
+async def test_a_leaving_target_gets_no_new_work(site):
+    value = site.store.items['servers/i-1']['value']
+    row = msgspec.json.decode(base64.b64decode(value))
+    site.store.put(
+        'servers/i-1',
+        msgspec.json.encode({**row, 'state': 'draining'}),
+    )
+    await trio.sleep(0.3)
+    for _ in range(10):
+        assert (await site.ask('/read/x')).status == 200
+    assert not site.targets[0].seen
+
+
+async def test_a_change_of_configuration_is_in_force_at_once(site):
+    changed = {**CONFIG, 'version': 2, 'routes': CONFIG['routes'][1:]}
+    site.store.put('op/config', msgspec.json.encode(changed))
+    await trio.sleep(0.3)
+    assert (await site.ask('/read/x')).status == 404
+
+
+async def test_no_target_is_a_refusal_at_once(site):
+    for name in ('i-1', 'i-2'):
+        site.store.delete(f'servers/{name}')
+    await trio.sleep(0.3)
+    began = trio.current_time()
+    resp = await site.ask('/book/x', 'POST', b'kilograms')
+    assert resp.status == 503
+    assert trio.current_time() - began < 0.2
+
+
+async def test_a_stopping_router_serves_and_closes_then_ends(site):
+    assert (await site.ask('/read/x')).status == 200
+    site.router.stop_requested.set()
+    await trio.sleep(0.1)
+    assert site.router.obstacle() == 'stopping'
+    resp = await site.ask('/read/x')
+    assert resp.status == 200
+    assert dict(resp.headers)[b'connection'] == b'close'
--- /dev/null
+++ b/tests/peridotwell_platform/test_store.py
@@ -0,0 +1,120 @@
+"""The client of the platform's store, call by call, with its faults."""
+
+import pytest
+import trio
+from peridotwell_platform.store import PlatformStore
+
+from peridotwell.errors import (
+    StoreAnswerLost,
+    StoreConflict,
+    StoreError,
+    StoreUnavailable,
+)
+from peridotwell.serving.asgi import serve_http
+from peridotwell.store.feed import HistoryGone
+from tests.peridotwell_platform.stand_in import StoreStandIn
+
+
+@pytest.fixture
+async def served(nursery):
+    stand_in = StoreStandIn()
+    address = await nursery.start(serve_http, stand_in.handle, '127.0.0.1:0')
+    return stand_in, PlatformStore(address)
+
+
+async def test_a_snapshot_reads_all_pages(served):
+    stand_in, store = served
+    for number in range(8):
+        stand_in.put(f'key/{number}', b'%d' % number)
+    snapshot = await store.snapshot()
+    assert [entry.value for entry in snapshot.entries] == [
+        b'%d' % number for number in range(8)
+    ]
+    assert snapshot.revision == stand_in.revision
+    assert stand_in.calls == ['kv-range'] * 3
+
+
+async def test_changes_bring_writes_and_deletions(served):
+    stand_in, store = served
+    stand_in.put('a', b'1')
+    start = stand_in.revision
+    stand_in.put('b', b'2')
+    stand_in.delete('a')
+    changes = await store.changes(start, 1)
+    assert [(entry.key, entry.value) for entry in changes.entries] == [
+        ('b', b'2')
+    ]
+    assert changes.deleted == (('a', stand_in.revision),)
+
+
+async def test_a_quiet_watch_returns_nothing_in_time(served):
+    stand_in, store = served
+    changes = await store.changes(stand_in.revision, 0.05)
+    assert (changes.entries, changes.deleted) == ((), ())
+
+
+async def test_lost_history_is_told(served):
+    stand_in, store = served
+    stand_in.put('a', b'1')
+    stand_in.forget_history()
+    with pytest.raises(HistoryGone):
+        await store.changes(0, 1)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'error'),
+    [
+        (429, StoreUnavailable),
+        (503, StoreUnavailable),
+        (500, StoreError),
+        ('garbage', StoreAnswerLost),
+        ('silent', StoreAnswerLost),
+    ],
+)
+@pytest.mark.parametrize('call', ['snapshot', 'changes', 'grant'])
+async def test_each_failure_has_its_kind(served, fault, error, call):
+    stand_in, store = served
+    stand_in.faults.append(fault)
+    with pytest.raises(error), trio.fail_after(3):
+        if call == 'snapshot':
+            await store.snapshot()
+        elif call == 'changes':
+            await store.changes(0, 0.05)
+        else:
+            await store.grant_lease(1)
+
+
+async def test_nobody_listens():
+    with pytest.raises(StoreUnavailable):
+        await PlatformStore('127.0.0.1:9').snapshot()
+
+
+async def test_a_write_keeps_its_condition(served):
+    stand_in, store = served
+    revision = await store.write('a', b'1', expected=0)
+    with pytest.raises(StoreConflict):
+        await store.write('a', b'2', expected=0)
+    assert await store.write('a', b'2', expected=revision) > revision
+    assert (await store.read('a')).value == b'2'
+    assert await store.read('b') is None
+
+
+async def test_a_lost_answer_may_have_been_executed(served):
+    stand_in, store = served
+    stand_in.faults.append('lost')
+    with pytest.raises(StoreAnswerLost):
+        await store.write('a', b'1', expected=0)
+    assert (await store.read('a')).value == b'1'
+
+
+async def test_entries_end_with_their_lease(served):
+    stand_in, store = served
+    lease = await store.grant_lease(1)
+    await store.write('a', b'1', expected=0, lease=lease)
+    await store.keep_lease(lease)
+    stand_in.end_lease(int(lease))
+    with pytest.raises(StoreConflict):
+        await store.keep_lease(lease)
+    with pytest.raises(StoreConflict):
+        await store.write('b', b'1', expected=0, lease=lease)
+    assert await store.read('a') is None
--- /dev/null
+++ b/tests/policy/test_engine_choice.py
@@ -0,0 +1,119 @@
+"""Which engine runs a prompt, under the loads that the rule answers."""
+
+import pytest
+
+from peridotwell.policy.choice import Candidate
+from peridotwell.policy.engine_choice import (
+    EngineCandidate,
+    PromptNeeds,
+    Source,
+    choose_engine,
+)
+from peridotwell.world.target import Pool, Target, TargetKind
+
+SPEED = 80_000.0
+FACTOR = 2.0
+NEEDS = PromptNeeds('document-7', 500, 0.4)
+
+
+def engine(name: str) -> Target:
+    return Target(name, '10.0.0.1:80', TargetKind.engine, Pool('a', 'model'))
+
+
+def candidate(name, load=0.0, missing=10_000, ahead=0) -> EngineCandidate:
+    return EngineCandidate(engine(name), load, missing, ahead)
+
+
+def choose(candidates, source=None, needs=NEEDS):
+    return choose_engine(needs, candidates, source, FACTOR, SPEED)
+
+
+def test_returning_chats_find_their_prompt_cached():
+    candidates = [
+        candidate('cold', load=2),
+        candidate('warm', load=5, missing=0),
+        candidate('other', load=2),
+    ]
+    assert choose(candidates).target.name == 'warm'
+
+
+def test_routers_agree_on_a_prompt_that_nobody_has():
+    names = [f'engine-{number}' for number in range(6)]
+    chosen = {
+        choose([candidate(name) for name in order]).target.name
+        for order in (names, names[::-1])
+    }
+    assert len(chosen) == 1
+
+
+def test_new_documents_spread_over_idle_engines():
+    names = [f'engine-{number}' for number in range(6)]
+    chosen = [
+        choose(
+            [candidate(name) for name in names],
+            needs=PromptNeeds(f'document-{number}', 500, 0.4),
+        ).target.name
+        for number in range(600)
+    ]
+    counts = [chosen.count(name) for name in names]
+    assert min(counts) > 60
+    assert max(counts) < 150
+
+
+@pytest.mark.parametrize('load', [0, 1, 5, 20, 100])
+def test_a_hot_document_never_passes_the_load_bound(load):
+    """A surge about one document: its engine holds far more than the mean.
+
+    The stated bound is twice the mean of all engines, and three.
+    """
+    candidates = [candidate(f'engine-{number}', load) for number in range(5)]
+    held = load
+    while held <= 2 * (5 * load + held) / 6 + 3:
+        held += 1
+    hot = candidate('hot', load=held, missing=0)
+    assert choose([*candidates, hot]).target.name != 'hot'
+
+
+def test_burst_of_long_prompts_leaves_an_engine_that_answers_too_late():
+    """Many long prompts at once: the cache is there, the time is not."""
+    late = candidate('warm', load=3, missing=0, ahead=60_000)
+    free = candidate('free', load=3, missing=10_000)
+    assert choose([late, free]).target.name == 'free'
+
+
+def test_missing_parts_are_copied_from_the_engine_that_has_them():
+    warm = candidate('warm', load=30, missing=0)
+    cold = candidate('cold', load=1, missing=10_000)
+    source = Source(Candidate(warm.target, 0), 0)
+    choice = choose([warm, cold], source)
+    assert choice.target.name == 'cold'
+    assert choice.fetch_from == warm.target
+    assert choice.fetched == 10_000
+
+
+def test_nothing_is_copied_to_the_engine_that_has_it():
+    warm = candidate('warm', missing=0)
+    choice = choose([warm], Source(Candidate(warm.target, 0), 0))
+    assert choice.fetch_from is None
+
+
+def test_short_parts_are_read_instead_of_copied():
+    cold = candidate('cold', missing=40)
+    source = Source(Candidate(engine('warm'), 0), 0)
+    assert choose([cold], source).fetch_from is None
+
+
+def test_leaving_engine_serves_as_source_but_gets_no_work():
+    """A release: the old engine leaves while its documents are asked for."""
+    new = candidate('new', missing=9_000)
+    leaving = Source(Candidate(engine('leaving'), 0), 0)
+    choice = choose([new], leaving)
+    assert choice.target.name == 'new'
+    assert choice.fetch_from.name == 'leaving'
+
+
+def test_route_without_an_objective_ignores_the_wait():
+    needs = PromptNeeds('document-7', 500, 0)
+    late = candidate('warm', load=3, missing=0, ahead=60_000)
+    free = candidate('free', load=3, missing=10_000)
+    assert choose([late, free], needs=needs).target.name == 'warm'
--- /dev/null
+++ b/tests/policy/test_target_health.py
@@ -0,0 +1,94 @@
+"""Targets that fail, fall silent or come back."""
+
+import pytest
+
+from peridotwell.policy.ejection import Ejection
+from peridotwell.policy.silence import TargetSilence
+from peridotwell.policy.target_load import LoadReport, TargetLoad
+from peridotwell.world.target import Pool, Target, TargetKind
+
+TARGETS = [
+    Target(f't{number}', '10.0.0.1:80', TargetKind.service, Pool('a', 's'))
+    for number in range(4)
+]
+
+
+def names(targets):
+    return [target.name for target in targets]
+
+
+def test_one_failure_is_forgiven_two_in_a_row_are_not():
+    ejection = Ejection()
+    assert not ejection.failed('t0', 0)
+    assert ejection.failed('t0', 0)
+    assert names(ejection.usable(TARGETS, 0)) == ['t1', 't2', 't3']
+
+
+def test_a_success_between_failures_clears_them():
+    ejection = Ejection()
+    ejection.failed('t0', 0)
+    ejection.succeeded('t0')
+    assert not ejection.failed('t0', 0)
+
+
+def test_a_target_comes_back_and_waits_longer_each_time():
+    ejection = Ejection()
+    ejection.failed('t0', 0, at_once=True)
+    assert ejection.is_aside('t0', 0.9)
+    assert not ejection.is_aside('t0', 1.1)
+    ejection.failed('t0', 2, at_once=True)
+    assert ejection.is_aside('t0', 3.9)
+    assert not ejection.is_aside('t0', 4.1)
+
+
+def test_no_more_than_half_of_a_service_is_set_aside():
+    """All targets fail part of their requests: they still serve the rest."""
+    ejection = Ejection()
+    for target in TARGETS[:3]:
+        ejection.failed(target.name, 0, at_once=True)
+    assert ejection.usable(TARGETS, 0) == TARGETS
+
+
+@pytest.mark.parametrize(('now', 'silent'), [(0.5, False), (0.9, True)])
+def test_a_target_with_work_that_sends_nothing_is_silent(now, silent):
+    silence = TargetSilence()
+    silence.sent('t0', 0)
+    assert silence.is_silent('t0', now) is silent
+
+
+def test_any_byte_ends_the_silence():
+    silence = TargetSilence()
+    silence.sent('t0', 0)
+    silence.heard('t0', 2)
+    assert not silence.is_silent('t0', 2.1)
+
+
+def test_an_idle_target_is_not_silent():
+    silence = TargetSilence()
+    silence.sent('t0', 0)
+    silence.ended('t0')
+    assert not silence.is_silent('t0', 10)
+    silence.sent('t0', 10)
+    assert not silence.is_silent('t0', 10.5)
+
+
+def test_load_is_the_larger_of_counts_and_report():
+    load = TargetLoad()
+    load.began()
+    assert load.estimate(0, others=3) == 4
+    load.reported(LoadReport(running=7, waiting=2, at=0))
+    assert load.estimate(0.1, others=3) == 9
+
+
+def test_a_report_is_corrected_by_what_was_sent_since():
+    load = TargetLoad()
+    load.reported(LoadReport(running=7, waiting=0, at=0))
+    load.began()
+    load.began()
+    assert load.estimate(0.1, others=0) == 9
+
+
+def test_an_old_report_counts_no_more():
+    load = TargetLoad()
+    load.reported(LoadReport(running=7, waiting=0, at=0))
+    assert load.estimate(5, others=1) == 1
