Callers that come during a restart wait a moment instead of being refused

Cause: the worst windows are those in which processes are killed; connections were refused for the 0.4 s that a router loads, and prompts that came at once after it were read again before the map of caches was known. In a cut-off data centre connections were tried, a second each, to targets that cannot be reached, because never more than half were set aside.

Change: the port is open before the program is loaded; requests wait up to 0.5 s for the first table and prompts 0.15 s for the map; unreachable targets are set aside whatever their share; a connection is given up after 0.3 s.

--- a/peridotwell/fleet/directory.py
+++ b/peridotwell/fleet/directory.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable, Iterable
 
+import trio
+
 from peridotwell.errors import EntryError
 from peridotwell.fleet.frames import Hello, SharedEntry
 from peridotwell.fleet.registry import ROUTERS_PREFIX, decode_router
@@ -36,6 +38,8 @@
         # How far this router knows, from the store or from a peer.
         self.known_revision = 0
         self.is_listed = False
+        # Set when both the table and the targets are known.
+        self.known = trio.Event()
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
         self._entries: dict[str, Entry] = {}
@@ -150,6 +154,8 @@
         self.is_listed = True
         self.settle(now)
         self._rebuild()
+        if self.table is not None:
+            self.known.set()
 
     def _take(self, entry: Entry, now: float) -> None:
         known = self._entries.get(entry.key)
--- a/peridotwell/fleet/follower.py
+++ b/peridotwell/fleet/follower.py
@@ -10,8 +10,9 @@
 
 __all__ = ('Follower',)
 
-# A silent watch is noticed after this time and the client's margin.
-WATCH_SECONDS = 1.0
+# A silent watch is noticed after this time and the client's margin; other
+# routers tell sooner that there is news.
+WATCH_SECONDS = 2.0
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.8
 
--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import trio
+
 from peridotwell.fleet.bus import Bus
 from peridotwell.fleet.directory import Directory
 from peridotwell.fleet.frames import (
@@ -77,8 +79,8 @@
         metrics: Metrics,
     ) -> None:
         self.peers = peers
-        # Whether the map of caches was learned, from peers or engines.
-        self.has_caches = False
+        # Set when the map of caches was learned, from peers or engines.
+        self.caches_known = trio.Event()
         self.introductions = Introductions(peers, bus)
         self._bus = bus
         self._knowledge = knowledge
@@ -152,7 +154,7 @@
                 self._push_caches(frame)
             case CachesPush():
                 self._learn_prompts(frame.prompts, now)
-                self.has_caches = True
+                self.caches_known.set()
             case _:
                 self._metrics.count('peer.unexpected')
 
@@ -204,7 +206,7 @@
 
     def _push_caches(self, pull: CachesPull) -> None:
         peer = self.peers.peer(pull.sender)
-        if peer is None or not self.has_caches:
+        if peer is None or not self.caches_known.is_set():
             return
         prompts = tuple(
             CachedPrompt(wire_id(name), _pairs(parts))
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -142,7 +142,7 @@
         now = trio.current_time()
         if not isinstance(exc, RefusedByTarget):
             unreachable = isinstance(exc, NothingSent)
-            if self._ejection.failed(name, now, at_once=unreachable):
+            if self._ejection.failed(name, now, is_unreachable=unreachable):
                 log_event('target.set_aside', target=name, code=exc.code)
         log_event(
             'attempt.failed',
--- a/peridotwell/forwarding/front.py
+++ b/peridotwell/forwarding/front.py
@@ -32,6 +32,10 @@
 __all__ = ('ForwardingFront',)
 
 UNREAD = 'unread'
+# Right after a start, the first reading of the store is worth waiting for.
+START_PATIENCE_SECONDS = 0.5
+# Shorter than an engine reads a long prompt again.
+CACHES_PATIENCE_SECONDS = 0.15
 
 
 @dataclass(frozen=True)
@@ -81,6 +85,8 @@
 
     async def _handle(self, exchange: Exchange, reply: Reply) -> None:
         now = trio.current_time()
+        with trio.move_on_after(START_PATIENCE_SECONDS):
+            await self._directory.known.wait()
         try:
             call = await read_call(
                 exchange,
@@ -117,6 +123,9 @@
         attempts: Attempts,
     ) -> None:
         engine = self._engine
+        if call.prompt is not None:
+            with trio.move_on_after(CACHES_PATIENCE_SECONDS):
+                await engine.placement.caches_known.wait()
         if call.route.kind is RequestKind.streaming:
             stream = Stream(
                 call,
--- a/peridotwell/forwarding/placement.py
+++ b/peridotwell/forwarding/placement.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Collection, Sequence
 
+import trio
+
 from peridotwell.errors import NoTarget
 from peridotwell.fleet.directory import Directory
 from peridotwell.fleet.sharing import Knowledge, Sharing
@@ -54,6 +56,11 @@
         self._speeds: dict[str, ReadingSpeed] = {}
         directory.on_change(self._forget_gone)
 
+    @property
+    def caches_known(self) -> trio.Event:
+        """Set when it is known what engines have cached."""
+        return self._sharing.caches_known
+
     def began(self, call: ForwardCall, choice: Choice, now: float) -> None:
         """Count a request that is sent, and the prompt that it brings."""
         target = choice.target
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -51,23 +51,29 @@
             for target in engines:
                 if choose_lender(target, {own, *registered}) == own:
                     nursery.start_soon(self._ask, target)
-            nursery.start_soon(self._ask_peers)
-        if not self.sharing.has_caches:
-            await self._ask_untold(engines)
-        self.sharing.has_caches = True
+            nursery.start_soon(self._ask_peers, engines)
+        await self._ask_untold(engines)
+        self.sharing.caches_known.set()
         log_event('caches.recovered')
 
-    async def _ask_peers(self) -> None:
+    async def _ask_peers(self, engines: list[Target]) -> None:
+        """Return when a peer has told, or all engines are known."""
         with trio.move_on_after(TELL_SECONDS):
-            while not self.sharing.has_caches:
-                await trio.sleep(POLL_SECONDS)
+            while self._untold(engines):
                 self.sharing.pull_caches(trio.current_time())
+                await trio.sleep(POLL_SECONDS)
 
     async def _ask_untold(self, engines: list[Target]) -> None:
         async with trio.open_nursery() as nursery:
-            for target in engines:
-                if not self.caches.knows(target.name):
-                    nursery.start_soon(self._ask, target)
+            for target in self._untold(engines):
+                nursery.start_soon(self._ask, target)
+
+    def _untold(self, engines: list[Target]) -> list[Target]:
+        if self.sharing.caches_known.is_set():
+            return []
+        return [
+            target for target in engines if not self.caches.knows(target.name)
+        ]
 
     def _engines(self) -> list[Target]:
         table = self.directory.table
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -1,5 +1,6 @@
 """The life of a forwarding router, from start to stop."""
 
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -79,8 +80,11 @@
         settings: ForwardingSettings,
         dialects: Dialects,
         store: FollowedStore,
+        listener: socket.socket | None = None,
     ) -> None:
+        """Build a router; `listener` is the callers' port if it is open."""
         self.settings = settings
+        self._listener = listener
         self.stop_requested = trio.Event()
         self.metrics = Metrics('', 'peridotwell')
         self.directory = Directory(dialects.entries)
@@ -186,6 +190,7 @@
         await self._callers.run(
             self.settings.callers,
             shutdown=self._may_close.wait,
+            listener=self._listener,
             task_status=task_status,
         )
 
--- a/peridotwell/policy/ejection.py
+++ b/peridotwell/policy/ejection.py
@@ -1,8 +1,8 @@
 """Targets that fail or fall silent are set aside, and let back.
 
 A target is judged by the outcomes of requests. It is set aside after
-failures in a row, for a pause that doubles; then one request tries it. Never
-more than a share of a service is set aside.
+failures in a row, for a pause that doubles; then requests try it again. Of
+targets that can be reached, never more than a share of a service is set aside.
 """
 
 from collections.abc import Iterable, Sequence
@@ -22,6 +22,7 @@
         self.failures = 0
         self.ejections = 0
         self.until = float(0)
+        self.is_unreachable = False
 
 
 class Ejection:
@@ -34,14 +35,21 @@
         """Count a good outcome."""
         self._records.pop(name, None)
 
-    def failed(self, name: str, now: float, *, at_once: bool = False) -> bool:
+    def failed(
+        self,
+        name: str,
+        now: float,
+        *,
+        is_unreachable: bool = False,
+    ) -> bool:
         """Count a bad outcome; True if the target is set aside by it.
 
-        `at_once` needs no second failure: nothing answers there.
+        A target that cannot be reached needs no second failure.
         """
         record = self._records.setdefault(name, _Record())
         record.failures += 1
-        if record.failures < FAILURES_IN_A_ROW and not at_once:
+        record.is_unreachable = is_unreachable
+        if record.failures < FAILURES_IN_A_ROW and not is_unreachable:
             return False
         was_aside = record.until > now
         if not was_aside:
@@ -60,13 +68,30 @@
         targets: Sequence[Target],
         now: float,
     ) -> Sequence[Target]:
-        """Return the targets to use, all if too many are set aside."""
+        """Return the targets to use.
+
+        Those that fail are used too if too many of them do; those that cannot
+        be reached only if there are no others.
+        """
+        reachable = [
+            target
+            for target in targets
+            if not self._is_unreachable(target.name, now)
+        ]
         kept = [
-            target for target in targets if not self.is_aside(target.name, now)
+            target
+            for target in reachable
+            if not self.is_aside(target.name, now)
         ]
-        if len(kept) < len(targets) * (1 - LARGEST_SHARE):
-            return targets
-        return kept
+        if len(kept) < len(reachable) * (1 - LARGEST_SHARE):
+            return reachable
+        return kept or targets
+
+    def _is_unreachable(self, name: str, now: float) -> bool:
+        record = self._records.get(name)
+        return (
+            record is not None and record.is_unreachable and record.until > now
+        )
 
     def forget(self, names: Iterable[str]) -> None:
         """Keep records only of the targets named."""
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -206,17 +206,16 @@
         bind: str,
         *,
         shutdown: Callable[[], Awaitable[None]],
+        listener: socket.socket | None = None,
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve on `bind` until `shutdown` returns, then end what runs.
 
-        Reports the bound 'host:port' through `task_status`.
+        `listener` is a socket that listens there already. Reports the bound
+        'host:port' through `task_status`.
         """
-        host, _, port = bind.rpartition(':')
-        listeners = await trio.open_tcp_listeners(
-            int(port),
-            host=host.strip('[]'),
-        )
+        host = bind.rpartition(':')[0]
+        listeners = await _open_listeners(bind, listener)
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
                 accepting.start_soon(
@@ -271,6 +270,16 @@
     )
 
 
+async def _open_listeners(
+    bind: str,
+    listener: socket.socket | None,
+) -> list[trio.SocketListener]:
+    if listener is not None:
+        return [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
+    host, _, port = bind.rpartition(':')
+    return await trio.open_tcp_listeners(int(port), host=host.strip('[]'))
+
+
 def _join_address(host: str, port: int) -> str:
     return f'{host}:{port}'
 
--- a/peridotwell/serving/link.py
+++ b/peridotwell/serving/link.py
@@ -34,7 +34,10 @@
 
 MAX_CONNECTIONS = 1024
 IDLE_CONNECTION_SECONDS = 20
-CONNECT_SECONDS = 1
+# Shorter than the first repetition of a lost opening packet, which comes
+# after a second: another target is tried by then.
+CONNECT_SECONDS = 0.3
+POOL_SECONDS = 1
 PROBE_SECONDS = 0.5
 REFUSED_STATUS = 503
 NO_BODY_STATUSES = frozenset((204, 304))
@@ -269,5 +272,5 @@
         'connect': min(seconds, CONNECT_SECONDS),
         'read': seconds,
         'write': seconds,
-        'pool': CONNECT_SECONDS,
+        'pool': POOL_SECONDS,
     }
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -135,7 +135,7 @@
     with trio.fail_after(5):
         while router.obstacle():
             await trio.sleep(0.01)
-    yield Site(store, targets, router, callers)
+    return Site(store, targets, router, callers)
 
 
 async def test_an_answer_comes_back_as_it_is(site):
--- a/tests/peridotwell_platform/test_store.py
+++ b/tests/peridotwell_platform/test_store.py
@@ -71,17 +71,19 @@
         ('silent', StoreAnswerLost),
     ],
 )
-@pytest.mark.parametrize('call', ['snapshot', 'changes', 'grant'])
+@pytest.mark.parametrize(
+    'call',
+    [
+        lambda store: store.snapshot(),
+        lambda store: store.changes(0, 0.05),
+        lambda store: store.grant_lease(1),
+    ],
+)
 async def test_each_failure_has_its_kind(served, fault, error, call):
     stand_in, store = served
     stand_in.faults.append(fault)
-    with pytest.raises(error), trio.fail_after(3):
-        if call == 'snapshot':
-            await store.snapshot()
-        elif call == 'changes':
-            await store.changes(0, 0.05)
-        else:
-            await store.grant_lease(1)
+    with trio.fail_after(3), pytest.raises(error):
+        await call(store)
 
 
 async def test_nobody_listens():
@@ -90,7 +92,7 @@
 
 
 async def test_a_write_keeps_its_condition(served):
-    stand_in, store = served
+    _, store = served
     revision = await store.write('a', b'1', expected=0)
     with pytest.raises(StoreConflict):
         await store.write('a', b'2', expected=0)
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/test_target_health.py
@@ -33,10 +33,10 @@
 
 def test_a_target_comes_back_and_waits_longer_each_time():
     ejection = Ejection()
-    ejection.failed('t0', 0, at_once=True)
+    ejection.failed('t0', 0, is_unreachable=True)
     assert ejection.is_aside('t0', 0.9)
     assert not ejection.is_aside('t0', 1.1)
-    ejection.failed('t0', 2, at_once=True)
+    ejection.failed('t0', 2, is_unreachable=True)
     assert ejection.is_aside('t0', 3.9)
     assert not ejection.is_aside('t0', 4.1)
 
@@ -45,7 +45,23 @@
     """All targets fail part of their requests: they still serve the rest."""
     ejection = Ejection()
     for target in TARGETS[:3]:
-        ejection.failed(target.name, 0, at_once=True)
+        ejection.failed(target.name, 0)
+        ejection.failed(target.name, 0)
+    assert ejection.usable(TARGETS, 0) == TARGETS
+
+
+def test_a_cut_off_data_centre_uses_only_what_it_reaches():
+    """Two of three data centres are gone: no connection is tried there."""
+    ejection = Ejection()
+    for target in TARGETS[:3]:
+        ejection.failed(target.name, 0, is_unreachable=True)
+    assert names(ejection.usable(TARGETS, 0)) == ['t3']
+
+
+def test_when_nothing_can_be_reached_everything_is_tried():
+    ejection = Ejection()
+    for target in TARGETS:
+        ejection.failed(target.name, 0, is_unreachable=True)
     assert ejection.usable(TARGETS, 0) == TARGETS
 
 
