Requests that crash targets, changed settings, metrics; tests of each

A broken connection counts as a crash only if the target cannot be reached at once after it, so a lost answer never sets a request aside.

--- a/peridotwell/errors.py
+++ b/peridotwell/errors.py
@@ -29,6 +29,7 @@
     'Overloaded',
     'DeadlineExceeded',
     'CallQuarantined',
+    'RequestSetAside',
     'TargetFailed',
     'Stopping',
 )
@@ -226,6 +227,13 @@
     status = 422
 
 
+class RequestSetAside(CallQuarantined):
+    """The same, for a forwarded request; it may be sent again later."""
+
+    code = 'set_aside'
+    status = 503
+
+
 class TargetFailed(CallError):
     """Targets failed to give a whole answer."""
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -15,10 +15,10 @@
     TargetRequest,
 )
 from peridotwell.forwarding.links import Links
-from peridotwell.forwarding.placement import Placement
-from peridotwell.logs import log_event
+from peridotwell.forwarding.suspects import Suspects
+from peridotwell.forwarding.target_book import TargetBook
+from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.choice import Choice
-from peridotwell.policy.ejection import Ejection
 from peridotwell.serving.link import Patience, TargetAnswer
 from peridotwell.world.routes import RequestKind
 from peridotwell.world.target import Target
@@ -54,13 +54,13 @@
     def __init__(
         self,
         links: Links,
-        placement: Placement,
-        ejection: Ejection,
+        book: TargetBook,
         dialect: TargetDialect,
+        suspects: Suspects,
     ) -> None:
+        self._suspects = suspects
         self._links = links
-        self._placement = placement
-        self._ejection = ejection
+        self._book = book
         self._dialect = dialect
 
     @asynccontextmanager
@@ -69,31 +69,32 @@
         began_at = trio.current_time()
         call = sending.call
         choice = sending.choice
-        self._placement.began(call, choice, began_at)
+        self._book.began(call, choice, began_at)
         is_read = False
         try:
             async with self._answer(sending) as answer:
                 is_read = True
-                self._placement.prompt_read(call, choice)
+                self._book.prompt_read(call, choice)
                 self.heard(sending)
                 seconds = trio.current_time() - began_at
-                self._placement.answered(call, choice, seconds)
+                self._book.answered(call, choice, seconds)
                 yield answer
         except LinkError as exc:
             self._note_failure(sending, exc)
             raise
         finally:
             if not is_read:
-                self._placement.prompt_read(call, choice)
-            self._placement.ended(sending.target)
+                self._book.prompt_read(call, choice)
+            self._book.ended(sending.target)
 
     def heard(self, sending: Sending) -> None:
         """Book that a part of an answer has arrived."""
-        self._placement.heard(sending.target, trio.current_time())
+        self._book.heard(sending.target, trio.current_time())
 
     def succeeded(self, sending: Sending) -> None:
         """Count a whole answer."""
-        self._ejection.succeeded(sending.target.name)
+        self._suspects.finished(sending.call)
+        self._book.ejection.succeeded(sending.target.name)
 
     @asynccontextmanager
     async def _answer(self, sending: Sending) -> AsyncIterator[TargetAnswer]:
@@ -130,7 +131,7 @@
         ) as answer:
             reported = self._dialect.load(answer)
             if reported is not None:
-                self._placement.reported(
+                self._book.reported(
                     target,
                     reported,
                     trio.current_time(),
@@ -140,11 +141,14 @@
     def _note_failure(self, sending: Sending, exc: LinkError) -> None:
         name = sending.target.name
         now = trio.current_time()
+        self._suspects.broke(sending.call, sending.target, exc)
         if not isinstance(exc, RefusedByTarget):
             unreachable = isinstance(exc, NothingSent)
-            if self._ejection.failed(name, now, is_unreachable=unreachable):
+            if self._book.ejection.failed(
+                name, now, is_unreachable=unreachable
+            ):
                 log_event('target.set_aside', target=name, code=exc.code)
-        log_event(
+        log_failure(
             'attempt.failed',
             request=sending.call.request_id,
             target=name,
--- a/peridotwell/forwarding/front.py
+++ b/peridotwell/forwarding/front.py
@@ -1,22 +1,16 @@
 """The callers' side of forwarding: one exchange from arrival to answer."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 import trio
 
 from peridotwell.errors import CallError, DeadlineExceeded, RunState
 from peridotwell.fleet.directory import Directory
+from peridotwell.fleet.sharing import Sharing
 from peridotwell.forwarding.answers import Answers
-from peridotwell.forwarding.dialect import (
-    CallerDialect,
-    ForwardCall,
-    TargetDialect,
-)
-from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.forwarding.dialect import ForwardCall
 from peridotwell.forwarding.intake import read_call
-from peridotwell.forwarding.placement import Placement
+from peridotwell.forwarding.parts import ForwardingParts
 from peridotwell.forwarding.replies import Reply
 from peridotwell.forwarding.retries import Attempts
 from peridotwell.forwarding.streams import Stream, StreamBroken
@@ -38,36 +32,33 @@
 CACHES_PATIENCE_SECONDS = 0.15
 
 
-@dataclass(frozen=True)
-class Engine:
-    """The parts that carry a request, shared by all exchanges."""
-
-    dispatcher: Dispatcher
-    placement: Placement
-    callers: CallerDialect
-    targets: TargetDialect
-
-
 class ForwardingFront:
     """Answers callers."""
 
     def __init__(
         self,
         directory: Directory,
-        engine: Engine,
+        parts: ForwardingParts,
         bounds: Bounds,
-        count_routers: Callable[[float], int],
+        sharing: Sharing,
         metrics: Metrics,
     ) -> None:
         self.is_stopping = False
         self.running = 0
         self._directory = directory
-        self._engine = engine
+        self._parts = parts
         self._bounds = bounds
-        self._count_routers = count_routers
+        self._count_routers = sharing.routers
+        self._caches_known = sharing.caches_known
         self._metrics = metrics
         self._windows: dict[str, RetryWindow] = {}
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Keep other bounds from now on."""
+        self._bounds = bounds
+        for window in self._windows.values():
+            window.set_bounds(bounds.retry_ratio, bounds.retry_slack)
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange; no failure leaves this method."""
         self.running += 1
@@ -90,7 +81,7 @@
         try:
             call = await read_call(
                 exchange,
-                self._engine.callers,
+                self._parts.callers,
                 self._directory.table,
                 now,
             )
@@ -108,6 +99,7 @@
         window.requested(now)
         attempts = Attempts(call, window, self._count_routers(now))
         try:
+            self._parts.suspects.check(call)
             with trio.fail_at(call.deadline_at):
                 await self._run(reply, call, attempts)
         except trio.TooSlowError:
@@ -122,24 +114,24 @@
         call: ForwardCall,
         attempts: Attempts,
     ) -> None:
-        engine = self._engine
+        parts = self._parts
         if call.prompt is not None:
             with trio.move_on_after(CACHES_PATIENCE_SECONDS):
-                await engine.placement.caches_known.wait()
+                await self._caches_known.wait()
         if call.route.kind is RequestKind.streaming:
             stream = Stream(
                 call,
                 reply,
                 attempts,
-                engine.dispatcher,
-                engine.placement,
-                engine.targets,
+                parts.dispatcher,
+                parts.placement,
+                parts.targets,
             )
             status = await stream.run()
             first_at = stream.first_event_at
             self._log_end(call, attempts, status, stream.choice, first_at)
             return
-        answers = Answers(engine.dispatcher, engine.placement, engine.targets)
+        answers = Answers(parts.dispatcher, parts.placement, parts.targets)
         answer = await answers.get(call, attempts)
         now = trio.current_time()
         self._log_end(call, attempts, answer.status, answer.choice, now)
@@ -195,7 +187,7 @@
         arrived_at: float,
     ) -> None:
         self._metrics.count(f'request.{error.code}')
-        log_event(
+        log_failure(
             'request.refused',
             request=request_id,
             code=error.code,
--- a/peridotwell/forwarding/intake.py
+++ b/peridotwell/forwarding/intake.py
@@ -1,7 +1,6 @@
 """From an exchange to a request with a route, a customer and a deadline."""
 
 from peridotwell.errors import (
-    CallQuarantined,
     CallTooLarge,
     NotConfigured,
     UnknownCredential,
@@ -111,11 +110,3 @@
             f'The header fields are over {table.limits.header_bytes} bytes: '
             'send shorter ones.',
         )
-
-
-def refuse_quarantined(call: ForwardCall) -> CallQuarantined:
-    """Return the error for a request that has lost targets."""
-    return CallQuarantined(
-        f'Targets that ran this request were lost ({call.mark:016x}): '
-        'change it.',
-    )
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -20,6 +20,7 @@
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.cache_map import CacheMap
 from peridotwell.serving.link import Patience
+from peridotwell.world.routes import engine_facts
 from peridotwell.world.target import Target
 
 __all__ = ('CacheRecovery',)
@@ -76,13 +77,10 @@
         ]
 
     def _engines(self) -> list[Target]:
-        table = self.directory.table
-        services = table.services if table else {}
         return [
             target
             for target in self.directory.all_targets()
-            if target.pool.name in services
-            and services[target.pool.name].engine is not None
+            if engine_facts(self.directory.table, target.pool.name) is not None
         ]
 
     async def _ask(self, target: Target) -> None:
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -3,7 +3,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -21,12 +21,15 @@
     TargetDialect,
 )
 from peridotwell.forwarding.dispatch import Dispatcher
-from peridotwell.forwarding.front import Engine, ForwardingFront
+from peridotwell.forwarding.front import ForwardingFront
 from peridotwell.forwarding.links import Links
+from peridotwell.forwarding.parts import ForwardingParts
 from peridotwell.forwarding.placement import Placement
 from peridotwell.forwarding.recovery import CacheRecovery
+from peridotwell.forwarding.suspects import Suspects
+from peridotwell.forwarding.target_book import TargetBook
 from peridotwell.logs import log_event, log_failure
-from peridotwell.metrics import Metrics
+from peridotwell.metrics import Metrics, render_metrics
 from peridotwell.policy.cache_map import CacheMap
 from peridotwell.policy.ejection import Ejection
 from peridotwell.policy.fleet_load import FleetLoad
@@ -39,6 +42,7 @@
 
 OK = 200
 NOT_READY = 503
+TEXT_TYPE = ('content-type', 'text/plain; charset=utf-8')
 # The balancer asks every second and wants two misses.
 STOP_DELAY_SECONDS = 2.6
 # Time to end what still runs before the kill.
@@ -53,13 +57,17 @@
 
 @dataclass(frozen=True)
 class ForwardingSettings:
-    """Who this router is, where it listens, and what it has to keep."""
+    """Who this router is, where it listens, and what it has to keep.
+
+    `metrics` is the address of the counters and histograms, or empty.
+    """
 
     name: str
     data_centre: str
     callers: str
     readiness: str
     peers: str
+    metrics: str
     bounds: Bounds
 
 
@@ -133,12 +141,24 @@
             return 'no list of targets yet'
         return ''
 
+    def reload(self, settings: ForwardingSettings) -> None:
+        """Take over changed bounds; addresses need a restart."""
+        fixed = replace(settings, bounds=self.settings.bounds)
+        log_event(
+            'settings.reloaded',
+            needs_restart=fixed != self.settings,
+        )
+        self.settings = replace(self.settings, bounds=settings.bounds)
+        self._front.set_bounds(settings.bounds)
+        self._placement.set_bounds(settings.bounds)
+
     async def run(self) -> None:
         """Serve until `stop_requested`, then end what runs and return."""
         try:
             async with trio.open_nursery() as nursery:
                 self._start_upkeep(nursery)
                 await nursery.start(self._serve_readiness)
+                nursery.start_soon(self._serve_metrics)
                 await self._serve_until_stopped()
                 nursery.cancel_scope.cancel()
         finally:
@@ -150,6 +170,7 @@
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._receive)
         nursery.start_soon(self._recovery.run)
+        nursery.start_soon(self._suspects.run)
         renewal = self.settings.bounds.lease_seconds / LEASE_RENEWALS
         for period, step in (
             (UPDATE_SECONDS, self._update),
@@ -205,6 +226,23 @@
             task_status=task_status,
         )
 
+    async def _serve_metrics(self) -> None:
+        """Serve metrics if they have an address; requests come first."""
+        if not self.settings.metrics:
+            return
+        server = HttpServer(self._answer_metrics)
+        try:
+            await server.run(
+                self.settings.metrics,
+                shutdown=trio.sleep_forever,
+            )
+        except OSError as exc:
+            log_failure('metrics.unavailable', error=str(exc))
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        text = '\n'.join(render_metrics(self.metrics))
+        await exchange.answer(OK, f'{text}\n'.encode(), (TEXT_TYPE,))
+
     async def _answer_ready(self, exchange: Exchange) -> None:
         why = self.obstacle()
         document = {'ready': not why, 'why': why}
@@ -216,26 +254,37 @@
         dialects: Dialects,
         knowledge: Knowledge,
     ) -> ForwardingFront:
-        ejection = Ejection()
-        placement = Placement(
+        book = TargetBook(
             self.directory,
-            ejection,
-            settings.data_centre,
-            settings.bounds,
+            Ejection(),
             self._sharing,
             knowledge,
         )
+        self._suspects = Suspects(knowledge.quarantine, self._sharing)
+        self._placement = Placement(
+            book,
+            knowledge.caches,
+            settings.data_centre,
+            settings.bounds,
+        )
         dispatcher = Dispatcher(
             self._links,
-            placement,
-            ejection,
+            book,
+            dialects.targets,
+            self._suspects,
+        )
+        parts = ForwardingParts(
+            dispatcher,
+            self._placement,
+            self._suspects,
+            dialects.callers,
             dialects.targets,
         )
         return ForwardingFront(
             self.directory,
-            Engine(dispatcher, placement, dialects.callers, dialects.targets),
+            parts,
             settings.bounds,
-            self._sharing.routers,
+            self._sharing,
             self.metrics,
         )
 
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from peridotwell.errors import CallError
+from peridotwell.errors import CallError, RunState
 from peridotwell.failures import AnswerCut, LinkError, NothingSent
 from peridotwell.forwarding.answers import (
     SUCCESSES,
@@ -36,6 +36,7 @@
 
     code = 'stream_broken'
     status = 502
+    default_run_state = RunState.unknown
 
 
 class Stream:
--- /dev/null
+++ b/peridotwell/forwarding/target_book.py
@@ -0,0 +1,147 @@
+"""What is known of each target, from requests and from other routers."""
+
+import trio
+
+from peridotwell.fleet.directory import Directory
+from peridotwell.fleet.sharing import Knowledge, Sharing
+from peridotwell.forwarding.dialect import ForwardCall, ReportedLoad
+from peridotwell.logs import log_event
+from peridotwell.policy.cache_map import cached_parts
+from peridotwell.policy.choice import Choice
+from peridotwell.policy.ejection import Ejection
+from peridotwell.policy.reading_speed import ReadingSpeed
+from peridotwell.policy.silence import TargetSilence
+from peridotwell.policy.target_load import LoadReport, TargetLoad
+from peridotwell.world.routes import engine_facts
+from peridotwell.world.target import Target
+
+__all__ = ('TargetBook', 'tokens_to_read')
+
+
+class TargetBook:
+    """Loads, silence, reading speeds and caches of all targets."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        ejection: Ejection,
+        sharing: Sharing,
+        knowledge: Knowledge,
+    ) -> None:
+        self.directory = directory
+        self.ejection = ejection
+        self.silence = TargetSilence()
+        self._sharing = sharing
+        self._knowledge = knowledge
+        self._loads: dict[str, TargetLoad] = {}
+        self._starts: dict[str, str] = {}
+        self._speeds: dict[str, ReadingSpeed] = {}
+        directory.on_change(self._forget_gone)
+
+    @property
+    def caches_known(self) -> trio.Event:
+        """Set when it is known what engines have cached."""
+        return self._sharing.caches_known
+
+    def began(self, call: ForwardCall, choice: Choice, now: float) -> None:
+        """Count a request that is sent, and the prompt that it brings."""
+        target = choice.target
+        self._load(target).began()
+        self.silence.sent(target.name, now)
+        self._sharing.running.add(target.wire_id, 1)
+        if call.prompt is None:
+            return
+        to_read = tokens_to_read(call, choice)
+        self._sharing.reading.add(target.wire_id, to_read)
+        parts = cached_parts(call.prompt)
+        if self._knowledge.caches.use(target.name, parts, now):
+            self._sharing.prompt_sent(target.wire_id, parts)
+
+    def prompt_read(self, call: ForwardCall, choice: Choice) -> None:
+        """Count a prompt as read, or as not to be read any more."""
+        to_read = tokens_to_read(call, choice)
+        self._sharing.reading.add(choice.target.wire_id, -to_read)
+
+    def answered(
+        self,
+        call: ForwardCall,
+        choice: Choice,
+        seconds: float,
+    ) -> None:
+        """Learn from the time to the first part of an answer."""
+        if call.prompt is None:
+            return
+        tokens = choice.ahead + tokens_to_read(call, choice)
+        self.speed(choice.target.pool.name).answered(tokens, seconds)
+
+    def heard(self, target: Target, now: float) -> None:
+        """Book that something arrived from a target."""
+        self.silence.heard(target.name, now)
+
+    def ended(self, target: Target) -> None:
+        """Count the end of a request."""
+        self._load(target).ended()
+        self.silence.ended(target.name)
+        self._sharing.running.add(target.wire_id, -1)
+
+    def reported(self, target: Target, load: ReportedLoad, now: float) -> None:
+        """Take over a load that a target reported."""
+        report = LoadReport(load.running, load.waiting, now)
+        self._load(target).reported(report)
+
+    def load(self, target: Target, now: float) -> float:
+        """Return the requests that a target holds from all routers."""
+        others = self._knowledge.loads.outstanding(target.wire_id)
+        return self._load(target).estimate(now, others)
+
+    def tokens_ahead(self, target: Target) -> int:
+        """Return the prompt tokens that an engine has yet to read."""
+        others = self._knowledge.reading.outstanding(target.wire_id)
+        return self._sharing.reading.count(target.wire_id) + others
+
+    def speed(self, service: str) -> ReadingSpeed:
+        """Return how fast the engines of a service read."""
+        return self._speeds.setdefault(service, ReadingSpeed())
+
+    def is_doubtful(self, target: Target, now: float) -> bool:
+        """Whether a target is set aside or silent."""
+        name = target.name
+        is_aside = self.ejection.is_aside(name, now)
+        return is_aside or self.silence.is_silent(name, now)
+
+    def _load(self, target: Target) -> TargetLoad:
+        return self._loads.setdefault(target.name, TargetLoad())
+
+    def _set_memories(self) -> None:
+        for target in self.directory.all_targets():
+            engine = engine_facts(self.directory.table, target.pool.name)
+            if engine is not None:
+                self._knowledge.caches.set_memory(
+                    target.name,
+                    engine.memory_tokens,
+                )
+
+    def _forget_gone(self) -> None:
+        starts = {
+            target.name: target.incarnation
+            for target in self.directory.all_targets()
+        }
+        for name, incarnation in starts.items():
+            if self._starts.get(name, incarnation) != incarnation:
+                self._knowledge.caches.forget(name)
+                log_event('target.restarted', target=name)
+        self._starts = starts
+        self._set_memories()
+        self._knowledge.caches.keep_only(starts)
+        self.ejection.forget(starts)
+        self._loads = {
+            name: load
+            for name, load in self._loads.items()
+            if name in starts or load.own
+        }
+
+
+def tokens_to_read(call: ForwardCall, choice: Choice) -> int:
+    """Return the prompt tokens that the chosen engine has to read."""
+    own = call.prompt.own_tokens if call.prompt else 0
+    return own + choice.missing - choice.fetched
--- a/peridotwell/logs.py
+++ b/peridotwell/logs.py
@@ -6,10 +6,12 @@
 Lines about failures keep a reserve, so they are the last to go.
 """
 
+import atexit
 import logging
 import queue
 import sys
 import time
+from contextlib import suppress
 from logging.handlers import QueueHandler, QueueListener
 from typing import TextIO
 
@@ -24,6 +26,7 @@
 BURST_LINES = 1000
 # Part of the budget that only lines about failures may use.
 FAILURE_RESERVE = 0.3
+LAST_LINES_SECONDS = 0.5
 
 
 class LineBudget:
@@ -75,6 +78,17 @@
         return record
 
 
+class _Listener(QueueListener):
+    """Writes the rest at the end of the process, unless nobody reads."""
+
+    def stop(self) -> None:
+        """Wait for the lines that are queued, for a moment."""
+        with suppress(queue.Full):
+            self.enqueue_sentinel()
+        if self._thread is not None:
+            self._thread.join(LAST_LINES_SECONDS)
+
+
 def set_up_logs(
     instance: str,
     data_centre: str,
@@ -97,7 +111,9 @@
     logger.addHandler(_BoundedHandler(lines))
     logger.setLevel(logging.INFO)
     logger.propagate = False
-    QueueListener(lines, handler).start()
+    listener = _Listener(lines, handler)
+    listener.start()
+    atexit.register(listener.stop)
 
 
 def log_event(event: str, **facts: object) -> None:
--- a/peridotwell/metrics.py
+++ b/peridotwell/metrics.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -14,10 +14,11 @@
 from ddsketch import DDSketch
 from ddsketch.pb.proto import DDSketchProto
 
-__all__ = ('Measure', 'Series', 'Metrics')
+__all__ = ('Measure', 'Series', 'Metrics', 'render_metrics')
 
 RELATIVE_ERROR = 0.02
 MAX_SERIES = 2000
+QUANTILES = (0.5, 0.95, 0.99)
 # Takes the place of the customer when there are too many series.
 OTHER_CUSTOMERS = '(others)'
 
@@ -71,12 +72,29 @@
             )
         return self._sketches.setdefault(series, DDSketch(RELATIVE_ERROR))
 
+    def sketches(self) -> Mapping[Series, DDSketch]:
+        """Return every histogram."""
+        return self._sketches
+
     def encoded_sketches(self) -> Iterator[tuple[Series, bytes]]:
         """Yield each histogram in DDSketch's protobuf encoding."""
         for series, sketch in self._sketches.items():
             yield series, DDSketchProto.to_proto(sketch).SerializeToString()
 
 
+def render_metrics(metrics: Metrics) -> Iterator[str]:
+    """Yield lines of text: counters, then quantiles of each histogram."""
+    for name, count in sorted(metrics.counters.items()):
+        yield f'peridotwell_total{{name="{name}"}} {count}'
+    for series, sketch in metrics.sketches().items():
+        labels = f'customer="{series.customer}",class="{series.priority_class}"'
+        name = f'peridotwell_{series.measure.value}_seconds'
+        for quantile in QUANTILES:
+            value = sketch.get_quantile_value(quantile) or 0
+            yield f'{name}{{{labels},quantile="{quantile}"}} {value:.6f}'
+        yield f'{name}_count{{{labels}}} {int(sketch.count)}'
+
+
 def _make_client(address: str, prefix: str) -> statsd.StatsClient | None:
     if not address:
         return None
--- a/peridotwell/policy/retry_window.py
+++ b/peridotwell/policy/retry_window.py
@@ -23,6 +23,11 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def set_bounds(self, ratio: float, slack: float) -> None:
+        """Keep another bound; what was counted stays."""
+        self._ratio = ratio
+        self._slack = slack
+
     def requested(self, now: float) -> None:
         """Count a caller's request."""
         self._requests.append(now)
--- a/peridotwell/world/routes.py
+++ b/peridotwell/world/routes.py
@@ -20,6 +20,7 @@
     'CallerLimits',
     'Customer',
     'RoutingTable',
+    'engine_facts',
 )
 
 # One more than the largest 32-bit digest.
@@ -161,3 +162,12 @@
         for route in self.routes:
             hosts.setdefault(route.host.lower(), {})[route.prefix] = route
         return hosts
+
+
+def engine_facts(
+    table: RoutingTable | None,
+    service: str,
+) -> EngineFacts | None:
+    """Return what is known of a service's engines, None for plain ones."""
+    facts = table.services.get(service) if table else None
+    return facts.engine if facts else None
--- /dev/null
+++ b/tests/fleet/test_sharing.py
@@ -0,0 +1,167 @@
+"""What forwarding routers tell each other, over a bus in memory."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotwell.fleet.bus import Bus
+from peridotwell.fleet.directory import Directory
+from peridotwell.fleet.frames import Update, decode_frame, encode_frame
+from peridotwell.fleet.peers import Peers, make_hello
+from peridotwell.fleet.sharing import Knowledge, Sharing
+from peridotwell.metrics import Metrics
+from peridotwell.policy.cache_map import CachedPart, CacheMap
+from peridotwell.policy.fleet_load import FleetLoad
+from peridotwell.policy.quarantine import Quarantine
+from peridotwell.store.base import Entry
+from peridotwell.store.feed import Changes, Snapshot
+from peridotwell.world.target import wire_id
+from tests.fleet.test_directory import Decoder
+
+PART = CachedPart(7, 900)
+LISTING = Snapshot(
+    (Entry('table', b'1', 1), Entry('t/engine', b'ready', 2)),
+    2,
+)
+
+
+class MemoryBus(Bus):
+    """Delivers at once to the routers registered in `routers`."""
+
+    def __init__(self, address, routers):
+        super().__init__(address)
+        self.routers = routers
+        self.is_cut = False
+
+    def disconnect(self, address):
+        pass
+
+    def transmit(self, address, content):
+        if self.is_cut or address not in self.routers:
+            return False
+        self.routers[address].inbox.append(content)
+        return True
+
+
+class Router:
+    def __init__(self, name, routers):
+        self.inbox = []
+        self.hello = make_hello(name, 'a', name, '', 1)
+        self.bus = MemoryBus(name, routers)
+        self.directory = Directory(Decoder())
+        self.directory.take_snapshot(LISTING, 0)
+        self.knowledge = Knowledge(
+            self.directory, CacheMap(), FleetLoad(), FleetLoad(), Quarantine()
+        )
+        self.sharing = Sharing(
+            Peers(self.hello, 2), self.bus, self.knowledge, Metrics('', '')
+        )
+        routers[name] = self
+
+    def read(self, now):
+        while self.inbox:
+            self.sharing.receive(self.inbox.pop(0), now, now)
+
+
+@pytest.fixture
+def fleet():
+    routers = {}
+    first, second, third = (Router(name, routers) for name in 'abc')
+    everyone = (first, second, third)
+    for router in everyone:
+        router.sharing.introductions.meet(each.hello for each in everyone)
+    run(everyone, 0, 1)
+    return everyone
+
+
+def run(everyone, start, end):
+    steps = int((end - start) / 0.05)
+    for step in range(steps):
+        now = start + step * 0.05
+        for router in everyone:
+            router.sharing.tick(now)
+        for router in everyone:
+            router.read(now)
+
+
+def test_routers_see_each_other_and_who_is_gone(fleet):
+    first, _, third = fleet
+    assert first.sharing.routers(1) == 3
+    third.bus.is_cut = True
+    run(fleet, 1, 5)
+    assert first.sharing.routers(5) == 2
+
+
+def test_loads_of_others_are_summed_and_end_with_them(fleet):
+    first, second, third = fleet
+    engine = wire_id('engine')
+    second.sharing.running.add(engine, 2)
+    third.sharing.running.add(engine, 3)
+    run(fleet, 1, 2)
+    assert first.knowledge.loads.outstanding(engine) == 5
+    third.bus.is_cut = True
+    run(fleet, 2, 6)
+    assert first.knowledge.loads.outstanding(engine) == 2
+
+
+def test_a_lost_update_is_made_up_for(fleet):
+    first, second, _ = fleet
+    engine = wire_id('engine')
+    second.bus.is_cut = True
+    second.sharing.running.add(engine, 2)
+    run(fleet, 1, 1.5)
+    second.bus.is_cut = False
+    run(fleet, 1.5, 5)
+    assert first.knowledge.loads.outstanding(engine) == 2
+
+
+def test_a_new_prompt_is_told_within_a_tenth_of_a_second(fleet):
+    first, second, _ = fleet
+    second.sharing.prompt_sent(wire_id('engine'), (PART,))
+    run(fleet, 1, 1.1)
+    assert first.knowledge.caches.missing_tokens('engine', (PART,), 1) == 0
+
+
+def test_a_router_that_starts_learns_the_caches_from_a_peer(fleet):
+    first, second, _ = fleet
+    second.knowledge.caches.use('engine', (PART,), 1)
+    second.sharing.caches_known.set()
+    first.sharing.pull_caches(1)
+    run(fleet, 1, 1.2)
+    assert first.sharing.caches_known.is_set()
+    assert first.knowledge.caches.missing_tokens('engine', (PART,), 1) == 0
+
+
+def test_a_router_without_the_store_follows_its_peers(fleet):
+    """The store turns one router away while it serves the others."""
+    first, second, third = fleet
+    for router in (second, third):
+        router.directory.take_changes(
+            Changes((Entry('table', b'2', 5),), (('t/engine', 6),), 6),
+            1,
+        )
+    run(fleet, 1, 3)
+    assert first.directory.table.version == 2
+    assert not first.directory.targets('s')
+
+
+def test_a_request_that_loses_targets_is_known_everywhere(fleet):
+    first, second, _ = fleet
+    verdict = second.knowledge.quarantine.target_lost(9, 1, 1, 30)
+    second.sharing.spread(verdict)
+    run(fleet, 1, 1.2)
+    assert first.knowledge.quarantine.is_suspect(9, 2)
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_counted_and_passed_over(content):
+    router = Router('x', {})
+    router.sharing.receive(content, 0, 0)
+    assert router.sharing.routers(0) == 1
+
+
+def test_an_update_stays_small():
+    """A tenth of a second of a busy router, against 2 KB a second."""
+    update = Update(1, 1000, running=((2**32 - 1, 12),) * 3)
+    assert len(encode_frame(update)) < 60
+    assert decode_frame(encode_frame(update)) == update
--- /dev/null
+++ b/tests/forwarding/test_suspects.py
@@ -0,0 +1,93 @@
+"""A request that crashes each target that runs it."""
+
+import pytest
+import trio
+
+from peridotwell.errors import RequestSetAside
+from peridotwell.failures import AnswerLost, TargetSilent
+from peridotwell.forwarding.dialect import ForwardCall
+from peridotwell.forwarding.suspects import Suspects
+from peridotwell.policy.quarantine import Quarantine
+from peridotwell.serving.asgi import serve_http
+from peridotwell.world.routes import RequestKind, Route, WeightedService
+from peridotwell.world.target import Pool, Target, TargetKind
+
+ROUTE = Route(
+    'r', 'h', '/', RequestKind.idempotent, (WeightedService('s'),), 15, 0.5
+)
+
+
+class Spread:
+    """Keeps what would be told to the other routers."""
+
+    def __init__(self):
+        self.verdicts = []
+
+    def spread(self, verdict):
+        self.verdicts.append(verdict)
+
+
+def call(mark=5) -> ForwardCall:
+    return ForwardCall(
+        '1', 'c', ROUTE, 's', 0, 'GET', b'/', (), b'', None, 0, 9, mark, 1
+    )
+
+
+def target(name, address) -> Target:
+    return Target(name, address, TargetKind.service, Pool('a', 's'))
+
+
+@pytest.fixture
+async def suspects(nursery):
+    made = Suspects(Quarantine(), Spread())
+    nursery.start_soon(made.run)
+    return made
+
+
+async def crash(suspects, port, count, failure=AnswerLost):
+    for number in range(count):
+        gone = target(f't{number}', f'127.0.0.1:{port}')
+        suspects.broke(call(), gone, failure('broken'))
+        await trio.sleep(0.05)
+
+
+async def test_the_third_crash_sets_a_request_aside_everywhere(
+    suspects, free_port
+):
+    port = free_port()
+    await crash(suspects, port, 2)
+    suspects.check(call())
+    await crash(suspects, port, 3)
+    with pytest.raises(RequestSetAside) as caught:
+        suspects.check(call())
+    assert caught.value.retry_after > 0
+    assert suspects._sharing.verdicts
+    suspects.check(call(mark=6))
+
+
+async def test_a_lost_answer_of_a_living_target_is_no_crash(suspects, nursery):
+    async def handle(exchange):
+        await exchange.answer(200)
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    for number in range(5):
+        living = target(f't{number}', address)
+        suspects.broke(call(), living, AnswerLost('reset'))
+    await trio.sleep(0.2)
+    suspects.check(call())
+
+
+async def test_silence_is_no_crash(suspects, free_port):
+    await crash(suspects, free_port(), 4, TargetSilent)
+    suspects.check(call())
+
+
+async def test_a_request_that_finishes_elsewhere_is_cleared(
+    suspects, free_port
+):
+    """A bystander was in flight on targets that others crashed."""
+    port = free_port()
+    await crash(suspects, port, 2)
+    suspects.finished(call())
+    await crash(suspects, port, 2)
+    suspects.check(call())
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -126,7 +126,13 @@
     callers = f'127.0.0.1:{free_port()}'
     router = ForwardingRouter(
         ForwardingSettings(
-            'r-1', 'north', callers, '127.0.0.1:0', '127.0.0.1:0', Bounds()
+            'r-1',
+            'north',
+            callers,
+            '127.0.0.1:0',
+            '127.0.0.1:0',
+            '',
+            Bounds(),
         ),
         Dialects(PlatformCallers(), PlatformTargets(), PlatformEntries()),
         PlatformStore(address),
--- /dev/null
+++ b/tests/peridotwell_platform/test_program.py
@@ -0,0 +1,198 @@
+"""The program on the platform: settings, signals, port, logs."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from peridotwell_platform.early import open_callers_port
+from peridotwell_platform.settings import load_platform_settings
+
+from peridotwell.errors import SettingsError
+from peridotwell.serving.asgi import serve_http
+from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform.test_path import CONFIG
+
+ROOT = Path(__file__).parent.parent.parent
+SETTINGS = """
+node = "r-1"
+ip = "127.0.0.1"
+zone = "north"
+new_field = "is passed over"
+port_range = [{peers}, {peers}]
+[listen]
+front = "127.0.0.1:{front}"
+ready_addr = "127.0.0.1:{ready}"
+[bounds]
+grace_s = {grace}
+drain_ms = 2000
+[provider]
+address = "{store}"
+"""
+
+
+@pytest.fixture
+def write(tmp_path, free_port):
+    ports = {name: free_port() for name in ('front', 'ready', 'peers')}
+
+    def write_settings(**changes):
+        values = {**ports, 'grace': 5, 'store': '127.0.0.1:9', **changes}
+        path = tmp_path / 'node.toml'
+        path.write_text(SETTINGS.format(**values))
+        return path, values
+
+    return write_settings
+
+
+def test_settings_are_read_and_unknown_fields_passed_over(write):
+    path, ports = write()
+    found = load_platform_settings(str(path)).forwarding
+    assert (found.name, found.data_centre) == ('r-1', 'north')
+    assert found.callers == f'127.0.0.1:{ports["front"]}'
+    assert found.bounds.grace_seconds == 5
+
+
+@pytest.mark.parametrize('text', ['', 'node = 3', '[listen]\n', '=='])
+def test_bad_settings_name_the_remedy(tmp_path, text):
+    path = tmp_path / 'node.toml'
+    path.write_text(text)
+    with pytest.raises(SettingsError, match='correct this key'):
+        load_platform_settings(str(path))
+
+
+def test_bad_settings_end_the_program_with_one_line(tmp_path):
+    done = subprocess.run(
+        [sys.executable, 'platform/start.py'],
+        cwd=ROOT,
+        env={'PATH': os.environ['PATH']},
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert 'PERIDOTWELL_SETTINGS is not set' in done.stderr
+
+
+def test_the_port_is_open_before_the_program_is_loaded(write, monkeypatch):
+    path, ports = write()
+    monkeypatch.setenv('PERIDOTWELL_SETTINGS', str(path))
+    listener = open_callers_port()
+    with socket.create_connection(('127.0.0.1', ports['front']), 1):
+        pass
+    listener.close()
+
+
+def test_the_standard_library_keeps_its_platform_module():
+    code = 'import platform; print(platform.system())'
+    done = subprocess.run(
+        [sys.executable, '-c', code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout.strip() == 'Linux'
+
+
+class Running:
+    """The program as a process between stand-ins."""
+
+    def __init__(self, process, path, ports):
+        self.process = process
+        self.path = path
+        self.ports = ports
+
+    async def status(self, port, path, **headers):
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        request = '\r\n'.join(
+            (f'GET {path} HTTP/1.1', 'Host: a.example', *lines, '', '')
+        )
+        stream = await trio.open_tcp_stream('127.0.0.1', self.ports[port])
+        async with stream:
+            await stream.send_all(request.encode())
+            return int((await stream.receive_some(4096)).split()[1])
+
+    async def wait_ready(self):
+        with trio.fail_after(10):
+            while True:
+                try:
+                    if await self.status('ready', '/readyz') == 200:
+                        return
+                except OSError:
+                    pass
+                await trio.sleep(0.05)
+
+
+@pytest.fixture
+async def running(nursery, write):
+    store = stand_in.StoreStandIn()
+    store.page = 100
+    address = await nursery.start(serve_http, store.handle, '127.0.0.1:0')
+    store.put('op/config', msgspec.json.encode(CONFIG))
+    target = stand_in.TargetStandIn('i-1')
+    place = await nursery.start(serve_http, target.handle, '127.0.0.1:0')
+    row = {'service': 'svc', 'address': place, 'zone': 'n', 'state': 'ready'}
+    store.put('servers/i-1', msgspec.json.encode(row))
+    path, ports = write(store=address)
+    process = subprocess.Popen(
+        [sys.executable, 'platform/start.py'],
+        cwd=ROOT,
+        env={**os.environ, 'PERIDOTWELL_SETTINGS': str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    site = Running(process, path, ports)
+    await site.wait_ready()
+    yield site
+    process.kill()
+    process.wait()
+
+
+def events(text):
+    return [json.loads(line) for line in text.splitlines()]
+
+
+async def test_a_planned_stop_is_unready_at_once_and_still_serves(running):
+    headers = {'X-Request-Id': '1', 'X-Credential': 'key-1'}
+    assert await running.status('front', '/read/x', **headers) == 200
+    running.process.send_signal(signal.SIGTERM)
+    await trio.sleep(0.2)
+    assert await running.status('ready', '/readyz') == 503
+    assert await running.status('front', '/read/x', **headers) == 200
+    wait = trio.to_thread.run_sync
+    output, _ = await wait(running.process.communicate)
+    assert running.process.returncode == 0
+    names = [event['event'] for event in events(output)]
+    assert 'router.started' in names
+    assert names.count('request.answered') == 2
+    assert names[-1] == 'router.stopped'
+
+
+async def test_changed_settings_are_taken_over_and_bad_ones_refused(running):
+    text = running.path.read_text()
+    running.path.write_text(text.replace('grace_s = 5', 'grace_s = 4'))
+    running.process.send_signal(signal.SIGHUP)
+    await trio.sleep(0.5)
+    running.path.write_text('node = ')
+    running.process.send_signal(signal.SIGHUP)
+    await trio.sleep(0.5)
+    running.process.send_signal(signal.SIGTERM)
+    output, _ = await trio.to_thread.run_sync(running.process.communicate)
+    names = [event['event'] for event in events(output)]
+    assert 'settings.reloaded' in names
+    assert 'settings.refused' in names
+    assert running.process.returncode == 0
+
+
+async def test_metrics_are_text(running):
+    headers = {'X-Request-Id': '1', 'X-Credential': 'key-1'}
+    await running.status('front', '/read/x', **headers)
+    running.ports['metrics'] = 9155
+    assert await running.status('metrics', '/metrics') == 200
