--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -83,7 +83,7 @@
         self.caches_known = trio.Event()
         self.introductions = Introductions(peers, bus)
         self._bus = bus
-        self._knowledge = knowledge
+        self.knowledge = knowledge
         self._metrics = metrics
         self._own = peers.own.sender
         self.running = OwnCounts()
@@ -145,7 +145,7 @@
             case Hello():
                 self.introductions.answer(frame)
             case News():
-                self._knowledge.quarantine.learn(frame.verdicts, wall)
+                self.knowledge.quarantine.learn(frame.verdicts, wall)
             case EntriesPull():
                 self._push(frame)
             case EntriesPush():
@@ -162,7 +162,7 @@
         is_full = now - self._full_at >= FULL_SECONDS
         update = Update(
             self._own,
-            self._knowledge.directory.known_revision,
+            self.knowledge.directory.known_revision,
             self.peers.own_leaving,
             is_full,
             self.running.take(everything=is_full),
@@ -184,8 +184,8 @@
             self._metrics.count('peer.unknown')
             return
         for sums, pairs in (
-            (self._knowledge.loads, update.running),
-            (self._knowledge.reading, update.reading),
+            (self.knowledge.loads, update.running),
+            (self.knowledge.reading, update.reading),
         ):
             if update.is_full:
                 sums.drop(update.sender)
@@ -198,11 +198,11 @@
         now: float,
     ) -> None:
         for prompt in prompts:
-            target = self._knowledge.directory.numbered(prompt.target)
+            target = self.knowledge.directory.numbered(prompt.target)
             if target is None:
                 continue
             parts = [CachedPart(*pair) for pair in prompt.parts]
-            self._knowledge.caches.use(target.name, parts, now)
+            self.knowledge.caches.use(target.name, parts, now)
 
     def _push_caches(self, pull: CachesPull) -> None:
         peer = self.peers.peer(pull.sender)
@@ -210,13 +210,13 @@
             return
         prompts = tuple(
             CachedPrompt(wire_id(name), _pairs(parts))
-            for name, parts in self._knowledge.caches.everything().items()
+            for name, parts in self.knowledge.caches.everything().items()
         )
         self._bus.send(peer.hello.peers, CachesPush(self._own, prompts))
 
     def _drop_silent(self, now: float) -> None:
         live = {peer.wire_id for peer in self.peers.live(now)}
-        for sums in (self._knowledge.loads, self._knowledge.reading):
+        for sums in (self.knowledge.loads, self.knowledge.reading):
             for router in sums.routers() - live:
                 sums.drop(router)
 
@@ -227,7 +227,7 @@
             key=lambda peer: peer.version,
             default=None,
         )
-        own = self._knowledge.directory.known_revision
+        own = self.knowledge.directory.known_revision
         if ahead is None or ahead.version <= own:
             self._behind_since = None
             return
@@ -246,7 +246,7 @@
 
     def _push(self, pull: EntriesPull) -> None:
         peer = self.peers.peer(pull.sender)
-        directory = self._knowledge.directory
+        directory = self.knowledge.directory
         if peer is None or not directory.is_listed:
             return
         entries = directory.entries_after(pull.revision)
@@ -254,7 +254,7 @@
         self._bus.send(peer.hello.peers, push)
 
     def _take(self, push: EntriesPush, now: float) -> None:
-        self._knowledge.directory.take_shared(
+        self.knowledge.directory.take_shared(
             push.entries,
             push.revision,
             now,
--- /dev/null
+++ b/peridotwell/forwarding/assembly.py
@@ -0,0 +1,132 @@
+"""The parts of one forwarding router, put together from its settings."""
+
+import time
+from dataclasses import dataclass
+
+from peridotwell.fleet.bus import SocketBus
+from peridotwell.fleet.directory import Directory
+from peridotwell.fleet.follower import Follower
+from peridotwell.fleet.frames import Hello
+from peridotwell.fleet.peers import Peers, make_hello
+from peridotwell.fleet.registry import Registration
+from peridotwell.fleet.sharing import Knowledge, Sharing
+from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.forwarding.front import ForwardingFront
+from peridotwell.forwarding.links import Links
+from peridotwell.forwarding.parts import ForwardingParts
+from peridotwell.forwarding.placement import Placement
+from peridotwell.forwarding.recovery import CacheRecovery
+from peridotwell.forwarding.settings import Dialects, ForwardingSettings
+from peridotwell.forwarding.suspects import Suspects
+from peridotwell.forwarding.target_book import TargetBook
+from peridotwell.metrics import Metrics
+from peridotwell.policy.cache_map import CacheMap
+from peridotwell.policy.ejection import Ejection
+from peridotwell.policy.fleet_load import FleetLoad
+from peridotwell.policy.quarantine import Quarantine
+from peridotwell.store.feed import FollowedStore
+
+__all__ = ('RouterParts', 'assemble')
+
+DEAD_AFTER_SECONDS = 2.0
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True)
+class RouterParts:
+    """What a running router consists of."""
+
+    bus: SocketBus
+    sharing: Sharing
+    directory: Directory
+    follower: Follower
+    registration: Registration
+    links: Links
+    recovery: CacheRecovery
+    forwarding: ForwardingParts
+    front: ForwardingFront
+    metrics: Metrics
+
+
+def assemble(
+    settings: ForwardingSettings,
+    dialects: Dialects,
+    store: FollowedStore,
+) -> RouterParts:
+    """Build a router's parts."""
+    metrics = Metrics('', 'peridotwell')
+    directory = Directory(dialects.entries)
+    bus = SocketBus(settings.peers)
+    peers = Peers(_own_hello(settings), DEAD_AFTER_SECONDS)
+    knowledge = Knowledge(
+        directory,
+        CacheMap(),
+        FleetLoad(),
+        FleetLoad(),
+        Quarantine(),
+    )
+    sharing = Sharing(peers, bus, knowledge, metrics)
+    links = Links(directory, dialects.targets)
+    forwarding = _make_forwarding(settings, dialects, sharing, links)
+    return RouterParts(
+        bus=bus,
+        sharing=sharing,
+        directory=directory,
+        follower=Follower(store, directory, metrics),
+        registration=Registration(
+            store,
+            peers.own,
+            settings.bounds.lease_seconds,
+        ),
+        links=links,
+        recovery=CacheRecovery(
+            directory,
+            sharing,
+            knowledge.caches,
+            links,
+            dialects.targets,
+        ),
+        forwarding=forwarding,
+        front=ForwardingFront(
+            directory,
+            forwarding,
+            settings.bounds,
+            sharing,
+            metrics,
+        ),
+        metrics=metrics,
+    )
+
+
+def _make_forwarding(
+    settings: ForwardingSettings,
+    dialects: Dialects,
+    sharing: Sharing,
+    links: Links,
+) -> ForwardingParts:
+    knowledge = sharing.knowledge
+    book = TargetBook(knowledge.directory, Ejection(), sharing, knowledge)
+    suspects = Suspects(knowledge.quarantine, sharing)
+    placement = Placement(
+        book,
+        knowledge.caches,
+        settings.data_centre,
+        settings.bounds,
+    )
+    return ForwardingParts(
+        Dispatcher(links, book, dialects.targets, suspects),
+        placement,
+        suspects,
+        dialects.callers,
+        dialects.targets,
+    )
+
+
+def _own_hello(settings: ForwardingSettings) -> Hello:
+    return make_hello(
+        settings.name,
+        settings.data_centre,
+        settings.peers,
+        '',
+        int(time.time() * MILLISECONDS),
+    )
--- /dev/null
+++ b/peridotwell/forwarding/settings.py
@@ -0,0 +1,37 @@
+"""What a forwarding router is built from."""
+
+from dataclasses import dataclass
+
+from peridotwell.forwarding.dialect import (
+    CallerDialect,
+    EntryDecoder,
+    TargetDialect,
+)
+from peridotwell.world.bounds import Bounds
+
+__all__ = ('ForwardingSettings', 'Dialects')
+
+
+@dataclass(frozen=True)
+class ForwardingSettings:
+    """Who a router is, where it listens, and what it has to keep.
+
+    `metrics` is the address of the counters and histograms, or empty.
+    """
+
+    name: str
+    data_centre: str
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    bounds: Bounds
+
+
+@dataclass(frozen=True)
+class Dialects:
+    """What a deployment's header fields and entries mean."""
+
+    callers: CallerDialect
+    targets: TargetDialect
+    entries: EntryDecoder
--- a/peridotwell/store/http.py
+++ b/peridotwell/store/http.py
@@ -4,18 +4,18 @@
 a call that failed after it may have been sent raises StoreAnswerLost.
 """
 
-from typing import Any
 from urllib.parse import quote, urlencode
 
 import httpcore
-import msgspec
 
 from peridotwell.errors import (
     StoreAnswerLost,
     StoreConflict,
+    StoreError,
     StoreUnavailable,
 )
 from peridotwell.store.base import Entry, KeyValueStore, StoreCounters
+from peridotwell.store.calls import StoreCalls, decode_answer
 
 __all__ = ('HttpStore',)
 
@@ -33,12 +33,8 @@
 
     def __init__(self, url: str, timeout_seconds: float) -> None:
         self.counters = StoreCounters()
-        self._url = url
         self._timeout_seconds = timeout_seconds
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            retries=0,
-        )
+        self._calls = StoreCalls(url, MAX_CONNECTIONS, timeout_seconds)
 
     async def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None when it is absent."""
@@ -67,7 +63,7 @@
         self.counters.writes += 1
         query = urlencode({'expected': expected, 'lease': lease})
         resp = await self._call('PUT', f'/kv/{quote(key)}?{query}', value)
-        return _decode(resp.content, int)
+        return decode_answer(resp.content, int)
 
     async def watch(
         self,
@@ -92,7 +88,7 @@
         self.counters.writes += 1
         query = urlencode({'ttl': ttl_seconds})
         resp = await self._call('POST', f'/leases?{query}')
-        return _decode(resp.content, str)
+        return decode_answer(resp.content, str)
 
     async def keep_lease(self, lease: str) -> None:
         """Renew a lease. Raises StoreConflict when it has lapsed."""
@@ -114,22 +110,10 @@
     ) -> httpcore.Response:
         patience = timeout_seconds or self._timeout_seconds
         try:
-            resp = await self._pool.request(
-                method,
-                f'{self._url}{path}',
-                content=value,
-                extensions={'timeout': _timeouts(patience)},
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
-            self.counters.errors += 1
-            raise StoreUnavailable(f'cannot connect: {exc}') from exc
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as exc:
+            resp = await self._calls.send(method, path, value, patience)
+        except StoreError:
             self.counters.errors += 1
-            raise StoreAnswerLost(f'{method} unanswered: {exc}') from exc
+            raise
         self.counters.value_bytes += len(value) + len(resp.content)
         return self._checked(resp)
 
@@ -144,15 +128,6 @@
         raise StoreAnswerLost(f'the platform answered {resp.status}')
 
 
-def _timeouts(seconds: float) -> dict[str, float]:
-    return {
-        'connect': seconds,
-        'read': seconds,
-        'write': seconds,
-        'pool': seconds,
-    }
-
-
 def _revision(resp: httpcore.Response) -> int:
     stated = dict(resp.headers).get(b'x-revision', b'')
     if not stated.isdigit():
@@ -160,12 +135,5 @@
     return int(stated)
 
 
-def _decode(content: bytes, kind: Any) -> Any:
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.DecodeError as exc:
-        raise StoreAnswerLost(f'the answer is garbage: {exc}') from exc
-
-
 def _entries(content: bytes) -> tuple[Entry, ...]:
-    return _decode(content, tuple[Entry, ...])
+    return decode_answer(content, tuple[Entry, ...])
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -10,11 +10,8 @@
 from peridotwell_platform.headers import PlatformCallers, PlatformTargets
 from peridotwell_platform.store import PlatformStore
 
-from peridotwell.forwarding.router import (
-    Dialects,
-    ForwardingRouter,
-    ForwardingSettings,
-)
+from peridotwell.forwarding.router import ForwardingRouter
+from peridotwell.forwarding.settings import Dialects, ForwardingSettings
 from peridotwell.serving.asgi import serve_http
 from peridotwell.world.bounds import Bounds
 from tests.peridotwell_platform import stand_in
