--- a/peridotwell/ctl.py
+++ b/peridotwell/ctl.py
@@ -14,6 +14,8 @@
   histograms                      times for each customer and class
   quarantine list                 requests that lost several targets
   quarantine lift FINGERPRINT
+  explain REQUEST                 what routers logged about a request, and what
+                                  led to it, from log lines on standard input
 
 Changes need --reason; --dry_run shows what a change would do.
 Exit status: 0 done, 1 refused, 2 wrong usage, 3 no router answered.
@@ -35,6 +37,7 @@
     FleetRefused,
     FleetUnreachable,
 )
+from peridotwell.operators.explain import explain, read_lines
 from peridotwell.world.configuration import Change, Override, Scope
 from peridotwell.world.contract import Contract
 
@@ -165,10 +168,24 @@
     return True
 
 
+def _explain(request: str) -> int:
+    told = explain(read_lines(sys.stdin), request)
+    if not told:
+        sys.stderr.write(
+            f'peridotwellctl: no line about {request}: give the logs of all '
+            'routers from around its time.\n',
+        )
+        return EXIT_REFUSED
+    _show({'lines': told}, told)
+    return 0
+
+
 def main(argv: list[str]) -> int:
     """Run one command and return the exit status."""
     client = FleetClient(tuple(ROUTER.value))
     words = argv[1:]
+    if words[:1] == ['explain'] and len(words) == 2:
+        return _explain(words[1])
     try:
         if not _run_query(client, words):
             _run_change(client, words)
--- a/peridotwell/failures.py
+++ b/peridotwell/failures.py
@@ -6,6 +6,7 @@
     'LinkError',
     'NothingSent',
     'RefusedByTarget',
+    'TargetReplaced',
     'AnswerLost',
     'TargetSilent',
     'AnswerCut',
@@ -37,6 +38,12 @@
     may_have_run = False
 
 
+class TargetReplaced(RefusedByTarget):
+    """Another target answered at the address; the one meant is gone."""
+
+    code = 'target_replaced'
+
+
 class AnswerLost(LinkError):
     """The connection broke before the answer began."""
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -7,7 +7,12 @@
 import httpcore
 import trio
 
-from peridotwell.failures import LinkError, NothingSent, RefusedByTarget
+from peridotwell.failures import (
+    LinkError,
+    NothingSent,
+    RefusedByTarget,
+    TargetReplaced,
+)
 from peridotwell.forwarding.dialect import (
     Fields,
     ForwardCall,
@@ -142,12 +147,14 @@
         name = sending.target.name
         now = trio.current_time()
         self._suspects.broke(sending.call, sending.target, exc)
-        if not isinstance(exc, RefusedByTarget):
-            unreachable = isinstance(exc, NothingSent)
-            if self._book.ejection.failed(
-                name, now, is_unreachable=unreachable
-            ):
-                log_event('target.set_aside', target=name, code=exc.code)
+        is_gone = isinstance(exc, NothingSent | TargetReplaced)
+        counts = is_gone or not isinstance(exc, RefusedByTarget)
+        if counts and self._book.ejection.failed(
+            name,
+            now,
+            is_unreachable=is_gone,
+        ):
+            log_event('target.set_aside', target=name, code=exc.code)
         log_failure(
             'attempt.failed',
             request=sending.call.request_id,
--- a/peridotwell/serving/link.py
+++ b/peridotwell/serving/link.py
@@ -19,6 +19,7 @@
     AnswerLost,
     NothingSent,
     RefusedByTarget,
+    TargetReplaced,
     TargetSilent,
 )
 from peridotwell.world.target import Target
@@ -129,6 +130,10 @@
     def refusal(self, answer: TargetAnswer) -> str:
         """Return why the target refused to run the request, or ''."""
 
+    def is_replaced(self, answer: TargetAnswer) -> bool:
+        """Whether another target than the one meant has refused."""
+        return False
+
     @abstractmethod
     def owner(self, answer: TargetAnswer) -> str:
         """Return the id of the request that the answer belongs to, or ''."""
@@ -220,6 +225,8 @@
         must_echo: bool,
     ) -> None:
         refusal = self._reader.refusal(answer)
+        if refusal and self._reader.is_replaced(answer):
+            raise TargetReplaced(refusal)
         if refusal:
             raise RefusedByTarget(refusal)
         expected = dict(request.headers).get(REQUEST_ID.encode(), b'')
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -188,6 +188,14 @@
     await exchange.answer(503, b'', fields)
 
 
+async def misdirected(target, exchange) -> None:
+    fields = (
+        ('x-request-id', exchange.headers['x-request-id']),
+        ('x-replica-id', 'other'),
+    )
+    await exchange.answer(421, b'', fields)
+
+
 async def crossed(target, exchange) -> None:
     fields = (('x-request-id', 'other'), ('x-server-seal', 'x'))
     await exchange.answer(200, b'not yours', fields)
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -215,6 +215,15 @@
     assert (resp.status, site.runs()) == (200, 2)
 
 
+async def test_a_target_whose_address_another_has_gets_no_more_work(site):
+    """Found on a day with addresses used again: callers were refused."""
+    replaced, _ = site.targets
+    replaced.script.extend([stand_in.misdirected] * 20)
+    for _ in range(20):
+        assert (await site.ask('/book/x', 'POST', b'kg')).status == 200
+    assert len(replaced.seen) <= 2
+
+
 async def test_refused_everywhere_says_not_run_and_when_to_come_back(site):
     site.script(stand_in.refuse, stand_in.refuse, stand_in.refuse)
     resp = await site.ask('/book/x', 'POST', b'kilograms')
