--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,4 @@
 
 measure: $(STAMP)
 	$(PYTHON) -m measure.run
+	$(PYTHON) -m measure.forwarding_costs
--- /dev/null
+++ b/measure/forwarding_costs.py
@@ -0,0 +1,94 @@
+"""What the forwarding path costs a router, by the number of engines.
+
+Prints one row a number of engines: time to choose an engine for a prompt,
+time to book an update of another router, and the size of that update.
+"""
+
+import time
+
+from peridotwell.fleet.frames import (
+    CachedPrompt,
+    Update,
+    decode_frame,
+    encode_frame,
+)
+from peridotwell.policy.cache_map import CachedPart, CacheMap
+from peridotwell.policy.choice import Candidate
+from peridotwell.policy.engine_choice import (
+    EngineCandidate,
+    PromptNeeds,
+    Source,
+    choose_engine,
+)
+from peridotwell.policy.fleet_load import FleetLoad
+from peridotwell.world.target import Pool, Target, TargetKind
+
+__all__ = ('measure_choice', 'measure_update', 'main')
+
+ENGINES = (6, 70, 300)
+ROUNDS = 300
+MICRO = 1_000_000
+NEEDS = PromptNeeds('document', 500, 0.4)
+PARTS = (CachedPart(1, 500), CachedPart(2, 10_000))
+
+
+def _engines(count: int) -> list[Target]:
+    return [
+        Target(f'e-{number}', '10.0.0.1:80', TargetKind.engine, Pool('a', 'm'))
+        for number in range(count)
+    ]
+
+
+def measure_choice(count: int) -> float:
+    """Return the microseconds to choose one of `count` engines."""
+    engines = _engines(count)
+    caches = CacheMap()
+    for engine in engines[: count // 2]:
+        caches.use(engine.name, PARTS, 0)
+    began = time.perf_counter()
+    for _ in range(ROUNDS):
+        candidates = [
+            EngineCandidate(
+                engine,
+                5,
+                caches.missing_tokens(engine.name, PARTS, 1),
+                0,
+            )
+            for engine in engines
+        ]
+        source = Source(Candidate(engines[0], 0), 0)
+        choose_engine(NEEDS, candidates, source, 2, 80_000)
+    return (time.perf_counter() - began) / ROUNDS * MICRO
+
+
+def measure_update(changed: int) -> tuple[float, int]:
+    """Return microseconds to book, and bytes of, an update.
+
+    It tells of `changed` targets and of two prompts.
+    """
+    pairs = tuple((2**31 + number, 12) for number in range(changed))
+    prompts = (CachedPrompt(2**31, ((2**63, 500), (2**62, 10_000))),) * 2
+    content = encode_frame(
+        Update(1, 1000, running=pairs, reading=pairs, prompts=prompts),
+    )
+    loads = FleetLoad()
+    began = time.perf_counter()
+    for _ in range(ROUNDS):
+        update = decode_frame(content)
+        assert isinstance(update, Update)
+        loads.hear(update.sender, dict(update.running))
+    took = (time.perf_counter() - began) / ROUNDS * MICRO
+    return took, len(content)
+
+
+def main() -> None:
+    """Print the table."""
+    print('engines  choose us  update us  update bytes')
+    for count in ENGINES:
+        took, size = measure_update(min(count, 20))
+        chosen = measure_choice(count)
+        print(f'{count:7} {chosen:10.0f} {took:10.0f} {size:13}')
+
+
+if __name__ == '__main__':
+    main()
