--- a/peridotwell/errors.py
+++ b/peridotwell/errors.py
@@ -19,6 +19,7 @@
     'UnknownCredential',
     'NotConfigured',
     'CallTooLarge',
+    'HeadersTooLarge',
     'IdempotencyKeyMissing',
     'IdempotencyKeyExpired',
     'IdempotencyKeyReused',
@@ -155,6 +156,13 @@
     status = 413
 
 
+class HeadersTooLarge(CallError):
+    """The request's header fields are over their limit."""
+
+    code = 'headers_too_large'
+    status = 431
+
+
 class IdempotencyKeyMissing(CallError):
     """A non-idempotent request came without an idempotency key."""
 
--- a/peridotwell/forwarding/intake.py
+++ b/peridotwell/forwarding/intake.py
@@ -1,7 +1,7 @@
 """From an exchange to a request with a route, a customer and a deadline."""
 
 from peridotwell.errors import (
-    CallTooLarge,
+    HeadersTooLarge,
     NotConfigured,
     UnknownCredential,
     UnknownPath,
@@ -109,7 +109,7 @@
 def _check_header_size(exchange: Exchange, table: RoutingTable) -> None:
     size = sum(len(name) + len(text) for name, text in exchange.fields)
     if size > table.limits.header_bytes:
-        raise CallTooLarge(
+        raise HeadersTooLarge(
             f'The header fields are over {table.limits.header_bytes} bytes: '
             'send shorter ones.',
         )
