Second sends are shared among all registered routers, heard or not

Cause: found in reading: a router took its share of the slack by the routers that it heard, so behind a cut each side spent as if the other were gone, and right after a start a router spent as if it were alone. Change: registered routers count while they are registered.

--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -94,9 +94,13 @@
         self._behind_since: float | None = None
         self._pulled_at = float(0)
 
-    def routers(self, now: float) -> int:
-        """Return the number of routers seen, this one included."""
-        return len(self.peers.live(now)) + 1
+    def routers(self) -> int:
+        """Return the number of routers, this one included.
+
+        Routers that are silent count as long as they are registered: behind a
+        cut they still serve and spend their share of what all may spend.
+        """
+        return len(self.peers.known()) + 1
 
     def prompt_sent(
         self,
--- a/peridotwell/forwarding/front.py
+++ b/peridotwell/forwarding/front.py
@@ -47,8 +47,7 @@
         self._directory = directory
         self._parts = parts
         self._bounds = bounds
-        self._count_routers = sharing.routers
-        self._caches_known = sharing.caches_known
+        self._sharing = sharing
         self._metrics = metrics
         self._windows: dict[str, RetryWindow] = {}
 
@@ -97,7 +96,7 @@
         window = self._window(call.service)
         now = trio.current_time()
         window.requested(now)
-        attempts = Attempts(call, window, self._count_routers(now))
+        attempts = Attempts(call, window, self._sharing.routers())
         try:
             self._parts.suspects.check(call)
             with trio.fail_at(call.deadline_at):
@@ -117,7 +116,7 @@
         parts = self._parts
         if call.prompt is not None:
             with trio.move_on_after(CACHES_PATIENCE_SECONDS):
-                await self._caches_known.wait()
+                await self._sharing.caches_known.wait()
         if call.route.kind is RequestKind.streaming:
             stream = Stream(
                 call,
--- a/tests/fleet/test_sharing.py
+++ b/tests/fleet/test_sharing.py
@@ -86,10 +86,27 @@
 
 def test_routers_see_each_other_and_who_is_gone(fleet):
     first, _, third = fleet
-    assert first.sharing.routers(1) == 3
+    assert len(first.sharing.peers.live(1)) == 2
     third.bus.is_cut = True
     run(fleet, 1, 5)
-    assert first.sharing.routers(5) == 2
+    assert len(first.sharing.peers.live(5)) == 1
+
+
+def test_a_cut_does_not_multiply_the_budget_of_second_sends(fleet):
+    """Each side of a cut still leaves the other side its share."""
+    first, _, third = fleet
+    third.bus.is_cut = True
+    run(fleet, 1, 5)
+    assert first.sharing.routers() == 3
+    first.sharing.introductions.forget_gone([first.hello], 5)
+    assert first.sharing.routers() == 2
+
+
+def test_a_router_that_starts_knows_its_share_before_it_hears_anyone():
+    routers = {}
+    new, other = Router('new', routers), Router('other', routers)
+    new.sharing.introductions.meet([other.hello])
+    assert new.sharing.routers() == 2
 
 
 def test_loads_of_others_are_summed_and_end_with_them(fleet):
@@ -157,7 +174,7 @@
 def test_garbage_is_counted_and_passed_over(content):
     router = Router('x', {})
     router.sharing.receive(content, 0, 0)
-    assert router.sharing.routers(0) == 1
+    assert router.sharing.routers() == 1
 
 
 def test_an_update_stays_small():
