One place decides whether a failed attempt was seen by its target; dead state gone

Also removed: a counter of events that nothing read, and a property without a caller. Behaviour is the same.

--- a/peridotwell/forwarding/answers.py
+++ b/peridotwell/forwarding/answers.py
@@ -5,7 +5,7 @@
 import trio
 
 from peridotwell.errors import CallError, NoTarget, TargetFailed
-from peridotwell.failures import LinkError, NothingSent
+from peridotwell.failures import LinkError
 from peridotwell.forwarding.dialect import (
     Fields,
     ForwardCall,
@@ -133,5 +133,4 @@
     now = trio.current_time()
     if isinstance(outcome, WholeReply):
         return attempts.after_run(now)
-    was_sent = not isinstance(outcome, NothingSent)
-    return attempts.after_failure(outcome, now, was_sent=was_sent)
+    return attempts.after_failure(outcome, now)
--- a/peridotwell/forwarding/dialect.py
+++ b/peridotwell/forwarding/dialect.py
@@ -67,11 +67,6 @@
     mark: int
     table_version: int
 
-    @property
-    def objective_at(self) -> float:
-        """When the answer, or a stream's first event, should be there."""
-        return self.arrived_at + self.route.objective_seconds
-
 
 @dataclass(frozen=True)
 class TargetRequest:
--- a/peridotwell/forwarding/retries.py
+++ b/peridotwell/forwarding/retries.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from peridotwell.failures import LinkError
+from peridotwell.failures import LinkError, NothingSent
 from peridotwell.forwarding.dialect import ForwardCall
 from peridotwell.policy.retry_window import RetryWindow
 
@@ -44,20 +44,14 @@
         self.number += 1
         return self.number
 
-    def after_failure(
-        self,
-        failure: LinkError,
-        now: float,
-        *,
-        was_sent: bool,
-    ) -> Verdict:
+    def after_failure(self, failure: LinkError, now: float) -> Verdict:
         """Decide after a failed attempt.
 
-        `was_sent` tells whether the target saw the request, so that sending
-        it again counts as a second send.
+        Sending a request again that a target saw counts as a second send.
         """
         if failure.may_have_run:
             return self.after_run(now)
+        was_sent = not isinstance(failure, NothingSent)
         self._unsent += 1
         limit = MAX_REFUSED if was_sent else MAX_UNREACHABLE
         if self._unsent >= limit:
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -6,7 +6,7 @@
 import trio
 
 from peridotwell.errors import CallError, RunState
-from peridotwell.failures import AnswerCut, LinkError, NothingSent
+from peridotwell.failures import AnswerCut, LinkError
 from peridotwell.forwarding.answers import (
     SUCCESSES,
     Unusable,
@@ -52,7 +52,6 @@
         dialect: TargetDialect,
     ) -> None:
         self.choice: Choice | None = None
-        self.events = 0
         self.first_event_at = float(0)
         self._call = call
         self._reply = reply
@@ -81,12 +80,7 @@
 
     def _decide(self, failure: LinkError, now: float) -> None:
         """Return if the stream goes on elsewhere. Raises CallError."""
-        was_sent = not isinstance(failure, NothingSent)
-        verdict = self._attempts.after_failure(
-            failure,
-            now,
-            was_sent=was_sent,
-        )
+        verdict = self._attempts.after_failure(failure, now)
         if verdict is Verdict.elsewhere:
             return
         if self._reply.has_begun:
@@ -128,7 +122,6 @@
                         self._dialect.caller_fields(answer),
                     )
                 self._dispatcher.heard(sending)
-                self.events += 1
                 await self._reply.part(chunk)
         if not self._reply.has_begun:
             raise AnswerCut('The stream ended before its first event.')
