Answers of the store without news rebuild nothing; failed streams have a time

And a stream that a target answers with a failure status never set the time of its first part: the log told a negative time and the histogram counted it as 0 s. Ruled out: a clock that goes back (the time was never set). Change: the directory tells its listeners only of changes; entries and their deletions moved to EntryLog; routers' entries are decoded once; silent routers are forgotten by the regular upkeep. First-token times count successes only, whole answers are measured too. Facts that nobody used are not decoded.

--- a/peridotwell/fleet/directory.py
+++ b/peridotwell/fleet/directory.py
@@ -10,6 +10,7 @@
 import trio
 
 from peridotwell.errors import EntryError
+from peridotwell.fleet.entry_log import EntryLog
 from peridotwell.fleet.frames import Hello, SharedEntry
 from peridotwell.fleet.registry import ROUTERS_PREFIX, decode_router
 from peridotwell.forwarding.dialect import EntryDecoder
@@ -23,8 +24,6 @@
 
 # Live targets register again within this time after an outage.
 REGISTER_AGAIN_SECONDS = 2.2
-# Deletions that are remembered for routers that are behind.
-MAX_DELETED = 2000
 
 
 class Directory:
@@ -42,8 +41,9 @@
         self.known = trio.Event()
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
-        self._entries: dict[str, Entry] = {}
-        self._deleted: dict[str, int] = {}
+        self.entries = EntryLog()
+        self._routers: dict[str, Hello] = {}
+        self._has_changed = False
         self._numbered: dict[int, Target] = {}
         self._doubted: dict[str, float] = {}
         self._trusted_at = float(0)
@@ -72,26 +72,7 @@
 
     def routers(self) -> tuple[Hello, ...]:
         """Return the routers that have registered."""
-        found = (
-            decode_router(entry.value)
-            for key, entry in self._entries.items()
-            if key.startswith(ROUTERS_PREFIX)
-        )
-        return tuple(hello for hello in found if hello is not None)
-
-    def entries_after(self, revision: int) -> tuple[SharedEntry, ...]:
-        """Return what has changed after a revision, deletions included."""
-        written = (
-            SharedEntry(entry.key, entry.revision, entry.value)
-            for entry in self._entries.values()
-            if entry.revision > revision
-        )
-        deleted = (
-            SharedEntry(key, deleted_at, None)
-            for key, deleted_at in self._deleted.items()
-            if deleted_at > revision
-        )
-        return (*written, *deleted)
+        return tuple(self._routers.values())
 
     def all_targets(self) -> tuple[Target, ...]:
         """Return every target, leaving ones included."""
@@ -103,15 +84,9 @@
 
     def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Take over a whole reading of the store."""
-        listed = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
             self._take(entry, now)
-        gone = [
-            entry.key
-            for entry in self._entries.values()
-            if entry.key not in listed and entry.revision <= snapshot.revision
-        ]
-        for key in gone:
+        for key in self.entries.missing_from(snapshot):
             self._remove(key, snapshot.revision, now)
         self.revision = max(self.revision, snapshot.revision)
         self._finish(snapshot.revision, now)
@@ -146,31 +121,30 @@
         for key in over:
             self._doubted.pop(key)
             self._drop(key)
-        if over:
+        if self._has_changed:
+            self._has_changed = False
             self._rebuild()
 
     def _finish(self, revision: int, now: float) -> None:
         self.known_revision = max(self.known_revision, revision)
         self.is_listed = True
         self.settle(now)
-        self._rebuild()
         if self.table is not None:
             self.known.set()
 
     def _take(self, entry: Entry, now: float) -> None:
-        known = self._entries.get(entry.key)
-        if known is not None and entry.revision <= known.revision:
-            return
-        if entry.revision <= self._deleted.get(entry.key, 0):
+        if not self.entries.is_news(entry):
             return
         if self._decoder.is_table(entry.key):
             self._take_table(entry, now)
         elif self._decoder.is_target(entry.key):
             self._take_target(entry)
-        elif not entry.key.startswith(ROUTERS_PREFIX):
+        elif entry.key.startswith(ROUTERS_PREFIX):
+            self._take_router(entry)
+        else:
             return
-        self._entries[entry.key] = entry
-        self._deleted.pop(entry.key, None)
+        self._has_changed = True
+        self.entries.put(entry)
 
     def _take_table(self, entry: Entry, now: float) -> None:
         try:
@@ -204,13 +178,19 @@
             revision=entry.revision,
         )
 
-    def _remove(self, key: str, revision: int, now: float) -> None:
-        known = self._entries.get(key)
-        if known is None or revision < known.revision:
+    def _take_router(self, entry: Entry) -> None:
+        hello = decode_router(entry.value)
+        if hello is not None:
+            self._routers[entry.key] = hello
             return
-        if self._decoder.is_table(key):
+        self._routers.pop(entry.key, None)
+        log_event('router.invalid', entry=entry.key)
+
+    def _remove(self, key: str, revision: int, now: float) -> None:
+        is_table = self._decoder.is_table(key)
+        if is_table or not self.entries.may_delete(key, revision):
             return
-        self._deleted[key] = revision
+        self.entries.mark_deleted(key, revision)
         if now < self._trusted_at and key in self._targets:
             self._doubted.setdefault(key, self._trusted_at)
             log_event('target.doubted', entry=key, revision=revision)
@@ -218,9 +198,9 @@
         self._drop(key)
 
     def _drop(self, key: str) -> None:
-        self._entries.pop(key, None)
-        while len(self._deleted) > MAX_DELETED:
-            self._deleted.pop(next(iter(self._deleted)))
+        self._has_changed = True
+        self.entries.drop(key)
+        self._routers.pop(key, None)
         target = self._targets.pop(key, None)
         if target is not None:
             log_event('target.gone', target=target.name)
--- /dev/null
+++ b/peridotwell/fleet/entry_log.py
@@ -0,0 +1,71 @@
+"""The store's entries as last read, and which of them were deleted.
+
+Routers that are behind get from it what has changed since.
+"""
+
+from peridotwell.fleet.frames import SharedEntry
+from peridotwell.store.base import Entry
+from peridotwell.store.feed import Snapshot
+
+__all__ = ('EntryLog',)
+
+# Deletions that are remembered for routers that are behind.
+MAX_DELETED = 2000
+
+
+class EntryLog:
+    """Entries by key, each at the newest revision heard of."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._deleted: dict[str, int] = {}
+
+    def is_news(self, entry: Entry) -> bool:
+        """Whether an entry is newer than what is known of its key."""
+        known = self._entries.get(entry.key)
+        if known is not None and entry.revision <= known.revision:
+            return False
+        return entry.revision > self._deleted.get(entry.key, 0)
+
+    def put(self, entry: Entry) -> None:
+        """Keep an entry."""
+        self._entries[entry.key] = entry
+        self._deleted.pop(entry.key, None)
+
+    def may_delete(self, key: str, revision: int) -> bool:
+        """Whether a deletion is newer than what is known of its key."""
+        known = self._entries.get(key)
+        return known is not None and revision >= known.revision
+
+    def mark_deleted(self, key: str, revision: int) -> None:
+        """Remember a deletion; the entry stays until it is dropped."""
+        self._deleted[key] = revision
+        while len(self._deleted) > MAX_DELETED:
+            self._deleted.pop(next(iter(self._deleted)))
+
+    def drop(self, key: str) -> None:
+        """Forget an entry that was deleted."""
+        self._entries.pop(key, None)
+
+    def missing_from(self, snapshot: Snapshot) -> list[str]:
+        """Return the keys that a whole reading shows to be gone."""
+        listed = {entry.key for entry in snapshot.entries}
+        return [
+            entry.key
+            for entry in self._entries.values()
+            if entry.key not in listed and entry.revision <= snapshot.revision
+        ]
+
+    def after(self, revision: int) -> tuple[SharedEntry, ...]:
+        """Return what has changed after a revision, deletions included."""
+        written = (
+            SharedEntry(entry.key, entry.revision, entry.value)
+            for entry in self._entries.values()
+            if entry.revision > revision
+        )
+        deleted = (
+            SharedEntry(key, deleted_at, None)
+            for key, deleted_at in self._deleted.items()
+            if deleted_at > revision
+        )
+        return (*written, *deleted)
--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -253,7 +253,7 @@
         directory = self.knowledge.directory
         if peer is None or not directory.is_listed:
             return
-        entries = directory.entries_after(pull.revision)
+        entries = directory.entries.after(pull.revision)
         push = EntriesPush(self._own, directory.known_revision, entries)
         self._bus.send(peer.hello.peers, push)
 
--- a/peridotwell/forwarding/answers.py
+++ b/peridotwell/forwarding/answers.py
@@ -17,7 +17,14 @@
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.link import TargetAnswer
 
-__all__ = ('WholeReply', 'Unusable', 'Answers', 'check_answer', 'give_up')
+__all__ = (
+    'SUCCESSES',
+    'WholeReply',
+    'Unusable',
+    'Answers',
+    'check_answer',
+    'give_up',
+)
 
 SERVER_ERRORS = 500
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
--- a/peridotwell/forwarding/front.py
+++ b/peridotwell/forwarding/front.py
@@ -7,7 +7,7 @@
 from peridotwell.errors import CallError, DeadlineExceeded, RunState
 from peridotwell.fleet.directory import Directory
 from peridotwell.fleet.sharing import Sharing
-from peridotwell.forwarding.answers import Answers
+from peridotwell.forwarding.answers import SUCCESSES, Answers
 from peridotwell.forwarding.dialect import ForwardCall
 from peridotwell.forwarding.intake import read_call
 from peridotwell.forwarding.parts import ForwardingParts
@@ -127,7 +127,7 @@
                 parts.targets,
             )
             status = await stream.run()
-            first_at = stream.first_event_at
+            first_at = stream.first_part_at
             self._log_end(call, attempts, status, stream.choice, first_at)
             return
         answers = Answers(parts.dispatcher, parts.placement, parts.targets)
@@ -155,6 +155,15 @@
             self._windows[service] = window
         return window
 
+    def _measure(
+        self,
+        call: ForwardCall,
+        measure: Measure,
+        seconds: float,
+    ) -> None:
+        series = Series(call.customer, call.route.name, measure)
+        self._metrics.sketch(series).add(seconds)
+
     def _log_end(
         self,
         call: ForwardCall,
@@ -164,9 +173,11 @@
         first_at: float,
     ) -> None:
         waited = first_at - call.arrived_at
-        series = Series(call.customer, call.route.name, Measure.first_token)
-        self._metrics.sketch(series).add(max(waited, 0))
+        whole = trio.current_time() - call.arrived_at
         self._metrics.count(f'request.status.{status}')
+        if status in SUCCESSES:
+            self._measure(call, Measure.first_token, waited)
+            self._measure(call, Measure.whole_answer, whole)
         log_event(
             'request.answered',
             request=call.request_id,
@@ -182,7 +193,7 @@
             status=status,
             attempts=attempts.number,
             first_seconds=round(waited, 4),
-            whole_seconds=round(trio.current_time() - call.arrived_at, 4),
+            whole_seconds=round(whole, 4),
             table=call.table_version,
         )
 
--- a/peridotwell/forwarding/placement.py
+++ b/peridotwell/forwarding/placement.py
@@ -116,7 +116,7 @@
             return None
         sources = [
             Source(
-                Candidate(target, 0),
+                target,
                 self._caches.missing_tokens(target.name, parts, now),
             )
             for target in self._directory.all_of(service)
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -9,7 +9,7 @@
 from peridotwell.forwarding.settings import Dialects, ForwardingSettings
 from peridotwell.forwarding.upkeep import ForwardingUpkeep
 from peridotwell.logs import log_event, log_failure
-from peridotwell.metrics import render_metrics
+from peridotwell.metrics import Metrics, render_metrics
 from peridotwell.serving.asgi import Exchange, HttpServer
 from peridotwell.store.feed import FollowedStore
 
@@ -45,6 +45,11 @@
         self._may_close = trio.Event()
         self._parts.directory.on_change(self._apply_changes)
 
+    @property
+    def metrics(self) -> Metrics:
+        """Counters and histograms of this router."""
+        return self._parts.metrics
+
     def obstacle(self) -> str:
         """Return why this router should get no new callers, or ''."""
         if self.stop_requested.is_set():
@@ -143,7 +148,7 @@
             log_failure('metrics.unavailable', error=str(exc))
 
     async def _answer_metrics(self, exchange: Exchange) -> None:
-        text = '\n'.join(render_metrics(self._parts.metrics))
+        text = '\n'.join(render_metrics(self.metrics))
         await exchange.answer(OK, f'{text}\n'.encode(), (TEXT_TYPE,))
 
     async def _answer_ready(self, exchange: Exchange) -> None:
@@ -155,7 +160,4 @@
         directory = self._parts.directory
         if directory.table is not None:
             self._callers.keep_idle(directory.table.limits.idle_seconds)
-        listed = directory.routers()
-        introductions = self._parts.sharing.introductions
-        introductions.meet(listed)
-        introductions.forget_gone(listed, trio.current_time())
+        self._parts.sharing.introductions.meet(directory.routers())
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -52,7 +52,7 @@
         dialect: TargetDialect,
     ) -> None:
         self.choice: Choice | None = None
-        self.first_event_at = float(0)
+        self.first_part_at = float(0)
         self._call = call
         self._reply = reply
         self._attempts = attempts
@@ -101,6 +101,7 @@
         if self._reply.has_begun:
             raise Unusable(f'Status {answer.status} instead of a stream.')
         body = await answer.whole(must_mark_end=False)
+        self.first_part_at = trio.current_time()
         fields = self._dialect.caller_fields(answer)
         await self._reply.whole(answer.status, fields, body)
         return answer.status
@@ -116,7 +117,7 @@
         async with aclosing(chunks):
             async for chunk in chunks:
                 if not self._reply.has_begun:
-                    self.first_event_at = trio.current_time()
+                    self.first_part_at = trio.current_time()
                     await self._reply.begin(
                         answer.status,
                         self._dialect.caller_fields(answer),
--- a/peridotwell/forwarding/upkeep.py
+++ b/peridotwell/forwarding/upkeep.py
@@ -74,5 +74,9 @@
             log_failure('registration.failed', code=exc.code, error=str(exc))
 
     async def _settle(self) -> None:
-        self.parts.directory.settle(trio.current_time())
+        now = trio.current_time()
+        directory = self.parts.directory
+        directory.settle(now)
+        introductions = self.parts.sharing.introductions
+        introductions.forget_gone(directory.routers(), now)
         await self.parts.links.close_gone()
--- a/peridotwell/policy/engine_choice.py
+++ b/peridotwell/policy/engine_choice.py
@@ -13,6 +13,7 @@
 
 from peridotwell.policy.affinity import preference
 from peridotwell.policy.choice import Candidate, Choice, mean_load
+from peridotwell.world.target import Target
 
 __all__ = ('EngineCandidate', 'PromptNeeds', 'Source', 'choose_engine')
 
@@ -52,7 +53,7 @@
     `missing` are the shared tokens that even it does not have.
     """
 
-    candidate: Candidate
+    target: Target
     missing: int
 
 
@@ -100,7 +101,7 @@
         best.missing,
         fetched,
         best.ahead,
-        source.candidate.target if source and fetched else None,
+        source.target if source and fetched else None,
     )
 
 
--- a/peridotwell/world/bounds.py
+++ b/peridotwell/world/bounds.py
@@ -13,12 +13,9 @@
     `retry_window_seconds`, a service gets at most `retry_ratio` second sends
     for each request, plus `retry_slack`, over all routers. No engine holds
     more than `load_factor` times the mean of its service, plus a few.
-    `contact_seconds` is the time after which a failure must be known.
     """
 
     grace_seconds: float = 8
-    drain_seconds: float = 2
-    contact_seconds: float = 3
     retry_ratio: float = 0.2
     retry_window_seconds: float = 10
     retry_slack: float = 50
--- a/peridotwell/world/routes.py
+++ b/peridotwell/world/routes.py
@@ -102,8 +102,6 @@
     """One service; `engine` is None for a plain service."""
 
     name: str
-    health_path: str = ''
-    max_connections: int = 0
     engine: EngineFacts | None = None
 
 
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -147,7 +147,7 @@
 def test_a_router_that_is_behind_follows_through_another():
     ahead, behind = filled(), filled()
     change(ahead, entry('table', b'2', 5), deleted=(('t/x', 6),))
-    shared = ahead.entries_after(behind.known_revision)
+    shared = ahead.entries.after(behind.known_revision)
     behind.take_shared(shared, ahead.known_revision, 1)
     assert behind.table.version == 2
     assert names(behind) == ['y']
@@ -221,3 +221,22 @@
     )
     await follow(directory, feed)
     assert directory.is_listed
+
+
+def test_an_answer_without_news_rebuilds_nothing():
+    """Watches that time out come all day, on every router."""
+    directory = filled()
+    calls = []
+    directory.on_change(lambda: calls.append(1))
+    change(directory, revision=10)
+    assert not calls
+    assert directory.revision == 10
+    change(directory, entry('t/x', b'leaving', 11), revision=11)
+    assert calls == [1]
+
+
+def test_an_entry_that_is_no_target_any_more_is_news():
+    directory = filled()
+    change(directory, entry('t/x', b'garbage', 4))
+    assert names(directory) == ['y']
+    assert len(directory.all_targets()) == 1
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -10,8 +10,10 @@
 from peridotwell_platform.headers import PlatformCallers, PlatformTargets
 from peridotwell_platform.store import PlatformStore
 
+from peridotwell.forwarding import front
 from peridotwell.forwarding.router import ForwardingRouter
 from peridotwell.forwarding.settings import Dialects, ForwardingSettings
+from peridotwell.metrics import Measure, Series
 from peridotwell.serving.asgi import serve_http
 from peridotwell.world.bounds import Bounds
 from tests.peridotwell_platform import stand_in
@@ -104,6 +106,17 @@
         return sum(len(target.seen) for target in self.targets)
 
 
+@pytest.fixture
+def logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        front,
+        'log_event',
+        lambda name, **fields: lines.append((name, fields)),
+    )
+    return lines
+
+
 @pytest.fixture
 async def site(nursery, free_port):
     store = stand_in.StoreStandIn()
@@ -271,6 +284,19 @@
     assert site.runs() == 1
 
 
+async def test_a_stream_that_fails_has_a_time_and_no_first_token(site, logged):
+    """Found while reading logs: its time to the first token was negative."""
+    site.script(stand_in.status(500))
+    resp = await site.ask('/draft/x', 'POST', b'q')
+    assert resp.status == 500
+    while not logged:
+        await trio.sleep(0)
+    (line,) = [fields for name, fields in logged if name.endswith('answered')]
+    assert 0 <= line['first_seconds'] <= line['whole_seconds']
+    series = Series('tenant-1', 'draft', Measure.first_token)
+    assert not site.router.metrics.sketch(series).count
+
+
 async def test_a_silent_target_is_answered_for_at_the_deadline(site):
     site.script(stand_in.silent)
     began = trio.current_time()
