--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -4,6 +4,7 @@
 time to book an update of another router, and the size of that update.
 """
 
+import io
 import time
 
 from peridotwell.fleet.frames import (
@@ -12,8 +13,8 @@
     decode_frame,
     encode_frame,
 )
+from peridotwell.logs import log_event, set_up_logs
 from peridotwell.policy.cache_map import CachedPart, CacheMap
-from peridotwell.policy.choice import Candidate
 from peridotwell.policy.engine_choice import (
     EngineCandidate,
     PromptNeeds,
@@ -56,7 +57,7 @@
             )
             for engine in engines
         ]
-        source = Source(Candidate(engines[0], 0), 0)
+        source = Source(engines[0], 0)
         choose_engine(NEEDS, candidates, source, 2, 80_000)
     return (time.perf_counter() - began) / ROUNDS * MICRO
 
@@ -69,7 +70,7 @@
     pairs = tuple((2**31 + number, 12) for number in range(changed))
     prompts = (CachedPrompt(2**31, ((2**63, 500), (2**62, 10_000))),) * 2
     content = encode_frame(
-        Update(1, 1000, running=pairs, reading=pairs, prompts=prompts),
+        Update(1, 1000, 1, running=pairs, reading=pairs, prompts=prompts),
     )
     loads = FleetLoad()
     began = time.perf_counter()
@@ -81,8 +82,35 @@
     return took, len(content)
 
 
+def measure_log_line() -> float:
+    """Return the microseconds that a request spends on its log line."""
+    set_up_logs('r-1', 'north', io.StringIO())
+    began = time.perf_counter()
+    for number in range(ROUNDS):
+        log_event(
+            'request.answered',
+            request=f'{number:016x}',
+            route='ask',
+            customer='customer-1',
+            target='e-1',
+            subject='document',
+            load=5,
+            mean_load=4.3,
+            missing_tokens=500,
+            fetched_tokens=0,
+            tokens_ahead=1200,
+            status=200,
+            attempts=1,
+            first_seconds=0.0712,
+            whole_seconds=0.4113,
+            table=7,
+        )
+    return (time.perf_counter() - began) / ROUNDS * MICRO
+
+
 def main() -> None:
     """Print the table."""
+    print(f'log line of a request, us: {measure_log_line():.0f}')
     print('engines  choose us  update us  update bytes')
     for count in ENGINES:
         took, size = measure_update(min(count, 20))
--- a/peridotwell/ctl.py
+++ b/peridotwell/ctl.py
@@ -14,6 +14,7 @@
   histograms                      times for each customer and class
   quarantine list                 requests that lost several targets
   quarantine lift FINGERPRINT
+  check FILE                      whether a router's settings file is usable
   explain REQUEST                 what routers logged about a request, and what
                                   led to it, from log lines on standard input
 
@@ -30,7 +31,7 @@
 import msgspec
 from absl import app, flags
 
-from peridotwell.errors import ChangeRefused
+from peridotwell.errors import ChangeRefused, SettingsError
 from peridotwell.operators import tables
 from peridotwell.operators.client import (
     FleetClient,
@@ -38,6 +39,7 @@
     FleetUnreachable,
 )
 from peridotwell.operators.explain import explain, read_lines
+from peridotwell.settings import load_settings
 from peridotwell.world.configuration import Change, Override, Scope
 from peridotwell.world.contract import Contract
 
@@ -180,12 +182,24 @@
     return 0
 
 
+def _check(path: str) -> int:
+    try:
+        settings = load_settings(path)
+    except SettingsError as exc:
+        return _fail(exc, EXIT_REFUSED)
+    told = f'{path}: usable by {settings.instance.name}'
+    _show({'file': path, 'settings': settings}, (told,))
+    return 0
+
+
 def main(argv: list[str]) -> int:
     """Run one command and return the exit status."""
     client = FleetClient(tuple(ROUTER.value))
     words = argv[1:]
     if words[:1] == ['explain'] and len(words) == 2:
         return _explain(words[1])
+    if words[:1] == ['check'] and len(words) == 2:
+        return _check(words[1])
     try:
         if not _run_query(client, words):
             _run_change(client, words)
--- a/peridotwell/daemon.py
+++ b/peridotwell/daemon.py
@@ -1,6 +1,7 @@
 """The daemon `peridotwelld`: one router, one process.
 
-Prints its addresses as one JSON line on standard output when it serves.
+Prints its addresses as one JSON line on standard output when it serves, among
+its log lines, which have an `event`.
 SIGTERM and SIGINT stop it gracefully. Exit status 2: unusable settings.
 """
 
--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -92,6 +92,8 @@
         self._own = peers.own.sender
         self.running = OwnCounts()
         self.reading = OwnCounts()
+        # Set when there is something that the others should hear soon.
+        self.has_news = trio.Event()
         self._prompts: list[CachedPrompt] = []
         self._verdicts: list[Verdict] = []
         self._number = peers.own.incarnation & NUMBER_MASK
@@ -116,6 +118,7 @@
         """Tell the others that an engine reads these parts."""
         if len(self._prompts) < MAX_PROMPTS:
             self._prompts.append(CachedPrompt(target, _pairs(parts)))
+        self.has_news.set()
 
     def pull_caches(self, now: float) -> None:
         """Ask a few other routers what engines have cached."""
@@ -125,6 +128,7 @@
     def spread(self, *verdicts: Verdict) -> None:
         """Tell every router about requests that lose targets."""
         self._verdicts.extend(verdicts)
+        self.has_news.set()
 
     def tick(self, now: float) -> None:
         """Send what has changed; called every few hundredths of a second."""
@@ -187,6 +191,7 @@
         )
         self._prompts.clear()
         self._verdicts.clear()
+        self.has_news = trio.Event()
         if self.relaying.is_used():
             self.relaying.tell(update, now)
         else:
--- a/peridotwell/forwarding/upkeep.py
+++ b/peridotwell/forwarding/upkeep.py
@@ -19,7 +19,9 @@
 Step = Callable[[], Awaitable[None]]
 
 SETTLE_SECONDS = 0.5
-UPDATE_SECONDS = 0.03
+# News hurries, the rest is looked at this often.
+UPDATE_SECONDS = 0.1
+LEAST_UPDATE_SECONDS = 0.03
 LEASE_RENEWALS = 3
 PAUSE_AFTER_FAILURE_SECONDS = 0.2
 
@@ -39,7 +41,7 @@
             (0, parts.follower.run),
             (0, parts.forwarding.suspects.run),
             (0, self._receive),
-            (UPDATE_SECONDS, self._update),
+            (0, self._update),
             (SETTLE_SECONDS, self._settle),
             (self.lease_seconds / LEASE_RENEWALS, self._register),
         ):
@@ -64,7 +66,11 @@
             self.parts.sharing.receive(content, now, time.time())
 
     async def _update(self) -> None:
-        self.parts.sharing.tick(trio.current_time())
+        sharing = self.parts.sharing
+        await trio.sleep(LEAST_UPDATE_SECONDS)
+        with trio.move_on_after(UPDATE_SECONDS - LEAST_UPDATE_SECONDS):
+            await sharing.has_news.wait()
+        sharing.tick(trio.current_time())
 
     async def _register(self) -> None:
         try:
--- a/peridotwell/logs.py
+++ b/peridotwell/logs.py
@@ -92,7 +92,7 @@
 def set_up_logs(
     instance: str,
     data_centre: str,
-    stream: TextIO = sys.stderr,
+    stream: TextIO = sys.stdout,
 ) -> None:
     """Write JSON lines to `stream`."""
     handler = logging.StreamHandler(stream)
--- a/standins/site.py
+++ b/standins/site.py
@@ -315,15 +315,32 @@
 
     def start(self, name: str, *arguments: str) -> Process:
         """Start a Python process that announces its addresses."""
-        popen = subprocess.Popen(
-            [sys.executable, *arguments],
-            stdout=subprocess.PIPE,
-            stderr=(self.folder / f'{name}.log').open('ab'),
-        )
+        path = self.folder / f'{name}.log'
+        with path.open('ab') as log:
+            begins_at = log.tell()
+            popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+            )
         process = Process(name, popen, {})
         self.processes.append(process)
-        line = popen.stdout.readline() if popen.stdout else b''
-        if not line:
-            raise RuntimeError(f'{name} did not start: see {self.folder}')
-        process.addresses = msgspec.json.decode(line)
+        process.addresses = _read_addresses(popen, path, begins_at)
         return process
+
+
+def _read_addresses(
+    popen: subprocess.Popen[bytes],
+    path: Path,
+    begins_at: int,
+) -> dict[str, str]:
+    """Return the addresses that a process announces among its log lines."""
+    until = time.monotonic() + READY_SECONDS
+    while time.monotonic() < until and popen.poll() is None:
+        written = path.read_bytes()[begins_at:]
+        for line in written.split(b'\n')[:-1]:
+            if line.startswith(b'{') and b'"event"' not in line:
+                found: dict[str, str] = msgspec.json.decode(line)
+                return found
+        time.sleep(POLL_SECONDS)
+    raise RuntimeError(f'{path.stem} did not start: see {path}')
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -50,6 +50,17 @@
     assert len(lines) == 1
 
 
+def test_settings_are_checked_before_they_are_used(tmp_path):
+    path = tmp_path / 'r1.toml'
+    path.write_text(GOOD)
+    done = run('peridotwell.ctl', 'check', str(path))
+    assert (done.returncode, done.stderr) == (0, '')
+    path.write_text(GOOD.replace('callers', 'caller'))
+    done = run('peridotwell.ctl', 'check', str(path))
+    assert done.returncode == 1
+    assert 'caller' in done.stderr
+
+
 def test_missing_settings_file():
     done = run('peridotwell.daemon', '--settings=/nowhere.toml')
     assert done.returncode == 2
