Large changes come from the store; a data centre is avoided as a whole

Ruled out: processor time (0.10 of 0.5 cores), the store (it answered). Two unreachable targets stand for their data centre until one is heard. For 3 s after a break unsafe requests go on new connections: if none can be made, they are free to go elsewhere.

--- a/peridotwell/fleet/follower.py
+++ b/peridotwell/fleet/follower.py
@@ -19,6 +19,8 @@
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.8
 REST_SECONDS = 0.1
+BATCH_SECONDS_A_ROUTER = 0.005
+LONGEST_BATCH_SECONDS = 0.4
 
 
 class Follower:
@@ -68,6 +70,7 @@
             self._note_regained()
             self._directory.take_snapshot(snapshot, trio.current_time())
             self._needs_snapshot = False
+            await trio.sleep(self._batch_seconds())
             return
         changes = await self._feed.changes(
             self._directory.revision,
@@ -75,6 +78,16 @@
         )
         self._note_regained()
         self._directory.take_changes(changes, trio.current_time())
+        if changes.entries or changes.deleted:
+            await trio.sleep(self._batch_seconds())
+
+    def _batch_seconds(self) -> float:
+        """Return the time in which changes gather before the next call.
+
+        Each router that starts is a change that all routers are told of.
+        """
+        routers = len(self._directory.routers())
+        return min(routers * BATCH_SECONDS_A_ROUTER, LONGEST_BATCH_SECONDS)
 
     def _note_lost(self, exc: StoreError) -> None:
         self._metrics.count('store.errors')
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -220,10 +220,12 @@
 class Bundle(Frame, frozen=True, array_like=True, tag=16):
     """Updates of several routers, passed on by a relay.
 
-    `follows_store` tells whether the sender hears from the store.
+    `follows_store` tells whether the sender hears from the store, `revision`
+    how far it knows it.
     """
 
     follows_store: bool
+    revision: int
     updates: tuple[Update, ...]
     news: StoreNews | None = None
 
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -10,7 +10,7 @@
 from peridotwell.fleet.frames import Heartbeat, Hello, Update
 from peridotwell.world.target import Pool, Target, wire_id
 
-__all__ = ('Peer', 'Peers', 'choose_lender', 'make_hello')
+__all__ = ('Peer', 'Peers', 'choose_lender', 'choose_peer', 'make_hello')
 
 VIEW_MASK = 0xFFFFFFFF
 # More than the updates of one router that relays hold at a time.
@@ -180,6 +180,17 @@
     )
 
 
+def choose_peer(own: int, peers: Iterable[Peer]) -> Peer | None:
+    """Return one of some routers, another one for each router that asks."""
+    return max(
+        peers,
+        key=lambda peer: xxhash.xxh3_64_intdigest(
+            f'{own}|{peer.wire_id}'.encode(),
+        ),
+        default=None,
+    )
+
+
 def make_hello(
     name: str,
     data_centre: str,
--- a/peridotwell/fleet/relaying.py
+++ b/peridotwell/fleet/relaying.py
@@ -6,7 +6,7 @@
 router a bundle has chosen it, so no message arranges that.
 
 Relays pass on the store's changes too: a router whose relay follows the store
-makes no calls of its own for that.
+makes no calls of its own for that, unless a change is large.
 """
 
 import math
@@ -34,6 +34,8 @@
 CHOSEN_SECONDS = 2.0
 # Routers that come and go change the groups this late.
 REGROUP_SECONDS = 0.5
+# More is read from the store, whose link is wider than a relay's.
+MAX_NEWS_BYTES = 4000
 # The time for which a relay's answers of the store hold: one waiting call.
 STORE_FRESH_SECONDS = 3.0
 
@@ -46,6 +48,7 @@
 
     heard_at: float
     follows_store: bool
+    revision: int
 
 
 class Relaying:
@@ -77,9 +80,11 @@
             return True
         if self._members(now):
             return True
-        chooser = self._choosers.get(self._relay)
-        is_proven = self._watch.is_proven(self._relay, now)
-        return not (is_proven and chooser and chooser.follows_store)
+        relay = self._choosers.get(self._relay)
+        if relay is None or not self._watch.is_proven(self._relay, now):
+            return True
+        is_behind = self._directory.known_revision < relay.revision
+        return is_behind or not relay.follows_store
 
     def tell(self, update: Update, now: float) -> None:
         """Send this router's own update to its relay."""
@@ -111,7 +116,11 @@
         if sender is None:
             return
         self._watch.heard(bundle.sender, now)
-        self._choosers[bundle.sender] = _Chooser(now, bundle.follows_store)
+        self._choosers[bundle.sender] = _Chooser(
+            now,
+            bundle.follows_store,
+            bundle.revision,
+        )
         fresh = [each for each in bundle.updates if hear(each, now)]
         if self._is_member(bundle.sender):
             self._of_group.extend(fresh)
@@ -128,23 +137,28 @@
         self._directory.take_shared(news.entries, news.revision, now)
 
     def _send_up(self, relays: Iterable[int], now: float) -> None:
-        bundle = Bundle(
-            self._own,
-            self._follows_store(now),
-            tuple(self._of_group),
-        )
+        bundle = self._bundle(self._of_group, None, now)
         for relay in relays:
             self._watch.sent(relay, now)
         self._send(relays, bundle)
 
     def _send_down(self, members: Iterable[int], now: float) -> None:
-        bundle = Bundle(
+        updates = (*self._of_group, *self._of_others)
+        self._send(members, self._bundle(updates, self._news(now), now))
+
+    def _bundle(
+        self,
+        updates: Iterable[Update],
+        news: StoreNews | None,
+        now: float,
+    ) -> Bundle:
+        return Bundle(
             self._own,
             self._follows_store(now),
-            (*self._of_group, *self._of_others),
-            self._news(now),
+            self._directory.known_revision,
+            tuple(updates),
+            news,
         )
-        self._send(members, bundle)
 
     def _send(self, routers: Iterable[int], bundle: Bundle) -> None:
         peers = (self._peers.peer(router) for router in routers)
@@ -159,12 +173,11 @@
         entries = self._directory.entries
         if revision <= base or not entries.is_whole_after(base):
             return None
-        return StoreNews(
-            base,
-            revision,
-            entries.after(base),
-            self._directory.doubts.seconds_left(now),
-        )
+        changed = entries.after(base)
+        if sum(len(each.value or b'') for each in changed) > MAX_NEWS_BYTES:
+            return None
+        doubt_seconds = self._directory.doubts.seconds_left(now)
+        return StoreNews(base, revision, changed, doubt_seconds)
 
     def _follows_store(self, now: float) -> bool:
         return now - self._directory.heard_at <= STORE_FRESH_SECONDS
--- a/peridotwell/fleet/sharing.py
+++ b/peridotwell/fleet/sharing.py
@@ -28,7 +28,7 @@
     decode_frame,
 )
 from peridotwell.fleet.introductions import Introductions
-from peridotwell.fleet.peers import Peers
+from peridotwell.fleet.peers import Peer, Peers, choose_peer
 from peridotwell.fleet.relaying import Relaying
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
@@ -50,6 +50,8 @@
 # A router that is behind a peer for so long asks it for entries.
 BEHIND_SECONDS = 0.4
 PULL_SECONDS = 0.5
+# The store counts as heard for this time after an answer.
+STORE_LOST_SECONDS = 3.0
 MAX_PROMPTS = 200
 NUMBER_MASK = 0xFFFFFFFF
 # Routers that are asked for the map of caches after a start.
@@ -248,14 +250,16 @@
                 sums.drop(router)
 
     def _pull_if_behind(self, now: float) -> None:
-        """Ask the peer that has read furthest, when this router lags."""
-        ahead = max(
-            self.peers.live(now),
-            key=lambda peer: peer.version,
-            default=None,
-        )
-        own = self.knowledge.directory.known_revision
-        if ahead is None or ahead.version <= own:
+        """Ask a peer that has read further, when this router lags.
+
+        In a large fleet the store is asked before, not to burden a relay.
+        """
+        directory = self.knowledge.directory
+        own = directory.known_revision
+        ahead = self._peer_ahead(own, now)
+        hears_store = now - directory.heard_at <= STORE_LOST_SECONDS
+        is_spared = hears_store and self.relaying.is_used()
+        if ahead is None or is_spared:
             self._behind_since = None
             return
         if self._behind_since is None:
@@ -274,6 +278,15 @@
                 ahead=ahead.version,
             )
 
+    def _peer_ahead(self, revision: int, now: float) -> Peer | None:
+        """Return the peer that has read furthest; in a large fleet, any one."""
+        ahead = [
+            peer for peer in self.peers.live(now) if peer.version > revision
+        ]
+        if self.relaying.is_used():
+            return choose_peer(self._own, ahead)
+        return max(ahead, key=lambda peer: peer.version, default=None)
+
     def _push(self, pull: EntriesPull) -> None:
         peer = self.peers.peer(pull.sender)
         directory = self.knowledge.directory
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -8,6 +8,8 @@
 import trio
 
 from peridotwell.failures import (
+    AnswerCut,
+    AnswerLost,
     LinkError,
     NothingSent,
     RefusedByTarget,
@@ -132,6 +134,7 @@
         async with link.send(
             request,
             _patience(call, now),
+            fresh=not self._book.may_reuse_connection(call, target, now),
             must_echo=True,
         ) as answer:
             reported = self._dialect.load(answer)
@@ -155,6 +158,8 @@
             is_unreachable=is_gone,
         ):
             log_event('target.set_aside', target=name, code=exc.code)
+        if isinstance(exc, NothingSent | AnswerLost | AnswerCut):
+            self._note_broken(sending.target, exc, now)
         log_failure(
             'attempt.failed',
             request=sending.call.request_id,
@@ -165,6 +170,21 @@
             may_have_run=exc.may_have_run,
         )
 
+    def _note_broken(
+        self,
+        target: Target,
+        exc: LinkError,
+        now: float,
+    ) -> None:
+        place = target.pool.data_centre
+        if self._book.places.broke(
+            place,
+            target.name,
+            now,
+            is_unreachable=isinstance(exc, NothingSent),
+        ):
+            log_event('place.avoided', place=place, target=target.name)
+
 
 def _length_field(call: ForwardCall) -> Fields:
     if not call.body and call.method in BODILESS_METHODS:
--- a/peridotwell/forwarding/placement.py
+++ b/peridotwell/forwarding/placement.py
@@ -138,5 +138,10 @@
             for target in fresh
             if not self._book.silence.is_silent(target.name, now)
         ]
+        reached = [
+            target
+            for target in heard
+            if not self._book.places.is_cut_off(target.pool.data_centre, now)
+        ]
         untried = [target for target in listed if target.name not in tried]
-        return heard or fresh or untried
+        return reached or heard or fresh or untried
--- a/peridotwell/forwarding/target_book.py
+++ b/peridotwell/forwarding/target_book.py
@@ -9,6 +9,7 @@
 from peridotwell.policy.cache_map import cached_parts
 from peridotwell.policy.choice import Choice
 from peridotwell.policy.ejection import Ejection
+from peridotwell.policy.places import PlaceWatch
 from peridotwell.policy.reading_speed import ReadingSpeed
 from peridotwell.policy.silence import TargetSilence
 from peridotwell.policy.target_load import LoadReport, TargetLoad
@@ -31,6 +32,7 @@
         self.directory = directory
         self.ejection = ejection
         self.silence = TargetSilence()
+        self.places = PlaceWatch()
         self._sharing = sharing
         self._knowledge = knowledge
         self._loads: dict[str, TargetLoad] = {}
@@ -77,6 +79,23 @@
     def heard(self, target: Target, now: float) -> None:
         """Book that something arrived from a target."""
         self.silence.heard(target.name, now)
+        self.places.heard(target.pool.data_centre)
+
+    def may_reuse_connection(
+        self,
+        call: ForwardCall,
+        target: Target,
+        now: float,
+    ) -> bool:
+        """Whether a request may be sent on a connection that was kept.
+
+        If that breaks, nobody knows whether the target saw the request; a
+        new one that cannot be made leaves the request free to go elsewhere.
+        """
+        if call.route.may_repeat:
+            return True
+        is_shaky = self.places.is_shaky(target.pool.data_centre, now)
+        return not (is_shaky or self.silence.is_silent(target.name, now))
 
     def ended(self, target: Target) -> None:
         """Count the end of a request."""
--- /dev/null
+++ b/peridotwell/policy/places.py
@@ -0,0 +1,69 @@
+"""Data centres that are cut off, judged by connections to their targets.
+
+When a data centre is cut off, its targets would otherwise fail a request each
+before all are avoided. Two that cannot be reached speak for the others, until
+any of them is heard.
+"""
+
+__all__ = ('PlaceWatch',)
+
+# Targets that could not be reached, with nothing heard in between.
+UNREACHABLE_TARGETS = 2
+# A data centre that is cut off is tried again after this time.
+AVOIDED_SECONDS = 1.0
+# After a connection broke, kept ones may be broken too for this time.
+SHAKY_SECONDS = 3.0
+
+
+class _Place:
+    def __init__(self) -> None:
+        self.unreachable: set[str] = set()
+        self.broke_at = float('-inf')
+        self.avoided_until = float('-inf')
+
+
+class PlaceWatch:
+    """What happened to connections, by data centre."""
+
+    def __init__(self) -> None:
+        self._places: dict[str, _Place] = {}
+
+    def broke(
+        self,
+        place: str,
+        target: str,
+        now: float,
+        *,
+        is_unreachable: bool,
+    ) -> bool:
+        """Book a broken connection; True if the place is avoided from now on.
+
+        `is_unreachable` tells that no connection could be made.
+        """
+        state = self._places.setdefault(place, _Place())
+        state.broke_at = now
+        if not is_unreachable:
+            return False
+        state.unreachable.add(target)
+        if len(state.unreachable) < UNREACHABLE_TARGETS:
+            return False
+        was_avoided = state.avoided_until > now
+        state.avoided_until = now + AVOIDED_SECONDS
+        return not was_avoided
+
+    def heard(self, place: str) -> None:
+        """Book that something came from a target there."""
+        state = self._places.get(place)
+        if state is not None and state.unreachable:
+            state.unreachable.clear()
+            state.avoided_until = float('-inf')
+
+    def is_cut_off(self, place: str, now: float) -> bool:
+        """Whether a data centre seems cut off."""
+        state = self._places.get(place)
+        return state is not None and state.avoided_until > now
+
+    def is_shaky(self, place: str, now: float) -> bool:
+        """Whether a connection to a target there has broken lately."""
+        state = self._places.get(place)
+        return state is not None and now - state.broke_at <= SHAKY_SECONDS
