--- /dev/null
+++ b/tests/forwarding/test_target_book.py
@@ -0,0 +1,50 @@
+"""What is concluded from the connections to targets."""
+
+from dataclasses import replace
+
+import pytest
+
+from peridotwell.forwarding.target_book import TargetBook
+from peridotwell.policy.ejection import Ejection
+from peridotwell.world.routes import RequestKind
+from tests.fleet.test_sharing import Router
+from tests.forwarding.test_suspects import call, target
+
+NEAR = target('near', '10.0.0.1:80')
+BOOKING = replace(
+    call(),
+    route=replace(call().route, kind=RequestKind.non_idempotent),
+)
+
+
+@pytest.fixture
+def book():
+    router = Router('r', {})
+    return TargetBook(
+        router.directory,
+        Ejection(),
+        router.sharing,
+        router.knowledge,
+    )
+
+
+def test_after_a_break_only_repeatable_requests_use_kept_connections(book):
+    """A cut resets every kept connection as soon as it is used.
+
+    On a large site that failed hundreds of bookings, as each kept connection
+    cost one request that may have run.
+    """
+    assert book.may_reuse_connection(BOOKING, NEAR, 0)
+    place = NEAR.pool.data_centre
+    book.places.broke(place, 'another', 0, is_unreachable=False)
+    assert not book.may_reuse_connection(BOOKING, NEAR, 1)
+    assert book.may_reuse_connection(call(), NEAR, 1)
+    assert book.may_reuse_connection(BOOKING, NEAR, 9)
+
+
+def test_a_silent_target_gets_a_booking_on_a_new_connection(book):
+    """Behind a cut that drops packets, a kept connection tells nothing."""
+    book.silence.sent(NEAR.name, 0)
+    assert not book.may_reuse_connection(BOOKING, NEAR, 1)
+    book.heard(NEAR, 1)
+    assert book.may_reuse_connection(BOOKING, NEAR, 1)
