--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -8,6 +8,7 @@
 import time
 
 from peridotwell.fleet.frames import (
+    Bundle,
     CachedPrompt,
     Update,
     decode_frame,
@@ -27,6 +28,7 @@
 __all__ = ('measure_choice', 'measure_update', 'main')
 
 ENGINES = (6, 70, 300)
+ROUTERS = (10, 60, 83)
 ROUNDS = 300
 MICRO = 1_000_000
 NEEDS = PromptNeeds('document', 500, 0.4)
@@ -82,6 +84,34 @@
     return took, len(content)
 
 
+def measure_bundle(routers: int) -> tuple[float, int]:
+    """Return microseconds to book, and bytes of, a relay's bundle.
+
+    Each router tells of two targets and one prompt in it.
+    """
+    pairs = ((2**31, 12), (2**31 + 1, 3))
+    prompts = (CachedPrompt(2**31, ((2**63, 500), (2**62, 10_000))),)
+    updates = tuple(
+        Update(
+            number, 1000, 2**31, running=pairs, reading=pairs, prompts=prompts
+        )
+        for number in range(routers)
+    )
+    content = encode_frame(Bundle(1, True, 1000, updates))
+    loads = FleetLoad()
+    caches = CacheMap()
+    began = time.perf_counter()
+    for _ in range(ROUNDS):
+        bundle = decode_frame(content)
+        assert isinstance(bundle, Bundle)
+        for update in bundle.updates:
+            loads.hear(update.sender, dict(update.running))
+            loads.hear(update.sender, dict(update.reading))
+            caches.use('e-1', PARTS, 0)
+    took = (time.perf_counter() - began) / ROUNDS * MICRO
+    return took, len(content)
+
+
 def measure_log_line() -> float:
     """Return the microseconds that a request spends on its log line."""
     set_up_logs('r-1', 'north', io.StringIO())
@@ -111,6 +141,9 @@
 def main() -> None:
     """Print the table."""
     print(f'log line of a request, us: {measure_log_line():.0f}')
+    for routers in ROUTERS:
+        took, size = measure_bundle(routers)
+        print(f'bundle of {routers} routers: {took:.0f} us, {size} bytes')
     print('engines  choose us  update us  update bytes')
     for count in ENGINES:
         took, size = measure_update(min(count, 20))
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -176,14 +176,18 @@
         exc: LinkError,
         now: float,
     ) -> None:
-        place = target.pool.data_centre
-        if self._book.places.broke(
-            place,
+        data_centre = target.pool.data_centre
+        if self._book.data_centres.broke(
+            data_centre,
             target.name,
             now,
             is_unreachable=isinstance(exc, NothingSent),
         ):
-            log_event('place.avoided', place=place, target=target.name)
+            log_event(
+                'data_centre.avoided',
+                avoided=data_centre,
+                target=target.name,
+            )
 
 
 def _length_field(call: ForwardCall) -> Fields:
--- a/peridotwell/forwarding/target_book.py
+++ b/peridotwell/forwarding/target_book.py
@@ -8,8 +8,8 @@
 from peridotwell.logs import log_event
 from peridotwell.policy.cache_map import cached_parts
 from peridotwell.policy.choice import Choice
+from peridotwell.policy.data_centres import DataCentreWatch
 from peridotwell.policy.ejection import Ejection
-from peridotwell.policy.places import PlaceWatch
 from peridotwell.policy.reading_speed import ReadingSpeed
 from peridotwell.policy.silence import TargetSilence
 from peridotwell.policy.target_load import LoadReport, TargetLoad
@@ -32,7 +32,7 @@
         self.directory = directory
         self.ejection = ejection
         self.silence = TargetSilence()
-        self.places = PlaceWatch()
+        self.data_centres = DataCentreWatch()
         self._sharing = sharing
         self._knowledge = knowledge
         self._loads: dict[str, TargetLoad] = {}
@@ -79,7 +79,11 @@
     def heard(self, target: Target, now: float) -> None:
         """Book that something arrived from a target."""
         self.silence.heard(target.name, now)
-        self.places.heard(target.pool.data_centre)
+        self.data_centres.heard(target.pool.data_centre)
+
+    def is_cut_off(self, target: Target, now: float) -> bool:
+        """Whether a target's data centre seems cut off."""
+        return self.data_centres.is_cut_off(target.pool.data_centre, now)
 
     def may_reuse_connection(
         self,
@@ -94,7 +98,7 @@
         """
         if call.route.may_repeat:
             return True
-        is_shaky = self.places.is_shaky(target.pool.data_centre, now)
+        is_shaky = self.data_centres.is_shaky(target.pool.data_centre, now)
         return not (is_shaky or self.silence.is_silent(target.name, now))
 
     def ended(self, target: Target) -> None:
--- a/peridotwell/policy/places.py
+++ b/peridotwell/policy/data_centres.py
@@ -5,7 +5,7 @@
 any of them is heard.
 """
 
-__all__ = ('PlaceWatch',)
+__all__ = ('DataCentreWatch',)
 
 # Targets that could not be reached, with nothing heard in between.
 UNREACHABLE_TARGETS = 2
@@ -15,32 +15,32 @@
 SHAKY_SECONDS = 3.0
 
 
-class _Place:
+class _State:
     def __init__(self) -> None:
         self.unreachable: set[str] = set()
         self.broke_at = float('-inf')
         self.avoided_until = float('-inf')
 
 
-class PlaceWatch:
+class DataCentreWatch:
     """What happened to connections, by data centre."""
 
     def __init__(self) -> None:
-        self._places: dict[str, _Place] = {}
+        self._states: dict[str, _State] = {}
 
     def broke(
         self,
-        place: str,
+        data_centre: str,
         target: str,
         now: float,
         *,
         is_unreachable: bool,
     ) -> bool:
-        """Book a broken connection; True if the place is avoided from now on.
+        """Book a broken connection; True if its data centre is avoided now.
 
         `is_unreachable` tells that no connection could be made.
         """
-        state = self._places.setdefault(place, _Place())
+        state = self._states.setdefault(data_centre, _State())
         state.broke_at = now
         if not is_unreachable:
             return False
@@ -51,19 +51,19 @@
         state.avoided_until = now + AVOIDED_SECONDS
         return not was_avoided
 
-    def heard(self, place: str) -> None:
+    def heard(self, data_centre: str) -> None:
         """Book that something came from a target there."""
-        state = self._places.get(place)
+        state = self._states.get(data_centre)
         if state is not None and state.unreachable:
             state.unreachable.clear()
             state.avoided_until = float('-inf')
 
-    def is_cut_off(self, place: str, now: float) -> bool:
+    def is_cut_off(self, data_centre: str, now: float) -> bool:
         """Whether a data centre seems cut off."""
-        state = self._places.get(place)
+        state = self._states.get(data_centre)
         return state is not None and state.avoided_until > now
 
-    def is_shaky(self, place: str, now: float) -> bool:
+    def is_shaky(self, data_centre: str, now: float) -> bool:
         """Whether a connection to a target there has broken lately."""
-        state = self._places.get(place)
+        state = self._states.get(data_centre)
         return state is not None and now - state.broke_at <= SHAKY_SECONDS
--- a/peridotwell/policy/relays.py
+++ b/peridotwell/policy/relays.py
@@ -46,12 +46,12 @@
     A group stands in one data centre. Routers that know the same members
     make the same groups.
     """
-    by_place: dict[str, list[int]] = defaultdict(list)
+    by_data_centre: dict[str, list[int]] = defaultdict(list)
     for member in members:
-        by_place[member.data_centre].append(member.router)
+        by_data_centre[member.data_centre].append(member.router)
     groups: list[tuple[int, ...]] = []
-    for place in sorted(by_place):
-        routers = sorted(by_place[place], key=_preference)
+    for name in sorted(by_data_centre):
+        routers = sorted(by_data_centre[name], key=_preference)
         count = -(-len(routers) // GROUP_ROUTERS)
         groups.extend(tuple(routers[first::count]) for first in range(count))
     return groups
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -74,8 +74,8 @@
     hear_from_the_store(fleet, 4)
     run(fleet, 4, 5)
     following = relays(fleet, 5)
-    places = [each.hello.data_centre for each in following]
-    assert sorted(places) == ['a', 'b', 'c']
+    found = [each.hello.data_centre for each in following]
+    assert sorted(found) == ['a', 'b', 'c']
 
 
 def test_the_others_learn_the_stores_changes_from_it(fleet):
--- a/tests/forwarding/test_target_book.py
+++ b/tests/forwarding/test_target_book.py
@@ -35,8 +35,7 @@
     cost one request that may have run.
     """
     assert book.may_reuse_connection(BOOKING, NEAR, 0)
-    place = NEAR.pool.data_centre
-    book.places.broke(place, 'another', 0, is_unreachable=False)
+    book.data_centres.broke('a', 'another', 0, is_unreachable=False)
     assert not book.may_reuse_connection(BOOKING, NEAR, 1)
     assert book.may_reuse_connection(call(), NEAR, 1)
     assert book.may_reuse_connection(BOOKING, NEAR, 9)
--- a/tests/policy/test_relays.py
+++ b/tests/policy/test_relays.py
@@ -11,12 +11,12 @@
     make_groups,
 )
 
-PLACES = ('a', 'b', 'c')
+DATA_CENTRES = ('a', 'b', 'c')
 GROUP = (4, 2, 9, 7)
 
 
 def members(count):
-    return [GroupMember(each, PLACES[each % 3]) for each in range(count)]
+    return [GroupMember(each, DATA_CENTRES[each % 3]) for each in range(count)]
 
 
 @given(st.integers(1, 500))
@@ -27,7 +27,7 @@
     ]
     for group in groups:
         assert len(group) <= GROUP_ROUTERS
-        assert len({PLACES[each % 3] for each in group}) == 1
+        assert len({DATA_CENTRES[each % 3] for each in group}) == 1
 
 
 @given(st.randoms())
