A fault soak: real routers, faults from outside, promises checked

Three router processes between stand-ins on loopback; a proxy delays, holds one or both ways, refuses and resets; signals kill, stop, pause and reload; targets fail and leave; the store is lost, busy or forgets; the configuration changes. Faults are drawn from a seed, come in series and overlap. Checked while it runs: unsafe requests run once, refusals are true, answers belong to their request, come in time and are not cut by planned stops, targets that have left get no work, all is served again afterwards. Clocks are not harmed: that needs rights that tests don't have.

--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,122 @@
+"""A randomized soak: real routers, faults from outside, promises checked.
+
+    python -m tests.soak.run --seeds 1-50 --seconds 20
+
+Prints one line a seed; exit status 1 if a promise was broken. Logs of the
+routers stay in the folder that is printed then.
+"""
+
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+from absl import app, flags
+
+from tests.soak.callers import Callers
+from tests.soak.faults import Faults
+from tests.soak.site import Router, Site, open_site
+
+__all__ = ('soak',)
+
+SEEDS = flags.DEFINE_string('seeds', '', 'First and last seed; else one new.')
+SECONDS = flags.DEFINE_float('seconds', 20, 'How long faults are played.')
+ROUTERS = flags.DEFINE_integer('routers', 3, 'Routers, each a process.')
+TARGETS = flags.DEFINE_integer('targets', 4, 'Targets.')
+
+CALLERS_A_ROUTER = 4
+START_SECONDS = 15
+# After the last fault, everything is served again within this time.
+RECOVER_SECONDS = 12
+RECOVERED_IN_A_ROW = 5
+
+
+async def soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    routers: int = 3,
+    targets: int = 4,
+) -> tuple[list[str], Site, Faults]:
+    """Play one seed; return what was broken, and what was seen."""
+    async with trio.open_nursery() as nursery:
+        site = await open_site(nursery, folder, routers, targets)
+        try:
+            callers = Callers(site, seed)
+            await _wait_served(site, callers, START_SECONDS)
+            faults = Faults(site, seed)
+            with trio.move_on_after(seconds):
+                async with trio.open_nursery() as playing:
+                    for router in site.routers * CALLERS_A_ROUTER:
+                        playing.start_soon(callers.run, router)
+                    playing.start_soon(faults.run)
+            _heal(site)
+            await _wait_served(site, callers, RECOVER_SECONDS)
+        finally:
+            site.end()
+        nursery.cancel_scope.cancel()
+    return site.promises.broken, site, faults
+
+
+async def _wait_served(site: Site, callers: Callers, seconds: float) -> None:
+    """Wait until each router serves; book it as broken if one does not."""
+    for router in site.routers:
+        with trio.move_on_after(seconds) as scope:
+            await _wait_router(router, callers)
+        if scope.cancelled_caught:
+            why = f'{router.name} does not serve after {seconds} s'
+            site.promises.broken.append(why)
+
+
+async def _wait_router(router: Router, callers: Callers) -> None:
+    served = 0
+    while served < RECOVERED_IN_A_ROW:
+        outcome = await callers.ask_once(router, 'book')
+        served = served + 1 if outcome.status == 200 else 0
+        await trio.sleep(0.05)
+
+
+def _heal(site: Site) -> None:
+    site.store_link.heal()
+    site.store.faults.clear()
+    for target in site.targets:
+        target.link.heal()
+        target.fails = False
+        site.list_target(target, 'ready')
+    for router in site.routers:
+        router.resume(site.log(router))
+
+
+def _seeds() -> range:
+    first, _, last = SEEDS.value.partition('-')
+    if not first:
+        fresh = int(time.time())
+        return range(fresh, fresh + 1)
+    return range(int(first), int(last or first) + 1)
+
+
+def main(_: list[str]) -> int:
+    """Play the seeds asked for."""
+    failed = 0
+    for seed in _seeds():
+        folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        broken, site, faults = trio.run(
+            soak, seed, SECONDS.value, folder, ROUTERS.value, TARGETS.value
+        )
+        counts = dict(sorted(site.promises.outcomes.items()))
+        sys.stdout.write(f'seed {seed}: {len(broken)} broken, {counts}\n')
+        for line in broken:
+            sys.stdout.write(f'    {line}\n')
+        if broken:
+            failed += 1
+            sys.stdout.write(f'    {faults.played}\n    logs: {folder}\n')
+        else:
+            shutil.rmtree(folder)
+        sys.stdout.flush()
+    return int(failed > 0)
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,17 @@
+"""A short soak in CI, and every seed that ever failed."""
+
+import pytest
+import trio
+
+from tests.soak.run import soak
+
+SECONDS = 8
+# Seed, and what it found.
+REGRESSIONS: tuple[tuple[int, str], ...] = ()
+
+
+@pytest.mark.parametrize('seed', [2, *(seed for seed, _ in REGRESSIONS)])
+def test_promises_hold_under_faults(seed, tmp_path):
+    broken, site, faults = trio.run(soak, seed, SECONDS, tmp_path)
+    assert not broken, faults.played
+    assert site.promises.outcomes['book 200'] > 0
