Errors that a target answers count against it

Change: a rate of errors by target; at 0.3 it is set aside for 1 s, then longer until it is well. Not for errors that over a third of a service's targets make, nor for a target's 504 at its deadline. Tests: policy/test_target_health.py.

--- a/peridotwell/forwarding/answers.py
+++ b/peridotwell/forwarding/answers.py
@@ -11,7 +11,11 @@
     ForwardCall,
     TargetDialect,
 )
-from peridotwell.forwarding.dispatch import Dispatcher, Sending
+from peridotwell.forwarding.dispatch import (
+    SERVER_ERRORS,
+    Dispatcher,
+    Sending,
+)
 from peridotwell.forwarding.placement import Placement
 from peridotwell.forwarding.retries import Attempts, Verdict
 from peridotwell.policy.choice import Choice
@@ -26,7 +30,6 @@
     'give_up',
 )
 
-SERVER_ERRORS = 500
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
 SUCCESSES = range(FIRST_SUCCESS, FIRST_REDIRECT)
 REFUSED_RETRY_SECONDS = 0.3
@@ -104,7 +107,7 @@
                 body,
                 sending.choice,
             )
-        self._dispatcher.succeeded(sending)
+        self._dispatcher.finished(sending, reply.status)
         return reply
 
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -30,10 +30,12 @@
 from peridotwell.world.routes import RequestKind
 from peridotwell.world.target import Target
 
-__all__ = ('Dispatcher', 'Sending')
+__all__ = ('SERVER_ERRORS', 'Dispatcher', 'Sending', 'is_target_error')
 
 BODILESS_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'DELETE', 'TRACE'))
 LEAST_PATIENCE_SECONDS = 0.01
+SERVER_ERRORS = 500
+GATEWAY_TIMEOUT = 504
 # Repeatable work goes elsewhere after this multiple of its objective.
 SILENT_OBJECTIVES = 2
 STREAM_SILENT_OBJECTIVES = 3
@@ -98,10 +100,14 @@
         """Book that a part of an answer has arrived."""
         self._book.heard(sending.target, trio.current_time())
 
-    def succeeded(self, sending: Sending) -> None:
-        """Count a whole answer."""
+    def finished(self, sending: Sending, status: int) -> None:
+        """Count a whole answer; errors of the target count against it."""
         self._suspects.finished(sending.call)
-        self._book.ejection.succeeded(sending.target.name)
+        name = sending.target.name
+        if not is_target_error(status):
+            self._book.ejection.succeeded(name)
+        elif self._book.ejection.answered_badly(name, trio.current_time()):
+            log_event('target.set_aside', target=name, code=f'status_{status}')
 
     @asynccontextmanager
     async def _answer(self, sending: Sending) -> AsyncIterator[TargetAnswer]:
@@ -190,6 +196,11 @@
             )
 
 
+def is_target_error(status: int) -> bool:
+    """Whether a status tells of a target's error, not of its deadline."""
+    return status >= SERVER_ERRORS and status != GATEWAY_TIMEOUT
+
+
 def _length_field(call: ForwardCall) -> Fields:
     if not call.body and call.method in BODILESS_METHODS:
         return ()
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -98,23 +98,24 @@
             check_answer(answer, self._dialect)
             self.status = answer.status
             if answer.status not in SUCCESSES:
-                return await self._failure(answer, sending.choice)
+                return await self._failure(answer, sending)
             await self._pass_events(answer, sending)
-        self._dispatcher.succeeded(sending)
+        self._dispatcher.finished(sending, self.status)
         await self._reply.end()
         return None
 
     async def _failure(
         self,
         answer: TargetAnswer,
-        choice: Choice,
+        sending: Sending,
     ) -> WholeReply:
         if self._reply.has_begun:
             raise Unusable(f'Status {answer.status} instead of a stream.')
         body = await answer.whole(must_mark_end=False)
         self.first_part_at = trio.current_time()
+        self._dispatcher.finished(sending, answer.status)
         fields = self._dialect.caller_fields(answer)
-        return WholeReply(answer.status, fields, body, choice)
+        return WholeReply(answer.status, fields, body, sending.choice)
 
     async def _pass_events(
         self,
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/test_target_health.py
@@ -41,6 +41,48 @@
     assert not ejection.is_aside('t0', 4.1)
 
 
+def play(ejection, name, pattern, now):
+    """Book outcomes: `x` an error of the target, `.` a good answer."""
+    for step in pattern:
+        if step == 'x':
+            ejection.answered_badly(name, now)
+        else:
+            ejection.succeeded(name)
+
+
+def test_a_target_that_fails_part_of_its_requests_is_set_aside():
+    """Its health check is good, and most of its answers are."""
+    ejection = Ejection()
+    play(ejection, 't0', '..x..xx', 0)
+    assert names(ejection.usable(TARGETS, 0)) == ['t1', 't2', 't3']
+
+
+def test_it_waits_longer_each_time_until_it_is_well():
+    ejection = Ejection()
+    play(ejection, 't0', 'xx', 0)
+    assert not ejection.is_aside('t0', 1.1)
+    play(ejection, 't0', '.x', 2)
+    assert ejection.is_aside('t0', 3.9)
+    play(ejection, 't0', '.' * 20, 5)
+    play(ejection, 't0', 'xx', 6)
+    assert not ejection.is_aside('t0', 7.1)
+
+
+def test_a_few_requests_that_fail_everywhere_set_no_target_aside():
+    ejection = Ejection()
+    for target in TARGETS:
+        play(ejection, target.name, '.........x' * 5, 0)
+    assert ejection.usable(TARGETS, 0) == TARGETS
+
+
+def test_where_all_fail_part_of_their_requests_none_is_set_aside():
+    """Moving work would only cost the caches."""
+    ejection = Ejection()
+    for target in TARGETS[:2]:
+        play(ejection, target.name, 'xxx', 0)
+    assert ejection.usable(TARGETS, 0) == TARGETS
+
+
 def test_no_more_than_half_of_a_service_is_set_aside():
     """All targets fail part of their requests: they still serve the rest."""
     ejection = Ejection()
