The soak plays a stop that it has begun to its end

An error of the soak, not of the routers, whose logs end with router.stopped. The check stays as it is.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -52,7 +52,7 @@
                     for router in site.routers * CALLERS_A_ROUTER:
                         playing.start_soon(callers.run, router)
                     playing.start_soon(faults.run)
-            _heal(site)
+            await _heal(site)
             await _wait_served(site, callers, RECOVER_SECONDS)
         finally:
             site.end()
@@ -78,7 +78,7 @@
         await trio.sleep(0.05)
 
 
-def _heal(site: Site) -> None:
+async def _heal(site: Site) -> None:
     site.store_link.heal()
     site.store.faults.clear()
     for target in site.targets:
@@ -86,6 +86,9 @@
         target.fails = False
         site.list_target(target, 'ready')
     for router in site.routers:
+        # A stop that faults have begun is played to its end.
+        while router.is_stopping and router.process.poll() is None:
+            await trio.sleep(0.05)
         router.resume(site.log(router))
 
 
