--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 # make demo: the main job, end to end, as separate processes.
-# make test: all tests. make lint, make measure: see CONTRIBUTING.md.
+# make test: all tests. make soak SEEDS=1-50: random faults on real routers. make lint, make measure: see CONTRIBUTING.md.
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/installed
 
-.PHONY: demo test lint format measure
+.PHONY: demo test lint format measure soak
 
 $(STAMP): pyproject.toml requirements.txt
 	python3 -m venv $(VENV)
@@ -26,6 +26,9 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+soak: $(STAMP)
+	$(PYTHON) -m tests.soak.run --seeds '$(SEEDS)'
+
 measure: $(STAMP)
 	$(PYTHON) -m measure.run
 	$(PYTHON) -m measure.forwarding_costs
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 """
 
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -102,6 +103,8 @@
 
 def main(_: list[str]) -> int:
     """Play the seeds asked for."""
+    # Ended like this too, it ends the routers that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in _seeds():
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
