--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -37,8 +37,8 @@
 ip = "{ip}"
 port_range = [{peers}, {peers}]
 [listen]
-front = "127.0.0.1:{callers}"
-ready_addr = "127.0.0.1:{ready}"
+front = "{ip}:{callers}"
+ready_addr = "{ip}:{ready}"
 [provider]
 address = "{store}"
 [bounds]
@@ -75,7 +75,6 @@
     name: str
     settings: Path
     address: str
-    ready: str
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = float('-inf')
     is_stopping: bool = False
@@ -214,25 +213,26 @@
     return site
 
 
-def _free_port() -> int:
+def _free_port(ip: str) -> int:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
+        probe.bind((ip, 0))
         port: int = probe.getsockname()[1]
     return port
 
 
 def _make_router(site: Site, number: int) -> Router:
     name = f'r{number}'
-    ports = {key: _free_port() for key in ('callers', 'ready', 'peers')}
+    # No connection from elsewhere uses a port of this address.
+    ip = f'127.0.0.{FIRST_ADDRESS + number}'
+    ports = {key: _free_port(ip) for key in ('callers', 'ready', 'peers')}
     path = site.folder / f'{name}.toml'
     path.write_text(
         SETTINGS.format(
             name=name,
-            ip=f'127.0.0.{FIRST_ADDRESS + number}',
+            ip=ip,
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             store=site.store_link.address,
             **ports,
         )
     )
-    callers = f'127.0.0.1:{ports["callers"]}'
-    return Router(name, path, callers, f'127.0.0.1:{ports["ready"]}')
+    return Router(name, path, f'{ip}:{ports["callers"]}')
