--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -11,6 +11,8 @@
 from peridotwell.serving.asgi import Exchange
 
 SETTLE_SECONDS = 0.01
+# Longer than the objectives of the tests, well within their deadlines.
+QUEUE_SECONDS = 0.5
 
 
 class StoreStandIn:
@@ -216,6 +218,11 @@
     await trio.sleep_forever()
 
 
+async def queued(target, exchange) -> None:
+    await trio.sleep(QUEUE_SECONDS)
+    await events(1, 2)(target, exchange)
+
+
 def events(first: int, last: int, *, ends: bool = True):
     async def act(target, exchange) -> None:
         await exchange.start(200, receipt(target, exchange))
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -278,6 +278,22 @@
     }, last
 
 
+async def test_a_stream_waits_for_an_engine_that_is_heard(site, nursery):
+    """Four of six engines left; the others had queues, and were alive.
+
+    Found by a hunt: streams were sent elsewhere, and failed there too.
+    """
+    site.script(stand_in.events(1, 100), stand_in.events(1, 100))
+    for _ in site.targets:
+        nursery.start_soon(site.ask, '/draft/x', 'POST', b'q')
+    await trio.sleep(0.1)
+    for target in site.targets:
+        target.script.clear()
+    site.script(stand_in.queued, stand_in.queued)
+    resp = await site.ask('/ask/x', 'POST', b'q')
+    assert (resp.status, site.runs()) == (200, 3)
+
+
 async def test_a_stream_that_may_not_resume_does_not_look_whole(site):
     site.script(stand_in.events(1, 3, ends=False))
     with pytest.raises(httpcore.RemoteProtocolError):
