--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -1,7 +1,8 @@
-"""What the forwarding path costs a router, by the number of engines.
+"""What the forwarding path costs a router.
 
-Prints one row a number of engines: time to choose an engine for a prompt,
-time to book an update of another router, and the size of that update.
+Prints the time that a request spends on its log line; time to book and size of
+relays' bundles; and one row a number of engines: time to choose an engine for
+a prompt, time to book an update of another router, and its size.
 """
 
 import io
@@ -25,7 +26,13 @@
 from peridotwell.policy.fleet_load import FleetLoad
 from peridotwell.world.target import Pool, Target, TargetKind
 
-__all__ = ('measure_choice', 'measure_update', 'main')
+__all__ = (
+    'measure_choice',
+    'measure_update',
+    'measure_bundle',
+    'measure_log_line',
+    'main',
+)
 
 ENGINES = (6, 70, 300)
 ROUTERS = (10, 60, 83)
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from peridotwell.fleet.frames import Heartbeat, Hello, Update
+from peridotwell.policy.affinity import preference
 from peridotwell.world.target import Pool, Target, wire_id
 
 __all__ = ('Peer', 'Peers', 'choose_lender', 'choose_peer', 'make_hello')
@@ -102,9 +103,6 @@
         peer.heard_at = now
         peer.version = update.revision
         peer.leaving = update.is_leaving
-        if update.is_full:
-            peer.loads = {}
-        peer.loads.update(update.running)
         return True
 
     def peer(self, sender: int) -> Peer | None:
@@ -173,9 +171,7 @@
     """Return the lender of a target by rendezvous hashing, or None."""
     return max(
         lenders,
-        key=lambda router: xxhash.xxh3_64_intdigest(
-            f'{router}|{target.name}'.encode(),
-        ),
+        key=lambda router: preference(str(router), target.name),
         default=None,
     )
 
@@ -184,9 +180,7 @@
     """Return one of some routers, another one for each router that asks."""
     return max(
         peers,
-        key=lambda peer: xxhash.xxh3_64_intdigest(
-            f'{own}|{peer.wire_id}'.encode(),
-        ),
+        key=lambda peer: preference(str(own), str(peer.wire_id)),
         default=None,
     )
 
--- a/peridotwell/fleet/relaying.py
+++ b/peridotwell/fleet/relaying.py
@@ -61,8 +61,8 @@
         self._own = peers.own.sender
         self._watch = RelayWatch()
         self._choosers: dict[int, _Chooser] = {}
-        self._of_group: list[Update] = []
-        self._of_others: list[Update] = []
+        self._group_updates: list[Update] = []
+        self._other_updates: list[Update] = []
         self._sent_at = float(0)
         self._told_revision = 0
         self._relay: int | None = None
@@ -88,15 +88,15 @@
 
     def tell(self, update: Update, now: float) -> None:
         """Send this router's own update to its relay."""
-        self._of_group.append(update)
+        self._group_updates.append(update)
         relays = self._choose_relays(now)
         if relays and not self._members(now):
             self._send_up(relays, now)
-            self._of_group.clear()
+            self._group_updates.clear()
 
     def tick(self, now: float) -> None:
         """Send bundles as a relay; called every few hundredths of a second."""
-        has_news = bool(self._of_group or self._of_others)
+        has_news = bool(self._group_updates or self._other_updates)
         pause = BUNDLE_SECONDS if has_news else QUIET_SECONDS
         if now - self._sent_at < pause:
             return
@@ -107,8 +107,8 @@
             beside = self._other_relays(now).union(self._visitors(now))
             self._send_up((*above, *beside), now)
             self._send_down(members, now)
-        self._of_group.clear()
-        self._of_others.clear()
+        self._group_updates.clear()
+        self._other_updates.clear()
 
     def take(self, bundle: Bundle, now: float, hear: Hear) -> None:
         """Act on a bundle; `hear` tells whether an update is news."""
@@ -123,9 +123,9 @@
         )
         fresh = [each for each in bundle.updates if hear(each, now)]
         if self._is_member(bundle.sender):
-            self._of_group.extend(fresh)
+            self._group_updates.extend(fresh)
         else:
-            self._of_others.extend(fresh)
+            self._other_updates.extend(fresh)
         if bundle.news is not None:
             self._take_news(bundle.news, now)
 
@@ -137,13 +137,13 @@
         self._directory.take_shared(news.entries, news.revision, now)
 
     def _send_up(self, relays: Iterable[int], now: float) -> None:
-        bundle = self._bundle(self._of_group, None, now)
+        bundle = self._bundle(self._group_updates, None, now)
         for relay in relays:
             self._watch.sent(relay, now)
         self._send(relays, bundle)
 
     def _send_down(self, members: Iterable[int], now: float) -> None:
-        updates = (*self._of_group, *self._of_others)
+        updates = (*self._group_updates, *self._other_updates)
         self._send(members, self._bundle(updates, self._news(now), now))
 
     def _bundle(
--- a/peridotwell/policy/relays.py
+++ b/peridotwell/policy/relays.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-import xxhash
+from peridotwell.policy.affinity import preference
 
 __all__ = ('GroupMember', 'RelayWatch', 'is_large', 'make_groups')
 
@@ -110,4 +110,4 @@
 
 
 def _preference(router: int) -> int:
-    return xxhash.xxh3_64_intdigest(f'relay|{router}'.encode())
+    return preference('relay', str(router))
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -22,18 +22,18 @@
 
 from peridotwell.errors import CallTooLarge
 from peridotwell.logs import log_event
+from peridotwell.serving.sockets import silence_options
 
 __all__ = ('Exchange', 'HttpServer', 'serve_http')
 
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
 KEEP_ALIVE_SECONDS = 30
 # Callers that went silent without closing are found within seconds.
-CALLER_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 5000),
+SILENT_MILLISECONDS = 5000
+CALLER_SOCKET_OPTIONS = silence_options(
+    idle_seconds=5,
+    probe_seconds=2,
+    unacknowledged_milliseconds=SILENT_MILLISECONDS,
 )
 JSON_TYPE = ('content-type', 'application/json')
 
--- a/peridotwell/serving/link.py
+++ b/peridotwell/serving/link.py
@@ -4,7 +4,6 @@
 sent, it refused to run the request, or its outcome is in doubt.
 """
 
-import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Mapping
 from contextlib import aclosing, asynccontextmanager
@@ -22,6 +21,7 @@
     TargetReplaced,
     TargetSilent,
 )
+from peridotwell.serving.sockets import silence_options
 from peridotwell.world.target import Target
 
 __all__ = (
@@ -46,12 +46,10 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # A connection that has gone silent fails within about three seconds.
 SILENT_MILLISECONDS = 3000
-SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MILLISECONDS),
+SOCKET_OPTIONS = silence_options(
+    idle_seconds=2,
+    probe_seconds=1,
+    unacknowledged_milliseconds=SILENT_MILLISECONDS,
 )
 
 
--- /dev/null
+++ b/peridotwell/serving/sockets.py
@@ -0,0 +1,31 @@
+"""Socket options by which silent connections are found."""
+
+import socket
+
+__all__ = ('SocketOptions', 'silence_options')
+
+SocketOptions = tuple[tuple[int, int, int], ...]
+LOST_PROBES = 2
+
+
+def silence_options(
+    idle_seconds: int,
+    probe_seconds: int,
+    unacknowledged_milliseconds: int,
+) -> SocketOptions:
+    """Return options that end a connection whose other side is gone.
+
+    A connection that is idle for `idle_seconds` is probed every
+    `probe_seconds`; what was sent must be acknowledged in the time given.
+    """
+    return (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_seconds),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_seconds),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, LOST_PROBES),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            unacknowledged_milliseconds,
+        ),
+    )
--- a/peridotwell/settings.py
+++ b/peridotwell/settings.py
@@ -4,12 +4,11 @@
 must be refused by name. docs/operators/settings.md describes each key.
 """
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from peridotwell.errors import SettingsError
+from peridotwell.toml_files import read_toml
 
 __all__ = ('Settings', 'load_settings')
 
@@ -84,15 +83,9 @@
 
     Raises SettingsError, whose message names the key and the remedy.
     """
-    try:
-        text = Path(path).read_bytes()
-    except OSError as exc:
-        raise SettingsError(
-            f'{path}: {exc.strerror}: give an existing file with --settings.',
-        ) from exc
-    try:
-        return msgspec.toml.decode(text, type=Settings)
-    except msgspec.DecodeError as exc:
-        raise SettingsError(
-            f'{path}: {exc}: correct this key, see docs/operators/settings.md.',
-        ) from exc
+    return read_toml(
+        path,
+        Settings,
+        if_unreadable='give an existing file with --settings',
+        if_wrong='correct this key, see docs/operators/settings.md',
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,8 @@
-import socket
-
 import pytest
 from hypothesis import settings
 
 from standins.site import Site
+from tests.ports import find_free_port
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
@@ -17,9 +16,4 @@
 
 @pytest.fixture
 def free_port():
-    def find() -> int:
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            return probe.getsockname()[1]
-
-    return find
+    return find_free_port
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -11,10 +11,26 @@
 from peridotwell.serving.asgi import Exchange
 
 SETTLE_SECONDS = 0.01
+TIMEOUT_MS = 1500
 # Longer than the objectives of the tests, well within their deadlines.
 QUEUE_SECONDS = 0.5
 
 
+def route(name, kind, **changes):
+    """Return a route of the configuration, as the store has it."""
+    return {
+        'name': name,
+        'host': 'a.example',
+        'path_prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': TIMEOUT_MS,
+        'slo_ms': 100,
+        'service': 'svc',
+        'max_attempts': 2,
+        **changes,
+    }
+
+
 class StoreStandIn:
     """Keeps items in memory; `faults` are taken one a call, in order.
 
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -20,31 +20,16 @@
 from tests.peridotwell_platform import stand_in
 
 SEAL = b'x-server-seal'
-TIMEOUT_MS = 1500
-
-
-def route(name, kind, **changes):
-    return {
-        'name': name,
-        'host': 'a.example',
-        'path_prefix': f'/{name}/',
-        'kind': kind,
-        'timeout_ms': TIMEOUT_MS,
-        'slo_ms': 100,
-        'service': 'svc',
-        'max_attempts': 2,
-        **changes,
-    }
 
 
 CONFIG = {
     'version': 1,
     'routes': [
-        route('read', 'idempotent'),
-        route('book', 'non_idempotent', max_attempts=1),
-        route('draft', 'streaming', max_attempts=1),
-        route('ask', 'streaming', resumable=True),
-        route('open', 'idempotent', anonymous=True),
+        stand_in.route('read', 'idempotent'),
+        stand_in.route('book', 'non_idempotent', max_attempts=1),
+        stand_in.route('draft', 'streaming', max_attempts=1),
+        stand_in.route('ask', 'streaming', resumable=True),
+        stand_in.route('open', 'idempotent', anonymous=True),
     ],
     'services': [{'name': 'svc', 'max_conns': 10}],
     'limits': {
@@ -345,7 +330,7 @@
     began = trio.current_time()
     resp = await site.ask('/book/x', 'POST', b'kg', x_deadline_ms='60000')
     assert resp.status == 504
-    assert trio.current_time() - began < TIMEOUT_MS / 1000 + 0.5
+    assert trio.current_time() - began < stand_in.TIMEOUT_MS / 1000 + 0.5
 
 
 async def test_a_caller_that_leaves_stops_the_work(site):
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -6,17 +6,18 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import msgspec
 import trio
 
 from peridotwell.serving.asgi import serve_http
-from tests.peridotwell_platform.stand_in import StoreStandIn, receipt
+from tests.peridotwell_platform.stand_in import StoreStandIn, receipt, route
+from tests.ports import find_free_port
 from tests.soak.promises import Promises
 from tests.soak.proxy import Link, open_link
 
@@ -46,20 +47,8 @@
 """
 
 
-def _route(name: str, kind: str, **changes) -> dict:
-    return {
-        'name': name,
-        'host': 'a.example',
-        'path_prefix': f'/{name}/',
-        'kind': kind,
-        'timeout_ms': DEADLINE_SECONDS * 1000,
-        'slo_ms': 200,
-        'service': 'svc',
-        'max_attempts': 2,
-        **changes,
-    }
-
-
+# An objective that the targets keep when nothing harms them.
+_route = partial(route, slo_ms=200)
 ROUTES = (
     _route('read', 'idempotent'),
     _route('book', 'non_idempotent', max_attempts=1),
@@ -213,18 +202,11 @@
     return site
 
 
-def _free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-    return port
-
-
 def _make_router(site: Site, number: int) -> Router:
     name = f'r{number}'
     # No connection from elsewhere uses a port of this address.
     ip = f'127.0.0.{FIRST_ADDRESS + number}'
-    ports = {key: _free_port(ip) for key in ('callers', 'ready', 'peers')}
+    ports = {key: find_free_port(ip) for key in ('callers', 'ready', 'peers')}
     path = site.folder / f'{name}.toml'
     path.write_text(
         SETTINGS.format(
