--- a/peridotwell/fleet/relay_protocol.py
+++ b/peridotwell/fleet/relay_protocol.py
@@ -10,33 +10,20 @@
 does not call the store for them, unless a change is large.
 """
 
-import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from peridotwell.fleet.frames import RouterUpdate, StoreChanges, UpdateBatch
 from peridotwell.fleet.peer_transport import PeerTransport
 from peridotwell.fleet.peers import Peers
+from peridotwell.fleet.relay_topology import RelayTopology
 from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.logs import log_event
-from peridotwell.policy.relays import (
-    GroupMember,
-    RelayMonitor,
-    make_relay_groups,
-    needs_relays,
-)
+from peridotwell.policy.relays import needs_relays
 
 __all__ = ('RelayProtocol',)
 
 # Minimum time between two batches, with and without pending updates.
 BATCH_SECONDS = 0.06
 IDLE_BATCH_SECONDS = 0.2
-# Routers that have sent this router a batch within this time receive batches
-# from it.
-RECENT_SECONDS = 2.0
-# Minimum time between two computations of the groups. A router that joins or
-# leaves may change the groups this much later.
-REGROUP_SECONDS = 0.5
 # Larger changes are read from the store, which has more bandwidth than a relay.
 MAX_CHANGES_BYTES = 4000
 # A relay reports that it follows the store if the store has answered it within
@@ -46,15 +33,6 @@
 RecordUpdate = Callable[[RouterUpdate, float], bool]
 
 
-@dataclass
-class _BatchSource:
-    """A router that has sent a batch: a member, or another group's relay."""
-
-    received_at: float
-    follows_store: bool
-    revision: int
-
-
 class RelayProtocol:
     """Sends and handles batches, as a member of a group and as a relay."""
 
@@ -64,20 +42,15 @@
         transport: PeerTransport,
         directory: ServiceDirectory,
     ) -> None:
+        self.topology = RelayTopology(peers)
         self._peers = peers
         self._transport = transport
         self._directory = directory
         self._own = peers.own.sender
-        self._monitor = RelayMonitor()
-        self._sources: dict[int, _BatchSource] = {}
         self._group_updates: list[RouterUpdate] = []
         self._other_updates: list[RouterUpdate] = []
         self._sent_at = float(0)
         self._sent_revision = 0
-        self._relay: int | None = None
-        self._group: tuple[int, ...] = (self._own,)
-        self._other_groups: list[tuple[int, ...]] = []
-        self._grouped_at = -math.inf
 
     def is_enabled(self) -> bool:
         """Return whether the fleet is large enough for relays."""
@@ -85,12 +58,10 @@
 
     def must_follow_store(self, now: float) -> bool:
         """Return whether this router must follow the store itself."""
-        if not self.is_enabled() or self._relay is None:
+        if not self.is_enabled() or self.topology.members(now):
             return True
-        if self._members(now):
-            return True
-        relay = self._sources.get(self._relay)
-        if relay is None or not self._monitor.is_responsive(self._relay, now):
+        relay = self.topology.responsive_relay(now)
+        if relay is None:
             return True
         is_behind = self._directory.known_revision < relay.revision
         return is_behind or not relay.follows_store
@@ -101,8 +72,8 @@
         A router that is a relay itself sends it with its next batch.
         """
         self._group_updates.append(update)
-        relays = self._choose_relays(now)
-        if relays and not self._members(now):
+        relays = self.topology.choose_relays(now)
+        if relays and not self.topology.members(now):
             self._send_to_relays(relays, now)
             self._group_updates.clear()
 
@@ -113,12 +84,10 @@
         if now - self._sent_at < interval:
             return
         self._sent_at = now
-        relays = self._choose_relays(now)
-        members = self._members(now)
+        relays = self.topology.choose_relays(now)
+        members = self.topology.members(now)
         if members or not relays:
-            other_relays = self._other_relays(now).union(
-                self._recent_other_relays(now)
-            )
+            other_relays = self.topology.other_relays(now)
             self._send_to_relays((*relays, *other_relays), now)
             self._send_to_members(members, now)
         self._group_updates.clear()
@@ -134,16 +103,11 @@
         sender = self._peers.peer(batch.sender)
         if sender is None:
             return
-        self._monitor.record_received(batch.sender, now)
-        self._sources[batch.sender] = _BatchSource(
-            now,
-            batch.follows_store,
-            batch.revision,
-        )
+        self.topology.record_received(batch, now)
         new_updates = [
             update for update in batch.updates if record_update(update, now)
         ]
-        if self._is_member(batch.sender):
+        if self.topology.is_member(batch.sender):
             self._group_updates.extend(new_updates)
         else:
             self._other_updates.extend(new_updates)
@@ -164,7 +128,7 @@
     def _send_to_relays(self, relays: Iterable[int], now: float) -> None:
         batch = self._make_batch(self._group_updates, None, now)
         for relay in relays:
-            self._monitor.record_sent(relay, now)
+            self.topology.record_sent(relay, now)
         self._send(relays, batch)
 
     def _send_to_members(self, members: Iterable[int], now: float) -> None:
@@ -218,71 +182,3 @@
 
     def _follows_store(self, now: float) -> bool:
         return now - self._directory.store_answered_at <= STORE_FRESH_SECONDS
-
-    def _members(self, now: float) -> list[int]:
-        """Return the routers of this group that have chosen this router."""
-        return [
-            router
-            for router in self._recent_senders(now)
-            if self._is_member(router)
-        ]
-
-    def _recent_other_relays(self, now: float) -> list[int]:
-        """Return the relays of other groups that send to this router."""
-        return [
-            router
-            for router in self._recent_senders(now)
-            if router not in self._group
-        ]
-
-    def _other_relays(self, now: float) -> set[int]:
-        return {
-            relay
-            for group in self._other_groups
-            for relay in self._monitor.choose_relays(group, self._own, now)
-        }
-
-    def _recent_senders(self, now: float) -> list[int]:
-        return [
-            router
-            for router, source in self._sources.items()
-            if now - source.received_at <= RECENT_SECONDS
-        ]
-
-    def _is_member(self, router: int) -> bool:
-        """Return whether a router may choose this router as its relay.
-
-        It may if it comes later in the order of the group.
-        """
-        return router in self._group[self._group.index(self._own) :]
-
-    def _choose_relays(self, now: float) -> tuple[int, ...]:
-        """Return the relays of this router; none if it is a relay itself."""
-        if now - self._grouped_at >= REGROUP_SECONDS:
-            self._regroup(now)
-        chosen = self._monitor.choose_relays(self._group, self._own, now)
-        relay = chosen[0] if chosen else None
-        if relay != self._relay:
-            self._relay = relay
-            peer = self._peers.peer(relay or self._own)
-            name = peer.hello.name if peer else self._peers.own.name
-            log_event('relay.chosen', router=name)
-        return chosen
-
-    def _regroup(self, now: float) -> None:
-        self._grouped_at = now
-        self._sources = {
-            router: self._sources[router]
-            for router in self._recent_senders(now)
-        }
-        members = [
-            GroupMember(peer.wire_id, peer.hello.data_centre)
-            for peer in self._peers.known_peers()
-            if not peer.is_leaving
-        ]
-        own = GroupMember(self._own, self._peers.own.data_centre)
-        groups = make_relay_groups((*members, own))
-        self._group = next(group for group in groups if self._own in group)
-        self._other_groups = [
-            group for group in groups if group is not self._group
-        ]
