Log and count what delays the state that routers tell each other

Now each router measures how long its own updates take to return from its relay: logged with each answer (update_delay) and, with the delay of the event loop and the bytes sent to peers, once a second as state.delayed when late. Totals of bytes, frames and dropped frames are on the metrics page. peer.unknown counted repeated updates too; they are peer.stale_update now.

--- a/peridotwell/fleet/update_exchange.py
+++ b/peridotwell/fleet/update_exchange.py
@@ -14,6 +14,7 @@
 import trio
 
 from peridotwell.domain.target import wire_id
+from peridotwell.fleet.delay_monitor import DelayMonitor
 from peridotwell.fleet.frames import (
     CachedPrompt,
     CachesPull,
@@ -37,6 +38,7 @@
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 from peridotwell.policy.quarantine import CrashRecord, Quarantine
+from peridotwell.policy.update_delay import UpdateDelay
 
 __all__ = ('ForwardingState', 'UpdateExchange')
 
@@ -91,6 +93,8 @@
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
+        self.update_delay = UpdateDelay()
+        self.delay_monitor = DelayMonitor(transport, self.update_delay, metrics)
         self.own_requests = OwnCounts()
         self.own_prefill_tokens = OwnCounts()
         # Set when there are changes that the peers should receive soon.
@@ -141,6 +145,7 @@
             self.relay_protocol.tick(now)
         self._remove_dead_routers(now)
         self._pull_if_behind(now)
+        self.delay_monitor.tick(now)
 
     def _update_interval(self, now: float) -> float:
         """Return the minimum time between the last update and the next."""
@@ -207,7 +212,7 @@
         self._crash_records.clear()
         self.has_updates = trio.Event()
         if self.relay_protocol.is_enabled():
-            self.relay_protocol.send_update(update, now)
+            self._send_through_relay(update, now)
         else:
             addresses = [
                 peer.hello.peer_address for peer in self.peers.known_peers()
@@ -217,6 +222,13 @@
         if is_full:
             self._full_at = now
 
+    def _send_through_relay(self, update: RouterUpdate, now: float) -> None:
+        self.relay_protocol.send_update(update, now)
+        if self.relay_protocol.topology.relay is None:
+            self.update_delay.clear()
+        else:
+            self.update_delay.record_sent(update.sequence, now)
+
     def _handle_update(
         self, update: RouterUpdate, now: float, unix_now: float
     ) -> bool:
@@ -226,10 +238,14 @@
         router.
         """
         if update.sender == self._own:
+            self.update_delay.record_returned(update.sequence, now)
             return False
-        if not self.peers.record_update(update, now):
+        if self.peers.peer(update.sender) is None:
             self._metrics.count('peer.unknown')
             return False
+        if not self.peers.record_update(update, now):
+            self._metrics.count('peer.stale_update')
+            return False
         for counts, pairs in (
             (self.state.peer_requests, update.outstanding_requests),
             (self.state.peer_prefill_tokens, update.prefill_tokens),
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -68,7 +68,11 @@
 
     async def _update(self) -> None:
         update_exchange = self.components.update_exchange
+        started_at = trio.current_time()
         await trio.sleep(MIN_UPDATE_SECONDS)
+        update_exchange.delay_monitor.record_loop_delay(
+            trio.current_time() - started_at - MIN_UPDATE_SECONDS
+        )
         with trio.move_on_after(UPDATE_SECONDS - MIN_UPDATE_SECONDS):
             await update_exchange.has_updates.wait()
         update_exchange.tick(trio.current_time())
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -204,7 +204,8 @@
         first_at: float,
     ) -> None:
         first_part_seconds = first_at - request.arrived_at
-        total_seconds = trio.current_time() - request.arrived_at
+        now = trio.current_time()
+        total_seconds = now - request.arrived_at
         self._metrics.count(f'request.status.{status}')
         if status in SUCCESSES:
             self._measure(request, Measure.first_token, first_part_seconds)
@@ -221,6 +222,9 @@
             missing_tokens=choice.missing_tokens if choice else 0,
             fetched_tokens=choice.fetched_tokens if choice else 0,
             tokens_ahead=choice.tokens_ahead if choice else 0,
+            update_delay=round(
+                self._update_exchange.update_delay.seconds(now), 3
+            ),
             status=status,
             attempts=attempts.number,
             first_seconds=round(first_part_seconds, 4),
--- a/peridotwell/metrics.py
+++ b/peridotwell/metrics.py
@@ -55,6 +55,12 @@
         if self._statsd is not None:
             self._statsd.incr(name, amount)
 
+    def record_total(self, name: str, total: int) -> None:
+        """Raise a counter to a total that is counted elsewhere."""
+        increase = total - self.counters[name]
+        if increase > 0:
+            self.count(name, increase)
+
     def gauge(self, name: str, value: float) -> None:
         """Send the current value of a gauge to statsd."""
         if self._statsd is not None:
