--- a/tests/fleet/test_update_exchange.py
+++ b/tests/fleet/test_update_exchange.py
@@ -53,12 +53,20 @@
 class Router:
     """A router with its update exchange, without callers or a store."""
 
-    def __init__(self, name, routers, data_centre='a'):
+    def __init__(
+        self,
+        name,
+        routers,
+        data_centre='a',
+        decoder=None,
+        snapshot=SNAPSHOT,
+        transport=None,
+    ):
         self.inbox = []
         self.hello = make_hello(name, data_centre, name, '', 1)
-        self.transport = InMemoryTransport(name, routers)
-        self.directory = ServiceDirectory(Decoder())
-        self.directory.apply_snapshot(SNAPSHOT, 0)
+        self.transport = transport or InMemoryTransport(name, routers)
+        self.directory = ServiceDirectory(decoder or Decoder())
+        self.directory.apply_snapshot(snapshot, 0)
         self.knowledge = ForwardingState(
             self.directory,
             PromptCacheIndex(),
