--- a/tests/forwarding/test_load_bound.py
+++ b/tests/forwarding/test_load_bound.py
@@ -65,7 +65,7 @@
     assert share_over_bound(ENGINES, jobs) <= MAX_SHARE_OVER_BOUND
 
 
-# Guards against all routers choosing the same target of a plain service at once.
+# Guards against all routers choosing one target of a plain service at once.
 def test_routers_do_not_herd_onto_one_plain_target_in_a_burst():
     rng = random.Random(20)
     jobs = [plain_job(rng, now) for now in arrivals(rng, factor=0.4)]
