Relays are chosen by the rate of their links, and serve as many as fit

Cause: a relay sends every update to each router of its group. With 28 routers in a group that is over 1 MB/s, on links of 625 KB/s. The frames wait in queues before the link; batches still arrive all the time, so members neither ask the store nor another relay, but what they hear is seconds old, the revision that tells of a new configuration included. The relay's own calls to the store fail on the same link, and so do its readiness checks.

Both tests in tests/fleet/test_relay_links.py failed before: 2.65 s late, and 3 of 84 routers with the configuration after 3 s.

Change: the settings' link rate is told in a router's entry. Routers with faster links come first as relays, and a group is only as large as half of its relay's link can serve at 60 KB/s a router. Entries of older versions have no rate and count as before.

--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -58,7 +58,10 @@
 
 
 class Hello(Frame, frozen=True, array_like=True, tag=1):
-    """The identity and addresses of a router; sent again after a restart."""
+    """The identity and addresses of a router; sent again after a restart.
+
+    `link_bytes_per_second` is the rate of its link, 0 if unknown.
+    """
 
     name: str
     data_centre: str
@@ -66,6 +69,7 @@
     operator_address: str
     incarnation: int
     wants_reply: bool = False
+    link_bytes_per_second: int = 0
 
 
 class Heartbeat(Frame, frozen=True, array_like=True, tag=2):
--- a/peridotwell/fleet/peers.py
+++ b/peridotwell/fleet/peers.py
@@ -210,6 +210,7 @@
     peer_address: str,
     operator_address: str,
     incarnation: int,
+    link_bytes_per_second: int = 0,
 ) -> Hello:
     """Return the message with a router's identity and addresses."""
     return Hello(
@@ -219,4 +220,5 @@
         peer_address=peer_address,
         operator_address=operator_address,
         incarnation=incarnation,
+        link_bytes_per_second=link_bytes_per_second,
     )
--- a/peridotwell/fleet/relay_topology.py
+++ b/peridotwell/fleet/relay_topology.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass
 
-from peridotwell.fleet.frames import UpdateBatch
+from peridotwell.fleet.frames import Hello, UpdateBatch
 from peridotwell.fleet.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.policy.relays import (
@@ -127,13 +127,19 @@
             for router in self._recent_senders(now)
         }
         members = [
-            GroupMember(peer.wire_id, peer.hello.data_centre)
+            _group_member(peer.hello)
             for peer in self._peers.known_peers()
             if not peer.is_leaving
         ]
-        own = GroupMember(self._own, self._peers.own.data_centre)
+        own = _group_member(self._peers.own)
         groups = make_relay_groups((*members, own))
         self._group = next(group for group in groups if self._own in group)
         self._other_groups = [
             group for group in groups if group is not self._group
         ]
+
+
+def _group_member(hello: Hello) -> GroupMember:
+    return GroupMember(
+        hello.sender, hello.data_centre, hello.link_bytes_per_second
+    )
--- a/peridotwell/fleet/router_registry.py
+++ b/peridotwell/fleet/router_registry.py
@@ -33,6 +33,7 @@
     peer_address: str
     operator_address: str
     incarnation: int
+    link_bytes_per_second: int = 0
 
 
 def decode_router(content: bytes) -> Hello | None:
@@ -83,6 +84,7 @@
                 self._own.peer_address,
                 self._own.operator_address,
                 self._own.incarnation,
+                self._own.link_bytes_per_second,
             ),
         )
         for _ in range(MAX_ATTEMPTS):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -136,4 +136,5 @@
         settings.peers,
         '',
         int(time.time() * MILLISECONDS_PER_SECOND),
+        settings.link_bytes_per_second,
     )
--- a/peridotwell/forwarding/settings.py
+++ b/peridotwell/forwarding/settings.py
@@ -17,6 +17,7 @@
     """The identity, listening addresses and bounds of a router.
 
     `metrics` is the address that serves counters and histograms, or empty.
+    `link_bytes_per_second` is the rate of the machine's link, 0 if unknown.
     """
 
     name: str
@@ -26,6 +27,7 @@
     peers: str
     metrics: str
     bounds: DeploymentBounds
+    link_bytes_per_second: int = 0
 
 
 @dataclass(frozen=True)
--- a/peridotwell/policy/relays.py
+++ b/peridotwell/policy/relays.py
@@ -4,7 +4,9 @@
 with the fleet. Above `DIRECT_ROUTERS`, the routers of a data centre send
 their updates to one of them, the relay, which forwards them in batches. There
 is no election: all routers share one order of preference, and each uses the
-first relay that responds.
+first relay that responds. Routers with faster links come first. A relay sends
+every update to each router of its group, so groups are only as large as the
+link of their relay can serve.
 """
 
 from collections import defaultdict
@@ -21,6 +23,11 @@
 # Largest number of routers that share a relay. The relay sends each batch for
 # its group once to each of them.
 GROUP_ROUTERS = 32
+# Share of its link that a relay may use for its group; callers and targets use
+# the rest.
+RELAY_LINK_SHARE = 0.5
+# What a relay sends to each router of its group in a busy fleet.
+MEMBER_BYTES_PER_SECOND = 60_000
 # A relay counts as unresponsive after this time without a batch. A working
 # relay sends several batches in this time.
 SILENT_SECONDS = 0.5
@@ -32,10 +39,24 @@
 
 @dataclass(frozen=True)
 class GroupMember:
-    """The wire id of a router and its data centre."""
+    """A router that may be a relay.
+
+    `router` is its wire id, `link_bytes_per_second` the rate of its link, 0
+    if that is unknown.
+    """
 
     router: int
     data_centre: str
+    link_bytes_per_second: int = 0
+
+    @property
+    def max_group_routers(self) -> int:
+        """The largest group, including this router, that it can serve."""
+        if not self.link_bytes_per_second:
+            return GROUP_ROUTERS
+        usable = self.link_bytes_per_second * RELAY_LINK_SHARE
+        served = int(usable / MEMBER_BYTES_PER_SECOND)
+        return min(max(served, 1) + 1, GROUP_ROUTERS)
 
 
 def needs_relays(routers: int) -> bool:
@@ -49,17 +70,30 @@
     The routers of a group are in one data centre and are sorted by preference
     as relay. Routers that know the same members get the same groups.
     """
-    by_data_centre: dict[str, list[int]] = defaultdict(list)
+    by_data_centre: dict[str, list[GroupMember]] = defaultdict(list)
     for member in members:
-        by_data_centre[member.data_centre].append(member.router)
+        by_data_centre[member.data_centre].append(member)
     groups: list[tuple[int, ...]] = []
     for name in sorted(by_data_centre):
-        routers = sorted(by_data_centre[name], key=_preference)
-        count = -(-len(routers) // GROUP_ROUTERS)
+        ordered = sorted(by_data_centre[name], key=_preference)
+        count = _group_count(ordered)
+        routers = [member.router for member in ordered]
         groups.extend(tuple(routers[first::count]) for first in range(count))
     return groups
 
 
+def _group_count(ordered: Sequence[GroupMember]) -> int:
+    """Return the smallest number of groups that their relays can serve.
+
+    Each group is led by one of the first routers in the order of preference.
+    """
+    for count, slowest_relay in enumerate(ordered, 1):
+        largest_group = -(-len(ordered) // count)
+        if largest_group <= slowest_relay.max_group_routers:
+            return count
+    return len(ordered)
+
+
 class RelayMonitor:
     """The responsiveness of relays as one router sees it."""
 
@@ -115,5 +149,8 @@
         return self._skipped_until.get(relay, now) > now
 
 
-def _preference(router: int) -> int:
-    return rendezvous_score('relay', str(router))
+def _preference(member: GroupMember) -> tuple[int, int]:
+    return (
+        -member.max_group_routers,
+        rendezvous_score('relay', str(member.router)),
+    )
--- a/tests/fleet/test_relay_links.py
+++ b/tests/fleet/test_relay_links.py
@@ -79,6 +79,7 @@
             self.routers,
             data_centre,
             transport=LinkedTransport(name, self),
+            link_bytes_per_second=self.bytes_per_second,
         )
 
     def deliver(self, at, address, content):
--- a/tests/fleet/test_update_exchange.py
+++ b/tests/fleet/test_update_exchange.py
@@ -61,9 +61,12 @@
         decoder=None,
         snapshot=SNAPSHOT,
         transport=None,
+        link_bytes_per_second=0,
     ):
         self.inbox = []
-        self.hello = make_hello(name, data_centre, name, '', 1)
+        self.hello = make_hello(
+            name, data_centre, name, '', 1, link_bytes_per_second
+        )
         self.transport = transport or InMemoryTransport(name, routers)
         self.directory = ServiceDirectory(decoder or Decoder())
         self.directory.apply_snapshot(snapshot, 0)
--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -58,6 +58,15 @@
     assert found.bounds.grace_seconds == 5
 
 
+def test_link_rate_is_read_in_bytes_and_unknown_if_absent(write_settings):
+    path, _ = write_settings()
+    without_rate = load_platform_settings(str(path)).forwarding
+    assert without_rate.link_bytes_per_second == 0
+    path.write_text(f'{path.read_text()}\n[limits]\nlink_mbps = 5.0\n')
+    found = load_platform_settings(str(path)).forwarding
+    assert found.link_bytes_per_second == 625_000
+
+
 @pytest.mark.parametrize('text', ['', 'node = 3', '[listen]\n', '=='])
 def test_error_for_invalid_settings_says_what_to_do(tmp_path, text):
     path = tmp_path / 'node.toml'
--- a/tests/policy/test_relays.py
+++ b/tests/policy/test_relays.py
@@ -69,3 +69,31 @@
         for relay in monitor.choose_relays(GROUP, 9, now):
             monitor.record_sent(relay, now)
     assert monitor.choose_relays(GROUP, 9, 2) == ()
+
+
+def test_groups_are_as_large_as_the_links_of_their_relays_can_serve():
+    """In a large deployment, most routers had links of 5 Mbit/s."""
+    slow = [GroupMember(each, 'a', 625_000) for each in range(28)]
+    assert {len(group) for group in make_relay_groups(slow)} == {5, 6}
+    fast = [GroupMember(each, 'a', 12_500_000) for each in (100, 101)]
+    (group,) = make_relay_groups(slow + fast)
+    assert set(group[:2]) == {100, 101}
+
+
+def test_every_group_has_a_fast_relay_while_there_are_enough():
+    slow = [GroupMember(each, 'a', 625_000) for each in range(60)]
+    fast = [GroupMember(each, 'a', 12_500_000) for each in range(100, 104)]
+    groups = make_relay_groups(slow + fast)
+    assert [len(group) for group in groups] == [32, 32]
+    assert all(min(group[:2]) >= 100 for group in groups)
+
+
+@given(st.lists(st.integers(0, 2_000_000), min_size=1, max_size=80))
+def test_every_router_is_in_one_group_whatever_the_links(links):
+    routers = [
+        GroupMember(number, 'a', link) for number, link in enumerate(links)
+    ]
+    groups = make_relay_groups(routers)
+    assert sorted(each for group in groups for each in group) == [
+        *range(len(links))
+    ]
