Choose targets by room, as far as unreported requests may have filled them

Plain services too: eight requests to one of four targets within 40 ms.

Cause: every router ranks the targets by the same counts, which are 0.15 to 0.2 s old, and takes the best one. Until the counts have caught up, all take the same one.

Change: the requests that are not reported yet are estimated (outstanding requests / mean duration x age of the counts) and assumed to fill the least loaded targets up to a common level. A router chooses among targets of equal cost with a probability proportional to the room below that level. Engines that have the prompt share its requests; for a new prompt the routers agree on one. With no unreported requests it is the least loaded target, as before.

The simulation passes the duration to record_end, which the estimate needs; its checks and bounds are as they were.

--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -39,7 +39,7 @@
 ROUTER_COUNTS = (10, 60, 83)
 ITERATIONS = 300
 MICROSECONDS_PER_SECOND = 1_000_000
-PROMPT_NEEDS = PromptNeeds('document', 500, 0.4)
+PROMPT_NEEDS = PromptNeeds('document', 'request', 500, 0.4)
 PROMPT_PARTS = (CachedPart(1, 500), CachedPart(2, 10_000))
 
 
@@ -68,7 +68,7 @@
             for engine in engines
         ]
         source = CacheSource(engines[0], 0)
-        choose_engine(PROMPT_NEEDS, candidates, source, 2, 80_000)
+        choose_engine(PROMPT_NEEDS, candidates, source, 2, 80_000, 10)
     return (time.perf_counter() - began) / ITERATIONS * MICROSECONDS_PER_SECOND
 
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -99,7 +99,9 @@
         finally:
             if not is_prefilled:
                 self._tracker.record_prefill_end(request, choice)
-            self._tracker.record_end(attempt.target)
+            self._tracker.record_end(
+                attempt.target, trio.current_time() - started_at
+            )
 
     def record_activity(self, attempt: Attempt) -> None:
         """Record that a part of the response has arrived."""
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -69,15 +69,26 @@
             )
         if request.prompt is not None:
             return self._choose_engine(request, request.prompt, targets, now)
+        candidates = [
+            Candidate(target, self._tracker.load(target, now))
+            for target in targets
+        ]
         return choose_least_loaded(
-            [
-                Candidate(target, self._tracker.load(target, now))
-                for target in targets
-            ],
+            candidates,
             self._data_centre,
             request.request_id,
+            self._unseen_requests(request, candidates, now),
         )
 
+    def _unseen_requests(
+        self,
+        request: RoutedRequest,
+        candidates: Sequence[Candidate],
+        now: float,
+    ) -> float:
+        outstanding = sum(each.load for each in candidates)
+        return self._tracker.unseen_requests(request.service, outstanding, now)
+
     def _choose_engine(
         self,
         request: RoutedRequest,
@@ -88,15 +99,20 @@
         parts = cacheable_parts(prompt)
         needs = PromptNeeds(
             prompt.placement_key,
+            request.request_id,
             prompt.own_tokens,
             request.route.objective_seconds,
         )
+        candidates = [
+            self._engine_candidate(target, parts, now) for target in targets
+        ]
         return choose_engine(
             needs,
-            [self._engine_candidate(target, parts, now) for target in targets],
+            candidates,
             self._cache_source(request.service, parts, now),
             self._bounds.load_factor,
             self._tracker.prefill_speed(request.service).tokens_per_second,
+            self._unseen_requests(request, candidates, now),
         )
 
     def _engine_candidate(
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -14,10 +14,15 @@
 from peridotwell.policy.prefill_speed import PrefillSpeed
 from peridotwell.policy.prompt_cache_index import cacheable_parts
 from peridotwell.policy.silence import SilenceDetector
+from peridotwell.policy.stale_counts import RequestDuration
 from peridotwell.policy.target_load import LoadReport, TargetLoad
 
 __all__ = ('TargetTracker', 'tokens_to_prefill')
 
+# Time from a request until the router's next update, and until its relay sends
+# it on. The time on the way is measured.
+UNREPORTED_SECONDS = 0.15
+
 
 class TargetTracker:
     """Tracks load, silence, prefill speed and caches of all targets."""
@@ -38,6 +43,7 @@
         self._loads: dict[str, TargetLoad] = {}
         self._incarnations: dict[str, str] = {}
         self._speeds: dict[str, PrefillSpeed] = {}
+        self._durations: dict[str, RequestDuration] = {}
         directory.on_change(self._remove_gone_targets)
 
     @property
@@ -116,9 +122,10 @@
             has_recent_failures or self.silence.is_silent(target.name, now)
         )
 
-    def record_end(self, target: Target) -> None:
-        """Record the end of a request."""
+    def record_end(self, target: Target, seconds: float) -> None:
+        """Record the end of a request that took this time."""
         self._load(target).record_end()
+        self._duration(target.pool.name).record(seconds)
         self.silence.record_end(target.name)
         self._update_exchange.own_requests.add(target.wire_id, -1)
 
@@ -145,6 +152,18 @@
             + others
         )
 
+    def unseen_requests(
+        self, service: str, outstanding: float, now: float
+    ) -> float:
+        """Return the requests that others have sent and not reported yet.
+
+        This is an estimate from the `outstanding` requests of the service.
+        """
+        delay = self._update_exchange.update_delay.seconds(now)
+        return self._duration(service).arrivals(
+            outstanding, UNREPORTED_SECONDS + delay
+        )
+
     def prefill_speed(self, service: str) -> PrefillSpeed:
         """Return the prefill speed of the engines of a service."""
         return self._speeds.setdefault(service, PrefillSpeed())
@@ -155,6 +174,9 @@
         is_ejected = self.ejection.is_ejected(name, now)
         return is_ejected or self.silence.is_silent(name, now)
 
+    def _duration(self, service: str) -> RequestDuration:
+        return self._durations.setdefault(service, RequestDuration())
+
     def _load(self, target: Target) -> TargetLoad:
         return self._loads.setdefault(target.name, TargetLoad())
 
--- a/peridotwell/policy/choice.py
+++ b/peridotwell/policy/choice.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.stale_counts import fill_level, room_score
 
 __all__ = ('Choice', 'Candidate', 'mean_load', 'choose_least_loaded')
 
@@ -13,7 +13,9 @@
 class Choice:
     """A chosen target with the figures that decided the choice.
 
-    `load` and `mean_load` count requests. `missing_tokens` are the prompt's
+    `load` and `mean_load` count requests; `level` is the load up to which
+    requests that are not reported yet may have filled the targets.
+    `missing_tokens` are the prompt's
     tokens that the target does not have cached; `fetched_tokens` are those
     of them that it can copy from the engine `fetch_from`; `tokens_ahead` are
     the tokens of other prompts that the target prefills first.
@@ -26,6 +28,7 @@
     fetched_tokens: int = 0
     tokens_ahead: int = 0
     fetch_from: Target | None = None
+    level: float = 0
 
 
 @dataclass(frozen=True)
@@ -44,21 +47,25 @@
 def choose_least_loaded(
     candidates: Sequence[Candidate],
     data_centre: str,
-    tie_key: str,
+    request_key: str,
+    unseen_requests: float,
 ) -> Choice:
-    """Return the least loaded target; equals in `data_centre` come first.
+    """Return a target with room for a request, mostly the least loaded one.
 
-    A target in another data centre counts as one request more. The hash of
-    `tie_key` decides among the targets that are still equal, so that routers
-    do not all choose the same one.
+    A target in another data centre counts as one request more.
+    `unseen_requests` are those that other routers have sent and not reported
+    yet; the hash of `request_key` decides among the targets that they may
+    have filled.
     """
-
-    def cost(candidate: Candidate) -> tuple[float, int]:
-        target = candidate.target
-        remote_penalty = target.pool.data_centre != data_centre
-        return candidate.load + remote_penalty, -rendezvous_score(
-            tie_key, target.name
-        )
-
-    best = min(candidates, key=cost)
-    return Choice(best.target, best.load, mean_load(candidates))
+    costs = {
+        each: each.load + (each.target.pool.data_centre != data_centre)
+        for each in candidates
+    }
+    level = fill_level(tuple(costs.values()), unseen_requests)
+    best = max(
+        candidates,
+        key=lambda each: room_score(
+            request_key, each.target.name, level - costs[each]
+        ),
+    )
+    return Choice(best.target, best.load, mean_load(candidates), level=level)
--- a/peridotwell/policy/engine_choice.py
+++ b/peridotwell/policy/engine_choice.py
@@ -7,6 +7,11 @@
 has to prefill, plus a penalty that grows as the expected time to the first
 token approaches the objective. Only engines below the load bound are chosen,
 unless none is.
+
+Engines whose costs differ by less than one running request are equal, because
+the loads are not known more exactly. Routers agree on the engine of a new
+prompt, so that one engine caches it; if engines have it, they share its
+requests.
 """
 
 from collections.abc import Sequence
@@ -14,7 +19,7 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.policy.choice import Candidate, Choice, mean_load
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.stale_counts import fill_level, room_score
 
 __all__ = ('EngineCandidate', 'PromptNeeds', 'CacheSource', 'choose_engine')
 
@@ -63,12 +68,14 @@
 class PromptNeeds:
     """The properties of a prompt that decide which engine suits it.
 
-    `subject` is the key of the prompt for rendezvous hashing. `own_tokens` is
-    the number of tokens that no other prompt shares.
-    `objective_seconds` is the objective for the time to the first token.
+    `subject` is the key of the prompt for rendezvous hashing, `request_key`
+    that of the request. `own_tokens` is the number of tokens that no other
+    prompt shares. `objective_seconds` is the objective for the time to the
+    first token.
     """
 
     subject: str
+    request_key: str
     own_tokens: int
     objective_seconds: float
 
@@ -79,25 +86,26 @@
     source: CacheSource | None,
     load_factor: float,
     tokens_per_second: float,
+    unseen_requests: float,
 ) -> Choice:
-    """Return the engine with the lowest cost.
+    """Return an engine with the lowest cost.
 
     `source` is None if engines cannot copy from each other. `load_factor` is
-    the bound on an engine's load as a multiple of the mean load. Among equal
-    engines, the one with the highest rendezvous score is chosen.
+    the bound on an engine's load as a multiple of the mean load.
+    `unseen_requests` are those that other routers have sent and not reported
+    yet. Equal engines are chosen according to their room for more requests.
     """
     mean = mean_load(candidates)
+    level = fill_level([each.load for each in candidates], unseen_requests)
     bound = (
         mean * (1 + (load_factor - 1) * BOUND_FRACTION) + BOUND_EXTRA_REQUESTS
     )
     allowed = [each for each in candidates if each.load < bound]
-    best = min(
-        allowed or candidates,
-        key=lambda each: (
-            _cost(needs, each, source, tokens_per_second),
-            -rendezvous_score(needs.subject, each.target.name),
-        ),
-    )
+    costs = [
+        (_cost(needs, each, source, tokens_per_second, level), each)
+        for each in allowed or candidates
+    ]
+    best = _engine_with_room(needs, costs, level)
     fetched_tokens = _fetched_tokens(best, source)
     return Choice(
         best.target,
@@ -107,6 +115,23 @@
         fetched_tokens,
         best.tokens_ahead,
         source.target if source and fetched_tokens else None,
+        level,
+    )
+
+
+def _engine_with_room(
+    needs: PromptNeeds,
+    costs: Sequence[tuple[float, EngineCandidate]],
+    level: float,
+) -> EngineCandidate:
+    """Return one of the engines whose costs are equal to the lowest cost."""
+    max_cost = min(cost for cost, _ in costs) + TOKENS_PER_REQUEST
+    equal = [each for cost, each in costs if cost < max_cost]
+    is_cached = all(not each.missing_tokens for each in equal)
+    key = needs.request_key if is_cached else needs.subject
+    return max(
+        equal,
+        key=lambda each: room_score(key, each.target.name, level - each.load),
     )
 
 
@@ -115,8 +140,12 @@
     engine: EngineCandidate,
     source: CacheSource | None,
     tokens_per_second: float,
+    level: float,
 ) -> float:
-    """Return the cost of an engine, in prefill tokens."""
+    """Return the cost of an engine, in prefill tokens.
+
+    An engine below `level` is expected to be filled up to it.
+    """
     fetched_tokens = _fetched_tokens(engine, source)
     prefill_tokens = engine.missing_tokens - fetched_tokens
     work = prefill_tokens + fetched_tokens * FETCH_COST
@@ -125,7 +154,7 @@
     ) / tokens_per_second
     return (
         work
-        + engine.load * TOKENS_PER_REQUEST
+        + max(engine.load, level) * TOKENS_PER_REQUEST
         + _lateness_penalty(wait_seconds, needs.objective_seconds)
         * TOKENS_PER_LATE_RESPONSE
     )
--- a/tests/forwarding/simulated_targets.py
+++ b/tests/forwarding/simulated_targets.py
@@ -182,7 +182,8 @@
     def _end(self, now, count_from, job, request, choice):
         self.loads[choice.target.name] -= 1
         self.totals[job.service] -= 1
-        self.routers[job.router].tracker.record_end(choice.target)
+        tracker = self.routers[job.router].tracker
+        tracker.record_end(choice.target, job.seconds)
 
     def _make_request(self, job):
         request_id = str(next(self._order))
--- a/tests/forwarding/test_load_bound.py
+++ b/tests/forwarding/test_load_bound.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from dataclasses import replace
 
 from tests.forwarding.simulated_targets import (
     ENGINES,
@@ -24,6 +25,8 @@
 CALM_RATE = 250
 BURST_RATE = 430
 BURST_SECONDS = 0.5
+# Share of the requests that have the same prompt.
+POPULAR_SHARE = 0.15
 
 
 def arrivals(rng, factor=1.0):
@@ -46,6 +49,12 @@
     )
 
 
+def popular_prompt_job(rng, now):
+    job = engine_job(rng, now, subjects=2000)
+    is_popular = rng.random() < POPULAR_SHARE
+    return replace(job, subject='popular') if is_popular else job
+
+
 def plain_job(rng, now):
     seconds = rng.uniform(0.04, 0.1)
     return Job(now, rng.randrange(ROUTERS), PLAIN, seconds, seconds)
@@ -70,3 +79,10 @@
     rng = random.Random(20)
     jobs = [plain_job(rng, now) for now in arrivals(rng, factor=0.4)]
     assert share_over_bound(PLAIN, jobs) <= MAX_SHARE_OVER_BOUND
+
+
+# Guards against one popular prompt overloading the engine that has it cached.
+def test_routers_do_not_herd_onto_the_engine_of_a_popular_prompt():
+    rng = random.Random(21)
+    jobs = [popular_prompt_job(rng, now) for now in arrivals(rng)]
+    assert share_over_bound(ENGINES, jobs) <= MAX_SHARE_OVER_BOUND
--- a/tests/policy/test_engine_choice.py
+++ b/tests/policy/test_engine_choice.py
@@ -1,5 +1,7 @@
 """Tests of the choice of an engine under several kinds of load."""
 
+from dataclasses import replace
+
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
@@ -12,7 +14,7 @@
 
 SPEED = 80_000.0
 FACTOR = 2.0
-NEEDS = PromptNeeds('document-7', 500, 0.4)
+NEEDS = PromptNeeds('document-7', 'request-1', 500, 0.4)
 
 
 def engine(name: str) -> Target:
@@ -23,8 +25,8 @@
     return EngineCandidate(engine(name), load, missing, ahead)
 
 
-def choose(candidates, source=None, needs=NEEDS):
-    return choose_engine(needs, candidates, source, FACTOR, SPEED)
+def choose(candidates, source=None, needs=NEEDS, unseen=0.0):
+    return choose_engine(needs, candidates, source, FACTOR, SPEED, unseen)
 
 
 def test_an_engine_with_the_prompt_cached_is_preferred():
@@ -50,7 +52,7 @@
     chosen = [
         choose(
             [candidate(name) for name in names],
-            needs=PromptNeeds(f'document-{number}', 500, 0.4),
+            needs=PromptNeeds(f'document-{number}', 'request-1', 500, 0.4),
         ).target.name
         for number in range(600)
     ]
@@ -112,7 +114,41 @@
 
 
 def test_a_route_without_an_objective_ignores_the_wait():
-    needs = PromptNeeds('document-7', 500, 0)
+    needs = PromptNeeds('document-7', 'request-1', 500, 0)
     late = candidate('warm', load=3, missing=0, ahead=60_000)
     free = candidate('free', load=3, missing=10_000)
     assert choose([late, free], needs=needs).target.name == 'warm'
+
+
+def test_requests_of_a_cached_prompt_are_shared_by_the_engines_that_have_it():
+    """A popular prompt would load one of them alone until counts arrive."""
+    names = [f'engine-{number}' for number in range(4)]
+    chosen = [
+        choose(
+            [candidate(name, load=3, missing=0) for name in names],
+            needs=replace(NEEDS, request_key=f'request-{number}'),
+        ).target.name
+        for number in range(400)
+    ]
+    assert min(chosen.count(name) for name in names) > 60
+
+
+def test_an_idle_engine_is_not_chosen_by_all_while_others_fill_it():
+    """Sixty routers saw the same idle engine and all chose it."""
+    candidates = [candidate('idle', load=0)]
+    candidates += [candidate(f'engine-{n}', load=4) for n in range(9)]
+    chosen = [
+        choose(
+            candidates,
+            needs=replace(NEEDS, subject=f'document-{number}'),
+            unseen=16,
+        ).target.name
+        for number in range(400)
+    ]
+    # The room of the idle engine is 5.2 of the 16 requests.
+    assert 90 < chosen.count('idle') < 180
+
+
+def test_the_idle_engine_is_chosen_while_nothing_is_on_its_way():
+    candidates = [candidate('idle', load=0), candidate('busy', load=4)]
+    assert choose(candidates).target.name == 'idle'
