Leave a relay when what it sends is late, not only when it is silent

Batches that wait before a slow link arrive all the time, seconds old.

Change: a router leaves its relay when its own updates take over a second to return from it, and avoids it for ten seconds. Only one relay is avoided at a time: a router that finds two late is slow itself. relay.late is logged.

--- a/peridotwell/fleet/relay_protocol.py
+++ b/peridotwell/fleet/relay_protocol.py
@@ -73,7 +73,10 @@
         """
         self._group_updates.append(update)
         relays = self.topology.choose_relays(now)
-        if relays and not self.topology.members(now):
+        if not relays:
+            return
+        self.topology.update_delay.record_sent(update.sequence, now)
+        if not self.topology.members(now):
             self._send_to_relays(relays, now)
             self._group_updates.clear()
 
--- a/peridotwell/fleet/relay_topology.py
+++ b/peridotwell/fleet/relay_topology.py
@@ -16,6 +16,7 @@
     RelayMonitor,
     make_relay_groups,
 )
+from peridotwell.policy.update_delay import UpdateDelay
 
 __all__ = ('BatchSource', 'RelayTopology')
 
@@ -25,6 +26,8 @@
 # Minimum time between two computations of the groups. A router that joins or
 # leaves may change the groups this much later.
 REGROUP_SECONDS = 0.5
+# A relay is left if own updates take longer to return from it.
+MAX_UPDATE_DELAY_SECONDS = 1.0
 
 
 @dataclass
@@ -42,6 +45,8 @@
     def __init__(self, peers: Peers) -> None:
         # The relay of this router; None if it is a relay itself.
         self.relay: int | None = None
+        # The time that own updates take to return from the relay.
+        self.update_delay = UpdateDelay()
         self._peers = peers
         self._own = peers.own.sender
         self._monitor = RelayMonitor()
@@ -104,15 +109,35 @@
         """Return the relays of this router; none if it is a relay itself."""
         if now - self._grouped_at >= REGROUP_SECONDS:
             self._regroup(now)
+        self._leave_late_relay(now)
         chosen = self._monitor.choose_relays(self._group, self._own, now)
         relay = chosen[0] if chosen else None
         if relay != self.relay:
             self.relay = relay
-            peer = self._peers.peer(relay or self._own)
-            name = peer.hello.name if peer else self._peers.own.name
-            log_event('relay.chosen', router=name)
+            self.update_delay.clear()
+            log_event('relay.chosen', router=self._name(relay))
         return chosen
 
+    def _leave_late_relay(self, now: float) -> None:
+        """Avoid the relay if what it sends is late.
+
+        Batches that have waited before a slow link arrive all the time, so
+        their arrival does not show how old they are.
+        """
+        delay = self.update_delay.seconds(now)
+        if self.relay is None or delay <= MAX_UPDATE_DELAY_SECONDS:
+            return
+        if self._monitor.avoid(self.relay, now):
+            log_event(
+                'relay.late',
+                router=self._name(self.relay),
+                delay_seconds=round(delay, 3),
+            )
+
+    def _name(self, router: int | None) -> str:
+        peer = self._peers.peer(router or self._own)
+        return peer.hello.name if peer else self._peers.own.name
+
     def _recent_senders(self, now: float) -> list[int]:
         return [
             router
--- a/peridotwell/fleet/update_exchange.py
+++ b/peridotwell/fleet/update_exchange.py
@@ -38,7 +38,6 @@
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 from peridotwell.policy.quarantine import CrashRecord, Quarantine
-from peridotwell.policy.update_delay import UpdateDelay
 
 __all__ = ('ForwardingState', 'UpdateExchange')
 
@@ -93,7 +92,7 @@
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
-        self.update_delay = UpdateDelay()
+        self.update_delay = self.relay_protocol.topology.update_delay
         self.delay_monitor = DelayMonitor(transport, self.update_delay, metrics)
         self.own_requests = OwnCounts()
         self.own_prefill_tokens = OwnCounts()
@@ -212,7 +211,7 @@
         self._crash_records.clear()
         self.has_updates = trio.Event()
         if self.relay_protocol.is_enabled():
-            self._send_through_relay(update, now)
+            self.relay_protocol.send_update(update, now)
         else:
             addresses = [
                 peer.hello.peer_address for peer in self.peers.known_peers()
@@ -222,13 +221,6 @@
         if is_full:
             self._full_at = now
 
-    def _send_through_relay(self, update: RouterUpdate, now: float) -> None:
-        self.relay_protocol.send_update(update, now)
-        if self.relay_protocol.topology.relay is None:
-            self.update_delay.clear()
-        else:
-            self.update_delay.record_sent(update.sequence, now)
-
     def _handle_update(
         self, update: RouterUpdate, now: float, unix_now: float
     ) -> bool:
--- a/peridotwell/policy/relays.py
+++ b/peridotwell/policy/relays.py
@@ -9,6 +9,7 @@
 link of their relay can serve.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -33,6 +34,8 @@
 SILENT_SECONDS = 0.5
 # An unresponsive relay is tried again after this time.
 RETRY_RELAY_SECONDS = 3.0
+# A relay is not used for this time if what it sends is late.
+AVOID_LATE_RELAY_SECONDS = 10.0
 # Number of relays that get the updates while none has responded.
 MAX_CONCURRENT_RELAYS = 2
 
@@ -101,6 +104,8 @@
         self._received_at: dict[int, float] = {}
         self._sent_at: dict[int, float] = {}
         self._skipped_until: dict[int, float] = {}
+        self._avoided_relay: int | None = None
+        self._avoided_until = -math.inf
 
     def record_sent(self, relay: int, now: float) -> None:
         """Record a batch sent to a relay.
@@ -115,6 +120,18 @@
         self._sent_at.pop(relay, None)
         self._skipped_until.pop(relay, None)
 
+    def avoid(self, relay: int, now: float) -> bool:
+        """Do not choose a late relay for some time, even if it responds.
+
+        Returns False if another relay is avoided: if two are late, this
+        router or its link is the cause.
+        """
+        if self._avoided_until > now:
+            return False
+        self._avoided_relay = relay
+        self._avoided_until = now + AVOID_LATE_RELAY_SECONDS
+        return True
+
     def is_responsive(self, relay: int, now: float) -> bool:
         """Return whether a batch from a relay was received recently."""
         received_at = self._received_at.get(relay)
@@ -142,6 +159,8 @@
         return tuple(chosen)
 
     def _is_skipped(self, relay: int, now: float) -> bool:
+        if relay == self._avoided_relay and self._avoided_until > now:
+            return True
         sent_at = self._sent_at.get(relay)
         if sent_at is not None and now - sent_at > SILENT_SECONDS:
             self._sent_at.pop(relay)
--- a/tests/fleet/test_relay_links.py
+++ b/tests/fleet/test_relay_links.py
@@ -29,6 +29,8 @@
 MAX_DELAY_SECONDS = 0.5
 # A change of the configuration is in force everywhere within this time.
 MAX_CHANGE_SECONDS = 3
+# Time for which one relay's link is slow.
+SLOW_SECONDS = 5
 # Larger than what relays pass on with an update.
 LARGE_TABLE = b'2'.zfill(4100)
 
@@ -176,3 +178,32 @@
         router.directory.table.version for router in network.routers.values()
     ]
     assert versions.count(2) == ROUTER_COUNT
+
+
+def relays(network):
+    """Return the routers that are relays of others."""
+    return {
+        network.routers[name]
+        for name in network.routers
+        if network.routers[name].sharing.relay_protocol.topology.members(
+            network.now
+        )
+    }
+
+
+# Guards against trusting a relay that is heard but sends what is seconds old.
+def test_members_leave_a_relay_whose_link_becomes_slow(network):
+    """Callers' responses take most of its link; its batches still arrive."""
+    slow = min(relays(network), key=lambda router: router.hello.name)
+    slow.transport.link.bytes_per_second = LINK_BYTES_PER_SECOND / 8
+    end = network.now + SLOW_SECONDS
+    others = [each for each in network.routers.values() if each is not slow]
+    for router in others:
+        network.place_prompts(router, end)
+    while network.now < end:
+        answer_store_calls(network)
+        network.run(network.now + 2 * TICK_SECONDS)
+    delays = [
+        router.sharing.update_delay.seconds(network.now) for router in others
+    ]
+    assert max(delays) <= MAX_DELAY_SECONDS
--- a/tests/policy/test_relays.py
+++ b/tests/policy/test_relays.py
@@ -97,3 +97,22 @@
     assert sorted(each for group in groups for each in group) == [
         *range(len(links))
     ]
+
+
+def test_a_late_relay_is_avoided_although_it_responds():
+    monitor = RelayMonitor()
+    monitor.record_received(4, 0)
+    assert monitor.avoid(4, 0)
+    monitor.record_received(4, 0.1)
+    monitor.record_received(2, 0.1)
+    assert monitor.choose_relays(GROUP, 7, 0.2) == (2,)
+
+
+def test_only_one_late_relay_is_avoided_at_a_time():
+    """A slow router finds every relay late."""
+    monitor = RelayMonitor()
+    for relay in GROUP:
+        monitor.record_received(relay, 0)
+    assert monitor.avoid(4, 0)
+    assert not monitor.avoid(2, 1)
+    assert monitor.choose_relays(GROUP, 7, 0.4) == (2,)
