--- /dev/null
+++ b/peridotwell/fleet/entry_sync.py
@@ -0,0 +1,116 @@
+"""Exchanges store entries with other routers, for routers that lag behind.
+
+Updates tell the store revision that their sender knows. A router that is behind
+another one for some time requests the entries that it lacks, so it stays up to
+date when the store refuses its calls.
+"""
+
+from peridotwell.fleet.frames import EntriesPull, EntriesPush
+from peridotwell.fleet.peer_transport import PeerTransport
+from peridotwell.fleet.peers import Peer, Peers, choose_peer
+from peridotwell.fleet.relay_protocol import RelayProtocol
+from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.logs import log_event
+
+__all__ = ('EntrySync',)
+
+# A router that lags behind a peer for this time requests the missing entries.
+BEHIND_SECONDS = 0.4
+PULL_INTERVAL_SECONDS = 0.5
+
+
+class EntrySync:
+    """Requests missing entries from peers, and answers their requests."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        transport: PeerTransport,
+        directory: ServiceDirectory,
+        relay_protocol: RelayProtocol,
+    ) -> None:
+        self._own = peers.own.sender
+        self._peers = peers
+        self._transport = transport
+        self._directory = directory
+        self._relay_protocol = relay_protocol
+        self._behind_since: float | None = None
+        self._pulled_at = float(0)
+
+    def pull_if_behind(self, now: float) -> None:
+        """Request entries if a peer has had a later revision for some time.
+
+        In a large fleet, none are requested if the store has answered
+        meanwhile, to reduce the load of the relays.
+        """
+        own = self._directory.known_revision
+        peer_ahead = self._peer_ahead(own, now)
+        if peer_ahead is None:
+            self._behind_since = None
+            return
+        if self._relay_protocol.is_enabled() and self._store_has_answered():
+            self._behind_since = now
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        is_late = now - self._behind_since >= BEHIND_SECONDS
+        if is_late and now - self._pulled_at >= PULL_INTERVAL_SECONDS:
+            pull = EntriesPull(self._own, own)
+            if not self._transport.send(peer_ahead.hello.peer_address, pull):
+                # The connection is being opened; the next tick sends it.
+                return
+            self._pulled_at = now
+            log_event(
+                'entries.pulled',
+                router=peer_ahead.hello.name,
+                revision=own,
+                ahead=peer_ahead.version,
+            )
+
+    def push_entries(self, pull: EntriesPull) -> None:
+        """Send a peer the entries that it lacks."""
+        peer = self._peers.peer(pull.sender)
+        directory = self._directory
+        if peer is None or not directory.is_loaded:
+            return
+        is_complete = not directory.replica.has_all_deletions_since(
+            pull.revision
+        )
+        push = EntriesPush(
+            self._own,
+            directory.known_revision,
+            directory.replica.changes_since(
+                0 if is_complete else pull.revision
+            ),
+            is_complete,
+        )
+        self._transport.send(peer.hello.peer_address, push)
+
+    def apply_entries(self, push: EntriesPush, now: float) -> None:
+        """Apply the entries that a peer has sent."""
+        if push.is_complete:
+            self._directory.apply_peer_snapshot(
+                push.entries, push.revision, now
+            )
+        else:
+            self._directory.apply_peer_changes(push.entries, push.revision, now)
+
+    def _store_has_answered(self) -> bool:
+        """Return whether the store has answered since `_behind_since`."""
+        since = self._behind_since
+        return since is not None and self._directory.store_answered_at > since
+
+    def _peer_ahead(self, revision: int, now: float) -> Peer | None:
+        """Return a peer with a later revision than `revision`, or None.
+
+        This is the peer with the latest revision; in a large fleet, any peer
+        with a later one.
+        """
+        peers_ahead = [
+            peer
+            for peer in self._peers.live_peers(now)
+            if peer.version > revision
+        ]
+        if self._relay_protocol.is_enabled():
+            return choose_peer(self._own, peers_ahead)
+        return max(peers_ahead, key=lambda peer: peer.version, default=None)
--- a/peridotwell/fleet/update_exchange.py
+++ b/peridotwell/fleet/update_exchange.py
@@ -2,9 +2,7 @@
 
 Each router sends small updates to the others: its outstanding requests for each
 target, the prompts that it has sent to engines, and the store revision that it
-has read. A router that lags behind requests the missing entries from a peer,
-so it stays up to date when the store refuses its calls. Large fleets send
-their updates through relays.
+has read. Large fleets send their updates through relays.
 """
 
 from collections.abc import Iterable
@@ -15,6 +13,7 @@
 
 from peridotwell.domain.target import wire_id
 from peridotwell.fleet.delay_monitor import DelayMonitor
+from peridotwell.fleet.entry_sync import EntrySync
 from peridotwell.fleet.frames import (
     CachedPrompt,
     CachesPull,
@@ -29,7 +28,7 @@
 )
 from peridotwell.fleet.peer_discovery import PeerDiscovery
 from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peer, Peers, choose_peer
+from peridotwell.fleet.peers import Peers
 from peridotwell.fleet.relay_protocol import RelayProtocol
 from peridotwell.fleet.service_directory import ServiceDirectory
 from peridotwell.logs import log_event
@@ -49,9 +48,6 @@
 # All counts, also unchanged ones, are sent with this period, in case an update
 # was lost.
 FULL_UPDATE_SECONDS = 2.0
-# A router that lags behind a peer for this time requests the missing entries.
-BEHIND_SECONDS = 0.4
-PULL_INTERVAL_SECONDS = 0.5
 MAX_PROMPTS_PER_UPDATE = 200
 SEQUENCE_MASK = 0xFFFFFFFF
 # Number of peers that are asked for the cached prompts after a start.
@@ -88,6 +84,9 @@
         self.prompt_caches_known = trio.Event()
         self.discovery = PeerDiscovery(peers, transport)
         self.relay_protocol = RelayProtocol(peers, transport, state.directory)
+        self.entry_sync = EntrySync(
+            peers, transport, state.directory, self.relay_protocol
+        )
         self.state = state
         self._transport = transport
         self._metrics = metrics
@@ -104,8 +103,6 @@
         self._sent_revision = 0
         self._sent_at = float(0)
         self._full_at = float(0)
-        self._behind_since: float | None = None
-        self._pulled_at = float(0)
 
     def router_count(self) -> int:
         """Return the number of routers, this one included.
@@ -143,7 +140,7 @@
         if self.relay_protocol.is_enabled():
             self.relay_protocol.tick(now)
         self._remove_dead_routers(now)
-        self._pull_if_behind(now)
+        self.entry_sync.pull_if_behind(now)
         self.delay_monitor.tick(now)
 
     def _update_interval(self, now: float) -> float:
@@ -181,9 +178,9 @@
                 record_update = partial(self._handle_update, unix_now=unix_now)
                 self.relay_protocol.handle_batch(frame, now, record_update)
             case EntriesPull():
-                self._push_entries(frame)
+                self.entry_sync.push_entries(frame)
             case EntriesPush():
-                self._apply_entries(frame, now)
+                self.entry_sync.apply_entries(frame, now)
             case CachesPull():
                 self._push_caches(frame)
             case CachesPush():
@@ -282,83 +279,6 @@
             for router in counts.routers() - live:
                 counts.remove_router(router)
 
-    def _pull_if_behind(self, now: float) -> None:
-        """Request entries if a peer has had a later revision for some time.
-
-        In a large fleet, none are requested if the store has answered
-        meanwhile, to reduce the load of the relays.
-        """
-        directory = self.state.directory
-        own = directory.known_revision
-        peer_ahead = self._peer_ahead(own, now)
-        if peer_ahead is None:
-            self._behind_since = None
-            return
-        if self.relay_protocol.is_enabled() and self._store_has_answered():
-            self._behind_since = now
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-        is_late = now - self._behind_since >= BEHIND_SECONDS
-        if is_late and now - self._pulled_at >= PULL_INTERVAL_SECONDS:
-            pull = EntriesPull(self._own, own)
-            if not self._transport.send(peer_ahead.hello.peer_address, pull):
-                # The connection is being opened; the next tick sends it.
-                return
-            self._pulled_at = now
-            log_event(
-                'entries.pulled',
-                router=peer_ahead.hello.name,
-                revision=own,
-                ahead=peer_ahead.version,
-            )
-
-    def _store_has_answered(self) -> bool:
-        """Return whether the store has answered since `_behind_since`."""
-        since = self._behind_since
-        answered_at = self.state.directory.store_answered_at
-        return since is not None and answered_at > since
-
-    def _peer_ahead(self, revision: int, now: float) -> Peer | None:
-        """Return a peer with a later revision than `revision`, or None.
-
-        This is the peer with the latest revision; in a large fleet, any peer
-        with a later one.
-        """
-        peers_ahead = [
-            peer
-            for peer in self.peers.live_peers(now)
-            if peer.version > revision
-        ]
-        if self.relay_protocol.is_enabled():
-            return choose_peer(self._own, peers_ahead)
-        return max(peers_ahead, key=lambda peer: peer.version, default=None)
-
-    def _push_entries(self, pull: EntriesPull) -> None:
-        peer = self.peers.peer(pull.sender)
-        directory = self.state.directory
-        if peer is None or not directory.is_loaded:
-            return
-        is_complete = not directory.replica.has_all_deletions_since(
-            pull.revision
-        )
-        push = EntriesPush(
-            self._own,
-            directory.known_revision,
-            directory.replica.changes_since(
-                0 if is_complete else pull.revision
-            ),
-            is_complete,
-        )
-        self._transport.send(peer.hello.peer_address, push)
-
-    def _apply_entries(self, push: EntriesPush, now: float) -> None:
-        directory = self.state.directory
-        if push.is_complete:
-            directory.apply_peer_snapshot(push.entries, push.revision, now)
-        else:
-            directory.apply_peer_changes(push.entries, push.revision, now)
-
 
 def _pairs(parts: Iterable[CachedPart]) -> tuple[tuple[int, int], ...]:
     return tuple((part.part_id, part.tokens) for part in parts)
