A chat's next turn waits for the end of its last one to be known

Cause: the routers' lender counted the last turn as running; the message with its credit was on its way. An idle pool allows one request an engine, so the engine seemed full and the turn went elsewhere. Seen in a scratch copy with logs: lent=1, caps 1, may_keep=False at the time of the second turn.

--- a/peridotwell/fleet/borrower_client.py
+++ b/peridotwell/fleet/borrower_client.py
@@ -100,6 +100,10 @@
         grant = await self._send_request(lender, request, now)
         return grant is not None and grant.lent > 0
 
+    def forget_refusal(self, target: Target) -> None:
+        """Do not wait before the next request for a credit of a target."""
+        self._target_refused_until.pop(target.wire_id, None)
+
     async def request_any_credit(
         self,
         lender: int,
--- a/peridotwell/fleet/credit_exchange.py
+++ b/peridotwell/fleet/credit_exchange.py
@@ -91,6 +91,10 @@
         may_spend = granted or not is_suspect
         return may_spend and borrower.spend(target_id)
 
+    def forget_refusal(self, target: Target) -> None:
+        """Let the next request for a credit of a target be sent at once."""
+        self._borrowing.forget_refusal(target)
+
     async def acquire_any(
         self,
         pool: Pool,
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -219,7 +219,7 @@
             subject=request.prompt.placement_key if request.prompt else '',
             load=choice.load if choice else 0,
             mean_load=round(choice.mean_load, 2) if choice else 0,
-            level=round(choice.level, 2) if choice else 0,
+            fill_level=round(choice.level, 2) if choice else 0,
             missing_tokens=choice.missing_tokens if choice else 0,
             fetched_tokens=choice.fetched_tokens if choice else 0,
             tokens_ahead=choice.tokens_ahead if choice else 0,
--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -19,7 +19,7 @@
     QueuedRequest,
     fair_share,
 )
-from peridotwell.policy.placement import HintedPlacement
+from peridotwell.policy.placement import HintedPlacement, placement_hint
 from peridotwell.store.configuration import ConfigurationStore
 
 __all__ = ('Placer', 'PlacementRequest')
@@ -34,6 +34,9 @@
 # routers may have released credits.
 REQUESTS_WOKEN_PER_HEARTBEAT = 2
 RETRY_AFTER_SECONDS = 2
+# Time in which the end of a chat's previous turn reaches the lender of its
+# engine.
+TURN_END_SECONDS = 0.03
 
 
 @dataclass(frozen=True)
@@ -147,17 +150,37 @@
         ):
             candidates = self._candidates(placement_request, cfg, pool)
             for target in islice(candidates, MAX_PREFERRED_TARGETS):
-                if await self._credit.acquire(
-                    target,
-                    trio.current_time(),
-                    is_suspect=placement_request.is_suspect,
-                ):
+                if await self._acquire_target(placement_request, cfg, target):
                     return target
             found = await self._acquire_any(placement_request, pool)
             if found is not None:
                 return found
         return None
 
+    async def _acquire_target(
+        self, placement_request: PlacementRequest, cfg: Defaults, target: Target
+    ) -> bool:
+        """Spend a credit on one target.
+
+        The engine of a chat's previous turn is tried again after a short time
+        if it seems full with one request: that may be the previous turn,
+        which has ended, but its lender does not know it yet.
+        """
+        is_suspect = placement_request.is_suspect
+        now = trio.current_time()
+        if await self._credit.acquire(target, now, is_suspect=is_suspect):
+            return True
+        hint = placement_request.request.placement_hint
+        is_hinted = cfg.follow_hints and placement_hint(target) == hint
+        caps = self._loads.target_caps(target.pool, now)
+        if not is_hinted or caps.get(target.name) != 1:
+            return False
+        await trio.sleep(TURN_END_SECONDS)
+        self._credit.forget_refusal(target)
+        return await self._credit.acquire(
+            target, trio.current_time(), is_suspect=is_suspect
+        )
+
     async def _acquire_after_wait(
         self, placement_request: PlacementRequest
     ) -> Target | None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,8 +1,10 @@
 """Logging is rate-limited and never blocks."""
 
+import ast
 import logging
 import queue
 import time
+from pathlib import Path
 
 from peridotwell.logs import LogRateLimiter, _RateLimitedHandler, log_event
 
@@ -57,3 +59,21 @@
     records.get_nowait()
     emit()
     assert records.get_nowait().msg['dropped_lines'] == 2
+
+
+def logged_fields():
+    """Yield the keyword arguments of all log calls, with their place."""
+    for folder in ('peridotwell', 'platform'):
+        for path in Path(folder).rglob('*.py'):
+            for node in ast.walk(ast.parse(path.read_text())):
+                name = getattr(getattr(node, 'func', None), 'id', '')
+                if name in {'log_event', 'log_failure'}:
+                    yield from ((path.name, each.arg) for each in node.keywords)
+
+
+# Guards against a field that replaces one that every line has.
+def test_no_log_call_replaces_a_field_of_every_line():
+    reserved = {'time', 'level', 'instance', 'data_centre', 'event'}
+    fields = list(logged_fields())
+    assert len(fields) > 50
+    assert not [each for each in fields if each[1] in reserved]
