--- a/peridotwell/fleet/delay_monitor.py
+++ b/peridotwell/fleet/delay_monitor.py
@@ -1,6 +1,7 @@
 """Logs and counts what delays the state that routers tell each other."""
 
 import math
+from collections import Counter
 
 from peridotwell.fleet.peer_transport import PeerTransport
 from peridotwell.logs import log_failure
@@ -13,6 +14,8 @@
 MAX_UPDATE_DELAY_SECONDS = 0.5
 MAX_LOOP_DELAY_SECONDS = 0.2
 REPORT_INTERVAL_SECONDS = 1.0
+# Frames to peers that use a larger share of the link are logged.
+MAX_PEER_LINK_SHARE = 0.5
 
 
 class DelayMonitor:
@@ -27,13 +30,15 @@
         transport: PeerTransport,
         update_delay: UpdateDelay,
         metrics: Metrics,
+        link_bytes_per_second: int = 0,
     ) -> None:
         self._transport = transport
         self._update_delay = update_delay
         self._metrics = metrics
+        self._link_bytes_per_second = link_bytes_per_second
         self._loop_delay = float(0)
         self._reported_at = -math.inf
-        self._reported_bytes = 0
+        self._reported_bytes: Counter[str] = Counter()
 
     def record_loop_delay(self, seconds: float) -> None:
         """Record how late the event loop resumed a task."""
@@ -58,9 +63,22 @@
                 'state.delayed',
                 update_delay_seconds=round(update_delay, 3),
                 loop_delay_seconds=round(self._loop_delay, 3),
-                sent_bytes=transport.sent_bytes - self._reported_bytes,
                 dropped_frames=transport.dropped_frames,
+                **self._sent_bytes(),
             )
+        self._report_busy_link(now)
         self._reported_at = now
-        self._reported_bytes = transport.sent_bytes
+        self._reported_bytes = Counter(transport.sent_bytes_by_kind)
         self._loop_delay = 0
+
+    def _report_busy_link(self, now: float) -> None:
+        sent = self._sent_bytes()
+        elapsed = max(now - self._reported_at, REPORT_INTERVAL_SECONDS)
+        busy_bytes = self._link_bytes_per_second * MAX_PEER_LINK_SHARE * elapsed
+        if self._link_bytes_per_second and sum(sent.values()) > busy_bytes:
+            log_failure('peer.link_busy', **sent)
+
+    def _sent_bytes(self) -> dict[str, int]:
+        """Return the bytes sent since the last report, by kind of frame."""
+        sent = self._transport.sent_bytes_by_kind - self._reported_bytes
+        return {f'{kind}_bytes': count for kind, count in sent.items()}
--- a/peridotwell/fleet/peer_transport.py
+++ b/peridotwell/fleet/peer_transport.py
@@ -10,6 +10,7 @@
 
 import itertools
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import AsyncIterator, Iterable
 
 import trio
@@ -47,27 +48,31 @@
         self.sent_frames = 0
         self.sent_bytes = 0
         self.dropped_frames = 0
+        # By the class names of the frames.
+        self.sent_bytes_by_kind: Counter[str] = Counter()
 
     def send(self, address: str, frame: Frame) -> bool:
         """Queue a frame for a peer; return False if it was dropped."""
-        return self._transmit(address, encode_frame(frame))
+        return self._transmit(address, encode_frame(frame), frame)
 
     def send_all(self, addresses: Iterable[str], frame: Frame) -> None:
         """Queue one frame for several peers."""
         content = encode_frame(frame)
         for address in addresses:
-            self._transmit(address, content)
+            self._transmit(address, content, frame)
 
     @abstractmethod
     def disconnect(self, address: str) -> None:
         """Close the connection to a peer and drop its queued frames."""
 
-    def _transmit(self, address: str, content: bytes) -> bool:
+    def _transmit(self, address: str, content: bytes, frame: Frame) -> bool:
         if not self.transmit(address, content):
             self.dropped_frames += 1
             return False
         self.sent_frames += 1
-        self.sent_bytes += len(content) + ZMTP_OVERHEAD_BYTES
+        frame_bytes = len(content) + ZMTP_OVERHEAD_BYTES
+        self.sent_bytes += frame_bytes
+        self.sent_bytes_by_kind[type(frame).__name__] += frame_bytes
         return True
 
     @abstractmethod
--- a/peridotwell/fleet/update_exchange.py
+++ b/peridotwell/fleet/update_exchange.py
@@ -92,7 +92,12 @@
         self._metrics = metrics
         self._own = peers.own.sender
         self.update_delay = self.relay_protocol.topology.update_delay
-        self.delay_monitor = DelayMonitor(transport, self.update_delay, metrics)
+        self.delay_monitor = DelayMonitor(
+            transport,
+            self.update_delay,
+            metrics,
+            peers.own.link_bytes_per_second,
+        )
         self.own_requests = OwnCounts()
         self.own_prefill_tokens = OwnCounts()
         # Set when there are changes that the peers should receive soon.
--- a/tests/fleet/test_delay_monitor.py
+++ b/tests/fleet/test_delay_monitor.py
@@ -64,3 +64,15 @@
     transport.sent_bytes = 900
     monitor.tick(2)
     assert metrics.counters['peer.sent_bytes'] == 900
+
+
+def test_messages_that_fill_half_of_the_link_are_reported_by_kind(lines):
+    transport = InMemoryTransport('r', {})
+    monitor = DelayMonitor(transport, UpdateDelay(), Metrics('', ''), 1000)
+    monitor.tick(1)
+    transport.sent_bytes_by_kind['CachesPush'] += 700
+    monitor.tick(2.1)
+    assert lines == [('peer.link_busy', {'CachesPush_bytes': 700})]
+    transport.sent_bytes_by_kind['CachesPush'] += 400
+    monitor.tick(3.2)
+    assert len(lines) == 1
