Failing tests: the recovery of caches when many routers start at once

Virtual time, links of 5 Mbit/s, 98 engines with 140 cached parts each. Two seconds after 50 of 84 routers start, a frame waits 129 s before a link; when all start and their entries have expired, 24 s, since each router lists all engines and tells all others. Bounds: what routers tell each other is at most half a second late, as in test_relay_links.py.

--- a/tests/fleet/test_relay_links.py
+++ b/tests/fleet/test_relay_links.py
@@ -55,11 +55,15 @@
         super().__init__(address, network.routers)
         self.network = network
         self.link = Link(network.bytes_per_second)
+        self.downlink = Link(network.bytes_per_second)
 
     def transmit(self, address, content):
         if self.is_cut or address not in self.routers:
             return False
         arrives_at = self.link.send(len(content), self.network.now)
+        if self.network.has_downlinks:
+            receiver = self.routers[address].transport
+            arrives_at = receiver.downlink.send(len(content), arrives_at)
         self.network.deliver(arrives_at, address, content)
         return True
 
@@ -67,7 +71,8 @@
 class Network:
     """Routers with links, the work that they place, and the time."""
 
-    def __init__(self, bytes_per_second):
+    def __init__(self, bytes_per_second, *, has_downlinks=False):
+        self.has_downlinks = has_downlinks
         self.routers = {}
         self.now = 0.0
         self.bytes_per_second = bytes_per_second
@@ -75,13 +80,14 @@
         self._events = []
         self._random = random.Random(84)
 
-    def add_router(self, name, data_centre):
+    def add_router(self, name, data_centre, **options):
         return Router(
             name,
             self.routers,
             data_centre,
             transport=LinkedTransport(name, self),
             link_bytes_per_second=self.bytes_per_second,
+            **options,
         )
 
     def deliver(self, at, address, content):
