--- a/peridotwell/fleet/entry_sync.py
+++ b/peridotwell/fleet/entry_sync.py
@@ -17,6 +17,9 @@
 # A router that lags behind a peer for this time requests the missing entries.
 BEHIND_SECONDS = 0.4
 PULL_INTERVAL_SECONDS = 0.5
+# A snapshot takes up to this time on a slow link. A peer's answer is as large
+# and would delay it.
+SNAPSHOT_SECONDS = 1.0
 
 
 class EntrySync:
@@ -41,7 +44,8 @@
         """Request entries if a peer has had a later revision for some time.
 
         In a large fleet, none are requested if the store has answered
-        meanwhile, to reduce the load of the relays.
+        meanwhile, to reduce the load of the relays, nor while it sends a
+        snapshot.
         """
         own = self._directory.known_revision
         peer_ahead = self._peer_ahead(own, now)
@@ -53,7 +57,10 @@
             return
         if self._behind_since is None:
             self._behind_since = now
-        is_late = now - self._behind_since >= BEHIND_SECONDS
+        is_late = (
+            now - self._behind_since >= BEHIND_SECONDS
+            and not self._is_reading_snapshot(now)
+        )
         if is_late and now - self._pulled_at >= PULL_INTERVAL_SECONDS:
             pull = EntriesPull(self._own, own)
             if not self._transport.send(peer_ahead.hello.peer_address, pull):
@@ -95,6 +102,12 @@
         else:
             self._directory.apply_peer_changes(push.entries, push.revision, now)
 
+    def _is_reading_snapshot(self, now: float) -> bool:
+        requested_at = self._directory.snapshot_requested_at
+        return (
+            requested_at is not None and now - requested_at < SNAPSHOT_SECONDS
+        )
+
     def _store_has_answered(self) -> bool:
         """Return whether the store has answered since `_behind_since`."""
         since = self._behind_since
--- a/peridotwell/fleet/service_directory.py
+++ b/peridotwell/fleet/service_directory.py
@@ -35,6 +35,8 @@
         self.table_loaded_at = float(0)
         # When the store itself, not a peer, last answered.
         self.store_answered_at = -math.inf
+        # When the snapshot was requested that the store is sending, or None.
+        self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
         self.feed_revision = 0
         # The last known revision, from the store or from a peer.
--- a/peridotwell/fleet/store_follower.py
+++ b/peridotwell/fleet/store_follower.py
@@ -9,7 +9,7 @@
 from peridotwell.fleet.service_directory import ServiceDirectory
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import ChangeFeed, HistoryGone
+from peridotwell.store.change_feed import ChangeFeed, HistoryGone, Snapshot
 
 __all__ = ('StoreFollower',)
 
@@ -66,7 +66,7 @@
             await trio.sleep(IDLE_POLL_SECONDS)
             return
         if self._needs_snapshot:
-            snapshot = await self._feed.read_snapshot()
+            snapshot = await self._read_snapshot(now)
             self._record_success()
             self._directory.apply_snapshot(snapshot, trio.current_time())
             self._needs_snapshot = False
@@ -82,6 +82,13 @@
         if changes.entries or changes.deleted:
             await trio.sleep(self._batch_seconds())
 
+    async def _read_snapshot(self, now: float) -> Snapshot:
+        self._directory.snapshot_requested_at = now
+        try:
+            return await self._feed.read_snapshot()
+        finally:
+            self._directory.snapshot_requested_at = None
+
     def _batch_seconds(self) -> float:
         """Return the delay before the next call, to receive changes in batches.
 
--- a/tests/fleet/test_relay_protocol.py
+++ b/tests/fleet/test_relay_protocol.py
@@ -122,6 +122,37 @@
     assert len({each.directory.table.version for each in fleet}) == 1
 
 
+def test_routers_that_read_a_large_change_do_not_also_request_it(fleet):
+    """On a slow link the store's answer takes 0.7 s, and peers' add to it."""
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    change = Changes((Entry('table', b'2'.zfill(4100), 5),), (), 5)
+    for router in routers_following_store(fleet, 5):
+        router.directory.apply_changes(change, 5)
+    for router in fleet:
+        router.directory.snapshot_requested_at = 5.1
+    run_ticks(fleet, 5, 5.8)
+    for router in fleet:
+        router.directory.snapshot_requested_at = None
+        router.directory.apply_changes(change, 5.8)
+    run_ticks(fleet, 5.8, 7)
+    assert not any(
+        each.transport.sent_bytes_by_kind['EntriesPull'] for each in fleet
+    )
+
+
+def test_routers_request_a_change_that_the_store_does_not_send(fleet):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    change = Changes((Entry('table', b'2'.zfill(4100), 5),), (), 5)
+    for router in routers_following_store(fleet, 5):
+        router.directory.apply_changes(change, 5)
+    for router in fleet:
+        router.directory.snapshot_requested_at = 5.1
+    run_ticks(fleet, 5, 6.5)
+    assert {each.directory.table.version for each in fleet} == {2}
+
+
 def test_killed_relay_is_replaced_within_a_second(fleet):
     mark_store_answered(fleet, 4)
     run_ticks(fleet, 4, 5)
