List unknown engines faster where no relays are used

In a fleet without relays a list reaches the others in 0.05 s, so a router waits no longer between the lists that it reads.

--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -37,8 +37,10 @@
 PEER_TIMEOUT_SECONDS = 0.75
 # Time in which other routers register after a common start.
 REGISTRATION_SECONDS = 0.2
-# Time in which the list that another router has read arrives.
+# Time in which the list that another router has read arrives, through relays
+# and without them.
 LIST_INTERVAL_SECONDS = 0.25
+DIRECT_LIST_INTERVAL_SECONDS = 0.05
 CACHE_LIST_TIMEOUTS = ResponseTimeouts(1, 1)
 
 
@@ -97,7 +99,7 @@
             if self.caches.is_known(target.name):
                 continue
             if self._other_routers():
-                await trio.sleep(LIST_INTERVAL_SECONDS)
+                await trio.sleep(self._list_interval())
             if not self.caches.is_known(target.name):
                 await self._ask_engine(target)
 
@@ -106,6 +108,11 @@
             for target in engines:
                 nursery.start_soon(self._ask_engine, target)
 
+    def _list_interval(self) -> float:
+        if self.update_exchange.relay_protocol.is_enabled():
+            return LIST_INTERVAL_SECONDS
+        return DIRECT_LIST_INTERVAL_SECONDS
+
     def _other_routers(self) -> set[int]:
         own = self.update_exchange.peers.own.sender
         senders = {hello.sender for hello in self.directory.routers()}
