A stream that has not begun waits for an engine that is heard

Cause: a resumable stream went to another engine after three objectives without a byte on its own connection. An engine with a queue sends nothing to a new stream for longer; the other engine has a queue as well, the stream fails there too, and the second send adds to the load.

Change: the wait for a stream's beginning ends after three objectives in which the engine sent nothing on any connection (forwarding/silence_limits.py).

--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -1,7 +1,8 @@
 """Sending of a request to a target, and recording of its outcome."""
 
+import math
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 import httpcore
@@ -12,6 +13,7 @@
     ConnectionFailed,
     RefusedByTarget,
     ResponseLost,
+    ResponseTimeout,
     ResponseTruncated,
     TargetReplaced,
 )
@@ -37,7 +39,8 @@
 FIRST_SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
 # A repeatable request goes to another target if the first one sends no data for
-# this multiple of the objective of its route.
+# this multiple of the objective of its route. Before a stream has begun, data
+# on any connection to the target counts.
 TIMEOUT_OBJECTIVES = 2
 STREAM_TIMEOUT_OBJECTIVES = 3
 MIN_SILENCE_TIMEOUT_SECONDS = 0.2
@@ -147,24 +150,31 @@
             ),
             content=request.body,
         )
-        client = self._clients.client(target)
-        async with client.send(
+        response_context = self._clients.client(target).send(
             http_request,
             _timeouts(request, now),
             new_connection=not self._tracker.may_reuse_connection(
                 request, target, now
             ),
             require_request_id=True,
-        ) as response:
-            reported = self._adapter.reported_load(response)
-            if reported is not None:
-                self._tracker.record_report(
-                    target,
-                    reported,
-                    trio.current_time(),
-                )
+        )
+        limits = self._tracker.silence_limits
+        async with AsyncExitStack() as stack:
+            with limits.limit(
+                target.name, _max_silence_seconds(request)
+            ) as scope:
+                response = await stack.enter_async_context(response_context)
+            if scope.cancelled_caught:
+                raise ResponseTimeout('The target sends nothing to anybody.')
+            self._record_report(target, response)
             yield response
 
+    def _record_report(self, target: Target, response: TargetResponse) -> None:
+        reported = self._adapter.reported_load(response)
+        if reported is not None:
+            now = trio.current_time()
+            self._tracker.record_report(target, reported, now)
+
     def _record_failure(self, attempt: Attempt, exc: AttemptError) -> None:
         name = attempt.target.name
         now = trio.current_time()
@@ -224,16 +234,27 @@
 
 
 def _timeouts(request: RoutedRequest, now: float) -> ResponseTimeouts:
-    """Return the timeouts of an attempt that starts `now`."""
+    """Return the timeouts of an attempt that starts `now`.
+
+    The wait for the first byte of a stream is not limited here, because its
+    engine may have a queue.
+    """
     remaining = max(request.deadline_at - now, MIN_TIMEOUT_SECONDS)
-    if not request.route.may_repeat:
-        return ResponseTimeouts(remaining, remaining)
+    silence_timeout = min(remaining, _max_silence_seconds(request))
     is_stream = request.route.kind is RequestKind.streaming
-    multiple = STREAM_TIMEOUT_OBJECTIVES if is_stream else TIMEOUT_OBJECTIVES
-    silence_timeout = max(
-        multiple * request.route.objective_seconds,
-        MIN_SILENCE_TIMEOUT_SECONDS,
-    )
     return ResponseTimeouts(
-        min(remaining, silence_timeout), min(remaining, silence_timeout)
+        remaining if is_stream else silence_timeout, silence_timeout
     )
+
+
+def _max_silence_seconds(request: RoutedRequest) -> float:
+    """Return how long a target may be silent before another one is tried.
+
+    There is no limit for requests that must not run twice.
+    """
+    route = request.route
+    if not route.may_repeat:
+        return math.inf
+    is_stream = route.kind is RequestKind.streaming
+    multiple = STREAM_TIMEOUT_OBJECTIVES if is_stream else TIMEOUT_OBJECTIVES
+    return max(multiple * route.objective_seconds, MIN_SILENCE_TIMEOUT_SECONDS)
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -5,6 +5,7 @@
 from peridotwell.fleet.service_directory import ServiceDirectory
 from peridotwell.fleet.update_exchange import ForwardingState, UpdateExchange
 from peridotwell.forwarding.adapters import ReportedLoad, RoutedRequest
+from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.logs import log_event
 from peridotwell.policy.choice import Choice
 from peridotwell.policy.data_centres import DataCentreMonitor
@@ -35,6 +36,7 @@
         self.directory = directory
         self.ejection = ejection
         self.silence = SilenceDetector()
+        self.silence_limits = SilenceLimits()
         self.data_centres = DataCentreMonitor()
         self._update_exchange = update_exchange
         self._state = state
@@ -88,6 +90,7 @@
     def record_activity(self, target: Target, now: float) -> None:
         """Record that data arrived from a target."""
         self.silence.record_activity(target.name, now)
+        self.silence_limits.record_activity(target.name, now)
         self.data_centres.record_activity(target.pool.data_centre)
 
     def is_avoided(self, target: Target, now: float) -> bool:
--- /dev/null
+++ b/tests/forwarding/test_silence_limits.py
@@ -0,0 +1,68 @@
+"""Tests of the limits on waits for silent targets."""
+
+import math
+
+import trio
+
+from peridotwell.forwarding.silence_limits import SilenceLimits
+
+
+async def wait_for_response(limits, target, max_seconds, seconds=10.0):
+    """Wait `seconds` for a response; return whether and when it was cut."""
+    with limits.limit(target, max_seconds) as scope:
+        await trio.sleep(seconds)
+    return scope.cancelled_caught, trio.current_time()
+
+
+async def test_a_wait_ends_when_its_target_has_been_silent(autojump_clock):
+    limits = SilenceLimits()
+    assert await wait_for_response(limits, 'e1', 1.2) == (True, 1.2)
+
+
+async def test_data_on_another_connection_starts_the_time_again(
+    autojump_clock, nursery
+):
+    limits = SilenceLimits()
+
+    async def respond_to_others():
+        for _ in range(5):
+            await trio.sleep(1)
+            limits.record_activity('e1', trio.current_time())
+
+    nursery.start_soon(respond_to_others)
+    cut, ended_at = await wait_for_response(limits, 'e1', 1.2)
+    assert (cut, round(ended_at, 3)) == (True, 6.2)
+
+
+async def test_data_from_another_target_does_not_count(autojump_clock, nursery):
+    limits = SilenceLimits()
+
+    async def respond():
+        await trio.sleep(1)
+        limits.record_activity('e2', trio.current_time())
+
+    nursery.start_soon(respond)
+    assert await wait_for_response(limits, 'e1', 1.2) == (True, 1.2)
+
+
+async def test_without_a_limit_a_wait_is_not_cut(autojump_clock):
+    limits = SilenceLimits()
+    cut, _ = await wait_for_response(limits, 'e1', math.inf)
+    assert not cut
+
+
+async def test_several_waits_for_one_target_have_limits_of_their_own(
+    autojump_clock, nursery
+):
+    limits = SilenceLimits()
+    ended = []
+
+    async def wait(max_seconds):
+        ended.append(await wait_for_response(limits, 'e1', max_seconds))
+
+    nursery.start_soon(wait, 0.5)
+    nursery.start_soon(wait, 3)
+    await trio.sleep(0.2)
+    limits.record_activity('e1', trio.current_time())
+    await trio.sleep(5)
+    assert ended == [(True, 0.7), (True, 3.2)]
