Relays forward changes of a large configuration as differences

Change: entries over 2 KB are forwarded as the difference from the version sent before (zstandard with that version as dictionary, checksum included); a router that lacks that version reads the store. Batches with differences use a field that older versions do not read, so that those stay behind and read the store. Of several versions of a configuration in one answer only the last valid one is decoded; a newer invalid one does not hide it (both by test).

--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -29,6 +29,7 @@
     'StatePush',
     'CachedPrompt',
     'RouterUpdate',
+    'EntryPatch',
     'StoreChanges',
     'UpdateBatch',
     'SharedEntry',
@@ -215,17 +216,27 @@
     is_complete: bool = False
 
 
+class EntryPatch(msgspec.Struct, frozen=True, array_like=True):
+    """An entry at `revision`, as the difference from it at `base_revision`."""
+
+    key: str
+    base_revision: int
+    revision: int
+    patch: bytes
+
+
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True):
     """Changes of the store after `base_revision`, up to `revision`.
 
     For another `removal_grace_seconds`, deleted targets may still register
-    again.
+    again. `patches` holds the changes of large entries.
     """
 
     base_revision: int
     revision: int
     entries: tuple[SharedEntry, ...]
     removal_grace_seconds: float = 0
+    patches: tuple[EntryPatch, ...] = ()
 
 
 class UpdateBatch(Frame, frozen=True, array_like=True, tag=16):
@@ -233,7 +244,9 @@
 
     `follows_store` tells whether the sender reads the store itself,
     `revision` is the store revision that it knows. `listed` holds caches that
-    engines have listed after the start of routers.
+    engines have listed after the start of routers. Changes with patches are
+    in `patched_changes`, because older versions know only `store_changes` and
+    would miss the patches.
     """
 
     follows_store: bool
@@ -241,6 +254,7 @@
     updates: tuple[RouterUpdate, ...]
     store_changes: StoreChanges | None = None
     listed: tuple[CachedPrompt, ...] = ()
+    patched_changes: StoreChanges | None = None
 
 
 class CachesPull(Frame, frozen=True, array_like=True, tag=14):
--- a/peridotwell/fleet/relay_protocol.py
+++ b/peridotwell/fleet/relay_protocol.py
@@ -7,11 +7,12 @@
 its own.
 
 Relays also forward the store's changes: a router whose relay follows the store
-does not call the store for them, unless a change is large.
+does not call the store for them, unless it lacks what they build on.
 """
 
 from collections.abc import Callable, Iterable
 
+from peridotwell.fleet.change_forwarding import ChangeForwarder
 from peridotwell.fleet.frames import (
     CachedPrompt,
     RouterUpdate,
@@ -30,8 +31,6 @@
 # Minimum time between two batches, with and without pending updates.
 BATCH_SECONDS = 0.06
 IDLE_BATCH_SECONDS = 0.2
-# Larger changes are read from the store, which has more bandwidth than a relay.
-MAX_CHANGES_BYTES = 4000
 # A relay reports that it follows the store if the store has answered it within
 # this time, which leaves time for one long-polling call.
 STORE_FRESH_SECONDS = 3.0
@@ -58,7 +57,7 @@
         self._group_updates: list[RouterUpdate] = []
         self._other_updates: list[RouterUpdate] = []
         self._sent_at = float(0)
-        self._sent_revision = 0
+        self._change_forwarder = ChangeForwarder(directory)
 
     def is_enabled(self) -> bool:
         """Return whether the fleet is large enough for relays."""
@@ -132,19 +131,9 @@
             self._group_updates.extend(new_updates)
         else:
             self._other_updates.extend(new_updates)
-        if batch.store_changes is not None:
-            self._apply_changes(batch.store_changes, now)
-
-    def _apply_changes(self, changes: StoreChanges, now: float) -> None:
-        known = self._directory.known_revision
-        if changes.base_revision > known or changes.revision <= known:
-            return
-        self._directory.deferred_removals.start_grace_period(
-            changes.removal_grace_seconds, now
-        )
-        self._directory.apply_peer_changes(
-            changes.entries, changes.revision, now
-        )
+        for changes in (batch.store_changes, batch.patched_changes):
+            if changes is not None:
+                self._change_forwarder.apply(changes, now)
 
     def _send_to_relays(
         self,
@@ -164,7 +153,7 @@
         now: float,
     ) -> None:
         updates = (*self._group_updates, *self._other_updates)
-        changes = self._store_changes(now)
+        changes = self._change_forwarder.next_changes(now)
         self._send(members, self._make_batch(updates, changes, listed, now))
 
     def _make_batch(
@@ -174,13 +163,15 @@
         listed: tuple[CachedPrompt, ...],
         now: float,
     ) -> UpdateBatch:
+        has_patches = changes is not None and bool(changes.patches)
         return UpdateBatch(
             self._own,
             self._follows_store(now),
             self._directory.known_revision,
             tuple(updates),
-            changes,
+            None if has_patches else changes,
             listed,
+            changes if has_patches else None,
         )
 
     def _send(self, routers: Iterable[int], batch: UpdateBatch) -> None:
@@ -190,27 +181,5 @@
         ]
         self._transport.send_all(addresses, batch)
 
-    def _store_changes(self, now: float) -> StoreChanges | None:
-        """Return the store's changes since the last batch.
-
-        Returns None if there are none, or if they are incomplete or large.
-        """
-        base = self._sent_revision
-        revision = self._directory.known_revision
-        self._sent_revision = revision
-        replica = self._directory.replica
-        if revision <= base or not replica.has_all_deletions_since(base):
-            return None
-        changed = replica.changes_since(base)
-        if (
-            sum(len(entry.value or b'') for entry in changed)
-            > MAX_CHANGES_BYTES
-        ):
-            return None
-        removal_grace_seconds = (
-            self._directory.deferred_removals.remaining_seconds(now)
-        )
-        return StoreChanges(base, revision, changed, removal_grace_seconds)
-
     def _follows_store(self, now: float) -> bool:
         return now - self._directory.store_answered_at <= STORE_FRESH_SECONDS
--- a/peridotwell/fleet/service_directory.py
+++ b/peridotwell/fleet/service_directory.py
@@ -87,7 +87,9 @@
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
         self.store_answered_at = now
-        for entry in changes.entries:
+        # Of several versions of a large configuration, only the last valid
+        # one is decoded.
+        for entry in reversed(changes.entries):
             self._apply_entry(entry, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, now)
@@ -151,20 +153,24 @@
             self.ready.set()
 
     def _apply_entry(self, entry: Entry, now: float) -> None:
+        is_table = self._decoder.is_table(entry.key)
+        if is_table:
+            self._apply_table(entry, now)
         if not self.replica.is_newer(entry):
             return
-        if self._decoder.is_table(entry.key):
-            self._apply_table(entry, now)
-        elif self._decoder.is_target(entry.key):
+        if self._decoder.is_target(entry.key):
             self._apply_target(entry)
         elif entry.key.startswith(ROUTERS_PREFIX):
             self._apply_router(entry)
-        else:
+        elif not is_table:
             return
         self._has_changed = True
         self.replica.put(entry)
 
     def _apply_table(self, entry: Entry, now: float) -> None:
+        in_force = self.table.revision if self.table else 0
+        if entry.revision <= in_force or self.replica.has_version(entry):
+            return
         try:
             table = self._decoder.decode_table(entry.value, entry.revision)
         except EntryError as exc:
--- a/peridotwell/fleet/store_replica.py
+++ b/peridotwell/fleet/store_replica.py
@@ -29,6 +29,23 @@
             return False
         return entry.revision > self._deleted.get(entry.key, 0)
 
+    def has_version(self, entry: Entry) -> bool:
+        """Return whether the latest known version of a key is this one."""
+        known = self._entries.get(entry.key)
+        return known is not None and known.revision == entry.revision
+
+    def entry(self, key: str) -> Entry | None:
+        """Return an entry as it is known."""
+        return self._entries.get(key)
+
+    def entries_over(self, value_bytes: int) -> dict[str, Entry]:
+        """Return the entries whose values are larger than `value_bytes`."""
+        return {
+            key: entry
+            for key, entry in self._entries.items()
+            if len(entry.value) > value_bytes
+        }
+
     def put(self, entry: Entry) -> None:
         """Store an entry."""
         self._entries[entry.key] = entry
--- a/tests/fleet/test_relay_protocol.py
+++ b/tests/fleet/test_relay_protocol.py
@@ -5,9 +5,11 @@
 routers must learn of them soon.
 """
 
+import msgspec
 import pytest
 
 from peridotwell.domain.target import wire_id
+from peridotwell.fleet.frames import RouterUpdate, StoreChanges
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
@@ -122,6 +124,101 @@
     assert len({each.directory.table.version for each in fleet}) == 1
 
 
+def apply_to_followers(fleet, content, revision, now):
+    """Let the routers that follow the store read a table."""
+    followers = routers_following_store(fleet, now)
+    change = Changes((Entry('table', content, revision),), (), revision)
+    for router in followers:
+        router.directory.apply_changes(change, now)
+    return followers
+
+
+def table_versions(fleet):
+    return {each.directory.table.version for each in fleet}
+
+
+@pytest.fixture
+def fleet_with_large_table(fleet):
+    """All routers know a table of 4,100 bytes; relays follow the store."""
+    mark_store_answered(fleet, 4)
+    large = Changes((Entry('table', b'1'.zfill(4100), 5),), (), 5)
+    for router in fleet:
+        router.directory.apply_changes(large, 4)
+    run_ticks(fleet, 4, 5)
+    return fleet
+
+
+# Guards against every router reading all entries for each configuration.
+def test_change_of_a_large_table_reaches_all_routers_through_relays(
+    fleet_with_large_table,
+):
+    fleet = fleet_with_large_table
+    apply_to_followers(fleet, b'2'.zfill(4100), 6, now=5)
+    run_ticks(fleet, 5, 5.4)
+    assert table_versions(fleet) == {2}
+
+
+def test_several_changes_of_a_large_table_arrive_in_order(
+    fleet_with_large_table,
+):
+    fleet = fleet_with_large_table
+    for number in range(2, 9):
+        now = 5 + number * 0.1
+        apply_to_followers(fleet, b'%04100d' % number, number + 4, now)
+        run_ticks(fleet, now, now + 0.1)
+    run_ticks(fleet, 6, 6.3)
+    assert table_versions(fleet) == {8}
+
+
+def test_router_without_the_version_before_reads_the_store(
+    fleet_with_large_table,
+):
+    """A difference of versions 2 and 3 says nothing to one that has 1."""
+    fleet = fleet_with_large_table
+    members = [
+        each for each in fleet if each not in routers_following_store(fleet, 5)
+    ]
+    missing = members[0]
+    missing.inbox.clear()
+    apply_to_followers(fleet, b'2'.zfill(4100), 6, now=5)
+    missing.transport.routers.pop(missing.hello.name)
+    run_ticks(fleet, 5, 5.4)
+    missing.transport.routers[missing.hello.name] = missing
+    apply_to_followers(fleet, b'3'.zfill(4100), 7, now=5.4)
+    run_ticks(fleet, 5.4, 5.6)
+    assert missing.directory.table.version == 1
+    assert missing.sharing.relay_protocol.must_follow_store(5.6)
+
+
+class OlderUpdateBatch(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """The batch as versions without patches know it."""
+
+    sender: int
+    follows_store: bool
+    revision: int
+    updates: tuple[RouterUpdate, ...]
+    store_changes: StoreChanges | None = None
+
+
+def test_older_versions_take_no_changes_whose_patches_they_would_miss(
+    fleet_with_large_table,
+):
+    """They would count as up to date without the configuration."""
+    fleet = fleet_with_large_table
+    relays = apply_to_followers(fleet, b'2'.zfill(4100), 6, now=5)
+    for router in fleet:
+        router.inbox.clear()
+    for relay in relays:
+        relay.sharing.tick(5.2)
+    frames = [content for router in fleet for content in router.inbox]
+    batches = [
+        msgspec.msgpack.decode(content, type=OlderUpdateBatch)
+        for content in frames
+    ]
+    assert any(batch.revision == 6 for batch in batches)
+    assert not any(batch.store_changes for batch in batches)
+
+
 def test_routers_that_read_a_large_change_do_not_also_request_it(fleet):
     """On a slow link the store's answer takes 0.7 s, and peers' add to it."""
     mark_store_answered(fleet, 4)
--- a/tests/fleet/test_service_directory.py
+++ b/tests/fleet/test_service_directory.py
@@ -266,3 +266,27 @@
     apply_changes(directory, entry('t/x', b'garbage', 4))
     assert available_names(directory) == ['y']
     assert len(directory.all_targets()) == 1
+
+
+def test_of_several_versions_in_one_answer_only_the_newest_is_decoded():
+    """Decoding each of many large configurations takes seconds."""
+    decoded = []
+
+    class CountingDecoder(Decoder):
+        def decode_table(self, content, revision):
+            decoded.append(content)
+            return super().decode_table(content, revision)
+
+    directory = ServiceDirectory(CountingDecoder())
+    versions = [entry('table', b'%d' % number, number) for number in (4, 5, 6)]
+    apply_changes(directory, *versions)
+    assert (directory.table.version, decoded) == (6, [b'6'])
+
+
+def test_a_valid_version_is_taken_although_a_newer_one_is_invalid():
+    directory = ServiceDirectory(Decoder())
+    versions = [entry('table', b'4', 4), entry('table', b'garbage', 5)]
+    apply_changes(directory, *versions)
+    assert directory.table.version == 4
+    apply_changes(directory, entry('table', b'6', 6))
+    assert directory.table.version == 6
