News of a leaving target does not wait for a large configuration

Change: a relay sends what fits, targets before routers and deletions first, and marks it as partial; the receiver applies it and stays behind, so it still reads the rest. The entries carry revisions of their own, so their order does not matter.

Evidence: the two new tests of tests/fleet/test_relay_protocol.py failed on (members still listed the target as available after 0.4 s) and pass.

--- a/peridotwell/fleet/change_forwarding.py
+++ b/peridotwell/fleet/change_forwarding.py
@@ -1,14 +1,16 @@
 """Forwards the store's changes from a relay to the routers of its group.
 
 Small entries are forwarded whole, large ones as differences from the version
-that was forwarded or read before. A router that lacks this version does not
-apply the changes, and reads the store.
+that was forwarded or read before. What does not fit in a batch, or does not fit
+what the router knows, is left out: the router takes the rest and reads the
+store. So the news that a target leaves never waits for a large configuration.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
 
 from peridotwell.fleet.entry_patches import PatchError, apply_patch, make_patch
 from peridotwell.fleet.frames import EntryPatch, SharedEntry, StoreChanges
+from peridotwell.fleet.router_registry import ROUTERS_PREFIX
 from peridotwell.fleet.service_directory import ServiceDirectory
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
@@ -30,10 +32,7 @@
         self._sent_large: dict[str, Entry] = {}
 
     def next_changes(self, now: float) -> StoreChanges | None:
-        """Return the store's changes since the last call.
-
-        Returns None if there are none, or if they are incomplete or too large.
-        """
+        """Return the store's changes since the last call, None if none fit."""
         base = self._sent_revision
         revision = self._directory.known_revision
         if revision <= base:
@@ -42,50 +41,86 @@
         previous = self._sent_large
         self._sent_revision = revision
         self._sent_large = replica.entries_over(LARGE_ENTRY_BYTES)
-        if not replica.has_all_deletions_since(base):
-            return None
         changed = replica.changes_since(base)
-        entries = tuple(
-            each for each in changed if each.key not in self._sent_large
-        )
+        entries = tuple(_fitting_entries(changed))
         patches = tuple(_make_patches(changed, previous, self._sent_large))
-        is_complete = len(entries) + len(patches) == len(changed)
-        if not is_complete or _size(entries, patches) > MAX_CHANGES_BYTES:
+        if not entries and not patches:
             return None
-        grace = self._directory.deferred_removals.remaining_seconds(now)
-        return StoreChanges(base, revision, entries, grace, patches)
+        is_complete = len(entries) + len(patches) == len(changed)
+        return StoreChanges(
+            base,
+            revision,
+            entries,
+            self._directory.deferred_removals.remaining_seconds(now),
+            patches,
+            not (is_complete and replica.has_all_deletions_since(base)),
+        )
 
     def apply(self, changes: StoreChanges, now: float) -> None:
-        """Apply the changes of a relay if they follow what is known here."""
+        """Apply the changes of a relay, as far as they fit what is known."""
         known = self._directory.known_revision
-        if changes.base_revision > known or changes.revision <= known:
-            return
-        try:
-            patched = tuple(self._apply_patches(changes.patches))
-        except PatchError as exc:
-            log_event('entries.patch_refused', error=str(exc))
+        if changes.revision <= known or not self._directory.is_loaded:
             return
+        patched = tuple(self._apply_patches(changes.patches))
+        is_complete = (
+            not changes.is_partial
+            and changes.base_revision <= known
+            and len(patched) == len(changes.patches)
+        )
         self._directory.deferred_removals.start_grace_period(
             changes.removal_grace_seconds, now
         )
         self._directory.apply_peer_changes(
-            (*changes.entries, *patched), changes.revision, now
+            (*changes.entries, *patched),
+            changes.revision if is_complete else known,
+            now,
         )
 
     def _apply_patches(
         self, patches: Iterable[EntryPatch]
     ) -> Iterator[SharedEntry]:
+        """Yield the entries whose patches fit the versions known here."""
         for patch in patches:
-            entry = self._directory.replica.entry(patch.key)
-            if entry is not None and entry.revision >= patch.revision:
-                continue
-            if entry is None or entry.revision != patch.base_revision:
-                raise PatchError(
-                    f'{patch.key} is not known at {patch.base_revision}: '
-                    'read the whole entry.'
-                )
-            content = apply_patch(entry.value, patch.patch)
-            yield SharedEntry(patch.key, patch.revision, content)
+            try:
+                yield self._apply_patch(patch)
+            except PatchError as exc:
+                log_event('entries.patch_refused', error=str(exc))
+
+    def _apply_patch(self, patch: EntryPatch) -> SharedEntry:
+        entry = self._directory.replica.entry(patch.key)
+        if entry is not None and entry.revision >= patch.revision:
+            return SharedEntry(entry.key, entry.revision, entry.value)
+        if entry is None or entry.revision != patch.base_revision:
+            raise PatchError(
+                f'{patch.key} is not known at {patch.base_revision}: '
+                'read the whole entry.'
+            )
+        content = apply_patch(entry.value, patch.patch)
+        return SharedEntry(patch.key, patch.revision, content)
+
+
+def _fitting_entries(changed: Iterable[SharedEntry]) -> Iterator[SharedEntry]:
+    """Yield the small entries that fit in a batch, the urgent ones first."""
+    left_bytes = MAX_CHANGES_BYTES
+    for each in sorted(changed, key=_urgency):
+        left_bytes -= _size(each)
+        if _is_large(each) or left_bytes < 0:
+            return
+        yield each
+
+
+def _is_large(entry: SharedEntry) -> bool:
+    return len(entry.value or b'') > LARGE_ENTRY_BYTES
+
+
+def _urgency(entry: SharedEntry) -> tuple[bool, bool, int]:
+    """Targets come before routers, deletions before other changes."""
+    is_router = entry.key.startswith(ROUTERS_PREFIX)
+    return _is_large(entry), is_router, _size(entry)
+
+
+def _size(entry: SharedEntry) -> int:
+    return len(entry.key) + len(entry.value or b'')
 
 
 def _make_patches(
@@ -93,16 +128,12 @@
     previous: Mapping[str, Entry],
     current: Mapping[str, Entry],
 ) -> Iterator[EntryPatch]:
-    """Yield the differences of the changed entries that are large in both."""
+    """Yield the differences of entries that are large in both versions."""
     for each in changed:
         old = previous.get(each.key)
         new = current.get(each.key)
-        if old is not None and new is not None:
-            patch = make_patch(old.value, new.value)
+        if old is None or new is None:
+            continue
+        patch = make_patch(old.value, new.value)
+        if len(patch) <= MAX_CHANGES_BYTES:
             yield EntryPatch(each.key, old.revision, new.revision, patch)
-
-
-def _size(entries: Iterable[SharedEntry], patches: Iterable[EntryPatch]) -> int:
-    """Return the number of bytes in values and differences."""
-    value_bytes = sum(len(each.value or b'') for each in entries)
-    return value_bytes + sum(len(each.patch) for each in patches)
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -229,7 +229,8 @@
     """Changes of the store after `base_revision`, up to `revision`.
 
     For another `removal_grace_seconds`, deleted targets may still register
-    again. `patches` holds the changes of large entries.
+    again. `patches` holds the changes of large entries. If `is_partial` is set,
+    some changes are missing, and the receiver stays behind `revision`.
     """
 
     base_revision: int
@@ -237,6 +238,7 @@
     entries: tuple[SharedEntry, ...]
     removal_grace_seconds: float = 0
     patches: tuple[EntryPatch, ...] = ()
+    is_partial: bool = False
 
 
 class UpdateBatch(Frame, frozen=True, array_like=True, tag=16):
@@ -244,9 +246,9 @@
 
     `follows_store` tells whether the sender reads the store itself,
     `revision` is the store revision that it knows. `listed` holds caches that
-    engines have listed after the start of routers. Changes with patches are
-    in `patched_changes`, because older versions know only `store_changes` and
-    would miss the patches.
+    engines have listed after the start of routers. Changes with patches and
+    partial ones are in `extended_changes`: older versions know only
+    `store_changes` and would count as up to date without what is missing.
     """
 
     follows_store: bool
@@ -254,7 +256,7 @@
     updates: tuple[RouterUpdate, ...]
     store_changes: StoreChanges | None = None
     listed: tuple[CachedPrompt, ...] = ()
-    patched_changes: StoreChanges | None = None
+    extended_changes: StoreChanges | None = None
 
 
 class CachesPull(Frame, frozen=True, array_like=True, tag=14):
--- a/peridotwell/fleet/relay_protocol.py
+++ b/peridotwell/fleet/relay_protocol.py
@@ -131,7 +131,7 @@
             self._group_updates.extend(new_updates)
         else:
             self._other_updates.extend(new_updates)
-        for changes in (batch.store_changes, batch.patched_changes):
+        for changes in (batch.store_changes, batch.extended_changes):
             if changes is not None:
                 self._change_forwarder.apply(changes, now)
 
@@ -163,15 +163,17 @@
         listed: tuple[CachedPrompt, ...],
         now: float,
     ) -> UpdateBatch:
-        has_patches = changes is not None and bool(changes.patches)
+        is_extended = changes is not None and (
+            changes.is_partial or bool(changes.patches)
+        )
         return UpdateBatch(
             self._own,
             self._follows_store(now),
             self._directory.known_revision,
             tuple(updates),
-            None if has_patches else changes,
+            None if is_extended else changes,
             listed,
-            changes if has_patches else None,
+            changes if is_extended else None,
         )
 
     def _send(self, routers: Iterable[int], batch: UpdateBatch) -> None:
--- a/peridotwell/fleet/service_directory.py
+++ b/peridotwell/fleet/service_directory.py
@@ -105,7 +105,7 @@
         """Apply changes received from another router.
 
         They must include every change after the revision that is known here,
-        up to `revision`.
+        up to `revision`; if some are missing, `revision` is the known one.
         """
         for entry in entries:
             if entry.value is None:
--- a/tests/fleet/test_relay_protocol.py
+++ b/tests/fleet/test_relay_protocol.py
@@ -5,6 +5,8 @@
 routers must learn of them soon.
 """
 
+import random
+
 import msgspec
 import pytest
 
@@ -18,6 +20,7 @@
 PART = CachedPart(7, 900)
 ENGINE = wire_id('engine')
 ROUTER_COUNT = 60
+LARGE_TABLE_BYTES = 4100
 
 
 @pytest.fixture
@@ -190,6 +193,54 @@
     assert missing.sharing.relay_protocol.must_follow_store(5.6)
 
 
+def available_targets(fleet):
+    return {len(each.directory.available_targets('s')) for each in fleet}
+
+
+# Guards against targets that leave being used while a large configuration is
+# on its way.
+def test_news_of_a_leaving_target_does_not_wait_for_a_new_configuration(
+    fleet_with_large_table,
+):
+    """The store still sends the configuration to all but the relays."""
+    fleet = fleet_with_large_table
+    unlike_the_last = random.Random(22).randbytes(LARGE_TABLE_BYTES)
+    changes = Changes(
+        (
+            Entry('table', unlike_the_last, 6),
+            Entry('t/engine', b'leaving', 7),
+        ),
+        (),
+        7,
+    )
+    for router in routers_following_store(fleet, 5):
+        router.directory.apply_changes(changes, 5)
+    run_ticks(fleet, 5, 5.4)
+    assert available_targets(fleet) == {0}
+    followers = routers_following_store(fleet, 5.4)
+    assert len(followers) == ROUTER_COUNT
+
+
+# Guards against the same for a router that has missed a batch of its relay.
+def test_router_that_missed_a_change_learns_that_a_target_leaves(
+    fleet_with_large_table,
+):
+    fleet = fleet_with_large_table
+    missing = next(
+        each for each in fleet if each not in routers_following_store(fleet, 5)
+    )
+    apply_to_followers(fleet, b'2'.zfill(4100), 6, now=5)
+    missing.transport.routers.pop(missing.hello.name)
+    run_ticks(fleet, 5, 5.4)
+    missing.transport.routers[missing.hello.name] = missing
+    change = Changes((Entry('t/engine', b'leaving', 7),), (), 7)
+    for router in routers_following_store(fleet, 5.4):
+        router.directory.apply_changes(change, 5.4)
+    run_ticks(fleet, 5.4, 5.8)
+    assert available_targets(fleet) == {0}
+    assert missing.sharing.relay_protocol.must_follow_store(5.8)
+
+
 class OlderUpdateBatch(msgspec.Struct, frozen=True, array_like=True, tag=16):
     """The batch as versions without patches know it."""
 
