--- a/peridotwell/fleet/cache_sync.py
+++ b/peridotwell/fleet/cache_sync.py
@@ -8,16 +8,25 @@
 
 import trio
 
-from peridotwell.domain.target import wire_id
-from peridotwell.fleet.frames import CachedPrompt, CachesPull, CachesPush, Pairs
+from peridotwell.fleet.cache_answers import CacheAnswers
+from peridotwell.fleet.cache_lists import list_portions
+from peridotwell.fleet.frames import (
+    CachedPrompt,
+    CachesPull,
+    CachesPush,
+    CachesRefusal,
+)
 from peridotwell.fleet.peer_transport import PeerTransport
 from peridotwell.fleet.peers import Peer, Peers, choose_peer
 from peridotwell.fleet.relay_protocol import RelayProtocol
 from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.policy.bulk_pacing import BulkPacer
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 
-__all__ = ('CacheSync', 'encode_parts')
+__all__ = ('CacheSync',)
+
+# Routers that started at least this much earlier are expected to have the
+# index. Clocks differ by less.
+EARLIER_START_MILLISECONDS = 2000
 
 
 class CacheSync:
@@ -42,14 +51,25 @@
         self._cache_index = cache_index
         self._relay_protocol = relay_protocol
         self._asked: set[int] = set()
-        self._pacer = BulkPacer(peers.own.link_bytes_per_second)
+        self._has_asked_relay = False
+        self._refused = trio.Event()
+        self._answers = CacheAnswers(
+            transport,
+            cache_index,
+            self._own,
+            peers.own.link_bytes_per_second,
+        )
+
+    def tick(self, now: float) -> None:
+        """Send what is due of the answers to other routers."""
+        self._answers.tick(now)
 
     def record_listed(
         self, target: int, parts: Iterable[CachedPart], now: float
     ) -> None:
         """Tell the others that an engine has listed these parts as cached."""
-        listed = CachedPrompt(target, encode_parts(parts))
-        self._relay_protocol.listed.add((listed,), now, from_group=True)
+        portions = tuple(list_portions(target, parts))
+        self._relay_protocol.listed.add(portions, now, from_group=True)
 
     def has_listed(self) -> bool:
         """Return whether lists wait to be sent."""
@@ -66,9 +86,12 @@
     def request(self, now: float) -> bool:
         """Request the cached prompts of all engines from one peer.
 
-        Each call asks another peer. Returns False if none could be asked.
+        Every other call asks this router's relay, the others another peer
+        each. Returns False if none could be asked.
         """
-        peer = self._choose_peer(now)
+        self._has_asked_relay = not self._has_asked_relay
+        relay = self._own_relay() if self._has_asked_relay else None
+        peer = relay or self._choose_peer(now)
         if peer is None:
             self._asked.clear()
             return False
@@ -77,31 +100,44 @@
             # The connection is being opened.
             return False
         self._asked.add(peer.wire_id)
+        self._refused = trio.Event()
         return True
 
+    async def wait_until_refused(self, seconds: float) -> bool:
+        """Return True once the peer that was asked refuses.
+
+        Returns False if it has not refused after some seconds.
+        """
+        with trio.move_on_after(seconds):
+            await self._refused.wait()
+        return self._refused.is_set()
+
+    def handle_refusal(self) -> None:
+        """Let another peer be asked."""
+        self._refused.set()
+
     def answer(self, pull: CachesPull, now: float) -> None:
         """Send a peer the index, unless it is incomplete or the link busy.
 
-        The peer then asks another router.
+        The peer then asks another router. A router that has chosen this one
+        as its relay gets what is known: it has missed what was sent before.
         """
         peer = self._peers.peer(pull.sender)
-        may_answer = self.is_complete and self._pacer.may_send(now)
-        if peer is None or not may_answer:
+        if peer is None:
             return
-        prompts = tuple(
-            CachedPrompt(wire_id(name), encode_parts(parts))
-            for name, parts in self._cache_index.all_parts().items()
-        )
-        push = CachesPush(self._own, prompts)
-        sent_before = self._transport.sent_bytes
-        self._transport.send(peer.hello.peer_address, push)
-        self._pacer.record_sent(self._transport.sent_bytes - sent_before, now)
+        address = peer.hello.peer_address
+        may_answer = self.is_complete or self._is_member(pull.sender)
+        if may_answer and self._answers.add(address, self.is_complete):
+            self.tick(now)
+            return
+        self._transport.send(address, CachesRefusal(self._own))
 
     def apply(self, push: CachesPush, now: float) -> None:
-        """Add the index of a peer to this router's."""
+        """Add a part of the index of a peer to this router's."""
         self.record_prompts(push.prompts, now)
-        self.is_complete = True
-        self.is_ready.set()
+        if push.is_last:
+            self.is_complete = True
+            self.is_ready.set()
 
     def record_prompts(
         self, prompts: Iterable[CachedPrompt], now: float
@@ -114,11 +150,22 @@
             parts = [CachedPart(*pair) for pair in prompt.parts]
             self._cache_index.record_use(target.name, parts, now)
 
+    def _own_relay(self) -> Peer | None:
+        relay = self._relay_protocol.topology.relay
+        return None if relay is None else self._peers.peer(relay)
+
+    def _is_member(self, router: int) -> bool:
+        return (
+            self._relay_protocol.is_enabled()
+            and self._relay_protocol.topology.is_member(router)
+        )
+
     def _choose_peer(self, now: float) -> Peer | None:
-        """Choose a peer that was not asked yet, a near and fast one first.
+        """Choose a peer that was not asked yet.
 
-        Live peers come first; after a start, none has been heard yet. The
-        answer is large, so different routers ask different peers.
+        One that started earlier comes first, then a near and fast one. Live
+        peers come first; after a start, none has been heard yet. The answer
+        is large, so different routers ask different peers.
         """
         peers = [
             peer
@@ -132,11 +179,12 @@
             self._own, [peer for peer in peers if self._rank(peer) == best]
         )
 
-    def _rank(self, peer: Peer) -> tuple[bool, int]:
-        is_near = peer.hello.data_centre == self._peers.own.data_centre
-        return is_near, peer.hello.link_bytes_per_second
-
-
-def encode_parts(parts: Iterable[CachedPart]) -> Pairs:
-    """Return parts as they are in messages."""
-    return tuple((part.part_id, part.tokens) for part in parts)
+    def _rank(self, peer: Peer) -> tuple[bool, bool, int]:
+        own = self._peers.own
+        started_at = peer.hello.incarnation + EARLIER_START_MILLISECONDS
+        is_near = peer.hello.data_centre == own.data_centre
+        return (
+            started_at <= own.incarnation,
+            is_near,
+            peer.hello.link_bytes_per_second,
+        )
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/frames.py
@@ -37,6 +37,7 @@
     'EntriesPush',
     'CachesPull',
     'CachesPush',
+    'CachesRefusal',
     'encode_frame',
     'decode_frame',
 )
@@ -264,9 +265,17 @@
 
 
 class CachesPush(Frame, frozen=True, array_like=True, tag=15):
-    """All prompts that the sender believes engines have cached."""
+    """Prompts that the sender believes engines have cached.
+
+    `is_last` is set in the last of several messages.
+    """
 
     prompts: tuple[CachedPrompt, ...]
+    is_last: bool = True
+
+
+class CachesRefusal(Frame, frozen=True, array_like=True, tag=17):
+    """Tells a router to request the cached prompts from another one."""
 
 
 _Any = (
@@ -286,6 +295,7 @@
     | EntriesPush
     | CachesPull
     | CachesPush
+    | CachesRefusal
 )
 _decoder: Any = msgspec.msgpack.Decoder(_Any)
 _encoder = msgspec.msgpack.Encoder()
--- a/peridotwell/fleet/listed_caches.py
+++ b/peridotwell/fleet/listed_caches.py
@@ -1,52 +1,64 @@
 """Lists of engines' caches on their way to all routers of a large fleet.
 
 After a common start, the lists of all engines go to all routers. They are large
-and less urgent than updates, so they are paced, and an engine that several
-routers have listed is passed on once.
+and less urgent than updates, so they are paced, and a list that several routers
+have read is passed on once. The first portions of all lists go first.
 """
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 
+from peridotwell.fleet.cache_lists import PART_BYTES
 from peridotwell.fleet.frames import CachedPrompt
 from peridotwell.policy.bulk_pacing import BulkPacer
 
 __all__ = ('ListedCaches',)
 
-# An engine's list is not passed on again within this time.
+# A portion of an engine's list is not passed on again within this time.
 REPEAT_SECONDS = 10.0
-# Encoded size of a part in a list.
-PART_BYTES = 13
 
 Lists = tuple[CachedPrompt, ...]
 
 
+@dataclass(frozen=True)
+class _Queues:
+    """Lists to pass on, from this router's group and from other groups."""
+
+    from_group: deque[CachedPrompt] = field(default_factory=deque)
+    from_others: deque[CachedPrompt] = field(default_factory=deque)
+
+    def __len__(self) -> int:
+        return len(self.from_group) + len(self.from_others)
+
+
 class ListedCaches:
     """The lists that this router has still to pass on."""
 
     def __init__(self, link_bytes_per_second: float) -> None:
         self._pacer = BulkPacer(link_bytes_per_second)
-        self._from_group: deque[CachedPrompt] = deque()
-        self._from_others: deque[CachedPrompt] = deque()
-        self._added_at: dict[int, float] = {}
+        self._first_portions = _Queues()
+        self._others = _Queues()
+        # When each portion, by engine and first part, was added.
+        self._added_at: dict[tuple[int, int], float] = {}
 
     def __len__(self) -> int:
-        return len(self._from_group) + len(self._from_others)
+        return len(self._first_portions) + len(self._others)
 
-    def add(
-        self, lists: Iterable[CachedPrompt], now: float, *, from_group: bool
-    ) -> None:
+    def add(self, lists: Lists, now: float, *, from_group: bool) -> None:
         """Add lists from this router's group or from other groups."""
-        queue = self._from_group if from_group else self._from_others
+        if not lists:
+            return
         self._added_at = {
-            target_id: added_at
-            for target_id, added_at in self._added_at.items()
+            portion: added_at
+            for portion, added_at in self._added_at.items()
             if now - added_at < REPEAT_SECONDS
         }
-        for each in lists:
-            if each.target_id not in self._added_at:
-                self._added_at[each.target_id] = now
-                queue.append(each)
+        for each in self._new_portions(lists):
+            queues = self._queues(each)
+            queue = queues.from_group if from_group else queues.from_others
+            queue.append(each)
+            self._added_at[_portion(each)] = now
 
     def take(
         self, now: float, relays: int, members: int
@@ -55,11 +67,28 @@
 
         The former go to `relays` and `members`, the latter to members only.
         """
-        from_group = tuple(
-            self._take_from(self._from_group, now, relays + members)
-        )
-        from_others = tuple(self._take_from(self._from_others, now, members))
-        return from_group, from_others
+        from_group: list[CachedPrompt] = []
+        from_others: list[CachedPrompt] = []
+        for queues in (self._first_portions, self._others):
+            from_group.extend(
+                self._take_from(queues.from_group, now, relays + members)
+            )
+            from_others.extend(
+                self._take_from(queues.from_others, now, members)
+            )
+        return tuple(from_group), tuple(from_others)
+
+    def _new_portions(self, lists: Lists) -> Iterator[CachedPrompt]:
+        for each in lists:
+            if _portion(each) not in self._added_at:
+                yield each
+
+    def _queues(self, portion: CachedPrompt) -> _Queues:
+        """Return the queues of first portions for an engine's first one."""
+        engines = {engine for engine, _ in self._added_at}
+        if portion.target_id in engines:
+            return self._others
+        return self._first_portions
 
     def _take_from(
         self, queue: deque[CachedPrompt], now: float, receivers: int
@@ -69,3 +98,8 @@
             sent_bytes = len(taken.parts) * PART_BYTES * receivers
             self._pacer.record_sent(sent_bytes, now)
             yield taken
+
+
+def _portion(portion: CachedPrompt) -> tuple[int, int]:
+    first_part = portion.parts[0][0] if portion.parts else 0
+    return portion.target_id, first_part
--- a/peridotwell/fleet/update_exchange.py
+++ b/peridotwell/fleet/update_exchange.py
@@ -10,13 +10,15 @@
 
 import trio
 
-from peridotwell.fleet.cache_sync import CacheSync, encode_parts
+from peridotwell.fleet.cache_lists import encode_parts
+from peridotwell.fleet.cache_sync import CacheSync
 from peridotwell.fleet.delay_monitor import DelayMonitor
 from peridotwell.fleet.entry_sync import EntrySync
 from peridotwell.fleet.frames import (
     CachedPrompt,
     CachesPull,
     CachesPush,
+    CachesRefusal,
     EntriesPull,
     EntriesPush,
     FrameError,
@@ -145,6 +147,7 @@
             self.relay_protocol.tick(now)
         self._remove_dead_routers(now)
         self.entry_sync.pull_if_behind(now)
+        self.cache_sync.tick(now)
         self.delay_monitor.tick(now)
 
     def _update_interval(self, now: float) -> float:
@@ -189,6 +192,8 @@
                 self.cache_sync.answer(frame, now)
             case CachesPush():
                 self.cache_sync.apply(frame, now)
+            case CachesRefusal():
+                self.cache_sync.handle_refusal()
             case _:
                 self._metrics.count('peer.unexpected')
 
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -35,6 +35,9 @@
 RECOVERY_SECONDS = 0.6
 # Time that a peer has to send its index before the next one is asked.
 PEER_TIMEOUT_SECONDS = 0.75
+# After this many refusals, peers are asked at this interval: all have started
+# at once, and asking each of them takes a connection to each.
+MAX_QUICK_REFUSALS = 6
 # Time in which other routers register after a common start.
 REGISTRATION_SECONDS = 0.2
 # Time in which the list that another router has read arrives, through relays
@@ -75,11 +78,17 @@
 
     async def _ask_peers(self, engines: list[Target]) -> None:
         """Ask one peer after the other until all engines are known."""
+        cache_sync = self.update_exchange.cache_sync
+        refusals = 0
         while self._unknown_engines(engines):
-            was_sent = self.update_exchange.cache_sync.request(
-                trio.current_time()
-            )
-            await trio.sleep(PEER_TIMEOUT_SECONDS if was_sent else POLL_SECONDS)
+            if not cache_sync.request(trio.current_time()):
+                await trio.sleep(POLL_SECONDS)
+            elif await cache_sync.wait_until_refused(PEER_TIMEOUT_SECONDS):
+                refusals += 1
+                is_quick = refusals <= MAX_QUICK_REFUSALS
+                await trio.sleep(
+                    POLL_SECONDS if is_quick else PEER_TIMEOUT_SECONDS
+                )
 
     async def _list_engines(self, engines: list[Target]) -> None:
         """List the engines of this router, then those that stay unknown."""
