Fleet modules stand in folders with one job each

Only imports change. Lending and membership serve the product's own interface; caches are apart from relays since they are also sent on request.

--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -10,7 +10,7 @@
 import time
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     RouterUpdate,
     UpdateBatch,
--- a/measure/simulated_fleet.py
+++ b/measure/simulated_fleet.py
@@ -12,11 +12,11 @@
 from measure.simulated_network import InMemoryTransport, SimulatedNetwork
 from peridotwell.domain.configuration import Configuration, Defaults
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.fleet.credit_exchange import CreditExchange
-from peridotwell.fleet.gossip import Gossip, SharedState
-from peridotwell.fleet.load_tracker import LoadTracker
-from peridotwell.fleet.peers import Peers, make_hello
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.lending.credit_exchange import CreditExchange
+from peridotwell.fleet.lending.load_tracker import LoadTracker
+from peridotwell.fleet.membership.gossip import Gossip, SharedState
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.peers import Peers, make_hello
 from peridotwell.metrics import Metrics
 from peridotwell.policy.quarantine import Quarantine
 from peridotwell.serving.placer import Placer
--- a/measure/simulated_network.py
+++ b/measure/simulated_network.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from peridotwell.fleet.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peer_transport import PeerTransport
 
 __all__ = ('SimulatedNetwork', 'InMemoryTransport')
 
--- a/measure/unit_costs.py
+++ b/measure/unit_costs.py
@@ -18,14 +18,14 @@
     Scope,
 )
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.frames import (
     CreditRequest,
     CreditReturn,
     Frame,
     Heartbeat,
     encode_frame,
 )
-from peridotwell.fleet.target_membership import TargetMembership
 from peridotwell.metrics import Measure, Metrics, Series
 
 __all__ = ('FRAME_HEADER', 'MEMORY_HEADER', 'frame_rows', 'memory_rows')
--- a/peridotwell/assembly.py
+++ b/peridotwell/assembly.py
@@ -6,13 +6,13 @@
 import trio
 
 from peridotwell.background_tasks import BackgroundTasks
-from peridotwell.fleet.credit_exchange import CreditExchange
-from peridotwell.fleet.gossip import Gossip, SharedState
-from peridotwell.fleet.load_tracker import LoadTracker
-from peridotwell.fleet.peer_transport import ZmqPeerTransport
-from peridotwell.fleet.peers import Peers, make_hello
-from peridotwell.fleet.router_registry import RouterRegistry
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.lending.credit_exchange import CreditExchange
+from peridotwell.fleet.lending.load_tracker import LoadTracker
+from peridotwell.fleet.membership.gossip import Gossip, SharedState
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
+from peridotwell.fleet.transport.peers import Peers, make_hello
+from peridotwell.fleet.transport.router_registry import RouterRegistry
 from peridotwell.metrics import Metrics
 from peridotwell.operators.api import OperatorsApi
 from peridotwell.operators.status import StatusReader
--- a/peridotwell/background_tasks.py
+++ b/peridotwell/background_tasks.py
@@ -13,10 +13,10 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.errors import StoreError
-from peridotwell.fleet.gossip import Gossip, SharedState
-from peridotwell.fleet.peer_transport import ZmqPeerTransport
-from peridotwell.fleet.router_registry import RouterRegistry
-from peridotwell.fleet.target_membership import decode_listing
+from peridotwell.fleet.membership.gossip import Gossip, SharedState
+from peridotwell.fleet.membership.target_membership import decode_listing
+from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
+from peridotwell.fleet.transport.router_registry import RouterRegistry
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.operators.status import StatusReader
--- /dev/null
+++ b/peridotwell/fleet/caches/__init__.py
@@ -0,0 +1,1 @@
+"""Lists of the engines' prompt caches, as routers send them to each other."""
--- a/peridotwell/fleet/cache_answers.py
+++ b/peridotwell/fleet/caches/cache_answers.py
@@ -9,14 +9,14 @@
 from dataclasses import dataclass, field
 
 from peridotwell.domain.target import wire_id
-from peridotwell.fleet.cache_lists import chunk_lists, list_portions
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.caches.cache_lists import chunk_lists, list_portions
+from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     CachesPush,
     CachesRefusal,
     Frame,
 )
-from peridotwell.fleet.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.policy.bulk_pacing import BulkPacer
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 
--- a/peridotwell/fleet/cache_sync.py
+++ b/peridotwell/fleet/caches/cache_sync.py
@@ -8,18 +8,18 @@
 
 import trio
 
-from peridotwell.fleet.cache_answers import CacheAnswers
-from peridotwell.fleet.cache_lists import list_portions
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.caches.cache_answers import CacheAnswers
+from peridotwell.fleet.caches.cache_lists import list_portions
+from peridotwell.fleet.relays.relay_protocol import RelayProtocol
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     CachesPull,
     CachesPush,
     CachesRefusal,
 )
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peer, Peers, choose_peer
-from peridotwell.fleet.relay_protocol import RelayProtocol
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peer, Peers, choose_peer
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 
 __all__ = ('CacheSync',)
--- a/peridotwell/fleet/listed_caches.py
+++ b/peridotwell/fleet/caches/listed_caches.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from peridotwell.fleet.cache_lists import PART_BYTES
-from peridotwell.fleet.frames import CachedPrompt
+from peridotwell.fleet.caches.cache_lists import PART_BYTES
+from peridotwell.fleet.transport.frames import CachedPrompt
 from peridotwell.policy.bulk_pacing import BulkPacer
 
 __all__ = ('ListedCaches',)
--- a/peridotwell/fleet/borrower_client.py
+++ b/peridotwell/fleet/lending/borrower_client.py
@@ -9,16 +9,16 @@
 from msgspec.structs import replace
 
 from peridotwell.domain.target import Pool, Target
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.lending.lender_assignments import LenderAssignments
+from peridotwell.fleet.transport.frames import (
     CreditGrant,
     CreditRequest,
     CreditReturn,
     HoldingsPull,
     HoldingsReport,
 )
-from peridotwell.fleet.lender_assignments import LenderAssignments
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peer, Peers
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peer, Peers
 from peridotwell.policy.credits import Borrower
 
 __all__ = ('BorrowerClient', 'CreditRequestCounters')
--- a/peridotwell/fleet/credit_exchange.py
+++ b/peridotwell/fleet/lending/credit_exchange.py
@@ -4,8 +4,12 @@
 from collections.abc import Iterable, Mapping
 
 from peridotwell.domain.target import Pool, Target
-from peridotwell.fleet.borrower_client import BorrowerClient
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.lending.borrower_client import BorrowerClient
+from peridotwell.fleet.lending.lender_assignments import LenderAssignments
+from peridotwell.fleet.lending.lender_service import LenderService
+from peridotwell.fleet.lending.load_tracker import LoadTracker
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.frames import (
     CreditGrant,
     CreditRequest,
     CreditReturn,
@@ -13,12 +17,8 @@
     HoldingsPull,
     HoldingsReport,
 )
-from peridotwell.fleet.lender_assignments import LenderAssignments
-from peridotwell.fleet.lender_service import LenderService
-from peridotwell.fleet.load_tracker import LoadTracker
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers
 
 __all__ = ('CreditExchange',)
 
--- a/peridotwell/fleet/lender_assignments.py
+++ b/peridotwell/fleet/lending/lender_assignments.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
-from peridotwell.fleet.peers import Peers, choose_lender
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.peers import Peers, choose_lender
 
 __all__ = ('LenderAssignments', 'LenderReassignment')
 
--- a/peridotwell/fleet/lender_service.py
+++ b/peridotwell/fleet/lending/lender_service.py
@@ -4,18 +4,18 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.target import Pool, Target, wire_id
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.lending.lender_assignments import LenderReassignment
+from peridotwell.fleet.lending.load_tracker import LoadTracker
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.frames import (
     CreditGrant,
     CreditRequest,
     CreditReturn,
     HoldingsPull,
     HoldingsReport,
 )
-from peridotwell.fleet.lender_assignments import LenderReassignment
-from peridotwell.fleet.load_tracker import LoadTracker
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.credits import Holdings, Lender
 
 __all__ = ('LenderService',)
--- a/peridotwell/fleet/load_tracker.py
+++ b/peridotwell/fleet/lending/load_tracker.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.target import Pool, Target, wire_id
-from peridotwell.fleet.peers import Peer, Peers
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.peers import Peer, Peers
 from peridotwell.policy.credits import load_caps
 from peridotwell.store.configuration import ConfigurationStore
 
--- /dev/null
+++ b/peridotwell/fleet/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers and targets are live, as routers tell each other."""
--- a/peridotwell/fleet/gossip.py
+++ b/peridotwell/fleet/membership/gossip.py
@@ -9,8 +9,13 @@
 import msgspec
 import xxhash
 
-from peridotwell.fleet.credit_exchange import CreditExchange
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.lending.credit_exchange import CreditExchange
+from peridotwell.fleet.lending.load_tracker import LoadTracker
+from peridotwell.fleet.membership.target_membership import (
+    TargetMembership,
+    decode_listing,
+)
+from peridotwell.fleet.transport.frames import (
     Frame,
     FrameError,
     Heartbeat,
@@ -20,11 +25,9 @@
     StatePush,
     decode_frame,
 )
-from peridotwell.fleet.load_tracker import LoadTracker
-from peridotwell.fleet.peer_discovery import PeerDiscovery
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers
-from peridotwell.fleet.target_membership import TargetMembership, decode_listing
+from peridotwell.fleet.transport.peer_discovery import PeerDiscovery
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.quarantine import Quarantine
--- /dev/null
+++ b/peridotwell/fleet/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Updates between forwarding routers, directly or through relays."""
--- a/peridotwell/fleet/delay_monitor.py
+++ b/peridotwell/fleet/relays/delay_monitor.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 
-from peridotwell.fleet.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.logs import log_failure
 from peridotwell.metrics import Metrics
 from peridotwell.policy.update_delay import UpdateDelay
--- a/peridotwell/fleet/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -12,18 +12,18 @@
 
 from collections.abc import Callable, Iterable
 
-from peridotwell.fleet.change_forwarding import ChangeForwarder
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.caches.listed_caches import ListedCaches
+from peridotwell.fleet.relays.relay_topology import RelayTopology
+from peridotwell.fleet.replica.change_forwarding import ChangeForwarder
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     RouterUpdate,
     StoreChanges,
     UpdateBatch,
 )
-from peridotwell.fleet.listed_caches import ListedCaches
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers
-from peridotwell.fleet.relay_topology import RelayTopology
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.relays import needs_relays
 
 __all__ = ('RelayProtocol',)
--- a/peridotwell/fleet/relay_topology.py
+++ b/peridotwell/fleet/relays/relay_topology.py
@@ -8,8 +8,8 @@
 import math
 from dataclasses import dataclass
 
-from peridotwell.fleet.frames import Hello, UpdateBatch
-from peridotwell.fleet.peers import Peers
+from peridotwell.fleet.transport.frames import Hello, UpdateBatch
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.policy.relays import (
     GroupMember,
--- a/peridotwell/fleet/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -10,11 +10,13 @@
 
 import trio
 
-from peridotwell.fleet.cache_lists import encode_parts
-from peridotwell.fleet.cache_sync import CacheSync
-from peridotwell.fleet.delay_monitor import DelayMonitor
-from peridotwell.fleet.entry_sync import EntrySync
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.caches.cache_lists import encode_parts
+from peridotwell.fleet.caches.cache_sync import CacheSync
+from peridotwell.fleet.relays.delay_monitor import DelayMonitor
+from peridotwell.fleet.relays.relay_protocol import RelayProtocol
+from peridotwell.fleet.replica.entry_sync import EntrySync
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     CachesPull,
     CachesPush,
@@ -27,11 +29,9 @@
     UpdateBatch,
     decode_frame,
 )
-from peridotwell.fleet.peer_discovery import PeerDiscovery
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers
-from peridotwell.fleet.relay_protocol import RelayProtocol
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.peer_discovery import PeerDiscovery
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.own_counts import OwnCounts
--- a/peridotwell/fleet/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -8,10 +8,18 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from peridotwell.fleet.entry_patches import PatchError, apply_patch, make_patch
-from peridotwell.fleet.frames import EntryPatch, SharedEntry, StoreChanges
-from peridotwell.fleet.router_registry import ROUTERS_PREFIX
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.entry_patches import (
+    PatchError,
+    apply_patch,
+    make_patch,
+)
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import (
+    EntryPatch,
+    SharedEntry,
+    StoreChanges,
+)
+from peridotwell.fleet.transport.router_registry import ROUTERS_PREFIX
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
 
--- a/peridotwell/fleet/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -5,11 +5,11 @@
 date when the store refuses its calls.
 """
 
-from peridotwell.fleet.frames import EntriesPull, EntriesPush
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peer, Peers, choose_peer
-from peridotwell.fleet.relay_protocol import RelayProtocol
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.relays.relay_protocol import RelayProtocol
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import EntriesPull, EntriesPush
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peer, Peers, choose_peer
 from peridotwell.logs import log_event
 
 __all__ = ('EntrySync',)
--- a/peridotwell/fleet/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -12,10 +12,13 @@
 from peridotwell.domain.routing_table import RoutingTable
 from peridotwell.domain.target import Target
 from peridotwell.errors import EntryError
-from peridotwell.fleet.deferred_removals import DeferredRemovals
-from peridotwell.fleet.frames import Hello, SharedEntry
-from peridotwell.fleet.router_registry import ROUTERS_PREFIX, decode_router
-from peridotwell.fleet.store_replica import StoreReplica
+from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
+from peridotwell.fleet.replica.store_replica import StoreReplica
+from peridotwell.fleet.transport.frames import Hello, SharedEntry
+from peridotwell.fleet.transport.router_registry import (
+    ROUTERS_PREFIX,
+    decode_router,
+)
 from peridotwell.forwarding.adapters import EntryDecoder
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
--- a/peridotwell/fleet/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -5,8 +5,8 @@
 import trio
 
 from peridotwell.errors import StoreError
-from peridotwell.fleet.deferred_removals import REREGISTRATION_SECONDS
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.store.change_feed import ChangeFeed, HistoryGone, Snapshot
--- a/peridotwell/fleet/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -3,7 +3,7 @@
 Routers that lag behind get the changes that they lack from it.
 """
 
-from peridotwell.fleet.frames import SharedEntry
+from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
 
--- a/peridotwell/fleet/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from peridotwell.errors import PeridotwellError
-from peridotwell.fleet.target_membership import TargetObservation
+from peridotwell.fleet.membership.target_membership import TargetObservation
 from peridotwell.policy.quarantine import CrashRecord
 
 __all__ = (
--- a/peridotwell/fleet/peer_discovery.py
+++ b/peridotwell/fleet/transport/peer_discovery.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from peridotwell.fleet.frames import Hello
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers
+from peridotwell.fleet.transport.frames import Hello
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.policy.relays import needs_relays
 
--- a/peridotwell/fleet/peer_transport.py
+++ b/peridotwell/fleet/transport/peer_transport.py
@@ -16,7 +16,7 @@
 import trio
 import zmq
 
-from peridotwell.fleet.frames import Frame, encode_frame
+from peridotwell.fleet.transport.frames import Frame, encode_frame
 
 __all__ = ('PeerTransport', 'ZmqPeerTransport')
 
--- a/peridotwell/fleet/router_registry.py
+++ b/peridotwell/fleet/transport/router_registry.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from peridotwell.errors import StoreConflict, StoreResponseLost
-from peridotwell.fleet.frames import Hello
+from peridotwell.fleet.transport.frames import Hello
 from peridotwell.store.base import EntryStore, KeyValueStore
 
 __all__ = (
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -3,13 +3,16 @@
 import time
 from dataclasses import dataclass
 
-from peridotwell.fleet.frames import Hello
-from peridotwell.fleet.peer_transport import ZmqPeerTransport
-from peridotwell.fleet.peers import Peers, make_hello
-from peridotwell.fleet.router_registry import RouterRegistration
-from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.fleet.store_follower import StoreFollower
-from peridotwell.fleet.update_exchange import ForwardingState, UpdateExchange
+from peridotwell.fleet.relays.update_exchange import (
+    ForwardingState,
+    UpdateExchange,
+)
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.transport.frames import Hello
+from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
+from peridotwell.fleet.transport.peers import Peers, make_hello
+from peridotwell.fleet.transport.router_registry import RouterRegistration
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -18,7 +18,7 @@
 )
 from peridotwell.domain.target import Target, wire_id
 from peridotwell.errors import ForwardedRequestQuarantined
-from peridotwell.fleet.update_exchange import UpdateExchange
+from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.logs import log_failure
 from peridotwell.policy.quarantine import Quarantine
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -7,8 +7,8 @@
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.domain.routing_table import RequestKind
 from peridotwell.errors import DeadlineExceeded, RequestError, RunState
-from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.fleet.update_exchange import UpdateExchange
+from peridotwell.fleet.relays.update_exchange import UpdateExchange
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.buffered_responses import (
     SUCCESSES,
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -18,9 +18,9 @@
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.domain.target import Target
 from peridotwell.errors import EntryError
-from peridotwell.fleet.peers import choose_lender
-from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.fleet.update_exchange import UpdateExchange
+from peridotwell.fleet.relays.update_exchange import UpdateExchange
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.peers import choose_lender
 from peridotwell.forwarding.adapters import TargetAdapter
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.logs import log_event, log_failure
--- a/peridotwell/forwarding/target_clients.py
+++ b/peridotwell/forwarding/target_clients.py
@@ -3,7 +3,7 @@
 import trio
 
 from peridotwell.domain.target import Target
-from peridotwell.fleet.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import TargetAdapter
 from peridotwell.serving.target_client import TargetClient
 
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -2,8 +2,11 @@
 
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.domain.target import Target
-from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.fleet.update_exchange import ForwardingState, UpdateExchange
+from peridotwell.fleet.relays.update_exchange import (
+    ForwardingState,
+    UpdateExchange,
+)
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import ReportedLoad, RoutedRequest
 from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.logs import log_event
--- a/peridotwell/operators/api.py
+++ b/peridotwell/operators/api.py
@@ -7,8 +7,8 @@
 
 from peridotwell.domain.configuration import Change, Configuration
 from peridotwell.errors import ChangeRefused, PeridotwellError, StoreError
-from peridotwell.fleet.frames import Observations
-from peridotwell.fleet.gossip import Gossip, SharedState
+from peridotwell.fleet.membership.gossip import Gossip, SharedState
+from peridotwell.fleet.transport.frames import Observations
 from peridotwell.metrics import Metrics
 from peridotwell.operators.messages import (
     ChangeReport,
--- a/peridotwell/operators/status.py
+++ b/peridotwell/operators/status.py
@@ -3,8 +3,8 @@
 import trio
 
 from peridotwell.domain.target import Target
-from peridotwell.fleet.gossip import SharedState
-from peridotwell.fleet.peer_transport import PeerTransport
+from peridotwell.fleet.membership.gossip import SharedState
+from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.metrics import Metrics
 from peridotwell.operators.messages import (
     RouterAddress,
--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -10,10 +10,10 @@
 from peridotwell.domain.configuration import Defaults
 from peridotwell.domain.target import Pool, Target
 from peridotwell.errors import NoTarget
-from peridotwell.fleet.credit_exchange import CreditExchange
-from peridotwell.fleet.load_tracker import LoadTracker
-from peridotwell.fleet.peers import Peers
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.lending.credit_exchange import CreditExchange
+from peridotwell.fleet.lending.load_tracker import LoadTracker
+from peridotwell.fleet.membership.target_membership import TargetMembership
+from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.admission import (
     AdmissionQueue,
     QueuedRequest,
--- a/peridotwell/serving/readiness.py
+++ b/peridotwell/serving/readiness.py
@@ -1,7 +1,7 @@
 """Whether this router is ready for requests, and why not."""
 
-from peridotwell.fleet.credit_exchange import CreditExchange
-from peridotwell.fleet.target_membership import TargetMembership
+from peridotwell.fleet.lending.credit_exchange import CreditExchange
+from peridotwell.fleet.membership.target_membership import TargetMembership
 from peridotwell.store.configuration import ConfigurationStore
 
 __all__ = ('Readiness',)
--- a/peridotwell/serving/target_monitor.py
+++ b/peridotwell/serving/target_monitor.py
@@ -12,11 +12,11 @@
 )
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.target import Target, wire_id
-from peridotwell.fleet.frames import Observations
-from peridotwell.fleet.target_membership import (
+from peridotwell.fleet.membership.target_membership import (
     TargetMembership,
     TargetObservation,
 )
+from peridotwell.fleet.transport.frames import Observations
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.quarantine import Quarantine, request_fingerprint
--- /dev/null
+++ b/tests/fleet/caches/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the caches package of the fleet."""
--- a/tests/fleet/test_cache_answers.py
+++ b/tests/fleet/caches/test_cache_answers.py
@@ -1,9 +1,13 @@
 """Tests of the answers to routers that request the index of caches."""
 
-from peridotwell.fleet.cache_answers import MAX_ANSWERS, CacheAnswers
-from peridotwell.fleet.frames import CachesPush, CachesRefusal, decode_frame
+from peridotwell.fleet.caches.cache_answers import MAX_ANSWERS, CacheAnswers
+from peridotwell.fleet.transport.frames import (
+    CachesPush,
+    CachesRefusal,
+    decode_frame,
+)
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
-from tests.fleet.test_update_exchange import InMemoryTransport
+from tests.fleet.relays.test_update_exchange import InMemoryTransport
 
 LINK_BYTES_PER_SECOND = 625_000
 ENGINES = 50
--- a/tests/fleet/test_cache_lists.py
+++ b/tests/fleet/caches/test_cache_lists.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.fleet.cache_lists import (
+from peridotwell.fleet.caches.cache_lists import (
     PORTION_PARTS,
     chunk_lists,
     list_portions,
--- a/tests/fleet/test_listed_caches.py
+++ b/tests/fleet/caches/test_listed_caches.py
@@ -1,7 +1,7 @@
 """Tests of the lists of caches that relays pass on."""
 
-from peridotwell.fleet.frames import CachedPrompt
-from peridotwell.fleet.listed_caches import ListedCaches
+from peridotwell.fleet.caches.listed_caches import ListedCaches
+from peridotwell.fleet.transport.frames import CachedPrompt
 
 PARTS = tuple((number, 500) for number in range(100))
 
--- /dev/null
+++ b/tests/fleet/lending/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lending package of the fleet."""
--- /dev/null
+++ b/tests/fleet/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the membership package of the fleet."""
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/membership/test_gossip.py
@@ -6,8 +6,8 @@
 from measure.simulated_fleet import SimulatedFleet, SimulatedRouter
 from peridotwell.domain.configuration import Defaults
 from peridotwell.domain.target import wire_id
-from peridotwell.fleet.frames import Observations
-from peridotwell.fleet.target_membership import TargetObservation
+from peridotwell.fleet.membership.target_membership import TargetObservation
+from peridotwell.fleet.transport.frames import Observations
 
 
 @pytest.fixture
--- a/tests/fleet/test_target_membership.py
+++ b/tests/fleet/membership/test_target_membership.py
@@ -4,7 +4,12 @@
 import pytest
 
 from peridotwell.domain.target import Pool, wire_id
-from peridotwell.fleet.frames import (
+from peridotwell.fleet.membership.target_membership import (
+    TargetMembership,
+    TargetObservation,
+    decode_listing,
+)
+from peridotwell.fleet.transport.frames import (
     CreditRequest,
     FrameError,
     Heartbeat,
@@ -13,12 +18,7 @@
     decode_frame,
     encode_frame,
 )
-from peridotwell.fleet.peer_transport import ZmqPeerTransport
-from peridotwell.fleet.target_membership import (
-    TargetMembership,
-    TargetObservation,
-    decode_listing,
-)
+from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
 
 POOL = Pool('dc1', 'ink')
 
--- /dev/null
+++ b/tests/fleet/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the relays package of the fleet."""
--- a/tests/fleet/test_delay_monitor.py
+++ b/tests/fleet/relays/test_delay_monitor.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from peridotwell.fleet import delay_monitor
-from peridotwell.fleet.delay_monitor import DelayMonitor
+from peridotwell.fleet.relays import delay_monitor
+from peridotwell.fleet.relays.delay_monitor import DelayMonitor
 from peridotwell.metrics import Metrics
 from peridotwell.policy.update_delay import UpdateDelay
-from tests.fleet.test_update_exchange import InMemoryTransport
+from tests.fleet.relays.test_update_exchange import InMemoryTransport
 
 
 @pytest.fixture
--- a/tests/fleet/test_relay_links.py
+++ b/tests/fleet/relays/test_relay_links.py
@@ -14,7 +14,7 @@
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
-from tests.fleet.test_update_exchange import InMemoryTransport, Router
+from tests.fleet.relays.test_update_exchange import InMemoryTransport, Router
 
 ROUTER_COUNT = 84
 ENGINE_COUNT = 70
--- a/tests/fleet/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -11,11 +11,11 @@
 import pytest
 
 from peridotwell.domain.target import wire_id
-from peridotwell.fleet.frames import RouterUpdate, StoreChanges
+from peridotwell.fleet.transport.frames import RouterUpdate, StoreChanges
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
-from tests.fleet.test_update_exchange import Router, run_ticks
+from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
 PART = CachedPart(7, 900)
 ENGINE = wire_id('engine')
--- a/tests/fleet/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -5,18 +5,25 @@
 from hypothesis import strategies as st
 
 from peridotwell.domain.target import wire_id
-from peridotwell.fleet.frames import RouterUpdate, decode_frame, encode_frame
-from peridotwell.fleet.peer_transport import PeerTransport
-from peridotwell.fleet.peers import Peers, make_hello
-from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.fleet.update_exchange import ForwardingState, UpdateExchange
+from peridotwell.fleet.relays.update_exchange import (
+    ForwardingState,
+    UpdateExchange,
+)
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import (
+    RouterUpdate,
+    decode_frame,
+    encode_frame,
+)
+from peridotwell.fleet.transport.peer_transport import PeerTransport
+from peridotwell.fleet.transport.peers import Peers, make_hello
 from peridotwell.metrics import Metrics
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
-from tests.fleet.test_service_directory import Decoder
+from tests.fleet.replica.test_service_directory import Decoder
 
 PART = CachedPart(7, 900)
 SNAPSHOT = Snapshot(
--- /dev/null
+++ b/tests/fleet/replica/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replica package of the fleet."""
--- a/tests/fleet/test_entry_patches.py
+++ b/tests/fleet/replica/test_entry_patches.py
@@ -7,7 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.fleet.entry_patches import PatchError, apply_patch, make_patch
+from peridotwell.fleet.replica.entry_patches import (
+    PatchError,
+    apply_patch,
+    make_patch,
+)
 
 VERSIONS = st.binary(min_size=1, max_size=500)
 
--- a/tests/fleet/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -5,9 +5,9 @@
 from peridotwell.domain.routing_table import RoutingTable
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import EntryError, StoreResponseLost
-from peridotwell.fleet.deferred_removals import REREGISTRATION_SECONDS
-from peridotwell.fleet.service_directory import ServiceDirectory
-from peridotwell.fleet.store_follower import StoreFollower
+from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_follower import StoreFollower
 from peridotwell.forwarding.adapters import EntryDecoder
 from peridotwell.metrics import Metrics
 from peridotwell.store.base import Entry
--- /dev/null
+++ b/tests/fleet/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the transport package of the fleet."""
--- a/tests/fleet/test_router_registry.py
+++ b/tests/fleet/transport/test_router_registry.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from peridotwell.fleet.router_registry import decode_router
+from peridotwell.fleet.transport.router_registry import decode_router
 
 ENTRY = {
     'sender': 7,
--- a/tests/forwarding/simulated_targets.py
+++ b/tests/forwarding/simulated_targets.py
@@ -25,8 +25,8 @@
 from peridotwell.policy.outlier_ejection import OutlierEjection
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
-from tests.fleet.test_service_directory import Decoder
-from tests.fleet.test_update_exchange import Router
+from tests.fleet.relays.test_update_exchange import Router
+from tests.fleet.replica.test_service_directory import Decoder
 from tests.forwarding.test_crash_tracker import make_request
 
 ENGINES = 'engines'
--- a/tests/forwarding/test_recovery.py
+++ b/tests/forwarding/test_recovery.py
@@ -11,12 +11,12 @@
 import pytest
 import trio
 
-from peridotwell.fleet.router_registry import ROUTERS_PREFIX
+from peridotwell.fleet.transport.router_registry import ROUTERS_PREFIX
 from peridotwell.forwarding.recovery import CacheRecovery
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
-from tests.fleet.test_relay_links import TICK_SECONDS, Network
+from tests.fleet.relays.test_relay_links import TICK_SECONDS, Network
 from tests.forwarding.simulated_targets import ENGINES, TargetDecoder
 
 LINK_BYTES_PER_SECOND = 625_000
--- a/tests/forwarding/test_target_tracker.py
+++ b/tests/forwarding/test_target_tracker.py
@@ -7,7 +7,7 @@
 from peridotwell.domain.routing_table import RequestKind
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.policy.outlier_ejection import OutlierEjection
-from tests.fleet.test_update_exchange import Router
+from tests.fleet.relays.test_update_exchange import Router
 from tests.forwarding.test_crash_tracker import make_request, target
 
 NEAR = target('near', '10.0.0.1:80')
