A target that left while one router was cut off is not kept in use

What callers saw: DRAIN.

The router took it for one whose lease had expired in an outage of the store (target.doubted) and kept it in use until 29.82 s. But the store had been up all the time: only this router could not reach it. The class: one router's own fault taken for the system's.

Ruled out: connections that hang after the cut (it read the store 1.9 s after), and a full link (entries of its peers came within 0.5 s).

Change: each update tells for how long the store has answered its sender without interruption. A peer with 2.2 s of contact and an answer of the last 1.5 s shows that there was no outage in which leases expired, or that it ended long ago: what is missing is gone, and the grace period ends. After an outage for all nobody has such contact, and targets are kept as before.

Two small integers more in each update.

--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -184,4 +184,7 @@
         self._transport.send_all(addresses, batch)
 
     def _follows_store(self, now: float) -> bool:
-        return now - self._directory.store_answered_at <= STORE_FRESH_SECONDS
+        return (
+            now - self._directory.store_contact.answered_at
+            <= STORE_FRESH_SECONDS
+        )
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -16,6 +16,11 @@
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
 from peridotwell.fleet.replica.entry_sync import EntrySync
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_contact import (
+    StoreContactReport,
+    decode_seconds,
+    encode_seconds,
+)
 from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     CachesPull,
@@ -200,6 +205,7 @@
     def _send_update(self, now: float) -> None:
         is_full = now - self._full_at >= FULL_UPDATE_SECONDS
         self._sequence = (self._sequence + 1) & SEQUENCE_MASK
+        contact = self.state.directory.store_contact.report(now)
         update = RouterUpdate(
             self._own,
             self.state.directory.known_revision,
@@ -210,6 +216,8 @@
             self.own_prefill_tokens.take_counts(include_unchanged=is_full),
             (*self._prompts, *self.cache_sync.take_listed(now)),
             tuple(self._crash_records),
+            encode_seconds(contact.contact_seconds),
+            encode_seconds(contact.answer_age_seconds),
         )
         self._sent_revision = update.revision
         self._prompts.clear()
@@ -261,6 +269,14 @@
             counts.update(update.sender, dict(pairs))
         self.cache_sync.record_prompts(update.prompts, now)
         self.state.quarantine.merge(update.crash_records, unix_now)
+        self.state.directory.handle_store_contact(
+            StoreContactReport(
+                decode_seconds(update.store_contact_deciseconds),
+                decode_seconds(update.store_answer_age_deciseconds),
+            ),
+            update.revision,
+            now,
+        )
         return True
 
     def _remove_dead_routers(self, now: float) -> None:
--- a/peridotwell/fleet/replica/deferred_removals.py
+++ b/peridotwell/fleet/replica/deferred_removals.py
@@ -23,6 +23,13 @@
         """Start or extend the grace period for keys that are deleted."""
         self._grace_ends_at = max(self._grace_ends_at, now + seconds)
 
+    def end_grace_period(self, now: float) -> None:
+        """End the grace period, also for the keys that are deferred."""
+        self._grace_ends_at = min(self._grace_ends_at, now)
+        self._keys = {
+            key: min(deadline, now) for key, deadline in self._keys.items()
+        }
+
     def remaining_seconds(self, now: float) -> float:
         """Return the rest of the grace period, in seconds."""
         return max(0, self._grace_ends_at - now)
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -111,7 +111,10 @@
     def _store_has_answered(self) -> bool:
         """Return whether the store has answered since `_behind_since`."""
         since = self._behind_since
-        return since is not None and self._directory.store_answered_at > since
+        return (
+            since is not None
+            and self._directory.store_contact.answered_at > since
+        )
 
     def _peer_ahead(self, revision: int, now: float) -> Peer | None:
         """Return a peer with a later revision than `revision`, or None.
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -4,7 +4,6 @@
 deleted targets are kept for a short time, because live ones register again.
 """
 
-import math
 from collections.abc import Callable, Iterable
 
 import trio
@@ -17,6 +16,10 @@
     DeferredRemovals,
 )
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
+from peridotwell.fleet.replica.store_contact import (
+    StoreContact,
+    StoreContactReport,
+)
 from peridotwell.fleet.replica.store_replica import StoreReplica
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
 from peridotwell.fleet.transport.router_registry import (
@@ -41,8 +44,7 @@
     def __init__(self, decoder: EntryDecoder) -> None:
         self.table: RoutingTable | None = None
         self.table_loaded_at = float(0)
-        # When the store itself, not a peer, last answered.
-        self.store_answered_at = -math.inf
+        self.store_contact = StoreContact()
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -89,13 +91,13 @@
 
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Apply a snapshot of the store."""
-        self.store_answered_at = now
+        self.store_contact.record_answer(now)
         self.feed_revision = max(self.feed_revision, snapshot.revision)
         self._apply_all_entries(snapshot, now)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
-        self.store_answered_at = now
+        self.store_contact.record_answer(now)
         # Of several versions of a large configuration, only the last valid
         # one is decoded.
         for entry in reversed(changes.entries):
@@ -138,6 +140,19 @@
         )
         self._apply_all_entries(Snapshot(store_entries, revision), now)
 
+    def handle_store_contact(
+        self, report: StoreContactReport, revision: int, now: float
+    ) -> None:
+        """Remove deleted targets if a peer's contact shows that they are gone.
+
+        The peer knows the store at `revision`. After a restore of the store,
+        contact with it as it was before shows nothing.
+        """
+        if report.shows_gone and not is_of_later_era(
+            self.known_revision, revision
+        ):
+            self.deferred_removals.end_grace_period(now)
+
     def remove_expired(self, now: float) -> None:
         """Remove deleted targets whose grace period has ended."""
         for key in self.deferred_removals.pop_expired(now):
@@ -158,6 +173,7 @@
             self.deferred_removals.start_grace_period(
                 REREGISTRATION_SECONDS, now
             )
+            self.store_contact.interrupt(now)
             log_event(
                 'store.restored',
                 era=era_of(snapshot.revision),
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -108,6 +108,7 @@
 
     def _record_failure(self, exc: StoreError) -> None:
         self._metrics.count('store.errors')
+        self._directory.store_contact.interrupt(trio.current_time())
         if self.is_connected:
             log_event('store.lost', code=exc.code, error=str(exc))
         self.is_connected = False
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -179,7 +179,9 @@
     sender waits for) list the targets whose count has changed, or all targets
     if `is_full`. `prompts` are those sent to engines since the last update,
     `crash_records` concern requests that crash targets. `sequence` increases
-    with each update.
+    with each update. The last two fields tell for how many tenths of a second
+    the store had answered the sender without interruption, and how long ago it
+    last did.
     """
 
     revision: int
@@ -190,6 +192,8 @@
     prefill_tokens: Pairs = ()
     prompts: tuple[CachedPrompt, ...] = ()
     crash_records: tuple[CrashRecord, ...] = ()
+    store_contact_deciseconds: int = 0
+    store_answer_age_deciseconds: int = 0
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -53,7 +53,7 @@
 def mark_store_answered(fleet, now):
     """Let each router assume that the store responded to it at `now`."""
     for router in fleet:
-        router.directory.store_answered_at = now
+        router.directory.store_contact.record_answer(now)
 
 
 def test_every_router_considers_all_others_live(fleet):
--- a/tests/forwarding/test_recovery.py
+++ b/tests/forwarding/test_recovery.py
@@ -111,7 +111,7 @@
             entries += [router_entry(each.hello, 200) for each in self.routers]
         for router in self.routers:
             router.directory.apply_snapshot(Snapshot(tuple(entries), 300), 0)
-            router.directory.store_answered_at = 0
+            router.directory.store_contact.record_answer(0)
 
     async def run(self):
         """Let frames pass until cancelled."""
