Requested entries start with those of targets

It is one of those that the store turns away; it learns from peers.

Change: a peer sends the urgent small entries in a message of their own, at the revision that the router knows, and everything after it.

Evidence: test_requested_entries_start_with_those_of_targets failed before and passes.

--- a/peridotwell/fleet/replica/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -23,7 +23,7 @@
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
 
-__all__ = ('ChangeForwarder',)
+__all__ = ('ChangeForwarder', 'urgent_entries')
 
 # Entries over this size are forwarded as differences.
 LARGE_ENTRY_BYTES = 2000
@@ -50,7 +50,7 @@
         self._sent_revision = revision
         self._sent_large = replica.entries_over(LARGE_ENTRY_BYTES)
         changed = replica.changes_since(base)
-        entries = tuple(_fitting_entries(changed))
+        entries = tuple(urgent_entries(changed))
         patches = tuple(_make_patches(changed, previous, self._sent_large))
         if not entries and not patches:
             return None
@@ -107,7 +107,7 @@
         return SharedEntry(patch.key, patch.revision, content)
 
 
-def _fitting_entries(changed: Iterable[SharedEntry]) -> Iterator[SharedEntry]:
+def urgent_entries(changed: Iterable[SharedEntry]) -> Iterator[SharedEntry]:
     """Yield the small entries that fit in a batch, the urgent ones first."""
     left_bytes = MAX_CHANGES_BYTES
     for each in sorted(changed, key=_urgency):
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -6,6 +6,7 @@
 """
 
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
+from peridotwell.fleet.replica.change_forwarding import urgent_entries
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.transport.frames import EntriesPull, EntriesPush
 from peridotwell.fleet.transport.peer_transport import PeerTransport
@@ -75,11 +76,15 @@
             )
 
     def push_entries(self, pull: EntriesPull) -> None:
-        """Send a peer the entries that it lacks."""
+        """Send a peer the entries that it lacks, the urgent ones first.
+
+        A configuration among them takes up to a second on a slow link.
+        """
         peer = self._peers.peer(pull.sender)
         directory = self._directory
         if peer is None or not directory.is_loaded:
             return
+        self._push_urgent_entries(pull, peer)
         is_complete = not directory.replica.has_all_deletions_since(
             pull.revision
         )
@@ -93,6 +98,14 @@
         )
         self._transport.send(peer.hello.peer_address, push)
 
+    def _push_urgent_entries(self, pull: EntriesPull, peer: Peer) -> None:
+        """Send some entries ahead; the peer stays behind the others."""
+        changed = self._directory.replica.changes_since(pull.revision)
+        urgent = tuple(urgent_entries(changed))
+        if 0 < len(urgent) < len(changed):
+            push = EntriesPush(self._own, pull.revision, urgent)
+            self._transport.send(peer.hello.peer_address, push)
+
     def apply_entries(self, push: EntriesPush, now: float) -> None:
         """Apply the entries that a peer has sent."""
         if push.is_complete:
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -11,6 +11,7 @@
 )
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.transport.frames import (
+    EntriesPull,
     RouterUpdate,
     decode_frame,
     encode_frame,
@@ -193,6 +194,32 @@
     assert first.knowledge.cache_index.missing_tokens('engine', (PART,), 1) == 0
 
 
+# Guards against work for a leaving target until a large configuration has come.
+def test_requested_entries_start_with_those_of_targets(fleet):
+    first, second, _ = fleet
+    second.directory.apply_changes(
+        Changes(
+            (
+                Entry('table', b'2'.zfill(4000), 5),
+                Entry('t/engine', b'leaving', 6),
+            ),
+            (),
+            6,
+        ),
+        1,
+    )
+    second.inbox.clear()
+    second.sharing.entry_sync.push_entries(EntriesPull(first.hello.sender, 2))
+    urgent, everything = first.inbox
+    assert len(urgent) < 100
+    first.sharing.receive(urgent, 1, 1)
+    assert not first.directory.available_targets('s')
+    assert first.directory.known_revision == 2
+    first.sharing.receive(everything, 1, 1)
+    assert first.directory.table.version == 2
+    assert first.directory.known_revision == 6
+
+
 def test_router_without_the_store_receives_changes_from_peers(fleet):
     """The store refuses one router while it serves the others."""
     first, second, third = fleet
