--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -113,7 +113,8 @@
 class SoakTarget:
     """A simulated target whose responses contain the ID of their request.
 
-    `left_at` is the time at which it began to drain.
+    `left_at` is the time at which it began to drain, `starts` the number of
+    its starts.
     """
 
     name: str
@@ -122,6 +123,7 @@
     proxy: FaultProxy | None = None
     is_failing: bool = False
     left_at: float = float('inf')
+    starts: int = 1
 
     async def handle(self, exchange) -> None:
         """Execute one request."""
@@ -163,6 +165,26 @@
     def configure(self) -> None:
         """Write the next version of the configuration to the store."""
         self.version += 1
+        self._write_configuration()
+
+    def publish_target(self, target: SoakTarget, state: str) -> None:
+        """Write a target's entry; `state` is 'ready' or 'draining'.
+
+        A target that is ready again has started anew.
+        """
+        is_draining = state == 'draining'
+        if not is_draining and target.left_at < float('inf'):
+            target.starts += 1
+        target.left_at = trio.current_time() if is_draining else float('inf')
+        self._write_target(target)
+
+    def write_again(self) -> None:
+        """Write what a restored store has lost, as operators and targets do."""
+        self._write_configuration()
+        for target in self.targets:
+            self._write_target(target)
+
+    def _write_configuration(self) -> None:
         extra_route = _route(f'extra{self.version}', 'idempotent')
         document = {
             'version': self.version,
@@ -172,15 +194,14 @@
         }
         self.store.put('op/config', msgspec.json.encode(document))
 
-    def publish_target(self, target: SoakTarget, state: str) -> None:
-        """Write a target's entry; `state` is 'ready' or 'draining'."""
-        is_draining = state == 'draining'
-        target.left_at = trio.current_time() if is_draining else float('inf')
+    def _write_target(self, target: SoakTarget) -> None:
+        is_draining = target.left_at < float('inf')
         entry = {
             'service': 'svc',
             'address': target.proxy.address,
             'zone': target.data_centre,
-            'state': state,
+            'state': 'draining' if is_draining else 'ready',
+            'born': target.starts,
         }
         self.store.put(f'servers/{target.name}', msgspec.json.encode(entry))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,6 +42,7 @@
             self._drain_target,
             self._disrupt_store,
             self._forget_store_history,
+            self._restore_store,
             self._change_configuration,
             self._reload_router,
         )
@@ -188,6 +189,20 @@
     async def _forget_store_history(self) -> None:
         self._cluster.store.drop_history()
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from a copy some seconds old."""
+        store = self._cluster.store
+        proxy = self._cluster.store_proxy
+        copy = store.copy()
+        await self._wait_for_duration()
+        proxy.hold('requests', 'responses')
+        await trio.sleep(self._random.uniform(0, 1))
+        store.restore(copy)
+        proxy.clear_faults()
+        proxy.reset_connections()
+        await trio.sleep(self._random.uniform(0, 1))
+        self._cluster.write_again()
+
     async def _change_configuration(self) -> None:
         self._cluster.configure()
 
