Answers with caches wait until the connection is open

Callers saw long first tokens after a router's start, as caches were read from the engines instead.

Change: an answer waits up to a second for the connection; refusals too. Whether contact with the store was interrupted is decided after 2.4 s, the shortest silence in which a lease can expire, instead of 3 s. The engines that are on their way are collected once for several lists.

Evidence: test_an_answer_waits_until_the_connection_is_open failed before and passes.

--- a/peridotwell/fleet/caches/cache_answers.py
+++ b/peridotwell/fleet/caches/cache_answers.py
@@ -26,18 +26,24 @@
 CHUNK_BYTES = 16_000
 # Number of routers that are answered at the same time.
 MAX_ANSWERS = 4
+# The connection to a router that has just started opens within this time.
+CONNECT_SECONDS = 1.0
 
 
-@dataclass(frozen=True)
+@dataclass
 class _Answer:
     """What is still to be sent to one router."""
 
     address: str
-    first_chunks: deque[Frame] = field(default_factory=deque)
+    first_chunks: deque[Frame]
     other_chunks: deque[Frame] = field(default_factory=deque)
+    # When a chunk could first not be sent; None once one was sent.
+    failed_at: float | None = None
 
-    def has_chunks(self) -> bool:
-        """Return whether something is still to be sent."""
+    def is_pending(self, now: float) -> bool:
+        """Return whether chunks are left and the router may be reachable."""
+        if self.failed_at is not None:
+            return now - self.failed_at <= CONNECT_SECONDS
         return bool(self.first_chunks or self.other_chunks)
 
 
@@ -66,7 +72,7 @@
         """
         if any(answer.address == address for answer in self._answers):
             return True
-        if len(self._answers) >= MAX_ANSWERS:
+        if self._answer_count() >= MAX_ANSWERS:
             return False
         first_portions, others = self._portions()
         if not first_portions:
@@ -80,22 +86,43 @@
         self._answers.append(answer)
         return True
 
+    def refuse(self, address: str) -> None:
+        """Tell a router to request the index from another one."""
+        self._answers.append(
+            _Answer(address, deque((CachesRefusal(self._own),)))
+        )
+
     def tick(self, now: float) -> None:
-        """Send the chunks that are due."""
-        while self._answers and self._pacer.may_send(now):
-            self._send_chunk(now)
-
-    def _send_chunk(self, now: float) -> None:
-        """Send the next chunk; first portions to all routers come first."""
-        waiting = (each for each in self._answers if each.first_chunks)
-        answer = next(waiting, self._answers[0])
-        chunks = answer.first_chunks or answer.other_chunks
-        chunk = chunks.popleft()
-        sent_before = self._transport.sent_bytes
-        self._transport.send(answer.address, chunk)
-        self._pacer.record_sent(self._transport.sent_bytes - sent_before, now)
-        if not answer.has_chunks():
-            self._answers.remove(answer)
+        """Send the chunks that are due, the first portions to all first."""
+        for answer in self._answers:
+            self._send_chunks(answer, answer.first_chunks, now)
+        if not any(answer.first_chunks for answer in self._answers):
+            for answer in self._answers:
+                self._send_chunks(answer, answer.other_chunks, now)
+        self._answers = [
+            answer for answer in self._answers if answer.is_pending(now)
+        ]
+
+    def _send_chunks(
+        self, answer: _Answer, chunks: deque[Frame], now: float
+    ) -> None:
+        """Send chunks while the link has room and the router is connected."""
+        while chunks and self._pacer.may_send(now):
+            sent_before = self._transport.sent_bytes
+            if not self._transport.send(answer.address, chunks[0]):
+                answer.failed_at = answer.failed_at or now
+                return
+            answer.failed_at = None
+            chunks.popleft()
+            sent_bytes = self._transport.sent_bytes - sent_before
+            self._pacer.record_sent(sent_bytes, now)
+
+    def _answer_count(self) -> int:
+        """Return the number of routers that are answered, not refused."""
+        return sum(
+            len(answer.first_chunks) + len(answer.other_chunks) > 1
+            for answer in self._answers
+        )
 
     def _portions(self) -> tuple[list[CachedPrompt], list[CachedPrompt]]:
         """Return the first portions of all lists, and the others."""
--- a/peridotwell/fleet/caches/cache_sync.py
+++ b/peridotwell/fleet/caches/cache_sync.py
@@ -16,7 +16,6 @@
     CachedPrompt,
     CachesPull,
     CachesPush,
-    CachesRefusal,
 )
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers, choose_peer
@@ -127,10 +126,9 @@
             return
         address = peer.hello.peer_address
         may_answer = self.is_complete or self._is_member(pull.sender)
-        if may_answer and self._answers.add(address, self.is_complete):
-            self.tick(now)
-            return
-        self._transport.send(address, CachesRefusal(self._own))
+        if not (may_answer and self._answers.add(address, self.is_complete)):
+            self._answers.refuse(address)
+        self.tick(now)
 
     def apply(self, push: CachesPush, now: float) -> None:
         """Add a part of the index of a peer to this router's."""
--- a/peridotwell/fleet/caches/listed_caches.py
+++ b/peridotwell/fleet/caches/listed_caches.py
@@ -54,11 +54,14 @@
             for portion, added_at in self._added_at.items()
             if now - added_at < REPEAT_SECONDS
         }
+        engines = {engine for engine, _ in self._added_at}
         for each in self._new_portions(lists):
-            queues = self._queues(each)
+            is_first = each.target_id not in engines
+            queues = self._first_portions if is_first else self._others
             queue = queues.from_group if from_group else queues.from_others
             queue.append(each)
             self._added_at[_portion(each)] = now
+            engines.add(each.target_id)
 
     def take(
         self, now: float, relays: int, members: int
@@ -83,13 +86,6 @@
             if _portion(each) not in self._added_at:
                 yield each
 
-    def _queues(self, portion: CachedPrompt) -> _Queues:
-        """Return the queues of first portions for an engine's first one."""
-        engines = {engine for engine, _ in self._added_at}
-        if portion.target_id in engines:
-            return self._others
-        return self._first_portions
-
     def _take_from(
         self, queue: deque[CachedPrompt], now: float, receivers: int
     ) -> Iterator[CachedPrompt]:
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -17,9 +17,9 @@
     'encode_seconds',
 )
 
-# Contact is interrupted by a longer time without an answer. Calls that wait for
-# changes take up to two seconds.
-MAX_GAP_SECONDS = 3.0
+# Contact is interrupted by a longer time without an answer: leases may have
+# expired in it. Calls that wait for changes take up to two seconds.
+MAX_GAP_SECONDS = 2.4
 # An outage after an answer of this age is too short for leases to expire.
 MAX_ANSWER_AGE_SECONDS = 1.5
 DECISECONDS = 10
--- a/tests/fleet/caches/test_cache_answers.py
+++ b/tests/fleet/caches/test_cache_answers.py
@@ -102,3 +102,26 @@
         for number in range(MAX_ANSWERS + 1)
     ]
     assert added == [True] * MAX_ANSWERS + [False]
+
+
+# Guards against answers that are lost because the connection is not open yet.
+def test_an_answer_waits_until_the_connection_is_open():
+    receivers = {}
+    answers = make_answers(receivers)
+    answers.add('r', is_complete=True)
+    answers.refuse('s')
+    answers.tick(0)
+    receivers.update({'r': Receiver(), 's': Receiver()})
+    run_ticks(answers, 0.6)
+    assert len(engines_known(receivers['r'])) == ENGINES
+    assert isinstance(receivers['s'].frames()[0], CachesRefusal)
+
+
+def test_answers_to_a_router_that_stays_unreachable_are_given_up():
+    receivers = {}
+    answers = make_answers(receivers)
+    answers.add('r', is_complete=True)
+    run_ticks(answers, 2)
+    receivers['r'] = Receiver()
+    run_ticks(answers, 1)
+    assert not receivers['r'].inbox
--- a/tests/fleet/replica/test_store_contact.py
+++ b/tests/fleet/replica/test_store_contact.py
@@ -108,9 +108,9 @@
     assert contact.report(5).shows_gone
     assert not contact.report(7).shows_gone
     contact.interrupt(7)
-    contact.record_answer(8)
-    assert not contact.report(8).shows_gone
-    contact.record_answer(10)
-    assert contact.report(10).shows_gone
-    contact.record_answer(14)
-    assert not contact.report(14).shows_gone
+    contact.record_answer(7.1)
+    assert not contact.report(7.1).shows_gone
+    contact.record_answer(9.3)
+    assert contact.report(9.3).shows_gone
+    contact.record_answer(11.8)
+    assert not contact.report(11.8).shows_gone
