--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -12,7 +12,8 @@
 from peridotwell.domain.target import Target
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.serving.asgi import HttpExchange
-from peridotwell.serving.target_client import ResponseReader, TargetResponse
+from peridotwell.serving.target_client import ResponseReader
+from peridotwell.serving.target_response import TargetResponse
 
 __all__ = (
     'HeaderFields',
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -19,7 +19,7 @@
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
-from peridotwell.serving.target_client import TargetResponse
+from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
 __all__ = (
     'SUCCESSES',
@@ -43,6 +43,7 @@
     fields: HeaderFields
     body: bytes
     choice: Choice
+    body_end: BodyEnd
 
     @property
     def is_failure(self) -> bool:
@@ -114,6 +115,7 @@
                 self._adapter.caller_fields(response),
                 body,
                 attempt.choice,
+                response.body_end,
             )
         self._dispatcher.record_completion(attempt, buffered.status)
         return buffered
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -30,7 +30,8 @@
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.choice import Choice
-from peridotwell.serving.target_client import ResponseTimeouts, TargetResponse
+from peridotwell.serving.target_client import ResponseTimeouts
+from peridotwell.serving.target_response import TargetResponse
 
 __all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'Attempt', 'is_target_error')
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests, from arrival to response."""
 
+from dataclasses import dataclass
 from functools import partial
 
 import trio
@@ -26,6 +27,7 @@
 from peridotwell.policy.retry_window import RetryWindow
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.caller_disconnect import run_until_caller_disconnects
+from peridotwell.serving.target_response import BodyEnd
 
 __all__ = ('ForwardingHandler',)
 
@@ -37,6 +39,17 @@
 CACHE_RECOVERY_WAIT_SECONDS = 0.15
 
 
+@dataclass(frozen=True)
+class ResponseSummary:
+    """What the log tells of a response; `ends_whole` concerns streams."""
+
+    status: int
+    choice: Choice | None
+    first_part_at: float
+    body_end: BodyEnd | None
+    ends_whole: bool = True
+
+
 class ForwardingHandler:
     """Responds to callers' requests."""
 
@@ -149,10 +162,16 @@
                 components.target_adapter,
             )
             error_response = await stream.run()
-            first_at = stream.first_part_at
-            status = stream.status
             self._record_response(
-                request, attempts, status, stream.choice, first_at
+                request,
+                attempts,
+                ResponseSummary(
+                    stream.status,
+                    stream.choice,
+                    stream.first_part_at,
+                    stream.body_end,
+                    ends_whole=stream.ends_whole,
+                ),
             )
             return error_response
         forwarder = BufferedResponseForwarder(
@@ -161,9 +180,15 @@
             components.target_adapter,
         )
         response = await forwarder.get(request, attempts)
-        now = trio.current_time()
         self._record_response(
-            request, attempts, response.status, response.choice, now
+            request,
+            attempts,
+            ResponseSummary(
+                response.status,
+                response.choice,
+                trio.current_time(),
+                response.body_end,
+            ),
         )
         return response
 
@@ -199,15 +224,14 @@
         self,
         request: RoutedRequest,
         attempts: Attempts,
-        status: int,
-        choice: Choice | None,
-        first_at: float,
+        response: ResponseSummary,
     ) -> None:
-        first_part_seconds = first_at - request.arrived_at
+        choice = response.choice
+        first_part_seconds = response.first_part_at - request.arrived_at
         now = trio.current_time()
         total_seconds = now - request.arrived_at
-        self._metrics.count(f'request.status.{status}')
-        if status in SUCCESSES:
+        self._metrics.count(f'request.status.{response.status}')
+        if response.status in SUCCESSES:
             self._measure(request, Measure.first_token, first_part_seconds)
             self._measure(request, Measure.whole_answer, total_seconds)
         log_event(
@@ -226,7 +250,9 @@
             update_delay=round(
                 self._update_exchange.update_delay.seconds(now), 3
             ),
-            status=status,
+            status=response.status,
+            body_end=response.body_end.value if response.body_end else '',
+            ends_whole=response.ends_whole,
             attempts=attempts.number,
             first_seconds=round(first_part_seconds, 4),
             whole_seconds=round(total_seconds, 4),
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -21,11 +21,12 @@
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.event_stream import split_events
-from peridotwell.serving.target_client import TargetResponse
+from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
 __all__ = ('StreamBroken', 'StreamForwarder')
 
 EVENT_ID_FIELD = b'id:'
+EVENT_END = b'\n\n'
 
 
 class StreamBroken(RequestError):
@@ -54,6 +55,8 @@
     ) -> None:
         self.choice: Choice | None = None
         self.status = 0
+        self.body_end: BodyEnd | None = None
+        self.ends_whole = True
         self.first_part_at = float(0)
         self._request = request
         self._caller_response = caller_response
@@ -99,6 +102,7 @@
         async with self._dispatcher.send(attempt) as response:
             check_response(response, self._adapter)
             self.status = response.status
+            self.body_end = response.body_end
             if response.status not in SUCCESSES:
                 return await self._error_response(response, attempt)
             await self._forward_events(response, attempt)
@@ -119,7 +123,9 @@
         self.first_part_at = trio.current_time()
         self._dispatcher.record_completion(attempt, response.status)
         fields = self._adapter.caller_fields(response)
-        return BufferedResponse(response.status, fields, body, attempt.choice)
+        return BufferedResponse(
+            response.status, fields, body, attempt.choice, response.body_end
+        )
 
     async def _forward_events(
         self,
@@ -138,6 +144,7 @@
                         self._adapter.caller_fields(response),
                     )
                 self._dispatcher.record_activity(attempt)
+                self.ends_whole = chunk.endswith(EVENT_END)
                 await self._caller_response.send_part(chunk)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -26,8 +26,9 @@
 )
 from peridotwell.serving.placer import PlacementRequest, Placer
 from peridotwell.serving.request_parser import forwarded_headers
-from peridotwell.serving.target_client import ResponseTimeouts, TargetResponse
+from peridotwell.serving.target_client import ResponseTimeouts
 from peridotwell.serving.target_monitor import TargetMonitor
+from peridotwell.serving.target_response import TargetResponse
 
 __all__ = ('BufferedResponse', 'RequestExecutor')
 
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -5,7 +5,7 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 
@@ -23,10 +23,10 @@
 )
 from peridotwell.domain.target import Target
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from peridotwell.serving.target_response import TargetResponse
 
 __all__ = (
     'ResponseTimeouts',
-    'TargetResponse',
     'ResponseReader',
     'StandardResponseReader',
     'TargetHealth',
@@ -41,9 +41,7 @@
 POOL_TIMEOUT_SECONDS = 1
 HEALTH_TIMEOUT_SECONDS = 0.5
 REFUSED_STATUS = 503
-NO_BODY_STATUSES = frozenset((204, 304))
 REQUEST_ID_HEADER = 'x-request-id'
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -67,66 +65,6 @@
     running: int = 0
 
 
-class TargetResponse:
-    """A response whose headers have arrived.
-
-    Header names are lower case; `fields` keeps repeated ones. `body_chunks`
-    yields the body as it arrives, and raises ResponseTruncated or
-    ResponseTimeout if it does not arrive completely.
-    """
-
-    def __init__(self, resp: httpcore.Response) -> None:
-        self.status: int = resp.status
-        self.fields: tuple[tuple[str, str], ...] = tuple(
-            (name.decode('latin-1').lower(), text.decode('latin-1'))
-            for name, text in resp.headers
-        )
-        self.headers: Mapping[str, str] = dict(self.fields)
-        self._resp = resp
-
-    async def body_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body."""
-        try:
-            async for part in self._resp.aiter_stream():
-                yield part
-        except httpcore.ReadTimeout as exc:
-            raise ResponseTimeout(
-                'The target stopped sending the response body.'
-            ) from exc
-        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
-            raise ResponseTruncated(
-                f'The response was truncated: {exc}'
-            ) from exc
-
-    async def read_body(self, *, require_end_marker: bool = True) -> bytes:
-        """Return the complete body.
-
-        Raises ResponseTruncated for a body over the size limit. With
-        `require_end_marker`, also raises it for a body whose end is marked
-        only by closing the connection, because a truncated body looks the
-        same.
-        """
-        if require_end_marker and not self._has_marked_end():
-            raise ResponseTruncated(
-                'The response has no marked end: add Content-Length.'
-            )
-        body = bytearray()
-        async for part in self.body_chunks():
-            body += part
-            if len(body) > MAX_RESPONSE_BYTES:
-                raise ResponseTruncated(
-                    f'The response exceeds {MAX_RESPONSE_BYTES} bytes.'
-                )
-        return bytes(body)
-
-    def _has_marked_end(self) -> bool:
-        return (
-            'content-length' in self.headers
-            or 'transfer-encoding' in self.headers
-            or self.status in NO_BODY_STATUSES
-        )
-
-
 class ResponseReader(ABC):
     """Interprets the header fields of targets' responses."""
 
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -13,7 +13,7 @@
 from peridotwell.forwarding.adapters import RoutedRequest, TargetRequest
 from peridotwell.policy.prompt_cache_index import part_id
 from peridotwell.serving.asgi import HttpExchange
-from peridotwell.serving.target_client import TargetResponse
+from peridotwell.serving.target_response import TargetResponse
 
 CALLERS = PlatformCallerAdapter()
 TARGETS = PlatformTargetAdapter()
