Failing test: streams that break off within an event look complete

Raw targets send streams that end within an event, with the end of the body marked by the connection, by chunks or by a length.

--- /dev/null
+++ b/tests/peridotwell_platform/test_broken_answers.py
@@ -0,0 +1,126 @@
+"""Answers of targets that break off, in each form that the end may have."""
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from tests.peridotwell_platform.test_path import harness
+from tests.raw_target import RawResponse, RawTarget
+
+__all__ = ('harness',)
+
+HEAD = ('HTTP/1.1 200 OK', 'x-request-id: {id}', 'x-server-seal: s')
+CHUNKED = (*HEAD, 'transfer-encoding: chunked', '', '')
+UNMARKED = (*HEAD, '', '')
+EVENTS = b'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+HALF_EVENT = b'id: 3\nda'
+
+
+def chunk(content: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+def with_length(length: int) -> tuple[str, ...]:
+    return (*HEAD, f'content-length: {length}', '', '')
+
+
+CUT_STREAMS = {
+    'unmarked, within an event': RawResponse(UNMARKED, EVENTS + HALF_EVENT),
+    'unmarked, within the first event': RawResponse(UNMARKED, HALF_EVENT),
+    'unmarked, reset between events': RawResponse(UNMARKED, EVENTS, reset=True),
+    'chunked, without the last chunk': RawResponse(CHUNKED, chunk(EVENTS)),
+    'chunked, ended within an event': RawResponse(
+        CHUNKED, chunk(EVENTS + HALF_EVENT) + b'0\r\n\r\n'
+    ),
+    'shorter than its length': RawResponse(with_length(999), EVENTS),
+    'as long as its length, within an event': RawResponse(
+        with_length(len(EVENTS + HALF_EVENT)), EVENTS + HALF_EVENT
+    ),
+}
+WHOLE_STREAMS = {
+    'unmarked': RawResponse(UNMARKED, EVENTS),
+    'chunked': RawResponse(CHUNKED, chunk(EVENTS) + b'0\r\n\r\n'),
+    'with a length': RawResponse(with_length(len(EVENTS)), EVENTS),
+    'with other line ends': RawResponse(
+        UNMARKED, EVENTS.replace(b'\n', b'\r\n')
+    ),
+}
+
+
+@pytest.fixture
+async def use_raw_target(harness, nursery):
+    """Let a raw target be the only one, or the first of two."""
+
+    async def start(response: RawResponse, *, alone: bool = True) -> RawTarget:
+        target = RawTarget([response])
+        address = await target.start(nursery)
+        for name in ('i-1', 'i-2') if alone else ('i-2',):
+            harness.store.delete(f'servers/{name}')
+        entry = {
+            'service': 'svc',
+            'address': address,
+            'zone': 'north',
+            'state': 'ready',
+        }
+        harness.store.put('servers/i-raw', msgspec.json.encode(entry))
+        await trio.sleep(0.3)
+        return target
+
+    return start
+
+
+# Guards against streams that were cut within an event, on a connection whose
+# end marked the end of the body, and reached their callers as complete.
+@pytest.mark.parametrize('name', CUT_STREAMS)
+async def test_stream_that_breaks_off_never_looks_complete(
+    harness, use_raw_target, name
+):
+    await use_raw_target(CUT_STREAMS[name])
+    try:
+        resp = await harness.send_request('/draft/x', 'POST', b'q')
+    except httpcore.RemoteProtocolError:
+        return
+    assert resp.status == 502
+
+
+@pytest.mark.parametrize('name', CUT_STREAMS)
+async def test_resumable_stream_that_breaks_off_goes_on_elsewhere(
+    harness, use_raw_target, name
+):
+    raw_target = await use_raw_target(CUT_STREAMS[name], alone=False)
+    other = harness.targets[0]
+    other.script.extend([resume_events] * 9)
+    for _ in range(9):
+        resp = await harness.send_request('/ask/x', 'POST', b'q')
+        assert resp.status == 200
+        assert resp.content == EVENTS + b'id: 3\ndata: x\n\n'
+        if raw_target.requests:
+            return
+    pytest.fail('no request was sent to the raw target')
+
+
+async def resume_events(target, exchange):
+    """Send the events after the last one that the caller has."""
+    fields = (
+        ('x-request-id', exchange.headers['x-request-id']),
+        ('x-server-seal', 's'),
+    )
+    await exchange.start_response(200, fields)
+    after = int(exchange.headers.get('last-event-id', '0'))
+    for number in range(after + 1, 4):
+        await exchange.write(b'id: %d\ndata: x\n\n' % number)
+    await exchange.finish()
+
+
+@pytest.mark.parametrize('path', ['/draft/x', '/ask/x'])
+@pytest.mark.parametrize('name', WHOLE_STREAMS)
+async def test_whole_stream_is_forwarded_however_its_end_is_marked(
+    harness, use_raw_target, name, path
+):
+    await use_raw_target(WHOLE_STREAMS[name])
+    resp = await harness.send_request(path, 'POST', b'q')
+    expected = EVENTS
+    if name == 'with other line ends':
+        expected = EVENTS.replace(b'\n', b'\r\n')
+    assert (resp.status, resp.content) == (200, expected)
