A stream that ends within an event counts as broken off

Cause: the end of a stream's body was taken for the end of the stream. A body with neither a length nor chunks ends with its connection, so an engine that breaks off ends it as a complete one does; the router then ended its own body with a last chunk. For resumable streams the rest of the cut event was even passed on on purpose.

Change: both request paths read streams through whole_events, which passes on whole events only and raises ResponseTruncated if the body ends within one, however its end is marked. So a resumable stream goes on at another target, any other one is cut towards its caller. Line ends of all three kinds count. Ruled out: refusing bodies without a marked end (sound answers come so).

The stand-ins of two tests sent streams that ended within an event, which now counts as broken off; they send whole events. No check of theirs is dropped.

--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -41,13 +41,12 @@
 
 @dataclass(frozen=True)
 class ResponseSummary:
-    """What the log tells of a response; `ends_whole` concerns streams."""
+    """What the log tells of a response."""
 
     status: int
     choice: Choice | None
     first_part_at: float
     body_end: BodyEnd | None
-    ends_whole: bool = True
 
 
 class ForwardingHandler:
@@ -170,7 +169,6 @@
                     stream.choice,
                     stream.first_part_at,
                     stream.body_end,
-                    ends_whole=stream.ends_whole,
                 ),
             )
             return error_response
@@ -252,7 +250,6 @@
             ),
             status=response.status,
             body_end=response.body_end.value if response.body_end else '',
-            ends_whole=response.ends_whole,
             attempts=attempts.number,
             first_seconds=round(first_part_seconds, 4),
             whole_seconds=round(total_seconds, 4),
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -20,13 +20,12 @@
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
-from peridotwell.serving.event_stream import split_events
+from peridotwell.serving.event_stream import split_events, whole_events
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
 __all__ = ('StreamBroken', 'StreamForwarder')
 
 EVENT_ID_FIELD = b'id:'
-EVENT_END = b'\n\n'
 
 
 class StreamBroken(RequestError):
@@ -56,7 +55,6 @@
         self.choice: Choice | None = None
         self.status = 0
         self.body_end: BodyEnd | None = None
-        self.ends_whole = True
         self.first_part_at = float(0)
         self._request = request
         self._caller_response = caller_response
@@ -132,11 +130,12 @@
         response: TargetResponse,
         attempt: Attempt,
     ) -> None:
-        chunks = response.body_chunks()
         if self._request.route.resumable:
-            chunks = self._new_events(chunks)
-        async with aclosing(chunks):
-            async for chunk in chunks:
+            parts = self._new_events(response.body_chunks())
+        else:
+            parts = whole_events(response.body_chunks())
+        async with aclosing(parts):
+            async for part in parts:
                 if not self._caller_response.has_begun:
                     self.first_part_at = trio.current_time()
                     await self._caller_response.begin(
@@ -144,17 +143,16 @@
                         self._adapter.caller_fields(response),
                     )
                 self._dispatcher.record_activity(attempt)
-                self.ends_whole = chunk.endswith(EVENT_END)
-                await self._caller_response.send_part(chunk)
+                await self._caller_response.send_part(part)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
 
     async def _new_events(
         self,
-        parts: AsyncIterator[bytes],
+        chunks: AsyncIterator[bytes],
     ) -> AsyncIterator[bytes]:
         """Yield complete events that the caller has not received yet."""
-        async for event in split_events(parts, yield_remainder=True):
+        async for event in split_events(chunks):
             event_id = _parse_event_id(event)
             if event_id and not _is_after(event_id, self._last_event_id):
                 continue
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -5,14 +5,23 @@
 with `data: [DONE]`; a stream is resumed with the Last-Event-ID header.
 """
 
+import re
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from peridotwell.attempt_errors import ResponseMismatch, ResponseTruncated
 
-__all__ = ('StreamEvent', 'split_events', 'validated_events')
-
-SEPARATOR = b'\n\n'
+__all__ = (
+    'EventBuffer',
+    'StreamEvent',
+    'split_events',
+    'validated_events',
+    'whole_events',
+)
+
+EVENT_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
+EVENT = re.compile(rb'.+?(?:\n\n|\r\n\r\n|\r\r|\Z)', re.DOTALL)
 END_OF_STREAM = b'data: [DONE]'
 ID_FIELD = b'id: '
 MAX_EVENT_BYTES = 1024 * 1024
@@ -34,27 +43,64 @@
         return not self.position
 
 
-async def split_events(
-    chunks: AsyncIterator[bytes],
-    *,
-    yield_remainder: bool = False,
-) -> AsyncIterator[bytes]:
-    """Yield each complete event with its separator.
+class EventBuffer:
+    """Holds back the bytes of a stream after its last complete event.
 
-    With `yield_remainder`, the bytes after the last separator are yielded
-    at the end of the stream.
+    An event ends with an empty line; a line ends with LF, CR LF or CR.
     """
-    remainder = b''
-    async for chunk in chunks:
-        *complete, remainder = (remainder + chunk).split(SEPARATOR)
-        for raw in complete:
-            yield raw + SEPARATOR
-        if len(remainder) > MAX_EVENT_BYTES:
+
+    def __init__(self) -> None:
+        self._unfinished = bytearray()
+
+    def add(self, chunk: bytes) -> bytes:
+        """Return the events that a chunk completes, with their ends.
+
+        Raises ResponseTruncated if an event is too long.
+        """
+        # The end of an event may lie in two chunks.
+        searched = max(len(self._unfinished) - MAX_EVENT_END_BYTES + 1, 0)
+        self._unfinished += chunk
+        end = _end_of_last_event(self._unfinished, searched)
+        complete = bytes(self._unfinished[:end])
+        del self._unfinished[:end]
+        if len(self._unfinished) > MAX_EVENT_BYTES:
             raise ResponseTruncated('An event of the stream is too long.')
-    if yield_remainder and remainder:
+        return complete
+
+    def finish(self) -> bytes:
+        """Return what follows the last event, which may be empty lines.
+
+        Raises ResponseTruncated if that is a part of an event.
+        """
+        if self._unfinished.strip(b'\r\n'):
+            raise ResponseTruncated('The stream ended within an event.')
+        return bytes(self._unfinished)
+
+
+async def whole_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield a stream in parts that contain whole events only.
+
+    Raises ResponseTruncated if the stream ends within an event, however the
+    end of the response is marked: a target that breaks off may close its
+    connection as after a complete response.
+    """
+    buffer = EventBuffer()
+    async for chunk in chunks:
+        events = buffer.add(chunk)
+        if events:
+            yield events
+    remainder = buffer.finish()
+    if remainder:
         yield remainder
 
 
+async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield each event with its end. Raises errors like whole_events."""
+    async for part in whole_events(chunks):
+        for event in EVENT.findall(part):
+            yield event
+
+
 async def validated_events(
     raw_events: AsyncIterator[bytes],
     received: int,
@@ -97,3 +143,15 @@
             f'Token {expected_position} is missing from the stream.'
         )
     return position
+
+
+def _end_of_last_event(content: bytearray, start: int) -> int:
+    """Return where the last event ends that ends after `start`, else 0."""
+    ends = (
+        (content.rfind(event_end, start), len(event_end))
+        for event_end in EVENT_ENDS
+    )
+    return max(
+        (position + length for position, length in ends if position >= 0),
+        default=0,
+    )
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -235,8 +235,13 @@
     )
 
 
+STREAM_PATHS = ('/draft/', '/ask/')
+
+
 async def respond_ok(target, exchange) -> None:
-    await exchange.respond(200, b'done', receipt_headers(target, exchange))
+    is_stream = exchange.path.startswith(STREAM_PATHS)
+    body = b'data: done\n\n' if is_stream else b'done'
+    await exchange.respond(200, body, receipt_headers(target, exchange))
 
 
 def respond_with_status(code: int, *, with_receipt: bool = True):
--- /dev/null
+++ b/tests/serving/test_event_stream.py
@@ -0,0 +1,83 @@
+"""Splitting of streams into whole events, for any cut and any chunks."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotwell.attempt_errors import ResponseTruncated
+from peridotwell.serving.event_stream import (
+    MAX_EVENT_BYTES,
+    EventBuffer,
+    split_events,
+    whole_events,
+)
+
+LINES = st.lists(
+    st.text('abc: ', min_size=1, max_size=5).map(str.encode),
+    min_size=1,
+    max_size=3,
+)
+LINE_ENDS = st.sampled_from([b'\n', b'\r\n', b'\r'])
+
+
+@st.composite
+def events(draw):
+    line_end = draw(LINE_ENDS)
+    lists = draw(st.lists(LINES, min_size=1, max_size=4))
+    return [line_end.join([*lines, b'', b'']) for lines in lists]
+
+
+async def in_chunks(content, sizes):
+    position = 0
+    for size in sizes:
+        yield content[position : position + size]
+        position += size
+    yield content[position:]
+
+
+async def collect(parts):
+    return [part async for part in parts]
+
+
+async def collect_into(received, parts):
+    async for part in parts:
+        received.append(part)
+
+
+CHUNK_SIZES = st.lists(st.integers(1, 6), max_size=30)
+
+
+@given(events(), CHUNK_SIZES)
+async def test_whole_streams_arrive_unchanged_and_event_by_event(stream, sizes):
+    content = b''.join(stream)
+    parts = await collect(whole_events(in_chunks(content, sizes)))
+    assert b''.join(parts) == content
+    assert await collect(split_events(in_chunks(content, sizes))) == stream
+
+
+# Guards against half an event that reaches a caller.
+@given(events(), CHUNK_SIZES, st.data())
+async def test_stream_cut_within_an_event_yields_the_events_before(
+    stream, sizes, data
+):
+    last = stream[-1].rstrip(b'\r\n')
+    kept = data.draw(st.integers(1, len(last)))
+    before = b''.join(stream[:-1])
+    cut = before + last[:kept]
+    received = []
+    with pytest.raises(ResponseTruncated):
+        await collect_into(received, whole_events(in_chunks(cut, sizes)))
+    assert b''.join(received) == before
+
+
+async def test_empty_lines_after_the_last_event_belong_to_the_stream():
+    content = b'data: x\n\n\n'
+    parts = await collect(whole_events(in_chunks(content, [3])))
+    assert b''.join(parts) == content
+
+
+def test_event_without_an_end_is_refused_at_the_limit():
+    buffer = EventBuffer()
+    assert not buffer.add(b'x' * MAX_EVENT_BYTES)
+    with pytest.raises(ResponseTruncated):
+        buffer.add(b'x')
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -147,7 +147,7 @@
         for number in range(after + 1, EVENTS_PER_STREAM + 1):
             await trio.sleep(EXECUTION_SECONDS)
             await exchange.write(b'id: %d\ndata: x\n\n' % number)
-        await exchange.finish(b': ' + request_id.encode())
+        await exchange.finish(b': %b\n\n' % request_id.encode())
 
 
 @dataclass
