A request that may have run is never refused as not run

Cause: the error of the choice ('no target is left') was passed on as it is, whatever the attempts before had done. On the own interface the last failure alone decided too: a broken answer, then a refusal, gave 'not run'.

Change: both request paths ask their attempts whether one may have run the request before they say so. Ruled out: keeping 503 for idempotent requests, since the caller is told something untrue.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -28,6 +28,7 @@
     'BufferedResponseForwarder',
     'check_response',
     'final_error',
+    'without_target',
 )
 
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
@@ -83,7 +84,9 @@
             try:
                 outcome = await self._run_attempt(request, attempts)
             except NoTarget as exc:
-                return _best_response(error_response, exc)
+                return _best_response(
+                    error_response, without_target(exc, attempts)
+                )
             if isinstance(outcome, BufferedResponse):
                 if not outcome.is_failure:
                     return outcome
@@ -146,6 +149,14 @@
     )
 
 
+def without_target(error: NoTarget, attempts: Attempts) -> RequestError:
+    """Return the error for the caller when no target is left to try.
+
+    It says "not run" only if no earlier attempt may have run the request.
+    """
+    return final_error(error, attempts) if attempts.may_have_run else error
+
+
 def _best_response(
     error_response: BufferedResponse | None, error: RequestError
 ) -> BufferedResponse:
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -6,7 +6,7 @@
 import trio
 
 from peridotwell.attempt_errors import AttemptError, ResponseTruncated
-from peridotwell.errors import RequestError, RunState
+from peridotwell.errors import NoTarget, RequestError, RunState
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
 from peridotwell.forwarding.buffered_responses import (
     SUCCESSES,
@@ -14,6 +14,7 @@
     ResponseUnusable,
     check_response,
     final_error,
+    without_target,
 )
 from peridotwell.forwarding.caller_response import CallerResponse
 from peridotwell.forwarding.dispatch import Attempt, Dispatcher
@@ -72,11 +73,7 @@
         """
         while True:
             now = trio.current_time()
-            choice = self._selector.choose(
-                self._request,
-                self._attempts.tried,
-                now,
-            )
+            choice = self._choose(now)
             number = self._attempts.begin(choice.target.name)
             self.choice = choice
             attempt = Attempt(
@@ -87,6 +84,14 @@
             except AttemptError as exc:
                 self._raise_unless_retried(exc, trio.current_time())
 
+    def _choose(self, now: float) -> Choice:
+        try:
+            return self._selector.choose(
+                self._request, self._attempts.tried, now
+            )
+        except NoTarget as exc:
+            raise without_target(exc, self._attempts) from exc
+
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
         decision = self._attempts.after_failure(failure, now)
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -16,7 +16,13 @@
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.configuration import Defaults
 from peridotwell.domain.target import Target
-from peridotwell.errors import NoTarget, OutcomeUnknown, TargetFailed
+from peridotwell.errors import (
+    NoTarget,
+    OutcomeUnknown,
+    PeridotwellError,
+    RequestError,
+    TargetFailed,
+)
 from peridotwell.policy.placement import placement_hint
 from peridotwell.policy.retry import RetryBudget, RetryPolicy, RetryStep
 from peridotwell.serving.event_stream import (
@@ -159,7 +165,7 @@
         self, received: int
     ) -> AsyncIterator[TargetResponse]:
         placement_request = self._placement_request
-        target = await self._placer.place(placement_request)
+        target = await self._place(placement_request)
         self._target = target
         self.placement_hint = placement_hint(target)
         http_request = _build_http_request(
@@ -180,6 +186,18 @@
             self._placer.release(placement_request, target)
         self._monitor.record_response(target, self._request)
 
+    async def _place(self, placement_request: PlacementRequest) -> Target:
+        """Return a target. Raises RequestError.
+
+        It says "not run" only if no earlier attempt may have run the request.
+        """
+        try:
+            return await self._placer.place(placement_request)
+        except RequestError as exc:
+            if self._may_have_run:
+                raise self._build_error(exc) from exc
+            raise
+
     async def _prepare_retry(
         self, failure: AttemptError, received: int
     ) -> None:
@@ -219,8 +237,8 @@
             case ResponseLost() | ResponseTruncated():
                 await self._monitor.check_for_loss(target, self._request)
 
-    def _build_error(self, failure: AttemptError) -> Exception:
-        if not failure.may_have_run:
+    def _build_error(self, failure: PeridotwellError) -> RequestError:
+        if not self._may_have_run:
             return NoTarget(
                 'No target accepted the request: send it again later.',
                 retry_after_seconds=RETRY_AFTER_SECONDS,
--- a/tests/peridotwell_platform/test_broken_answers.py
+++ b/tests/peridotwell_platform/test_broken_answers.py
@@ -124,3 +124,65 @@
     if name == 'with other line ends':
         expected = EVENTS.replace(b'\n', b'\r\n')
     assert (resp.status, resp.content) == (200, expected)
+
+
+# Guards against status 503, which promises that nothing has run, for requests
+# whose only target broke off its answer.
+@pytest.mark.parametrize('path', ['/read/x', '/book/x'])
+@pytest.mark.parametrize(
+    ('response', 'status'),
+    [
+        (RawResponse(UNMARKED, b'booked'), 200),
+        (RawResponse(UNMARKED, b'boo', reset=True), 502),
+        (RawResponse(with_length(6), b'boo'), 502),
+        (RawResponse(CHUNKED, chunk(b'boo')), 502),
+    ],
+)
+async def test_plain_answer_is_whole_or_a_failure(
+    harness, use_raw_target, path, response, status
+):
+    await use_raw_target(response)
+    resp = await harness.send_request(path, 'POST', b'q')
+    assert resp.status == status
+    assert resp.content == b'booked' or status != 200
+
+
+ENDLESS = {
+    'head fields': RawResponse((HEAD[0], ''), endless=b'x-a: b\r\n'),
+    'one head field': RawResponse((HEAD[0], 'x-a: '), endless=b'y' * 4096),
+    'status line': RawResponse(('HTTP/1.1 200 ',), endless=b'y' * 4096),
+    'interim responses': RawResponse(
+        ('',), endless=b'HTTP/1.1 100 Continue\r\n\r\n'
+    ),
+    'trickled head': RawResponse(
+        (HEAD[0], ''), endless=b'x-a: b\r\n', pause_seconds=0.02
+    ),
+    'unmarked body': RawResponse(UNMARKED, endless=b'y' * 65536),
+    'chunk': RawResponse(
+        (*CHUNKED[:-1], '', 'ffffffff', ''), endless=b'y' * 65536
+    ),
+    'chunk extension': RawResponse(
+        (*CHUNKED[:-1], '', '5;'), endless=b'y' * 4096
+    ),
+    'trickled event': RawResponse(
+        UNMARKED, EVENTS, endless=b'y', pause_seconds=0.02
+    ),
+}
+# The objective of the routes is 0.1 s, the deadline of the requests 1 s.
+DEADLINE_SECONDS = 1.0
+SLACK_SECONDS = 0.5
+
+
+# Guards against bytes without end that hold a request or a process.
+@pytest.mark.parametrize('path', ['/read/x', '/book/x', '/draft/x', '/ask/x'])
+@pytest.mark.parametrize('name', ENDLESS)
+async def test_bytes_without_end_are_a_failure_in_time(
+    harness, use_raw_target, name, path
+):
+    await use_raw_target(ENDLESS[name])
+    with trio.fail_after(DEADLINE_SECONDS + SLACK_SECONDS):
+        try:
+            resp = await harness.send_request(path, 'POST', b'q')
+        except httpcore.RemoteProtocolError:
+            return
+    assert resp.status in {502, 504}
--- /dev/null
+++ b/tests/serving/test_request_executor.py
@@ -0,0 +1,96 @@
+"""What the executor reports when targets fail one after the other."""
+
+import pytest
+
+from peridotwell.domain.caller_request import CallerRequest
+from peridotwell.domain.configuration import Defaults
+from peridotwell.domain.contract import Contract
+from peridotwell.domain.target import Pool, Target, TargetKind
+from peridotwell.errors import NoTarget, RunState, TargetFailed
+from peridotwell.policy.retry import RetryBudget
+from peridotwell.serving.request_executor import RequestExecutor
+from peridotwell.serving.target_client import TargetClient
+from tests.raw_target import RawResponse, RawTarget
+
+BROKEN_OFF = RawResponse(('HTTP/1.1 200 OK', 'content-length: 9', '', 'ab'))
+REFUSED = RawResponse(
+    ('HTTP/1.1 503 x', 'x-refused: leaving', 'content-length: 0', '', '')
+)
+
+
+class ListedTargets:
+    """Places a request on each target once, in order."""
+
+    def __init__(self, targets):
+        self.targets = targets
+
+    async def place(self, placement_request):
+        if not self.targets:
+            raise NoTarget('No target is left.')
+        return self.targets.pop(0)
+
+    def release(self, placement_request, target):
+        """Give the target back."""
+
+
+class UncheckedTargets:
+    """Gives out clients and believes all targets to be live."""
+
+    def client(self, target):
+        return TargetClient(target)
+
+    def is_suspect(self, request):
+        return False
+
+    def record_refusal(self, target, reason):
+        """Ignore the refusal."""
+
+    def record_response(self, target, request):
+        """Ignore the response."""
+
+    async def check_for_loss(self, target, request):
+        """Do not check the target."""
+
+
+async def execute(nursery, *responses):
+    targets = []
+    for number, response in enumerate(responses):
+        address = await RawTarget([response]).start(nursery)
+        pool = Pool('dc1', 'ledger')
+        targets.append(Target(f't{number}', address, TargetKind.service, pool))
+    request = CallerRequest(
+        'r1',
+        'c1',
+        'interactive',
+        'GET',
+        '/ledger/1',
+        b'',
+        Contract('/ledger', 'ledger'),
+        float('inf'),
+    )
+    executor = RequestExecutor(
+        request,
+        Defaults(),
+        ListedTargets(targets),
+        UncheckedTargets(),
+        RetryBudget(),
+    )
+    return await executor.execute()
+
+
+# Guards against "not run" for a request that an earlier attempt may have run.
+@pytest.mark.parametrize('responses', [(BROKEN_OFF,), (BROKEN_OFF, REFUSED)])
+async def test_request_that_may_have_run_is_not_reported_as_not_run(
+    nursery, responses
+):
+    with pytest.raises(TargetFailed) as caught:
+        await execute(nursery, *responses)
+    assert caught.value.run_state is RunState.unknown
+
+
+async def test_request_that_all_targets_refused_is_reported_as_not_run(
+    nursery,
+):
+    with pytest.raises(NoTarget) as caught:
+        await execute(nursery, REFUSED, REFUSED)
+    assert caught.value.run_state is RunState.not_run
