Heads and events without an end are given up in time

Cause: each read had a limit, the whole head and the whole event had none.

Change, in the one client that both request paths use: the head must be complete within the limit for it, and an event within the silence limit of the one before, unless it arrives at 16 KiB/s or more, so that a long event on a slow link is not cut. TargetResponse gives streams as events.

--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -1,6 +1,6 @@
 """Forwarding of event streams, with resumption on another target."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
 import trio
@@ -21,7 +21,6 @@
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
-from peridotwell.serving.event_stream import split_events, whole_events
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
 __all__ = ('StreamBroken', 'StreamForwarder')
@@ -136,9 +135,9 @@
         attempt: Attempt,
     ) -> None:
         if self._request.route.resumable:
-            parts = self._new_events(response.body_chunks())
+            parts = self._new_events(response.split_events())
         else:
-            parts = whole_events(response.body_chunks())
+            parts = response.whole_events()
         async with aclosing(parts):
             async for part in parts:
                 if not self._caller_response.has_begun:
@@ -154,16 +153,17 @@
 
     async def _new_events(
         self,
-        chunks: AsyncIterator[bytes],
-    ) -> AsyncIterator[bytes]:
-        """Yield complete events that the caller has not received yet."""
-        async for event in split_events(chunks):
-            event_id = _parse_event_id(event)
-            if event_id and not _is_after(event_id, self._last_event_id):
-                continue
-            if event_id:
-                self._last_event_id = event_id
-            yield event
+        events: AsyncGenerator[bytes, None],
+    ) -> AsyncGenerator[bytes, None]:
+        """Yield the events that the caller has not received yet."""
+        async with aclosing(events):
+            async for event in events:
+                event_id = _parse_event_id(event)
+                if event_id and not _is_after(event_id, self._last_event_id):
+                    continue
+                if event_id:
+                    self._last_event_id = event_id
+                yield event
 
 
 def _parse_event_id(event: bytes) -> str:
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -6,10 +6,17 @@
 """
 
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
 from dataclasses import dataclass
 
-from peridotwell.attempt_errors import ResponseMismatch, ResponseTruncated
+import trio
+
+from peridotwell.attempt_errors import (
+    ResponseMismatch,
+    ResponseTimeout,
+    ResponseTruncated,
+)
 
 __all__ = (
     'EventBuffer',
@@ -25,6 +32,8 @@
 END_OF_STREAM = b'data: [DONE]'
 ID_FIELD = b'id: '
 MAX_EVENT_BYTES = 1024 * 1024
+# A long event on a slow link is sound.
+MIN_EVENT_BYTES_PER_SECOND = 16384
 
 
 @dataclass(frozen=True)
@@ -46,16 +55,22 @@
 class EventBuffer:
     """Holds back the bytes of a stream after its last complete event.
 
-    An event ends with an empty line; a line ends with LF, CR LF or CR.
+    An event ends with an empty line; a line ends with LF, CR LF or CR. Each
+    event must be complete within `silence_seconds` of the one before, or
+    arrive at MIN_EVENT_BYTES_PER_SECOND at least.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silence_seconds: float) -> None:
+        self._silence_seconds = silence_seconds
         self._unfinished = bytearray()
+        # When the last event was complete, or the first chunk arrived.
+        self._last_event_at: float | None = None
 
-    def add(self, chunk: bytes) -> bytes:
+    def add(self, chunk: bytes, now: float) -> bytes:
         """Return the events that a chunk completes, with their ends.
 
-        Raises ResponseTruncated if an event is too long.
+        Raises ResponseTruncated if an event is too long, ResponseTimeout if
+        it arrives too slowly.
         """
         # The end of an event may lie in two chunks.
         searched = max(len(self._unfinished) - MAX_EVENT_END_BYTES + 1, 0)
@@ -63,6 +78,9 @@
         end = _end_of_last_event(self._unfinished, searched)
         complete = bytes(self._unfinished[:end])
         del self._unfinished[:end]
+        if complete or self._last_event_at is None:
+            self._last_event_at = now
+        self._check_speed(now - self._last_event_at)
         if len(self._unfinished) > MAX_EVENT_BYTES:
             raise ResponseTruncated('An event of the stream is too long.')
         return complete
@@ -76,29 +94,45 @@
             raise ResponseTruncated('The stream ended within an event.')
         return bytes(self._unfinished)
 
+    def _check_speed(self, seconds: float) -> None:
+        allowed = self._silence_seconds + (
+            len(self._unfinished) / MIN_EVENT_BYTES_PER_SECOND
+        )
+        if seconds > allowed:
+            raise ResponseTimeout(
+                f'No event of the stream was complete within {allowed:.1f} s.'
+            )
+
 
-async def whole_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+async def whole_events(
+    chunks: AsyncGenerator[bytes, None], silence_seconds: float
+) -> AsyncGenerator[bytes, None]:
     """Yield a stream in parts that contain whole events only.
 
     Raises ResponseTruncated if the stream ends within an event, however the
     end of the response is marked: a target that breaks off may close its
-    connection as after a complete response.
+    connection as after a complete response. Raises ResponseTimeout if an event
+    is not complete within `silence_seconds`, although some bytes arrive.
     """
-    buffer = EventBuffer()
-    async for chunk in chunks:
-        events = buffer.add(chunk)
-        if events:
-            yield events
+    buffer = EventBuffer(silence_seconds)
+    async with aclosing(chunks):
+        async for chunk in chunks:
+            events = buffer.add(chunk, trio.current_time())
+            if events:
+                yield events
     remainder = buffer.finish()
     if remainder:
         yield remainder
 
 
-async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+async def split_events(
+    chunks: AsyncGenerator[bytes, None], silence_seconds: float
+) -> AsyncGenerator[bytes, None]:
     """Yield each event with its end. Raises errors like whole_events."""
-    async for part in whole_events(chunks):
-        for event in EVENT.findall(part):
-            yield event
+    async with aclosing(whole_events(chunks, silence_seconds)) as parts:
+        async for part in parts:
+            for event in EVENT.findall(part):
+                yield event
 
 
 async def validated_events(
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -27,7 +27,6 @@
 from peridotwell.policy.retry import RetryBudget, RetryPolicy, RetryStep
 from peridotwell.serving.event_stream import (
     StreamEvent,
-    split_events,
     validated_events,
 )
 from peridotwell.serving.placer import PlacementRequest, Placer
@@ -151,8 +150,7 @@
         request_id = self._request.request_id
         received = self._position
         async with (
-            aclosing(response.body_chunks()) as chunks,
-            aclosing(split_events(chunks)) as raw_events,
+            aclosing(response.split_events()) as raw_events,
             aclosing(
                 validated_events(raw_events, received, request_id)
             ) as events,
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -11,6 +11,7 @@
 
 import httpcore
 import msgspec
+import trio
 
 from peridotwell.attempt_errors import (
     ConnectionFailed,
@@ -48,8 +49,9 @@
 class ResponseTimeouts:
     """Time limits for a target's response, in seconds.
 
-    `first_byte_seconds` limits the wait for the response headers,
-    `silence_seconds` the wait for each further part of the body.
+    `first_byte_seconds` limits the wait for the complete response headers,
+    once connected, `silence_seconds` the wait for each further part of the
+    body, or for each event of a stream.
     """
 
     first_byte_seconds: float
@@ -153,9 +155,16 @@
         timeouts = _make_timeouts(response_timeouts.first_byte_seconds)
         request.extensions['timeout'] = timeouts
         pool = self._single_use_pool if new_connection else self._pool
-        resp = await _send_request(pool, request)
+        # Without a limit on the whole head, a target could send bytes of it
+        # now and then, and without end.
+        with trio.move_on_after(
+            CONNECT_TIMEOUT_SECONDS + response_timeouts.first_byte_seconds
+        ) as scope:
+            resp = await _send_request(pool, request)
+        if scope.cancelled_caught:
+            raise ResponseTimeout('The target sent no complete headers.')
         async with aclosing(resp):
-            response = TargetResponse(resp)
+            response = TargetResponse(resp, response_timeouts.silence_seconds)
             self._check_response(
                 request, response, require_request_id=require_request_id
             )
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -1,11 +1,13 @@
 """A target's response, and how the end of its body is marked."""
 
-from collections.abc import AsyncIterator, Mapping
+import math
+from collections.abc import AsyncGenerator, Mapping
 from enum import Enum
 
 import httpcore
 
 from peridotwell.attempt_errors import ResponseTimeout, ResponseTruncated
+from peridotwell.serving.event_stream import split_events, whole_events
 
 __all__ = ('BodyEnd', 'TargetResponse')
 
@@ -27,10 +29,13 @@
 
     Header names are lower case; `fields` keeps repeated ones. `body_chunks`
     yields the body as it arrives, and raises ResponseTruncated or
-    ResponseTimeout if it does not arrive completely.
+    ResponseTimeout if it does not arrive completely. `silence_seconds` limits
+    the wait for each event of a stream.
     """
 
-    def __init__(self, resp: httpcore.Response) -> None:
+    def __init__(
+        self, resp: httpcore.Response, silence_seconds: float = math.inf
+    ) -> None:
         self.status: int = resp.status
         self.fields: tuple[tuple[str, str], ...] = tuple(
             (name.decode('latin-1').lower(), text.decode('latin-1'))
@@ -38,6 +43,7 @@
         )
         self.headers: Mapping[str, str] = dict(self.fields)
         self._resp = resp
+        self._silence_seconds = silence_seconds
 
     @property
     def body_end(self) -> BodyEnd:
@@ -54,7 +60,7 @@
             return BodyEnd.length
         return BodyEnd.connection
 
-    async def body_chunks(self) -> AsyncIterator[bytes]:
+    async def body_chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the chunks of the body."""
         try:
             async for part in self._resp.aiter_stream():
@@ -68,6 +74,14 @@
                 f'The response was truncated: {exc}'
             ) from exc
 
+    def whole_events(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body in parts that contain whole events only."""
+        return whole_events(self.body_chunks(), self._silence_seconds)
+
+    def split_events(self) -> AsyncGenerator[bytes, None]:
+        """Yield the events of the body one by one."""
+        return split_events(self.body_chunks(), self._silence_seconds)
+
     async def read_body(self, *, require_end_marker: bool = True) -> bytes:
         """Return the complete body.
 
--- a/tests/peridotwell_platform/test_broken_answers.py
+++ b/tests/peridotwell_platform/test_broken_answers.py
@@ -186,3 +186,15 @@
         except httpcore.RemoteProtocolError:
             return
     assert resp.status in {502, 504}
+
+
+# Guards against a resumable stream that stays at a stalled target.
+async def test_stream_with_a_byte_now_and_then_goes_on_elsewhere(
+    harness, use_raw_target
+):
+    await use_raw_target(ENDLESS['trickled event'], alone=False)
+    other = harness.targets[0]
+    other.script.extend([resume_events] * 9)
+    for _ in range(9):
+        resp = await harness.send_request('/ask/x', 'POST', b'q')
+        assert resp.content == EVENTS + b'id: 3\ndata: x\n\n'
--- a/tests/serving/test_target_client.py
+++ b/tests/serving/test_target_client.py
@@ -2,6 +2,7 @@
 
 import httpcore
 import pytest
+import trio
 
 from peridotwell.attempt_errors import (
     ConnectionFailed,
@@ -16,6 +17,7 @@
 from peridotwell.serving.request_parser import forwarded_headers
 from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
 from tests.raw_server import raw_server, response
+from tests.raw_target import RawResponse, RawTarget
 
 OWN_REQUEST_ID = 'x-request-id: mine'
 CHUNKED = 'transfer-encoding: chunked'
@@ -105,6 +107,38 @@
         assert caught.value.may_have_run is (outcome is not RefusedByTarget)
 
 
+STATUS_LINE = ('HTTP/1.1 200 OK', '')
+HEADS_WITHOUT_END = {
+    'fields': RawResponse(STATUS_LINE, endless=b'x-a: b\r\n'),
+    'a field': RawResponse((*STATUS_LINE[:1], 'x-a: '), endless=b'y' * 4096),
+    'interim responses': RawResponse(
+        ('',), endless=b'HTTP/1.1 100 Continue\r\n\r\n'
+    ),
+    'fields now and then': RawResponse(
+        STATUS_LINE, endless=b'x-a: b\r\n', pause_seconds=0.05
+    ),
+    'interim responses now and then': RawResponse(
+        ('',), endless=b'HTTP/1.1 100 Continue\r\n\r\n', pause_seconds=0.05
+    ),
+}
+
+
+# Guards against a head without an end that holds a request until its deadline.
+@pytest.mark.parametrize('name', HEADS_WITHOUT_END)
+async def test_head_without_end_is_given_up_in_time(nursery, name):
+    address = await RawTarget([HEADS_WITHOUT_END[name]]).start(nursery)
+    with trio.fail_after(1), pytest.raises((ResponseTimeout, ResponseLost)):
+        await fetch(address)
+
+
+async def test_body_without_end_is_given_up_at_its_limit(nursery):
+    head = ('HTTP/1.1 200 OK', OWN_REQUEST_ID, CHUNKED, '', 'fffffff', '')
+    endless = RawResponse(head, endless=b'y' * 65536)
+    address = await RawTarget([endless]).start(nursery)
+    with trio.fail_after(5), pytest.raises(ResponseTruncated):
+        await fetch(address)
+
+
 async def test_repeated_headers_are_all_forwarded():
     cookies = ('set-cookie: a=1', 'set-cookie: b=2', 'connection: close')
     async with raw_server(response(200, b'', *cookies)) as address:
@@ -190,7 +224,7 @@
 async def test_stream_is_complete_and_in_order_or_an_error(name):
     chunks, received, outcome = STREAMS[name]
     events = validated_events(
-        split_events(iterate_chunks(chunks)), received, 'mine'
+        split_events(iterate_chunks(chunks), 1), received, 'mine'
     )
     if isinstance(outcome, list):
         positions = [event.position async for event in events]
