Streams go on only at the software version that began them

Cause: a router did not know the version of a target, and nobody knew which version had begun a stream that its caller takes up, mostly at another router.

Change: targets have their software version. Within an answer, a stream goes on only at the version of its first event. Routers remember for 30 s which version began a stream; while several versions of a service serve, and for 30 s after, they tell each other with their updates, 11 bytes a stream, and what they remember when the second version appears. A stream that is taken up goes to its version; if nobody knows it while several serve, it is refused as not run, with Retry-After. Streams without an event yet go anywhere. Ruled out: choosing the version by a hash of the id (no bytes, but wrong as soon as versions come, leave or are full).

--- a/peridotwell/domain/target.py
+++ b/peridotwell/domain/target.py
@@ -43,7 +43,7 @@
     `weight` is its share of the pool's requests relative to the other
     targets, `slots` the number of requests that it can run at once (0: not
     limited). `incarnation` distinguishes successive starts under the same
-    name.
+    name. `software` is the version of its software, '' if unknown.
     """
 
     name: str
@@ -54,8 +54,14 @@
     slots: int = 0
     incarnation: str = ''
     leaving: bool = False
+    software: str = ''
 
     @property
     def wire_id(self) -> int:
         """The id of this target in messages between routers."""
         return wire_id(self.name)
+
+    @property
+    def software_id(self) -> int:
+        """The id of its software version in messages between routers."""
+        return wire_id(self.software)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -5,7 +5,8 @@
 has read. Large fleets send their updates through relays.
 """
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from functools import partial
 
 import trio
@@ -43,6 +44,7 @@
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 from peridotwell.policy.quarantine import CrashRecord, Quarantine
+from peridotwell.policy.stream_versions import StreamVersions
 
 __all__ = ('ForwardingState', 'UpdateExchange')
 
@@ -55,6 +57,7 @@
 # was lost.
 FULL_UPDATE_SECONDS = 2.0
 MAX_PROMPTS_PER_UPDATE = 200
+MAX_STREAMS_PER_UPDATE = 100
 SEQUENCE_MASK = 0xFFFFFFFF
 
 
@@ -71,6 +74,7 @@
     peer_requests: PeerCounts
     peer_prefill_tokens: PeerCounts
     quarantine: Quarantine
+    stream_versions: StreamVersions = field(default_factory=StreamVersions)
 
 
 class UpdateExchange:
@@ -113,6 +117,7 @@
         self.has_updates = trio.Event()
         self._prompts: list[CachedPrompt] = []
         self._crash_records: list[CrashRecord] = []
+        self._stream_versions: list[tuple[int, int]] = []
         self._sequence = peers.own.incarnation & SEQUENCE_MASK
         self._sent_revision = 0
         self._sent_at = float(0)
@@ -144,6 +149,11 @@
         self._crash_records.extend(crash_records)
         self.has_updates.set()
 
+    def share_stream_versions(self, streams: Iterable[tuple[int, int]]) -> None:
+        """Add streams and the versions that began them to the next updates."""
+        self._stream_versions.extend(streams)
+        self.has_updates.set()
+
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
         if now - self._sent_at >= self._update_interval(now):
@@ -158,7 +168,12 @@
     def _update_interval(self, now: float) -> float:
         """Return the minimum time between the last update and the next."""
         has_listed = self.cache_sync.has_listed()
-        if self._prompts or self._crash_records or has_listed:
+        if (
+            self._prompts
+            or self._crash_records
+            or self._stream_versions
+            or has_listed
+        ):
             return PROMPT_UPDATE_SECONDS
         has_new_revision = (
             self._sent_revision < self.state.directory.known_revision
@@ -218,10 +233,12 @@
             tuple(self._crash_records),
             encode_seconds(contact.contact_seconds),
             encode_seconds(contact.answer_age_seconds),
+            tuple(self._stream_versions[:MAX_STREAMS_PER_UPDATE]),
         )
         self._sent_revision = update.revision
         self._prompts.clear()
         self._crash_records.clear()
+        del self._stream_versions[:MAX_STREAMS_PER_UPDATE]
         self.has_updates = trio.Event()
         self._transmit(update, now)
         self._sent_at = now
@@ -269,6 +286,8 @@
             counts.update(update.sender, dict(pairs))
         self.cache_sync.record_prompts(update.prompts, now)
         self.state.quarantine.merge(update.crash_records, unix_now)
+        for stream, version in update.stream_versions:
+            self.state.stream_versions.record(stream, version, now)
         self.state.directory.handle_store_contact(
             StoreContactReport(
                 decode_seconds(update.store_contact_deciseconds),
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -179,9 +179,10 @@
     sender waits for) list the targets whose count has changed, or all targets
     if `is_full`. `prompts` are those sent to engines since the last update,
     `crash_records` concern requests that crash targets. `sequence` increases
-    with each update. The last two fields tell for how many tenths of a second
-    the store had answered the sender without interruption, and how long ago it
-    last did.
+    with each update. `store_contact_deciseconds` tells for how many tenths of
+    a second the store had answered the sender without interruption,
+    `store_answer_age_deciseconds` how long ago it last did. `stream_versions`
+    are pairs of a stream that has begun and the software version of its target.
     """
 
     revision: int
@@ -194,6 +195,7 @@
     crash_records: tuple[CrashRecord, ...] = ()
     store_contact_deciseconds: int = 0
     store_answer_age_deciseconds: int = 0
+    stream_versions: Pairs = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -9,7 +9,7 @@
 
 from peridotwell.domain.prompt import Prompt
 from peridotwell.domain.routing_table import Route, RoutingTable
-from peridotwell.domain.target import Target
+from peridotwell.domain.target import Target, wire_id
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.target_client import ResponseReader
@@ -17,6 +17,7 @@
 
 __all__ = (
     'HeaderFields',
+    'ResumedStream',
     'CallerMetadata',
     'RoutedRequest',
     'TargetRequest',
@@ -29,12 +30,24 @@
 HeaderFields = tuple[tuple[bytes, bytes], ...]
 
 
+@dataclass(frozen=True)
+class ResumedStream:
+    """A stream that a caller has received in part and wants to go on.
+
+    `first_request` is the id of the request that brought its first event, ''
+    if the caller does not tell.
+    """
+
+    first_request: str
+
+
 @dataclass(frozen=True)
 class CallerMetadata:
     """The content of a caller's header fields.
 
     `deadline_seconds` is None if the caller sets none. `passed_fields`
-    are the fields that targets get as they are.
+    are the fields that targets get as they are. `resumed_stream` is None if
+    the caller resumes none.
     """
 
     request_id: str
@@ -42,6 +55,7 @@
     deadline_seconds: float | None
     prompt: Prompt | None
     passed_fields: HeaderFields
+    resumed_stream: ResumedStream | None = None
 
 
 @dataclass(frozen=True)
@@ -67,6 +81,14 @@
     deadline_at: float
     fingerprint: int
     table_version: int
+    resumed_stream: ResumedStream | None = None
+
+    @property
+    def stream_id(self) -> int:
+        """The wire id of the stream that the request begins or resumes."""
+        if self.resumed_stream is None:
+            return wire_id(self.request_id)
+        return wire_id(self.resumed_stream.first_request)
 
 
 @dataclass(frozen=True)
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -19,6 +19,7 @@
 from peridotwell.forwarding.handler import ForwardingHandler
 from peridotwell.forwarding.recovery import CacheRecovery
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
+from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.target_tracker import TargetTracker
@@ -127,6 +128,7 @@
         Dispatcher(clients, tracker, adapters.targets, crash_tracker),
         selector,
         crash_tracker,
+        StreamAffinity(state.directory, update_exchange),
         adapters.callers,
         adapters.targets,
     )
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -159,6 +159,7 @@
                 components.dispatcher,
                 components.selector,
                 components.target_adapter,
+                components.stream_affinity,
             )
             error_response = await stream.run()
             self._record_response(
--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -94,6 +94,7 @@
             body,
         ),
         table_version=table.version,
+        resumed_stream=metadata.resumed_stream,
     )
 
 
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -19,6 +19,7 @@
 from peridotwell.forwarding.caller_response import CallerResponse
 from peridotwell.forwarding.dispatch import Attempt, Dispatcher
 from peridotwell.forwarding.retries import Attempts, RetryDecision
+from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
@@ -51,6 +52,7 @@
         dispatcher: Dispatcher,
         selector: TargetSelector,
         adapter: TargetAdapter,
+        affinity: StreamAffinity,
     ) -> None:
         self.choice: Choice | None = None
         self.status = 0
@@ -62,6 +64,7 @@
         self._dispatcher = dispatcher
         self._selector = selector
         self._adapter = adapter
+        self._affinity = affinity
         self._last_event_id = ''
 
     async def run(self) -> BufferedResponse | None:
@@ -86,11 +89,19 @@
     def _choose(self, now: float) -> Choice:
         try:
             return self._selector.choose(
-                self._request, self._attempts.tried, now
+                self._request,
+                self._attempts.tried,
+                now,
+                self._required_software(now),
             )
         except NoTarget as exc:
             raise without_target(exc, self._attempts) from exc
 
+    def _required_software(self, now: float) -> int | None:
+        if self._caller_response.has_begun and self.choice is not None:
+            return self.choice.target.software_id
+        return self._affinity.required_software(self._request, now)
+
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
         decision = self._attempts.after_failure(failure, now)
@@ -142,6 +153,9 @@
             async for part in parts:
                 if not self._caller_response.has_begun:
                     self.first_part_at = trio.current_time()
+                    self._affinity.record_start(
+                        self._request, attempt.target, self.first_part_at
+                    )
                     await self._caller_response.begin(
                         response.status,
                         self._adapter.caller_fields(response),
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -54,16 +54,22 @@
         request: RoutedRequest,
         tried: Collection[str],
         now: float,
+        software: int | None = None,
     ) -> Choice:
         """Return the target for a request. Raises NoTarget.
 
-        `tried` has the names of the targets of earlier attempts.
+        `tried` has the names of the targets of earlier attempts. `software`
+        is the id of the software version that the target must have, or None.
         """
-        targets = self._candidates(request.service, tried, now)
+        listed = [
+            target
+            for target in self._directory.available_targets(request.service)
+            if software in {None, target.software_id}
+        ]
+        targets = self._usable_targets(listed, tried, now)
         if not targets:
-            listed = len(self._directory.available_targets(request.service))
             raise NoTarget(
-                f'No target of {request.service} takes requests ({listed} '
+                f'No target of {request.service} takes requests ({len(listed)} '
                 f'listed, {len(tried)} tried): send the request again later.',
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
@@ -154,13 +160,12 @@
             sources, key=lambda source: source.missing_tokens, default=None
         )
 
-    def _candidates(
+    def _usable_targets(
         self,
-        service: str,
+        listed: Sequence[Target],
         tried: Collection[str],
         now: float,
     ) -> Sequence[Target]:
-        listed = self._directory.available_targets(service)
         usable = self._tracker.ejection.usable_targets(listed, now)
         untried = [target for target in usable if target.name not in tried]
         responsive = [
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -175,6 +175,33 @@
     assert first.knowledge.cache_index.missing_tokens('engine', (PART,), 1) == 0
 
 
+STREAM, VERSION = wire_id('stream'), wire_id('v1')
+
+
+def test_version_of_a_stream_is_shared_within_a_tenth_of_a_second(fleet):
+    first, second, _ = fleet
+    second.sharing.share_stream_versions([(STREAM, VERSION)])
+    run_ticks(fleet, 1, 1.1)
+    assert first.knowledge.stream_versions.version(STREAM, 1.1) == VERSION
+
+
+def test_many_streams_are_shared_over_several_updates(fleet):
+    first, second, _ = fleet
+    second.sharing.share_stream_versions(
+        [(stream, VERSION) for stream in range(350)]
+    )
+    run_ticks(fleet, 1, 1.5)
+    assert len(list(first.knowledge.stream_versions.recent(1.5))) == 350
+
+
+def test_a_stream_adds_few_bytes_to_an_update():
+    """At 76 streams a second, these stay below 1 KB/s."""
+    update = RouterUpdate(1, 1, 1)
+    more = RouterUpdate(1, 1, 1, stream_versions=((STREAM, VERSION),) * 10)
+    added = len(encode_frame(more)) - len(encode_frame(update))
+    assert added / 10 <= 12
+
+
 def test_new_router_receives_the_prompt_cache_index_from_a_peer(fleet):
     first, second, _ = fleet
     second.knowledge.cache_index.record_use('engine', (PART,), 1)
--- /dev/null
+++ b/tests/policy/test_stream_versions.py
@@ -0,0 +1,47 @@
+"""Version affinity of streams during a rolling upgrade."""
+
+from peridotwell.policy import stream_versions
+from peridotwell.policy.stream_versions import MEMORY_SECONDS, StreamVersions
+
+OLD, NEW = 1, 2
+MODEL = 'model'
+
+
+def serve(versions, *serving, now):
+    return versions.set_serving({MODEL: frozenset(serving)}, now)
+
+
+def test_service_is_mixed_during_an_upgrade_and_for_some_time_after():
+    versions = StreamVersions()
+    assert not serve(versions, OLD, now=0)
+    assert not versions.is_mixed(MODEL, 0)
+    assert serve(versions, OLD, NEW, now=1)
+    assert versions.is_mixed(MODEL, 100)
+    assert not serve(versions, NEW, now=100)
+    assert versions.is_mixed(MODEL, 99 + MEMORY_SECONDS)
+    assert not versions.is_mixed(MODEL, 100 + MEMORY_SECONDS)
+
+
+def test_versions_that_replace_each_other_at_once_count_as_mixed():
+    versions = StreamVersions()
+    serve(versions, OLD, now=0)
+    versions.set_serving({}, 1)
+    assert serve(versions, NEW, now=2)
+
+
+def test_first_version_of_a_stream_counts_until_it_is_forgotten():
+    versions = StreamVersions()
+    versions.record(7, OLD, 0)
+    versions.record(7, NEW, 1)
+    assert versions.version(7, 1) == OLD
+    assert list(versions.recent(1)) == [(7, OLD)]
+    assert versions.version(7, MEMORY_SECONDS) is None
+    assert versions.version(8, 1) is None
+
+
+def test_memory_is_bounded_and_keeps_the_latest(monkeypatch):
+    monkeypatch.setattr(stream_versions, 'MAX_STREAMS', 3)
+    versions = StreamVersions()
+    for stream in range(10):
+        versions.record(stream, OLD, 0)
+    assert [stream for stream, _ in versions.recent(0)] == [7, 8, 9]
