Routers heed what targets say of themselves: leaving, and pauses

Routers return at different times. If no target accepts work, the request is refused at once, with a Retry-After that is the earliest end, spread by request. Pauses that are no finite positive number are ignored, long ones count as 30 s. What updates tell at once stands in PendingNews, the state in a module of its own.

--- /dev/null
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -0,0 +1,29 @@
+"""The state that forwarding routers exchange."""
+
+from dataclasses import dataclass, field
+
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.policy.peer_counts import PeerCounts
+from peridotwell.policy.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.stream_versions import StreamVersions
+from peridotwell.policy.target_notices import TargetNotices
+
+__all__ = ('ForwardingState',)
+
+
+@dataclass(frozen=True)
+class ForwardingState:
+    """The state that forwarding routers exchange.
+
+    `peer_requests` counts the outstanding requests of the other routers,
+    `peer_prefill_tokens` the prompt tokens that they wait for.
+    """
+
+    directory: ServiceDirectory
+    cache_index: PromptCacheIndex
+    peer_requests: PeerCounts
+    peer_prefill_tokens: PeerCounts
+    quarantine: Quarantine
+    stream_versions: StreamVersions = field(default_factory=StreamVersions)
+    target_notices: TargetNotices = field(default_factory=TargetNotices)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from functools import partial
 
 import trio
@@ -14,9 +13,10 @@
 from peridotwell.fleet.caches.cache_lists import encode_parts
 from peridotwell.fleet.caches.cache_sync import CacheSync
 from peridotwell.fleet.relays.delay_monitor import DelayMonitor
+from peridotwell.fleet.relays.forwarding_state import ForwardingState
+from peridotwell.fleet.relays.pending_news import PendingNews
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
 from peridotwell.fleet.replica.entry_sync import EntrySync
-from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_contact import (
     StoreContactReport,
     decode_seconds,
@@ -41,12 +41,11 @@
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.own_counts import OwnCounts
-from peridotwell.policy.peer_counts import PeerCounts
-from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
-from peridotwell.policy.quarantine import CrashRecord, Quarantine
-from peridotwell.policy.stream_versions import StreamVersions
+from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.quarantine import CrashRecord
+from peridotwell.policy.target_notices import Incarnation
 
-__all__ = ('ForwardingState', 'UpdateExchange')
+__all__ = ('UpdateExchange',)
 
 # Minimum time between two updates, depending on what has changed. It is short
 # for new prompts: the next request with the same parts may arrive soon.
@@ -56,27 +55,9 @@
 # All counts, also unchanged ones, are sent with this period, in case an update
 # was lost.
 FULL_UPDATE_SECONDS = 2.0
-MAX_PROMPTS_PER_UPDATE = 200
-MAX_STREAMS_PER_UPDATE = 100
 SEQUENCE_MASK = 0xFFFFFFFF
 
 
-@dataclass(frozen=True)
-class ForwardingState:
-    """The state that forwarding routers exchange.
-
-    `peer_requests` counts the outstanding requests of the other routers,
-    `peer_prefill_tokens` the prompt tokens that they wait for.
-    """
-
-    directory: ServiceDirectory
-    cache_index: PromptCacheIndex
-    peer_requests: PeerCounts
-    peer_prefill_tokens: PeerCounts
-    quarantine: Quarantine
-    stream_versions: StreamVersions = field(default_factory=StreamVersions)
-
-
 class UpdateExchange:
     """Sends this router's updates and applies those of its peers."""
 
@@ -115,9 +96,7 @@
         self.own_prefill_tokens = OwnCounts()
         # Set when there are changes that the peers should receive soon.
         self.has_updates = trio.Event()
-        self._prompts: list[CachedPrompt] = []
-        self._crash_records: list[CrashRecord] = []
-        self._stream_versions: list[tuple[int, int]] = []
+        self._news = PendingNews()
         self._sequence = peers.own.incarnation & SEQUENCE_MASK
         self._sent_revision = 0
         self._sent_at = float(0)
@@ -138,20 +117,24 @@
         parts: tuple[CachedPart, ...],
     ) -> None:
         """Record that these prompt parts were sent to an engine."""
-        if len(self._prompts) < MAX_PROMPTS_PER_UPDATE:
-            self._prompts.append(CachedPrompt(target, encode_parts(parts)))
-        else:
+        prompt = CachedPrompt(target, encode_parts(parts))
+        if not self._news.add_prompt(prompt):
             self._metrics.count('peer.unsent_prompts')
         self.has_updates.set()
 
     def share_crash_records(self, *crash_records: CrashRecord) -> None:
         """Add records of requests that crash targets to the next update."""
-        self._crash_records.extend(crash_records)
+        self._news.add_crash_records(crash_records)
         self.has_updates.set()
 
     def share_stream_versions(self, streams: Iterable[tuple[int, int]]) -> None:
         """Add streams and the versions that began them to the next updates."""
-        self._stream_versions.extend(streams)
+        self._news.add_stream_versions(streams)
+        self.has_updates.set()
+
+    def share_departed(self, incarnation: Incarnation) -> None:
+        """Add a target that has said that it leaves to the next update."""
+        self._news.add_departed(incarnation)
         self.has_updates.set()
 
     def tick(self, now: float) -> None:
@@ -167,13 +150,7 @@
 
     def _update_interval(self, now: float) -> float:
         """Return the minimum time between the last update and the next."""
-        has_listed = self.cache_sync.has_listed()
-        if (
-            self._prompts
-            or self._crash_records
-            or self._stream_versions
-            or has_listed
-        ):
+        if self._news or self.cache_sync.has_listed():
             return PROMPT_UPDATE_SECONDS
         has_new_revision = (
             self._sent_revision < self.state.directory.known_revision
@@ -221,6 +198,7 @@
         is_full = now - self._full_at >= FULL_UPDATE_SECONDS
         self._sequence = (self._sequence + 1) & SEQUENCE_MASK
         contact = self.state.directory.store_contact.report(now)
+        news = self._news.take()
         update = RouterUpdate(
             self._own,
             self.state.directory.known_revision,
@@ -229,16 +207,14 @@
             is_full,
             self.own_requests.take_counts(include_unchanged=is_full),
             self.own_prefill_tokens.take_counts(include_unchanged=is_full),
-            (*self._prompts, *self.cache_sync.take_listed(now)),
-            tuple(self._crash_records),
+            (*news.prompts, *self.cache_sync.take_listed(now)),
+            news.crash_records,
             encode_seconds(contact.contact_seconds),
             encode_seconds(contact.answer_age_seconds),
-            tuple(self._stream_versions[:MAX_STREAMS_PER_UPDATE]),
+            news.stream_versions,
+            news.departed,
         )
         self._sent_revision = update.revision
-        self._prompts.clear()
-        self._crash_records.clear()
-        del self._stream_versions[:MAX_STREAMS_PER_UPDATE]
         self.has_updates = trio.Event()
         self._transmit(update, now)
         self._sent_at = now
@@ -286,6 +262,7 @@
             counts.update(update.sender, dict(pairs))
         self.cache_sync.record_prompts(update.prompts, now)
         self.state.quarantine.merge(update.crash_records, unix_now)
+        self._record_departed(update.departed)
         for stream, version in update.stream_versions:
             self.state.stream_versions.record(stream, version, now)
         self.state.directory.handle_store_contact(
@@ -298,6 +275,14 @@
         )
         return True
 
+    def _record_departed(self, incarnations: Iterable[Incarnation]) -> None:
+        for incarnation in incarnations:
+            if self.state.target_notices.record_leaving(incarnation):
+                self._metrics.count('target.leaving.peer')
+                log_event(
+                    'target.departed', source='peer', target_id=incarnation[0]
+                )
+
     def _remove_dead_routers(self, now: float) -> None:
         live = {peer.wire_id for peer in self.peers.live_peers(now)}
         for counts in (
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -183,6 +183,8 @@
     a second the store had answered the sender without interruption,
     `store_answer_age_deciseconds` how long ago it last did. `stream_versions`
     are pairs of a stream that has begun and the software version of its target.
+    `departed` are targets, with their incarnation, that have said in an answer
+    that they leave.
     """
 
     revision: int
@@ -196,6 +198,7 @@
     store_contact_deciseconds: int = 0
     store_answer_age_deciseconds: int = 0
     stream_versions: Pairs = ()
+    departed: Pairs = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -3,10 +3,8 @@
 import time
 from dataclasses import dataclass
 
-from peridotwell.fleet.relays.update_exchange import (
-    ForwardingState,
-    UpdateExchange,
-)
+from peridotwell.fleet.relays.forwarding_state import ForwardingState
+from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_follower import StoreFollower
 from peridotwell.fleet.transport.frames import Hello
@@ -17,6 +15,7 @@
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
 from peridotwell.forwarding.handler import ForwardingHandler
+from peridotwell.forwarding.notice_recorder import NoticeRecorder
 from peridotwell.forwarding.recovery import CacheRecovery
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.forwarding.stream_affinity import StreamAffinity
@@ -28,6 +27,7 @@
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.target_notices import TargetNotices
 from peridotwell.store.change_feed import ChangeFeedStore
 
 __all__ = ('RouterComponents', 'build_components')
@@ -68,9 +68,11 @@
         PeerCounts(),
         PeerCounts(),
         Quarantine(),
+        target_notices=TargetNotices(settings.name),
     )
     update_exchange = UpdateExchange(peers, transport, state, metrics)
-    clients = TargetClients(directory, adapters.targets)
+    notice_recorder = NoticeRecorder(update_exchange, metrics)
+    clients = TargetClients(directory, adapters.targets, notice_recorder.record)
     forwarding = _make_forwarding(settings, adapters, update_exchange, clients)
     return RouterComponents(
         transport=transport,
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -143,6 +143,9 @@
         ]
 
     async def _ask_engine(self, target: Target) -> None:
+        notices = self.update_exchange.state.target_notices
+        if not notices.accepts(target, 0, trio.current_time()):
+            return
         request = httpcore.Request(
             'GET',
             f'http://{target.address}{self.adapter.cache_path()}',
--- a/peridotwell/forwarding/target_clients.py
+++ b/peridotwell/forwarding/target_clients.py
@@ -5,7 +5,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import TargetAdapter
-from peridotwell.serving.target_client import TargetClient
+from peridotwell.serving.target_client import NoticeListener, TargetClient
 
 __all__ = ('TargetClients',)
 
@@ -17,8 +17,12 @@
     """The HTTP clients of this router for all targets."""
 
     def __init__(
-        self, directory: ServiceDirectory, adapter: TargetAdapter
+        self,
+        directory: ServiceDirectory,
+        adapter: TargetAdapter,
+        on_notice: NoticeListener,
     ) -> None:
+        self._on_notice = on_notice
         self._directory = directory
         self._adapter = adapter
         self._clients: dict[TargetKey, TargetClient] = {}
@@ -28,7 +32,7 @@
         key = _target_key(target)
         client = self._clients.get(key)
         if client is None:
-            client = TargetClient(target, self._adapter)
+            client = TargetClient(target, self._adapter, self._on_notice)
             self._clients[key] = client
         return client
 
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -21,12 +21,15 @@
     PromptCacheIndex,
     cacheable_parts,
 )
+from peridotwell.policy.rendezvous import unit_hash
 
 __all__ = ('TargetSelector',)
 
 # A router uses a newly registered target, or one whose ejection has ended,
 # after about this time.
 RETRY_AFTER_SECONDS = 0.5
+# Callers refused during a pause return within this time after it.
+RETURN_SPREAD_SECONDS = 1.0
 
 
 class TargetSelector:
@@ -66,12 +69,18 @@
             for target in self._directory.available_targets(request.service)
             if software in {None, target.software_id}
         ]
-        targets = self._usable_targets(listed, tried, now)
+        accepting = [
+            target for target in listed if self._tracker.accepts(target, now)
+        ]
+        targets = self._usable_targets(accepting, tried, now)
         if not targets:
             raise NoTarget(
                 f'No target of {request.service} takes requests ({len(listed)} '
-                f'listed, {len(tried)} tried): send the request again later.',
-                retry_after_seconds=RETRY_AFTER_SECONDS,
+                f'listed, {len(accepting)} of them accept work, {len(tried)} '
+                'tried): send the request again later.',
+                retry_after_seconds=self._retry_after_seconds(
+                    request, listed, accepting, now
+                ),
             )
         if request.prompt is not None:
             return self._choose_engine(request, request.prompt, targets, now)
@@ -155,11 +164,29 @@
             )
             for target in self._directory.all_targets(service)
             if not self._tracker.is_ejected_or_silent(target, now)
+            and not self._tracker.notices.is_paused(target, now)
         ]
         return min(
             sources, key=lambda source: source.missing_tokens, default=None
         )
 
+    def _retry_after_seconds(
+        self,
+        request: RoutedRequest,
+        listed: Sequence[Target],
+        accepting: Sequence[Target],
+        now: float,
+    ) -> float:
+        """Return when a target may take the request again.
+
+        Callers that are refused during a pause get different times, so that
+        they do not return together.
+        """
+        wait = self._tracker.notices.next_return_seconds(listed, now)
+        if accepting or wait is None:
+            return RETRY_AFTER_SECONDS
+        return wait + RETURN_SPREAD_SECONDS * unit_hash(request.request_id)
+
     def _usable_targets(
         self,
         listed: Sequence[Target],
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -2,10 +2,8 @@
 
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.domain.target import Target
-from peridotwell.fleet.relays.update_exchange import (
-    ForwardingState,
-    UpdateExchange,
-)
+from peridotwell.fleet.relays.forwarding_state import ForwardingState
+from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import ReportedLoad, RoutedRequest
 from peridotwell.forwarding.silence_limits import SilenceLimits
@@ -43,6 +41,7 @@
         self.data_centres = DataCentreMonitor()
         self._update_exchange = update_exchange
         self._state = state
+        self.notices = state.target_notices
         self._loads: dict[str, TargetLoad] = {}
         self._incarnations: dict[str, str] = {}
         self._speeds: dict[str, PrefillSpeed] = {}
@@ -163,6 +162,11 @@
             outstanding, UNREPORTED_SECONDS + delay
         )
 
+    def accepts(self, target: Target, now: float) -> bool:
+        """Return whether a target takes work, by what it says itself."""
+        own_requests = self._load(target).own_requests
+        return self.notices.accepts(target, own_requests, now)
+
     def prefill_speed(self, service: str) -> PrefillSpeed:
         """Return the prefill speed of the engines of a service."""
         return self._speeds.setdefault(service, PrefillSpeed())
--- /dev/null
+++ b/peridotwell/policy/target_notices.py
@@ -0,0 +1,148 @@
+"""What targets say of themselves in their answers: leaving, and pauses.
+
+Pattern: load shedding by targets. A target that sheds load names a time in
+which it wants nothing; work returns to it step by step afterwards. A target
+that leaves gets nothing new until it has started again.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from peridotwell.domain.target import Target, wire_id
+from peridotwell.policy.rendezvous import unit_hash
+
+__all__ = (
+    'NO_NOTICE',
+    'Incarnation',
+    'TargetNotice',
+    'TargetNotices',
+    'incarnation_id',
+    'parse_pause',
+)
+
+MAX_PAUSE_SECONDS = 30.0
+# After a pause, one more request may be outstanding for each step.
+RETURN_STEP_SECONDS = 0.1
+RETURN_STEPS = 10
+MAX_RETURN_OFFSET_SECONDS = 0.2
+MAX_DEPARTED = 4096
+
+# Wire ids of a target and of its incarnation.
+Incarnation = tuple[int, int]
+
+
+@dataclass(frozen=True)
+class TargetNotice:
+    """What one answer of a target says of the target itself."""
+
+    is_leaving: bool = False
+    pause_seconds: float = 0
+
+
+NO_NOTICE = TargetNotice()
+
+
+class TargetNotices:
+    """The targets that leave, and those that want nothing for some time.
+
+    A notice concerns one incarnation: the next one is free at once. `router`
+    is the name of this router: routers return to a target at different times.
+    """
+
+    def __init__(self, router: str = '') -> None:
+        self._router = router
+        # Insertion order: the oldest notices come first.
+        self._departed: dict[Incarnation, None] = {}
+        self._paused_until: dict[Incarnation, float] = {}
+
+    def record_leaving(self, incarnation: Incarnation) -> bool:
+        """Record that a target leaves; return whether that is new."""
+        if incarnation in self._departed:
+            return False
+        if len(self._departed) >= MAX_DEPARTED:
+            self._departed.pop(next(iter(self._departed)))
+        self._departed[incarnation] = None
+        return True
+
+    def record_pause(
+        self, incarnation: Incarnation, seconds: float, now: float
+    ) -> bool:
+        """Record a pause; return whether the target was not paused before."""
+        offset = unit_hash(f'{self._router}/{incarnation[0]}')
+        until = (
+            now
+            + min(seconds, MAX_PAUSE_SECONDS)
+            + offset * MAX_RETURN_OFFSET_SECONDS
+        )
+        known = self._paused_until.get(incarnation, 0)
+        self._paused_until[incarnation] = max(until, known)
+        return known <= now
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target has said that it leaves."""
+        return bool(self._departed) and incarnation_id(target) in self._departed
+
+    def is_paused(self, target: Target, now: float) -> bool:
+        """Return whether a target wants nothing at present."""
+        if not self._paused_until:
+            return False
+        return now < self._paused_until.get(incarnation_id(target), 0)
+
+    def accepts(self, target: Target, outstanding: int, now: float) -> bool:
+        """Return whether a target may get one more request of this router.
+
+        `outstanding` is the number of this router's requests on it.
+        """
+        if self.is_leaving(target):
+            return False
+        return outstanding < self._max_outstanding(target, now)
+
+    def next_return_seconds(
+        self, targets: Iterable[Target], now: float
+    ) -> float | None:
+        """Return when the first of the targets may get a request again.
+
+        Returns None if all of them leave.
+        """
+        waits = [
+            max(
+                self._paused_until.get(incarnation_id(target), 0) - now,
+                RETURN_STEP_SECONDS,
+            )
+            for target in targets
+            if not self.is_leaving(target)
+        ]
+        return min(waits, default=None)
+
+    def departed(self) -> Iterator[Incarnation]:
+        """Yield the incarnations that have said that they leave."""
+        yield from self._departed
+
+    def _max_outstanding(self, target: Target, now: float) -> float:
+        until = self._paused_until.get(incarnation_id(target))
+        if until is None:
+            return float('inf')
+        if now < until:
+            return 0
+        steps = int((now - until) / RETURN_STEP_SECONDS)
+        if steps >= RETURN_STEPS:
+            self._paused_until.pop(incarnation_id(target))
+            return float('inf')
+        return steps + 1
+
+
+def incarnation_id(target: Target) -> Incarnation:
+    """Return the wire ids by which notices of a target are kept."""
+    return target.wire_id, wire_id(target.incarnation)
+
+
+def parse_pause(text: str) -> float | None:
+    """Return a pause in seconds from its decimal text.
+
+    Returns None if it is not a finite number of seconds above 0.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < float('inf') else None
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -5,7 +5,7 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 
@@ -23,17 +23,20 @@
     TargetReplaced,
 )
 from peridotwell.domain.target import Target
+from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = (
     'ResponseTimeouts',
+    'NoticeListener',
     'ResponseReader',
     'StandardResponseReader',
     'TargetHealth',
     'TargetClient',
 )
 
+NoticeListener = Callable[[Target, TargetNotice], None]
 MAX_CONNECTIONS = 1024
 IDLE_CONNECTION_SECONDS = 20
 # TCP first retransmits a lost SYN packet after 1 s. The timeout is shorter, so
@@ -78,6 +81,10 @@
         """Whether the refusal came from a target that replaced this one."""
         return False
 
+    def notice(self, response: TargetResponse) -> TargetNotice:
+        """Return what the response says of the target itself."""
+        return NO_NOTICE
+
     @abstractmethod
     def request_id(self, response: TargetResponse) -> str:
         """Return the id of the request that was served, else ''."""
@@ -109,8 +116,10 @@
         self,
         target: Target,
         reader: ResponseReader | None = None,
+        on_notice: NoticeListener | None = None,
     ) -> None:
         self.target = target
+        self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
@@ -165,12 +174,18 @@
             raise ResponseTimeout('The target sent no complete headers.')
         async with aclosing(resp):
             response = TargetResponse(resp, response_timeouts.silence_seconds)
+            self._handle_notice(response)
             self._check_response(
                 request, response, require_request_id=require_request_id
             )
             timeouts['read'] = response_timeouts.silence_seconds
             yield response
 
+    def _handle_notice(self, response: TargetResponse) -> None:
+        notice = self._reader.notice(response)
+        if notice is not NO_NOTICE and self._on_notice is not None:
+            self._on_notice(self.target, notice)
+
     def _check_response(
         self,
         request: httpcore.Request,
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -5,10 +5,8 @@
 from hypothesis import strategies as st
 
 from peridotwell.domain.target import wire_id
-from peridotwell.fleet.relays.update_exchange import (
-    ForwardingState,
-    UpdateExchange,
-)
+from peridotwell.fleet.relays.forwarding_state import ForwardingState
+from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.transport.frames import (
     EntriesPull,
@@ -185,6 +183,13 @@
     assert first.knowledge.stream_versions.version(STREAM, 1.1) == VERSION
 
 
+def test_target_that_said_it_leaves_is_left_by_all_routers(fleet):
+    first, second, _ = fleet
+    second.sharing.share_departed((7, 8))
+    run_ticks(fleet, 1, 1.1)
+    assert list(first.knowledge.target_notices.departed()) == [(7, 8)]
+
+
 def test_many_streams_are_shared_over_several_updates(fleet):
     first, second, _ = fleet
     second.sharing.share_stream_versions(
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -12,6 +12,7 @@
 from peridotwell.errors import BadRequest, EntryError
 from peridotwell.forwarding.adapters import RoutedRequest, TargetRequest
 from peridotwell.policy.prompt_cache_index import part_id
+from peridotwell.policy.target_notices import NO_NOTICE
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.target_response import TargetResponse
 
@@ -206,3 +207,17 @@
 def test_invalid_list_of_cached_parts_is_rejected():
     with pytest.raises(EntryError):
         TARGETS.decode_cache_list(b'{"held":[[1]]}')
+
+
+def test_notice_of_a_target_that_leaves_or_sheds_load():
+    adapter = PlatformTargetAdapter()
+    assert adapter.notice(make_response(server_leaving='1')).is_leaving
+    shed = adapter.notice(make_response(503, retry_after='0.5'))
+    assert (shed.is_leaving, shed.pause_seconds) == (False, 0.5)
+    assert adapter.notice(make_response(500, retry_after='0.5')) is NO_NOTICE
+    assert adapter.notice(make_response()) is NO_NOTICE
+
+
+def test_answer_of_another_target_at_the_address_says_nothing():
+    response = make_response(421, server_leaving='1', retry_after='1')
+    assert PlatformTargetAdapter().notice(response) is NO_NOTICE
