--- a/peridotwell/domain/target.py
+++ b/peridotwell/domain/target.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 
 import xxhash
 
@@ -56,12 +57,17 @@
     leaving: bool = False
     software: str = ''
 
-    @property
+    @cached_property
     def wire_id(self) -> int:
         """The id of this target in messages between routers."""
         return wire_id(self.name)
 
-    @property
+    @cached_property
+    def incarnation_id(self) -> tuple[int, int]:
+        """The wire ids of the target and of its incarnation."""
+        return self.wire_id, wire_id(self.incarnation)
+
+    @cached_property
     def software_id(self) -> int:
         """The id of its software version in messages between routers."""
         return wire_id(self.software)
--- a/peridotwell/forwarding/notice_recorder.py
+++ b/peridotwell/forwarding/notice_recorder.py
@@ -6,7 +6,7 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.target_notices import TargetNotice, incarnation_id
+from peridotwell.policy.target_notices import TargetNotice
 
 __all__ = ('NoticeRecorder',)
 
@@ -26,7 +26,7 @@
 
     def record(self, target: Target, notice: TargetNotice) -> None:
         """Record a notice that has arrived now."""
-        incarnation = incarnation_id(target)
+        incarnation = target.incarnation_id
         if notice.is_leaving and self._notices.record_leaving(incarnation):
             self._update_exchange.share_departed(incarnation)
             self._metrics.count('target.leaving.answer')
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -69,9 +69,7 @@
             for target in self._directory.available_targets(request.service)
             if software in {None, target.software_id}
         ]
-        accepting = [
-            target for target in listed if self._tracker.accepts(target, now)
-        ]
+        accepting = self._accepting_targets(listed, now)
         targets = self._usable_targets(accepting, tried, now)
         if not targets:
             raise NoTarget(
@@ -170,6 +168,16 @@
             sources, key=lambda source: source.missing_tokens, default=None
         )
 
+    def _accepting_targets(
+        self, listed: Sequence[Target], now: float
+    ) -> Sequence[Target]:
+        """Return the targets that neither leave nor pause by their answers."""
+        if self._tracker.notices.is_empty:
+            return listed
+        return [
+            target for target in listed if self._tracker.accepts(target, now)
+        ]
+
     def _retry_after_seconds(
         self,
         request: RoutedRequest,
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/target_notices.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from peridotwell.domain.target import Target, wire_id
+from peridotwell.domain.target import Target
 from peridotwell.policy.rendezvous import unit_hash
 
 __all__ = (
@@ -16,7 +16,6 @@
     'Incarnation',
     'TargetNotice',
     'TargetNotices',
-    'incarnation_id',
     'parse_pause',
 )
 
@@ -78,15 +77,20 @@
         self._paused_until[incarnation] = max(until, known)
         return known <= now
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has ever said anything of itself."""
+        return not (self._departed or self._paused_until)
+
     def is_leaving(self, target: Target) -> bool:
         """Return whether a target has said that it leaves."""
-        return bool(self._departed) and incarnation_id(target) in self._departed
+        return bool(self._departed) and target.incarnation_id in self._departed
 
     def is_paused(self, target: Target, now: float) -> bool:
         """Return whether a target wants nothing at present."""
         if not self._paused_until:
             return False
-        return now < self._paused_until.get(incarnation_id(target), 0)
+        return now < self._paused_until.get(target.incarnation_id, 0)
 
     def accepts(self, target: Target, outstanding: int, now: float) -> bool:
         """Return whether a target may get one more request of this router.
@@ -106,7 +110,7 @@
         """
         waits = [
             max(
-                self._paused_until.get(incarnation_id(target), 0) - now,
+                self._paused_until.get(target.incarnation_id, 0) - now,
                 RETURN_STEP_SECONDS,
             )
             for target in targets
@@ -119,23 +123,20 @@
         yield from self._departed
 
     def _max_outstanding(self, target: Target, now: float) -> float:
-        until = self._paused_until.get(incarnation_id(target))
+        until = None
+        if self._paused_until:
+            until = self._paused_until.get(target.incarnation_id)
         if until is None:
             return float('inf')
         if now < until:
             return 0
         steps = int((now - until) / RETURN_STEP_SECONDS)
         if steps >= RETURN_STEPS:
-            self._paused_until.pop(incarnation_id(target))
+            self._paused_until.pop(target.incarnation_id)
             return float('inf')
         return steps + 1
 
 
-def incarnation_id(target: Target) -> Incarnation:
-    """Return the wire ids by which notices of a target are kept."""
-    return target.wire_id, wire_id(target.incarnation)
-
-
 def parse_pause(text: str) -> float | None:
     """Return a pause in seconds from its decimal text.
 
--- a/tests/policy/test_target_notices.py
+++ b/tests/policy/test_target_notices.py
@@ -10,7 +10,6 @@
     RETURN_STEP_SECONDS,
     RETURN_STEPS,
     TargetNotices,
-    incarnation_id,
     parse_pause,
 )
 
@@ -23,7 +22,7 @@
 
 
 FIRST, SECOND = target(), target(incarnation='2')
-ID = incarnation_id(FIRST)
+ID = FIRST.incarnation_id
 
 
 def test_leaving_target_gets_nothing_until_its_next_incarnation():
@@ -66,11 +65,11 @@
     notices = TargetNotices()
     other = target('other')
     notices.record_pause(ID, 9, now=0)
-    notices.record_pause(incarnation_id(other), 3, now=0)
+    notices.record_pause(other.incarnation_id, 3, now=0)
     wait = notices.next_return_seconds([FIRST, other], 1)
     assert 2 <= wait <= 2 + MAX_RETURN_OFFSET_SECONDS
     notices.record_leaving(ID)
-    notices.record_leaving(incarnation_id(other))
+    notices.record_leaving(other.incarnation_id)
     assert notices.next_return_seconds([FIRST, other], 1) is None
 
 
