Soak: the end of a whole response is checked to the byte

A stream must now end with the event that has its id, any other body with the id; before, any body that ended with the id passed. The check of 'said not run, but the request ran' covers lookups too, which it left out.

--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -7,6 +7,7 @@
 
 # Statuses with which a router guarantees that no target ran the request.
 STATUSES_NOT_RUN = frozenset((408, 421, 429, 503))
+STREAM_KINDS = frozenset(('draft', 'ask'))
 FIRST_SUCCESS_STATUS, FIRST_REDIRECT_STATUS = 200, 300
 # Allowed delay after the deadline, because the machine also runs the tests.
 RESPONSE_SLACK_SECONDS = 1.0
@@ -102,7 +103,7 @@
         self.violations.append(f'{outcome} was cut by a planned stop')
 
     def _check_not_run(self, outcome: Outcome) -> None:
-        if outcome.status not in STATUSES_NOT_RUN or outcome.kind == 'read':
+        if outcome.status not in STATUSES_NOT_RUN:
             return
         self._refused_requests[outcome.request_id] = outcome
         if self.run_counts[outcome.request_id]:
@@ -113,7 +114,14 @@
     def _check_body(self, outcome: Outcome) -> None:
         if not FIRST_SUCCESS_STATUS <= outcome.status < FIRST_REDIRECT_STATUS:
             return
-        if not outcome.body.endswith(outcome.request_id.encode()):
+        if not outcome.body.endswith(_end_of_response(outcome)):
             self.violations.append(
                 f'{outcome} is not the response to this request'
             )
+
+
+def _end_of_response(outcome: Outcome) -> bytes:
+    """Return how a whole response to this request ends."""
+    request_id = outcome.request_id.encode()
+    is_stream = outcome.kind in STREAM_KINDS
+    return b': %b\n\n' % request_id if is_stream else request_id
