--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -8,6 +8,7 @@
 """
 
 import time
+from dataclasses import dataclass
 
 import trio
 
@@ -23,7 +24,7 @@
 from peridotwell.logs import log_failure
 from peridotwell.policy.quarantine import Quarantine
 
-__all__ = ('CrashTracker',)
+__all__ = ('BrokenAttempt', 'CrashTracker')
 
 CRASH_LIMIT = 3
 RECORD_TTL_SECONDS = 30.0
@@ -33,6 +34,18 @@
 MAX_PENDING_CHECKS = 20
 
 
+@dataclass(frozen=True)
+class BrokenAttempt:
+    """A request whose connection to a target broke.
+
+    `has_begun` tells whether the target had sent a whole event of its answer.
+    """
+
+    request: RoutedRequest
+    target: Target
+    has_begun: bool
+
+
 class CrashTracker:
     """Records crashes of targets and refuses requests that cause them."""
 
@@ -43,7 +56,7 @@
     ) -> None:
         self._quarantine = quarantine
         self._update_exchange = update_exchange
-        self._to_check: list[tuple[RoutedRequest, Target]] = []
+        self._to_check: list[BrokenAttempt] = []
         self._has_checks = trio.Event()
 
     def check(self, request: RoutedRequest) -> None:
@@ -65,14 +78,12 @@
         if record is not None:
             self._update_exchange.share_crash_records(record)
 
-    def schedule_check(
-        self, request: RoutedRequest, target: Target, exc: AttemptError
-    ) -> None:
+    def schedule_check(self, broken: BrokenAttempt, exc: AttemptError) -> None:
         """Schedule a check of the target if its connection broke."""
         if not isinstance(exc, ResponseLost | ResponseTruncated):
             return
         if len(self._to_check) < MAX_PENDING_CHECKS:
-            self._to_check.append((request, target))
+            self._to_check.append(broken)
             self._has_checks.set()
 
     async def run(self) -> None:
@@ -83,12 +94,12 @@
             to_check = self._to_check
             self._to_check = []
             async with trio.open_nursery() as nursery:
-                for request, target in to_check:
-                    nursery.start_soon(self._check_target, request, target)
+                for broken in to_check:
+                    nursery.start_soon(self._check_target, broken)
 
-    async def _check_target(
-        self, request: RoutedRequest, target: Target
-    ) -> None:
+    async def _check_target(self, broken: BrokenAttempt) -> None:
+        request = broken.request
+        target = broken.target
         if await _is_reachable(target):
             return
         incarnation_id = wire_id(f'{target.name}|{target.incarnation}')
@@ -104,6 +115,8 @@
             mark=f'{request.fingerprint:016x}',
             target=target.name,
             lost=len(record.lost_incarnations),
+            has_begun=broken.has_begun,
+            parts=_part_names(request),
         )
         self._update_exchange.share_crash_records(record)
 
@@ -117,3 +130,10 @@
         return False
     await stream.aclose()
     return True
+
+
+def _part_names(request: RoutedRequest) -> str:
+    """Return the shared parts of a request's prompt for the logs."""
+    if request.prompt is None:
+        return ''
+    return ','.join(part.name for part in request.prompt.shared_parts)
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -25,7 +25,7 @@
     TargetAdapter,
     TargetRequest,
 )
-from peridotwell.forwarding.crash_tracker import CrashTracker
+from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
@@ -47,12 +47,12 @@
 MIN_SILENCE_TIMEOUT_SECONDS = 0.2
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False)
 class Attempt:
     """One attempt to run a request on a target.
 
     `resume_after` is the id of the last event that the caller has received,
-    or empty.
+    or empty. Attempts are compared by identity.
     """
 
     request: RoutedRequest
@@ -80,6 +80,8 @@
         self._clients = clients
         self._tracker = tracker
         self._adapter = adapter
+        # Attempts whose target has sent a whole event.
+        self._begun: set[Attempt] = set()
 
     @asynccontextmanager
     async def send(self, attempt: Attempt) -> AsyncIterator[TargetResponse]:
@@ -103,9 +105,12 @@
         finally:
             if not is_prefilled:
                 self._tracker.record_prefill_end(request, choice)
-            self._tracker.record_end(
-                attempt.target, trio.current_time() - started_at
-            )
+            self._record_end(attempt, trio.current_time() - started_at)
+
+    def record_event(self, attempt: Attempt) -> None:
+        """Record that whole events of a stream have arrived."""
+        self._begun.add(attempt)
+        self.record_activity(attempt)
 
     def record_activity(self, attempt: Attempt) -> None:
         """Record that a part of the response has arrived."""
@@ -176,10 +181,19 @@
             now = trio.current_time()
             self._tracker.record_report(target, reported, now)
 
+    def _record_end(self, attempt: Attempt, seconds: float) -> None:
+        self._begun.discard(attempt)
+        self._tracker.record_end(attempt.target, seconds)
+
     def _record_failure(self, attempt: Attempt, exc: AttemptError) -> None:
         name = attempt.target.name
         now = trio.current_time()
-        self._crash_tracker.schedule_check(attempt.request, attempt.target, exc)
+        self._crash_tracker.schedule_check(
+            BrokenAttempt(
+                attempt.request, attempt.target, attempt in self._begun
+            ),
+            exc,
+        )
         is_gone = isinstance(exc, ConnectionFailed | TargetReplaced)
         counts_as_failure = is_gone or not isinstance(exc, RefusedByTarget)
         if counts_as_failure and self._tracker.ejection.record_failure(
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -160,7 +160,7 @@
                         response.status,
                         self._adapter.caller_fields(response),
                     )
-                self._dispatcher.record_activity(attempt)
+                self._dispatcher.record_event(attempt)
                 await self._caller_response.send_part(part)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -8,7 +8,7 @@
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.crash_tracker import CrashTracker
+from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
 from peridotwell.policy.quarantine import Quarantine
 from peridotwell.serving.asgi import serve_http
 
@@ -60,7 +60,8 @@
 async def crash(crash_tracker, port, count, failure=ResponseLost):
     for number in range(count):
         gone = target(f't{number}', f'127.0.0.1:{port}')
-        crash_tracker.schedule_check(make_request(), gone, failure('broken'))
+        broken = BrokenAttempt(make_request(), gone, has_begun=False)
+        crash_tracker.schedule_check(broken, failure('broken'))
         await trio.sleep(0.05)
 
 
@@ -87,9 +88,8 @@
     address = await nursery.start(serve_http, handle, '127.0.0.1:0')
     for number in range(5):
         live = target(f't{number}', address)
-        crash_tracker.schedule_check(
-            make_request(), live, ResponseLost('reset')
-        )
+        broken = BrokenAttempt(make_request(), live, has_begun=False)
+        crash_tracker.schedule_check(broken, ResponseLost('reset'))
     await trio.sleep(0.2)
     crash_tracker.check(make_request())
 
