--- /dev/null
+++ b/tests/peridotwell_platform/crashing_fleet.py
@@ -0,0 +1,206 @@
+"""Three routers, and targets that crash under one part of prompts.
+
+A target that begins to answer a request with that part crashes: it closes its
+port and all connections. It comes back as another incarnation.
+"""
+
+import itertools
+from dataclasses import dataclass, field
+
+import httpcore
+import msgspec
+import trio
+from peridotwell_platform.entries import PlatformEntryDecoder
+from peridotwell_platform.headers import (
+    PlatformCallerAdapter,
+    PlatformTargetAdapter,
+)
+from peridotwell_platform.store import PlatformStore
+
+from peridotwell.domain.bounds import DeploymentBounds
+from peridotwell.forwarding.router import ForwardingRouter
+from peridotwell.forwarding.settings import Adapters, ForwardingSettings
+from peridotwell.serving.asgi import serve_http
+from tests.peridotwell_platform import stand_in
+from tests.ports import find_free_port
+
+LOCALHOST = '127.0.0.1'
+DOWN_SECONDS = 0.2
+WORK_SECONDS = 0.02
+PART_TOKENS = 200
+CONFIG = {
+    'version': 1,
+    'routes': [
+        stand_in.route('draft', 'streaming', max_attempts=1),
+        stand_in.route('ask', 'streaming', resumable=True),
+    ],
+    'services': [{'name': 'svc', 'max_conns': 100}],
+    'limits': {
+        'max_header_bytes': 2000,
+        'max_body_bytes': 5000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
+}
+
+
+@dataclass
+class CrashingTarget:
+    """A target that crashes when it begins to answer on `crashing_part`."""
+
+    name: str
+    store: stand_in.StoreStandIn
+    crashing_part: str
+    port: int = field(default_factory=find_free_port)
+    crashes: int = 0
+    received: list[dict[str, str]] = field(default_factory=list)
+    _running: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def run(self) -> None:
+        """Serve; after each crash, start again as another incarnation."""
+        for number in itertools.count():
+            key = f'servers/{self.name}-{number}'
+            self._running = trio.CancelScope()
+            with self._running:
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(
+                        serve_http, self._handle, f'{LOCALHOST}:{self.port}'
+                    )
+                    self.store.put(key, self._entry())
+                    await trio.sleep_forever()
+            self.store.delete(key)
+            await trio.sleep(DOWN_SECONDS)
+
+    def _entry(self) -> bytes:
+        return msgspec.json.encode(
+            {
+                'service': 'svc',
+                'address': f'{LOCALHOST}:{self.port}',
+                'zone': 'north',
+                'state': 'ready',
+            }
+        )
+
+    async def _handle(self, exchange) -> None:
+        await exchange.body()
+        self.received.append(dict(exchange.headers))
+        await trio.sleep(WORK_SECONDS)
+        fields = stand_in.receipt_headers(self, exchange)
+        await exchange.start_response(200, fields)
+        if self.crashing_part in exchange.headers['x-prompt-prefix']:
+            self.crashes += 1
+            self._running.cancel()
+            await trio.sleep_forever()
+        await exchange.write(b'id: 1\ndata: x\n\n')
+        await trio.sleep(WORK_SECONDS)
+        await exchange.finish()
+
+
+@dataclass
+class CrashingFleet:
+    """Routers and targets, and a caller of all routers."""
+
+    nursery: trio.Nursery
+    store: stand_in.StoreStandIn
+    store_address: str
+    targets: list[CrashingTarget]
+    crashing_part: str
+    callers: list[str] = field(default_factory=list)
+    _numbers: itertools.count = field(default_factory=itertools.count)
+
+    async def start_router(self) -> int:
+        """Start one more router; return its number."""
+        number = len(self.callers)
+        address = f'{LOCALHOST}:{find_free_port()}'
+        router = ForwardingRouter(
+            ForwardingSettings(
+                f'r-{number}',
+                'north',
+                address,
+                f'{LOCALHOST}:0',
+                f'{LOCALHOST}:{find_free_port()}',
+                '',
+                DeploymentBounds(),
+            ),
+            Adapters(
+                PlatformCallerAdapter(),
+                PlatformTargetAdapter(),
+                PlatformEntryDecoder(),
+            ),
+            PlatformStore(self.store_address),
+        )
+        self.nursery.start_soon(router.run)
+        with trio.fail_after(5):
+            while router.not_ready_reason():
+                await trio.sleep(0.01)
+        self.callers.append(address)
+        return number
+
+    async def send(self, router, *parts, path='/draft/x'):
+        """Send a request with these shared parts and one of its own.
+
+        Returns the status of the response.
+        """
+        number = next(self._numbers)
+        names = (*parts, f'own{number}')
+        prompt = ','.join(f'{name}:{PART_TOKENS}' for name in names)
+        headers = {
+            'host': 'a.example',
+            'x-request-id': f'id-{number}',
+            'x-credential': 'key-1',
+            'x-deadline-ms': '3000',
+            'x-model': 'm',
+            'x-token-counts': f'{PART_TOKENS * len(names)},40',
+            'x-prompt-prefix': prompt,
+        }
+        async with httpcore.AsyncConnectionPool() as pool:
+            resp = await pool.request(
+                'POST',
+                f'http://{self.callers[router]}{path}',
+                headers=headers,
+                content=b'question %d' % number,
+                extensions={'timeout': {'read': 5}},
+            )
+        return resp.status
+
+    async def wait_until_targets_serve(self) -> None:
+        """Wait until all targets are back and the routers know them."""
+        with trio.fail_after(5):
+            while len(self.store.items) < self._item_count():
+                await trio.sleep(0.01)
+        await trio.sleep(0.1)
+
+    def _item_count(self) -> int:
+        """Return the number of items that the store has in calm times."""
+        return 1 + len(self.targets) + len(self.callers)
+
+    def crashes(self) -> int:
+        """Return how often targets have crashed."""
+        return sum(target.crashes for target in self.targets)
+
+    def count_received(self, part: str) -> int:
+        """Return how many requests with a part have reached targets."""
+        return sum(
+            part in headers['x-prompt-prefix']
+            for target in self.targets
+            for headers in target.received
+        )
+
+
+async def start_fleet(nursery, crashing_part, routers=3, targets=4):
+    """Start the routers and targets, and wait until they serve."""
+    store = stand_in.StoreStandIn()
+    store.page_size = 100
+    address = await nursery.start(serve_http, store.handle, f'{LOCALHOST}:0')
+    store.put('op/config', msgspec.json.encode(CONFIG))
+    all_targets = [
+        CrashingTarget(f'i-{number}', store, crashing_part)
+        for number in range(targets)
+    ]
+    for target in all_targets:
+        nursery.start_soon(target.run)
+    fleet = CrashingFleet(nursery, store, address, all_targets, crashing_part)
+    for _ in range(routers):
+        await fleet.start_router()
+    await fleet.wait_until_targets_serve()
+    return fleet
