Parts of prompts that crash targets are refused, whatever else is in a request

Cause: crashing requests were recognised by path and body, and no two were alike. Change: blame by shared part, weighed by incarnations lost before they began an answer and cleared by answers that begin; tied parts only together; told to all routers and repeated by three of them. A target is checked once for all its requests, where 20 checks a router were the limit.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.policy.crash_blame import CrashBlame
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
@@ -27,3 +28,4 @@
     quarantine: Quarantine
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
     target_notices: TargetNotices = field(default_factory=TargetNotices)
+    crash_blame: CrashBlame = field(default_factory=CrashBlame)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -12,6 +12,7 @@
 
 from peridotwell.fleet.caches.cache_lists import encode_parts
 from peridotwell.fleet.caches.cache_sync import CacheSync
+from peridotwell.fleet.relays.crash_blame_sync import CrashBlameSync
 from peridotwell.fleet.relays.delay_monitor import DelayMonitor
 from peridotwell.fleet.relays.forwarding_state import ForwardingState
 from peridotwell.fleet.relays.pending_news import PendingNews
@@ -82,6 +83,7 @@
             self.relay_protocol,
         )
         self.state = state
+        self.crash_blame_sync = CrashBlameSync(peers, state.crash_blame)
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
@@ -150,7 +152,11 @@
 
     def _update_interval(self, now: float) -> float:
         """Return the minimum time between the last update and the next."""
-        if self._news or self.cache_sync.has_listed():
+        if (
+            self._news
+            or self.cache_sync.has_listed()
+            or self.crash_blame_sync.has_changes()
+        ):
             return PROMPT_UPDATE_SECONDS
         has_new_revision = (
             self._sent_revision < self.state.directory.known_revision
@@ -213,6 +219,7 @@
             encode_seconds(contact.answer_age_seconds),
             news.stream_versions,
             news.departed,
+            self.crash_blame_sync.take(now, repeat=is_full),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
@@ -263,6 +270,7 @@
         self.cache_sync.record_prompts(update.prompts, now)
         self.state.quarantine.merge(update.crash_records, unix_now)
         self._record_departed(update.departed)
+        self.crash_blame_sync.apply(update.part_records, now)
         for stream, version in update.stream_versions:
             self.state.stream_versions.record(stream, version, now)
         self.state.directory.handle_store_contact(
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -12,6 +12,7 @@
 
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
+from peridotwell.policy.crash_blame import PartRecord
 from peridotwell.policy.quarantine import CrashRecord
 
 __all__ = (
@@ -184,7 +185,7 @@
     `store_answer_age_deciseconds` how long ago it last did. `stream_versions`
     are pairs of a stream that has begun and the software version of its target.
     `departed` are targets, with their incarnation, that have said in an answer
-    that they leave.
+    that they leave. `part_records` concern parts of prompts that crash targets.
     """
 
     revision: int
@@ -199,6 +200,7 @@
     store_answer_age_deciseconds: int = 0
     stream_versions: Pairs = ()
     departed: Pairs = ()
+    part_records: tuple[PartRecord, ...] = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -119,7 +119,7 @@
     tracker = TargetTracker(
         state.directory, OutlierEjection(), update_exchange, state
     )
-    crash_tracker = CrashTracker(state.quarantine, update_exchange)
+    crash_tracker = CrashTracker(update_exchange)
     selector = TargetSelector(
         tracker,
         state.cache_index,
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -88,6 +88,7 @@
         now = trio.current_time()
         directory = self.components.directory
         directory.remove_expired(now)
-        discovery = self.components.update_exchange.discovery
-        discovery.remove_gone(directory.routers(), now)
+        update_exchange = self.components.update_exchange
+        update_exchange.discovery.remove_gone(directory.routers(), now)
+        update_exchange.state.crash_blame.expire(now)
         await self.components.clients.close_gone()
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -5,7 +5,12 @@
 import trio
 
 from peridotwell.attempt_errors import AttemptError
-from peridotwell.errors import NoTarget, RequestError, TargetFailed
+from peridotwell.errors import (
+    ForwardedRequestQuarantined,
+    NoTarget,
+    RequestError,
+    TargetFailed,
+)
 from peridotwell.forwarding.adapters import (
     HeaderFields,
     RoutedRequest,
@@ -83,7 +88,7 @@
         while True:
             try:
                 outcome = await self._run_attempt(request, attempts)
-            except NoTarget as exc:
+            except (NoTarget, ForwardedRequestQuarantined) as exc:
                 return _best_response(
                     error_response, without_target(exc, attempts)
                 )
@@ -102,6 +107,7 @@
         attempts: Attempts,
     ) -> BufferedResponse | AttemptError:
         now = trio.current_time()
+        self._dispatcher.check(request)
         choice = self._selector.choose(request, attempts.tried, now)
         number = attempts.begin(choice.target.name)
         try:
@@ -149,8 +155,8 @@
     )
 
 
-def without_target(error: NoTarget, attempts: Attempts) -> RequestError:
-    """Return the error for the caller when no target is left to try.
+def without_target(error: RequestError, attempts: Attempts) -> RequestError:
+    """Return the error for the caller when no further attempt is made.
 
     It says "not run" only if no earlier attempt may have run the request.
     """
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -2,9 +2,11 @@
 
 When a connection breaks during a request, a new connection to the target
 shows whether the target is gone or only the response. Requests that were in
-flight on a target that is gone are recorded on every router. A request that
-has lost several targets is refused until its record expires; a request that
-completes is cleared.
+flight on a target that is gone are recorded on every router, and so are the
+parts of their prompts if the target had not begun to answer. A request that
+has lost several targets is refused until its record expires, and so is one
+with a part that has; a request that completes is cleared, a part on which an
+answer begins.
 """
 
 import time
@@ -22,16 +24,15 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.logs import log_failure
-from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.crash_blame import format_parts, shared_part_ids
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
 
 CRASH_LIMIT = 3
 RECORD_TTL_SECONDS = 30.0
 CONNECT_TIMEOUT_SECONDS = 0.5
-# Largest number of pending checks. One crash of a target breaks many requests,
-# each of which asks for a check.
-MAX_PENDING_CHECKS = 20
+# Largest number of requests of one target that wait for its check.
+MAX_BROKEN_PER_TARGET = 256
 
 
 @dataclass(frozen=True)
@@ -49,14 +50,12 @@
 class CrashTracker:
     """Records crashes of targets and refuses requests that cause them."""
 
-    def __init__(
-        self,
-        quarantine: Quarantine,
-        update_exchange: UpdateExchange,
-    ) -> None:
-        self._quarantine = quarantine
+    def __init__(self, update_exchange: UpdateExchange) -> None:
+        self._quarantine = update_exchange.state.quarantine
+        self._blame = update_exchange.state.crash_blame
         self._update_exchange = update_exchange
-        self._to_check: list[BrokenAttempt] = []
+        # By target: one connection shows whether all its requests lost it.
+        self._to_check: dict[Target, list[BrokenAttempt]] = {}
         self._has_checks = trio.Event()
 
     def check(self, request: RoutedRequest) -> None:
@@ -69,6 +68,15 @@
                 f'({request.fingerprint:016x}): change it.',
                 retry_after_seconds=RECORD_TTL_SECONDS,
             )
+        if not self._blame.groups:
+            return
+        blamed = self._blame.blamed_group(shared_part_ids(request.prompt))
+        if blamed is not None:
+            raise ForwardedRequestQuarantined(
+                'Targets that began to answer on parts of this prompt were '
+                f'lost ({format_parts(blamed)}): leave one of them out.',
+                retry_after_seconds=RECORD_TTL_SECONDS,
+            )
 
     def clear(self, request: RoutedRequest) -> None:
         """Clear a request that a target has completed."""
@@ -78,12 +86,20 @@
         if record is not None:
             self._update_exchange.share_crash_records(record)
 
+    def record_begin(self, request: RoutedRequest) -> None:
+        """Clear the parts of a prompt on which a target begins to answer."""
+        parts = shared_part_ids(request.prompt)
+        cleared = self._blame.record_begin(parts, trio.current_time())
+        if cleared:
+            self._update_exchange.crash_blame_sync.share(cleared)
+
     def schedule_check(self, broken: BrokenAttempt, exc: AttemptError) -> None:
         """Schedule a check of the target if its connection broke."""
         if not isinstance(exc, ResponseLost | ResponseTruncated):
             return
-        if len(self._to_check) < MAX_PENDING_CHECKS:
-            self._to_check.append(broken)
+        waiting = self._to_check.setdefault(broken.target, [])
+        if len(waiting) < MAX_BROKEN_PER_TARGET:
+            waiting.append(broken)
             self._has_checks.set()
 
     async def run(self) -> None:
@@ -92,16 +108,22 @@
             await self._has_checks.wait()
             self._has_checks = trio.Event()
             to_check = self._to_check
-            self._to_check = []
+            self._to_check = {}
             async with trio.open_nursery() as nursery:
-                for broken in to_check:
-                    nursery.start_soon(self._check_target, broken)
+                for target, attempts in to_check.items():
+                    nursery.start_soon(self._check_target, target, attempts)
 
-    async def _check_target(self, broken: BrokenAttempt) -> None:
-        request = broken.request
-        target = broken.target
+    async def _check_target(
+        self, target: Target, attempts: list[BrokenAttempt]
+    ) -> None:
         if await _is_reachable(target):
             return
+        for broken in attempts:
+            self._record_loss(broken)
+
+    def _record_loss(self, broken: BrokenAttempt) -> None:
+        request = broken.request
+        target = broken.target
         incarnation_id = wire_id(f'{target.name}|{target.incarnation}')
         record = self._quarantine.record_loss(
             request.fingerprint,
@@ -119,6 +141,20 @@
             parts=_part_names(request),
         )
         self._update_exchange.share_crash_records(record)
+        if not broken.has_begun:
+            self._record_part_losses(request, incarnation_id)
+
+    def _record_part_losses(
+        self, request: RoutedRequest, incarnation_id: int
+    ) -> None:
+        changed = self._blame.record_loss(
+            incarnation_id,
+            request.fingerprint,
+            shared_part_ids(request.prompt),
+            trio.current_time(),
+        )
+        if changed:
+            self._update_exchange.crash_blame_sync.share(changed)
 
 
 async def _is_reachable(target: Target) -> bool:
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -83,6 +83,10 @@
         # Attempts whose target has sent a whole event.
         self._begun: set[Attempt] = set()
 
+    def check(self, request: RoutedRequest) -> None:
+        """Raise ForwardedRequestQuarantined if the request crashes targets."""
+        self._crash_tracker.check(request)
+
     @asynccontextmanager
     async def send(self, attempt: Attempt) -> AsyncIterator[TargetResponse]:
         """Send the request and yield the response. Raises AttemptError."""
@@ -109,7 +113,9 @@
 
     def record_event(self, attempt: Attempt) -> None:
         """Record that whole events of a stream have arrived."""
-        self._begun.add(attempt)
+        if attempt not in self._begun:
+            self._begun.add(attempt)
+            self._crash_tracker.record_begin(attempt.request)
         self.record_activity(attempt)
 
     def record_activity(self, attempt: Attempt) -> None:
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -122,7 +122,6 @@
             request, window, self._update_exchange.router_count()
         )
         try:
-            self._components.crash_tracker.check(request)
             with trio.fail_at(request.deadline_at):
                 response = await self._run(caller_response, request, attempts)
             # The deadline does not limit the sending of a complete response.
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -6,7 +6,12 @@
 import trio
 
 from peridotwell.attempt_errors import AttemptError, ResponseTruncated
-from peridotwell.errors import NoTarget, RequestError, RunState
+from peridotwell.errors import (
+    ForwardedRequestQuarantined,
+    NoTarget,
+    RequestError,
+    RunState,
+)
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
 from peridotwell.forwarding.buffered_responses import (
     SUCCESSES,
@@ -88,13 +93,14 @@
 
     def _choose(self, now: float) -> Choice:
         try:
+            self._dispatcher.check(self._request)
             return self._selector.choose(
                 self._request,
                 self._attempts.tried,
                 now,
                 self._required_software(now),
             )
-        except NoTarget as exc:
+        except (NoTarget, ForwardedRequestQuarantined) as exc:
             raise without_target(exc, self._attempts) from exc
 
     def _required_software(self, now: float) -> int | None:
--- /dev/null
+++ b/tests/fleet/relays/test_crash_blame_sync.py
@@ -0,0 +1,106 @@
+"""Tests that all routers learn which parts crash targets."""
+
+import pytest
+
+from tests.fleet.relays.test_update_exchange import Router, run_ticks
+
+BAD = 7
+# All routers know a record this long after they are in touch again.
+CONTACT_SECONDS = 3.0
+
+
+@pytest.fixture
+def fleet():
+    routers = {}
+    return meet([Router(f'r{number}', routers) for number in range(5)])
+
+
+def meet(fleet, now=0):
+    for router in fleet:
+        router.sharing.discovery.add_peers(each.hello for each in fleet)
+    run_ticks(fleet, now, now + 1)
+    return fleet
+
+
+def lose_targets(router, now, incarnations=range(3)):
+    for number in incarnations:
+        changed = router.knowledge.crash_blame.record_loss(
+            number, number, (BAD,), now
+        )
+        router.sharing.crash_blame_sync.share(changed)
+
+
+def blaming(fleet):
+    return [
+        bool(router.knowledge.crash_blame.blamed_group((BAD,)))
+        for router in fleet
+    ]
+
+
+def test_blame_reaches_all_routers_within_a_tenth_of_a_second(fleet):
+    lose_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 1.15)
+    assert all(blaming(fleet))
+
+
+def test_losses_at_several_routers_add_up(fleet):
+    for number, router in enumerate(fleet[:3]):
+        lose_targets(router, 1, [number])
+    run_ticks(fleet, 1, 1.2)
+    assert all(blaming(fleet))
+
+
+# Guards against a router that missed an update and sends requests on that the
+# others refuse.
+@pytest.mark.parametrize('cut_off', range(5))
+def test_router_that_was_cut_off_learns_what_it_missed(fleet, cut_off):
+    router = fleet[cut_off]
+    others = [each for each in fleet if each is not router]
+    router.transport.is_cut = True
+    for other in others:
+        other.transport.cut_from = frozenset((router.hello.name,))
+    lose_targets(others[0], 1)
+    run_ticks(fleet, 1, 31)
+    assert not blaming([router])[0]
+    router.transport.is_cut = False
+    for other in others:
+        other.transport.cut_from = frozenset()
+    run_ticks(fleet, 31, 31 + CONTACT_SECONDS)
+    assert all(blaming(fleet))
+
+
+def test_losses_that_a_cut_off_router_saw_are_told_afterwards(fleet):
+    fleet[0].transport.is_cut = True
+    lose_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 6)
+    assert sum(blaming(fleet)) == 1
+    fleet[0].transport.is_cut = False
+    run_ticks(fleet, 6, 6 + CONTACT_SECONDS)
+    assert all(blaming(fleet))
+
+
+def test_router_that_starts_learns_the_blame_though_its_origin_is_gone(fleet):
+    lose_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 2)
+    rest = fleet[1:]
+    fleet[0].transport.is_cut = True
+    run_ticks(rest, 2, 20)
+    started = Router('started', fleet[0].transport.routers)
+    meet([*rest, started], 20)
+    run_ticks([*rest, started], 21, 20 + CONTACT_SECONDS)
+    assert all(blaming([*rest, started]))
+
+
+def test_nothing_is_sent_at_rest(fleet):
+    for router in fleet:
+        assert not router.sharing.crash_blame_sync.take(1, repeat=True)
+
+
+def test_three_routers_repeat_a_record(fleet):
+    lose_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 2)
+    repeating = [
+        bool(router.sharing.crash_blame_sync.take(2, repeat=True))
+        for router in fleet
+    ]
+    assert sum(repeating) == 3
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -7,10 +7,15 @@
 from peridotwell.domain.routing_table import RequestKind, Route, WeightedService
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import ForwardedRequestQuarantined
+from peridotwell.fleet.relays.forwarding_state import ForwardingState
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.policy.peer_counts import PeerCounts
+from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
 from peridotwell.serving.asgi import serve_http
+from tests.fleet.replica.test_service_directory import Decoder
 
 ROUTE = Route(
     'r', 'h', '/', RequestKind.idempotent, (WeightedService('s'),), 15, 0.5
@@ -22,6 +27,13 @@
 
     def __init__(self):
         self.crash_records = []
+        self.state = ForwardingState(
+            ServiceDirectory(Decoder()),
+            PromptCacheIndex(),
+            PeerCounts(),
+            PeerCounts(),
+            Quarantine(),
+        )
 
     def share_crash_records(self, record):
         self.crash_records.append(record)
@@ -52,7 +64,7 @@
 
 @pytest.fixture
 async def crash_tracker(nursery):
-    tracker = CrashTracker(Quarantine(), UpdateRecorder())
+    tracker = CrashTracker(UpdateRecorder())
     nursery.start_soon(tracker.run)
     return tracker
 
