--- a/tests/peridotwell_platform/crashing_fleet.py
+++ b/tests/peridotwell_platform/router_fleet.py
@@ -1,7 +1,8 @@
-"""Three routers, and targets that crash under one part of prompts.
+"""Several routers, with targets that crash or name limits.
 
-A target that begins to answer a request with that part crashes: it closes its
-port and all connections. It comes back as another incarnation.
+A target that begins to answer a request with a certain part in its prompt
+crashes: it closes its port and all connections, and comes back as another
+incarnation. A target that names a limit does so in all its answers.
 """
 
 import itertools
@@ -45,15 +46,20 @@
 
 
 @dataclass
-class CrashingTarget:
-    """A target that crashes when it begins to answer on `crashing_part`."""
+class FaultyTarget:
+    """A target that crashes when it begins to answer on `crashing_part`.
+
+    `limit` is the limit that it names, or empty.
+    """
 
     name: str
     store: stand_in.StoreStandIn
     crashing_part: str
+    limit: str = ''
     port: int = field(default_factory=find_free_port)
     crashes: int = 0
     received: list[dict[str, str]] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
     _running: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def run(self) -> None:
@@ -84,8 +90,11 @@
     async def _handle(self, exchange) -> None:
         await exchange.body()
         self.received.append(dict(exchange.headers))
+        self.arrivals.append(trio.current_time())
         await trio.sleep(WORK_SECONDS)
         fields = stand_in.receipt_headers(self, exchange)
+        if self.limit:
+            fields = (*fields, ('server-limit', self.limit))
         await exchange.start_response(200, fields)
         if self.crashing_part in exchange.headers['x-prompt-prefix']:
             self.crashes += 1
@@ -97,13 +106,13 @@
 
 
 @dataclass
-class CrashingFleet:
+class RouterFleet:
     """Routers and targets, and a caller of all routers."""
 
     nursery: trio.Nursery
     store: stand_in.StoreStandIn
     store_address: str
-    targets: list[CrashingTarget]
+    targets: list[FaultyTarget]
     crashing_part: str
     callers: list[str] = field(default_factory=list)
     _numbers: itertools.count = field(default_factory=itertools.count)
@@ -141,6 +150,11 @@
 
         Returns the status of the response.
         """
+        resp = await self.get(router, *parts, path=path)
+        return resp.status
+
+    async def get(self, router, *parts, path='/draft/x'):
+        """Send such a request and return the response."""
         number = next(self._numbers)
         names = (*parts, f'own{number}')
         prompt = ','.join(f'{name}:{PART_TOKENS}' for name in names)
@@ -154,14 +168,13 @@
             'x-prompt-prefix': prompt,
         }
         async with httpcore.AsyncConnectionPool() as pool:
-            resp = await pool.request(
+            return await pool.request(
                 'POST',
                 f'http://{self.callers[router]}{path}',
                 headers=headers,
                 content=b'question %d' % number,
                 extensions={'timeout': {'read': 5}},
             )
-        return resp.status
 
     async def wait_until_targets_serve(self) -> None:
         """Wait until all targets are back and the routers know them."""
@@ -194,12 +207,12 @@
     address = await nursery.start(serve_http, store.handle, f'{LOCALHOST}:0')
     store.put('op/config', msgspec.json.encode(CONFIG))
     all_targets = [
-        CrashingTarget(f'i-{number}', store, crashing_part)
+        FaultyTarget(f'i-{number}', store, crashing_part)
         for number in range(targets)
     ]
     for target in all_targets:
         nursery.start_soon(target.run)
-    fleet = CrashingFleet(nursery, store, address, all_targets, crashing_part)
+    fleet = RouterFleet(nursery, store, address, all_targets, crashing_part)
     for _ in range(routers):
         await fleet.start_router()
     await fleet.wait_until_targets_serve()
--- a/tests/peridotwell_platform/test_crashing_parts.py
+++ b/tests/peridotwell_platform/test_crashing_parts.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from tests.peridotwell_platform.crashing_fleet import start_fleet
+from tests.peridotwell_platform.router_fleet import start_fleet
 
 CRASHING = 'bad'
 SHARED = ('head', 'document', 'chapter')
