The exchange of soft state knows no kind of it

Records of parts that crash targets were the first kind; others that all routers need follow. Behaviour is as before: the tests of the exchange, of blame and of the fleet pass unchanged but for names.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -12,11 +12,11 @@
 
 from peridotwell.fleet.caches.cache_lists import encode_parts
 from peridotwell.fleet.caches.cache_sync import CacheSync
-from peridotwell.fleet.relays.crash_blame_sync import CrashBlameSync
 from peridotwell.fleet.relays.delay_monitor import DelayMonitor
 from peridotwell.fleet.relays.forwarding_state import ForwardingState
 from peridotwell.fleet.relays.pending_news import PendingNews
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
+from peridotwell.fleet.relays.soft_state_sync import SoftStateSync
 from peridotwell.fleet.replica.entry_sync import EntrySync
 from peridotwell.fleet.replica.store_contact import (
     StoreContactReport,
@@ -83,7 +83,7 @@
             self.relay_protocol,
         )
         self.state = state
-        self.crash_blame_sync = CrashBlameSync(peers, state.crash_blame)
+        self.crash_blame_sync = SoftStateSync(peers, state.crash_blame)
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -23,7 +23,7 @@
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.logs import log_failure
+from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.crash_blame import format_parts, shared_part_ids
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
@@ -55,6 +55,7 @@
         self._blame = update_exchange.state.crash_blame
         self._update_exchange = update_exchange
         # By target: one connection shows whether all its requests lost it.
+        self._logged_groups: tuple[frozenset[int], ...] = ()
         self._to_check: dict[Target, list[BrokenAttempt]] = {}
         self._has_checks = trio.Event()
 
@@ -102,6 +103,17 @@
             waiting.append(broken)
             self._has_checks.set()
 
+    def log_changes(self) -> None:
+        """Log the parts that are blamed now, or no longer."""
+        logged, groups = self._logged_groups, self._blame.groups
+        if logged is groups:
+            return
+        self._logged_groups = groups
+        for group in set(groups) - set(logged):
+            log_event('part.blamed', parts=format_parts(group))
+        for group in set(logged) - set(groups):
+            log_event('part.cleared', parts=format_parts(group))
+
     async def run(self) -> None:
         """Check targets whose connections broke, until cancelled."""
         while True:
--- a/peridotwell/policy/crash_blame.py
+++ b/peridotwell/policy/crash_blame.py
@@ -22,6 +22,7 @@
 import xxhash
 
 from peridotwell.domain.prompt import Prompt
+from peridotwell.policy.soft_state import SoftState
 
 __all__ = (
     'Loss',
@@ -87,6 +88,11 @@
     cleared: tuple[int, ...] = ()
     age_seconds: float = 0
 
+    @property
+    def key(self) -> int:
+        """The part."""
+        return self.part
+
     def merge(self, other: 'PartRecord') -> 'PartRecord':
         """Return the merged record of two routers, with the lower age.
 
@@ -139,7 +145,7 @@
         return msgspec.structs.replace(self.record, age_seconds=age_seconds)
 
 
-class CrashBlame:
+class CrashBlame(SoftState[PartRecord]):
     """The records of this router, and the parts that they blame.
 
     Times are in seconds of the router's own clock.
