Limits that targets name hold for all routers together

Cause: no module read the header. Change: a limit is divided among as many routers as it has requests a second, chosen by rendezvous hashing among all that are known, each with a token bucket that starts empty. The sum is within the limit by construction, for any number of routers, also those that start, freeze or are cut off. Limits are told as soft state.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -8,6 +8,7 @@
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
 from peridotwell.policy.stream_versions import StreamVersions
+from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
 
 __all__ = ('ForwardingState',)
@@ -29,3 +30,4 @@
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
     target_notices: TargetNotices = field(default_factory=TargetNotices)
     crash_blame: CrashBlame = field(default_factory=CrashBlame)
+    target_limits: TargetLimits = field(default_factory=TargetLimits)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -84,6 +84,7 @@
         )
         self.state = state
         self.crash_blame_sync = SoftStateSync(peers, state.crash_blame)
+        self.limit_sync = SoftStateSync(peers, state.target_limits)
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
@@ -141,6 +142,10 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
+        if not self.state.target_limits.is_empty:
+            self.state.target_limits.set_routers(
+                [peer.wire_id for peer in self.peers.known_peers()]
+            )
         if now - self._sent_at >= self._update_interval(now):
             self._send_update(now)
         if self.relay_protocol.is_enabled():
@@ -156,6 +161,7 @@
             self._news
             or self.cache_sync.has_listed()
             or self.crash_blame_sync.has_changes()
+            or self.limit_sync.has_changes()
         ):
             return PROMPT_UPDATE_SECONDS
         has_new_revision = (
@@ -220,6 +226,7 @@
             news.stream_versions,
             news.departed,
             self.crash_blame_sync.take(now, repeat=is_full),
+            self.limit_sync.take(now, repeat=is_full),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
@@ -269,10 +276,7 @@
             counts.update(update.sender, dict(pairs))
         self.cache_sync.record_prompts(update.prompts, now)
         self.state.quarantine.merge(update.crash_records, unix_now)
-        self._record_departed(update.departed)
-        self.crash_blame_sync.apply(update.part_records, now)
-        for stream, version in update.stream_versions:
-            self.state.stream_versions.record(stream, version, now)
+        self._apply_news(update, now)
         self.state.directory.handle_store_contact(
             StoreContactReport(
                 decode_seconds(update.store_contact_deciseconds),
@@ -283,6 +287,13 @@
         )
         return True
 
+    def _apply_news(self, update: RouterUpdate, now: float) -> None:
+        self._record_departed(update.departed)
+        self.crash_blame_sync.apply(update.part_records, now)
+        self.limit_sync.apply(update.target_limits, now)
+        for stream, version in update.stream_versions:
+            self.state.stream_versions.record(stream, version, now)
+
     def _record_departed(self, incarnations: Iterable[Incarnation]) -> None:
         for incarnation in incarnations:
             if self.state.target_notices.record_leaving(incarnation):
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -14,6 +14,7 @@
 from peridotwell.fleet.membership.target_membership import TargetObservation
 from peridotwell.policy.crash_blame import PartRecord
 from peridotwell.policy.quarantine import CrashRecord
+from peridotwell.policy.target_limits import LimitRecord
 
 __all__ = (
     'Frame',
@@ -185,7 +186,8 @@
     `store_answer_age_deciseconds` how long ago it last did. `stream_versions`
     are pairs of a stream that has begun and the software version of its target.
     `departed` are targets, with their incarnation, that have said in an answer
-    that they leave. `part_records` concern parts of prompts that crash targets.
+    that they leave. `part_records` concern parts of prompts that crash targets,
+    `target_limits` the limits that targets name.
     """
 
     revision: int
@@ -201,6 +203,7 @@
     stream_versions: Pairs = ()
     departed: Pairs = ()
     part_records: tuple[PartRecord, ...] = ()
+    target_limits: tuple[LimitRecord, ...] = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -27,6 +27,7 @@
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
 from peridotwell.store.change_feed import ChangeFeedStore
 
@@ -69,6 +70,7 @@
         PeerCounts(),
         Quarantine(),
         target_notices=TargetNotices(settings.name),
+        target_limits=TargetLimits(peers.own.sender),
     )
     update_exchange = UpdateExchange(peers, transport, state, metrics)
     notice_recorder = NoticeRecorder(update_exchange, metrics)
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -91,5 +91,6 @@
         update_exchange = self.components.update_exchange
         update_exchange.discovery.remove_gone(directory.routers(), now)
         update_exchange.state.crash_blame.expire(now)
+        update_exchange.state.target_limits.expire(now)
         self.components.forwarding.crash_tracker.log_changes()
         await self.components.clients.close_gone()
--- a/peridotwell/forwarding/notice_recorder.py
+++ b/peridotwell/forwarding/notice_recorder.py
@@ -6,15 +6,16 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.target_notices import TargetNotice
+from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
 
 __all__ = ('NoticeRecorder',)
 
 
 class NoticeRecorder:
-    """Keeps notices of targets; tells other routers which targets leave.
+    """Keeps notices of targets; tells other routers what concerns them.
 
-    A pause concerns this router alone, and the others are not told.
+    That is which targets leave, and which name limits. A pause concerns this
+    router alone, and the others are not told.
     """
 
     def __init__(
@@ -22,10 +23,14 @@
     ) -> None:
         self._update_exchange = update_exchange
         self._notices = update_exchange.state.target_notices
+        self._limits = update_exchange.state.target_limits
         self._metrics = metrics
 
     def record(self, target: Target, notice: TargetNotice) -> None:
         """Record a notice that has arrived now."""
+        self._record_limit(target, notice.limit_per_second)
+        if notice is NO_NOTICE:
+            return
         incarnation = target.incarnation_id
         if notice.is_leaving and self._notices.record_leaving(incarnation):
             self._update_exchange.share_departed(incarnation)
@@ -40,3 +45,13 @@
                 target=target.name,
                 seconds=notice.pause_seconds,
             )
+
+    def _record_limit(self, target: Target, per_second: float | None) -> None:
+        if per_second is None and self._limits.is_empty:
+            return
+        changed = self._limits.record(target, per_second, trio.current_time())
+        if changed is None:
+            return
+        self._update_exchange.limit_sync.share((changed,))
+        self._metrics.count('target.limited')
+        log_event('target.limited', target=target.name, per_second=per_second)
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -144,8 +144,13 @@
 
     async def _ask_engine(self, target: Target) -> None:
         notices = self.update_exchange.state.target_notices
-        if not notices.accepts(target, 0, trio.current_time()):
+        limits = self.update_exchange.state.target_limits
+        now = trio.current_time()
+        if not (
+            notices.accepts(target, 0, now) and limits.accepts(target, now)
+        ):
             return
+        limits.record_send(target, now)
         request = httpcore.Request(
             'GET',
             f'http://{target.address}{self.adapter.cache_path()}',
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -171,8 +171,8 @@
     def _accepting_targets(
         self, listed: Sequence[Target], now: float
     ) -> Sequence[Target]:
-        """Return the targets that neither leave nor pause by their answers."""
-        if self._tracker.notices.is_empty:
+        """Return the targets that take work, by what their answers say."""
+        if self._tracker.notices.is_empty and self._tracker.limits.is_empty:
             return listed
         return [
             target for target in listed if self._tracker.accepts(target, now)
@@ -187,13 +187,18 @@
     ) -> float:
         """Return when a target may take the request again.
 
-        Callers that are refused during a pause get different times, so that
-        they do not return together.
+        Callers that are refused because of pauses or limits get different
+        times, so that they do not return together.
         """
-        wait = self._tracker.notices.next_return_seconds(listed, now)
-        if accepting or wait is None:
+        waits = [
+            wait
+            for target in listed
+            if (wait := self._tracker.wait_seconds(target, now)) is not None
+        ]
+        if accepting or not waits:
             return RETRY_AFTER_SECONDS
-        return wait + RETURN_SPREAD_SECONDS * unit_hash(request.request_id)
+        spread = RETURN_SPREAD_SECONDS * unit_hash(request.request_id)
+        return min(waits) + spread
 
     def _usable_targets(
         self,
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -42,6 +42,7 @@
         self._update_exchange = update_exchange
         self._state = state
         self.notices = state.target_notices
+        self.limits = state.target_limits
         self._loads: dict[str, TargetLoad] = {}
         self._incarnations: dict[str, str] = {}
         self._speeds: dict[str, PrefillSpeed] = {}
@@ -54,6 +55,7 @@
         """Record that a request is sent, with its prompt if it has one."""
         target = choice.target
         self._load(target).record_start()
+        self.limits.record_send(target, now)
         self.silence.record_request(target.name, now)
         self._update_exchange.own_requests.add(target.wire_id, 1)
         if request.prompt is None:
@@ -165,7 +167,20 @@
     def accepts(self, target: Target, now: float) -> bool:
         """Return whether a target takes work, by what it says itself."""
         own_requests = self._load(target).own_requests
-        return self.notices.accepts(target, own_requests, now)
+        return self.notices.accepts(
+            target, own_requests, now
+        ) and self.limits.accepts(target, now)
+
+    def wait_seconds(self, target: Target, now: float) -> float | None:
+        """Return when a target may take work, by what it says itself.
+
+        Returns None if that is unknown, or if it leaves.
+        """
+        limit_wait = self.limits.wait_seconds(target, now)
+        pause = self.notices.next_return_seconds((target,), now)
+        if limit_wait is None or pause is None:
+            return None
+        return max(limit_wait, pause)
 
     def prefill_speed(self, service: str) -> PrefillSpeed:
         """Return the prefill speed of the engines of a service."""
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/target_notices.py
@@ -32,10 +32,15 @@
 
 @dataclass(frozen=True)
 class TargetNotice:
-    """What one answer of a target says of the target itself."""
+    """What one answer of a target says of the target itself.
+
+    `limit_per_second` is the limit that it names for the requests of all
+    routers together, or None.
+    """
 
     is_leaving: bool = False
     pause_seconds: float = 0
+    limit_per_second: float | None = None
 
 
 NO_NOTICE = TargetNotice()
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -81,8 +81,11 @@
         """Whether the refusal came from a target that replaced this one."""
         return False
 
-    def notice(self, response: TargetResponse) -> TargetNotice:
-        """Return what the response says of the target itself."""
+    def notice(self, response: TargetResponse) -> TargetNotice | None:
+        """Return what the response says of the target itself.
+
+        Returns None if it is not a response of this target.
+        """
         return NO_NOTICE
 
     @abstractmethod
@@ -182,8 +185,10 @@
             yield response
 
     def _handle_notice(self, response: TargetResponse) -> None:
+        if self._on_notice is None:
+            return
         notice = self._reader.notice(response)
-        if notice is not NO_NOTICE and self._on_notice is not None:
+        if notice is not None:
             self._on_notice(self.target, notice)
 
     def _check_response(
--- a/tests/fleet/relays/test_soft_state_sync.py
+++ b/tests/fleet/relays/test_soft_state_sync.py
@@ -1,7 +1,8 @@
-"""Tests that all routers learn which parts crash targets."""
+"""Tests that all routers learn what they should: crashes, limits of targets."""
 
 import pytest
 
+from peridotwell.domain.target import Pool, Target, TargetKind
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
 BAD = 7
@@ -104,3 +105,16 @@
         for router in fleet
     ]
     assert sum(repeating) == 3
+
+
+def test_limit_of_a_target_is_known_to_all_routers_also_new_ones(fleet):
+    engine = Target('t', 'h:1', TargetKind.engine, Pool('a', 'm'))
+    record = fleet[0].knowledge.target_limits.record(engine, 3, 1)
+    fleet[0].sharing.limit_sync.share((record,))
+    run_ticks(fleet, 1, 1.15)
+    limits = [router.knowledge.target_limits for router in fleet]
+    assert {each.limit(engine, 1.15) for each in limits} == {3}
+    started = Router('started', fleet[0].transport.routers)
+    meet([*fleet, started], 2)
+    run_ticks([*fleet, started], 3, 2 + CONTACT_SECONDS)
+    assert started.knowledge.target_limits.limit(engine, 5) == 3
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -220,4 +220,4 @@
 
 def test_answer_of_another_target_at_the_address_says_nothing():
     response = make_response(421, server_leaving='1', retry_after='1')
-    assert PlatformTargetAdapter().notice(response) is NO_NOTICE
+    assert PlatformTargetAdapter().notice(response) is None
--- a/tests/peridotwell_platform/test_named_limits.py
+++ b/tests/peridotwell_platform/test_named_limits.py
@@ -1,5 +1,7 @@
 """Limits that targets name for all routers together."""
 
+from collections import Counter
+
 import pytest
 import trio
 
@@ -26,7 +28,7 @@
 
     async def call(router):
         while trio.current_time() < end:
-            responses.append(await fleet.get(router, 'head', f'doc{router}'))
+            responses.append(await fleet.get(router, 'head'))
             await trio.sleep(PAUSE_SECONDS)
 
     async with trio.open_nursery() as nursery:
@@ -81,9 +83,11 @@
     refused = [resp for resp in responses if resp.status != 200]
     assert refused
     assert {resp.status for resp in refused} == {503}
-    waits = {float(dict(resp.headers)[b'retry-after']) for resp in refused}
+    waits = [float(dict(resp.headers)[b'retry-after']) for resp in refused]
     assert all(0 < wait <= 5 for wait in waits)
-    assert len(waits) > len(refused) / 2
+    tenths = Counter(int(wait * 10) for wait in waits)
+    assert len(tenths) >= 5
+    assert max(tenths.values()) < len(waits) / 2
     assert sum(len(target.arrivals) for target in fleet.targets) == len(
         [resp for resp in responses if resp.status == 200]
     )
