Time in which a router stood still does not count as its target's silence

What callers saw: 502 for a sound answer, after a router itself had stood still. Seen once in a test beside load (test_broken_answers, 'target_silent' with 0.79 s in place of 0.3 s): the deadline of the wait had passed while nothing ran, so the answer that had arrived was never read. Frozen or slowed machines meet the same. Change: one task cancels expired waits; if it wakes up late itself, all waits get that time in addition. The other tests of the limits are unchanged but for the task that they start. Read timeouts of httpcore and of events within a stream have the same weakness: not mended here.

--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -132,6 +132,7 @@
         Dispatcher(clients, tracker, adapters.targets, crash_tracker),
         selector,
         crash_tracker,
+        tracker.silence_limits,
         StreamAffinity(state.directory, update_exchange),
         adapters.callers,
         adapters.targets,
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -41,6 +41,7 @@
         for period, task in (
             (0, components.follower.run),
             (0, components.forwarding.crash_tracker.run),
+            (0, components.forwarding.silence_limits.run),
             (0, self._receive),
             (0, self._update),
             (CLEANUP_SECONDS, self._remove_gone),
--- a/peridotwell/forwarding/components.py
+++ b/peridotwell/forwarding/components.py
@@ -5,6 +5,7 @@
 from peridotwell.forwarding.adapters import CallerAdapter, TargetAdapter
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_selection import TargetSelector
 
@@ -18,6 +19,7 @@
     dispatcher: Dispatcher
     selector: TargetSelector
     crash_tracker: CrashTracker
+    silence_limits: SilenceLimits
     stream_affinity: StreamAffinity
     caller_adapter: CallerAdapter
     target_adapter: TargetAdapter
--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -1,5 +1,10 @@
-"""Limits on the wait for a target that sends nothing on any connection."""
+"""Limits on the wait for a target that sends nothing on any connection.
 
+Time in which this process did not run does not count: what a target sent
+meanwhile is not read yet.
+"""
+
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -8,11 +13,16 @@
 
 __all__ = ('SilenceLimits',)
 
+# A process that wakes up later than this after the time that it had set did not
+# run meanwhile.
+MAX_WAKE_DELAY_SECONDS = 0.05
+
 
-@dataclass(frozen=True, eq=False)
+@dataclass(eq=False)
 class _Wait:
     scope: trio.CancelScope
     max_seconds: float
+    deadline: float
 
 
 class SilenceLimits:
@@ -25,6 +35,8 @@
 
     def __init__(self) -> None:
         self._waits: dict[str, set[_Wait]] = {}
+        self._next_deadline = math.inf
+        self._is_earlier = trio.Event()
 
     @contextmanager
     def limit(
@@ -32,8 +44,10 @@
     ) -> Iterator[trio.CancelScope]:
         """Cancel the block after `max_seconds` without data from a target."""
         deadline = trio.current_time() + max_seconds
-        with trio.CancelScope(deadline=deadline) as scope:
-            wait = _Wait(scope, max_seconds)
+        with trio.CancelScope() as scope:
+            wait = _Wait(scope, max_seconds, deadline)
+            if deadline < self._next_deadline:
+                self._is_earlier.set()
             waits = self._waits.setdefault(target, set())
             waits.add(wait)
             try:
@@ -46,4 +60,28 @@
     def record_activity(self, target: str, now: float) -> None:
         """Record that data arrived from a target."""
         for wait in self._waits.get(target, ()):
-            wait.scope.deadline = now + wait.max_seconds
+            wait.deadline = now + wait.max_seconds
+
+    async def run(self) -> None:
+        """Cancel the waits whose time has passed, until cancelled."""
+        while True:
+            self._is_earlier = trio.Event()
+            self._next_deadline = min(
+                (wait.deadline for wait in self._all_waits()), default=math.inf
+            )
+            with trio.move_on_at(self._next_deadline):
+                await self._is_earlier.wait()
+            self._cancel_expired(trio.current_time())
+
+    def _cancel_expired(self, now: float) -> None:
+        delay = now - self._next_deadline
+        for wait in self._all_waits():
+            if delay > MAX_WAKE_DELAY_SECONDS:
+                wait.deadline += delay
+            elif wait.deadline <= now:
+                wait.scope.cancel()
+                wait.deadline = math.inf
+
+    def _all_waits(self) -> Iterator[_Wait]:
+        for waits in self._waits.values():
+            yield from waits
--- a/tests/forwarding/test_silence_limits.py
+++ b/tests/forwarding/test_silence_limits.py
@@ -1,12 +1,21 @@
 """Tests of the limits on waits for silent targets."""
 
 import math
+import time
 
+import pytest
 import trio
 
 from peridotwell.forwarding.silence_limits import SilenceLimits
 
 
+@pytest.fixture
+async def limits(nursery):
+    running = SilenceLimits()
+    nursery.start_soon(running.run)
+    return running
+
+
 async def wait_for_response(limits, target, max_seconds, seconds=10.0):
     """Wait `seconds` for a response; return whether and when it was cut."""
     with limits.limit(target, max_seconds) as scope:
@@ -14,15 +23,15 @@
     return scope.cancelled_caught, trio.current_time()
 
 
-async def test_a_wait_ends_when_its_target_has_been_silent(autojump_clock):
-    limits = SilenceLimits()
+async def test_a_wait_ends_when_its_target_has_been_silent(
+    autojump_clock, limits
+):
     assert await wait_for_response(limits, 'e1', 1.2) == (True, 1.2)
 
 
 async def test_data_on_another_connection_starts_the_time_again(
-    autojump_clock, nursery
+    autojump_clock, nursery, limits
 ):
-    limits = SilenceLimits()
 
     async def respond_to_others():
         for _ in range(5):
@@ -34,8 +43,9 @@
     assert (cut, round(ended_at, 3)) == (True, 6.2)
 
 
-async def test_data_from_another_target_does_not_count(autojump_clock, nursery):
-    limits = SilenceLimits()
+async def test_data_from_another_target_does_not_count(
+    autojump_clock, nursery, limits
+):
 
     async def respond():
         await trio.sleep(1)
@@ -45,16 +55,14 @@
     assert await wait_for_response(limits, 'e1', 1.2) == (True, 1.2)
 
 
-async def test_without_a_limit_a_wait_is_not_cut(autojump_clock):
-    limits = SilenceLimits()
+async def test_without_a_limit_a_wait_is_not_cut(autojump_clock, limits):
     cut, _ = await wait_for_response(limits, 'e1', math.inf)
     assert not cut
 
 
 async def test_several_waits_for_one_target_have_limits_of_their_own(
-    autojump_clock, nursery
+    autojump_clock, nursery, limits
 ):
-    limits = SilenceLimits()
     ended = []
 
     async def wait(max_seconds):
@@ -66,3 +74,23 @@
     limits.record_activity('e1', trio.current_time())
     await trio.sleep(5)
     assert ended == [(True, 0.7), (True, 3.2)]
+
+
+# Guards against sound targets that count as silent after the router itself has
+# stood still: their data have arrived, but are not read yet.
+async def test_time_in_which_the_router_stood_still_does_not_count(
+    nursery, limits
+):
+    sending, receiving = trio.socket.socketpair()
+
+    async def respond():
+        await trio.sleep(0.1)
+        await sending.send(b'x')
+        # Nothing else runs meanwhile.
+        time.sleep(0.5)
+
+    nursery.start_soon(respond)
+    with limits.limit('e1', 0.3) as scope:
+        await receiving.recv(1)
+        await trio.sleep(0.1)
+    assert not scope.cancelled_caught
