Losses of targets cost by what is blamed, not by all records

10,000 losses with 2,048 records took 13.7 s, now 0.06 s (test_records_are_bounded): only parts with enough losses are looked at when groups are formed.

--- a/peridotwell/policy/crash_blame.py
+++ b/peridotwell/policy/crash_blame.py
@@ -156,6 +156,8 @@
         # group is refused.
         self.groups: tuple[frozenset[int], ...] = ()
         self._known: dict[int, _KnownRecord] = {}
+        # The parts with enough losses to be blamed.
+        self._suspects: dict[int, frozenset[Loss]] = {}
         # Insertion order: the oldest come first.
         self._begun_at: dict[int, float] = {}
 
@@ -236,6 +238,7 @@
         ]
         for part in expired:
             self._known.pop(part)
+            self._suspects.pop(part, None)
         if expired:
             self._set_groups()
 
@@ -266,20 +269,18 @@
         if known.is_expired(now):
             return known
         if len(self._known) >= MAX_RECORDS and record.part not in self._known:
-            self._known.pop(next(iter(self._known)))
+            oldest = next(iter(self._known))
+            self._known.pop(oldest)
+            self._suspects.pop(oldest, None)
         self._known[record.part] = known
+        self._suspects.pop(record.part, None)
+        if _is_sufficient(known.open_losses):
+            self._suspects[record.part] = known.open_losses
         return known
 
     def _set_groups(self) -> None:
-        self.groups = tuple(
-            _blamed_groups(
-                {
-                    part: known.open_losses
-                    for part, known in self._known.items()
-                    if _is_sufficient(known.open_losses)
-                }
-            )
-        )
+        if self._suspects or self.groups:
+            self.groups = tuple(_blamed_groups(self._suspects))
 
 
 def _is_sufficient(losses: Set[Loss]) -> bool:
