--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,9 @@
 from standins.cluster import LocalCluster
 from tests.ports import find_free_port
 
+# Folders of tests that start many processes.
+PROCESS_FOLDERS = frozenset(('processes', 'soak'))
+
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
 
@@ -17,3 +20,10 @@
 @pytest.fixture
 def free_port():
     return find_free_port
+
+
+def pytest_collection_modifyitems(items):
+    """Keep tests that start many processes from running side by side."""
+    for item in items:
+        if item.path.parent.name in PROCESS_FOLDERS:
+            item.add_marker(pytest.mark.xdist_group(item.path.parent.name))
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -2,8 +2,12 @@
 
 Each entry of that file starts with a line `test: <pytest node id>`. The
 listed tests are printed and deselected; any other failure fails the run.
+
+Tests run in several processes. Those that start many processes of their own
+form groups, each of which runs in one process after the other.
 """
 
+import os
 import sys
 from pathlib import Path
 
@@ -11,6 +15,7 @@
 
 KNOWN_RED = Path('KNOWN-RED.txt')
 TEST_PREFIX = 'test: '
+MIN_WORKERS = 2
 
 
 def main() -> int:
@@ -23,7 +28,9 @@
     for node_id in known_failures:
         sys.stdout.write(f'known failure, deselected: {node_id}\n')
     deselected = [f'--deselect={node_id}' for node_id in known_failures]
-    return int(pytest.main([*deselected, *sys.argv[1:]]))
+    workers = max((os.cpu_count() or 1) // 2, MIN_WORKERS)
+    parallel = [f'--numprocesses={workers}', '--dist=loadgroup']
+    return int(pytest.main([*parallel, *deselected, *sys.argv[1:]]))
 
 
 if __name__ == '__main__':
--- a/tests/processes/test_decisions.py
+++ b/tests/processes/test_decisions.py
@@ -10,6 +10,8 @@
 
 CRASHING_PROMPT = 'killer of engines'
 TOKENS = 60
+# Routers know what one of them has seen within this time.
+TOLD_SECONDS = 1.0
 
 
 def run_in_threads(functions):
@@ -31,6 +33,23 @@
     return ''.join(token_at(text, index) for index in range(1, TOKENS + 1))
 
 
+def wait_for_quarantine(cluster, router, lost_targets):
+    """Return the quarantined requests once they have lost these targets.
+
+    A caller has its answer shortly before all routers know of it.
+    """
+    end = time.monotonic() + TOLD_SECONDS
+    while True:
+        quarantine = cluster.get(
+            router.addresses['operators'], '/quarantine'
+        ).json()
+        found = [entry['lost_targets'] for entry in quarantine]
+        if found == lost_targets:
+            return quarantine
+        assert time.monotonic() < end, found
+        time.sleep(0.05)
+
+
 def test_request_that_crashes_its_targets_is_quarantined(cluster):
     engines = [
         cluster.start_engine(f'e{number}', '--token_seconds=0.02')
@@ -73,10 +92,7 @@
     assert all(reply.status != 200 for reply in crashing_replies)
     codes = [reply.json()['error']['code'] for reply in crashing_replies]
     assert codes[-4:] == ['quarantined'] * 4
-    quarantine = cluster.get(
-        routers[1].addresses['operators'], '/quarantine'
-    ).json()
-    assert [entry['lost_targets'] for entry in quarantine] == [2]
+    quarantine = wait_for_quarantine(cluster, routers[1], [2])
     fingerprint = quarantine[0]['fingerprint']
     for engine in engines:
         if engine not in lost:
