--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -1,7 +1,7 @@
 """Limits on the wait for a target that sends nothing on any connection.
 
-Time in which this process did not run does not count: what a target sent
-meanwhile is not read yet.
+A wait that expires while this process does not run is extended once by that
+time: what a target sent meanwhile is not read yet.
 """
 
 import math
@@ -23,6 +23,7 @@
     scope: trio.CancelScope
     max_seconds: float
     deadline: float
+    is_extended: bool = False
 
 
 class SilenceLimits:
@@ -61,6 +62,7 @@
         """Record that data arrived from a target."""
         for wait in self._waits.get(target, ()):
             wait.deadline = now + wait.max_seconds
+            wait.is_extended = False
 
     async def run(self) -> None:
         """Cancel the waits whose time has passed, until cancelled."""
@@ -75,10 +77,12 @@
 
     def _cancel_expired(self, now: float) -> None:
         delay = now - self._next_deadline
-        for wait in self._all_waits():
-            if delay > MAX_WAKE_DELAY_SECONDS:
-                wait.deadline += delay
-            elif wait.deadline <= now:
+        expired = [wait for wait in self._all_waits() if wait.deadline <= now]
+        for wait in expired:
+            if delay > MAX_WAKE_DELAY_SECONDS and not wait.is_extended:
+                wait.deadline = now + min(delay, wait.max_seconds)
+                wait.is_extended = True
+            else:
                 wait.scope.cancel()
                 wait.deadline = math.inf
 
