--- a/peridotwell/fleet/relays/pending_news.py
+++ b/peridotwell/fleet/relays/pending_news.py
@@ -21,7 +21,6 @@
     prompts: tuple[CachedPrompt, ...]
     crash_records: tuple[CrashRecord, ...]
     stream_versions: tuple[Pair, ...]
-    departed: tuple[Pair, ...]
 
 
 class PendingNews:
@@ -31,7 +30,6 @@
         self._prompts: list[CachedPrompt] = []
         self._crash_records: list[CrashRecord] = []
         self._stream_versions: list[Pair] = []
-        self._departed: list[Pair] = []
 
     def __bool__(self) -> bool:
         """Return whether there are news."""
@@ -40,7 +38,6 @@
                 self._prompts,
                 self._crash_records,
                 self._stream_versions,
-                self._departed,
             )
         )
 
@@ -59,20 +56,14 @@
         """Add streams and the software versions that began them."""
         self._stream_versions.extend(streams)
 
-    def add_departed(self, incarnation: Pair) -> None:
-        """Add a target that has said that it leaves."""
-        self._departed.append(incarnation)
-
     def take(self) -> News:
         """Return the news for one update; streams may be left for the next."""
         news = News(
             tuple(self._prompts),
             tuple(self._crash_records),
             tuple(self._stream_versions[:MAX_STREAMS_PER_UPDATE]),
-            tuple(self._departed),
         )
         self._prompts.clear()
         self._crash_records.clear()
         del self._stream_versions[:MAX_STREAMS_PER_UPDATE]
-        self._departed.clear()
         return news
--- a/peridotwell/fleet/relays/soft_state_sync.py
+++ b/peridotwell/fleet/relays/soft_state_sync.py
@@ -6,7 +6,7 @@
 """
 
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Generic
 
 from peridotwell.fleet.transport.peers import Peers
@@ -23,9 +23,16 @@
 class SoftStateSync(Generic[RecordT]):
     """Takes part in the exchange of the records of one router."""
 
-    def __init__(self, peers: Peers, state: SoftState[RecordT]) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        state: SoftState[RecordT],
+        on_change: Callable[[], None],
+    ) -> None:
+        """`on_change` is called when there are records to tell at once."""
         self._peers = peers
         self._state = state
+        self._on_change = on_change
         self._changed: dict[int, RecordT] = {}
 
     def has_changes(self) -> bool:
@@ -35,6 +42,8 @@
     def share(self, records: Iterable[RecordT]) -> None:
         """Tell these records with the next update."""
         self._changed.update({record.key: record for record in records})
+        if self._changed:
+            self._on_change()
 
     def take(self, now: float, *, repeat: bool) -> tuple[RecordT, ...]:
         """Return the records for an update, with repeated ones if `repeat`."""
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -44,7 +44,7 @@
 from peridotwell.policy.own_counts import OwnCounts
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.policy.quarantine import CrashRecord
-from peridotwell.policy.target_notices import Incarnation
+from peridotwell.policy.target_notices import Departure
 
 __all__ = ('UpdateExchange',)
 
@@ -83,8 +83,13 @@
             self.relay_protocol,
         )
         self.state = state
-        self.crash_blame_sync = SoftStateSync(peers, state.crash_blame)
-        self.limit_sync = SoftStateSync(peers, state.target_limits)
+        self.crash_blame_sync = SoftStateSync(
+            peers, state.crash_blame, self.wake
+        )
+        self.limit_sync = SoftStateSync(peers, state.target_limits, self.wake)
+        self.departure_sync = SoftStateSync(
+            peers, state.target_notices, self.wake
+        )
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
@@ -105,6 +110,10 @@
         self._sent_at = float(0)
         self._full_at = float(0)
 
+    def wake(self) -> None:
+        """Send the next update as soon as its minimum interval allows."""
+        self.has_updates.set()
+
     def router_count(self) -> int:
         """Return the number of routers, this one included.
 
@@ -135,11 +144,6 @@
         self._news.add_stream_versions(streams)
         self.has_updates.set()
 
-    def share_departed(self, incarnation: Incarnation) -> None:
-        """Add a target that has said that it leaves to the next update."""
-        self._news.add_departed(incarnation)
-        self.has_updates.set()
-
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
         if not self.state.target_limits.is_empty:
@@ -160,8 +164,7 @@
         if (
             self._news
             or self.cache_sync.has_listed()
-            or self.crash_blame_sync.has_changes()
-            or self.limit_sync.has_changes()
+            or self._has_soft_state_changes()
         ):
             return PROMPT_UPDATE_SECONDS
         has_new_revision = (
@@ -175,6 +178,13 @@
             return COUNTS_UPDATE_SECONDS
         return IDLE_UPDATE_SECONDS
 
+    def _has_soft_state_changes(self) -> bool:
+        return (
+            self.crash_blame_sync.has_changes()
+            or self.limit_sync.has_changes()
+            or self.departure_sync.has_changes()
+        )
+
     def receive(self, content: bytes, now: float, unix_now: float) -> None:
         """Decode and handle one message.
 
@@ -224,7 +234,7 @@
             encode_seconds(contact.contact_seconds),
             encode_seconds(contact.answer_age_seconds),
             news.stream_versions,
-            news.departed,
+            self.departure_sync.take(now, repeat=is_full),
             self.crash_blame_sync.take(now, repeat=is_full),
             self.limit_sync.take(now, repeat=is_full),
         )
@@ -288,19 +298,22 @@
         return True
 
     def _apply_news(self, update: RouterUpdate, now: float) -> None:
-        self._record_departed(update.departed)
+        self._apply_departures(update.departed, now)
         self.crash_blame_sync.apply(update.part_records, now)
         self.limit_sync.apply(update.target_limits, now)
         for stream, version in update.stream_versions:
             self.state.stream_versions.record(stream, version, now)
 
-    def _record_departed(self, incarnations: Iterable[Incarnation]) -> None:
-        for incarnation in incarnations:
-            if self.state.target_notices.record_leaving(incarnation):
+    def _apply_departures(
+        self, departures: Iterable[Departure], now: float
+    ) -> None:
+        for departure in departures:
+            if not self.state.target_notices.is_known(departure):
                 self._metrics.count('target.leaving.peer')
                 log_event(
-                    'target.departed', source='peer', target_id=incarnation[0]
+                    'target.departed', source='peer', target_id=departure.target
                 )
+        self.departure_sync.apply(departures, now)
 
     def _remove_dead_routers(self, now: float) -> None:
         live = {peer.wire_id for peer in self.peers.live_peers(now)}
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -15,6 +15,7 @@
 from peridotwell.policy.crash_blame import PartRecord
 from peridotwell.policy.quarantine import CrashRecord
 from peridotwell.policy.target_limits import LimitRecord
+from peridotwell.policy.target_notices import Departure
 
 __all__ = (
     'Frame',
@@ -201,7 +202,7 @@
     store_contact_deciseconds: int = 0
     store_answer_age_deciseconds: int = 0
     stream_versions: Pairs = ()
-    departed: Pairs = ()
+    departed: tuple[Departure, ...] = ()
     part_records: tuple[PartRecord, ...] = ()
     target_limits: tuple[LimitRecord, ...] = ()
 
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -91,7 +91,12 @@
         directory.remove_expired(now)
         update_exchange = self.components.update_exchange
         update_exchange.discovery.remove_gone(directory.routers(), now)
-        update_exchange.state.crash_blame.expire(now)
-        update_exchange.state.target_limits.expire(now)
+        state = update_exchange.state
+        for soft_state in (
+            state.crash_blame,
+            state.target_limits,
+            state.target_notices,
+        ):
+            soft_state.expire(now)
         self.components.forwarding.crash_tracker.log_changes()
         await self.components.clients.close_gone()
--- a/peridotwell/forwarding/notice_recorder.py
+++ b/peridotwell/forwarding/notice_recorder.py
@@ -6,7 +6,7 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
+from peridotwell.policy.target_notices import NO_NOTICE, Departure, TargetNotice
 
 __all__ = ('NoticeRecorder',)
 
@@ -32,12 +32,14 @@
         if notice is NO_NOTICE:
             return
         incarnation = target.incarnation_id
-        if notice.is_leaving and self._notices.record_leaving(incarnation):
-            self._update_exchange.share_departed(incarnation)
+        now = trio.current_time()
+        if notice.is_leaving and self._notices.record_leaving(incarnation, now):
+            departure = Departure(*incarnation)
+            self._update_exchange.departure_sync.share((departure,))
             self._metrics.count('target.leaving.answer')
             log_event('target.departed', source='answer', target=target.name)
         if notice.pause_seconds and self._notices.record_pause(
-            incarnation, notice.pause_seconds, trio.current_time()
+            incarnation, notice.pause_seconds, now
         ):
             self._metrics.count('target.paused')
             log_event(
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/target_notices.py
@@ -8,11 +8,15 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+import msgspec
+
 from peridotwell.domain.target import Target
 from peridotwell.policy.rendezvous import unit_hash
+from peridotwell.policy.soft_state import SoftState
 
 __all__ = (
     'NO_NOTICE',
+    'Departure',
     'Incarnation',
     'TargetNotice',
     'TargetNotices',
@@ -23,8 +27,13 @@
 # After a pause, one more request may be outstanding for each step.
 RETURN_STEP_SECONDS = 0.1
 RETURN_STEPS = 10
+RETURN_SECONDS = RETURN_STEP_SECONDS * RETURN_STEPS
 MAX_RETURN_OFFSET_SECONDS = 0.2
 MAX_DEPARTED = 4096
+# Departures are repeated to the other routers for this time. A target that
+# leaves is gone by then, or the store has said that it leaves.
+REPEAT_SECONDS = 60.0
+WIRE_ID_BITS = 32
 
 # Wire ids of a target and of its incarnation.
 Incarnation = tuple[int, int]
@@ -46,28 +55,66 @@
 NO_NOTICE = TargetNotice()
 
 
-class TargetNotices:
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """A target that has said that it leaves, by wire ids."""
+
+    target: int
+    incarnation: int
+
+    @property
+    def key(self) -> int:
+        """The target and its incarnation."""
+        return (self.target << WIRE_ID_BITS) + self.incarnation
+
+
+class TargetNotices(SoftState[Departure]):
     """The targets that leave, and those that want nothing for some time.
 
     A notice concerns one incarnation: the next one is free at once. `router`
     is the name of this router: routers return to a target at different times.
+    Departures are told to the other routers, pauses are not.
     """
 
     def __init__(self, router: str = '') -> None:
         self._router = router
-        # Insertion order: the oldest notices come first.
-        self._departed: dict[Incarnation, None] = {}
+        # When they became known; the oldest come first.
+        self._departed: dict[Incarnation, float] = {}
         self._paused_until: dict[Incarnation, float] = {}
 
-    def record_leaving(self, incarnation: Incarnation) -> bool:
+    def record_leaving(self, incarnation: Incarnation, now: float) -> bool:
         """Record that a target leaves; return whether that is new."""
         if incarnation in self._departed:
             return False
         if len(self._departed) >= MAX_DEPARTED:
             self._departed.pop(next(iter(self._departed)))
-        self._departed[incarnation] = None
+        self._departed[incarnation] = now
         return True
 
+    def merge(
+        self, records: Iterable[Departure], now: float
+    ) -> Iterable[Departure]:
+        """Record the departures that another router tells."""
+        for record in records:
+            self.record_leaving((record.target, record.incarnation), now)
+        return ()
+
+    def to_repeat(self, now: float) -> Iterator[Departure]:
+        """Yield the departures that other routers may lack."""
+        for incarnation, known_at in self._departed.items():
+            if now - known_at < REPEAT_SECONDS:
+                yield Departure(*incarnation)
+
+    def expire(self, now: float) -> None:
+        """Remove pauses after which a target takes any number again.
+
+        Departures stay: the target may be listed for long.
+        """
+        self._paused_until = {
+            incarnation: until
+            for incarnation, until in self._paused_until.items()
+            if now - until < RETURN_SECONDS
+        }
+
     def record_pause(
         self, incarnation: Incarnation, seconds: float, now: float
     ) -> bool:
@@ -123,6 +170,10 @@
         ]
         return min(waits, default=None)
 
+    def is_known(self, departure: Departure) -> bool:
+        """Return whether a departure is known."""
+        return (departure.target, departure.incarnation) in self._departed
+
     def departed(self) -> Iterator[Incarnation]:
         """Yield the incarnations that have said that they leave."""
         yield from self._departed
@@ -137,7 +188,6 @@
             return 0
         steps = int((now - until) / RETURN_STEP_SECONDS)
         if steps >= RETURN_STEPS:
-            self._paused_until.pop(target.incarnation_id)
             return float('inf')
         return steps + 1
 
--- a/tests/fleet/relays/test_soft_state_sync.py
+++ b/tests/fleet/relays/test_soft_state_sync.py
@@ -3,6 +3,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
+from peridotwell.policy.target_notices import Departure
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
 BAD = 7
@@ -118,3 +119,21 @@
     meet([*fleet, started], 2)
     run_ticks([*fleet, started], 3, 2 + CONTACT_SECONDS)
     assert started.knowledge.target_limits.limit(engine, 5) == 3
+
+
+# Guards against new work for a target that leaves from a router that missed it.
+def test_router_that_was_cut_off_learns_of_departures(fleet):
+    departure = Departure(7, 8)
+    fleet[4].transport.is_cut = True
+    for router in fleet[:4]:
+        router.transport.cut_from = frozenset((fleet[4].hello.name,))
+    fleet[0].knowledge.target_notices.record_leaving((7, 8), 1)
+    fleet[0].sharing.departure_sync.share((departure,))
+    run_ticks(fleet, 1, 11)
+    assert not list(fleet[4].knowledge.target_notices.departed())
+    fleet[4].transport.is_cut = False
+    for router in fleet[:4]:
+        router.transport.cut_from = frozenset()
+    run_ticks(fleet, 11, 11 + CONTACT_SECONDS)
+    for router in fleet:
+        assert list(router.knowledge.target_notices.departed()) == [(7, 8)]
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -20,6 +20,7 @@
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.target_notices import Departure
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
 from tests.fleet.replica.test_service_directory import Decoder
@@ -185,7 +186,7 @@
 
 def test_target_that_said_it_leaves_is_left_by_all_routers(fleet):
     first, second, _ = fleet
-    second.sharing.share_departed((7, 8))
+    second.sharing.departure_sync.share((Departure(7, 8),))
     run_ticks(fleet, 1, 1.1)
     assert list(first.knowledge.target_notices.departed()) == [(7, 8)]
 
--- a/tests/policy/test_target_notices.py
+++ b/tests/policy/test_target_notices.py
@@ -7,6 +7,8 @@
 from peridotwell.policy.target_notices import (
     MAX_PAUSE_SECONDS,
     MAX_RETURN_OFFSET_SECONDS,
+    REPEAT_SECONDS,
+    RETURN_SECONDS,
     RETURN_STEP_SECONDS,
     RETURN_STEPS,
     TargetNotices,
@@ -27,8 +29,8 @@
 
 def test_leaving_target_gets_nothing_until_its_next_incarnation():
     notices = TargetNotices()
-    assert notices.record_leaving(ID)
-    assert not notices.record_leaving(ID)
+    assert notices.record_leaving(ID, 0)
+    assert not notices.record_leaving(ID, 0)
     assert not notices.accepts(FIRST, 0, 1e9)
     assert notices.accepts(SECOND, 0, 0)
 
@@ -68,8 +70,8 @@
     notices.record_pause(other.incarnation_id, 3, now=0)
     wait = notices.next_return_seconds([FIRST, other], 1)
     assert 2 <= wait <= 2 + MAX_RETURN_OFFSET_SECONDS
-    notices.record_leaving(ID)
-    notices.record_leaving(other.incarnation_id)
+    notices.record_leaving(ID, 0)
+    notices.record_leaving(other.incarnation_id, 0)
     assert notices.next_return_seconds([FIRST, other], 1) is None
 
 
@@ -86,7 +88,7 @@
     monkeypatch.setattr(target_notices, 'MAX_DEPARTED', 3)
     notices = TargetNotices()
     for number in range(9):
-        notices.record_leaving((number, 1))
+        notices.record_leaving((number, 1), 0)
     assert [number for number, _ in notices.departed()] == [6, 7, 8]
 
 
@@ -108,3 +110,24 @@
 )
 def test_pause_is_a_finite_positive_number_or_ignored(text, seconds):
     assert parse_pause(text) == seconds
+
+
+def test_pauses_of_targets_that_are_gone_leave_memory():
+    notices = TargetNotices()
+    for number in range(100):
+        notices.record_pause((number, 1), 2, now=0)
+    notices.expire(2)
+    assert len(notices._paused_until) == 100
+    notices.expire(2 + MAX_RETURN_OFFSET_SECONDS + RETURN_SECONDS)
+    assert not notices._paused_until
+    assert notices.is_empty
+
+
+def test_departures_are_told_for_a_time_and_known_for_good():
+    one, other = TargetNotices(), TargetNotices()
+    one.record_leaving(ID, 0)
+    other.merge(one.to_repeat(1), 1)
+    assert other.is_leaving(FIRST)
+    assert not list(one.to_repeat(REPEAT_SECONDS))
+    other.expire(1e9)
+    assert other.is_leaving(FIRST)
