Soak: targets that say they leave, ask for pauses, or name limits

Checks from what targets see: no request that was sent 2 s after a router passed on that a target leaves, and no more than two within a pause; a router disturbed since is excused.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -65,6 +65,7 @@
             request_id, may_repeat=kind in REPEATABLE_KINDS
         )
         began = trio.current_time()
+        self._cluster.notices.record_sent(request_id, router, began)
         status, body, error = 0, b'', ''
         try:
             with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
@@ -75,6 +76,7 @@
                     content=b'question',
                 )
             status, body = resp.status, resp.content
+            self._cluster.notices.record_answer(request_id, trio.current_time())
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             error = 'unreachable'
         except (httpcore.NetworkError, httpcore.ProtocolError):
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -23,6 +23,7 @@
 )
 from tests.ports import find_free_port
 from tests.soak.guarantees import GuaranteeChecker
+from tests.soak.notices import NoticeChecker
 from tests.soak.proxy import FaultProxy, start_proxy
 
 __all__ = (
@@ -114,14 +115,19 @@
     """A simulated target whose responses contain the ID of their request.
 
     `left_at` is the time at which it began to drain, `starts` the number of
-    its starts.
+    its starts. Its answers may say that it leaves, ask for a pause, or name a
+    limit.
     """
 
     name: str
     data_centre: str
     checker: GuaranteeChecker
+    notices: NoticeChecker
     proxy: FaultProxy | None = None
     is_failing: bool = False
+    says_leaving: bool = False
+    pause_seconds: float = 0
+    limit: str = ''
     left_at: float = float('inf')
     starts: int = 1
 
@@ -130,6 +136,10 @@
         await exchange.body()
         request_id = exchange.headers['x-request-id']
         now = trio.current_time()
+        self.notices.record_arrival(request_id, self.incarnation, now)
+        if self.pause_seconds:
+            await self._shed(exchange, request_id, now)
+            return
         has_left = now - self.left_at > DRAIN_GRACE_SECONDS
         self.checker.record_run(request_id, self.name, has_left=has_left)
         if '/draft/' in exchange.path or '/ask/' in exchange.path:
@@ -138,11 +148,37 @@
         await trio.sleep(EXECUTION_SECONDS)
         status = 500 if self.is_failing else 200
         await exchange.respond(
-            status, request_id.encode(), receipt_headers(self, exchange)
+            status, request_id.encode(), self._headers(exchange)
+        )
+
+    @property
+    def incarnation(self) -> str:
+        """Its name with the number of its start."""
+        return f'{self.name} start {self.starts}'
+
+    async def _shed(self, exchange, request_id: str, now: float) -> None:
+        seconds = self.pause_seconds
+        if self.proxy.is_clear:
+            self.notices.say_pause(request_id, self.incarnation, seconds, now)
+        fields = (
+            ('x-request-id', request_id),
+            ('x-not-executed', '1'),
+            ('retry-after', f'{seconds}'),
         )
+        await exchange.respond(503, b'', fields)
+
+    def _headers(self, exchange) -> tuple[tuple[str, str], ...]:
+        fields = receipt_headers(self, exchange)
+        if self.says_leaving:
+            request_id = exchange.headers['x-request-id']
+            self.notices.say_leaving(request_id, self.incarnation)
+            fields = (*fields, ('server-leaving', '1'))
+        if self.limit:
+            fields = (*fields, ('server-limit', self.limit))
+        return fields
 
     async def _stream(self, exchange, request_id: str) -> None:
-        await exchange.start_response(200, receipt_headers(self, exchange))
+        await exchange.start_response(200, self._headers(exchange))
         after = int(exchange.headers.get('last-event-id', '0'))
         for number in range(after + 1, EVENTS_PER_STREAM + 1):
             await trio.sleep(EXECUTION_SECONDS)
@@ -158,6 +194,7 @@
     store: StoreStandIn
     store_proxy: FaultProxy
     checker: GuaranteeChecker
+    notices: NoticeChecker
     routers: list[Router] = field(default_factory=list)
     targets: list[SoakTarget] = field(default_factory=list)
     version: int = 0
@@ -178,6 +215,12 @@
         target.left_at = trio.current_time() if is_draining else float('inf')
         self._write_target(target)
 
+    def restart_target(self, target: SoakTarget) -> None:
+        """Let a target that said it leaves start anew."""
+        target.says_leaving = False
+        target.starts += 1
+        self._write_target(target)
+
     def write_again(self) -> None:
         """Write what a restored store has lost, as operators and targets do."""
         self._write_configuration()
@@ -233,13 +276,14 @@
     store.page_size = 100
     address = await nursery.start(serve_http, store.handle, '127.0.0.1:0')
     checker = GuaranteeChecker(DEADLINE_SECONDS)
+    notices = NoticeChecker(checker.violations)
     cluster = SoakCluster(
-        folder, store, await start_proxy(nursery, address), checker
+        folder, store, await start_proxy(nursery, address), checker, notices
     )
     cluster.configure()
     for number in range(targets):
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-        target = SoakTarget(f't{number}', data_centre, checker)
+        target = SoakTarget(f't{number}', data_centre, checker, notices)
         address = await nursery.start(serve_http, target.handle, '127.0.0.1:0')
         target.proxy = await start_proxy(nursery, address)
         cluster.targets.append(target)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -40,6 +40,9 @@
             self._refuse_target_connections,
             self._fail_target,
             self._drain_target,
+            self._leave_by_answers,
+            self._ask_for_pauses,
+            self._name_limit,
             self._disrupt_store,
             self._forget_store_history,
             self._restore_store,
@@ -160,17 +163,43 @@
         target.is_failing = False
 
     async def _drain_target(self) -> None:
+        target = self._choose_leaving_target()
+        if target is None:
+            return
+        self._cluster.publish_target(target, 'draining')
+        await trio.sleep(MAX_FAULT_SECONDS + 1.5)
+        self._cluster.publish_target(target, 'ready')
+
+    async def _leave_by_answers(self) -> None:
+        """Let a target say in its answers alone that it leaves."""
+        target = self._choose_leaving_target()
+        if target is None:
+            return
+        target.says_leaving = True
+        await trio.sleep(MAX_FAULT_SECONDS + 1.5)
+        self._cluster.restart_target(target)
+
+    def _choose_leaving_target(self) -> SoakTarget | None:
         ready_targets = [
             target
             for target in self._cluster.targets
-            if trio.current_time() < target.left_at
+            if trio.current_time() < target.left_at and not target.says_leaving
         ]
         if len(ready_targets) <= MIN_TARGETS:
-            return
-        target = self._random.choice(ready_targets)
-        self._cluster.publish_target(target, 'draining')
-        await trio.sleep(MAX_FAULT_SECONDS + 1.5)
-        self._cluster.publish_target(target, 'ready')
+            return None
+        return self._random.choice(ready_targets)
+
+    async def _ask_for_pauses(self) -> None:
+        target = self._choose_target()
+        target.pause_seconds = round(self._random.uniform(0.6, 2), 1)
+        await self._wait_for_duration()
+        target.pause_seconds = 0
+
+    async def _name_limit(self) -> None:
+        target = self._choose_target()
+        target.limit = f'{self._random.uniform(0, 20):.1f}'
+        await self._wait_for_duration()
+        target.limit = ''
 
     async def _disrupt_store(self) -> None:
         proxy = self._cluster.store_proxy
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -28,6 +28,12 @@
         self._streams: set[trio.SocketStream] = set()
         self.release('requests', 'responses')
 
+    @property
+    def is_clear(self) -> bool:
+        """Whether no fault delays or holds bytes."""
+        may_pass = all(event.is_set() for event in self._may_pass.values())
+        return may_pass and not self.delay_seconds
+
     def hold(self, *directions: str) -> None:
         """Stop the flow of bytes in the given directions.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -98,6 +98,9 @@
     for target in cluster.targets:
         target.proxy.clear_faults()
         target.is_failing = False
+        target.pause_seconds = 0
+        target.limit = ''
+        cluster.restart_target(target)
         cluster.publish_target(target, 'ready')
     for router in cluster.routers:
         # A planned stop that is under way must be allowed to complete.
