--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -54,8 +54,8 @@
         self._quarantine = update_exchange.state.quarantine
         self._blame = update_exchange.state.crash_blame
         self._update_exchange = update_exchange
-        # By target: one connection shows whether all its requests lost it.
         self._logged_groups: tuple[frozenset[int], ...] = ()
+        # By target: one connection shows whether all its requests lost it.
         self._to_check: dict[Target, list[BrokenAttempt]] = {}
         self._has_checks = trio.Event()
 
