A silent target is left only for another one that may take over

Cause: silence of a target was decided before it was known whether anything else could be done. A sound target may be silent for a second or so.

Change: one wait for the head and one for the body of a response, both in SilenceLimits, ask may_leave when their time has passed: attempts, budget and another target that takes the request. Only then the retry is reserved and the target left; otherwise the wait goes on, until the deadline at most. The wait within a body also no longer counts time in which the router stood still, nor time in which the caller does not read.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -1,6 +1,7 @@
 """Forwarding of requests whose response is sent to the caller complete."""
 
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -33,6 +34,7 @@
     'BufferedResponseForwarder',
     'check_response',
     'final_error',
+    'may_leave_target',
     'without_target',
 )
 
@@ -110,8 +112,9 @@
         self._dispatcher.check(request)
         choice = self._selector.choose(request, attempts.tried, now)
         number = attempts.begin(choice.target.name)
+        may_leave = partial(may_leave_target, attempts, self._selector, request)
         try:
-            return await self._send(Attempt(request, choice, number))
+            return await self._send(Attempt(request, choice, number, may_leave))
         except AttemptError as exc:
             return exc
 
@@ -142,6 +145,25 @@
         )
 
 
+def may_leave_target(
+    attempts: Attempts,
+    selector: TargetSelector,
+    request: RoutedRequest,
+    now: float,
+    software: int | None = None,
+) -> bool:
+    """Return whether a silent target may be left for another one.
+
+    Reserves the retry if so.
+    """
+    if not attempts.may_retry_after_run(now):
+        return False
+    if not selector.has_other(request, attempts.tried, now, software):
+        return False
+    attempts.reserve_retry(now)
+    return True
+
+
 def final_error(failure: object, attempts: Attempts) -> RequestError:
     """Return the error for the caller after the last attempt."""
     if attempts.may_have_run:
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -1,7 +1,7 @@
 """Sending of a request to a target, and recording of its outcome."""
 
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Hashable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -26,10 +26,12 @@
     TargetRequest,
 )
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.forwarding.silence_limits import MayGiveUp
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.choice import Choice
+from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.target_client import ResponseTimeouts
 from peridotwell.serving.target_response import TargetResponse
 
@@ -45,19 +47,25 @@
 TIMEOUT_OBJECTIVES = 2
 STREAM_TIMEOUT_OBJECTIVES = 3
 MIN_SILENCE_TIMEOUT_SECONDS = 0.2
+# A sound engine may send nothing for a second.
+MIN_STREAM_TIMEOUT_SECONDS = 1.5
+# Share of the remaining time after which another target is tried at the latest.
+MAX_SILENT_SHARE = 0.5
 
 
 @dataclass(frozen=True, eq=False)
 class Attempt:
     """One attempt to run a request on a target.
 
-    `resume_after` is the id of the last event that the caller has received,
-    or empty. Attempts are compared by identity.
+    `may_leave` returns whether a silent target may be left at a time, because
+    the request may go on elsewhere. `resume_after` is the id of the last event
+    that the caller has received, or empty. Attempts are compared by identity.
     """
 
     request: RoutedRequest
     choice: Choice
     number: int
+    may_leave: MayGiveUp
     resume_after: str = ''
 
     @property
@@ -164,22 +172,28 @@
         )
         response_context = self._clients.client(target).send(
             http_request,
-            _timeouts(request, now),
+            _timeouts(attempt, now),
             new_connection=not self._tracker.may_reuse_connection(
                 request, target, now
             ),
             require_request_id=True,
         )
         limits = self._tracker.silence_limits
+        max_seconds = _max_silence_seconds(request, now)
         async with AsyncExitStack() as stack:
             with limits.limit(
-                target.name, _max_silence_seconds(request)
-            ) as scope:
+                _source_before_response(attempt), max_seconds, attempt.may_leave
+            ) as wait:
                 response = await stack.enter_async_context(response_context)
-            if scope.cancelled_caught:
-                raise ResponseTimeout('The target sends nothing to anybody.')
+            if wait.scope.cancelled_caught:
+                raise ResponseTimeout('The target did not respond in time.')
             self._record_report(target, response)
-            yield response
+            with limits.limit(attempt, max_seconds, attempt.may_leave) as wait:
+                wait.after_read()
+                response.observer = wait
+                yield response
+            if wait.scope.cancelled_caught:
+                raise ResponseTimeout('The target stopped sending the body.')
 
     def _record_report(self, target: Target, response: TargetResponse) -> None:
         reported = self._adapter.reported_load(response)
@@ -254,21 +268,30 @@
     return ((b'content-length', str(len(request.body)).encode()),)
 
 
-def _timeouts(request: RoutedRequest, now: float) -> ResponseTimeouts:
+def _timeouts(attempt: Attempt, now: float) -> ResponseTimeouts:
     """Return the timeouts of an attempt that starts `now`.
 
-    The wait for the first byte of a stream is not limited here, because its
-    engine may have a queue.
+    They do not limit silence, which may be allowed: see SilenceLimits.
     """
+    request = attempt.request
     remaining = max(request.deadline_at - now, MIN_TIMEOUT_SECONDS)
-    silence_timeout = min(remaining, _max_silence_seconds(request))
-    is_stream = request.route.kind is RequestKind.streaming
-    return ResponseTimeouts(
-        remaining if is_stream else silence_timeout, silence_timeout
+    event_limit = EventLimit(
+        _max_silence_seconds(request, now), attempt.may_leave
     )
+    return ResponseTimeouts(remaining, remaining, event_limit)
+
+
+def _source_before_response(attempt: Attempt) -> Hashable:
+    """Return whose data show that a target is alive before it responds.
+
+    The target of a stream may have a queue: data on any connection to it count.
+    """
+    if attempt.request.route.kind is RequestKind.streaming:
+        return attempt.target.name
+    return attempt
 
 
-def _max_silence_seconds(request: RoutedRequest) -> float:
+def _max_silence_seconds(request: RoutedRequest, now: float) -> float:
     """Return how long a target may be silent before another one is tried.
 
     There is no limit for requests that must not run twice.
@@ -276,6 +299,11 @@
     route = request.route
     if not route.may_repeat:
         return math.inf
-    is_stream = route.kind is RequestKind.streaming
-    multiple = STREAM_TIMEOUT_OBJECTIVES if is_stream else TIMEOUT_OBJECTIVES
-    return max(multiple * route.objective_seconds, MIN_SILENCE_TIMEOUT_SECONDS)
+    objective = route.objective_seconds
+    if route.kind is RequestKind.streaming:
+        remaining = request.deadline_at - now
+        return max(
+            STREAM_TIMEOUT_OBJECTIVES * objective,
+            min(MIN_STREAM_TIMEOUT_SECONDS, remaining * MAX_SILENT_SHARE),
+        )
+    return max(TIMEOUT_OBJECTIVES * objective, MIN_SILENCE_TIMEOUT_SECONDS)
--- a/peridotwell/forwarding/retries.py
+++ b/peridotwell/forwarding/retries.py
@@ -39,6 +39,23 @@
         self._routers = routers
         self._run_attempts = 0
         self._not_run_attempts = 0
+        self._is_retry_reserved = False
+
+    def may_retry_after_run(self, now: float) -> bool:
+        """Return whether a target that may run the request may be left."""
+        route = self._request.route
+        return self._is_retry_reserved or (
+            route.may_repeat
+            and self._run_attempts + 1 < route.max_attempts
+            and now < self._request.deadline_at
+            and self._window.allows_retry(now, self._routers)
+        )
+
+    def reserve_retry(self, now: float) -> None:
+        """Reserve the next retry: the target of this attempt is left."""
+        if not self._is_retry_reserved:
+            self._is_retry_reserved = True
+            self._window.record_retry(now)
 
     def begin(self, target: str) -> int:
         """Record an attempt on a target and return its number."""
@@ -78,6 +95,9 @@
     def _decide_retry(self, now: float) -> RetryDecision:
         if now >= self._request.deadline_at:
             return RetryDecision.give_up
+        if self._is_retry_reserved:
+            self._is_retry_reserved = False
+            return RetryDecision.other_target
         if not self._window.allows_retry(now, self._routers):
             return RetryDecision.give_up
         self._window.record_retry(now)
--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -1,68 +1,105 @@
-"""Limits on the wait for a target that sends nothing on any connection.
+"""Limits on the wait for a target that sends nothing.
 
-A wait that expires while this process does not run is extended once by that
-time: what a target sent meanwhile is not read yet.
+A wait ends only if the request may be sent to another target: a sound target
+may be silent for a moment. A wait that expires while this process does not run
+is extended once by that time: what a target sent meanwhile is not read yet.
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Hashable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 import trio
 
-__all__ = ('SilenceLimits',)
+from peridotwell.serving.target_response import ReadObserver
+
+__all__ = ('SilenceLimits', 'SilenceWait', 'MayGiveUp')
 
 # A process that wakes up later than this after the time that it had set did not
 # run meanwhile.
 MAX_WAKE_DELAY_SECONDS = 0.05
+# A wait that has expired and may not end is checked again after this time.
+RECHECK_SECONDS = 0.25
+
+# Returns whether a wait may end at a time, because the request may go on
+# elsewhere.
+MayGiveUp = Callable[[float], bool]
+
+
+def always(now: float) -> bool:
+    """Return True: the wait may end at any time."""
+    return True
 
 
 @dataclass(eq=False)
-class _Wait:
+class SilenceWait(ReadObserver):
+    """One wait for data; it is suspended while nothing is being read."""
+
     scope: trio.CancelScope
     max_seconds: float
     deadline: float
+    may_give_up: MayGiveUp
+    # Called with each deadline that is set.
+    schedule: Callable[[float], None]
     is_extended: bool = False
 
+    def before_read(self) -> None:
+        """Start the time again."""
+        self.restart(trio.current_time())
+
+    def after_read(self) -> None:
+        """Suspend the wait until the next read."""
+        self.deadline = math.inf
+
+    def restart(self, now: float) -> None:
+        """Start the time again `now`."""
+        self.deadline = now + self.max_seconds
+        self.is_extended = False
+        self.schedule(self.deadline)
+
 
 class SilenceLimits:
-    """The waits for responses, by target name.
+    """The waits for responses, by source of the data.
 
-    A wait is cancelled after its time without data from the target. Data on any
-    connection to the target starts the time again: an engine that works on
-    other requests is alive and has a queue.
+    A wait is cancelled after its time without data from its source, if it may
+    be given up. The source is the name of a target if data on any connection to
+    it starts the time again: an engine that works on other requests is alive
+    and has a queue. Else the source is an object of the wait's own.
     """
 
     def __init__(self) -> None:
-        self._waits: dict[str, set[_Wait]] = {}
+        self._waits: dict[Hashable, set[SilenceWait]] = {}
         self._next_deadline = math.inf
         self._is_earlier = trio.Event()
 
     @contextmanager
     def limit(
-        self, target: str, max_seconds: float
-    ) -> Iterator[trio.CancelScope]:
-        """Cancel the block after `max_seconds` without data from a target."""
+        self,
+        source: Hashable,
+        max_seconds: float,
+        may_give_up: MayGiveUp = always,
+    ) -> Iterator[SilenceWait]:
+        """Cancel the block after `max_seconds` without data from a source."""
         deadline = trio.current_time() + max_seconds
         with trio.CancelScope() as scope:
-            wait = _Wait(scope, max_seconds, deadline)
-            if deadline < self._next_deadline:
-                self._is_earlier.set()
-            waits = self._waits.setdefault(target, set())
+            wait = SilenceWait(
+                scope, max_seconds, deadline, may_give_up, self._schedule
+            )
+            self._schedule(deadline)
+            waits = self._waits.setdefault(source, set())
             waits.add(wait)
             try:
-                yield scope
+                yield wait
             finally:
                 waits.discard(wait)
                 if not waits:
-                    self._waits.pop(target, None)
+                    self._waits.pop(source, None)
 
-    def record_activity(self, target: str, now: float) -> None:
-        """Record that data arrived from a target."""
-        for wait in self._waits.get(target, ()):
-            wait.deadline = now + wait.max_seconds
-            wait.is_extended = False
+    def record_activity(self, source: Hashable, now: float) -> None:
+        """Record that data arrived from a source."""
+        for wait in self._waits.get(source, ()):
+            wait.restart(now)
 
     async def run(self) -> None:
         """Cancel the waits whose time has passed, until cancelled."""
@@ -75,6 +112,10 @@
                 await self._is_earlier.wait()
             self._cancel_expired(trio.current_time())
 
+    def _schedule(self, deadline: float) -> None:
+        if deadline < self._next_deadline:
+            self._is_earlier.set()
+
     def _cancel_expired(self, now: float) -> None:
         delay = now - self._next_deadline
         expired = [wait for wait in self._all_waits() if wait.deadline <= now]
@@ -82,10 +123,12 @@
             if delay > MAX_WAKE_DELAY_SECONDS and not wait.is_extended:
                 wait.deadline = now + min(delay, wait.max_seconds)
                 wait.is_extended = True
-            else:
+            elif wait.may_give_up(now):
                 wait.scope.cancel()
                 wait.deadline = math.inf
+            else:
+                wait.deadline = now + RECHECK_SECONDS
 
-    def _all_waits(self) -> Iterator[_Wait]:
+    def _all_waits(self) -> Iterator[SilenceWait]:
         for waits in self._waits.values():
             yield from waits
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -19,6 +19,7 @@
     ResponseUnusable,
     check_response,
     final_error,
+    may_leave_target,
     without_target,
 )
 from peridotwell.forwarding.caller_response import CallerResponse
@@ -84,7 +85,11 @@
             number = self._attempts.begin(choice.target.name)
             self.choice = choice
             attempt = Attempt(
-                self._request, choice, number, self._last_event_id
+                self._request,
+                choice,
+                number,
+                self._may_leave,
+                self._last_event_id,
             )
             try:
                 return await self._send(attempt)
@@ -103,6 +108,15 @@
         except (NoTarget, ForwardedRequestQuarantined) as exc:
             raise without_target(exc, self._attempts) from exc
 
+    def _may_leave(self, now: float) -> bool:
+        return may_leave_target(
+            self._attempts,
+            self._selector,
+            self._request,
+            now,
+            self._required_software(now),
+        )
+
     def _required_software(self, now: float) -> int | None:
         if self._caller_response.has_begun and self.choice is not None:
             return self.choice.target.software_id
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -93,6 +93,20 @@
             self._unseen_requests(request, candidates, now),
         )
 
+    def has_other(
+        self,
+        request: RoutedRequest,
+        tried: Collection[str],
+        now: float,
+        software: int | None = None,
+    ) -> bool:
+        """Return whether a target that was not tried takes a request."""
+        try:
+            self.choose(request, tried, now, software)
+        except NoTarget:
+            return False
+        return True
+
     def _unseen_requests(
         self,
         request: RoutedRequest,
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -5,8 +5,9 @@
 with `data: [DONE]`; a stream is resumed with the Last-Event-ID header.
 """
 
+import math
 import re
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass
 
@@ -19,7 +20,9 @@
 )
 
 __all__ = (
+    'NO_LIMIT',
     'EventBuffer',
+    'EventLimit',
     'StreamEvent',
     'split_events',
     'validated_events',
@@ -36,6 +39,26 @@
 MIN_EVENT_BYTES_PER_SECOND = 16384
 
 
+def always(now: float) -> bool:
+    """Return True: a stream may be given up at any time."""
+    return True
+
+
+@dataclass(frozen=True)
+class EventLimit:
+    """How long each event of a stream may take to arrive.
+
+    A stream that exceeds the limit is given up at a time at which
+    `may_give_up` returns True.
+    """
+
+    seconds: float
+    may_give_up: Callable[[float], bool] = always
+
+
+NO_LIMIT = EventLimit(math.inf)
+
+
 @dataclass(frozen=True)
 class StreamEvent:
     """One event as received.
@@ -56,12 +79,12 @@
     """Holds back the bytes of a stream after its last complete event.
 
     An event ends with an empty line; a line ends with LF, CR LF or CR. Each
-    event must be complete within `silence_seconds` of the one before, or
-    arrive at MIN_EVENT_BYTES_PER_SECOND at least.
+    event must be complete within the limit after the one before, or arrive at
+    MIN_EVENT_BYTES_PER_SECOND at least.
     """
 
-    def __init__(self, silence_seconds: float) -> None:
-        self._silence_seconds = silence_seconds
+    def __init__(self, limit: EventLimit) -> None:
+        self._limit = limit
         self._unfinished = bytearray()
         # When the last event was complete, or the first chunk arrived.
         self._last_event_at: float | None = None
@@ -80,7 +103,7 @@
         del self._unfinished[:end]
         if complete or self._last_event_at is None:
             self._last_event_at = now
-        self._check_speed(now - self._last_event_at)
+        self._check_speed(now, self._last_event_at)
         if len(self._unfinished) > MAX_EVENT_BYTES:
             raise ResponseTruncated('An event of the stream is too long.')
         return complete
@@ -94,27 +117,27 @@
             raise ResponseTruncated('The stream ended within an event.')
         return bytes(self._unfinished)
 
-    def _check_speed(self, seconds: float) -> None:
-        allowed = self._silence_seconds + (
+    def _check_speed(self, now: float, last_event_at: float) -> None:
+        allowed = self._limit.seconds + (
             len(self._unfinished) / MIN_EVENT_BYTES_PER_SECOND
         )
-        if seconds > allowed:
+        if now - last_event_at > allowed and self._limit.may_give_up(now):
             raise ResponseTimeout(
                 f'No event of the stream was complete within {allowed:.1f} s.'
             )
 
 
 async def whole_events(
-    chunks: AsyncGenerator[bytes, None], silence_seconds: float
+    chunks: AsyncGenerator[bytes, None], limit: EventLimit
 ) -> AsyncGenerator[bytes, None]:
     """Yield a stream in parts that contain whole events only.
 
     Raises ResponseTruncated if the stream ends within an event, however the
     end of the response is marked: a target that breaks off may close its
     connection as after a complete response. Raises ResponseTimeout if an event
-    is not complete within `silence_seconds`, although some bytes arrive.
+    exceeds the limit, although some bytes arrive.
     """
-    buffer = EventBuffer(silence_seconds)
+    buffer = EventBuffer(limit)
     async with aclosing(chunks):
         async for chunk in chunks:
             events = buffer.add(chunk, trio.current_time())
@@ -126,10 +149,10 @@
 
 
 async def split_events(
-    chunks: AsyncGenerator[bytes, None], silence_seconds: float
+    chunks: AsyncGenerator[bytes, None], limit: EventLimit
 ) -> AsyncGenerator[bytes, None]:
     """Yield each event with its end. Raises errors like whole_events."""
-    async with aclosing(whole_events(chunks, silence_seconds)) as parts:
+    async with aclosing(whole_events(chunks, limit)) as parts:
         async for part in parts:
             for event in EVENT.findall(part):
                 yield event
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -24,6 +24,7 @@
 )
 from peridotwell.domain.target import Target
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
+from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 from peridotwell.serving.target_response import TargetResponse
 
@@ -54,11 +55,13 @@
 
     `first_byte_seconds` limits the wait for the complete response headers,
     once connected, `silence_seconds` the wait for each further part of the
-    body, or for each event of a stream.
+    body. `event_limit` limits each event of a stream; by default, it is
+    `silence_seconds` too.
     """
 
     first_byte_seconds: float
     silence_seconds: float
+    event_limit: EventLimit | None = None
 
 
 class TargetHealth(msgspec.Struct, frozen=True):
@@ -176,7 +179,11 @@
         if scope.cancelled_caught:
             raise ResponseTimeout('The target sent no complete headers.')
         async with aclosing(resp):
-            response = TargetResponse(resp, response_timeouts.silence_seconds)
+            response = TargetResponse(
+                resp,
+                response_timeouts.event_limit
+                or EventLimit(response_timeouts.silence_seconds),
+            )
             self._handle_notice(response)
             self._check_response(
                 request, response, require_request_id=require_request_id
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -1,15 +1,20 @@
 """A target's response, and how the end of its body is marked."""
 
-import math
+from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator, Mapping
 from enum import Enum
 
 import httpcore
 
 from peridotwell.attempt_errors import ResponseTimeout, ResponseTruncated
-from peridotwell.serving.event_stream import split_events, whole_events
+from peridotwell.serving.event_stream import (
+    NO_LIMIT,
+    EventLimit,
+    split_events,
+    whole_events,
+)
 
-__all__ = ('BodyEnd', 'TargetResponse')
+__all__ = ('BodyEnd', 'ReadObserver', 'TargetResponse')
 
 NO_BODY_STATUSES = frozenset((204, 304))
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -24,17 +29,29 @@
     connection = 'connection'
 
 
+class ReadObserver(ABC):
+    """Is told when data of a response body is waited for."""
+
+    @abstractmethod
+    def before_read(self) -> None:
+        """Handle the beginning of a read."""
+
+    @abstractmethod
+    def after_read(self) -> None:
+        """Handle the arrival of data."""
+
+
 class TargetResponse:
     """A response whose headers have arrived.
 
     Header names are lower case; `fields` keeps repeated ones. `body_chunks`
     yields the body as it arrives, and raises ResponseTruncated or
-    ResponseTimeout if it does not arrive completely. `silence_seconds` limits
-    the wait for each event of a stream.
+    ResponseTimeout if it does not arrive completely. `event_limit` limits
+    the wait for each event of a stream. `observer` is told of reads.
     """
 
     def __init__(
-        self, resp: httpcore.Response, silence_seconds: float = math.inf
+        self, resp: httpcore.Response, event_limit: EventLimit = NO_LIMIT
     ) -> None:
         self.status: int = resp.status
         self.fields: tuple[tuple[str, str], ...] = tuple(
@@ -42,8 +59,9 @@
             for name, text in resp.headers
         )
         self.headers: Mapping[str, str] = dict(self.fields)
+        self.observer: ReadObserver | None = None
         self._resp = resp
-        self._silence_seconds = silence_seconds
+        self._event_limit = event_limit
 
     @property
     def body_end(self) -> BodyEnd:
@@ -62,9 +80,12 @@
 
     async def body_chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the chunks of the body."""
+        self._before_read()
         try:
             async for part in self._resp.aiter_stream():
+                self._after_read()
                 yield part
+                self._before_read()
         except httpcore.ReadTimeout as exc:
             raise ResponseTimeout(
                 'The target stopped sending the response body.'
@@ -76,11 +97,11 @@
 
     def whole_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in parts that contain whole events only."""
-        return whole_events(self.body_chunks(), self._silence_seconds)
+        return whole_events(self.body_chunks(), self._event_limit)
 
     def split_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the events of the body one by one."""
-        return split_events(self.body_chunks(), self._silence_seconds)
+        return split_events(self.body_chunks(), self._event_limit)
 
     async def read_body(self, *, require_end_marker: bool = True) -> bytes:
         """Return the complete body.
@@ -102,3 +123,11 @@
                     f'The response exceeds {MAX_RESPONSE_BYTES} bytes.'
                 )
         return bytes(body)
+
+    def _before_read(self) -> None:
+        if self.observer is not None:
+            self.observer.before_read()
+
+    def _after_read(self) -> None:
+        if self.observer is not None:
+            self.observer.after_read()
