Keep-alive bears a target that stands still for a moment

Connections to targets were probed after 2 s without data and ended at 3 s, so a target that stood still for 1 s from its first probe on lost the requests that had waited 2 s. The time is now 3.5 s: the connection ends at the probe after 4 s, after a silence of 2 s.

--- a/peridotwell/serving/socket_options.py
+++ b/peridotwell/serving/socket_options.py
@@ -6,7 +6,7 @@
 
 SocketOptions = tuple[tuple[int, int, int], ...]
 MAX_UNANSWERED_PROBES = 2
-UNACKNOWLEDGED_MILLISECONDS = 3000
+UNACKNOWLEDGED_MILLISECONDS = 3500
 
 
 def keepalive_options(
@@ -18,7 +18,9 @@
 
     A connection that is idle for `idle_seconds` is probed every
     `probe_seconds`. Sent data must be acknowledged within
-    `unacknowledged_milliseconds`.
+    `unacknowledged_milliseconds`. Linux also ends a connection when a probe is
+    due, the one before is unanswered and nothing has arrived for that time,
+    whatever the number of probes (tcp(7), TCP_USER_TIMEOUT).
     """
     return (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -34,7 +36,8 @@
 
 
 # Options of connections to targets and to the store. A connection whose peer
-# stops acknowledging data fails after about 3 s.
+# stops acknowledging data fails after about 4 s. A peer that stands still for
+# less than 2 s loses none.
 CLIENT_SOCKET_OPTIONS = keepalive_options(
     idle_seconds=2,
     probe_seconds=1,
