--- /dev/null
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -0,0 +1,269 @@
+"""Several routers, each with paths of its own to the targets that can be cut.
+
+Each router reads the store through a view in which the address of each target
+is that of a proxy, so that one router can lose its paths while the others, the
+callers and the store are reached.
+"""
+
+import base64
+import itertools
+import socket
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import httpcore
+import msgspec
+import trio
+from peridotwell_platform.entries import PlatformEntryDecoder
+from peridotwell_platform.headers import (
+    PlatformCallerAdapter,
+    PlatformTargetAdapter,
+)
+from peridotwell_platform.store import PlatformStore
+
+from peridotwell.domain.bounds import DeploymentBounds
+from peridotwell.forwarding.router import ForwardingRouter
+from peridotwell.forwarding.settings import Adapters, ForwardingSettings
+from peridotwell.serving.asgi import serve_http
+from tests.peridotwell_platform import stand_in
+from tests.ports import find_free_port
+from tests.soak.proxy import FaultProxy
+
+LOCALHOST = '127.0.0.1'
+# Connections that fill the queue of a socket that listens and accepts none.
+QUEUE_FILLERS = 3
+CONFIG = {
+    'version': 1,
+    'routes': [
+        stand_in.route('read', 'idempotent', timeout_ms=4000),
+        stand_in.route('book', 'non_idempotent', max_attempts=1),
+        stand_in.route('draft', 'streaming', max_attempts=1),
+        stand_in.route('ask', 'streaming', resumable=True, timeout_ms=4000),
+    ],
+    'services': [{'name': 'svc', 'max_conns': 100}],
+    'limits': {
+        'max_header_bytes': 2000,
+        'max_body_bytes': 50000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
+}
+
+
+class Path:
+    """The way of one router to one target."""
+
+    def __init__(self, nursery: trio.Nursery, target_address: str) -> None:
+        self.port = find_free_port()
+        self._nursery = nursery
+        self._proxy = FaultProxy(target_address)
+        self._listening = trio.CancelScope()
+        self._fillers: list[socket.socket] = []
+
+    async def open(self) -> None:
+        """Let connections pass, also those that were held."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers = []
+        self._proxy.clear_faults()
+        await self._nursery.start(self._listen)
+
+    async def cut(self, how: str) -> None:
+        """Cut the path.
+
+        With 'refused', connections are reset and new ones refused; with
+        'hanging', no packet passes; with 'old ones live', only new
+        connections are refused.
+        """
+        self._listening.cancel()
+        await trio.sleep(0.01)
+        if how == 'refused':
+            self._proxy.reset_connections()
+        if how == 'hanging':
+            self._proxy.hold('requests', 'responses')
+            self._fill_queue()
+
+    async def _listen(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        listeners = await trio.open_tcp_listeners(self.port, host=LOCALHOST)
+        with trio.CancelScope() as self._listening:
+            task_status.started()
+            await trio.serve_listeners(
+                self._proxy.serve, listeners, handler_nursery=self._nursery
+            )
+        for listener in listeners:
+            await listener.aclose()
+
+    def _fill_queue(self) -> None:
+        queue = socket.socket()
+        queue.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        queue.bind((LOCALHOST, self.port))
+        queue.listen(0)
+        self._fillers.append(queue)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with suppress(BlockingIOError):
+                filler.connect((LOCALHOST, self.port))
+            self._fillers.append(filler)
+
+
+@dataclass
+class StoreView:
+    """The store as one router sees it."""
+
+    store: stand_in.StoreStandIn
+    paths: dict[str, Path]
+
+    async def handle(self, exchange) -> None:
+        """Answer a call, with the addresses of the paths."""
+        body = await exchange.body()
+        name = exchange.path.removeprefix('/peridotwell/')
+        status, document = await self.store._run(exchange, name, body)
+        for item in (*document.get('items', ()), *document.get('events', ())):
+            self._rewrite(item)
+        await exchange.respond_json(document, status)
+
+    def _rewrite(self, item) -> None:
+        path = self.paths.get(item['key'].removeprefix('servers/'))
+        if path is None or 'value' not in item:
+            return
+        entry = msgspec.json.decode(base64.b64decode(item['value']))
+        entry['address'] = f'{LOCALHOST}:{path.port}'
+        item['value'] = base64.b64encode(msgspec.json.encode(entry)).decode()
+
+
+class CopyingStore(stand_in.StoreStandIn):
+    """A store whose answers may be changed without changing its items."""
+
+    async def _run(self, exchange, name, body):
+        status, document = await super()._run(exchange, name, body)
+        return status, msgspec.json.decode(msgspec.json.encode(document))
+
+
+@dataclass
+class FleetRouter:
+    """One router, its paths, and the scope that ends it at once."""
+
+    callers: str
+    paths: dict[str, Path]
+    router: ForwardingRouter
+    scope: trio.CancelScope
+
+
+@dataclass
+class CutFleet:
+    """Routers, targets and a caller."""
+
+    nursery: trio.Nursery
+    store: stand_in.StoreStandIn
+    targets: list[stand_in.TargetStandIn]
+    addresses: dict[str, str]
+    routers: list[FleetRouter] = field(default_factory=list)
+    _numbers: itertools.count = field(default_factory=itertools.count)
+
+    async def start_router(self, *, takes_over: bool = True) -> None:
+        """Start one more router with paths to all targets."""
+        paths = {
+            name: Path(self.nursery, address)
+            for name, address in self.addresses.items()
+        }
+        for path in paths.values():
+            await path.open()
+        view = StoreView(self.store, paths)
+        store = await self.nursery.start(
+            serve_http, view.handle, f'{LOCALHOST}:0'
+        )
+        number = len(self.routers)
+        callers = f'{LOCALHOST}:{find_free_port()}'
+        settings = ForwardingSettings(
+            f'r-{number}',
+            'north',
+            callers,
+            f'{LOCALHOST}:0',
+            f'{LOCALHOST}:{find_free_port()}',
+            '',
+            DeploymentBounds(),
+        )
+        router = ForwardingRouter(
+            settings,
+            Adapters(
+                PlatformCallerAdapter(),
+                PlatformTargetAdapter(),
+                PlatformEntryDecoder(),
+            ),
+            PlatformStore(store),
+        )
+        scope = trio.CancelScope()
+        self.nursery.start_soon(_run_in_scope, router, scope)
+        with trio.fail_after(5):
+            while router.not_ready_reason():
+                await trio.sleep(0.01)
+        self.routers.append(FleetRouter(callers, paths, router, scope))
+
+    async def cut(self, number: int, how: str) -> None:
+        """Cut a router from all targets."""
+        for path in self.routers[number].paths.values():
+            await path.cut(how)
+
+    async def heal(self, number: int) -> None:
+        """Open all paths of a router."""
+        for path in self.routers[number].paths.values():
+            await path.open()
+
+    async def send(self, number, path, body=b'q', **fields):
+        """Send a request to a router; return the response."""
+        headers = {
+            'host': 'a.example',
+            'x-request-id': f'id-{next(self._numbers)}',
+            'x-credential': 'key-1',
+            'x-deadline-ms': '3000',
+            **fields,
+        }
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                'POST',
+                f'http://{self.routers[number].callers}{path}',
+                headers=headers,
+                content=body,
+                extensions={'timeout': {'read': 5}},
+            )
+
+    def runs(self) -> list[str]:
+        """Return the ids of all requests that targets have run."""
+        return [
+            headers['x-request-id']
+            for target in self.targets
+            for _, _, headers, _ in target.requests
+        ]
+
+
+async def _run_in_scope(router, scope) -> None:
+    with scope:
+        await router.run()
+
+
+async def start_fleet(nursery, routers=3, targets=3) -> CutFleet:
+    """Start routers and targets that know each other."""
+    store = CopyingStore()
+    store.page_size = 100
+    store.put('op/config', msgspec.json.encode(CONFIG))
+    all_targets = [stand_in.TargetStandIn(f'i-{n}') for n in range(targets)]
+    addresses = {}
+    for target in all_targets:
+        address = await nursery.start(
+            serve_http, target.handle, f'{LOCALHOST}:0'
+        )
+        addresses[target.name] = address
+        entry = {
+            'service': 'svc',
+            'address': address,
+            'zone': 'north',
+            'state': 'ready',
+        }
+        store.put(f'servers/{target.name}', msgspec.json.encode(entry))
+    fleet = CutFleet(nursery, store, all_targets, addresses)
+    for _ in range(routers):
+        await fleet.start_router()
+    # Updates between all routers.
+    await trio.sleep(1)
+    return fleet
