Requests are handed over to routers that reach their targets

Change: - A router that reaches no target hands the request over to a live one that does (forwarding/handover_*.py, peer_paths.py, path_selection.py), over HTTP to an address that routers tell each other, with the customer as checked, the time left, the targets that may still run it and the version of the configuration. One hop; three routers are asked at most; a router that reaches none either says so and is not asked for a second. Retries count where the target is chosen, requests where the caller is. Begun streams stay where they are. Older routers have no such address and are not asked. - Unreachable and silent targets are probed by connecting (reachability_prober.py), so that requests do not find out by failing; a request that has waited for one connection, while several targets cannot be reached, is handed over. An unreachable target is probed after 2 s at most (it was ejected for up to 8 s). - If nobody reaches a target, requests are refused at once.

--- a/peridotwell/attempt_errors.py
+++ b/peridotwell/attempt_errors.py
@@ -5,6 +5,7 @@
 __all__ = (
     'AttemptError',
     'ConnectionFailed',
+    'RouterUnable',
     'RefusedByTarget',
     'TargetReplaced',
     'ResponseLost',
@@ -32,6 +33,13 @@
     may_have_run = False
 
 
+class RouterUnable(AttemptError):
+    """The router that was asked reaches no target either; nothing was run."""
+
+    code = 'router_unable'
+    may_have_run = False
+
+
 class RefusedByTarget(AttemptError):
     """The target responded that it will not execute the request."""
 
--- a/peridotwell/errors.py
+++ b/peridotwell/errors.py
@@ -27,6 +27,7 @@
     'OutcomeUnknown',
     'ClaimUnavailable',
     'NoTarget',
+    'NoReachableTarget',
     'Overloaded',
     'DeadlineExceeded',
     'RequestQuarantined',
@@ -215,6 +216,26 @@
     status = 503
 
 
+class NoReachableTarget(NoTarget):
+    """This router reaches no target that could serve the request.
+
+    `may_try` tells that there are targets to which connections can be made,
+    although they send nothing or several others cannot be reached.
+    """
+
+    code = 'no_path'
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        may_try: bool = False,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        super().__init__(message, retry_after_seconds=retry_after_seconds)
+        self.may_try = may_try
+
+
 class Overloaded(RequestError):
     """The customer's share or the pool's capacity is exhausted."""
 
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -66,6 +66,8 @@
     """The identity and addresses of a router; sent again after a restart.
 
     `link_bytes_per_second` is the rate of its link, 0 if unknown.
+    `handover_address` takes requests that other routers hand over; it is empty
+    if the router takes none.
     """
 
     name: str
@@ -75,6 +77,7 @@
     incarnation: int
     wants_reply: bool = False
     link_bytes_per_second: int = 0
+    handover_address: str = ''
 
 
 class Heartbeat(Frame, frozen=True, array_like=True, tag=2):
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -211,6 +211,7 @@
     operator_address: str,
     incarnation: int,
     link_bytes_per_second: int = 0,
+    handover_address: str = '',
 ) -> Hello:
     """Return the message with a router's identity and addresses."""
     return Hello(
@@ -221,4 +222,5 @@
         operator_address=operator_address,
         incarnation=incarnation,
         link_bytes_per_second=link_bytes_per_second,
+        handover_address=handover_address,
     )
--- a/peridotwell/fleet/transport/router_registry.py
+++ b/peridotwell/fleet/transport/router_registry.py
@@ -34,6 +34,7 @@
     operator_address: str
     incarnation: int
     link_bytes_per_second: int = 0
+    handover_address: str = ''
 
 
 def decode_router(content: bytes) -> Hello | None:
@@ -85,6 +86,7 @@
                 self._own.operator_address,
                 self._own.incarnation,
                 self._own.link_bytes_per_second,
+                self._own.handover_address,
             ),
         )
         for _ in range(MAX_ATTEMPTS):
--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -64,7 +64,7 @@
 
     Times are in seconds of the router's own clock. `target_path` is the
     path with the query, byte for byte. `fingerprint` is the fingerprint of the
-    content.
+    content. `is_handed_over` tells that another router has handed it over.
     """
 
     request_id: str
@@ -82,6 +82,7 @@
     fingerprint: int
     table_version: int
     resumed_stream: ResumedStream | None = None
+    is_handed_over: bool = False
 
     @property
     def stream_id(self) -> int:
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -15,7 +15,11 @@
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
 from peridotwell.forwarding.handler import ForwardingHandler
+from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.notice_recorder import NoticeRecorder
+from peridotwell.forwarding.path_selection import PathSelector
+from peridotwell.forwarding.peer_paths import PeerPaths
+from peridotwell.forwarding.reachability_prober import ReachabilityProber
 from peridotwell.forwarding.recovery import CacheRecovery
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.forwarding.stream_affinity import StreamAffinity
@@ -128,9 +132,16 @@
         settings.data_centre,
         settings.bounds,
     )
+    peer_paths = PeerPaths(update_exchange.peers)
+    handover_client = HandoverClient(update_exchange.peers, peer_paths)
     return ForwardingComponents(
-        Dispatcher(clients, tracker, adapters.targets, crash_tracker),
+        Dispatcher(
+            clients, tracker, adapters.targets, crash_tracker, handover_client
+        ),
         selector,
+        PathSelector(selector, peer_paths),
+        handover_client,
+        ReachabilityProber(tracker),
         crash_tracker,
         tracker.silence_limits,
         StreamAffinity(state.directory, update_exchange),
@@ -147,4 +158,5 @@
         '',
         int(time.time() * MILLISECONDS_PER_SECOND),
         settings.link_bytes_per_second,
+        settings.handover,
     )
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -42,6 +42,7 @@
             (0, components.follower.run),
             (0, components.forwarding.crash_tracker.run),
             (0, components.forwarding.silence_limits.run),
+            (0, components.forwarding.prober.run),
             (0, self._receive),
             (0, self._update),
             (CLEANUP_SECONDS, self._remove_gone),
@@ -100,3 +101,4 @@
             soft_state.expire(now)
         self.components.forwarding.crash_tracker.log_changes()
         await self.components.clients.close_gone()
+        await self.components.forwarding.handover_client.close_gone()
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -5,9 +5,10 @@
 
 import trio
 
-from peridotwell.attempt_errors import AttemptError
+from peridotwell.attempt_errors import AttemptError, ConnectionFailed
 from peridotwell.errors import (
     ForwardedRequestQuarantined,
+    NoReachableTarget,
     NoTarget,
     RequestError,
     TargetFailed,
@@ -22,8 +23,8 @@
     Attempt,
     Dispatcher,
 )
+from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
-from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
@@ -71,7 +72,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        selector: TargetSelector,
+        selector: PathSelector,
         adapter: TargetAdapter,
     ) -> None:
         self._dispatcher = dispatcher
@@ -114,7 +115,15 @@
         number = attempts.begin(choice.target.name)
         may_leave = partial(may_leave_target, attempts, self._selector, request)
         try:
-            return await self._send(Attempt(request, choice, number, may_leave))
+            return await self._send(
+                Attempt(
+                    request,
+                    choice,
+                    number,
+                    may_leave,
+                    runs_left=attempts.runs_left,
+                )
+            )
         except AttemptError as exc:
             return exc
 
@@ -147,10 +156,12 @@
 
 def may_leave_target(
     attempts: Attempts,
-    selector: TargetSelector,
+    selector: PathSelector,
     request: RoutedRequest,
     now: float,
     software: int | None = None,
+    *,
+    may_hand_over: bool = True,
 ) -> bool:
     """Return whether a silent target may be left for another one.
 
@@ -158,7 +169,9 @@
     """
     if not attempts.may_retry_after_run(now):
         return False
-    if not selector.has_other(request, attempts.tried, now, software):
+    if not selector.has_other(
+        request, attempts.tried, now, software, may_hand_over=may_hand_over
+    ):
         return False
     attempts.reserve_retry(now)
     return True
@@ -171,7 +184,9 @@
             f'The target gave no complete response ({failure}): check what it '
             'did before sending again.',
         )
-    return NoTarget(
+    is_unreachable = isinstance(failure, ConnectionFailed)
+    error_class = NoReachableTarget if is_unreachable else NoTarget
+    return error_class(
         f'No target took the request ({failure}): send it again later.',
         retry_after_seconds=RETRY_AFTER_SECONDS,
     )
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -4,12 +4,21 @@
 
 import msgspec
 
-from peridotwell.errors import RequestError
+from peridotwell.errors import (
+    NoReachableTarget,
+    NotConfigured,
+    RequestError,
+    RunState,
+)
 from peridotwell.forwarding.adapters import HeaderFields
+from peridotwell.forwarding.handover_protocol import (
+    HandoverResult,
+    result_field,
+)
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.responses import error_body
 
-__all__ = ('CallerResponse',)
+__all__ = ('CallerResponse', 'HandoverResponse')
 
 JSON_FIELD = (b'content-type', b'application/json')
 CLOSE_FIELD = (b'connection', b'close')
@@ -59,7 +68,7 @@
     async def send_error(self, error: RequestError, request_id: str) -> None:
         """Send an error of this router as JSON."""
         document = {'error': error_body(error, request_id)}
-        fields: HeaderFields = (JSON_FIELD,)
+        fields = self._error_fields(error)
         if error.retry_after_seconds is not None:
             wait = (
                 math.ceil(error.retry_after_seconds * MILLISECONDS_PER_SECOND)
@@ -69,3 +78,24 @@
         await self.send_whole(
             error.status, fields, msgspec.json.encode(document)
         )
+
+    def _error_fields(self, error: RequestError) -> HeaderFields:
+        return (JSON_FIELD,)
+
+
+class HandoverResponse(CallerResponse):
+    """The response to a request that another router has handed over.
+
+    Its errors tell that router whether the request may have run.
+    """
+
+    def _error_fields(self, error: RequestError) -> HeaderFields:
+        return (JSON_FIELD, *result_field(_result(error)))
+
+
+def _result(error: RequestError) -> HandoverResult:
+    if error.run_state is not RunState.not_run:
+        return HandoverResult.unknown
+    if isinstance(error, NoReachableTarget | NotConfigured):
+        return HandoverResult.unable
+    return HandoverResult.not_run
--- a/peridotwell/forwarding/components.py
+++ b/peridotwell/forwarding/components.py
@@ -5,6 +5,9 @@
 from peridotwell.forwarding.adapters import CallerAdapter, TargetAdapter
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.forwarding.handover_client import HandoverClient
+from peridotwell.forwarding.path_selection import PathSelector
+from peridotwell.forwarding.reachability_prober import ReachabilityProber
 from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_selection import TargetSelector
@@ -18,6 +21,9 @@
 
     dispatcher: Dispatcher
     selector: TargetSelector
+    path_selector: PathSelector
+    handover_client: HandoverClient
+    prober: ReachabilityProber
     crash_tracker: CrashTracker
     silence_limits: SilenceLimits
     stream_affinity: StreamAffinity
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -23,6 +23,7 @@
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.connection_check import can_connect
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.crash_blame import format_parts, shared_part_ids
 
@@ -128,7 +129,7 @@
     async def _check_target(
         self, target: Target, attempts: list[BrokenAttempt]
     ) -> None:
-        if await _is_reachable(target):
+        if await can_connect(target, CONNECT_TIMEOUT_SECONDS):
             return
         for broken in attempts:
             self._record_loss(broken)
@@ -169,17 +170,6 @@
             self._update_exchange.crash_blame_sync.share(changed)
 
 
-async def _is_reachable(target: Target) -> bool:
-    host, _, port = target.address.rpartition(':')
-    try:
-        with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
-            stream = await trio.open_tcp_stream(host, int(port))
-    except (OSError, trio.TooSlowError):
-        return False
-    await stream.aclose()
-    return True
-
-
 def _part_names(request: RoutedRequest) -> str:
     """Return the shared parts of a request's prompt for the logs."""
     if request.prompt is None:
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -2,7 +2,11 @@
 
 import math
 from collections.abc import AsyncIterator, Hashable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 from dataclasses import dataclass
 
 import httpcore
@@ -26,6 +30,7 @@
     TargetRequest,
 )
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.silence_limits import MayGiveUp
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_tracker import TargetTracker
@@ -51,6 +56,8 @@
 MIN_STREAM_TIMEOUT_SECONDS = 1.5
 # Share of the remaining time after which another target is tried at the latest.
 MAX_SILENT_SHARE = 0.5
+# A router that takes over a request may itself wait for a silent target.
+ROUTER_TIMEOUT_FACTOR = 2
 
 
 @dataclass(frozen=True, eq=False)
@@ -59,7 +66,8 @@
 
     `may_leave` returns whether a silent target may be left at a time, because
     the request may go on elsewhere. `resume_after` is the id of the last event
-    that the caller has received, or empty. Attempts are compared by identity.
+    that the caller has received, or empty. `runs_left` is the number of targets
+    that may run the request. Attempts are compared by identity.
     """
 
     request: RoutedRequest
@@ -67,6 +75,7 @@
     number: int
     may_leave: MayGiveUp
     resume_after: str = ''
+    runs_left: int = 1
 
     @property
     def target(self) -> Target:
@@ -83,8 +92,10 @@
         tracker: TargetTracker,
         adapter: TargetAdapter,
         crash_tracker: CrashTracker,
+        handover_client: HandoverClient,
     ) -> None:
         self._crash_tracker = crash_tracker
+        self._handover_client = handover_client
         self._clients = clients
         self._tracker = tracker
         self._adapter = adapter
@@ -98,6 +109,44 @@
     @asynccontextmanager
     async def send(self, attempt: Attempt) -> AsyncIterator[TargetResponse]:
         """Send the request and yield the response. Raises AttemptError."""
+        send = (
+            self._send_to_router
+            if attempt.choice.is_handover
+            else self._send_to_target
+        )
+        async with send(attempt) as response:
+            yield response
+
+    @asynccontextmanager
+    async def _send_to_router(
+        self, attempt: Attempt
+    ) -> AsyncIterator[TargetResponse]:
+        """Hand the request over. The other router records its outcome."""
+        now = trio.current_time()
+        request = attempt.request
+        log_event(
+            'request.handed_over',
+            request=request.request_id,
+            router=attempt.target.name,
+        )
+        timeouts = _timeouts(attempt, now)
+        response_context = self._handover_client.send(
+            request, attempt.target, attempt.runs_left, timeouts
+        )
+        max_seconds = ROUTER_TIMEOUT_FACTOR * _max_silence_seconds(request, now)
+        try:
+            async with self._limit_silence(
+                attempt, response_context, attempt, max_seconds
+            ) as response:
+                yield response
+        except AttemptError as exc:
+            _log_failure(attempt, exc)
+            raise
+
+    @asynccontextmanager
+    async def _send_to_target(
+        self, attempt: Attempt
+    ) -> AsyncIterator[TargetResponse]:
         started_at = trio.current_time()
         request = attempt.request
         choice = attempt.choice
@@ -121,6 +170,8 @@
 
     def record_event(self, attempt: Attempt) -> None:
         """Record that whole events of a stream have arrived."""
+        if attempt.choice.is_handover:
+            return
         if attempt not in self._begun:
             self._begun.add(attempt)
             self._crash_tracker.record_begin(attempt.request)
@@ -132,6 +183,8 @@
 
     def record_completion(self, attempt: Attempt, status: int) -> None:
         """Record a complete response as a success or error of the target."""
+        if attempt.choice.is_handover:
+            return
         self._crash_tracker.clear(attempt.request)
         name = attempt.target.name
         if not is_target_error(status):
@@ -178,16 +231,32 @@
             ),
             require_request_id=True,
         )
-        limits = self._tracker.silence_limits
         max_seconds = _max_silence_seconds(request, now)
+        source = _source_before_response(attempt)
+        async with self._limit_silence(
+            attempt, response_context, source, max_seconds
+        ) as response:
+            self._record_report(target, response)
+            yield response
+
+    @asynccontextmanager
+    async def _limit_silence(
+        self,
+        attempt: Attempt,
+        response_context: AbstractAsyncContextManager[TargetResponse],
+        source: Hashable,
+        max_seconds: float,
+    ) -> AsyncIterator[TargetResponse]:
+        """Yield the response; leave a target that sends nothing if possible.
+
+        Before the response, data from `source` count as a sign of life.
+        """
+        limits = self._tracker.silence_limits
         async with AsyncExitStack() as stack:
-            with limits.limit(
-                _source_before_response(attempt), max_seconds, attempt.may_leave
-            ) as wait:
+            with limits.limit(source, max_seconds, attempt.may_leave) as wait:
                 response = await stack.enter_async_context(response_context)
             if wait.scope.cancelled_caught:
                 raise ResponseTimeout('The target did not respond in time.')
-            self._record_report(target, response)
             with limits.limit(attempt, max_seconds, attempt.may_leave) as wait:
                 wait.after_read()
                 response.observer = wait
@@ -224,15 +293,7 @@
             log_event('target.set_aside', target=name, code=exc.code)
         if isinstance(exc, ConnectionFailed | ResponseLost | ResponseTruncated):
             self._record_connection_failure(attempt.target, exc, now)
-        log_failure(
-            'attempt.failed',
-            request=attempt.request.request_id,
-            target=name,
-            attempt=attempt.number,
-            code=exc.code,
-            error=str(exc),
-            may_have_run=exc.may_have_run,
-        )
+        _log_failure(attempt, exc)
 
     def _record_connection_failure(
         self,
@@ -254,6 +315,18 @@
             )
 
 
+def _log_failure(attempt: Attempt, exc: AttemptError) -> None:
+    log_failure(
+        'attempt.failed',
+        request=attempt.request.request_id,
+        target=attempt.target.name,
+        attempt=attempt.number,
+        code=exc.code,
+        error=str(exc),
+        may_have_run=exc.may_have_run,
+    )
+
+
 def is_target_error(status: int) -> bool:
     """Return whether a status reports an error of the target.
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -16,9 +16,16 @@
     BufferedResponse,
     BufferedResponseForwarder,
 )
-from peridotwell.forwarding.caller_response import CallerResponse
+from peridotwell.forwarding.caller_response import (
+    CallerResponse,
+    HandoverResponse,
+)
 from peridotwell.forwarding.components import ForwardingComponents
-from peridotwell.forwarding.request_reader import read_request
+from peridotwell.forwarding.request_reader import (
+    RequestReader,
+    read_handed_over_request,
+    read_request,
+)
 from peridotwell.forwarding.retries import Attempts
 from peridotwell.forwarding.streams import StreamBroken, StreamForwarder
 from peridotwell.logs import log_event, log_failure
@@ -76,11 +83,27 @@
             window.set_bounds(bounds.retry_ratio, bounds.retry_slack)
 
     async def handle(self, exchange: HttpExchange) -> None:
-        """Respond to one request. No exception leaves this method."""
+        """Respond to a caller's request. No exception leaves this method."""
+        response = CallerResponse(exchange, closes=self.is_stopping)
+        await self._handle_safely(exchange, response, read_request)
+
+    async def handle_handover(self, exchange: HttpExchange) -> None:
+        """Respond to a request of another router, which serves its caller.
+
+        No exception leaves this method.
+        """
+        response = HandoverResponse(exchange, closes=self.is_stopping)
+        await self._handle_safely(exchange, response, read_handed_over_request)
+
+    async def _handle_safely(
+        self,
+        exchange: HttpExchange,
+        caller_response: CallerResponse,
+        read: RequestReader,
+    ) -> None:
         self.running += 1
-        caller_response = CallerResponse(exchange, closes=self.is_stopping)
         try:
-            await self._handle(exchange, caller_response)
+            await self._handle(exchange, caller_response, read)
         except (trio.ClosedResourceError, trio.BrokenResourceError):
             self._metrics.count('request.caller_left')
         except Exception as exc:
@@ -91,13 +114,16 @@
             self.running -= 1
 
     async def _handle(
-        self, exchange: HttpExchange, caller_response: CallerResponse
+        self,
+        exchange: HttpExchange,
+        caller_response: CallerResponse,
+        read: RequestReader,
     ) -> None:
         now = trio.current_time()
         with trio.move_on_after(STARTUP_WAIT_SECONDS):
             await self._directory.ready.wait()
         try:
-            request = await read_request(
+            request = await read(
                 exchange,
                 self._components.caller_adapter,
                 self._directory.table,
@@ -117,7 +143,8 @@
     ) -> None:
         window = self._window(request.service)
         now = trio.current_time()
-        window.record_request(now)
+        if not request.is_handed_over:
+            window.record_request(now)
         attempts = Attempts(
             request, window, self._update_exchange.router_count()
         )
@@ -156,7 +183,7 @@
                 caller_response,
                 attempts,
                 components.dispatcher,
-                components.selector,
+                components.path_selector,
                 components.target_adapter,
                 components.stream_affinity,
             )
@@ -174,7 +201,7 @@
             return error_response
         forwarder = BufferedResponseForwarder(
             components.dispatcher,
-            components.selector,
+            components.path_selector,
             components.target_adapter,
         )
         response = await forwarder.get(request, attempts)
--- /dev/null
+++ b/peridotwell/forwarding/handover_protocol.py
@@ -0,0 +1,98 @@
+"""How routers hand over requests that they cannot send to a target.
+
+The request goes over HTTP to the address at which the other router takes
+requests, with the fields that a target would get and one field of its own. The
+response is that of the target, or an error with a field that tells whether the
+request may have run.
+"""
+
+import base64
+import binascii
+from enum import Enum
+
+import msgspec
+
+from peridotwell.errors import BadRequest
+from peridotwell.forwarding.adapters import HeaderFields
+from peridotwell.serving.target_response import TargetResponse
+
+__all__ = (
+    'INFO_FIELD',
+    'HandoverInfo',
+    'HandoverResult',
+    'decode_info',
+    'encode_info',
+    'read_result',
+    'result_field',
+    'without_handover_fields',
+)
+
+INFO_FIELD = 'peridotwell-handover'
+RESULT_FIELD = 'peridotwell-handover-result'
+OWN_FIELDS = frozenset((INFO_FIELD.encode(), RESULT_FIELD.encode()))
+
+
+class HandoverInfo(msgspec.Struct, frozen=True, array_like=True):
+    """What the first router knows of a request.
+
+    `customer` and `priority` are those that it has checked.
+    `table_version` is the version of the configuration that it has used,
+    `attempts` the number of targets that may still run the request.
+    """
+
+    router: str
+    customer: str
+    priority: int
+    remaining_seconds: float
+    attempts: int
+    table_version: int
+
+
+class HandoverResult(Enum):
+    """What an error response of the second router says of the request.
+
+    `unable` means that this router reaches no target, or knows only an older
+    configuration: the request was not run, and another router may be asked.
+    """
+
+    unable = 'unable'
+    not_run = 'not_run'
+    unknown = 'unknown'
+
+
+def encode_info(info: HandoverInfo) -> HeaderFields:
+    """Return the field that carries `info`."""
+    content = base64.b64encode(msgspec.msgpack.encode(info))
+    return ((INFO_FIELD.encode(), content),)
+
+
+def decode_info(text: str) -> HandoverInfo:
+    """Decode the content of the field. Raises BadRequest."""
+    try:
+        content = base64.b64decode(text, validate=True)
+        return msgspec.msgpack.decode(content, type=HandoverInfo)
+    except (binascii.Error, msgspec.DecodeError) as exc:
+        raise BadRequest(f'The request is not a handover: {exc}') from exc
+
+
+def result_field(result: HandoverResult) -> HeaderFields:
+    """Return the field that carries a result."""
+    return ((RESULT_FIELD.encode(), result.value.encode()),)
+
+
+def read_result(response: TargetResponse) -> HandoverResult | None:
+    """Return the result of an error of the router itself, else None."""
+    text = response.headers.get(RESULT_FIELD)
+    if text is None:
+        return None
+    try:
+        return HandoverResult(text)
+    except ValueError:
+        return HandoverResult.unknown
+
+
+def without_handover_fields(fields: HeaderFields) -> HeaderFields:
+    """Return the fields without those of this protocol."""
+    return tuple(
+        (name, text) for name, text in fields if name not in OWN_FIELDS
+    )
--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -1,5 +1,8 @@
 """Reading of callers' requests: their route, customer and deadline."""
 
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
 from peridotwell.domain.routing_table import Customer, Route, RoutingTable
 from peridotwell.errors import (
     HeadersTooLarge,
@@ -12,14 +15,30 @@
     CallerMetadata,
     RoutedRequest,
 )
+from peridotwell.forwarding.handover_protocol import (
+    INFO_FIELD,
+    decode_info,
+    without_handover_fields,
+)
+from peridotwell.logs import log_event
 from peridotwell.policy.quarantine import request_fingerprint
 from peridotwell.serving.asgi import HttpExchange
 
-__all__ = ('read_request', 'NOT_READY_RETRY_AFTER_SECONDS')
+__all__ = (
+    'RequestReader',
+    'read_request',
+    'read_handed_over_request',
+    'NOT_READY_RETRY_AFTER_SECONDS',
+)
 
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
 NO_CUSTOMER = Customer('')
 
+RequestReader = Callable[
+    [HttpExchange, CallerAdapter, RoutingTable | None, float],
+    Awaitable[RoutedRequest],
+]
+
 
 async def read_request(
     exchange: HttpExchange,
@@ -39,6 +58,52 @@
         )
     _check_header_size(exchange, table)
     metadata = adapter.read(exchange)
+    route = _find_route(exchange, table)
+    customer = _customer(table, route, metadata)
+    body = await exchange.body(table.limits.body_bytes)
+    return _make_request(exchange, table, route, customer, metadata, body, now)
+
+
+async def read_handed_over_request(
+    exchange: HttpExchange,
+    adapter: CallerAdapter,
+    table: RoutingTable | None,
+    now: float,
+) -> RoutedRequest:
+    """Read a request that another router has checked and handed over `now`.
+
+    Raises RequestError, and trio.ClosedResourceError if that router
+    disconnects. NotConfigured also means that the other router knows a newer
+    configuration: its caller must not be served by an older one.
+    """
+    info = decode_info(exchange.headers.get(INFO_FIELD, ''))
+    if table is None or table.version < info.table_version:
+        raise NotConfigured(
+            f'Configuration {info.table_version} is not known here yet: hand '
+            'the request over to another instance.',
+            retry_after_seconds=NOT_READY_RETRY_AFTER_SECONDS,
+        )
+    metadata = adapter.read(exchange)
+    route = _find_route(exchange, table)
+    customer = Customer(info.customer, info.priority)
+    body = await exchange.body(table.limits.body_bytes)
+    request = _make_request(
+        exchange, table, route, customer, metadata, body, now
+    )
+    max_attempts = min(route.max_attempts, info.attempts)
+    log_event(
+        'request.taken_over', request=request.request_id, router=info.router
+    )
+    return replace(
+        request,
+        route=replace(route, max_attempts=max_attempts),
+        passed_fields=without_handover_fields(request.passed_fields),
+        deadline_at=min(request.deadline_at, now + info.remaining_seconds),
+        is_handed_over=True,
+    )
+
+
+def _find_route(exchange: HttpExchange, table: RoutingTable) -> Route:
     route = table.find_route(
         exchange.headers.get('host', ''),
         exchange.raw_path.decode('latin-1'),
@@ -48,9 +113,7 @@
             f'No route of configuration {table.version} has this host and '
             'path: check both.',
         )
-    customer = _customer(table, route, metadata)
-    body = await exchange.body(table.limits.body_bytes)
-    return _make_request(exchange, table, route, customer, metadata, body, now)
+    return route
 
 
 def _make_request(
--- a/peridotwell/forwarding/retries.py
+++ b/peridotwell/forwarding/retries.py
@@ -2,7 +2,11 @@
 
 from enum import Enum
 
-from peridotwell.attempt_errors import AttemptError, ConnectionFailed
+from peridotwell.attempt_errors import (
+    AttemptError,
+    ConnectionFailed,
+    RouterUnable,
+)
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.policy.retry_window import RetryWindow
 
@@ -41,12 +45,17 @@
         self._not_run_attempts = 0
         self._is_retry_reserved = False
 
+    @property
+    def runs_left(self) -> int:
+        """The number of targets that may still run the request."""
+        return self._request.route.max_attempts - self._run_attempts
+
     def may_retry_after_run(self, now: float) -> bool:
         """Return whether a target that may run the request may be left."""
         route = self._request.route
         return self._is_retry_reserved or (
             route.may_repeat
-            and self._run_attempts + 1 < route.max_attempts
+            and self.runs_left > 1
             and now < self._request.deadline_at
             and self._window.allows_retry(now, self._routers)
         )
@@ -70,6 +79,8 @@
         """
         if failure.may_have_run:
             return self.after_run(now)
+        if isinstance(failure, RouterUnable):
+            return RetryDecision.other_target
         reached_target = not isinstance(failure, ConnectionFailed)
         self._not_run_attempts += 1
         limit = (
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -47,6 +47,7 @@
         self._listener = listener
         self._components = build_components(settings, adapters, store)
         self._callers = HttpServer(self._components.handler.handle)
+        self._handovers = HttpServer(self._components.handler.handle_handover)
         self._readiness = HttpServer(self._respond_ready)
         self._may_close = trio.Event()
         self._components.directory.on_change(self._apply_changes)
@@ -88,6 +89,7 @@
                 background_tasks.start(nursery)
                 await nursery.start(self._serve_readiness)
                 nursery.start_soon(self._serve_metrics)
+                nursery.start_soon(self._serve_handovers)
                 await self._serve_until_stopped()
                 nursery.cancel_scope.cancel()
         finally:
@@ -116,11 +118,15 @@
             serving.cancel_scope.cancel()
 
     async def _wait_until_idle(self, until: float) -> None:
-        while self._callers.open_connections and trio.current_time() < until:
+        while self._is_busy() and trio.current_time() < until:
             await trio.sleep(EXIT_POLL_SECONDS)
         if self._components.handler.running:
             log_event('router.cut', running=self._components.handler.running)
 
+    def _is_busy(self) -> bool:
+        has_callers = bool(self._callers.open_connections)
+        return has_callers or bool(self._components.handler.running)
+
     async def _serve_callers(
         self,
         *,
@@ -144,6 +150,20 @@
             task_status=task_status,
         )
 
+    async def _serve_handovers(self) -> None:
+        """Serve other routers if they have an address for it.
+
+        If the address is not available, the router runs without it.
+        """
+        if not self.settings.handover:
+            return
+        try:
+            await self._handovers.run(
+                self.settings.handover, shutdown=trio.sleep_forever
+            )
+        except OSError as exc:
+            log_failure('handover.unavailable', error=str(exc))
+
     async def _serve_metrics(self) -> None:
         """Serve metrics if they have an address.
 
--- a/peridotwell/forwarding/settings.py
+++ b/peridotwell/forwarding/settings.py
@@ -18,6 +18,7 @@
 
     `metrics` is the address that serves counters and histograms, or empty.
     `link_bytes_per_second` is the rate of the machine's link, 0 if unknown.
+    `handover` is the address that takes requests from other routers, or empty.
     """
 
     name: str
@@ -28,6 +29,7 @@
     metrics: str
     bounds: DeploymentBounds
     link_bytes_per_second: int = 0
+    handover: str = ''
 
 
 @dataclass(frozen=True)
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -24,9 +24,9 @@
 )
 from peridotwell.forwarding.caller_response import CallerResponse
 from peridotwell.forwarding.dispatch import Attempt, Dispatcher
+from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.stream_affinity import StreamAffinity
-from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
@@ -56,7 +56,7 @@
         caller_response: CallerResponse,
         attempts: Attempts,
         dispatcher: Dispatcher,
-        selector: TargetSelector,
+        selector: PathSelector,
         adapter: TargetAdapter,
         affinity: StreamAffinity,
     ) -> None:
@@ -90,6 +90,7 @@
                 number,
                 self._may_leave,
                 self._last_event_id,
+                self._attempts.runs_left,
             )
             try:
                 return await self._send(attempt)
@@ -104,19 +105,41 @@
                 self._attempts.tried,
                 now,
                 self._required_software(now),
+                may_hand_over=self._may_hand_over,
             )
         except (NoTarget, ForwardedRequestQuarantined) as exc:
             raise without_target(exc, self._attempts) from exc
 
     def _may_leave(self, now: float) -> bool:
+        if self._is_begun_elsewhere:
+            return False
+        try:
+            software = self._required_software(now)
+        except NoTarget:
+            return False
         return may_leave_target(
             self._attempts,
             self._selector,
             self._request,
             now,
-            self._required_software(now),
+            software,
+            may_hand_over=self._may_hand_over,
+        )
+
+    @property
+    def _is_begun_elsewhere(self) -> bool:
+        """Whether another router has begun the stream, and resumes it."""
+        return (
+            self._caller_response.has_begun
+            and self.choice is not None
+            and self.choice.is_handover
         )
 
+    @property
+    def _may_hand_over(self) -> bool:
+        """Whether another router may serve the whole of the stream."""
+        return not self._caller_response.has_begun
+
     def _required_software(self, now: float) -> int | None:
         if self._caller_response.has_begun and self.choice is not None:
             return self.choice.target.software_id
@@ -125,7 +148,10 @@
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
         decision = self._attempts.after_failure(failure, now)
-        if decision is RetryDecision.other_target:
+        if (
+            decision is RetryDecision.other_target
+            and not self._is_begun_elsewhere
+        ):
             return
         if self._caller_response.has_begun:
             raise StreamBroken(f'The stream was cut: {failure}') from failure
@@ -173,9 +199,7 @@
             async for part in parts:
                 if not self._caller_response.has_begun:
                     self.first_part_at = trio.current_time()
-                    self._affinity.record_start(
-                        self._request, attempt.target, self.first_part_at
-                    )
+                    self._record_start(attempt)
                     await self._caller_response.begin(
                         response.status,
                         self._adapter.caller_fields(response),
@@ -185,6 +209,12 @@
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
 
+    def _record_start(self, attempt: Attempt) -> None:
+        if not attempt.choice.is_handover:
+            self._affinity.record_start(
+                self._request, attempt.target, self.first_part_at
+            )
+
     async def _new_events(
         self,
         events: AsyncGenerator[bytes, None],
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -6,7 +6,7 @@
 from peridotwell.domain.prompt import Prompt
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.domain.target import Target
-from peridotwell.errors import NoTarget
+from peridotwell.errors import NoReachableTarget, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.policy.choice import Candidate, Choice, choose_least_loaded
@@ -30,6 +30,9 @@
 RETRY_AFTER_SECONDS = 0.5
 # Callers refused during a pause return within this time after it.
 RETURN_SPREAD_SECONDS = 1.0
+# Number of unreachable targets that shows that this router has lost its paths
+# rather than that a target is down.
+SEVERAL_UNREACHABLE = 2
 
 
 class TargetSelector:
@@ -58,11 +61,15 @@
         tried: Collection[str],
         now: float,
         software: int | None = None,
+        *,
+        only_reachable: bool = False,
     ) -> Choice:
         """Return the target for a request. Raises NoTarget.
 
         `tried` has the names of the targets of earlier attempts. `software`
         is the id of the software version that the target must have, or None.
+        With `only_reachable`, raises NoReachableTarget if the targets that
+        take requests cannot be reached from here.
         """
         listed = [
             target
@@ -70,6 +77,8 @@
             if software in {None, target.software_id}
         ]
         accepting = self._accepting_targets(listed, now)
+        if only_reachable:
+            self._check_path(request, accepting, tried, now)
         targets = self._usable_targets(accepting, tried, now)
         if not targets:
             raise NoTarget(
@@ -93,20 +102,6 @@
             self._unseen_requests(request, candidates, now),
         )
 
-    def has_other(
-        self,
-        request: RoutedRequest,
-        tried: Collection[str],
-        now: float,
-        software: int | None = None,
-    ) -> bool:
-        """Return whether a target that was not tried takes a request."""
-        try:
-            self.choose(request, tried, now, software)
-        except NoTarget:
-            return False
-        return True
-
     def _unseen_requests(
         self,
         request: RoutedRequest,
@@ -222,11 +217,7 @@
     ) -> Sequence[Target]:
         usable = self._tracker.ejection.usable_targets(listed, now)
         untried = [target for target in usable if target.name not in tried]
-        responsive = [
-            target
-            for target in untried
-            if not self._tracker.silence.is_silent(target.name, now)
-        ]
+        responsive = self._responsive_targets(untried, now)
         reachable = [
             target
             for target in responsive
@@ -236,3 +227,47 @@
             target for target in listed if target.name not in tried
         ]
         return reachable or responsive or untried or untried_listed
+
+    def _responsive_targets(
+        self, targets: Sequence[Target], now: float
+    ) -> Sequence[Target]:
+        return [
+            target
+            for target in targets
+            if not self._tracker.silence.is_silent(target.name, now)
+        ]
+
+    def _check_path(
+        self,
+        request: RoutedRequest,
+        accepting: Sequence[Target],
+        tried: Collection[str],
+        now: float,
+    ) -> None:
+        """Raise NoReachableTarget if another router may serve a request.
+
+        It may if no target is reachable from here. If several are not, a
+        request that has waited for a connection to one of them waits for no
+        other.
+        """
+        reachable = self._tracker.ejection.reachable_targets(accepting, now)
+        unreachable = {target.name for target in accepting}.difference(
+            target.name for target in reachable
+        )
+        has_waited = (
+            len(unreachable) >= SEVERAL_UNREACHABLE
+            and not unreachable.isdisjoint(tried)
+            and not request.is_handed_over
+        )
+        untried = [target for target in reachable if target.name not in tried]
+        is_path_missing = bool(unreachable or untried) and not (
+            self._responsive_targets(untried, now)
+        )
+        if has_waited or is_path_missing:
+            raise NoReachableTarget(
+                f'This instance reaches {len(reachable)} of the '
+                f'{len(accepting)} targets of {request.service}, and none that '
+                'responds: send the request again later.',
+                may_try=bool(untried),
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
--- a/peridotwell/policy/choice.py
+++ b/peridotwell/policy/choice.py
@@ -18,7 +18,8 @@
     `missing_tokens` are the prompt's
     tokens that the target does not have cached; `fetched_tokens` are those
     of them that it can copy from the engine `fetch_from`; `tokens_ahead` are
-    the tokens of other prompts that the target prefills first.
+    the tokens of other prompts that the target prefills first. With
+    `is_handover`, the target is another router, which chooses a target itself.
     """
 
     target: Target
@@ -29,6 +30,7 @@
     tokens_ahead: int = 0
     fetch_from: Target | None = None
     level: float = 0
+    is_handover: bool = False
 
 
 @dataclass(frozen=True)
--- a/peridotwell/policy/outlier_ejection.py
+++ b/peridotwell/policy/outlier_ejection.py
@@ -2,9 +2,10 @@
 
 A target is ejected after consecutive failures, or when its rate of error
 responses is too high. The ejection time doubles with each ejection; after it,
-requests try the target again. At most a fixed share of the reachable targets
-of a service is ejected, and none for errors if many targets of the service
-respond with errors.
+requests try the target again. A target that cannot be reached is probed first,
+so that no request waits for a connection that cannot be made. At most a fixed
+share of the reachable targets of a service is ejected, and none for errors if
+many targets of the service respond with errors.
 """
 
 from collections.abc import Iterable, Sequence
@@ -16,6 +17,10 @@
 CONSECUTIVE_FAILURES = 2
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 8.0
+# A probe of a target that cannot be reached is only a connection.
+MAX_UNREACHABLE_SECONDS = 2.0
+# Time that a probe has to report, after which requests try the target.
+PROBE_SECONDS = 1.0
 MAX_EJECTED_SHARE = 0.5
 # Weight of the latest response in the moving average of the error rate.
 ERROR_RATE_WEIGHT = 0.2
@@ -43,7 +48,12 @@
         if self.ejected_until > now:
             return False
         duration = FIRST_EJECTION_SECONDS * 2**self.ejections
-        self.ejected_until = now + min(duration, MAX_EJECTION_SECONDS)
+        longest = (
+            MAX_UNREACHABLE_SECONDS
+            if self.is_unreachable
+            else MAX_EJECTION_SECONDS
+        )
+        self.ejected_until = now + min(duration, longest)
         self.ejections += 1
         return True
 
@@ -89,6 +99,35 @@
             return False
         return record.eject(now)
 
+    def record_reachable(self, name: str) -> bool:
+        """Record that a probe has reached a target.
+
+        Returns whether it was unreachable.
+        """
+        record = self._records.get(name)
+        if record is None or not record.is_unreachable:
+            return False
+        record.is_unreachable = False
+        return True
+
+    def to_probe(self, now: float) -> Sequence[str]:
+        """Return the unreachable targets whose ejection has ended."""
+        return tuple(
+            name
+            for name, record in self._records.items()
+            if record.is_unreachable and record.ejected_until <= now
+        )
+
+    def reachable_targets(
+        self, targets: Sequence[Target], now: float
+    ) -> Sequence[Target]:
+        """Return the targets to which a connection can be made."""
+        return [
+            target
+            for target in targets
+            if not self._is_unreachable(target.name, now)
+        ]
+
     def is_ejected(self, name: str, now: float) -> bool:
         """Return whether a target is ejected."""
         record = self._records.get(name)
@@ -104,11 +143,7 @@
         Ejected targets are included if too many targets are ejected, and
         unreachable targets only if there are no others.
         """
-        reachable = [
-            target
-            for target in targets
-            if not self._is_unreachable(target.name, now)
-        ]
+        reachable = self.reachable_targets(targets, now)
         failing = [
             each
             for each in reachable
@@ -131,7 +166,7 @@
         return (
             record is not None
             and record.is_unreachable
-            and record.ejected_until > now
+            and now < record.ejected_until + PROBE_SECONDS
         )
 
     def _is_ejected_for_errors(self, name: str, now: float) -> bool:
--- a/peridotwell/policy/silence.py
+++ b/peridotwell/policy/silence.py
@@ -4,6 +4,8 @@
 It gets requests again as soon as a byte arrives on any of its connections.
 """
 
+from collections.abc import Iterator
+
 __all__ = ('SilenceDetector',)
 
 # Time without data after which a target with requests counts as silent. It is
@@ -43,6 +45,10 @@
         if not pending.count:
             self._targets.pop(name)
 
+    def silent_targets(self, now: float) -> Iterator[str]:
+        """Yield the targets that have requests but send no data."""
+        return (name for name in self._targets if self.is_silent(name, now))
+
     def is_silent(self, name: str, now: float) -> bool:
         """Return whether a target has requests but sends no data."""
         pending = self._targets.get(name)
--- a/tests/peridotwell_platform/cut_fleet.py
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -183,6 +183,7 @@
             f'{LOCALHOST}:{find_free_port()}',
             '',
             DeploymentBounds(),
+            handover=f'{LOCALHOST}:{find_free_port()}' if takes_over else '',
         )
         router = ForwardingRouter(
             settings,
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -14,6 +14,7 @@
 MIN_SERVED_SHARE = 0.95
 # A refusal that comes at once; a connection that fails takes 0.3 s.
 AT_ONCE_SECONDS = 0.25
+SETTLE_SECONDS = 0.3
 
 
 @pytest.fixture
@@ -27,6 +28,8 @@
         while True:
             await fleet.send(number, '/read/x')
             await trio.sleep(0.05)
+    # A request that was left may still be on its way to a target.
+    await trio.sleep(SETTLE_SECONDS)
 
 
 # Guards against callers of a router without a path to any target, who were
