Tests of one router and of several share its set-up

Cause: the construction of a router with its settings and adapters, the start of the store, the configuration around the routes, the entry of a target and the call of a caller stood twice, in test_path.py and router_fleet.py of tests/peridotwell_platform. A new setting had to be added at both places. Change: they stand once, in router_setup.py of that folder. No test function is changed. A caller of several routers now gives its path as it stands, as that of one router did; ports come from the same function as before.

--- a/tests/peridotwell_platform/router_fleet.py
+++ b/tests/peridotwell_platform/router_fleet.py
@@ -9,40 +9,29 @@
 from dataclasses import dataclass, field
 
 import httpcore
-import msgspec
 import trio
-from peridotwell_platform.entries import PlatformEntryDecoder
-from peridotwell_platform.headers import (
-    PlatformCallerAdapter,
-    PlatformTargetAdapter,
-)
-from peridotwell_platform.store import PlatformStore
 
-from peridotwell.domain.bounds import DeploymentBounds
-from peridotwell.forwarding.router import ForwardingRouter
-from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform.router_setup import (
+    LOCALHOST,
+    call,
+    caller_headers,
+    configuration,
+    start_router,
+    start_store,
+    target_entry,
+)
 from tests.ports import find_free_port
 
-LOCALHOST = '127.0.0.1'
 DOWN_SECONDS = 0.2
 WORK_SECONDS = 0.02
 PART_TOKENS = 200
-CONFIG = {
-    'version': 1,
-    'routes': [
-        stand_in.route('draft', 'streaming', max_attempts=1),
-        stand_in.route('ask', 'streaming', resumable=True),
-    ],
-    'services': [{'name': 'svc', 'max_conns': 100}],
-    'limits': {
-        'max_header_bytes': 2000,
-        'max_body_bytes': 5000,
-        'idle_timeout_ms': 15000,
-    },
-    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
-}
+CONFIG = configuration(
+    100,
+    stand_in.route('draft', 'streaming', max_attempts=1),
+    stand_in.route('ask', 'streaming', resumable=True),
+)
 
 
 @dataclass
@@ -64,29 +53,18 @@
 
     async def run(self) -> None:
         """Serve; after each crash, start again as another incarnation."""
+        address = f'{LOCALHOST}:{self.port}'
         for number in itertools.count():
             key = f'servers/{self.name}-{number}'
             self._running = trio.CancelScope()
             with self._running:
                 async with trio.open_nursery() as nursery:
-                    await nursery.start(
-                        serve_http, self._handle, f'{LOCALHOST}:{self.port}'
-                    )
-                    self.store.put(key, self._entry())
+                    await nursery.start(serve_http, self._handle, address)
+                    self.store.put(key, target_entry(address))
                     await trio.sleep_forever()
             self.store.delete(key)
             await trio.sleep(DOWN_SECONDS)
 
-    def _entry(self) -> bytes:
-        return msgspec.json.encode(
-            {
-                'service': 'svc',
-                'address': f'{LOCALHOST}:{self.port}',
-                'zone': 'north',
-                'state': 'ready',
-            }
-        )
-
     async def _handle(self, exchange) -> None:
         await exchange.body()
         self.received.append(dict(exchange.headers))
@@ -120,29 +98,13 @@
     async def start_router(self) -> int:
         """Start one more router; return its number."""
         number = len(self.callers)
-        address = f'{LOCALHOST}:{find_free_port()}'
-        router = ForwardingRouter(
-            ForwardingSettings(
-                f'r-{number}',
-                'north',
-                address,
-                f'{LOCALHOST}:0',
-                f'{LOCALHOST}:{find_free_port()}',
-                '',
-                DeploymentBounds(),
-            ),
-            Adapters(
-                PlatformCallerAdapter(),
-                PlatformTargetAdapter(),
-                PlatformEntryDecoder(),
-            ),
-            PlatformStore(self.store_address),
+        started = await start_router(
+            self.nursery,
+            f'r-{number}',
+            self.store_address,
+            f'{LOCALHOST}:{find_free_port()}',
         )
-        self.nursery.start_soon(router.run)
-        with trio.fail_after(5):
-            while router.not_ready_reason():
-                await trio.sleep(0.01)
-        self.callers.append(address)
+        self.callers.append(started.address)
         return number
 
     async def send(self, router, *parts, path='/draft/x'):
@@ -158,22 +120,17 @@
         number = next(self._numbers)
         names = (*parts, f'own{number}')
         prompt = ','.join(f'{name}:{PART_TOKENS}' for name in names)
-        headers = {
-            'host': 'a.example',
-            'x-request-id': f'id-{number}',
-            'x-credential': 'key-1',
-            'x-deadline-ms': '3000',
-            'x-model': 'm',
-            'x-token-counts': f'{PART_TOKENS * len(names)},40',
-            'x-prompt-prefix': prompt,
-        }
+        headers = caller_headers(
+            number,
+            x_deadline_ms='3000',
+            x_model='m',
+            x_token_counts=f'{PART_TOKENS * len(names)},40',
+            x_prompt_prefix=prompt,
+        )
+        body = b'question %d' % number
         async with httpcore.AsyncConnectionPool() as pool:
-            return await pool.request(
-                'POST',
-                f'http://{self.callers[router]}{path}',
-                headers=headers,
-                content=b'question %d' % number,
-                extensions={'timeout': {'read': 5}},
+            return await call(
+                pool, self.callers[router], 'POST', path, headers, body
             )
 
     async def wait_until_targets_serve(self) -> None:
@@ -202,10 +159,7 @@
 
 async def start_fleet(nursery, crashing_part, routers=3, targets=4):
     """Start the routers and targets, and wait until they serve."""
-    store = stand_in.StoreStandIn()
-    store.page_size = 100
-    address = await nursery.start(serve_http, store.handle, f'{LOCALHOST}:0')
-    store.put('op/config', msgspec.json.encode(CONFIG))
+    store, address = await start_store(nursery, CONFIG)
     all_targets = [
         FaultyTarget(f'i-{number}', store, crashing_part)
         for number in range(targets)
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -7,41 +7,33 @@
 import msgspec
 import pytest
 import trio
-from peridotwell_platform.entries import PlatformEntryDecoder
-from peridotwell_platform.headers import (
-    PlatformCallerAdapter,
-    PlatformTargetAdapter,
-)
-from peridotwell_platform.store import PlatformStore
+from peridotwell_platform.headers import PlatformTargetAdapter
 
-from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.forwarding import handler
-from peridotwell.forwarding.router import ForwardingRouter
-from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.metrics import Measure, Series
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform.router_setup import (
+    LOCALHOST,
+    call,
+    caller_headers,
+    configuration,
+    start_router,
+    start_store,
+    target_entry,
+)
 
 RECEIPT = b'x-server-seal'
 
 
-CONFIG = {
-    'version': 1,
-    'routes': [
-        stand_in.route('read', 'idempotent'),
-        stand_in.route('book', 'non_idempotent', max_attempts=1),
-        stand_in.route('draft', 'streaming', max_attempts=1),
-        stand_in.route('ask', 'streaming', resumable=True),
-        stand_in.route('open', 'idempotent', anonymous=True),
-    ],
-    'services': [{'name': 'svc', 'max_conns': 10}],
-    'limits': {
-        'max_header_bytes': 2000,
-        'max_body_bytes': 5000,
-        'idle_timeout_ms': 15000,
-    },
-    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
-}
+CONFIG = configuration(
+    10,
+    stand_in.route('read', 'idempotent'),
+    stand_in.route('book', 'non_idempotent', max_attempts=1),
+    stand_in.route('draft', 'streaming', max_attempts=1),
+    stand_in.route('ask', 'streaming', resumable=True),
+    stand_in.route('open', 'idempotent', anonymous=True),
+)
 
 
 class RouterHarness:
@@ -57,28 +49,12 @@
 
     async def send_request(self, path, method='GET', body=b'', **fields):
         self._number += 1
-        headers = {
-            'host': 'a.example',
-            'x-request-id': f'id-{self._number}',
-            'x-credential': 'key-1',
-            'x-deadline-ms': '1000',
-            **{name.replace('_', '-'): text for name, text in fields.items()},
-        }
+        headers = caller_headers(
+            self._number, **{'x_deadline_ms': '1000', **fields}
+        )
         if body:
             headers['content-length'] = str(len(body))
-        url = httpcore.URL(
-            scheme=b'http',
-            host=self.address.partition(':')[0].encode(),
-            port=int(self.address.partition(':')[2]),
-            target=path.encode(),
-        )
-        return await self.pool.request(
-            method,
-            url,
-            headers=[(n, t) for n, t in headers.items() if t],
-            content=body,
-            extensions={'timeout': {'read': 5}},
-        )
+        return await call(self.pool, self.address, method, path, headers, body)
 
     def script_responses(self, *responses):
         """Handle the next requests to any target with `responses`, in order."""
@@ -107,46 +83,16 @@
 
 
 @pytest.fixture
-async def harness(nursery, free_port):
-    store = stand_in.StoreStandIn()
-    store.page_size = 100
-    address = await nursery.start(serve_http, store.handle, '127.0.0.1:0')
-    store.put('op/config', msgspec.json.encode(CONFIG))
+async def harness(nursery):
+    store, address = await start_store(nursery, CONFIG)
     targets = [stand_in.TargetStandIn(name) for name in ('i-1', 'i-2')]
     for target in targets:
         target_address = await nursery.start(
-            serve_http, target.handle, '127.0.0.1:0'
+            serve_http, target.handle, f'{LOCALHOST}:0'
         )
-        entry = {
-            'service': 'svc',
-            'address': target_address,
-            'zone': 'north',
-            'state': 'ready',
-        }
-        store.put(f'servers/{target.name}', msgspec.json.encode(entry))
-    callers = f'127.0.0.1:{free_port()}'
-    router = ForwardingRouter(
-        ForwardingSettings(
-            'r-1',
-            'north',
-            callers,
-            '127.0.0.1:0',
-            '127.0.0.1:0',
-            '',
-            DeploymentBounds(),
-        ),
-        Adapters(
-            PlatformCallerAdapter(),
-            PlatformTargetAdapter(),
-            PlatformEntryDecoder(),
-        ),
-        PlatformStore(address),
-    )
-    nursery.start_soon(router.run)
-    with trio.fail_after(5):
-        while router.not_ready_reason():
-            await trio.sleep(0.01)
-    return RouterHarness(store, targets, router, callers)
+        store.put(f'servers/{target.name}', target_entry(target_address))
+    started = await start_router(nursery, 'r-1', address)
+    return RouterHarness(store, targets, started.router, started.address)
 
 
 async def test_response_is_forwarded_unchanged(harness):
