A request returns to the silent target that it left if nobody else takes it

Change: a target is left only with two retries in hand; if the request is refused or fails elsewhere, it goes back once to the target that it left, and to no other: a stream resumes there after its last event. The wait of a plain request is at least 0.4 s, longer than a connection may take, so that a request that was never sent is not taken for one that may have run.

After: the new cases (10) pass, with all of test_silent_targets.py, test_broken_answers.py and test_cut_routers.py.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -6,6 +6,7 @@
 import trio
 
 from peridotwell.attempt_errors import AttemptError, ConnectionFailed
+from peridotwell.domain.target import Target
 from peridotwell.errors import (
     ForwardedRequestQuarantined,
     NoReachableTarget,
@@ -92,6 +93,8 @@
             try:
                 outcome = await self._run_attempt(request, attempts)
             except (NoTarget, ForwardedRequestQuarantined) as exc:
+                if attempts.may_return(trio.current_time()):
+                    continue
                 return _best_response(
                     error_response, without_target(exc, attempts)
                 )
@@ -113,7 +116,9 @@
         self._dispatcher.check(request)
         choice = self._selector.choose(request, attempts.tried, now)
         number = attempts.begin(choice.target.name)
-        may_leave = partial(may_leave_target, attempts, self._selector, request)
+        may_leave = partial(
+            may_leave_target, attempts, self._selector, request, choice.target
+        )
         try:
             return await self._send(
                 Attempt(
@@ -158,6 +163,7 @@
     attempts: Attempts,
     selector: PathSelector,
     request: RoutedRequest,
+    target: Target,
     now: float,
     software: int | None = None,
     *,
@@ -165,7 +171,7 @@
 ) -> bool:
     """Return whether a silent target may be left for another one.
 
-    Reserves the retry if so.
+    Reserves the retries if so.
     """
     if not attempts.may_retry_after_run(now):
         return False
@@ -173,7 +179,7 @@
         request, attempts.tried, now, software, may_hand_over=may_hand_over
     ):
         return False
-    attempts.reserve_retry(now)
+    attempts.leave(target.name, now)
     return True
 
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -51,7 +51,8 @@
 # on any connection to the target counts.
 TIMEOUT_OBJECTIVES = 2
 STREAM_TIMEOUT_OBJECTIVES = 3
-MIN_SILENCE_TIMEOUT_SECONDS = 0.2
+# It is longer than a connection may take: then nothing was sent.
+MIN_SILENCE_TIMEOUT_SECONDS = 0.4
 # A sound engine may send nothing for a second.
 MIN_STREAM_TIMEOUT_SECONDS = 1.5
 # Share of the remaining time after which another target is tried at the latest.
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -2,10 +2,12 @@
 
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
+from functools import partial
 
 import trio
 
 from peridotwell.attempt_errors import AttemptError, ResponseTruncated
+from peridotwell.domain.target import Target
 from peridotwell.errors import (
     ForwardedRequestQuarantined,
     NoTarget,
@@ -80,15 +82,14 @@
         it is not sent to the caller yet. Raises RequestError.
         """
         while True:
-            now = trio.current_time()
-            choice = self._choose(now)
+            choice = self._choose(trio.current_time())
             number = self._attempts.begin(choice.target.name)
             self.choice = choice
             attempt = Attempt(
                 self._request,
                 choice,
                 number,
-                self._may_leave,
+                partial(self._may_leave, choice.target),
                 self._last_event_id,
                 self._attempts.runs_left,
             )
@@ -108,9 +109,11 @@
                 may_hand_over=self._may_hand_over,
             )
         except (NoTarget, ForwardedRequestQuarantined) as exc:
+            if self._attempts.may_return(now):
+                return self._choose(now)
             raise without_target(exc, self._attempts) from exc
 
-    def _may_leave(self, now: float) -> bool:
+    def _may_leave(self, target: Target, now: float) -> bool:
         if self._is_begun_elsewhere:
             return False
         try:
@@ -121,6 +124,7 @@
             self._attempts,
             self._selector,
             self._request,
+            target,
             now,
             software,
             may_hand_over=self._may_hand_over,
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -256,7 +256,7 @@
         )
         has_waited = (
             len(unreachable) >= SEVERAL_UNREACHABLE
-            and not unreachable.isdisjoint(tried)
+            and any(name in tried for name in unreachable)
             and not request.is_handed_over
         )
         untried = [target for target in reachable if target.name not in tried]
--- a/peridotwell/policy/retry_window.py
+++ b/peridotwell/policy/retry_window.py
@@ -35,11 +35,11 @@
         self._requests.append(now)
         self._remove_old(now)
 
-    def allows_retry(self, now: float, routers: int) -> bool:
-        """Return whether one more retry keeps the limit."""
+    def allows_retry(self, now: float, routers: int, retries: int = 1) -> bool:
+        """Return whether so many more retries keep the limit."""
         self._remove_old(now)
         allowed = self._ratio * len(self._requests) + self._slack / routers
-        return len(self._retries) + 1 <= SAFETY_FACTOR * allowed
+        return len(self._retries) + retries <= SAFETY_FACTOR * allowed
 
     def record_retry(self, now: float) -> None:
         """Record a retry."""
--- a/tests/peridotwell_platform/test_silent_targets.py
+++ b/tests/peridotwell_platform/test_silent_targets.py
@@ -6,14 +6,17 @@
 
 from peridotwell.domain.bounds import DeploymentBounds
 from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform.router_setup import target_entry
 from tests.peridotwell_platform.test_path import CONFIG, harness
+from tests.ports import find_free_port
 
 __all__ = ('harness',)
 
 # The objective of the routes is 0.1 s.
 SILENT_SECONDS = 2.0
 DEADLINE_MS = '4500'
-EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 5))
+EVENT = b'id: %d\ndata: x\n\n'
+EVENTS = b''.join(EVENT % number for number in range(1, 5))
 BODY = b'first half, second half'
 
 
@@ -40,6 +43,16 @@
     return respond
 
 
+async def respond_rest(target, exchange):
+    """Respond with what the caller does not have yet."""
+    fields = stand_in.receipt_headers(target, exchange)
+    content = BODY
+    if exchange.path.startswith('/ask/'):
+        after = int(exchange.headers.get('last-event-id', '0'))
+        content = b''.join(EVENT % n for n in range(after + 1, 5))
+    await exchange.respond(200, content, fields)
+
+
 def use_routes(harness, **changes):
     """Put a configuration with long timeouts and these changes in force."""
     routes = [
@@ -107,3 +120,60 @@
         '/ask/x', 'POST', b'q', x_deadline_ms=DEADLINE_MS
     )
     assert (resp.status, resp.content) == (200, EVENTS)
+
+
+def script_in_order(harness, *steps):
+    """Handle the requests to any target with `steps`, in order."""
+    remaining = list(steps)
+
+    async def respond(target, exchange):
+        await remaining.pop(0)(target, exchange)
+
+    for target in harness.targets:
+        target.script.extend([respond] * len(steps))
+
+
+OTHER_TARGETS = {
+    'refuses': stand_in.refuse_as_not_executed,
+    'is another one': stand_in.refuse_as_misdirected,
+    'fails': stand_in.respond_with_status(500),
+}
+
+
+# Guards against requests that were lost because they left a sound, silent
+# target for one that did not take them.
+@pytest.mark.parametrize('other', OTHER_TARGETS)
+@pytest.mark.parametrize('path', ['/ask/x', '/read/x'])
+async def test_request_returns_to_the_target_that_it_left(harness, other, path):
+    use_routes(harness)
+    await trio.sleep(0.2)
+    script_in_order(
+        harness, silent_after(2), OTHER_TARGETS[other], respond_rest
+    )
+    resp = await harness.send_request(
+        path, 'POST', b'q', x_deadline_ms=DEADLINE_MS
+    )
+    assert resp.status == 200
+    assert resp.content == (EVENTS if path == '/ask/x' else BODY)
+
+
+@pytest.mark.parametrize('is_known', [False, True])
+@pytest.mark.parametrize('path', ['/ask/x', '/read/x'])
+async def test_request_is_not_lost_for_a_target_that_is_down(
+    harness, path, is_known
+):
+    use_routes(harness)
+    down = target_entry(f'127.0.0.1:{find_free_port()}')
+    harness.store.put('servers/i-2', down)
+    await trio.sleep(0.2)
+    if is_known:
+        tracker = harness.router._components.forwarding.selector._tracker
+        tracker.ejection.record_failure(
+            'i-2', trio.current_time(), is_unreachable=True
+        )
+    harness.targets[0].script.extend([silent_after(2), respond_rest])
+    resp = await harness.send_request(
+        path, 'POST', b'q', x_deadline_ms=DEADLINE_MS
+    )
+    assert resp.status == 200
+    assert resp.content == (EVENTS if path == '/ask/x' else BODY)
