--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -7,6 +7,7 @@
 import trio
 
 from peridotwell.attempt_errors import AttemptError, ResponseTruncated
+from peridotwell.domain.counts import is_count
 from peridotwell.domain.target import Target
 from peridotwell.errors import (
     ForwardedRequestQuarantined,
@@ -243,6 +244,6 @@
 
 def _is_after(event_id: str, last_event_id: str) -> bool:
     """Return whether an event is newer; True if an id is not a number."""
-    if event_id.isdigit() and last_event_id.isdigit():
+    if is_count(event_id) and is_count(last_event_id):
         return int(event_id) > int(last_event_id)
     return True
--- a/tests/peridotwell_platform/test_entries.py
+++ b/tests/peridotwell_platform/test_entries.py
@@ -151,6 +151,8 @@
         b'{"service": 1}',
         encode({**SERVER, 'state': 'resting'}),
         encode({**SERVER, 'address': 'nowhere'}),
+        encode({**SERVER, 'address': '10.0.0.1:²'}),
+        encode({**SERVER, 'address': '10.0.0.1:70000'}),
         encode({**SERVER, 'born': 'today'}),
         encode({key: SERVER[key] for key in SERVER if key != 'service'}),
         encode({key: SERVER[key] for key in SERVER if key != 'address'}),
