--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -21,6 +21,9 @@
 MAX_WAKE_DELAY_SECONDS = 0.05
 # A wait that has expired and may not end is checked again after this time.
 RECHECK_SECONDS = 0.25
+# Shortest time between two searches for expired waits, of which there may be
+# many at a silent target.
+MIN_SEARCH_SECONDS = 0.03
 
 # Returns whether a wait may end at a time, because the request may go on
 # elsewhere.
@@ -111,6 +114,7 @@
             with trio.move_on_at(self._next_deadline):
                 await self._is_earlier.wait()
             self._cancel_expired(trio.current_time())
+            await trio.sleep(MIN_SEARCH_SECONDS)
 
     def _schedule(self, deadline: float) -> None:
         if deadline < self._next_deadline:
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -18,6 +18,7 @@
     ResponseTimeout,
     ResponseTruncated,
 )
+from peridotwell.domain.counts import is_count
 
 __all__ = (
     'NO_LIMIT',
@@ -89,6 +90,11 @@
         # When the last event was complete, or the first chunk arrived.
         self._last_event_at: float | None = None
 
+    def exclude(self, seconds: float) -> None:
+        """Do not count a time in which nothing was read."""
+        if self._last_event_at is not None:
+            self._last_event_at += seconds
+
     def add(self, chunk: bytes, now: float) -> bytes:
         """Return the events that a chunk completes, with their ends.
 
@@ -140,9 +146,12 @@
     buffer = EventBuffer(limit)
     async with aclosing(chunks):
         async for chunk in chunks:
-            events = buffer.add(chunk, trio.current_time())
+            now = trio.current_time()
+            events = buffer.add(chunk, now)
             if events:
                 yield events
+                # The caller may have taken its time to read them.
+                buffer.exclude(trio.current_time() - now)
     remainder = buffer.finish()
     if remainder:
         yield remainder
@@ -192,7 +201,7 @@
             'An event of the stream belongs to another request.'
         )
     number = raw[: raw.index(b'\n')].removeprefix(ID_FIELD)
-    if not number.isdigit():
+    if not is_count(number.decode('latin-1')):
         raise ResponseTruncated('An event of the stream has no token number.')
     position = int(number)
     if position > expected_position:
--- a/tests/serving/test_event_stream.py
+++ b/tests/serving/test_event_stream.py
@@ -1,6 +1,7 @@
 """Splitting of streams into whole events, for any cut and any chunks."""
 
 import pytest
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -107,3 +108,20 @@
     for second in range(20):
         assert not buffer.add(b'y' * 32_000, now=second)
     assert buffer.add(b'\n\n', now=20)
+
+
+# Guards against streams that are cut because their caller reads slowly.
+async def test_time_in_which_the_caller_does_not_read_does_not_count(
+    autojump_clock,
+):
+    chunks = (b'data: 1\n\n', b'data: 2', b'\n\n')
+
+    async def arrive():
+        for chunk in chunks:
+            yield chunk
+
+    received = b''
+    async for part in whole_events(arrive(), EventLimit(SILENCE_SECONDS)):
+        received += part
+        await trio.sleep(3)
+    assert received == b''.join(chunks)
