--- a/tests/peridotwell_platform/cut_fleet.py
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -14,40 +14,26 @@
 import httpcore
 import msgspec
 import trio
-from peridotwell_platform.entries import PlatformEntryDecoder
-from peridotwell_platform.headers import (
-    PlatformCallerAdapter,
-    PlatformTargetAdapter,
-)
-from peridotwell_platform.store import PlatformStore
 
-from peridotwell.domain.bounds import DeploymentBounds
-from peridotwell.forwarding.router import ForwardingRouter
-from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.serving.asgi import serve_http
-from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform import router_setup, stand_in
+from tests.peridotwell_platform.router_setup import (
+    LOCALHOST,
+    configuration,
+    target_entry,
+)
 from tests.ports import find_free_port
 from tests.soak.proxy import FaultProxy
 
-LOCALHOST = '127.0.0.1'
 # Connections that fill the queue of a socket that listens and accepts none.
 QUEUE_FILLERS = 3
-CONFIG = {
-    'version': 1,
-    'routes': [
-        stand_in.route('read', 'idempotent', timeout_ms=4000),
-        stand_in.route('book', 'non_idempotent', max_attempts=1),
-        stand_in.route('draft', 'streaming', max_attempts=1),
-        stand_in.route('ask', 'streaming', resumable=True, timeout_ms=4000),
-    ],
-    'services': [{'name': 'svc', 'max_conns': 100}],
-    'limits': {
-        'max_header_bytes': 2000,
-        'max_body_bytes': 50000,
-        'idle_timeout_ms': 15000,
-    },
-    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
-}
+CONFIG = configuration(
+    100,
+    stand_in.route('read', 'idempotent', timeout_ms=4000),
+    stand_in.route('book', 'non_idempotent', max_attempts=1),
+    stand_in.route('draft', 'streaming', max_attempts=1),
+    stand_in.route('ask', 'streaming', resumable=True, timeout_ms=4000),
+)
 
 
 class Path:
@@ -146,7 +132,6 @@
 
     callers: str
     paths: dict[str, Path]
-    router: ForwardingRouter
     scope: trio.CancelScope
 
 
@@ -174,32 +159,15 @@
             serve_http, view.handle, f'{LOCALHOST}:0'
         )
         number = len(self.routers)
-        callers = f'{LOCALHOST}:{find_free_port()}'
-        settings = ForwardingSettings(
+        scope, nursery = await self.nursery.start(_open_scope)
+        router = await router_setup.start_router(
+            nursery,
             f'r-{number}',
-            'north',
-            callers,
-            f'{LOCALHOST}:0',
+            store,
             f'{LOCALHOST}:{find_free_port()}',
-            '',
-            DeploymentBounds(),
-            handover=f'{LOCALHOST}:{find_free_port()}' if takes_over else '',
-        )
-        router = ForwardingRouter(
-            settings,
-            Adapters(
-                PlatformCallerAdapter(),
-                PlatformTargetAdapter(),
-                PlatformEntryDecoder(),
-            ),
-            PlatformStore(store),
+            f'{LOCALHOST}:{find_free_port()}' if takes_over else '',
         )
-        scope = trio.CancelScope()
-        self.nursery.start_soon(_run_in_scope, router, scope)
-        with trio.fail_after(5):
-            while router.not_ready_reason():
-                await trio.sleep(0.01)
-        self.routers.append(FleetRouter(callers, paths, router, scope))
+        self.routers.append(FleetRouter(router.address, paths, scope))
 
     async def cut(self, number: int, how: str) -> None:
         """Cut a router from all targets."""
@@ -213,20 +181,12 @@
 
     async def send(self, number, path, body=b'q', **fields):
         """Send a request to a router; return the response."""
-        headers = {
-            'host': 'a.example',
-            'x-request-id': f'id-{next(self._numbers)}',
-            'x-credential': 'key-1',
-            'x-deadline-ms': '3000',
-            **fields,
-        }
+        headers = router_setup.caller_headers(
+            next(self._numbers), **{'x-deadline-ms': '3000', **fields}
+        )
         async with httpcore.AsyncConnectionPool() as pool:
-            return await pool.request(
-                'POST',
-                f'http://{self.routers[number].callers}{path}',
-                headers=headers,
-                content=body,
-                extensions={'timeout': {'read': 5}},
+            return await router_setup.call(
+                pool, self.routers[number].callers, 'POST', path, headers, body
             )
 
     def runs(self) -> list[str]:
@@ -238,9 +198,12 @@
         ]
 
 
-async def _run_in_scope(router, scope) -> None:
-    with scope:
-        await router.run()
+async def _open_scope(task_status=trio.TASK_STATUS_IGNORED) -> None:
+    """Report a scope and a nursery within it, and wait until it ends."""
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            task_status.started((scope, nursery))
+            await trio.sleep_forever()
 
 
 async def start_fleet(nursery, routers=3, targets=3) -> CutFleet:
@@ -255,13 +218,7 @@
             serve_http, target.handle, f'{LOCALHOST}:0'
         )
         addresses[target.name] = address
-        entry = {
-            'service': 'svc',
-            'address': address,
-            'zone': 'north',
-            'state': 'ready',
-        }
-        store.put(f'servers/{target.name}', msgspec.json.encode(entry))
+        store.put(f'servers/{target.name}', target_entry(address))
     fleet = CutFleet(nursery, store, all_targets, addresses)
     for _ in range(routers):
         await fleet.start_router()
--- a/tests/peridotwell_platform/router_setup.py
+++ b/tests/peridotwell_platform/router_setup.py
@@ -91,6 +91,7 @@
     name: str,
     store_address: str,
     peers: str = ANY_PORT,
+    handover: str = '',
 ) -> StartedRouter:
     """Start a router and wait until it is ready."""
     callers = f'{LOCALHOST}:{find_free_port()}'
@@ -103,6 +104,7 @@
             peers,
             '',
             DeploymentBounds(),
+            handover=handover,
         ),
         Adapters(
             PlatformCallerAdapter(),
--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -58,6 +58,18 @@
     assert found.bounds.grace_seconds == 5
 
 
+def test_the_second_port_for_routers_takes_handovers(write_settings):
+    path, ports = write_settings()
+    assert load_platform_settings(str(path)).forwarding.handover == ''
+    first = ports['peers']
+    text = path.read_text().replace(
+        f'[{first}, {first}]', f'[{first}, {first + 3}]'
+    )
+    path.write_text(text)
+    found = load_platform_settings(str(path)).forwarding
+    assert found.handover == f'127.0.0.1:{first + 1}'
+
+
 def test_link_rate_is_read_in_bytes_and_unknown_if_absent(write_settings):
     path, _ = write_settings()
     without_rate = load_platform_settings(str(path)).forwarding
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/test_target_health.py
@@ -150,3 +150,29 @@
     load = TargetLoad()
     load.record_report(LoadReport(running=7, waiting=0, received_at=0))
     assert load.estimate(5, other_requests=1) == 1
+
+
+def test_an_unreachable_target_is_probed_when_its_ejection_ends():
+    ejection = OutlierEjection()
+    ejection.record_failure('t0', 0, is_unreachable=True)
+    assert not ejection.to_probe(0.9)
+    assert ejection.to_probe(1.1) == ('t0',)
+    assert names(ejection.reachable_targets(TARGETS, 1.1)) == ['t1', 't2', 't3']
+    assert ejection.record_reachable('t0')
+    assert not ejection.record_reachable('t0')
+    assert ejection.reachable_targets(TARGETS, 1.1) == list(TARGETS)
+    assert not ejection.to_probe(9)
+
+
+# Guards against a target that nothing tries again if its probe does not report.
+def test_an_unreachable_target_is_used_if_no_probe_reports():
+    ejection = OutlierEjection()
+    ejection.record_failure('t0', 0, is_unreachable=True)
+    assert ejection.reachable_targets(TARGETS, 2.1) == list(TARGETS)
+
+
+def test_an_unreachable_target_is_probed_after_two_seconds_at_most():
+    ejection = OutlierEjection()
+    for now in (0, 10, 20, 30):
+        ejection.record_failure('t0', now, is_unreachable=True)
+        assert ejection.to_probe(now + 2.01) == ('t0',)
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -47,7 +47,7 @@
 node = "{name}"
 zone = "{data_centre}"
 ip = "{ip}"
-port_range = [{peers}, {peers}]
+port_range = [{peers}, {handovers}]
 [listen]
 front = "{ip}:{callers}"
 ready_addr = "{ip}:{ready}"
@@ -307,6 +307,7 @@
             ip=ip,
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             store=cluster.store_proxy.address,
+            handovers=ports['peers'] + 1,
             **ports,
         )
     )
