--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -237,6 +237,19 @@
             if not self._tracker.silence.is_silent(target.name, now)
         ]
 
+    def _has_waited(
+        self,
+        accepting: Sequence[Target],
+        reachable: Sequence[Target],
+        tried: Collection[str],
+    ) -> bool:
+        """Return whether a target that was tried cannot be reached."""
+        names = {target.name for target in reachable}
+        return any(
+            target.name in tried and target.name not in names
+            for target in accepting
+        )
+
     def _check_path(
         self,
         request: RoutedRequest,
@@ -251,19 +264,18 @@
         other.
         """
         reachable = self._tracker.ejection.reachable_targets(accepting, now)
-        unreachable = {target.name for target in accepting}.difference(
-            target.name for target in reachable
-        )
         has_waited = (
-            len(unreachable) >= SEVERAL_UNREACHABLE
-            and any(name in tried for name in unreachable)
+            len(accepting) - len(reachable) >= SEVERAL_UNREACHABLE
+            and self._has_waited(accepting, reachable, tried)
             and not request.is_handed_over
         )
         untried = [target for target in reachable if target.name not in tried]
-        is_path_missing = bool(unreachable or untried) and not (
-            self._responsive_targets(untried, now)
+        responds = any(
+            not self._tracker.silence.is_silent(target.name, now)
+            for target in untried
         )
-        if has_waited or is_path_missing:
+        may_be_elsewhere = len(reachable) < len(accepting) or bool(untried)
+        if has_waited or (may_be_elsewhere and not responds):
             raise NoReachableTarget(
                 f'This instance reaches {len(reachable)} of the '
                 f'{len(accepting)} targets of {request.service}, and none that '
--- a/peridotwell/policy/outlier_ejection.py
+++ b/peridotwell/policy/outlier_ejection.py
@@ -122,6 +122,8 @@
         self, targets: Sequence[Target], now: float
     ) -> Sequence[Target]:
         """Return the targets to which a connection can be made."""
+        if not self._has_unreachable():
+            return targets
         return [
             target
             for target in targets
@@ -161,6 +163,9 @@
             return reachable
         return kept or targets
 
+    def _has_unreachable(self) -> bool:
+        return any(record.is_unreachable for record in self._records.values())
+
     def _is_unreachable(self, name: str, now: float) -> bool:
         record = self._records.get(name)
         return (
