Failing test: brittle targets fall over in a burst

Cause: no module reads that a target is brittle; routers with counts of each other that are old send a target more than it has room for, and each fall leaves less room. Change: targets of the test fleet have slots, reject what is beyond them, and crash when they reject more in a second than they have named.

--- a/tests/peridotwell_platform/router_fleet.py
+++ b/tests/peridotwell_platform/router_fleet.py
@@ -1,8 +1,10 @@
-"""Several routers, with targets that crash or name limits.
+"""Several routers, with targets that crash, name limits or are brittle.
 
 A target that begins to answer a request with a certain part in its prompt
 crashes: it closes its port and all connections, and comes back as another
-incarnation. A target that names a limit does so in all its answers.
+incarnation. A target that names a limit does so in all its answers, and so
+does one that is brittle: it crashes when it has to reject more requests in a
+second than it has named.
 """
 
 import itertools
@@ -28,6 +30,7 @@
 LOCALHOST = '127.0.0.1'
 DOWN_SECONDS = 0.2
 WORK_SECONDS = 0.02
+REJECTION_WINDOW_SECONDS = 1
 PART_TOKENS = 200
 CONFIG = {
     'version': 1,
@@ -49,13 +52,25 @@
 class FaultyTarget:
     """A target that crashes when it begins to answer on `crashing_part`.
 
-    `limit` is the limit that it names, or empty.
+    `limit` is the limit that it names, or empty. With `slots`, it rejects
+    requests while so many run; 0 stands for any number. If `max_rejections`
+    is not empty, it names this number, and from `brittle_from` on it crashes
+    when it rejects more requests in a second.
     """
 
     name: str
     store: stand_in.StoreStandIn
     crashing_part: str
     limit: str = ''
+    slots: int = 0
+    work_seconds: float = WORK_SECONDS
+    down_seconds: float = DOWN_SECONDS
+    max_rejections: str = ''
+    brittle_from: float = 0
+    running: int = 0
+    rejections: list[float] = field(default_factory=list)
+    falls: list[float] = field(default_factory=list)
+    starts: list[float] = field(default_factory=list)
     port: int = field(default_factory=find_free_port)
     crashes: int = 0
     received: list[dict[str, str]] = field(default_factory=list)
@@ -73,9 +88,15 @@
                         serve_http, self._handle, f'{LOCALHOST}:{self.port}'
                     )
                     self.store.put(key, self._entry())
+                    self.starts.append(trio.current_time())
                     await trio.sleep_forever()
             self.store.delete(key)
-            await trio.sleep(DOWN_SECONDS)
+            await trio.sleep(self.down_seconds)
+
+    def fall_over(self) -> None:
+        """Crash now."""
+        self.falls.append(trio.current_time())
+        self._running.cancel()
 
     def _entry(self) -> bytes:
         return msgspec.json.encode(
@@ -91,17 +112,58 @@
         await exchange.body()
         self.received.append(dict(exchange.headers))
         self.arrivals.append(trio.current_time())
-        await trio.sleep(WORK_SECONDS)
-        fields = stand_in.receipt_headers(self, exchange)
+        if self.slots and self.running >= self.slots:
+            await self._reject(exchange)
+            return
+        self.running += 1
+        try:
+            await self._respond(exchange)
+        finally:
+            self.running -= 1
+
+    async def _reject(self, exchange) -> None:
+        now = trio.current_time()
+        self.rejections.append(now)
+        fields = (
+            ('x-request-id', exchange.headers['x-request-id']),
+            ('x-not-executed', '1'),
+            *self._notice_fields(),
+        )
+        await exchange.respond(503, b'', fields)
+        recent = [
+            at
+            for at in self.rejections
+            if at > now - REJECTION_WINDOW_SECONDS and at >= self.starts[-1]
+        ]
+        if (
+            self.max_rejections
+            and now >= self.brittle_from
+            and len(recent) > float(self.max_rejections)
+        ):
+            self.fall_over()
+
+    def _notice_fields(self):
+        fields = [('x-replica-load', f'{self.running},0,{self.slots or 6}')]
         if self.limit:
-            fields = (*fields, ('server-limit', self.limit))
+            fields.append(('server-limit', self.limit))
+        if self.max_rejections:
+            fields.append(('server-brittle', self.max_rejections))
+        return tuple(fields)
+
+    async def _respond(self, exchange) -> None:
+        await trio.sleep(self.work_seconds)
+        fields = (
+            ('x-request-id', exchange.headers['x-request-id']),
+            ('x-server-seal', f'seal.{self.name}'),
+            *self._notice_fields(),
+        )
         await exchange.start_response(200, fields)
         if self.crashing_part in exchange.headers['x-prompt-prefix']:
             self.crashes += 1
             self._running.cancel()
             await trio.sleep_forever()
         await exchange.write(b'id: 1\ndata: x\n\n')
-        await trio.sleep(WORK_SECONDS)
+        await trio.sleep(self.work_seconds)
         await exchange.finish()
 
 
