Brittle targets are sent no more than they have room for

Cause: no module read that a target falls over when it rejects many requests; counts of other routers are up to a second old, so no router knows alone whether there is room. Change: policy/brittle_targets.py. While a target of a service is brittle, the slots of each target are divided among all known routers by rank (rendezvous hashing), without a message. A router beyond its own slots borrows while a target seems less than three quarters full; all routers together borrow at most half as many slots as the target bears rejections. After a rejection, which all routers are told, the room starts from the number of requests that the target had then and grows by half of that number a second; the router that was rejected holds back. New incarnations, and targets whose connections broke, are filled from one request on. Waiting requests count as load, and their target gets nothing for 0.3 s. What has no room is refused at once (503, not run), to return spread over the time that the rate of sent requests gives. Told as soft state; one more field of updates, which older versions skip (test). Ends with answers that do not name a number.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.policy.brittle_targets import BrittleTargets
 from peridotwell.policy.crash_blame import CrashBlame
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
@@ -31,3 +32,4 @@
     target_notices: TargetNotices = field(default_factory=TargetNotices)
     crash_blame: CrashBlame = field(default_factory=CrashBlame)
     target_limits: TargetLimits = field(default_factory=TargetLimits)
+    brittle_targets: BrittleTargets = field(default_factory=BrittleTargets)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -87,6 +87,9 @@
             peers, state.crash_blame, self.wake
         )
         self.limit_sync = SoftStateSync(peers, state.target_limits, self.wake)
+        self.brittle_sync = SoftStateSync(
+            peers, state.brittle_targets.notices, self.wake
+        )
         self.departure_sync = SoftStateSync(
             peers, state.target_notices, self.wake
         )
@@ -146,10 +149,7 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
-        if not self.state.target_limits.is_empty:
-            self.state.target_limits.set_routers(
-                [peer.wire_id for peer in self.peers.known_peers()]
-            )
+        self._set_sharing_routers()
         if now - self._sent_at >= self._update_interval(now):
             self._send_update(now)
         if self.relay_protocol.is_enabled():
@@ -159,6 +159,16 @@
         self.cache_sync.tick(now)
         self.delay_monitor.tick(now)
 
+    def _set_sharing_routers(self) -> None:
+        """Set the routers among which what targets bear is divided."""
+        limits = self.state.target_limits
+        brittle = self.state.brittle_targets
+        if limits.is_empty and brittle.notices.is_empty:
+            return
+        routers = [peer.wire_id for peer in self.peers.known_peers()]
+        limits.set_routers(routers)
+        brittle.set_routers(routers)
+
     def _update_interval(self, now: float) -> float:
         """Return the minimum time between the last update and the next."""
         if (
@@ -182,6 +192,7 @@
         return (
             self.crash_blame_sync.has_changes()
             or self.limit_sync.has_changes()
+            or self.brittle_sync.has_changes()
             or self.departure_sync.has_changes()
         )
 
@@ -237,6 +248,7 @@
             self.departure_sync.take(now, repeat=is_full),
             self.crash_blame_sync.take(now, repeat=is_full),
             self.limit_sync.take(now, repeat=is_full),
+            self.brittle_sync.take(now, repeat=is_full),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
@@ -301,6 +313,7 @@
         self._apply_departures(update.departed, now)
         self.crash_blame_sync.apply(update.part_records, now)
         self.limit_sync.apply(update.target_limits, now)
+        self.brittle_sync.apply(update.brittle_targets, now)
         for stream, version in update.stream_versions:
             self.state.stream_versions.record(stream, version, now)
 
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -12,6 +12,7 @@
 
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
+from peridotwell.policy.brittle_notices import BrittleRecord
 from peridotwell.policy.crash_blame import PartRecord
 from peridotwell.policy.quarantine import CrashRecord
 from peridotwell.policy.target_limits import LimitRecord
@@ -188,7 +189,8 @@
     are pairs of a stream that has begun and the software version of its target.
     `departed` are targets, with their incarnation, that have said in an answer
     that they leave. `part_records` concern parts of prompts that crash targets,
-    `target_limits` the limits that targets name.
+    `target_limits` the limits that targets name, `brittle_targets` those that
+    fall over when they have to reject many requests.
     """
 
     revision: int
@@ -205,6 +207,7 @@
     departed: tuple[Departure, ...] = ()
     part_records: tuple[PartRecord, ...] = ()
     target_limits: tuple[LimitRecord, ...] = ()
+    brittle_targets: tuple[BrittleRecord, ...] = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -23,6 +23,7 @@
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.metrics import Metrics
+from peridotwell.policy.brittle_targets import BrittleTargets
 from peridotwell.policy.outlier_ejection import OutlierEjection
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
@@ -71,6 +72,7 @@
         Quarantine(),
         target_notices=TargetNotices(settings.name),
         target_limits=TargetLimits(peers.own.sender),
+        brittle_targets=BrittleTargets(peers.own.sender),
     )
     update_exchange = UpdateExchange(peers, transport, state, metrics)
     notice_recorder = NoticeRecorder(update_exchange, metrics)
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -95,6 +95,7 @@
         for soft_state in (
             state.crash_blame,
             state.target_limits,
+            state.brittle_targets,
             state.target_notices,
         ):
             soft_state.expire(now)
--- /dev/null
+++ b/peridotwell/forwarding/brittle_room.py
@@ -0,0 +1,71 @@
+"""Room for requests on brittle targets, from the counts of this router."""
+
+from collections.abc import Callable
+
+from peridotwell.domain.target import Target
+from peridotwell.policy.brittle_targets import BrittleTargets, RequestCounts
+from peridotwell.policy.own_counts import OwnCounts
+from peridotwell.policy.return_spread import MIN_SPREAD_SECONDS, ReturnSpread
+
+__all__ = ('BrittleRoom',)
+
+
+class BrittleRoom:
+    """Tells which brittle targets have room, and when refused callers return.
+
+    `load` returns the estimated number of requests of all routers on a target.
+    """
+
+    def __init__(
+        self,
+        targets: BrittleTargets,
+        own_requests: OwnCounts,
+        load: Callable[[Target, float], float],
+    ) -> None:
+        self._targets = targets
+        self._own_requests = own_requests
+        self._load = load
+        self._return_spread = ReturnSpread()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has been brittle lately."""
+        return self._targets.notices.is_empty
+
+    def accepts(self, target: Target, now: float) -> bool:
+        """Return whether a target may get one more request."""
+        return self.is_empty or self._targets.accepts(
+            target, self._counts(target, now), now
+        )
+
+    def wait_seconds(self, target: Target, now: float) -> float:
+        """Return after which time a target may get a request."""
+        if self.is_empty:
+            return 0
+        counts = self._counts(target, now)
+        return self._targets.wait_seconds(target, counts, now)
+
+    def return_spread_seconds(self, service: str, now: float) -> float:
+        """Return over which time refused callers of a service return.
+
+        Called once for each caller that is refused.
+        """
+        if self.is_empty:
+            return MIN_SPREAD_SECONDS
+        return self._return_spread.record_refused(service, now)
+
+    def record_send(self, target: Target, now: float) -> None:
+        """Record that a request is about to be sent."""
+        if self.is_empty:
+            return
+        self._targets.record_send(target, self._counts(target, now), now)
+        self._return_spread.record_sent(target.pool.name, now)
+
+    def record_connection_lost(self, target: Target, now: float) -> None:
+        """Record that a connection broke or cannot be made."""
+        self._targets.record_connection_lost(target, now)
+
+    def _counts(self, target: Target, now: float) -> RequestCounts:
+        return RequestCounts(
+            self._own_requests.count(target.wire_id), self._load(target, now)
+        )
--- a/peridotwell/forwarding/notice_recorder.py
+++ b/peridotwell/forwarding/notice_recorder.py
@@ -6,6 +6,7 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
+from peridotwell.policy.brittle_notices import Brittleness
 from peridotwell.policy.target_notices import NO_NOTICE, Departure, TargetNotice
 
 __all__ = ('NoticeRecorder',)
@@ -14,8 +15,8 @@
 class NoticeRecorder:
     """Keeps notices of targets; tells other routers what concerns them.
 
-    That is which targets leave, and which name limits. A pause concerns this
-    router alone, and the others are not told.
+    That is which targets leave, which name limits and which are brittle. A
+    pause concerns this router alone, and the others are not told.
     """
 
     def __init__(
@@ -24,11 +25,13 @@
         self._update_exchange = update_exchange
         self._notices = update_exchange.state.target_notices
         self._limits = update_exchange.state.target_limits
+        self._brittle = update_exchange.state.brittle_targets
         self._metrics = metrics
 
     def record(self, target: Target, notice: TargetNotice) -> None:
         """Record a notice that has arrived now."""
         self._record_limit(target, notice.limit_per_second)
+        self._record_brittleness(target, notice.brittleness)
         if notice is NO_NOTICE:
             return
         incarnation = target.incarnation_id
@@ -48,6 +51,30 @@
                 seconds=notice.pause_seconds,
             )
 
+    def _record_brittleness(
+        self, target: Target, brittleness: Brittleness | None
+    ) -> None:
+        notices = self._brittle.notices
+        if brittleness is None and notices.is_empty:
+            return
+        previous = notices.max_rejections(target)
+        changed = self._brittle.record_answer(
+            target, brittleness, trio.current_time()
+        )
+        if brittleness is not None and brittleness.is_rejection:
+            self._metrics.count('target.brittle.rejection')
+        if changed is None:
+            return
+        self._update_exchange.brittle_sync.share((changed,))
+        if previous == changed.max_rejections_per_second:
+            return
+        self._metrics.count('target.brittle')
+        log_event(
+            'target.brittle',
+            target=target.name,
+            max_rejections_per_second=changed.max_rejections_per_second,
+        )
+
     def _record_limit(self, target: Target, per_second: float | None) -> None:
         if per_second is None and self._limits.is_empty:
             return
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -28,8 +28,6 @@
 # A router uses a newly registered target, or one whose ejection has ended,
 # after about this time.
 RETRY_AFTER_SECONDS = 0.5
-# Callers refused during a pause return within this time after it.
-RETURN_SPREAD_SECONDS = 1.0
 
 
 class TargetSelector:
@@ -172,11 +170,14 @@
         self, listed: Sequence[Target], now: float
     ) -> Sequence[Target]:
         """Return the targets that take work, by what their answers say."""
-        if self._tracker.notices.is_empty and self._tracker.limits.is_empty:
+        tracker = self._tracker
+        if (
+            tracker.notices.is_empty
+            and tracker.limits.is_empty
+            and tracker.brittle.is_empty
+        ):
             return listed
-        return [
-            target for target in listed if self._tracker.accepts(target, now)
-        ]
+        return [target for target in listed if tracker.accepts(target, now)]
 
     def _retry_after_seconds(
         self,
@@ -187,7 +188,7 @@
     ) -> float:
         """Return when a target may take the request again.
 
-        Callers that are refused because of pauses or limits get different
+        Callers that are refused because of what targets say get different
         times, so that they do not return together.
         """
         waits = [
@@ -197,8 +198,10 @@
         ]
         if accepting or not waits:
             return RETRY_AFTER_SECONDS
-        spread = RETURN_SPREAD_SECONDS * unit_hash(request.request_id)
-        return min(waits) + spread
+        spread = self._tracker.brittle.return_spread_seconds(
+            request.service, now
+        )
+        return min(waits) + spread * unit_hash(request.request_id)
 
     def _usable_targets(
         self,
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -6,6 +6,7 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import ReportedLoad, RoutedRequest
+from peridotwell.forwarding.brittle_room import BrittleRoom
 from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.logs import log_event
 from peridotwell.policy.choice import Choice
@@ -43,6 +44,9 @@
         self._state = state
         self.notices = state.target_notices
         self.limits = state.target_limits
+        self.brittle = BrittleRoom(
+            state.brittle_targets, update_exchange.own_requests, self.load
+        )
         self._loads: dict[str, TargetLoad] = {}
         self._incarnations: dict[str, str] = {}
         self._speeds: dict[str, PrefillSpeed] = {}
@@ -54,8 +58,9 @@
     ) -> None:
         """Record that a request is sent, with its prompt if it has one."""
         target = choice.target
-        self._load(target).record_start()
         self.limits.record_send(target, now)
+        self.brittle.record_send(target, now)
+        self._load(target).record_start()
         self.silence.record_request(target.name, now)
         self._update_exchange.own_requests.add(target.wire_id, 1)
         if request.prompt is None:
@@ -167,9 +172,11 @@
     def accepts(self, target: Target, now: float) -> bool:
         """Return whether a target takes work, by what it says itself."""
         own_requests = self._load(target).own_requests
-        return self.notices.accepts(
-            target, own_requests, now
-        ) and self.limits.accepts(target, now)
+        return (
+            self.notices.accepts(target, own_requests, now)
+            and self.limits.accepts(target, now)
+            and self.brittle.accepts(target, now)
+        )
 
     def wait_seconds(self, target: Target, now: float) -> float | None:
         """Return when a target may take work, by what it says itself.
@@ -180,7 +187,8 @@
         pause = self.notices.next_return_seconds((target,), now)
         if limit_wait is None or pause is None:
             return None
-        return max(limit_wait, pause)
+        room_wait = self.brittle.wait_seconds(target, now)
+        return max(limit_wait, pause, room_wait)
 
     def prefill_speed(self, service: str) -> PrefillSpeed:
         """Return the prefill speed of the engines of a service."""
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/target_notices.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from peridotwell.domain.target import Target
+from peridotwell.policy.brittle_notices import Brittleness
 from peridotwell.policy.rendezvous import unit_hash
 from peridotwell.policy.soft_state import SoftState
 
@@ -44,12 +45,13 @@
     """What one answer of a target says of the target itself.
 
     `limit_per_second` is the limit that it names for the requests of all
-    routers together, or None.
+    routers together, or None. `brittleness` is set if the target is brittle.
     """
 
     is_leaving: bool = False
     pause_seconds: float = 0
     limit_per_second: float | None = None
+    brittleness: Brittleness | None = None
 
 
 NO_NOTICE = TargetNotice()
--- a/tests/fleet/relays/test_soft_state_sync.py
+++ b/tests/fleet/relays/test_soft_state_sync.py
@@ -1,8 +1,25 @@
 """Tests that all routers learn what they should: crashes, limits of targets."""
 
+import msgspec
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
+from peridotwell.fleet.transport.frames import (
+    CachedPrompt,
+    Frame,
+    Pairs,
+    RouterUpdate,
+    decode_frame,
+    encode_frame,
+)
+from peridotwell.policy.brittle_notices import (
+    Brittleness,
+    BrittleRecord,
+    Terms,
+)
+from peridotwell.policy.crash_blame import PartRecord
+from peridotwell.policy.quarantine import CrashRecord
+from peridotwell.policy.target_limits import LimitRecord
 from peridotwell.policy.target_notices import Departure
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
@@ -121,6 +138,53 @@
     assert started.knowledge.target_limits.limit(engine, 5) == 3
 
 
+def test_brittle_target_is_known_to_all_routers_also_new_ones(fleet):
+    engine = Target('t', 'h:1', TargetKind.engine, Pool('a', 'm'))
+    answer = Brittleness(5, True, 3, 0, 8)
+    record = fleet[0].knowledge.brittle_targets.record_answer(engine, answer, 1)
+    fleet[0].sharing.brittle_sync.share((record,))
+    run_ticks(fleet, 1, 1.15)
+    notices = [each.knowledge.brittle_targets.notices for each in fleet]
+    assert {each.max_rejections(engine) for each in notices} == {5}
+    assert {each.rejection(engine)[0] for each in notices} == {3}
+    started = Router('started', fleet[0].transport.routers)
+    meet([*fleet, started], 2)
+    run_ticks([*fleet, started], 3, 2 + CONTACT_SECONDS)
+    told = started.knowledge.brittle_targets.notices.terms(engine, 5)
+    assert told == Terms(5, slots=8)
+
+
+class OlderUpdate(Frame, frozen=True, array_like=True, tag=11):
+    """An update as the version before brittle targets knows it."""
+
+    revision: int
+    sequence: int
+    is_leaving: bool = False
+    is_full: bool = False
+    outstanding_requests: Pairs = ()
+    prefill_tokens: Pairs = ()
+    prompts: tuple[CachedPrompt, ...] = ()
+    crash_records: tuple[CrashRecord, ...] = ()
+    store_contact_deciseconds: int = 0
+    store_answer_age_deciseconds: int = 0
+    stream_versions: Pairs = ()
+    departed: tuple[Departure, ...] = ()
+    part_records: tuple[PartRecord, ...] = ()
+    target_limits: tuple[LimitRecord, ...] = ()
+
+
+def test_older_versions_and_this_one_decode_the_updates_of_each_other():
+    brittle = BrittleRecord(7, 8, 9, 5.0, slots=8)
+    update = RouterUpdate(1, 2, 3, departed=(Departure(7, 8),))
+    content = encode_frame(
+        msgspec.structs.replace(update, brittle_targets=(brittle,))
+    )
+    assert decode_frame(content).brittle_targets == (brittle,)
+    older = msgspec.msgpack.decode(content, type=OlderUpdate)
+    assert older.departed == (Departure(7, 8),)
+    assert decode_frame(msgspec.msgpack.encode(older)) == update
+
+
 # Guards against new work for a target that leaves from a router that missed it.
 def test_router_that_was_cut_off_learns_of_departures(fleet):
     departure = Departure(7, 8)
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -11,6 +11,7 @@
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import BadRequest, EntryError
 from peridotwell.forwarding.adapters import RoutedRequest, TargetRequest
+from peridotwell.policy.brittle_notices import Brittleness
 from peridotwell.policy.prompt_cache_index import part_id
 from peridotwell.policy.target_notices import NO_NOTICE
 from peridotwell.serving.asgi import HttpExchange
@@ -218,6 +219,20 @@
     assert adapter.notice(make_response()) is NO_NOTICE
 
 
+def test_notice_of_a_brittle_target():
+    adapter = PlatformTargetAdapter()
+    fields = {'server_brittle': '5', 'x_replica_load': '6,1,8'}
+    answer = adapter.notice(make_response(**fields)).brittleness
+    assert answer == Brittleness(5, False, 6, 1, 8)
+    full = make_response(503, x_not_executed='1', **fields)
+    assert adapter.notice(full).brittleness == Brittleness(5, True, 6, 1, 8)
+    failed = make_response(503, **fields)
+    assert not adapter.notice(failed).brittleness.is_rejection
+    untold = make_response(503, x_not_executed='1', server_brittle='2')
+    assert adapter.notice(untold).brittleness == Brittleness(2, True)
+    assert adapter.notice(make_response(server_brittle='x')) is NO_NOTICE
+
+
 def test_answer_of_another_target_at_the_address_says_nothing():
     response = make_response(421, server_leaving='1', retry_after='1')
     assert PlatformTargetAdapter().notice(response) is None
--- /dev/null
+++ b/tests/policy/test_return_spread.py
@@ -0,0 +1,33 @@
+"""The time over which refused callers return."""
+
+from peridotwell.policy.return_spread import (
+    MAX_SPREAD_SECONDS,
+    MIN_SPREAD_SECONDS,
+    ReturnSpread,
+)
+
+
+def spread_after(sent, refused, now=0):
+    spread = ReturnSpread()
+    for _ in range(sent):
+        spread.record_sent('svc', now)
+    for _ in range(refused):
+        seconds = spread.record_refused('svc', now)
+    return seconds
+
+
+def test_callers_return_as_fast_as_requests_are_sent():
+    assert spread_after(sent=20, refused=15) == 1.5
+    assert spread_after(sent=20, refused=1) == MIN_SPREAD_SECONDS
+    assert spread_after(sent=2, refused=90) == MAX_SPREAD_SECONDS
+    assert spread_after(sent=0, refused=1) == 2
+
+
+def test_earlier_requests_count_less():
+    spread = ReturnSpread()
+    for _ in range(90):
+        spread.record_refused('svc', 0)
+    for _ in range(10):
+        spread.record_sent('svc', 20)
+    assert spread.record_refused('svc', 20) == MIN_SPREAD_SECONDS
+    assert spread.record_refused('other', 20) == 2
