--- a/peridotwell/forwarding/brittle_room.py
+++ b/peridotwell/forwarding/brittle_room.py
@@ -61,9 +61,9 @@
         self._targets.record_send(target, self._counts(target, now), now)
         self._return_spread.record_sent(target.pool.name, now)
 
-    def record_connection_lost(self, target: Target, now: float) -> None:
-        """Record that a connection broke or cannot be made."""
-        self._targets.record_connection_lost(target, now)
+    def record_unreachable(self, target: Target, now: float) -> None:
+        """Record that no connection to a target can be made."""
+        self._targets.record_unreachable(target, now)
 
     def _counts(self, target: Target, now: float) -> RequestCounts:
         return RequestCounts(
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -226,7 +226,8 @@
         exc: AttemptError,
         now: float,
     ) -> None:
-        self._tracker.brittle.record_connection_lost(target, now)
+        if isinstance(exc, ConnectionFailed):
+            self._tracker.brittle.record_unreachable(target, now)
         data_centre = target.pool.data_centre
         if self._tracker.data_centres.record_connection_failure(
             data_centre,
--- a/peridotwell/policy/brittle_notices.py
+++ b/peridotwell/policy/brittle_notices.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
-from functools import lru_cache
+from functools import cached_property, lru_cache
 
 import msgspec
 
@@ -104,6 +104,13 @@
     full_requests: int = NO_REJECTION
     rejected_at: float = 0
 
+    @cached_property
+    def terms(self) -> Terms | None:
+        """What the target has named, None if it is not brittle any more."""
+        if self.max_rejections_per_second is None:
+            return None
+        return Terms(self.max_rejections_per_second, self.slots)
+
     def is_expired(self, now: float) -> bool:
         return now - self.said_at >= TTL_SECONDS
 
@@ -206,15 +213,9 @@
     def terms(self, target: Target, now: float) -> Terms | None:
         """Return what holds for a target, or None if it is not brittle."""
         notice = self._known(target)
-        service_terms = self.service_terms(service_id(target.pool.name), now)
         if notice is None or notice.is_expired(now):
-            return service_terms
-        if notice.max_rejections_per_second is None:
-            return None
-        slots = notice.slots
-        if not slots and service_terms is not None:
-            slots = service_terms.slots
-        return Terms(notice.max_rejections_per_second, slots)
+            return self.service_terms(service_id(target.pool.name), now)
+        return notice.terms
 
     def service_terms(self, service: int, now: float) -> Terms | None:
         """Return the strictest terms of a service's targets, or None."""
--- a/peridotwell/policy/brittle_targets.py
+++ b/peridotwell/policy/brittle_targets.py
@@ -11,8 +11,8 @@
 rejections that the target bears: a borrowed slot of which its owner does not
 know may lead to one rejection. Later the owner sees it in the counts.
 
-A target that has started again, or whose connections broke, is filled step by
-step (slow start), and so is one that has rejected a request, from the number of
+A target that has started again, or could not be reached, is filled step by step
+(slow start), and so is one that has rejected a request, from the number of
 requests that it had then. A router that was rejected holds back for a time in
 which all routers together can be rejected no more often than the target bears.
 """
@@ -39,6 +39,8 @@
 # The room of a target grows by this part of the rejections that it bears.
 GROWTH_SHARE = 0.5
 MIN_GROWTH_PER_SECOND = 1.0
+# A target that has started again may have all its slots in use after this time.
+FILL_SECONDS = 5.0
 MIN_HOLD_SECONDS = 1.0
 MAX_HOLD_SECONDS = 5.0
 # A target whose last answer told of waiting requests gets none for this time.
@@ -160,8 +162,8 @@
                 self._record_rejection(target, now)
         return changed
 
-    def record_connection_lost(self, target: Target, now: float) -> None:
-        """Record that a connection to a target broke or cannot be made."""
+    def record_unreachable(self, target: Target, now: float) -> None:
+        """Record that no connection to a target can be made."""
         if self._terms(target, now) is not None:
             self._state(target, now).ramp = RoomRamp(1, now)
 
@@ -214,7 +216,8 @@
         per_second = _growth_per_second(terms)
         room = _slots(terms)
         if state.ramp is not None:
-            room = min(room, state.ramp.room(per_second, now))
+            filling = max(per_second, room / FILL_SECONDS)
+            room = min(room, state.ramp.room(filling, now))
         rejection = self.notices.rejection(target)
         if rejection is not None:
             ramp = RoomRamp(*rejection)
