Soak: brittle targets, and a check of what they reject

Cause: the soak had no target that falls over when it rejects many requests. Change: one target after the other says it is brittle; from 3 s later it runs two requests at once and rejects the others. More than 3 rejections in a second are a violation; those of routers that were disturbed in the last 3 s are excused.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -66,6 +66,7 @@
         )
         began = trio.current_time()
         self._cluster.notices.record_sent(request_id, router, began)
+        self._cluster.brittle.record_sent(request_id, router)
         status, body, error = 0, b'', ''
         try:
             with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -22,6 +22,7 @@
     route,
 )
 from tests.ports import find_free_port
+from tests.soak.brittle import BrittleChecker
 from tests.soak.guarantees import GuaranteeChecker
 from tests.soak.notices import NoticeChecker
 from tests.soak.proxy import FaultProxy, start_proxy
@@ -37,6 +38,7 @@
 ROOT = Path(__file__).parent.parent.parent
 DEADLINE_SECONDS = 1.5
 EXECUTION_SECONDS = 0.03
+BRITTLE_SLOTS = 2
 # Last part of the first router's IP address; each router has its own address.
 FIRST_HOST_NUMBER = 10
 EVENTS_PER_STREAM = 4
@@ -115,19 +117,24 @@
     """A simulated target whose responses contain the ID of their request.
 
     `left_at` is the time at which it began to drain, `starts` the number of
-    its starts. Its answers may say that it leaves, ask for a pause, or name a
-    limit.
+    its starts. Its answers may say that it leaves, ask for a pause, name a
+    limit or say that it is brittle. From `brittle_from` on, a brittle target
+    runs so few requests at once that it has to reject some.
     """
 
     name: str
     data_centre: str
     checker: GuaranteeChecker
     notices: NoticeChecker
+    brittle: BrittleChecker
     proxy: FaultProxy | None = None
     is_failing: bool = False
     says_leaving: bool = False
     pause_seconds: float = 0
     limit: str = ''
+    max_rejections: str = ''
+    brittle_from: float = 0
+    running: int = 0
     left_at: float = float('inf')
     starts: int = 1
 
@@ -140,6 +147,38 @@
         if self.pause_seconds:
             await self._shed(exchange, request_id, now)
             return
+        if self._is_full(now):
+            await self._reject(exchange, request_id, now)
+            return
+        self.running += 1
+        try:
+            await self._run(exchange, request_id, now)
+        finally:
+            self.running -= 1
+
+    def _is_full(self, now: float) -> bool:
+        is_brittle = self.max_rejections and now >= self.brittle_from
+        return bool(is_brittle) and self.running >= BRITTLE_SLOTS
+
+    async def _reject(self, exchange, request_id: str, now: float) -> None:
+        if self.proxy.is_clear:
+            self.brittle.record_rejection(
+                request_id, self.name, float(self.max_rejections), now
+            )
+        fields = (
+            ('x-request-id', request_id),
+            ('x-not-executed', '1'),
+            *self._brittle_fields(),
+        )
+        await exchange.respond(503, b'', fields)
+
+    def _brittle_fields(self) -> tuple[tuple[str, str], ...]:
+        return (
+            ('server-brittle', self.max_rejections),
+            ('x-replica-load', f'{self.running},0,{BRITTLE_SLOTS}'),
+        )
+
+    async def _run(self, exchange, request_id: str, now: float) -> None:
         has_left = now - self.left_at > DRAIN_GRACE_SECONDS
         self.checker.record_run(request_id, self.name, has_left=has_left)
         if '/draft/' in exchange.path or '/ask/' in exchange.path:
@@ -175,6 +214,11 @@
             fields = (*fields, ('server-leaving', '1'))
         if self.limit:
             fields = (*fields, ('server-limit', self.limit))
+        if self.max_rejections:
+            fields = (
+                *(each for each in fields if each[0] != 'x-replica-load'),
+                *self._brittle_fields(),
+            )
         return fields
 
     async def _stream(self, exchange, request_id: str) -> None:
@@ -195,6 +239,7 @@
     store_proxy: FaultProxy
     checker: GuaranteeChecker
     notices: NoticeChecker
+    brittle: BrittleChecker
     routers: list[Router] = field(default_factory=list)
     targets: list[SoakTarget] = field(default_factory=list)
     version: int = 0
@@ -277,13 +322,21 @@
     address = await nursery.start(serve_http, store.handle, '127.0.0.1:0')
     checker = GuaranteeChecker(DEADLINE_SECONDS)
     notices = NoticeChecker(checker.violations)
+    brittle = BrittleChecker(checker.violations)
     cluster = SoakCluster(
-        folder, store, await start_proxy(nursery, address), checker, notices
+        folder,
+        store,
+        await start_proxy(nursery, address),
+        checker,
+        notices,
+        brittle,
     )
     cluster.configure()
     for number in range(targets):
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-        target = SoakTarget(f't{number}', data_centre, checker, notices)
+        target = SoakTarget(
+            f't{number}', data_centre, checker, notices, brittle
+        )
         address = await nursery.start(serve_http, target.handle, '127.0.0.1:0')
         target.proxy = await start_proxy(nursery, address)
         cluster.targets.append(target)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from tests.soak.brittle import CONTACT_SECONDS
 from tests.soak.cluster import Router, SoakCluster, SoakTarget
 
 __all__ = ('FaultInjector',)
@@ -18,6 +19,8 @@
 # A router must stop within this time after SIGTERM.
 STOP_TIMEOUT_SECONDS = 5.5
 MAX_REPEATS = 3
+# Rejections in a second that a brittle target bears.
+MAX_REJECTIONS = 3
 # Targets that always stay ready.
 MIN_TARGETS = 2
 
@@ -29,6 +32,7 @@
         self.injected: list[str] = []
         self._cluster = cluster
         self._random = random.Random(f'faults {seed}')
+        self._brittle_random = random.Random(f'brittle {seed}')
         self._faults: tuple[Fault, ...] = (
             self._kill_router,
             self._stop_router,
@@ -56,6 +60,7 @@
         Each is repeated up to MAX_REPEATS times; faults overlap.
         """
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_brittle_times)
             while True:
                 fault = self._random.choice(self._faults)
                 name = fault.__name__.strip('_')
@@ -201,6 +206,18 @@
         await self._wait_for_duration()
         target.limit = ''
 
+    async def _run_brittle_times(self) -> None:
+        """Make one target after the other brittle, from draws of their own."""
+        while True:
+            target = self._brittle_random.choice(self._cluster.targets)
+            target.brittle_from = trio.current_time() + CONTACT_SECONDS
+            target.max_rejections = str(MAX_REJECTIONS)
+            await trio.sleep(
+                CONTACT_SECONDS + self._brittle_random.uniform(1, 4)
+            )
+            target.max_rejections = ''
+            await trio.sleep(self._brittle_random.uniform(0, 2))
+
     async def _disrupt_store(self) -> None:
         proxy = self._cluster.store_proxy
         outage = self._random.choice(('hold', 'refuse', 'busy'))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -100,6 +100,7 @@
         target.is_failing = False
         target.pause_seconds = 0
         target.limit = ''
+        target.max_rejections = ''
         cluster.restart_target(target)
         cluster.publish_target(target, 'ready')
     for router in cluster.routers:
