--- /dev/null
+++ b/peridotwell/forwarding/attempt.py
@@ -0,0 +1,33 @@
+"""One attempt to run a request on a target."""
+
+from dataclasses import dataclass
+
+from peridotwell.domain.target import Target
+from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.policy.choice import Choice
+from peridotwell.serving.event_stream import MayGiveUp
+
+__all__ = ('Attempt',)
+
+
+@dataclass(frozen=True, eq=False)
+class Attempt:
+    """One attempt to run a request on a target.
+
+    `may_leave` returns whether a silent target may be left at a time, because
+    the request may go on elsewhere. `resume_after` is the id of the last event
+    that the caller has received, or empty. `runs_left` is the number of targets
+    that may run the request. Attempts are compared by identity.
+    """
+
+    request: RoutedRequest
+    choice: Choice
+    number: int
+    may_leave: MayGiveUp
+    resume_after: str = ''
+    runs_left: int = 1
+
+    @property
+    def target(self) -> Target:
+        """The target of the attempt."""
+        return self.choice.target
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -19,11 +19,8 @@
     RoutedRequest,
     TargetAdapter,
 )
-from peridotwell.forwarding.dispatch import (
-    FIRST_SERVER_ERROR,
-    Attempt,
-    Dispatcher,
-)
+from peridotwell.forwarding.attempt import Attempt
+from peridotwell.forwarding.dispatch import FIRST_SERVER_ERROR, Dispatcher
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.policy.choice import Choice
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -1,13 +1,11 @@
 """Sending of a request to a target, and recording of its outcome."""
 
-import math
 from collections.abc import AsyncIterator, Hashable
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
     asynccontextmanager,
 )
-from dataclasses import dataclass
 
 import httpcore
 import trio
@@ -21,7 +19,6 @@
     ResponseTruncated,
     TargetReplaced,
 )
-from peridotwell.domain.routing_table import RequestKind
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.adapters import (
     HeaderFields,
@@ -29,59 +26,25 @@
     TargetAdapter,
     TargetRequest,
 )
+from peridotwell.forwarding.attempt import Attempt
+from peridotwell.forwarding.attempt_limits import (
+    max_router_silence_seconds,
+    max_silence_seconds,
+    response_timeouts,
+    source_before_response,
+)
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
 from peridotwell.forwarding.handover_client import HandoverClient
-from peridotwell.forwarding.silence_limits import MayGiveUp
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.choice import Choice
-from peridotwell.serving.event_stream import EventLimit
-from peridotwell.serving.target_client import ResponseTimeouts
 from peridotwell.serving.target_response import TargetResponse
 
-__all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'Attempt', 'is_target_error')
+__all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'is_target_error')
 
 BODILESS_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'DELETE', 'TRACE'))
-MIN_TIMEOUT_SECONDS = 0.01
 FIRST_SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
-# A repeatable request goes to another target if the first one sends no data for
-# this multiple of the objective of its route. Before a stream has begun, data
-# on any connection to the target counts.
-TIMEOUT_OBJECTIVES = 2
-STREAM_TIMEOUT_OBJECTIVES = 3
-# It is longer than a connection may take: then nothing was sent.
-MIN_SILENCE_TIMEOUT_SECONDS = 0.4
-# A sound engine may send nothing for a second.
-MIN_STREAM_TIMEOUT_SECONDS = 1.5
-# Share of the remaining time after which another target is tried at the latest.
-MAX_SILENT_SHARE = 0.5
-# A router that takes over a request may itself wait for a silent target.
-ROUTER_TIMEOUT_FACTOR = 2
-
-
-@dataclass(frozen=True, eq=False)
-class Attempt:
-    """One attempt to run a request on a target.
-
-    `may_leave` returns whether a silent target may be left at a time, because
-    the request may go on elsewhere. `resume_after` is the id of the last event
-    that the caller has received, or empty. `runs_left` is the number of targets
-    that may run the request. Attempts are compared by identity.
-    """
-
-    request: RoutedRequest
-    choice: Choice
-    number: int
-    may_leave: MayGiveUp
-    resume_after: str = ''
-    runs_left: int = 1
-
-    @property
-    def target(self) -> Target:
-        """The target of the attempt."""
-        return self.choice.target
 
 
 class Dispatcher:
@@ -130,11 +93,11 @@
             request=request.request_id,
             router=attempt.target.name,
         )
-        timeouts = _timeouts(attempt, now)
+        timeouts = response_timeouts(attempt, now)
         response_context = self._handover_client.send(
             request, attempt.target, attempt.runs_left, timeouts
         )
-        max_seconds = ROUTER_TIMEOUT_FACTOR * _max_silence_seconds(request, now)
+        max_seconds = max_router_silence_seconds(request, now)
         try:
             async with self._limit_silence(
                 attempt, response_context, attempt, max_seconds
@@ -226,14 +189,14 @@
         )
         response_context = self._clients.client(target).send(
             http_request,
-            _timeouts(attempt, now),
+            response_timeouts(attempt, now),
             new_connection=not self._tracker.may_reuse_connection(
                 request, target, now
             ),
             require_request_id=True,
         )
-        max_seconds = _max_silence_seconds(request, now)
-        source = _source_before_response(attempt)
+        max_seconds = max_silence_seconds(request, now)
+        source = source_before_response(attempt)
         async with self._limit_silence(
             attempt, response_context, source, max_seconds
         ) as response:
@@ -342,44 +305,3 @@
     if not request.body and request.method in BODILESS_METHODS:
         return ()
     return ((b'content-length', str(len(request.body)).encode()),)
-
-
-def _timeouts(attempt: Attempt, now: float) -> ResponseTimeouts:
-    """Return the timeouts of an attempt that starts `now`.
-
-    They do not limit silence, which may be allowed: see SilenceLimits.
-    """
-    request = attempt.request
-    remaining = max(request.deadline_at - now, MIN_TIMEOUT_SECONDS)
-    event_limit = EventLimit(
-        _max_silence_seconds(request, now), attempt.may_leave
-    )
-    return ResponseTimeouts(remaining, remaining, event_limit)
-
-
-def _source_before_response(attempt: Attempt) -> Hashable:
-    """Return whose data show that a target is alive before it responds.
-
-    The target of a stream may have a queue: data on any connection to it count.
-    """
-    if attempt.request.route.kind is RequestKind.streaming:
-        return attempt.target.name
-    return attempt
-
-
-def _max_silence_seconds(request: RoutedRequest, now: float) -> float:
-    """Return how long a target may be silent before another one is tried.
-
-    There is no limit for requests that must not run twice.
-    """
-    route = request.route
-    if not route.may_repeat:
-        return math.inf
-    objective = route.objective_seconds
-    if route.kind is RequestKind.streaming:
-        remaining = request.deadline_at - now
-        return max(
-            STREAM_TIMEOUT_OBJECTIVES * objective,
-            min(MIN_STREAM_TIMEOUT_SECONDS, remaining * MAX_SILENT_SHARE),
-        )
-    return max(TIMEOUT_OBJECTIVES * objective, MIN_SILENCE_TIMEOUT_SECONDS)
--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -12,9 +12,10 @@
 
 import trio
 
+from peridotwell.serving.event_stream import MayGiveUp, always
 from peridotwell.serving.target_response import ReadObserver
 
-__all__ = ('SilenceLimits', 'SilenceWait', 'MayGiveUp')
+__all__ = ('SilenceLimits', 'SilenceWait')
 
 # A process that wakes up later than this after the time that it had set did not
 # run meanwhile.
@@ -25,15 +26,6 @@
 # many at a silent target.
 MIN_SEARCH_SECONDS = 0.03
 
-# Returns whether a wait may end at a time, because the request may go on
-# elsewhere.
-MayGiveUp = Callable[[float], bool]
-
-
-def always(now: float) -> bool:
-    """Return True: the wait may end at any time."""
-    return True
-
 
 @dataclass(eq=False)
 class SilenceWait(ReadObserver):
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -16,6 +16,7 @@
     RunState,
 )
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
+from peridotwell.forwarding.attempt import Attempt
 from peridotwell.forwarding.buffered_responses import (
     SUCCESSES,
     BufferedResponse,
@@ -26,7 +27,7 @@
     without_target,
 )
 from peridotwell.forwarding.caller_response import CallerResponse
-from peridotwell.forwarding.dispatch import Attempt, Dispatcher
+from peridotwell.forwarding.dispatch import Dispatcher
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.stream_affinity import StreamAffinity
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -24,7 +24,9 @@
     'NO_LIMIT',
     'EventBuffer',
     'EventLimit',
+    'MayGiveUp',
     'StreamEvent',
+    'always',
     'split_events',
     'validated_events',
     'whole_events',
@@ -40,8 +42,13 @@
 MIN_EVENT_BYTES_PER_SECOND = 16384
 
 
+# Returns whether a response may be given up at a time, because the request may
+# go on elsewhere.
+MayGiveUp = Callable[[float], bool]
+
+
 def always(now: float) -> bool:
-    """Return True: a stream may be given up at any time."""
+    """Return True: the response may be given up at any time."""
     return True
 
 
@@ -54,7 +61,7 @@
     """
 
     seconds: float
-    may_give_up: Callable[[float], bool] = always
+    may_give_up: MayGiveUp = always
 
 
 NO_LIMIT = EventLimit(math.inf)
