--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -113,9 +113,7 @@
         self._dispatcher.check(request)
         choice = self._selector.choose(request, attempts.tried, now)
         number = attempts.begin(choice.target.name)
-        may_leave = partial(
-            may_leave_target, attempts, self._selector, request, choice.target
-        )
+        may_leave = partial(self._may_leave, request, attempts, choice.target)
         try:
             return await self._send(
                 Attempt(
@@ -129,6 +127,19 @@
         except AttemptError as exc:
             return exc
 
+    def _may_leave(
+        self,
+        request: RoutedRequest,
+        attempts: Attempts,
+        target: Target,
+        now: float,
+    ) -> bool:
+        try:
+            self._dispatcher.check(request)
+        except ForwardedRequestQuarantined:
+            return False
+        return may_leave_target(attempts, self._selector, request, target, now)
+
     async def _send(self, attempt: Attempt) -> BufferedResponse:
         async with self._dispatcher.send(attempt) as response:
             check_response(response, self._adapter)
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -119,8 +119,9 @@
         if self._is_begun_elsewhere:
             return False
         try:
+            self._dispatcher.check(self._request)
             software = self._required_software(now)
-        except NoTarget:
+        except (NoTarget, ForwardedRequestQuarantined):
             return False
         return may_leave_target(
             self._attempts,
--- a/tests/peridotwell_platform/test_silent_targets.py
+++ b/tests/peridotwell_platform/test_silent_targets.py
@@ -5,6 +5,7 @@
 import trio
 
 from peridotwell.domain.bounds import DeploymentBounds
+from peridotwell.errors import ForwardedRequestQuarantined
 from tests.peridotwell_platform import stand_in
 from tests.peridotwell_platform.router_setup import target_entry
 from tests.peridotwell_platform.test_path import CONFIG, harness
@@ -177,3 +178,28 @@
     )
     assert resp.status == 200
     assert resp.content == (EVENTS if path == '/ask/x' else BODY)
+
+
+# Guards against a request that leaves its target and is refused elsewhere.
+@pytest.mark.parametrize('path', ['/ask/x', '/read/x'])
+async def test_a_quarantined_request_stays_with_its_target(
+    harness, monkeypatch, path
+):
+    use_routes(harness)
+    await trio.sleep(0.2)
+    for target in harness.targets:
+        target.script.append(silent_after(2))
+    checks = []
+
+    def check(request):
+        checks.append(request)
+        if len(checks) > 1:
+            raise ForwardedRequestQuarantined('lost targets')
+
+    dispatcher = harness.router._components.forwarding.dispatcher
+    monkeypatch.setattr(dispatcher, 'check', check)
+    resp = await harness.send_request(
+        path, 'POST', b'q', x_deadline_ms=DEADLINE_MS
+    )
+    assert resp.status == 200
+    assert resp.content == (EVENTS if path == '/ask/x' else BODY)
