Refusals at once are held against responses that need no target

The routers themselves had taken 0.11 s at most (after_seconds in the captured log).

The bound was on the caller's clock.

--- a/tests/peridotwell_platform/test_brittle_targets.py
+++ b/tests/peridotwell_platform/test_brittle_targets.py
@@ -19,7 +19,11 @@
 CALM_PER_SECOND = CAPACITY_PER_SECOND / 2
 BURST_FACTOR = 10
 MIN_GOODPUT_SHARE = 0.6
-MAX_REFUSAL_SECONDS = 0.5
+# Longest time of a refusal beyond that of three responses without a target: it
+# may come after two targets have rejected the request.
+MAX_REFUSAL_SECONDS = 0.25
+MAX_ROUND_TRIPS = 3
+CONTROL_SECONDS = 0.02
 DOWN_SECONDS = 1.5
 # Within this time after its return, a target gets half of its slots at most.
 REFILL_SECONDS = 0.3
@@ -62,6 +66,16 @@
     return outcomes
 
 
+async def time_unknown_paths(fleet, times):
+    """Record how long responses take that need no target, until cancelled."""
+    while True:
+        await trio.sleep(CONTROL_SECONDS)
+        sent_at = trio.current_time()
+        resp = await fleet.get(0, 'head', path='/unknown/x')
+        assert resp.status == 404
+        times.append(trio.current_time() - sent_at)
+
+
 def most_rejections_in_a_second(target):
     rejections = [at for at in target.rejections if at >= target.brittle_from]
     return max(
@@ -93,14 +107,18 @@
     )
 
 
-async def test_requests_beyond_the_room_are_refused_at_once(fleet):
+async def test_requests_beyond_the_room_are_refused_at_once(fleet, nursery):
     await send_for(fleet, CONTACT_SECONDS, CALM_PER_SECOND)
+    control = []
+    nursery.start_soon(time_unknown_paths, fleet, control)
     outcomes = await send_for(
         fleet, BURST_SECONDS / 2, CALM_PER_SECOND * BURST_FACTOR
     )
     assert {status for status, _, _ in outcomes} == {200, 503}
     refused = [outcome for outcome in outcomes if outcome[0] == 503]
-    assert all(seconds < MAX_REFUSAL_SECONDS for _, seconds, _ in refused)
+    slowest = max(seconds for _, seconds, _ in refused)
+    round_trips = MAX_ROUND_TRIPS * max(control)
+    assert slowest < MAX_REFUSAL_SECONDS + round_trips
     waits = {dict(resp.headers)[b'retry-after'] for _, _, resp in refused}
     assert len(waits) >= len(refused) / 4
 
