A stop of the process that ends with a wait does not count as silence

Cause: a wait of 0.4 s for a silent target was extended only if its end was seen 0.05 s or more too late. A process that stood still from the start of a wait until just after its end took a sound target for a silent one and ran the request a second time elsewhere, or quarantined nothing and wasted a retry. Change: while waits may expire, the process wakes up every 0.05 s; the time by which a wake-up is late is not counted in any wait, once a wait.

--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -1,8 +1,8 @@
 """Limits on the wait for a target that sends nothing.
 
 A wait ends only if the request may be sent to another target: a sound target
-may be silent for a moment. A wait that expires while this process does not run
-is extended once by that time: what a target sent meanwhile is not read yet.
+may be silent for a moment. Time in which this process does not run does not
+count, once a wait: what a target sent meanwhile is not read yet.
 """
 
 import math
@@ -17,6 +17,9 @@
 
 __all__ = ('SilenceLimits', 'SilenceWait')
 
+# While a wait may expire, the process wakes up after this time to find out
+# whether it runs.
+WAKE_SECONDS = 0.05
 # A process that wakes up later than this after the time that it had set did not
 # run meanwhile.
 MAX_WAKE_DELAY_SECONDS = 0.05
@@ -35,8 +38,8 @@
     max_seconds: float
     deadline: float
     may_give_up: MayGiveUp
-    # Called with each deadline that is set.
-    schedule: Callable[[float], None]
+    # Called with each deadline that is set, and the present time.
+    schedule: Callable[[float, float], None]
     is_extended: bool = False
 
     def before_read(self) -> None:
@@ -51,7 +54,17 @@
         """Start the time again `now`."""
         self.deadline = now + self.max_seconds
         self.is_extended = False
-        self.schedule(self.deadline)
+        self.schedule(self.deadline, now)
+
+    def extend(self, stopped_seconds: float, now: float) -> None:
+        """Do not count, once, the time in which the process did not run."""
+        if self.is_extended:
+            return
+        self.is_extended = True
+        self.deadline = max(
+            self.deadline + stopped_seconds,
+            now + min(stopped_seconds, self.max_seconds),
+        )
 
 
 class SilenceLimits:
@@ -66,7 +79,9 @@
     def __init__(self) -> None:
         self._waits: dict[Hashable, set[SilenceWait]] = {}
         self._next_deadline = math.inf
+        # Set, with its time, when an earlier deadline than the next one is set.
         self._is_earlier = trio.Event()
+        self._earlier_set_at = math.inf
 
     @contextmanager
     def limit(
@@ -76,12 +91,13 @@
         may_give_up: MayGiveUp = always,
     ) -> Iterator[SilenceWait]:
         """Cancel the block after `max_seconds` without data from a source."""
-        deadline = trio.current_time() + max_seconds
+        now = trio.current_time()
+        deadline = now + max_seconds
         with trio.CancelScope() as scope:
             wait = SilenceWait(
                 scope, max_seconds, deadline, may_give_up, self._schedule
             )
-            self._schedule(deadline)
+            self._schedule(deadline, now)
             waits = self._waits.setdefault(source, set())
             waits.add(wait)
             try:
@@ -100,26 +116,44 @@
         """Cancel the waits whose time has passed, until cancelled."""
         while True:
             self._is_earlier = trio.Event()
+            self._earlier_set_at = math.inf
             self._next_deadline = min(
                 (wait.deadline for wait in self._all_waits()), default=math.inf
             )
-            with trio.move_on_at(self._next_deadline):
-                await self._is_earlier.wait()
+            await self._wait_for_deadline()
             self._cancel_expired(trio.current_time())
-            await trio.sleep(MIN_SEARCH_SECONDS)
+            search_at = trio.current_time() + MIN_SEARCH_SECONDS
+            await trio.sleep_until(search_at)
+            self._record_wake(search_at, trio.current_time())
 
-    def _schedule(self, deadline: float) -> None:
-        if deadline < self._next_deadline:
+    def _schedule(self, deadline: float, now: float) -> None:
+        if deadline < self._next_deadline and not self._is_earlier.is_set():
+            self._earlier_set_at = now
             self._is_earlier.set()
 
+    async def _wait_for_deadline(self) -> None:
+        """Wait for the next deadline, or until an earlier one is set."""
+        now = trio.current_time()
+        while now < self._next_deadline and not self._is_earlier.is_set():
+            wake_at = self._next_deadline
+            if wake_at < math.inf:
+                wake_at = min(wake_at, now + WAKE_SECONDS)
+            with trio.move_on_at(wake_at):
+                await self._is_earlier.wait()
+            now = trio.current_time()
+            self._record_wake(min(wake_at, self._earlier_set_at), now)
+
+    def _record_wake(self, due_at: float, now: float) -> None:
+        """Record that the process, due to wake up at a time, does so now."""
+        stopped_seconds = now - due_at
+        if stopped_seconds > MAX_WAKE_DELAY_SECONDS:
+            for wait in self._all_waits():
+                wait.extend(stopped_seconds, now)
+
     def _cancel_expired(self, now: float) -> None:
-        delay = now - self._next_deadline
         expired = [wait for wait in self._all_waits() if wait.deadline <= now]
         for wait in expired:
-            if delay > MAX_WAKE_DELAY_SECONDS and not wait.is_extended:
-                wait.deadline = now + min(delay, wait.max_seconds)
-                wait.is_extended = True
-            elif wait.may_give_up(now):
+            if wait.may_give_up(now):
                 wait.scope.cancel()
                 wait.deadline = math.inf
             else:
--- a/tests/forwarding/test_silence_limits.py
+++ b/tests/forwarding/test_silence_limits.py
@@ -96,6 +96,27 @@
     assert not wait.scope.cancelled_caught
 
 
+# Guards against sound targets that count as silent after the router stood still
+# until just after the end of a wait.
+@pytest.mark.parametrize('running_seconds', [0, 0.1])
+@pytest.mark.parametrize('late_seconds', [0.005, 0.02])
+async def test_a_stop_that_ends_with_the_wait_does_not_count(
+    nursery, limits, running_seconds, late_seconds
+):
+    max_seconds = 0.3
+
+    async def stand_still(until):
+        await trio.sleep(running_seconds)
+        # Nothing else runs meanwhile.
+        time.sleep(until - trio.current_time())
+
+    with limits.limit('e1', max_seconds) as wait:
+        until = trio.current_time() + max_seconds + late_seconds
+        nursery.start_soon(stand_still, until)
+        await trio.sleep(max_seconds + late_seconds + 0.1)
+    assert not wait.scope.cancelled_caught
+
+
 # Guards against answers that are given up although nobody else can give them.
 async def test_a_wait_that_may_not_be_given_up_goes_on(autojump_clock, limits):
 
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -1,9 +1,12 @@
 """Routers that have lost their paths to targets, while others reach them."""
 
+import time
+
 import httpcore
 import pytest
 import trio
 
+from peridotwell.forwarding.attempt_limits import MIN_SILENCE_TIMEOUT_SECONDS
 from tests.peridotwell_platform import cut_fleet, stand_in
 
 PATHS = ('/read/x', '/book/x', '/draft/x', '/ask/x')
@@ -46,6 +49,25 @@
     assert len(runs) == len(set(runs))
 
 
+# Guards against second runs of requests whose targets are sound, while the
+# process of the router stood still for about as long as it waits for them.
+async def test_a_router_that_stood_still_repeats_nothing(fleet):
+    await fleet.cut(0, 'refused')
+    await use_for_contact_time(fleet, 0)
+
+    async def respond(target, exchange):
+        # Nothing else runs meanwhile.
+        time.sleep(MIN_SILENCE_TIMEOUT_SECONDS + 0.012)
+        await trio.sleep(0.05)
+        await stand_in.respond_ok(target, exchange)
+
+    for target in fleet.targets:
+        target.script.append(respond)
+    before = len(fleet.runs())
+    resp = await fleet.send(0, '/read/x')
+    assert (resp.status, len(fleet.runs())) == (200, before + 1)
+
+
 async def test_two_cut_routers_are_served_by_the_third(fleet):
     await fleet.cut(0, 'refused')
     await fleet.cut(1, 'refused')
