--- a/tests/serving/test_target_client.py
+++ b/tests/serving/test_target_client.py
@@ -1,5 +1,7 @@
 """The target client against valid and faulty responses of targets."""
 
+from functools import partial
+
 import httpcore
 import pytest
 import trio
@@ -26,6 +28,10 @@
 OWN_REQUEST_ID = 'x-request-id: mine'
 CHUNKED = 'transfer-encoding: chunked'
 
+MAX_SILENCE_SECONDS = 0.2
+# Longer than this process may stand still beside others.
+MAX_RESPONSE_SECONDS = 5
+
 
 def make_client(address):
     return TargetClient(
@@ -33,7 +39,13 @@
     )
 
 
-async def fetch(address, *, new_connection=True, require_request_id=True):
+async def fetch(
+    address,
+    *,
+    new_connection=True,
+    require_request_id=True,
+    max_seconds=MAX_SILENCE_SECONDS,
+):
     request = httpcore.Request(
         'GET',
         f'http://{address}/',
@@ -41,7 +53,7 @@
     )
     response_context = make_client(address).send(
         request,
-        ResponseTimeouts(0.2, 0.2),
+        ResponseTimeouts(max_seconds, max_seconds),
         new_connection=new_connection,
         require_request_id=require_request_id,
     )
@@ -100,14 +112,19 @@
 @pytest.mark.parametrize('name', RESPONSES)
 async def test_each_response_has_its_outcome(name, new_connection):
     response_bytes, silent, outcome = RESPONSES[name]
+    max_seconds = MAX_SILENCE_SECONDS if silent else MAX_RESPONSE_SECONDS
     async with raw_server(response_bytes, silent=silent) as address:
+        fetch_response = partial(
+            fetch,
+            address,
+            new_connection=new_connection,
+            max_seconds=max_seconds,
+        )
         if isinstance(outcome, tuple):
-            assert (
-                await fetch(address, new_connection=new_connection) == outcome
-            )
+            assert await fetch_response() == outcome
             return
         with pytest.raises(outcome) as caught:
-            await fetch(address, new_connection=new_connection)
+            await fetch_response()
         assert caught.value.may_have_run is (outcome is not RefusedByTarget)
 
 
