Records of requests that crash targets are repeated, and carry their age

A router that was cut off, missed one batch or had just started never learned of a request that crashes targets, and sent it on while the others refused it. Evidence: a router cut off for 5 s did not refuse the request 3 s after it was in touch again (a test on the state before failed); with the change all five positions of the cut pass, a router that starts learns it too, and a record of 20 s of age lasts 10 s more whatever the clocks say. Cause: the forwarding routers used the quarantine of the own interface, whose records go into one update only. Change: they are a kind of soft state (policy/crashed_requests.py), with the losses and their merge shared with parts of prompts (policy/loss_records.py). Their place in updates of older versions stays, unread: during a change of versions, old and new routers learn such requests each by themselves. Checks changed: two tests that all routers learn of a loss now ask for the very incarnation; one of the recorder lists the records told.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -5,9 +5,9 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.policy.brittle_targets import BrittleTargets
 from peridotwell.policy.crash_blame import CrashBlame
+from peridotwell.policy.crashed_requests import CrashedRequests
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
-from peridotwell.policy.quarantine import Quarantine
 from peridotwell.policy.stream_versions import StreamVersions
 from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
@@ -27,9 +27,9 @@
     cache_index: PromptCacheIndex
     peer_requests: PeerCounts
     peer_prefill_tokens: PeerCounts
-    quarantine: Quarantine
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
     target_notices: TargetNotices = field(default_factory=TargetNotices)
     crash_blame: CrashBlame = field(default_factory=CrashBlame)
+    crashed_requests: CrashedRequests = field(default_factory=CrashedRequests)
     target_limits: TargetLimits = field(default_factory=TargetLimits)
     brittle_targets: BrittleTargets = field(default_factory=BrittleTargets)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Collection, Iterable
-from functools import partial
+from typing import Any
 
 import trio
 
@@ -43,7 +43,6 @@
 from peridotwell.metrics import Metrics
 from peridotwell.policy.own_counts import OwnCounts
 from peridotwell.policy.prompt_cache_index import CachedPart
-from peridotwell.policy.quarantine import CrashRecord
 from peridotwell.policy.target_notices import Departure
 
 __all__ = ('UpdateExchange',)
@@ -86,6 +85,9 @@
         self.crash_blame_sync = SoftStateSync(
             peers, state.crash_blame, self.wake
         )
+        self.crashed_request_sync = SoftStateSync(
+            peers, state.crashed_requests, self.wake
+        )
         self.limit_sync = SoftStateSync(peers, state.target_limits, self.wake)
         self.brittle_sync = SoftStateSync(
             peers, state.brittle_targets.notices, self.wake
@@ -93,6 +95,13 @@
         self.departure_sync = SoftStateSync(
             peers, state.target_notices, self.wake
         )
+        self._soft_state_syncs: tuple[SoftStateSync[Any], ...] = (
+            self.crash_blame_sync,
+            self.crashed_request_sync,
+            self.limit_sync,
+            self.brittle_sync,
+            self.departure_sync,
+        )
         self._transport = transport
         self._metrics = metrics
         self._own = peers.own.sender
@@ -137,11 +146,6 @@
             self._metrics.count('peer.unsent_prompts')
         self.has_updates.set()
 
-    def share_crash_records(self, *crash_records: CrashRecord) -> None:
-        """Add records of requests that crash targets to the next update."""
-        self._news.add_crash_records(crash_records)
-        self.has_updates.set()
-
     def share_stream_versions(self, streams: Iterable[tuple[int, int]]) -> None:
         """Add streams and the versions that began them to the next updates."""
         self._news.add_stream_versions(streams)
@@ -189,18 +193,10 @@
         return IDLE_UPDATE_SECONDS
 
     def _has_soft_state_changes(self) -> bool:
-        return (
-            self.crash_blame_sync.has_changes()
-            or self.limit_sync.has_changes()
-            or self.brittle_sync.has_changes()
-            or self.departure_sync.has_changes()
-        )
+        return any(sync.has_changes() for sync in self._soft_state_syncs)
 
-    def receive(self, content: bytes, now: float, unix_now: float) -> None:
-        """Decode and handle one message.
-
-        `unix_now` is the time in seconds since the epoch.
-        """
+    def receive(self, content: bytes, now: float) -> None:
+        """Decode and handle one message."""
         try:
             frame = decode_frame(content)
         except FrameError as exc:
@@ -209,11 +205,11 @@
             return
         match frame:
             case RouterUpdate():
-                self._handle_update(frame, now, unix_now)
+                self._handle_update(frame, now)
             case Hello():
                 self.discovery.answer(frame)
             case UpdateBatch():
-                self._handle_batch(frame, now, unix_now)
+                self._handle_batch(frame, now)
             case EntriesPull():
                 self.entry_sync.push_entries(frame)
             case EntriesPush():
@@ -241,14 +237,16 @@
             self.own_requests.take_counts(include_unchanged=is_full),
             self.own_prefill_tokens.take_counts(include_unchanged=is_full),
             (*news.prompts, *self.cache_sync.take_listed(now)),
-            news.crash_records,
-            encode_seconds(contact.contact_seconds),
-            encode_seconds(contact.answer_age_seconds),
-            news.stream_versions,
-            self.departure_sync.take(now, repeat=is_full),
-            self.crash_blame_sync.take(now, repeat=is_full),
-            self.limit_sync.take(now, repeat=is_full),
-            self.brittle_sync.take(now, repeat=is_full),
+            store_contact_deciseconds=encode_seconds(contact.contact_seconds),
+            store_answer_age_deciseconds=encode_seconds(
+                contact.answer_age_seconds
+            ),
+            stream_versions=news.stream_versions,
+            departed=self.departure_sync.take(now, repeat=is_full),
+            part_records=self.crash_blame_sync.take(now, repeat=is_full),
+            target_limits=self.limit_sync.take(now, repeat=is_full),
+            brittle_targets=self.brittle_sync.take(now, repeat=is_full),
+            request_records=self.crashed_request_sync.take(now, repeat=is_full),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
@@ -268,16 +266,11 @@
         addresses = [peer.hello.peer_address for peer in peers]
         self._transport.send_all(addresses, update)
 
-    def _handle_batch(
-        self, batch: UpdateBatch, now: float, unix_now: float
-    ) -> None:
-        record_update = partial(self._handle_update, unix_now=unix_now)
-        self.relay_protocol.handle_batch(batch, now, record_update)
+    def _handle_batch(self, batch: UpdateBatch, now: float) -> None:
+        self.relay_protocol.handle_batch(batch, now, self._handle_update)
         self.cache_sync.record_prompts(batch.listed, now)
 
-    def _handle_update(
-        self, update: RouterUpdate, now: float, unix_now: float
-    ) -> bool:
+    def _handle_update(self, update: RouterUpdate, now: float) -> bool:
         """Apply an update and return True.
 
         Returns False if it is this router's own, stale, or from an unknown
@@ -300,7 +293,6 @@
                 counts.remove_router(update.sender)
             counts.update(update.sender, dict(pairs))
         self.cache_sync.record_prompts(update.prompts, now)
-        self.state.quarantine.merge(update.crash_records, unix_now)
         self._apply_news(update, now)
         self.state.directory.handle_store_contact(
             StoreContactReport(
@@ -315,6 +307,7 @@
     def _apply_news(self, update: RouterUpdate, now: float) -> None:
         self._apply_departures(update.departed, now)
         self.crash_blame_sync.apply(update.part_records, now)
+        self.crashed_request_sync.apply(update.request_records, now)
         self.limit_sync.apply(update.target_limits, now)
         self.brittle_sync.apply(update.brittle_targets, now)
         for stream, version in update.stream_versions:
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -13,7 +13,7 @@
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
 from peridotwell.policy.brittle_notices import BrittleRecord
-from peridotwell.policy.crash_blame import PartRecord
+from peridotwell.policy.loss_records import LossRecord
 from peridotwell.policy.quarantine import CrashRecord
 from peridotwell.policy.target_limits import LimitRecord
 from peridotwell.policy.target_notices import Departure
@@ -185,13 +185,14 @@
     `outstanding_requests` and `prefill_tokens` (the prompt tokens that the
     sender waits for) list the targets whose count has changed, or all targets
     if `is_full`. `prompts` are those sent to engines since the last update,
-    `crash_records` concern requests that crash targets. `sequence` increases
-    with each update. `store_contact_deciseconds` tells for how many tenths of
-    a second the store had answered the sender without interruption,
+    `crash_records` are those of older versions, and not read. `sequence`
+    increases with each update. `store_contact_deciseconds` tells for how many
+    tenths of a second the store had answered the sender without interruption,
     `store_answer_age_deciseconds` how long ago it last did. `stream_versions`
     are pairs of a stream that has begun and the software version of its target.
     `departed` are targets, with their incarnation, that have said in an answer
     that they leave. `part_records` concern parts of prompts that crash targets,
+    `request_records` requests that do,
     `target_limits` the limits that targets name, `brittle_targets` those that
     fall over when they have to reject many requests.
     """
@@ -208,9 +209,10 @@
     store_answer_age_deciseconds: int = 0
     stream_versions: Pairs = ()
     departed: tuple[Departure, ...] = ()
-    part_records: tuple[PartRecord, ...] = ()
+    part_records: tuple[LossRecord, ...] = ()
     target_limits: tuple[LimitRecord, ...] = ()
     brittle_targets: tuple[BrittleRecord, ...] = ()
+    request_records: tuple[LossRecord, ...] = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -31,7 +31,6 @@
 from peridotwell.policy.outlier_ejection import OutlierEjection
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
-from peridotwell.policy.quarantine import Quarantine
 from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
 from peridotwell.store.change_feed import ChangeFeedStore
@@ -73,7 +72,6 @@
         PromptCacheIndex(),
         PeerCounts(),
         PeerCounts(),
-        Quarantine(),
         target_notices=TargetNotices(settings.name),
         target_limits=TargetLimits(peers.own.sender),
         brittle_targets=BrittleTargets(peers.own.sender),
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -4,7 +4,6 @@
 process.
 """
 
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -66,7 +65,7 @@
     async def _receive(self) -> None:
         async for frame in self.components.transport.received_frames():
             now = trio.current_time()
-            self.components.update_exchange.receive(frame, now, time.time())
+            self.components.update_exchange.receive(frame, now)
 
     async def _update(self) -> None:
         update_exchange = self.components.update_exchange
@@ -95,6 +94,7 @@
         state = update_exchange.state
         for soft_state in (
             state.crash_blame,
+            state.crashed_requests,
             state.target_limits,
             state.brittle_targets,
             state.target_notices,
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -9,7 +9,6 @@
 answer begins.
 """
 
-import time
 from dataclasses import dataclass
 
 import trio
@@ -26,11 +25,11 @@
 from peridotwell.forwarding.connection_check import can_connect
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.crash_blame import format_parts, shared_part_ids
+from peridotwell.policy.crashed_requests import RECORD_TTL_SECONDS
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
 
 CRASH_LIMIT = 3
-RECORD_TTL_SECONDS = 30.0
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Largest number of requests of one target that wait for its check.
 MAX_BROKEN_PER_TARGET = 256
@@ -52,7 +51,7 @@
     """Records crashes of targets and refuses requests that cause them."""
 
     def __init__(self, update_exchange: UpdateExchange) -> None:
-        self._quarantine = update_exchange.state.quarantine
+        self._crashed = update_exchange.state.crashed_requests
         self._blame = update_exchange.state.crash_blame
         self._update_exchange = update_exchange
         self._logged_groups: tuple[frozenset[int], ...] = ()
@@ -62,9 +61,8 @@
 
     def check(self, request: RoutedRequest) -> None:
         """Raise ForwardedRequestQuarantined after too many lost targets."""
-        if self._quarantine.is_refused(
-            request.fingerprint, CRASH_LIMIT, time.time()
-        ):
+        now = trio.current_time()
+        if self._crashed.is_refused(request.fingerprint, CRASH_LIMIT, now):
             raise ForwardedRequestQuarantined(
                 'Targets that ran this request were lost '
                 f'({request.fingerprint:016x}): change it.',
@@ -82,18 +80,14 @@
 
     def clear(self, request: RoutedRequest) -> None:
         """Clear a request that a target has completed."""
-        record = self._quarantine.clear_suspect(
-            request.fingerprint, time.time()
-        )
-        if record is not None:
-            self._update_exchange.share_crash_records(record)
+        cleared = self._crashed.clear(request.fingerprint, trio.current_time())
+        self._update_exchange.crashed_request_sync.share(cleared)
 
     def record_begin(self, request: RoutedRequest) -> None:
         """Clear the parts of a prompt on which a target begins to answer."""
         parts = shared_part_ids(request.prompt)
         cleared = self._blame.record_begin(parts, trio.current_time())
-        if cleared:
-            self._update_exchange.crash_blame_sync.share(cleared)
+        self._update_exchange.crash_blame_sync.share(cleared)
 
     def schedule_check(self, broken: BrokenAttempt, exc: AttemptError) -> None:
         """Schedule a check of the target if its connection broke."""
@@ -138,36 +132,33 @@
         request = broken.request
         target = broken.target
         incarnation_id = wire_id(f'{target.name}|{target.incarnation}')
-        record = self._quarantine.record_loss(
-            request.fingerprint,
-            incarnation_id,
-            time.time(),
-            RECORD_TTL_SECONDS,
+        now = trio.current_time()
+        record = self._crashed.record_loss(
+            request.fingerprint, incarnation_id, now
         )
         log_failure(
             'request.lost_target',
             request=request.request_id,
             mark=f'{request.fingerprint:016x}',
             target=target.name,
-            lost=len(record.lost_incarnations),
+            lost=len(record.open_losses()),
             has_begun=broken.has_begun,
             parts=_part_names(request),
         )
-        self._update_exchange.share_crash_records(record)
+        self._update_exchange.crashed_request_sync.share((record,))
         if not broken.has_begun:
-            self._record_part_losses(request, incarnation_id)
+            self._record_part_losses(request, incarnation_id, now)
 
     def _record_part_losses(
-        self, request: RoutedRequest, incarnation_id: int
+        self, request: RoutedRequest, incarnation_id: int, now: float
     ) -> None:
         changed = self._blame.record_loss(
             incarnation_id,
             request.fingerprint,
             shared_part_ids(request.prompt),
-            trio.current_time(),
+            now,
         )
-        if changed:
-            self._update_exchange.crash_blame_sync.share(changed)
+        self._update_exchange.crash_blame_sync.share(changed)
 
 
 def _part_names(request: RoutedRequest) -> str:
--- a/peridotwell/policy/crash_blame.py
+++ b/peridotwell/policy/crash_blame.py
@@ -16,21 +16,20 @@
 """
 
 from collections.abc import Iterable, Iterator, Set
-from dataclasses import dataclass
 
-import msgspec
 import xxhash
 
 from peridotwell.domain.prompt import Prompt
+from peridotwell.policy.loss_records import (
+    CONTENT_MASK,
+    KnownLosses,
+    Loss,
+    LossRecord,
+    merge_known,
+)
 from peridotwell.policy.soft_state import SoftState
 
-__all__ = (
-    'Loss',
-    'PartRecord',
-    'CrashBlame',
-    'format_parts',
-    'shared_part_ids',
-)
+__all__ = ('CrashBlame', 'format_parts', 'shared_part_ids')
 
 # Losses of different incarnations, and requests of different content, from
 # which on a part is blamed.
@@ -46,8 +45,6 @@
 REPEAT_SECONDS = 10.0
 MAX_RECORDS = 2048
 MAX_BEGINS = 4096
-MAX_LOSSES = 32
-CONTENT_MASK = 0xFFFFFFFF
 
 
 def shared_part_ids(prompt: Prompt | None) -> tuple[int, ...]:
@@ -65,87 +62,7 @@
     return ', '.join(f'{part:016x}' for part in sorted(parts))
 
 
-class Loss(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """The loss of a target incarnation while it ran a request.
-
-    `incarnation` is its wire id, `content` the lower 32 bits of the
-    fingerprint of the request.
-    """
-
-    incarnation: int
-    content: int
-
-
-class PartRecord(msgspec.Struct, frozen=True, array_like=True):
-    """The losses under one part, as routers exchange them.
-
-    `cleared` lists the incarnations whose losses no longer count.
-    `age_seconds` tells how long ago the record last changed.
-    """
-
-    part: int
-    losses: tuple[Loss, ...]
-    cleared: tuple[int, ...] = ()
-    age_seconds: float = 0
-
-    @property
-    def key(self) -> int:
-        """The part."""
-        return self.part
-
-    def merge(self, other: 'PartRecord') -> 'PartRecord':
-        """Return the merged record of two routers, with the lower age.
-
-        The operation is commutative, associative and idempotent.
-        """
-        losses = sorted({*self.losses, *other.losses})
-        cleared = sorted({*self.cleared, *other.cleared})
-        return PartRecord(
-            self.part,
-            tuple(losses[:MAX_LOSSES]),
-            tuple(cleared[:MAX_LOSSES]),
-            min(self.age_seconds, other.age_seconds),
-        )
-
-    def open_losses(self) -> frozenset[Loss]:
-        """Return the losses that count."""
-        return frozenset(
-            loss for loss in self.losses if loss.incarnation not in self.cleared
-        )
-
-    def clear(self) -> 'PartRecord':
-        """Return the record with all its losses cleared."""
-        incarnations = sorted({loss.incarnation for loss in self.losses})
-        return PartRecord(self.part, self.losses, tuple(incarnations))
-
-    def has_same_content(self, other: 'PartRecord') -> bool:
-        """Return whether two records differ in age at most."""
-        return (self.losses, self.cleared) == (other.losses, other.cleared)
-
-
-@dataclass(frozen=True)
-class _KnownRecord:
-    """A record, when it last changed, and its open losses."""
-
-    record: PartRecord
-    changed_at: float
-    open_losses: frozenset[Loss]
-
-    def is_expired(self, now: float) -> bool:
-        ttl = RECORD_TTL_SECONDS if self.open_losses else CLEARED_TTL_SECONDS
-        return now - self.changed_at >= ttl
-
-    def is_repeated(self, now: float) -> bool:
-        is_recent = now - self.changed_at < REPEAT_SECONDS
-        return is_recent or len(self.open_losses) > 1
-
-    def current(self, now: float) -> PartRecord:
-        """Return the record with its age."""
-        age_seconds = round(max(now - self.changed_at, 0), 1)
-        return msgspec.structs.replace(self.record, age_seconds=age_seconds)
-
-
-class CrashBlame(SoftState[PartRecord]):
+class CrashBlame(SoftState[LossRecord]):
     """The records of this router, and the parts that they blame.
 
     Times are in seconds of the router's own clock.
@@ -155,7 +72,7 @@
         # The groups of parts that are blamed; a request with all parts of a
         # group is refused.
         self.groups: tuple[frozenset[int], ...] = ()
-        self._known: dict[int, _KnownRecord] = {}
+        self._known: dict[int, KnownLosses] = {}
         # The parts with enough losses to be blamed.
         self._suspects: dict[int, frozenset[Loss]] = {}
         # Insertion order: the oldest come first.
@@ -170,7 +87,7 @@
 
     def record_begin(
         self, parts: Iterable[int], now: float
-    ) -> list[PartRecord]:
+    ) -> list[LossRecord]:
         """Record that a target has begun an answer on these parts.
 
         Returns the records that this has cleared, for the other routers.
@@ -191,14 +108,14 @@
         fingerprint: int,
         parts: Iterable[int],
         now: float,
-    ) -> list[PartRecord]:
+    ) -> list[LossRecord]:
         """Record that a target was lost before it began an answer.
 
         Returns the records that have changed, for the other routers.
         """
         losses = (Loss(incarnation, fingerprint & CONTENT_MASK),)
         changed = [
-            self._merge(PartRecord(part, losses), now).record
+            self._merge(LossRecord(part, losses), now).record
             for part in parts
             if not self._has_begun_recently(part, now)
         ]
@@ -206,8 +123,8 @@
         return changed
 
     def merge(
-        self, records: Iterable[PartRecord], now: float
-    ) -> list[PartRecord]:
+        self, records: Iterable[LossRecord], now: float
+    ) -> list[LossRecord]:
         """Merge the records of another router.
 
         Returns those that this router has cleared in turn.
@@ -215,9 +132,11 @@
         cleared = []
         has_changed = False
         for record in records:
-            previous = self._known.get(record.part)
+            previous = self._known.get(record.cause)
             known = self._merge(record, now)
-            if known.open_losses and self._has_begun_recently(record.part, now):
+            if known.open_losses and self._has_begun_recently(
+                record.cause, now
+            ):
                 known = self._merge(known.record.clear(), now)
                 cleared.append(known.record)
             has_changed |= known is not previous
@@ -225,16 +144,18 @@
             self._set_groups()
         return cleared
 
-    def to_repeat(self, now: float) -> Iterator[PartRecord]:
+    def to_repeat(self, now: float) -> Iterator[LossRecord]:
         """Yield the records that other routers may lack."""
         for known in self._known.values():
-            if known.is_repeated(now):
+            if _is_repeated(known, now):
                 yield known.current(now)
 
     def expire(self, now: float) -> None:
         """Remove expired records."""
         expired = [
-            part for part, known in self._known.items() if known.is_expired(now)
+            part
+            for part, known in self._known.items()
+            if _is_expired(known, now)
         ]
         for part in expired:
             self._known.pop(part)
@@ -252,30 +173,23 @@
         begun_at = self._begun_at.get(part)
         return begun_at is not None and now - begun_at < RECENT_BEGIN_SECONDS
 
-    def _merge(self, record: PartRecord, now: float) -> _KnownRecord:
+    def _merge(self, record: LossRecord, now: float) -> KnownLosses:
         """Merge one record; return what is known now.
 
         A record that tells nothing new does not change the age.
         """
-        known = self._known.get(record.part)
-        changed_at = now - record.age_seconds
-        merged = record
-        if known is not None:
-            merged = known.record.merge(record)
-            if merged.has_same_content(known.record):
-                return known
-            changed_at = max(changed_at, known.changed_at)
-        known = _KnownRecord(merged, changed_at, merged.open_losses())
-        if known.is_expired(now):
+        previous = self._known.get(record.cause)
+        known = merge_known(previous, record, now)
+        if known is previous or _is_expired(known, now):
             return known
-        if len(self._known) >= MAX_RECORDS and record.part not in self._known:
+        if len(self._known) >= MAX_RECORDS and record.cause not in self._known:
             oldest = next(iter(self._known))
             self._known.pop(oldest)
             self._suspects.pop(oldest, None)
-        self._known[record.part] = known
-        self._suspects.pop(record.part, None)
+        self._known[record.cause] = known
+        self._suspects.pop(record.cause, None)
         if _is_sufficient(known.open_losses):
-            self._suspects[record.part] = known.open_losses
+            self._suspects[record.cause] = known.open_losses
         return known
 
     def _set_groups(self) -> None:
@@ -283,6 +197,16 @@
             self.groups = tuple(_blamed_groups(self._suspects))
 
 
+def _is_expired(known: KnownLosses, now: float) -> bool:
+    ttl = RECORD_TTL_SECONDS if known.open_losses else CLEARED_TTL_SECONDS
+    return known.age_seconds(now) >= ttl
+
+
+def _is_repeated(known: KnownLosses, now: float) -> bool:
+    is_recent = known.age_seconds(now) < REPEAT_SECONDS
+    return is_recent or len(known.open_losses) > 1
+
+
 def _is_sufficient(losses: Set[Loss]) -> bool:
     """Return whether losses suffice to blame a part."""
     return (
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -349,10 +349,11 @@
 
 
 def test_crash_record_reaches_all_routers(fleet):
-    crash_record = fleet[5].knowledge.quarantine.record_loss(9, 1, 4, 30)
-    fleet[5].sharing.share_crash_records(crash_record)
+    crash_record = fleet[5].knowledge.crashed_requests.record_loss(9, 1, 4)
+    fleet[5].sharing.crashed_request_sync.share((crash_record,))
     run_ticks(fleet, 4, 4.6)
-    assert all(each.knowledge.quarantine.is_suspect(9, 5) for each in fleet)
+    for each in fleet:
+        assert each.knowledge.crashed_requests.lost_incarnations(9, 5) == {1}
 
 
 def test_lists_of_caches_reach_all_routers_within_a_second(fleet):
--- a/tests/fleet/relays/test_soft_state_sync.py
+++ b/tests/fleet/relays/test_soft_state_sync.py
@@ -19,7 +19,8 @@
     BrittleRecord,
     Terms,
 )
-from peridotwell.policy.crash_blame import CrashBlame, PartRecord
+from peridotwell.policy.crash_blame import CrashBlame
+from peridotwell.policy.loss_records import LossRecord
 from peridotwell.policy.quarantine import CrashRecord
 from peridotwell.policy.target_limits import LimitRecord, TargetLimits
 from peridotwell.policy.target_notices import Departure, TargetNotices
@@ -155,11 +156,11 @@
 # Guards against work for each update of each router while nothing is told.
 def test_update_without_records_does_no_work_on_the_states(fleet, calls):
     update = RouterUpdate(fleet[1].hello.sender, 2, 2**31)
-    fleet[0].sharing.receive(encode_frame(update), 1, 1)
+    fleet[0].sharing.receive(encode_frame(update), 1)
     assert fleet[0].sharing.peers.peer(update.sender).last_sequence == 2**31
     assert not calls
     told = RouterUpdate(update.sender, 2, 2**31 + 1, departed=(DEPARTURE,))
-    fleet[0].sharing.receive(encode_frame(told), 1, 1)
+    fleet[0].sharing.receive(encode_frame(told), 1)
     assert calls == ['TargetNotices.merge']
 
 
@@ -244,7 +245,7 @@
     store_answer_age_deciseconds: int = 0
     stream_versions: Pairs = ()
     departed: tuple[Departure, ...] = ()
-    part_records: tuple[PartRecord, ...] = ()
+    part_records: tuple[LossRecord, ...] = ()
     target_limits: tuple[LimitRecord, ...] = ()
 
 
@@ -260,6 +261,73 @@
     assert decode_frame(msgspec.msgpack.encode(older)) == update
 
 
+def crash_targets(router, now, count=3):
+    for incarnation in range(count):
+        record = router.knowledge.crashed_requests.record_loss(
+            BAD, incarnation, now
+        )
+        router.sharing.crashed_request_sync.share((record,))
+
+
+def refusing(fleet, now):
+    return [
+        router.knowledge.crashed_requests.is_refused(BAD, 3, now)
+        for router in fleet
+    ]
+
+
+# Guards against a router that missed an update and sends a request on that
+# crashes targets, while the others refuse it.
+@pytest.mark.parametrize('cut_off', range(5))
+def test_router_that_was_cut_off_learns_of_crashed_requests(fleet, cut_off):
+    router = fleet[cut_off]
+    others = [each for each in fleet if each is not router]
+    router.transport.is_cut = True
+    for other in others:
+        other.transport.cut_from = frozenset((router.hello.name,))
+    crash_targets(others[0], 1)
+    run_ticks(fleet, 1, 6)
+    assert refusing(fleet, 6).count(True) == 4
+    router.transport.is_cut = False
+    for other in others:
+        other.transport.cut_from = frozenset()
+    run_ticks(fleet, 6, 6 + CONTACT_SECONDS)
+    assert all(refusing(fleet, 6 + CONTACT_SECONDS))
+
+
+def test_router_that_starts_learns_of_crashed_requests(fleet):
+    crash_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 2)
+    started = Router('started', fleet[0].transport.routers)
+    meet([*fleet, started], 2)
+    run_ticks([*fleet, started], 3, 2 + CONTACT_SECONDS)
+    assert refusing([started], 2 + CONTACT_SECONDS) == [True]
+
+
+def test_a_request_that_completes_is_cleared_at_all_routers(fleet):
+    crash_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 2)
+    cleared = fleet[3].knowledge.crashed_requests.clear(BAD, 2)
+    fleet[3].sharing.crashed_request_sync.share(cleared)
+    run_ticks(fleet, 2, 12)
+    assert not any(refusing(fleet, 12))
+
+
+def test_repeats_do_not_prolong_the_record_of_a_request(fleet):
+    crash_targets(fleet[0], 1)
+    run_ticks(fleet, 1, 30)
+    assert all(refusing(fleet, 30))
+    run_ticks(fleet, 30, 34)
+    assert not any(refusing(fleet, 34))
+
+
+def test_single_losses_of_requests_are_not_repeated(fleet):
+    crash_targets(fleet[0], 1, count=1)
+    run_ticks(fleet, 1, 2)
+    for router in fleet:
+        assert not router.sharing.crashed_request_sync.take(2, repeat=True)
+
+
 # Guards against new work for a target that leaves from a router that missed it.
 def test_router_that_was_cut_off_learns_of_departures(fleet):
     fleet[4].transport.is_cut = True
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -19,7 +19,6 @@
 from peridotwell.metrics import Metrics
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
-from peridotwell.policy.quarantine import Quarantine
 from peridotwell.policy.target_notices import Departure
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
@@ -82,7 +81,6 @@
             PromptCacheIndex(),
             PeerCounts(),
             PeerCounts(),
-            Quarantine(),
         )
         self.sharing = UpdateExchange(
             Peers(self.hello, 2),
@@ -94,7 +92,7 @@
 
     def receive_frames(self, now):
         while self.inbox:
-            self.sharing.receive(self.inbox.pop(0), now, now)
+            self.sharing.receive(self.inbox.pop(0), now)
 
 
 @pytest.fixture
@@ -258,10 +256,10 @@
     second.sharing.entry_sync.push_entries(EntriesPull(first.hello.sender, 2))
     urgent, everything = first.inbox
     assert len(urgent) < 100
-    first.sharing.receive(urgent, 1, 1)
+    first.sharing.receive(urgent, 1)
     assert not first.directory.available_targets('s')
     assert first.directory.known_revision == 2
-    first.sharing.receive(everything, 1, 1)
+    first.sharing.receive(everything, 1)
     assert first.directory.table.version == 2
     assert first.directory.known_revision == 6
 
@@ -281,16 +279,16 @@
 
 def test_crash_record_reaches_all_routers(fleet):
     first, second, _ = fleet
-    crash_record = second.knowledge.quarantine.record_loss(9, 1, 1, 30)
-    second.sharing.share_crash_records(crash_record)
+    crash_record = second.knowledge.crashed_requests.record_loss(9, 1, 1)
+    second.sharing.crashed_request_sync.share((crash_record,))
     run_ticks(fleet, 1, 1.2)
-    assert first.knowledge.quarantine.is_suspect(9, 2)
+    assert first.knowledge.crashed_requests.lost_incarnations(9, 2) == {1}
 
 
 @given(st.binary(max_size=200))
 def test_invalid_frames_are_ignored(content):
     router = Router('x', {})
-    router.sharing.receive(content, 0, 0)
+    router.sharing.receive(content, 0)
     assert router.sharing.router_count() == 1
 
 
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -13,7 +13,6 @@
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
-from peridotwell.policy.quarantine import Quarantine
 from peridotwell.serving.asgi import serve_http
 from tests.fleet.replica.test_service_directory import Decoder
 
@@ -22,22 +21,29 @@
 )
 
 
+class RecordList:
+    """Records of one kind that would be told to the other routers."""
+
+    def __init__(self):
+        self.records = []
+
+    def share(self, records):
+        self.records.extend(records)
+
+
 class UpdateRecorder:
     """Records what would be sent to the other routers."""
 
     def __init__(self):
-        self.crash_records = []
+        self.crashed_request_sync = RecordList()
+        self.crash_blame_sync = RecordList()
         self.state = ForwardingState(
             ServiceDirectory(Decoder()),
             PromptCacheIndex(),
             PeerCounts(),
             PeerCounts(),
-            Quarantine(),
         )
 
-    def share_crash_records(self, record):
-        self.crash_records.append(record)
-
 
 def make_request(fingerprint=5) -> RoutedRequest:
     return RoutedRequest(
@@ -87,7 +93,7 @@
     with pytest.raises(ForwardedRequestQuarantined) as caught:
         crash_tracker.check(make_request())
     assert caught.value.retry_after_seconds > 0
-    assert crash_tracker._update_exchange.crash_records
+    assert crash_tracker._update_exchange.crashed_request_sync.records
     crash_tracker.check(make_request(fingerprint=6))
 
 
--- a/tests/policy/test_crash_blame.py
+++ b/tests/policy/test_crash_blame.py
@@ -3,13 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.policy.crash_blame import (
-    MAX_LOSSES,
-    RECORD_TTL_SECONDS,
-    CrashBlame,
-    Loss,
-    PartRecord,
-)
+from peridotwell.policy.crash_blame import RECORD_TTL_SECONDS, CrashBlame
+from peridotwell.policy.loss_records import MAX_LOSSES, Loss, LossRecord
 
 BAD, HEAD, DOCUMENT, OTHER = range(4)
 CONTACT_SECONDS = 3.0
@@ -48,7 +43,7 @@
 def test_answer_that_begins_on_a_tied_part_ends_a_tie():
     blame = CrashBlame()
     lose(blame, 3, (HEAD, BAD))
-    assert [each.part for each in blame.record_begin((HEAD,), 1)] == [HEAD]
+    assert [each.cause for each in blame.record_begin((HEAD,), 1)] == [HEAD]
     assert blame.groups == (frozenset((BAD,)),)
 
 
@@ -99,7 +94,7 @@
     other.record_begin((HEAD,), 4.5)
     lose(one, 3, (HEAD,), now=5)
     cleared = other.merge(one.to_repeat(5), 5)
-    assert [each.part for each in cleared] == [HEAD]
+    assert [each.cause for each in cleared] == [HEAD]
     one.merge(cleared, 5)
     assert not one.groups
     assert not other.groups
@@ -145,7 +140,7 @@
 
 losses = st.builds(Loss, st.integers(0, 50), st.integers(0, 5))
 records = st.builds(
-    PartRecord,
+    LossRecord,
     st.just(BAD),
     st.lists(losses, max_size=40, unique=True).map(
         lambda each: tuple(sorted(each)[:MAX_LOSSES])
