A router asks others for the version of a stream that it does not know

Cause: the version of a stream is told to the other routers once. A router that starts later, or misses the update, never has it; and one that started after a release does not know that there was one. The answer also tells for how long the versions may still be mixed. Older versions do not answer: then all is as before. Nothing is sent at rest.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -17,6 +17,7 @@
 from peridotwell.fleet.relays.pending_news import PendingNews
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
 from peridotwell.fleet.relays.soft_state_sync import SoftStateSync
+from peridotwell.fleet.relays.stream_lookup import StreamLookup
 from peridotwell.fleet.replica.entry_sync import EntrySync
 from peridotwell.fleet.replica.store_contact import (
     StoreContactReport,
@@ -30,9 +31,12 @@
     CachesRefusal,
     EntriesPull,
     EntriesPush,
+    Frame,
     FrameError,
     Hello,
     RouterUpdate,
+    StreamPull,
+    StreamPush,
     UpdateBatch,
     decode_frame,
 )
@@ -95,6 +99,13 @@
         self.departure_sync = SoftStateSync(
             peers, state.target_notices, self.wake
         )
+        self.stream_lookup = StreamLookup(
+            peers,
+            transport,
+            self.relay_protocol.topology,
+            state.stream_versions,
+            metrics,
+        )
         self._soft_state_syncs: tuple[SoftStateSync[Any], ...] = (
             self.crash_blame_sync,
             self.crashed_request_sync,
@@ -203,6 +214,9 @@
             self._metrics.count('peer.garbage')
             log_event('peer.garbage', error=str(exc))
             return
+        self._handle(frame, now)
+
+    def _handle(self, frame: Frame, now: float) -> None:
         match frame:
             case RouterUpdate():
                 self._handle_update(frame, now)
@@ -220,6 +234,10 @@
                 self.cache_sync.apply(frame, now)
             case CachesRefusal():
                 self.cache_sync.handle_refusal()
+            case StreamPull():
+                self.stream_lookup.answer(frame, now)
+            case StreamPush():
+                self.stream_lookup.apply(frame, now)
             case _:
                 self._metrics.count('peer.unexpected')
 
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -301,6 +301,26 @@
     """Tells a router to request the cached prompts from another one."""
 
 
+class StreamPull(Frame, frozen=True, array_like=True, tag=18):
+    """Asks which software version began a stream of a service, by wire id."""
+
+    stream: int
+    service: str
+
+
+class StreamPush(Frame, frozen=True, array_like=True, tag=19):
+    """What the sender knows of a stream.
+
+    `version` is None if it does not know the version. Streams of several
+    versions of the service may be resumed for another `mixed_seconds`.
+    """
+
+    stream: int
+    service: str
+    version: int | None
+    mixed_seconds: float
+
+
 _Any = (
     Hello
     | Heartbeat
@@ -319,6 +339,8 @@
     | CachesPull
     | CachesPush
     | CachesRefusal
+    | StreamPull
+    | StreamPush
 )
 _decoder: Any = msgspec.msgpack.Decoder(_Any)
 _encoder = msgspec.msgpack.Encoder()
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -45,6 +45,18 @@
                 [(stream, target.software_id)]
             )
 
+    async def learn_version(self, request: RoutedRequest) -> None:
+        """Ask other routers for the version of a stream if it is unknown."""
+        if request.resumed_stream is None:
+            return
+        now = trio.current_time()
+        is_known = self._versions.version(request.stream_id, now) is not None
+        if is_known or not self._versions.may_lack(request.service, now):
+            return
+        await self._update_exchange.stream_lookup.find(
+            request.stream_id, request.service
+        )
+
     def required_software(
         self, request: RoutedRequest, now: float
     ) -> int | None:
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -83,6 +83,7 @@
         Returns the response of the target if it is an error and no stream;
         it is not sent to the caller yet. Raises RequestError.
         """
+        await self._affinity.learn_version(self._request)
         while True:
             choice = self._choose(trio.current_time())
             number = self._attempts.begin(choice.target.name)
--- a/peridotwell/policy/stream_versions.py
+++ b/peridotwell/policy/stream_versions.py
@@ -5,6 +5,7 @@
 the version that began it.
 """
 
+import math
 from collections.abc import Iterator, Mapping
 
 __all__ = ('StreamVersions',)
@@ -27,6 +28,8 @@
         self._versions: dict[int, tuple[int, float]] = {}
         self._serving: dict[str, frozenset[int]] = {}
         self._mixed_until: dict[str, float] = {}
+        # From then on this router has learned of all streams.
+        self._complete_at = math.inf
 
     def set_serving(
         self, versions: Mapping[str, frozenset[int]], now: float
@@ -35,6 +38,8 @@
 
         Returns whether a service has just got several versions.
         """
+        if self._complete_at == math.inf:
+            self._complete_at = now + MEMORY_SECONDS
         has_become_mixed = False
         for service, serving in versions.items():
             previous = self._serving.get(service, serving)
@@ -47,9 +52,24 @@
 
     def is_mixed(self, service: str, now: float) -> bool:
         """Return whether streams of several versions may be resumed."""
+        return self.mixed_seconds(service, now) > 0
+
+    def mixed_seconds(self, service: str, now: float) -> float:
+        """Return for how long streams of several versions may be resumed."""
         if len(self._serving.get(service, ())) > 1:
-            return True
-        return now < self._mixed_until.get(service, 0)
+            return MEMORY_SECONDS
+        return max(self._mixed_until.get(service, 0) - now, 0)
+
+    def record_mixed(self, service: str, seconds: float, now: float) -> None:
+        """Record that streams of several versions may be resumed so long."""
+        if seconds > 0:
+            until = now + min(seconds, MEMORY_SECONDS)
+            known = self._mixed_until.get(service, until)
+            self._mixed_until[service] = max(until, known)
+
+    def may_lack(self, service: str, now: float) -> bool:
+        """Return whether a version that matters may be known elsewhere."""
+        return now < self._complete_at or self.is_mixed(service, now)
 
     def record(self, stream: int, version: int, now: float) -> None:
         """Record which version began a stream, unless that is known."""
--- /dev/null
+++ b/tests/fleet/relays/test_stream_lookup.py
@@ -0,0 +1,106 @@
+"""Tests of the questions for the versions of streams, without a network."""
+
+import pytest
+import trio
+
+from peridotwell.fleet.transport.frames import (
+    StreamPull,
+    StreamPush,
+    decode_frame,
+    encode_frame,
+)
+from tests.fleet.relays.test_update_exchange import Router, run_ticks
+
+SERVICE = 's'
+STREAM, VERSION = 5, 77
+
+
+@pytest.fixture
+def fleet():
+    routers = {}
+    started = [Router(f'r{number}', routers) for number in range(3)]
+    for router in started:
+        router.sharing.discovery.add_peers(each.hello for each in started)
+    run_ticks(started, 0, 1)
+    return started
+
+
+async def find(fleet, stream=STREAM):
+    """Let the first router ask; return the seconds that it waited."""
+    started_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet[0].sharing.stream_lookup.find, stream, SERVICE)
+        await trio.sleep(0.01)
+        for _ in range(2):
+            for router in fleet:
+                router.receive_frames(trio.current_time())
+    return trio.current_time() - started_at
+
+
+def version(router):
+    now = trio.current_time()
+    return router.knowledge.stream_versions.version(STREAM, now)
+
+
+async def test_a_router_learns_the_version_of_a_stream(autojump_clock, fleet):
+    for router in fleet[1:]:
+        router.knowledge.stream_versions.record(
+            STREAM, VERSION, trio.current_time()
+        )
+    assert await find(fleet) < 0.05
+    assert version(fleet[0]) == VERSION
+
+
+async def test_the_wait_ends_when_all_routers_have_answered(
+    autojump_clock, fleet
+):
+    assert await find(fleet) < 0.05
+    assert version(fleet[0]) is None
+
+
+# Guards against callers that wait for routers that are gone.
+async def test_the_wait_ends_without_answers(autojump_clock, fleet):
+    for router in fleet[1:]:
+        router.transport.is_cut = True
+    assert await find(fleet) < 0.25
+    for router in fleet:
+        router.transport.is_cut = True
+    assert await find(fleet) < 0.05
+
+
+async def test_a_router_learns_that_several_versions_were_serving(
+    autojump_clock, fleet
+):
+    now = trio.current_time()
+    fleet[1].knowledge.stream_versions.record_mixed(SERVICE, 20, now)
+    await find(fleet)
+    learned = fleet[0].knowledge.stream_versions
+    assert 19 < learned.mixed_seconds(SERVICE, trio.current_time()) <= 20
+    assert not learned.is_mixed('other', trio.current_time())
+
+
+async def test_two_requests_for_a_stream_ask_once(autojump_clock, fleet):
+    lookup = fleet[0].sharing.stream_lookup
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lookup.find, STREAM, SERVICE)
+        nursery.start_soon(lookup.find, STREAM, SERVICE)
+        await trio.sleep(0.01)
+        pulls = [
+            content
+            for content in fleet[1].inbox
+            if isinstance(decode_frame(content), StreamPull)
+        ]
+        assert len(pulls) == 1
+
+
+# Guards against a router that is taken down, or made to refuse for long, by
+# answers that nobody asked for.
+async def test_unwanted_answers_do_no_harm(autojump_clock, fleet):
+    sender = fleet[1].hello.sender
+    for seconds in (-1, 1e300, float('inf'), float('nan')):
+        push = StreamPush(sender, 9, SERVICE, None, seconds)
+        fleet[0].sharing.receive(encode_frame(push), trio.current_time())
+    known = fleet[0].knowledge.stream_versions
+    assert known.mixed_seconds(SERVICE, trio.current_time()) <= 30
+    unknown = StreamPull(1, STREAM, SERVICE)
+    fleet[0].sharing.receive(encode_frame(unknown), trio.current_time())
