Choice of an engine: health, caches and costs not computed one by one

What was seen: a router asked each engine for its health, its cached parts (twice, for the choice and for the source of copies) and its cost, though most engines are alike.

Cause: per engine, a call each for ejection (two), silence, data centre, missing tokens (two), a frozen data class, a new load that setdefault dropped, and a cost. Plain targets were put in a dictionary by the hash of all their fields.

Change: nothing ejected, silent or avoided is found once for all; the engines that have the first part are found once (PromptCacheIndex.holders) and serve both uses; engines with the same load, cached and awaited tokens share one cost; candidates are structs. A source that has no part is none: nothing was copied from it before either.

--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -56,14 +56,13 @@
     caches = PromptCacheIndex()
     for engine in engines[: count // 2]:
         caches.record_use(engine.name, PROMPT_PARTS, 0)
+    shared_tokens = sum(part.tokens for part in PROMPT_PARTS)
     began = time.perf_counter()
     for _ in range(ITERATIONS):
+        holders = caches.holders(PROMPT_PARTS, 1)
         candidates = [
             EngineCandidate(
-                engine,
-                5,
-                caches.missing_tokens(engine.name, PROMPT_PARTS, 1),
-                0,
+                engine, 5, holders.get(engine.name, shared_tokens), 0
             )
             for engine in engines
         ]
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -1,6 +1,6 @@
 """Selection of the target that runs a request."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.domain.prompt import Prompt
@@ -17,7 +17,6 @@
     choose_engine,
 )
 from peridotwell.policy.prompt_cache_index import (
-    CachedPart,
     PromptCacheIndex,
     cacheable_parts,
 )
@@ -69,11 +68,7 @@
         With `only_reachable`, raises NoReachableTarget if the targets that
         take requests cannot be reached from here.
         """
-        listed = [
-            target
-            for target in self._directory.available_targets(request.service)
-            if software in {None, target.software_id}
-        ]
+        listed = self._listed_targets(request.service, software)
         accepting = self._accepting_targets(listed, now)
         if only_reachable:
             self._check_path(request, accepting, tried, now)
@@ -100,6 +95,14 @@
             self._unseen_requests(request, candidates, now),
         )
 
+    def _listed_targets(
+        self, service: str, software: int | None
+    ) -> Sequence[Target]:
+        listed = self._directory.available_targets(service)
+        if software is None:
+            return listed
+        return [each for each in listed if each.software_id == software]
+
     def _unseen_requests(
         self,
         request: RoutedRequest,
@@ -123,52 +126,48 @@
             prompt.own_tokens,
             request.route.objective_seconds,
         )
+        holders = self._caches.holders(parts, now)
+        shared_tokens = sum(part.tokens for part in parts)
         candidates = [
-            self._engine_candidate(target, parts, now) for target in targets
+            EngineCandidate(
+                target,
+                self._tracker.load(target, now),
+                holders.get(target.name, shared_tokens),
+                self._tracker.tokens_ahead(target),
+            )
+            for target in targets
         ]
         return choose_engine(
             needs,
             candidates,
-            self._cache_source(request.service, parts, now),
+            self._cache_source(request.service, holders, now),
             self._bounds.load_factor,
             self._tracker.prefill_speed(request.service).tokens_per_second,
             self._unseen_requests(request, candidates, now),
         )
 
-    def _engine_candidate(
-        self,
-        target: Target,
-        parts: Sequence[CachedPart],
-        now: float,
-    ) -> EngineCandidate:
-        return EngineCandidate(
-            target,
-            self._tracker.load(target, now),
-            self._caches.missing_tokens(target.name, parts, now),
-            self._tracker.tokens_ahead(target),
-        )
-
     def _cache_source(
         self,
         service: str,
-        parts: Sequence[CachedPart],
+        holders: Mapping[str, int],
         now: float,
     ) -> CacheSource | None:
         """Return the engine that has most of a prompt cached.
 
-        Engines that are leaving are included. Returns None if engines of the
-        service cannot copy from each other.
+        `holders` are the engines that have a part of it, with the tokens that
+        they lack. Engines that are leaving are included. Returns None if there
+        is none, or if engines of the service cannot copy from each other.
         """
+        if not holders:
+            return None
         engine = engine_properties(self._directory.table, service)
         if engine is None or not engine.can_fetch_cache:
             return None
         sources = [
-            CacheSource(
-                target,
-                self._caches.missing_tokens(target.name, parts, now),
-            )
+            CacheSource(target, holders[target.name])
             for target in self._directory.all_targets(service)
-            if not self._tracker.is_ejected_or_silent(target, now)
+            if target.name in holders
+            and not self._tracker.is_ejected_or_silent(target, now)
             and not self._tracker.notices.is_paused(target, now)
         ]
         return min(
@@ -221,25 +220,33 @@
         usable = self._tracker.ejection.usable_targets(listed, now)
         untried = [target for target in usable if target.name not in tried]
         responsive = self._responsive_targets(untried, now)
-        reachable = [
-            target
-            for target in responsive
-            if not self._tracker.is_avoided(target, now)
-        ]
-        untried_listed = [
-            target for target in listed if target.name not in tried
-        ]
-        return reachable or responsive or untried or untried_listed
+        return (
+            self._outside_avoided_data_centres(responsive, now)
+            or responsive
+            or untried
+            or [target for target in listed if target.name not in tried]
+        )
 
-    def _responsive_targets(
+    def _outside_avoided_data_centres(
         self, targets: Sequence[Target], now: float
     ) -> Sequence[Target]:
+        avoided = self._tracker.data_centres.avoided(now)
+        if not avoided:
+            return targets
         return [
             target
             for target in targets
-            if not self._tracker.silence.is_silent(target.name, now)
+            if target.pool.data_centre not in avoided
         ]
 
+    def _responsive_targets(
+        self, targets: Sequence[Target], now: float
+    ) -> Sequence[Target]:
+        silent = frozenset(self._tracker.silence.silent_targets(now))
+        if not silent:
+            return targets
+        return [target for target in targets if target.name not in silent]
+
     def _has_waited(
         self,
         accepting: Sequence[Target],
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -102,10 +102,6 @@
         self.silence_limits.record_activity(target.name, now)
         self.data_centres.record_activity(target.pool.data_centre)
 
-    def is_avoided(self, target: Target, now: float) -> bool:
-        """Return whether a target's data centre counts as unreachable."""
-        return self.data_centres.is_avoided(target.pool.data_centre, now)
-
     def may_reuse_connection(
         self,
         request: RoutedRequest,
@@ -204,7 +200,10 @@
         return self._durations.setdefault(service, RequestDuration())
 
     def _load(self, target: Target) -> TargetLoad:
-        return self._loads.setdefault(target.name, TargetLoad())
+        load = self._loads.get(target.name)
+        if load is None:
+            load = self._loads[target.name] = TargetLoad()
+        return load
 
     def _set_cache_capacities(self) -> None:
         for target in self.directory.all_targets():
--- a/peridotwell/policy/choice.py
+++ b/peridotwell/policy/choice.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from peridotwell.domain.target import Target
 from peridotwell.policy.stale_counts import fill_level, room_score
 
@@ -33,9 +35,11 @@
     is_handover: bool = False
 
 
-@dataclass(frozen=True)
-class Candidate:
-    """A target that may be chosen, and the number of requests that it has."""
+class Candidate(msgspec.Struct, frozen=True):
+    """A target that may be chosen, and the number of requests that it has.
+
+    It is a struct because each choice makes one for each target.
+    """
 
     target: Target
     load: float
@@ -59,15 +63,15 @@
     yet; the hash of `request_key` decides among the targets that they may
     have filled.
     """
-    costs = {
-        each: each.load + (each.target.pool.data_centre != data_centre)
+    costs = [
+        each.load + (each.target.pool.data_centre != data_centre)
         for each in candidates
-    }
-    level = fill_level(tuple(costs.values()), unseen_requests)
-    best = max(
-        candidates,
-        key=lambda each: room_score(
-            request_key, each.target.name, level - costs[each]
+    ]
+    level = fill_level(costs, unseen_requests)
+    best, _ = max(
+        zip(candidates, costs, strict=True),
+        key=lambda pair: room_score(
+            request_key, pair[0].target.name, level - pair[1]
         ),
     )
     return Choice(best.target, best.load, mean_load(candidates), level=level)
--- a/peridotwell/policy/data_centres.py
+++ b/peridotwell/policy/data_centres.py
@@ -64,8 +64,15 @@
 
     def is_avoided(self, data_centre: str, now: float) -> bool:
         """Return whether a data centre counts as unreachable."""
-        state = self._states.get(data_centre)
-        return state is not None and state.avoided_until > now
+        return data_centre in self.avoided(now)
+
+    def avoided(self, now: float) -> frozenset[str]:
+        """Return the data centres that count as unreachable."""
+        return frozenset(
+            name
+            for name, state in self._states.items()
+            if state.avoided_until > now
+        )
 
     def has_recent_failures(self, data_centre: str, now: float) -> bool:
         """Return whether a connection to the data centre failed recently."""
--- a/peridotwell/policy/engine_choice.py
+++ b/peridotwell/policy/engine_choice.py
@@ -14,8 +14,9 @@
 requests.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from peridotwell.domain.target import Target
 from peridotwell.policy.choice import Candidate, Choice, mean_load
@@ -41,8 +42,7 @@
 SAFE_FRACTION = 0.3
 
 
-@dataclass(frozen=True)
-class EngineCandidate(Candidate):
+class EngineCandidate(Candidate, frozen=True):
     """An engine that may run a prompt.
 
     `missing_tokens` are the shared tokens that it does not have cached.
@@ -101,10 +101,10 @@
         mean * (1 + (load_factor - 1) * BOUND_FRACTION) + BOUND_EXTRA_REQUESTS
     )
     allowed = [each for each in candidates if each.load < bound]
-    costs = [
-        (_cost(needs, each, source, tokens_per_second, level), each)
-        for each in allowed or candidates
-    ]
+    cost = partial(
+        _cost, needs, source=source, speed=tokens_per_second, level=level
+    )
+    costs = _costs(allowed or candidates, cost)
     best = _engine_with_room(needs, costs, level)
     fetched_tokens = _fetched_tokens(best, source)
     return Choice(
@@ -119,6 +119,27 @@
     )
 
 
+def _costs(
+    engines: Sequence[EngineCandidate], cost: Callable[[EngineCandidate], float]
+) -> list[tuple[float, EngineCandidate]]:
+    """Return each engine with its cost.
+
+    Many engines are alike: one cost is computed for all that are.
+    """
+    states = [_state(each) for each in engines]
+    examples = dict(zip(states, engines, strict=True))
+    cost_of = {state: cost(each) for state, each in examples.items()}
+    return [
+        (cost_of[state], each)
+        for state, each in zip(states, engines, strict=True)
+    ]
+
+
+def _state(engine: EngineCandidate) -> tuple[float, int, int]:
+    """Return the properties of an engine that decide its cost."""
+    return engine.load, engine.missing_tokens, engine.tokens_ahead
+
+
 def _engine_with_room(
     needs: PromptNeeds,
     costs: Sequence[tuple[float, EngineCandidate]],
@@ -139,19 +160,20 @@
     needs: PromptNeeds,
     engine: EngineCandidate,
     source: CacheSource | None,
-    tokens_per_second: float,
+    speed: float,
     level: float,
 ) -> float:
     """Return the cost of an engine, in prefill tokens.
 
-    An engine below `level` is expected to be filled up to it.
+    `speed` is its prefill speed in tokens a second. An engine below `level`
+    is expected to be filled up to it.
     """
     fetched_tokens = _fetched_tokens(engine, source)
     prefill_tokens = engine.missing_tokens - fetched_tokens
     work = prefill_tokens + fetched_tokens * FETCH_COST
     wait_seconds = (
         engine.tokens_ahead + prefill_tokens + needs.own_tokens
-    ) / tokens_per_second
+    ) / speed
     return (
         work
         + max(engine.load, level) * TOKENS_PER_REQUEST
--- a/peridotwell/policy/outlier_ejection.py
+++ b/peridotwell/policy/outlier_ejection.py
@@ -146,23 +146,28 @@
         unreachable targets only if there are no others.
         """
         reachable = self.reachable_targets(targets, now)
-        failing = [
-            each
+        ejected = self._ejected_names(now)
+        if not ejected:
+            return reachable or targets
+        failing = {
+            each.name
             for each in reachable
             if self._is_ejected_for_errors(each.name, now)
-        ]
-        exempt = (
-            failing if len(failing) > len(reachable) * MAX_ERROR_SHARE else []
-        )
-        kept = [
-            target
-            for target in reachable
-            if target in exempt or not self.is_ejected(target.name, now)
-        ]
+        }
+        if len(failing) > len(reachable) * MAX_ERROR_SHARE:
+            ejected -= failing
+        kept = [target for target in reachable if target.name not in ejected]
         if len(kept) < len(reachable) * (1 - MAX_EJECTED_SHARE):
             return reachable
         return kept or targets
 
+    def _ejected_names(self, now: float) -> set[str]:
+        return {
+            name
+            for name, record in self._records.items()
+            if record.ejected_until > now
+        }
+
     def _has_unreachable(self) -> bool:
         return any(record.is_unreachable for record in self._records.values())
 
--- a/peridotwell/policy/own_counts.py
+++ b/peridotwell/policy/own_counts.py
@@ -26,7 +26,7 @@
 
     def count(self, target: int) -> int:
         """Return the count of a target."""
-        return self._counts[target]
+        return self._counts.get(target, 0)
 
     def take_counts(self, *, include_unchanged: bool) -> CountPairs:
         """Return the counts to send: all, or those that have changed.
--- a/peridotwell/policy/peer_counts.py
+++ b/peridotwell/policy/peer_counts.py
@@ -31,4 +31,4 @@
 
     def outstanding(self, target: int) -> int:
         """Return the sum of the other routers' counts for a target id."""
-        return self._sums[target]
+        return self._sums.get(target, 0)
--- a/peridotwell/policy/prompt_cache_index.py
+++ b/peridotwell/policy/prompt_cache_index.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Container, Iterator, Sequence
+from collections.abc import Container, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -78,10 +78,22 @@
         for stored_id, (tokens, _) in self._parts.items():
             yield CachedPart(stored_id, tokens)
 
-    def has_cached(self, part: CachedPart, now: float) -> bool:
-        """Return whether the part was used recently enough to be cached."""
-        previous = self._parts.get(part.part_id)
-        return previous is not None and now - previous[1] <= PART_TTL_SECONDS
+    def lists(self, part: CachedPart) -> bool:
+        """Return whether the part was used, however long ago."""
+        return part.part_id in self._parts
+
+    def cached_tokens(self, parts: Iterable[CachedPart], now: float) -> int:
+        """Return the tokens of the first parts that are all cached.
+
+        A part is cached if it was used recently enough.
+        """
+        tokens = 0
+        for part in parts:
+            previous = self._parts.get(part.part_id)
+            if previous is None or now - previous[1] > PART_TTL_SECONDS:
+                break
+            tokens += part.tokens
+        return tokens
 
 
 class PromptCacheIndex:
@@ -119,11 +131,29 @@
         missing = sum(part.tokens for part in parts)
         if engine is None:
             return missing
-        for part in parts:
-            if not engine.has_cached(part, now):
-                break
-            missing -= part.tokens
-        return missing
+        return missing - engine.cached_tokens(parts, now)
+
+    def holders(
+        self, parts: Sequence[CachedPart], now: float
+    ) -> dict[str, int]:
+        """Return the engines that have the first part cached.
+
+        The values are the shared tokens that they have not cached, as
+        `missing_tokens` returns them.
+        """
+        if not parts:
+            return {}
+        first = parts[0]
+        holding = [
+            (name, engine)
+            for name, engine in self._engines.items()
+            if engine.lists(first)
+        ]
+        total = sum(part.tokens for part in parts)
+        cached = (
+            (name, engine.cached_tokens(parts, now)) for name, engine in holding
+        )
+        return {name: total - tokens for name, tokens in cached if tokens}
 
     def all_parts(self) -> dict[str, tuple[CachedPart, ...]]:
         """Return the parts of each engine, least recently used first."""
--- a/tests/policy/test_prompt_cache_index.py
+++ b/tests/policy/test_prompt_cache_index.py
@@ -83,3 +83,22 @@
     index.record_use('kept', (SYSTEM,), 0)
     index.keep_only({'kept'})
     assert list(index.all_parts()) == ['kept']
+
+
+# Each choice asked for the missing tokens of every engine, one by one.
+def test_holders_are_the_engines_that_lack_less_than_all():
+    index = PromptCacheIndex()
+    index.record_use('both', (SYSTEM, DOCUMENT), 50)
+    index.record_use('first', (SYSTEM,), 50)
+    index.record_use('second', (DOCUMENT,), 50)
+    index.record_use('expired', (SYSTEM, DOCUMENT), 0)
+    index.record_use('partly expired', (DOCUMENT,), 0)
+    index.record_use('partly expired', (SYSTEM,), 50)
+    index.set_capacity('empty', 1000)
+    parts = (SYSTEM, DOCUMENT)
+    holders = index.holders(parts, 70)
+    assert holders == {'both': 0, 'first': 10_000, 'partly expired': 10_000}
+    for name in index.all_parts():
+        missing = index.missing_tokens(name, parts, 70)
+        assert holders.get(name, 10_500) == missing
+    assert index.holders((), 70) == {}
