Quarantine: records expire by time, not when an update happens to arrive

Cause: merge() expired all records on each update; the periodic clean-up of the forwarding path did not. Recording a loss merged with an expired record.

Taking in an update without crash records costs nothing for them.

--- a/peridotwell/policy/quarantine.py
+++ b/peridotwell/policy/quarantine.py
@@ -78,12 +78,12 @@
 
         Returns the record to send to the other routers.
         """
-        existing = self._records.get(fingerprint)
+        existing = self._unexpired_record(fingerprint, now)
         lifted_at = existing.lifted_at if existing else 0
         loss = CrashRecord(
             fingerprint, (incarnation,), lifted_at, now + keep_seconds
         )
-        return self._merge(loss)
+        return self._merge(loss, now)
 
     def clear_suspect(self, fingerprint: int, now: float) -> CrashRecord | None:
         """Clear a request that a target has completed.
@@ -100,18 +100,18 @@
 
         Returns the record to send to the other routers.
         """
-        existing = self._records.get(fingerprint)
+        existing = self._unexpired_record(fingerprint, now)
         expires_at = existing.expires_at if existing else now
-        return self._merge(CrashRecord(fingerprint, (), now, expires_at))
+        return self._merge(CrashRecord(fingerprint, (), now, expires_at), now)
 
     def merge(self, records: Iterable[CrashRecord], now: float) -> None:
-        """Merge the records of another router and remove expired ones."""
+        """Merge the records of another router that have not expired."""
         for record in records:
-            self._merge(record)
-        self.expire(now)
+            if record.expires_at > now:
+                self._merge(record, now)
 
     def expire(self, now: float) -> None:
-        """Remove expired records."""
+        """Remove expired records; until then, they have no effect."""
         self._records = {
             fingerprint: record
             for fingerprint, record in self._records.items()
@@ -134,16 +134,23 @@
     def _unexpired_losses(
         self, fingerprint: int, now: float
     ) -> tuple[int, ...]:
+        record = self._unexpired_record(fingerprint, now)
+        return () if record is None else record.lost_incarnations
+
+    def _unexpired_record(
+        self, fingerprint: int, now: float
+    ) -> CrashRecord | None:
         record = self._records.get(fingerprint)
         if record is None or record.expires_at <= now:
-            return ()
-        return record.lost_incarnations
+            return None
+        return record
 
-    def _merge(self, record: CrashRecord) -> CrashRecord:
+    def _merge(self, record: CrashRecord, now: float) -> CrashRecord:
         fingerprint = record.fingerprint
-        existing = self._records.get(fingerprint)
+        existing = self._unexpired_record(fingerprint, now)
         merged = existing.merge(record) if existing else record
-        if existing is None and len(self._records) >= MAX_RECORDS:
+        is_new = fingerprint not in self._records
+        if is_new and len(self._records) >= MAX_RECORDS:
             self._records.pop(next(iter(self._records)))
         self._records[fingerprint] = merged
         return merged
--- a/tests/policy/test_policies.py
+++ b/tests/policy/test_policies.py
@@ -197,6 +197,26 @@
     assert not one.is_refused(fingerprint, 2, 3)
 
 
+# A router that received no updates kept losses, and added later ones to them.
+def test_expired_losses_do_not_count_with_later_ones():
+    quarantine = Quarantine()
+    quarantine.record_loss(1, 11, 0, 60)
+    quarantine.record_loss(1, 12, 61, 60)
+    assert quarantine.is_suspect(1, 62)
+    assert not quarantine.is_refused(1, 2, 62)
+    other = Quarantine()
+    other.record_loss(1, 13, 0, 60)
+    other.merge(quarantine.records(), 62)
+    assert not other.is_refused(1, 2, 62)
+
+
+def test_a_record_that_arrives_expired_is_dropped():
+    quarantine, other = Quarantine(), Quarantine()
+    late = quarantine.record_loss(1, 11, 0, 60)
+    other.merge([late], 60)
+    assert other.records() == ()
+
+
 def test_completion_clears_a_suspect():
     quarantine = Quarantine()
     fingerprint = request_fingerprint('/v1', b'bystander')
