Start: the platform's program no longer imports the other request path

Cause: the router of the platform imported serving.responses for one function, error_body, and with it request_executor, placer and fleet.lending. metrics imported the protobuf encoding that only the operators' API uses.

Change: the error body stands in a module of its own, shared by both paths; the encoding of histograms stands with the operators' API. Nothing is loaded lazily.

Test: the program's imports are checked against a list of what it does not run. The list does not hold hypercorn's HTTP/2 and WebSocket modules: its server imports them whatever it serves.

--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -16,7 +16,7 @@
     result_field,
 )
 from peridotwell.serving.asgi import HttpExchange
-from peridotwell.serving.responses import error_body
+from peridotwell.serving.error_body import error_body
 
 __all__ = ('CallerResponse', 'HandoverResponse')
 
--- a/peridotwell/metrics.py
+++ b/peridotwell/metrics.py
@@ -13,7 +13,6 @@
 
 import statsd
 from ddsketch import DDSketch
-from ddsketch.pb.proto import DDSketchProto
 
 __all__ = ('Measure', 'Series', 'Metrics', 'render_metrics')
 
@@ -83,11 +82,6 @@
         """Return every histogram."""
         return self._sketches
 
-    def encoded_sketches(self) -> Iterator[tuple[Series, bytes]]:
-        """Yield each histogram with its DDSketch protobuf encoding."""
-        for series, sketch in self._sketches.items():
-            yield series, DDSketchProto.to_proto(sketch).SerializeToString()
-
 
 def render_metrics(metrics: Metrics) -> Iterator[str]:
     """Yield the lines of the metrics page: counters, then quantiles."""
--- a/peridotwell/operators/api.py
+++ b/peridotwell/operators/api.py
@@ -10,6 +10,7 @@
 from peridotwell.fleet.membership.gossip import Gossip, SharedState
 from peridotwell.fleet.transport.frames import Observations
 from peridotwell.metrics import Metrics
+from peridotwell.operators.encoded_sketches import encoded_sketches
 from peridotwell.operators.messages import (
     ChangeReport,
     EncodedSketch,
@@ -134,7 +135,7 @@
                 series.measure.value,
                 encoded,
             )
-            for series, encoded in self._metrics.encoded_sketches()
+            for series, encoded in encoded_sketches(self._metrics)
         ]
 
     def _quarantine_entries(self, unix_now: float) -> list[QuarantineEntry]:
--- a/peridotwell/serving/responses.py
+++ b/peridotwell/serving/responses.py
@@ -4,11 +4,10 @@
 
 from peridotwell.errors import RequestError
 from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.error_body import error_body
 from peridotwell.serving.request_executor import BufferedResponse
 
 __all__ = (
-    'ErrorBody',
-    'error_body',
     'write_error',
     'write_error_event',
     'write_response',
@@ -20,16 +19,6 @@
 REQUEST_HEADER = 'peridotwell-request'
 
 
-class ErrorBody(msgspec.Struct, frozen=True):
-    """The JSON body of an error; `ran` is the value of a RunState."""
-
-    code: str
-    ran: str
-    message: str
-    retry_after_seconds: float | None
-    request: str
-
-
 async def write_error(
     exchange: HttpExchange,
     error: RequestError,
@@ -90,14 +79,3 @@
             (REQUEST_HEADER, request_id),
         ),
     )
-
-
-def error_body(error: RequestError, request_id: str) -> ErrorBody:
-    """Return the JSON body for an error."""
-    return ErrorBody(
-        code=error.code,
-        ran=error.run_state.value,
-        message=str(error),
-        retry_after_seconds=error.retry_after_seconds,
-        request=request_id,
-    )
--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -112,6 +112,32 @@
     listener.close()
 
 
+# The request path of the project's own interface came with one function.
+@pytest.mark.parametrize(
+    'unused',
+    [
+        'google.protobuf',
+        'peridotwell.fleet.lending',
+        'peridotwell.operators',
+        'peridotwell.serving.placer',
+        'peridotwell.serving.request_executor',
+        'peridotwell.serving.target_monitor',
+        'peridotwell.store.claims',
+        'peridotwell.store.configuration',
+    ],
+)
+def test_program_does_not_import_what_it_does_not_run(unused):
+    code = (
+        "import sys; sys.path.insert(0, 'platform'); "
+        'import peridotwell_platform.program; '
+        f'sys.exit({unused!r} in sys.modules)'
+    )
+    process = subprocess.run(
+        [sys.executable, '-c', code], cwd=ROOT, timeout=20, check=False
+    )
+    assert process.returncode == 0
+
+
 def test_platform_module_of_the_standard_library_is_not_shadowed():
     code = 'import platform; print(platform.system())'
     process = subprocess.run(
