--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -100,7 +100,6 @@
             state.target_notices,
         ):
             soft_state.expire(now)
-        state.quarantine.expire(time.time())
         self.components.forwarding.crash_tracker.log_changes()
         await self.components.clients.close_gone()
         await self.components.forwarding.handover_client.close_gone()
--- a/tests/forwarding/test_background_tasks.py
+++ b/tests/forwarding/test_background_tasks.py
@@ -1,7 +1,5 @@
 """Tests of the background tasks of a forwarding router."""
 
-import time
-
 import trio
 from peridotwell_platform.entries import PlatformEntryDecoder
 from peridotwell_platform.headers import (
@@ -14,6 +12,7 @@
 from peridotwell.forwarding.assembly import build_components
 from peridotwell.forwarding.background_tasks import ForwardingBackgroundTasks
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
+from peridotwell.policy.crashed_requests import RECORD_TTL_SECONDS
 
 ANY_PORT = '127.0.0.1:0'
 # Nothing listens there.
@@ -35,15 +34,18 @@
 # Only the updates of other routers removed expired records.
 async def test_expired_crash_records_are_removed_without_updates():
     components = build_router()
-    quarantine = components.update_exchange.state.quarantine
-    quarantine.record_loss(1, 11, time.time() - 60, 59)
-    kept = quarantine.record_loss(2, 11, time.time(), 60)
+    crashed = components.update_exchange.state.crashed_requests
+    now = trio.current_time()
+    for incarnation in (11, 12):
+        crashed.record_loss(1, incarnation, now - RECORD_TTL_SECONDS + 1)
+        crashed.record_loss(2, incarnation, now)
+    assert len(list(crashed.to_repeat(now))) == 2
     tasks = ForwardingBackgroundTasks(components, 1)
     async with trio.open_nursery() as nursery:
         tasks.start(nursery)
         with trio.fail_after(3):
-            while len(quarantine.records()) > 1:
+            while len(list(crashed.to_repeat(now))) > 1:
                 await trio.sleep(0.05)
         nursery.cancel_scope.cancel()
     components.transport.close()
-    assert quarantine.records() == (kept,)
+    assert [record.cause for record in crashed.to_repeat(now)] == [2]
