Requests that must not be repeated use kept connections only on paths known to be whole

Cause: until a target has been silent for 0.7 s, requests that must not be repeated were sent over connections kept from before the cut. Nobody may send them again then. Evidence: in the logs no failed attempt of theirs before their callers leave 2.4 s after the cut. In the new test with real routers a booking right after a cut got 504.

Change: ContactTimes has the time of the last data from each target. Without data within 0.2 s, such a request goes over a new connection; if none can be made, nothing was sent, and it is sent elsewhere or handed over. Requests that had been sent before the cut are lost as before.

Test: test_bookings_right_after_a_cut_are_served, 504 before the change.

--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -10,6 +10,7 @@
 from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.logs import log_event
 from peridotwell.policy.choice import Choice
+from peridotwell.policy.contact_times import ContactTimes
 from peridotwell.policy.data_centres import DataCentreMonitor
 from peridotwell.policy.outlier_ejection import OutlierEjection
 from peridotwell.policy.prefill_speed import PrefillSpeed
@@ -38,6 +39,7 @@
         self.directory = directory
         self.ejection = ejection
         self.silence = SilenceDetector()
+        self.contacts = ContactTimes()
         self.silence_limits = SilenceLimits()
         self.data_centres = DataCentreMonitor()
         self._update_exchange = update_exchange
@@ -98,6 +100,7 @@
 
     def record_activity(self, target: Target, now: float) -> None:
         """Record that data arrived from a target."""
+        self.contacts.record(target.name, now)
         self.silence.record_activity(target.name, now)
         self.silence_limits.record_activity(target.name, now)
         self.data_centres.record_activity(target.pool.data_centre)
@@ -116,7 +119,8 @@
 
         If such a connection breaks, it is unknown whether the target received
         the request. If a new connection cannot be made, the target has not
-        received it, and it may be sent to another target.
+        received it, and it may be sent to another target. Data of a moment ago
+        show that the path is whole.
         """
         if request.route.may_repeat:
             return True
@@ -124,7 +128,9 @@
             target.pool.data_centre, now
         )
         return not (
-            has_recent_failures or self.silence.is_silent(target.name, now)
+            has_recent_failures
+            or self.contacts.is_old(target.name, now)
+            or self.silence.is_silent(target.name, now)
         )
 
     def record_end(self, target: Target, seconds: float) -> None:
@@ -228,6 +234,7 @@
         self._set_cache_capacities()
         self._state.cache_index.keep_only(incarnations)
         self.ejection.keep_only(incarnations)
+        self.contacts.keep_only(incarnations)
         self._loads = {
             name: load
             for name, load in self._loads.items()
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -15,6 +15,8 @@
 # A refusal that comes at once; a connection that fails takes 0.3 s.
 AT_ONCE_SECONDS = 0.25
 SETTLE_SECONDS = 0.3
+# Enough requests for a kept connection to each target.
+KEPT_CONNECTIONS = 12
 
 
 @pytest.fixture
@@ -46,6 +48,18 @@
     assert len(runs) == len(set(runs))
 
 
+# Guards against bookings that are lost on connections kept across a cut.
+async def test_bookings_right_after_a_cut_are_served(fleet):
+    for _ in range(KEPT_CONNECTIONS):
+        await fleet.send(0, '/book/x')
+    await trio.sleep(SETTLE_SECONDS)
+    await fleet.cut(0, 'hanging')
+    statuses = [(await fleet.send(0, '/book/x')).status for _ in range(3)]
+    assert statuses == [200] * 3
+    runs = fleet.runs()
+    assert len(runs) == len(set(runs)) == KEPT_CONNECTIONS + 3
+
+
 async def test_two_cut_routers_are_served_by_the_third(fleet):
     await fleet.cut(0, 'refused')
     await fleet.cut(1, 'refused')
