Cut paths are found out within 0.6 s, and a request waits for one of them

Cause: targets were probed after 0.7 s of silence only, each by itself, while requests waited for their own silence limit (1.5 s for streams), also after a probe had failed; and a request that had waited for one path was sent over another one of which nothing was known. A request that was left on an unreachable target also cleared the note that it is unreachable.

Change: a target that has requests and sends nothing is probed after 0.25 s, at most once a second; silence alone counts for nothing, only a connection that cannot be made. Once a target is found unreachable, up to eight others of which nothing was heard for 0.2 s are probed, and the waits for it end if they may. A request that has waited for an unreachable target is handed over unless a target was heard a moment ago. While a target is unreachable, repeatable requests too take new connections to targets that were not heard lately. Only an answer or a probe shows that a target can be reached again.

--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -141,9 +141,9 @@
             clients, tracker, adapters.targets, crash_tracker, handover_client
         ),
         selector,
-        PathSelector(selector, peer_paths),
+        PathSelector(selector, tracker, peer_paths),
         handover_client,
-        ReachabilityProber(tracker),
+        ReachabilityProber(tracker, settings.name),
         crash_tracker,
         tracker.silence_limits,
         StreamAffinity(state.directory, update_exchange),
--- a/peridotwell/forwarding/attempt.py
+++ b/peridotwell/forwarding/attempt.py
@@ -31,3 +31,8 @@
     def target(self) -> Target:
         """The target of the attempt."""
         return self.choice.target
+
+    @property
+    def target_name(self) -> str:
+        """The name of the target of the attempt."""
+        return self.choice.target.name
--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/path_selection.py
@@ -6,6 +6,7 @@
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.peer_paths import PeerPaths
 from peridotwell.forwarding.target_selection import TargetSelector
+from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.policy.choice import Choice
 
 __all__ = ('PathSelector',)
@@ -14,8 +15,14 @@
 class PathSelector:
     """Selects a target, or a router that reaches one if this one does not."""
 
-    def __init__(self, selector: TargetSelector, peer_paths: PeerPaths) -> None:
+    def __init__(
+        self,
+        selector: TargetSelector,
+        tracker: TargetTracker,
+        peer_paths: PeerPaths,
+    ) -> None:
         self._selector = selector
+        self._tracker = tracker
         self._peer_paths = peer_paths
 
     def choose(
@@ -29,25 +36,26 @@
     ) -> Choice:
         """Return the target or the router for a request. Raises NoTarget.
 
-        A request is handed over once at most. If no router can take it, a
-        target that responds to nobody is tried, but none that cannot be
-        reached.
+        A request is handed over once at most. One that has waited for a target
+        in vain waits for no other of which this router has heard nothing. If
+        no router can take it, a target that responds to nobody is tried, but
+        none that cannot be reached.
         """
+        may_hand_over = may_hand_over and not request.is_handed_over
         try:
-            return self._selector.choose(
+            choice = self._selector.choose(
                 request, tried, now, software, only_reachable=True
             )
         except NoReachableTarget as exc:
-            if request.is_handed_over:
-                raise
-            choice = None
-            if may_hand_over:
-                choice = self._peer_paths.choose(request.request_id, tried, now)
-            if choice is not None:
-                return choice
-            if not exc.may_try:
+            router = self._router(request, tried, now, may_hand_over)
+            if router is not None:
+                return router
+            if request.is_handed_over or not exc.may_try:
                 raise
-        return self._selector.choose(request, tried, now, software)
+            return self._selector.choose(request, tried, now, software)
+        if may_hand_over and self._may_hang(choice, tried, now):
+            return self._router(request, tried, now, may_hand_over) or choice
+        return choice
 
     def has_other(
         self,
@@ -64,12 +72,34 @@
                 request, tried, now, software, only_reachable=True
             )
         except NoReachableTarget:
-            return (
-                may_hand_over
-                and not request.is_handed_over
-                and self._peer_paths.choose(request.request_id, tried, now)
-                is not None
-            )
+            may_hand_over = may_hand_over and not request.is_handed_over
+            router = self._router(request, tried, now, may_hand_over)
+            return router is not None
         except NoTarget:
             return False
         return True
+
+    def _router(
+        self,
+        request: RoutedRequest,
+        tried: Collection[str],
+        now: float,
+        may_hand_over: bool,
+    ) -> Choice | None:
+        """Return a router that may take over the request, if it may."""
+        if not may_hand_over:
+            return None
+        return self._peer_paths.choose(request.request_id, tried, now)
+
+    def _may_hang(
+        self, choice: Choice, tried: Collection[str], now: float
+    ) -> bool:
+        """Return whether a request that has waited in vain might again.
+
+        It might if an unreachable target was tried, and this one has sent
+        nothing lately.
+        """
+        unreachable = self._tracker.ejection.unreachable_targets()
+        if not any(name in tried for name in unreachable):
+            return False
+        return not self._tracker.contacts.is_recent(choice.target.name, now)
--- a/peridotwell/forwarding/reachability_prober.py
+++ b/peridotwell/forwarding/reachability_prober.py
@@ -1,64 +1,106 @@
 """Probes targets that may be unreachable, by connecting to them.
 
 Requests wait for no such connection while there are other targets, or other
-routers that reach the target.
+routers that reach the target. A sound target may send nothing for a moment, and
+is reached then; only one to which no connection can be made is unreachable.
 """
 
+from collections.abc import Iterable
+from functools import partial
+
 import trio
 
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.connection_check import can_connect
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event
+from peridotwell.policy.rendezvous import rendezvous_score
 from peridotwell.serving.target_client import CONNECT_TIMEOUT_SECONDS
 
 __all__ = ('ReachabilityProber',)
 
-POLL_SECONDS = 0.1
-# Shortest time between two probes of a target that sends nothing.
-SILENT_PROBE_SECONDS = 1.0
+POLL_SECONDS = 0.05
+# Time after which a target that has requests and sends nothing is probed.
+QUIET_SECONDS = 0.25
+# Shortest time between two probes of a target.
+MIN_PROBE_SECONDS = 1.0
+# Most targets that are probed because another one was found unreachable. Each
+# that is unreachable too has as many more probed.
+MAX_PROBED_PER_FAILURE = 8
 
 
 class ReachabilityProber:
-    """Probes unreachable targets whose ejection has ended, and silent ones."""
+    """Probes unreachable targets whose ejection has ended, and suspected ones.
+
+    Suspected are targets that send nothing and, once another one was found
+    unreachable, those without data of a moment ago.
+    """
 
-    def __init__(self, tracker: TargetTracker) -> None:
+    def __init__(self, tracker: TargetTracker, own_name: str) -> None:
+        self._own_name = own_name
         self._directory = tracker.directory
         self._ejection = tracker.ejection
         self._silence = tracker.silence
+        self._contacts = tracker.contacts
+        self._limits = tracker.silence_limits
         self._probed_at: dict[str, float] = {}
+        self._unreachable: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         """Probe targets until cancelled."""
-        while True:
-            await trio.sleep(POLL_SECONDS)
-            now = trio.current_time()
-            names = {*self._ejection.to_probe(now), *self._silent(now)}
-            if names:
-                await self._probe_all(names)
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(POLL_SECONDS)
+                for target in self._due_targets(trio.current_time()):
+                    nursery.start_soon(self._probe, target)
 
-    def _silent(self, now: float) -> set[str]:
-        """Return the silent targets that are to be probed now."""
+    def _due_targets(self, now: float) -> list[Target]:
+        """Return the targets that are to be probed now."""
         self._probed_at = {
             name: probed_at
             for name, probed_at in self._probed_at.items()
-            if now - probed_at < SILENT_PROBE_SECONDS
+            if now - probed_at < MIN_PROBE_SECONDS
         }
-        names = set(self._silence.silent_targets(now)) - self._probed_at.keys()
+        names = {
+            *self._ejection.to_probe(now),
+            *self._silence.quiet_targets(now, QUIET_SECONDS),
+            *self._suspects(now),
+        } - self._probed_at.keys()
+        if not names:
+            return []
         self._probed_at.update(dict.fromkeys(names, now))
-        return names
+        return [
+            target
+            for target in self._directory.all_targets()
+            if target.name in names
+        ]
 
-    async def _probe_all(self, names: set[str]) -> None:
-        async with trio.open_nursery() as nursery:
-            for target in self._directory.all_targets():
-                if target.name in names:
-                    nursery.start_soon(self._probe, target)
+    def _suspects(self, now: float) -> Iterable[str]:
+        """Return targets to probe because others were found unreachable."""
+        unreachable = self._ejection.unreachable_targets()
+        found = unreachable - self._unreachable
+        self._unreachable = unreachable
+        if not found:
+            return ()
+        names = [
+            target.name
+            for target in self._directory.all_targets()
+            if target.name not in unreachable
+            and target.name not in self._probed_at
+            and not self._contacts.is_recent(target.name, now)
+        ]
+        # Different routers probe different targets.
+        names.sort(key=partial(rendezvous_score, self._own_name))
+        return names[: len(found) * MAX_PROBED_PER_FAILURE]
 
     async def _probe(self, target: Target) -> None:
+        started_at = trio.current_time()
         is_reachable = await can_connect(target, CONNECT_TIMEOUT_SECONDS)
-        if not is_reachable:
-            self._ejection.record_failure(
-                target.name, trio.current_time(), is_unreachable=True
-            )
-        elif self._ejection.record_reachable(target.name):
-            log_event('target.reached', target=target.name)
+        if is_reachable:
+            if self._ejection.record_reachable(target.name):
+                log_event('target.reached', target=target.name)
+            return
+        self._ejection.record_failure(
+            target.name, trio.current_time(), is_unreachable=True
+        )
+        self._limits.end_waits(target.name, started_at)
--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -96,6 +96,21 @@
         for wait in self._waits.get(source, ()):
             wait.restart(now)
 
+    def end_waits(self, target: str, started_at: float) -> None:
+        """End the waits for a target without data since a time, if they may.
+
+        Nothing can arrive from it: no connection to it can be made.
+        """
+        now = trio.current_time()
+        for source, waits in self._waits.items():
+            if target not in {source, getattr(source, 'target_name', None)}:
+                continue
+            for wait in waits:
+                if wait.deadline - wait.max_seconds < started_at:
+                    wait.deadline = now
+                    wait.is_extended = True
+                    self._schedule(now)
+
     async def run(self) -> None:
         """Cancel the waits whose time has passed, until cancelled."""
         while True:
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -120,16 +120,18 @@
         If such a connection breaks, it is unknown whether the target received
         the request. If a new connection cannot be made, the target has not
         received it, and it may be sent to another target. Data of a moment ago
-        show that the path is whole.
+        show that the path is whole. Requests that may be repeated use idle
+        connections while no target is unreachable.
         """
+        is_old = self.contacts.is_old(target.name, now)
         if request.route.may_repeat:
-            return True
+            return not (is_old and self.ejection.unreachable_targets())
         has_recent_failures = self.data_centres.has_recent_failures(
             target.pool.data_centre, now
         )
         return not (
             has_recent_failures
-            or self.contacts.is_old(target.name, now)
+            or is_old
             or self.silence.is_silent(target.name, now)
         )
 
--- a/peridotwell/policy/outlier_ejection.py
+++ b/peridotwell/policy/outlier_ejection.py
@@ -78,6 +78,7 @@
     def record_error_response(self, name: str, now: float) -> bool:
         """Record an error response; return whether it ejects the target."""
         record = self._records.setdefault(name, _Record())
+        record.is_unreachable = False
         record.error_rate += (1 - record.error_rate) * ERROR_RATE_WEIGHT
         return record.error_rate >= EJECTION_ERROR_RATE and record.eject(now)
 
@@ -94,7 +95,8 @@
         """
         record = self._records.setdefault(name, _Record())
         record.failures += 1
-        record.is_unreachable = is_unreachable
+        # Silence or a lost response does not show that it can be reached.
+        record.is_unreachable |= is_unreachable
         if record.failures < CONSECUTIVE_FAILURES and not is_unreachable:
             return False
         return record.eject(now)
@@ -118,6 +120,14 @@
             if record.is_unreachable and record.ejected_until <= now
         )
 
+    def unreachable_targets(self) -> frozenset[str]:
+        """Return the targets to which no connection could be made."""
+        return frozenset(
+            name
+            for name, record in self._records.items()
+            if record.is_unreachable
+        )
+
     def reachable_targets(
         self, targets: Sequence[Target], now: float
     ) -> Sequence[Target]:
--- a/peridotwell/policy/silence.py
+++ b/peridotwell/policy/silence.py
@@ -45,9 +45,13 @@
         if not pending.count:
             self._targets.pop(name)
 
-    def silent_targets(self, now: float) -> Iterator[str]:
-        """Yield the targets that have requests but send no data."""
-        return (name for name in self._targets if self.is_silent(name, now))
+    def quiet_targets(self, now: float, seconds: float) -> Iterator[str]:
+        """Yield the targets that have requests and send nothing so long."""
+        return (
+            name
+            for name, pending in self._targets.items()
+            if now - pending.silent_since > seconds
+        )
 
     def is_silent(self, name: str, now: float) -> bool:
         """Return whether a target has requests but sends no data."""
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -15,8 +15,12 @@
 # A refusal that comes at once; a connection that fails takes 0.3 s.
 AT_ONCE_SECONDS = 0.25
 SETTLE_SECONDS = 0.3
+# Time in which all paths are probed.
+PROBE_SECONDS = 0.5
 # Enough requests for a kept connection to each target.
 KEPT_CONNECTIONS = 12
+# Requests that allow a few retries.
+FOR_RETRIES = 60
 
 
 @pytest.fixture
@@ -60,6 +64,27 @@
     assert len(runs) == len(set(runs)) == KEPT_CONNECTIONS + 3
 
 
+# Guards against streams that wait for their silence limit on a cut path.
+async def test_a_stream_right_after_a_cut_begins_within_a_second(fleet):
+    for _ in range(FOR_RETRIES):
+        await fleet.send(0, '/ask/x')
+    await fleet.cut(0, 'hanging')
+    started_at = trio.current_time()
+    resp = await fleet.send(0, '/ask/x')
+    assert resp.status == 200
+    assert trio.current_time() - started_at < 1
+
+
+# Guards against requests that find out one by one which paths are cut.
+async def test_a_failed_connection_has_the_other_paths_probed(fleet):
+    await fleet.cut(0, 'hanging')
+    await fleet.send(0, '/book/x')
+    await trio.sleep(PROBE_SECONDS)
+    started_at = trio.current_time()
+    assert (await fleet.send(0, '/book/x')).status == 200
+    assert trio.current_time() - started_at < AT_ONCE_SECONDS
+
+
 async def test_two_cut_routers_are_served_by_the_third(fleet):
     await fleet.cut(0, 'refused')
     await fleet.cut(1, 'refused')
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/test_target_health.py
@@ -100,6 +100,16 @@
     assert names(ejection.usable_targets(TARGETS, 0)) == ['t3']
 
 
+# Guards against a cut path that looked whole because a request on it was left.
+def test_silence_does_not_end_that_a_target_is_unreachable():
+    ejection = OutlierEjection()
+    ejection.record_failure('t0', 0, is_unreachable=True)
+    ejection.record_failure('t0', 0)
+    assert ejection.unreachable_targets() == {'t0'}
+    ejection.record_error_response('t0', 1)
+    assert not ejection.unreachable_targets()
+
+
 def test_all_targets_are_used_if_none_is_reachable():
     ejection = OutlierEjection()
     for target in TARGETS:
