Routers tell each other which targets they cannot reach

What callers saw: a request handed over to a router without paths cost a hop to be told so, once a second for each such router.

Cause: reach was known only by asking. It is forgotten with the router. A router that reaches none of the targets that take the request is not asked, one that reaches less than half only if there is no other. Older routers tell nothing and are asked as before.

Tests: test_a_router_that_has_told_that_it_reaches_none_is_not_asked and those beside it; they fail without the change, as routers did not tell.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -5,6 +5,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.policy.brittle_targets import BrittleTargets
 from peridotwell.policy.crash_blame import CrashBlame
+from peridotwell.policy.own_reach import OwnReach
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.quarantine import Quarantine
@@ -33,3 +34,4 @@
     crash_blame: CrashBlame = field(default_factory=CrashBlame)
     target_limits: TargetLimits = field(default_factory=TargetLimits)
     brittle_targets: BrittleTargets = field(default_factory=BrittleTargets)
+    own_reach: OwnReach = field(default_factory=OwnReach)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -184,6 +184,7 @@
             has_new_revision
             or self.own_requests.has_changed
             or self.own_prefill_tokens.has_changed
+            or self.state.own_reach.has_changed
         ):
             return COUNTS_UPDATE_SECONDS
         return IDLE_UPDATE_SECONDS
@@ -249,6 +250,7 @@
             self.crash_blame_sync.take(now, repeat=is_full),
             self.limit_sync.take(now, repeat=is_full),
             self.brittle_sync.take(now, repeat=is_full),
+            self.state.own_reach.take(include_unchanged=is_full),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -193,7 +193,8 @@
     `departed` are targets, with their incarnation, that have said in an answer
     that they leave. `part_records` concern parts of prompts that crash targets,
     `target_limits` the limits that targets name, `brittle_targets` those that
-    fall over when they have to reject many requests.
+    fall over when they have to reject many requests. `unreachable_targets` are
+    those to which the sender can make no connection, None if unchanged.
     """
 
     revision: int
@@ -211,6 +212,7 @@
     part_records: tuple[PartRecord, ...] = ()
     target_limits: tuple[LimitRecord, ...] = ()
     brittle_targets: tuple[BrittleRecord, ...] = ()
+    unreachable_targets: tuple[int, ...] | None = None
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -37,6 +37,7 @@
     last_sequence: int | None = None
     pool_requests: dict[int, int] = field(default_factory=dict)
     customer_requests: dict[int, int] = field(default_factory=dict)
+    unreachable_targets: frozenset[int] = frozenset()
 
     @property
     def wire_id(self) -> int:
@@ -110,6 +111,8 @@
         peer.last_received_at = now
         peer.version = update.revision
         peer.is_leaving = update.is_leaving
+        if update.unreachable_targets is not None:
+            peer.unreachable_targets = frozenset(update.unreachable_targets)
         return True
 
     def peer(self, sender: int) -> Peer | None:
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -143,7 +143,7 @@
         selector,
         PathSelector(selector, tracker, peer_paths),
         handover_client,
-        ReachabilityProber(tracker, settings.name),
+        ReachabilityProber(tracker, settings.name, state.own_reach),
         crash_tracker,
         tracker.silence_limits,
         StreamAffinity(state.directory, update_exchange),
--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/path_selection.py
@@ -89,7 +89,22 @@
         """Return a router that may take over the request, if it may."""
         if not may_hand_over:
             return None
-        return self._peer_paths.choose(request.request_id, tried, now)
+        return self._peer_paths.choose(
+            request.request_id, tried, now, self._wanted_targets(request, now)
+        )
+
+    def _wanted_targets(
+        self, request: RoutedRequest, now: float
+    ) -> Collection[int]:
+        """Return the wire ids of the targets that take the request."""
+        service_targets = self._tracker.directory.available_targets(
+            request.service
+        )
+        return [
+            target.wire_id
+            for target in service_targets
+            if self._tracker.accepts(target, now)
+        ]
 
     def _may_hang(
         self, choice: Choice, tried: Collection[str], now: float
--- a/peridotwell/forwarding/peer_paths.py
+++ b/peridotwell/forwarding/peer_paths.py
@@ -13,6 +13,8 @@
 UNABLE_SECONDS = 1.0
 # Routers that are asked for one request.
 MAX_ROUTERS_ASKED = 3
+# Routers that reach fewer targets are asked only if there is no other.
+MAX_MISSING_SHARE = 0.5
 
 
 class PeerPaths:
@@ -32,19 +34,27 @@
         self._unable_until[router] = now + UNABLE_SECONDS
 
     def choose(
-        self, request_id: str, tried: Collection[str], now: float
+        self,
+        request_id: str,
+        tried: Collection[str],
+        now: float,
+        targets: Collection[int],
     ) -> Choice | None:
         """Return a router that may take over a request, or None.
 
-        `tried` has the names of the targets and routers of earlier attempts.
-        Requests are spread evenly.
+        `tried` has the names of the targets and routers of earlier attempts,
+        `targets` the wire ids of those that take the request. A router that
+        has told that it reaches none of them is not asked, one that reaches
+        less than half of them only if there is no other. Requests are spread
+        evenly.
         """
         peers = [peer for peer in self._peers.live_peers(now) if _takes(peer)]
         asked = sum(peer.hello.name in tried for peer in peers)
         if asked >= MAX_ROUTERS_ASKED:
             return None
+        candidates = tuple(self._candidates(peers, tried, now))
         chosen = max(
-            self._candidates(peers, tried, now),
+            _best_connected(candidates, targets),
             key=lambda peer: rendezvous_score(request_id, peer.hello.name),
             default=None,
         )
@@ -59,6 +69,21 @@
                 yield peer
 
 
+def _best_connected(
+    peers: Collection[Peer], targets: Collection[int]
+) -> Collection[Peer]:
+    """Return the peers that reach half of the targets, else any of them."""
+    missing = {
+        peer.wire_id: sum(
+            target in peer.unreachable_targets for target in targets
+        )
+        for peer in peers
+    }
+    able = [peer for peer in peers if missing[peer.wire_id] < len(targets)]
+    most = len(targets) * MAX_MISSING_SHARE
+    return [peer for peer in able if missing[peer.wire_id] <= most] or able
+
+
 def _takes(peer: Peer) -> bool:
     return bool(peer.hello.handover_address) and not peer.is_leaving
 
--- a/peridotwell/forwarding/reachability_prober.py
+++ b/peridotwell/forwarding/reachability_prober.py
@@ -10,10 +10,11 @@
 
 import trio
 
-from peridotwell.domain.target import Target
+from peridotwell.domain.target import Target, wire_id
 from peridotwell.forwarding.connection_check import can_connect
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event
+from peridotwell.policy.own_reach import OwnReach
 from peridotwell.policy.rendezvous import rendezvous_score
 from peridotwell.serving.target_client import CONNECT_TIMEOUT_SECONDS
 
@@ -36,8 +37,11 @@
     unreachable, those without data of a moment ago.
     """
 
-    def __init__(self, tracker: TargetTracker, own_name: str) -> None:
+    def __init__(
+        self, tracker: TargetTracker, own_name: str, own_reach: OwnReach
+    ) -> None:
         self._own_name = own_name
+        self._own_reach = own_reach
         self._directory = tracker.directory
         self._ejection = tracker.ejection
         self._silence = tracker.silence
@@ -79,6 +83,8 @@
         """Return targets to probe because others were found unreachable."""
         unreachable = self._ejection.unreachable_targets()
         found = unreachable - self._unreachable
+        if unreachable != self._unreachable:
+            self._own_reach.set(wire_id(name) for name in unreachable)
         self._unreachable = unreachable
         if not found:
             return ()
--- a/tests/forwarding/test_peer_paths.py
+++ b/tests/forwarding/test_peer_paths.py
@@ -13,14 +13,21 @@
     PeerPaths,
 )
 
+TARGETS = (11, 12, 13, 14)
+
 
 def hello(name, handover='10.0.0.9:1'):
     return make_hello(name, 'a', '10.0.0.9:2', '', 1, 0, handover)
 
 
-def update(router, *, is_leaving=False):
+def update(router, *, is_leaving=False, sequence=1, unreachable=()):
     return RouterUpdate(
-        router.sender, 1, 1, is_leaving, True, (), (), (), (), 0, 0, (), ()
+        router.sender,
+        1,
+        sequence,
+        is_leaving,
+        True,
+        unreachable_targets=unreachable,
     )
 
 
@@ -35,7 +42,7 @@
 
 
 def chosen(paths, request_id, tried=(), now=0.0):
-    choice = paths.choose(request_id, tried, now)
+    choice = paths.choose(request_id, tried, now, TARGETS)
     return choice and choice.target.name
 
 
@@ -63,6 +70,37 @@
     assert len(tried) == MAX_ROUTERS_ASKED
 
 
+# Guards against a hop that is spent on being told that there is no path.
+def test_a_router_that_has_told_that_it_reaches_none_is_not_asked(peers):
+    for peer in peers.known_peers():
+        peers.record_update(
+            update(peer.hello, sequence=2, unreachable=TARGETS), 0
+        )
+    assert chosen(PeerPaths(peers), 'id') is None
+
+
+def test_routers_that_reach_half_of_the_targets_are_preferred(peers):
+    *worse, better = peers.known_peers()
+    for peer in worse:
+        peers.record_update(
+            update(peer.hello, sequence=2, unreachable=TARGETS[:3]), 0
+        )
+    paths = PeerPaths(peers)
+    names = {chosen(paths, f'id-{n}') for n in range(50)}
+    assert names == {better.hello.name}
+    paths.record_unable(better.hello.name, 0)
+    assert chosen(paths, 'id') in {peer.hello.name for peer in worse}
+
+
+def test_an_update_without_reach_leaves_it_as_it_was(peers):
+    peer, *_ = peers.known_peers()
+    peers.record_update(update(peer.hello, sequence=2, unreachable=(11,)), 0)
+    peers.record_update(update(peer.hello, sequence=3, unreachable=None), 0)
+    assert peer.unreachable_targets == {11}
+    peers.record_update(update(peer.hello, sequence=4), 0)
+    assert not peer.unreachable_targets
+
+
 def test_routers_that_leave_are_silent_or_older_are_not_asked():
     known = Peers(hello('own'), dead_after_seconds=2)
     older, leaving, silent = hello('old', ''), hello('leaving'), hello('silent')
