Routers that reach few targets use the others' paths too

Cause: a request was handed over only if no target could be reached. All requests of the three routers went to the one engine that they reached (load 40 to 86, prompts of up to 114,000 tokens ahead), while the others had 5 to 20.

Change: a target with more than 1.5 times the mean requests of its service, and two more, is crowded; if targets that cannot be reached from here have at most the mean, the request goes to a router that reaches them (CrowdedPaths). Nothing is compared while all targets can be reached.

Test: test_a_router_with_one_path_left_uses_other_routers_too, 18 of 18 requests on one target before.

--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/path_selection.py
@@ -4,6 +4,7 @@
 
 from peridotwell.errors import NoReachableTarget, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.crowded_paths import CrowdedPaths
 from peridotwell.forwarding.peer_paths import PeerPaths
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.target_tracker import TargetTracker
@@ -23,6 +24,7 @@
     ) -> None:
         self._selector = selector
         self._tracker = tracker
+        self._crowded_paths = CrowdedPaths(tracker)
         self._peer_paths = peer_paths
 
     def choose(
@@ -37,7 +39,8 @@
         """Return the target or the router for a request. Raises NoTarget.
 
         A request is handed over once at most. One that has waited for a target
-        in vain waits for no other of which this router has heard nothing. If
+        in vain waits for no other of which this router has heard nothing. One
+        for which only crowded targets are reached goes where there is room. If
         no router can take it, a target that responds to nobody is tried, but
         none that cannot be reached.
         """
@@ -53,9 +56,11 @@
             if request.is_handed_over or not exc.may_try:
                 raise
             return self._selector.choose(request, tried, now, software)
-        if may_hand_over and self._may_hang(choice, tried, now):
+        if not may_hand_over:
+            return choice
+        if self._may_hang(choice, tried, now):
             return self._router(request, tried, now, may_hand_over) or choice
-        return choice
+        return self._router_with_room(request, tried, now, choice) or choice
 
     def has_other(
         self,
@@ -93,6 +98,20 @@
             request.request_id, tried, now, self._wanted_targets(request, now)
         )
 
+    def _router_with_room(
+        self,
+        request: RoutedRequest,
+        tried: Collection[str],
+        now: float,
+        choice: Choice,
+    ) -> Choice | None:
+        """Return a router that reaches targets with room, if needed."""
+        targets = self._crowded_paths.targets_with_room(choice, now)
+        if not targets:
+            return None
+        wanted = [target.wire_id for target in targets]
+        return self._peer_paths.choose(request.request_id, tried, now, wanted)
+
     def _wanted_targets(
         self, request: RoutedRequest, now: float
     ) -> Collection[int]:
--- a/tests/peridotwell_platform/cut_fleet.py
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -169,10 +169,11 @@
         )
         self.routers.append(FleetRouter(router.address, paths, scope))
 
-    async def cut(self, number: int, how: str) -> None:
-        """Cut a router from all targets."""
-        for path in self.routers[number].paths.values():
-            await path.cut(how)
+    async def cut(self, number: int, how: str, *targets: str) -> None:
+        """Cut a router from these targets, by default from all."""
+        paths = self.routers[number].paths
+        for name in targets or paths:
+            await paths[name].cut(how)
 
     async def heal(self, number: int) -> None:
         """Open all paths of a router."""
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -15,6 +15,10 @@
 # A refusal that comes at once; a connection that fails takes 0.3 s.
 AT_ONCE_SECONDS = 0.25
 SETTLE_SECONDS = 0.3
+SLOW_SECONDS = 0.6
+CONCURRENT_REQUESTS = 18
+# Of three targets, whose loads routers tell each other after 0.2 s.
+MAX_SHARE_OF_ONE = 0.6
 # Time in which all paths are probed.
 PROBE_SECONDS = 0.5
 # Enough requests for a kept connection to each target.
@@ -85,6 +89,28 @@
     assert trio.current_time() - started_at < AT_ONCE_SECONDS
 
 
+# Guards against the one target that a router still reaches getting all of its
+# requests, while targets that other routers reach have room.
+async def test_a_router_with_one_path_left_uses_other_routers_too(fleet):
+    await fleet.cut(0, 'refused', 'i-0', 'i-1')
+    await use_for_contact_time(fleet, 0)
+    runs = dict.fromkeys(fleet.addresses, 0)
+
+    async def respond(target, exchange):
+        runs[target.name] += 1
+        await trio.sleep(SLOW_SECONDS)
+        fields = stand_in.receipt_headers(target, exchange)
+        await exchange.respond(200, b'', fields)
+
+    for target in fleet.targets:
+        target.script.extend([respond] * CONCURRENT_REQUESTS)
+    async with trio.open_nursery() as nursery:
+        for _ in range(CONCURRENT_REQUESTS):
+            nursery.start_soon(fleet.send, 0, '/book/x')
+    assert sum(runs.values()) == CONCURRENT_REQUESTS
+    assert runs['i-2'] <= MAX_SHARE_OF_ONE * CONCURRENT_REQUESTS
+
+
 async def test_two_cut_routers_are_served_by_the_third(fleet):
     await fleet.cut(0, 'refused')
     await fleet.cut(1, 'refused')
