Soak: routers are cut from all or some of the targets

What was missing: no soak cut single routers from targets while callers, store and the other routers reached them; requests that pass through two routers were never run beside other faults.

Change: each router has proxies of its own to the targets, and a view of the store with their addresses (RouterPaths). One router after the other is cut from all or half of the targets for 1 to 5 s, its bytes held or its connections reset, from draws of their own. The checks of what callers and targets see are as before: no second run, nothing run after a refusal, whole answers, in time. The share of callers of cut routers that are served is not checked: brittle targets and limits refuse most requests of a soak.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -26,6 +26,7 @@
 from tests.soak.guarantees import GuaranteeChecker
 from tests.soak.notices import NoticeChecker
 from tests.soak.proxy import FaultProxy, start_proxy
+from tests.soak.router_paths import ProxyGroup, RouterPaths, start_paths
 
 __all__ = (
     'DEADLINE_SECONDS',
@@ -75,12 +76,14 @@
     """One router process.
 
     `disturbed_at` is the time at which it was last killed, paused, resumed or
-    restarted; `address` is the host:port for callers.
+    restarted; `address` is the host:port for callers, `paths` its ways to the
+    targets.
     """
 
     name: str
     settings_path: Path
     address: str
+    paths: RouterPaths
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = float('-inf')
     is_stopping: bool = False
@@ -236,7 +239,7 @@
 
     folder: Path
     store: StoreStandIn
-    store_proxy: FaultProxy
+    store_proxy: ProxyGroup
     checker: GuaranteeChecker
     notices: NoticeChecker
     brittle: BrittleChecker
@@ -319,14 +322,13 @@
     """
     store = StoreStandIn()
     store.page_size = 100
-    address = await nursery.start(serve_http, store.handle, '127.0.0.1:0')
     checker = GuaranteeChecker(DEADLINE_SECONDS)
     notices = NoticeChecker(checker.violations)
     brittle = BrittleChecker(checker.violations)
     cluster = SoakCluster(
         folder,
         store,
-        await start_proxy(nursery, address),
+        ProxyGroup(),
         checker,
         notices,
         brittle,
@@ -342,13 +344,25 @@
         cluster.targets.append(target)
         cluster.publish_target(target, 'ready')
     for number in range(routers):
-        cluster.routers.append(_create_router(cluster, number))
+        await _add_router(nursery, cluster, number)
     for router in cluster.routers:
         router.start(cluster.log_path(router))
     return cluster
 
 
-def _create_router(cluster: SoakCluster, number: int) -> Router:
+async def _add_router(
+    nursery: trio.Nursery, cluster: SoakCluster, number: int
+) -> None:
+    addresses = {each.name: each.proxy.address for each in cluster.targets}
+    paths, store_proxy = await start_paths(nursery, cluster.store, addresses)
+    cluster.store_proxy.members.append(store_proxy)
+    router = _create_router(cluster, number, paths, store_proxy.address)
+    cluster.routers.append(router)
+
+
+def _create_router(
+    cluster: SoakCluster, number: int, paths: RouterPaths, store: str
+) -> Router:
     name = f'r{number}'
     # No outgoing connection uses this address, so its free ports stay free.
     ip = f'127.0.0.{FIRST_HOST_NUMBER + number}'
@@ -359,9 +373,9 @@
             name=name,
             ip=ip,
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
-            store=cluster.store_proxy.address,
+            store=store,
             handovers=ports['peers'] + 1,
             **ports,
         )
     )
-    return Router(name, path, f'{ip}:{ports["callers"]}')
+    return Router(name, path, f'{ip}:{ports["callers"]}', paths)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 from tests.soak.brittle import CONTACT_SECONDS
 from tests.soak.cluster import Router, SoakCluster, SoakTarget
+from tests.soak.proxy import FaultProxy
 
 __all__ = ('FaultInjector',)
 
@@ -23,6 +24,7 @@
 MAX_REJECTIONS = 3
 # Targets that always stay ready.
 MIN_TARGETS = 2
+MAX_CUT_SECONDS = 5.0
 
 
 class FaultInjector:
@@ -33,6 +35,7 @@
         self._cluster = cluster
         self._random = random.Random(f'faults {seed}')
         self._brittle_random = random.Random(f'brittle {seed}')
+        self._cut_random = random.Random(f'cuts {seed}')
         self._faults: tuple[Fault, ...] = (
             self._kill_router,
             self._stop_router,
@@ -61,6 +64,7 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_brittle_times)
+            nursery.start_soon(self._run_cuts)
             while True:
                 fault = self._random.choice(self._faults)
                 name = fault.__name__.strip('_')
@@ -218,14 +222,29 @@
             target.max_rejections = ''
             await trio.sleep(self._brittle_random.uniform(0, 2))
 
+    async def _run_cuts(self) -> None:
+        """Cut one router after the other from all or some of the targets."""
+        while True:
+            router = self._cut_random.choice(self._cluster.routers)
+            paths = tuple(router.paths.proxies.values())
+            count = self._cut_random.choice((len(paths), len(paths) // 2))
+            how = self._cut_random.choice(('held', 'refused'))
+            self.injected.append(f'{router.name} {how} from {count} targets')
+            cut = self._cut_random.sample(paths, count)
+            for proxy in cut:
+                _cut_path(proxy, how)
+            await trio.sleep(self._cut_random.uniform(1, MAX_CUT_SECONDS))
+            for proxy in cut:
+                proxy.clear_faults()
+            await trio.sleep(self._cut_random.uniform(0, 2))
+
     async def _disrupt_store(self) -> None:
         proxy = self._cluster.store_proxy
         outage = self._random.choice(('hold', 'refuse', 'busy'))
         if outage == 'hold':
             proxy.hold('requests', 'responses')
         elif outage == 'refuse':
-            proxy.refuses_connections = True
-            proxy.reset_connections()
+            proxy.refuse()
         else:
             self._cluster.store.faults.extend([503] * 20)
         await self._wait_for_duration()
@@ -256,3 +275,12 @@
         router = self._choose_router()
         if router is not None:
             router.signal(signal.SIGHUP)
+
+
+def _cut_path(proxy: FaultProxy, how: str) -> None:
+    """Hold all bytes of a path, or reset its connections."""
+    if how == 'held':
+        proxy.hold('requests', 'responses')
+        return
+    proxy.refuses_connections = True
+    proxy.reset_connections()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -104,6 +104,8 @@
         cluster.restart_target(target)
         cluster.publish_target(target, 'ready')
     for router in cluster.routers:
+        for path in router.paths.proxies.values():
+            path.clear_faults()
         # A planned stop that is under way must be allowed to complete.
         while router.is_stopping and router.process.poll() is None:
             await trio.sleep(0.05)
