--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -199,6 +199,7 @@
             has_new_revision
             or self.own_requests.has_changed
             or self.own_prefill_tokens.has_changed
+            or self.state.own_reach.has_changed
         ):
             return COUNTS_UPDATE_SECONDS
         return IDLE_UPDATE_SECONDS
@@ -265,6 +266,9 @@
             target_limits=self.limit_sync.take(now, repeat=is_full),
             brittle_targets=self.brittle_sync.take(now, repeat=is_full),
             request_records=self.crashed_request_sync.take(now, repeat=is_full),
+            unreachable_targets=self.state.own_reach.take(
+                include_unchanged=is_full
+            ),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -192,9 +192,10 @@
     are pairs of a stream that has begun and the software version of its target.
     `departed` are targets, with their incarnation, that have said in an answer
     that they leave. `part_records` concern parts of prompts that crash targets,
-    `request_records` requests that do,
-    `target_limits` the limits that targets name, `brittle_targets` those that
-    fall over when they have to reject many requests.
+    `request_records` requests that do, `target_limits` the limits that targets
+    name, `brittle_targets` those that fall over when they have to reject many
+    requests. `unreachable_targets` are those to which the sender can make no
+    connection, None if unchanged.
     """
 
     revision: int
@@ -213,6 +214,7 @@
     target_limits: tuple[LimitRecord, ...] = ()
     brittle_targets: tuple[BrittleRecord, ...] = ()
     request_records: tuple[LossRecord, ...] = ()
+    unreachable_targets: tuple[int, ...] | None = None
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -37,6 +37,7 @@
     last_sequence: int | None = None
     pool_requests: dict[int, int] = field(default_factory=dict)
     customer_requests: dict[int, int] = field(default_factory=dict)
+    unreachable_targets: frozenset[int] = frozenset()
 
     @property
     def wire_id(self) -> int:
@@ -116,6 +117,8 @@
         peer.last_sequence = update.sequence
         self._record_received(peer, now, is_leaving=update.is_leaving)
         peer.version = update.revision
+        if update.unreachable_targets is not None:
+            peer.unreachable_targets = frozenset(update.unreachable_targets)
         return True
 
     def peer(self, sender: int) -> Peer | None:
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -18,6 +18,16 @@
 # A refusal that comes at once; a connection that fails takes 0.3 s.
 AT_ONCE_SECONDS = 0.25
 SETTLE_SECONDS = 0.3
+SLOW_SECONDS = 0.6
+CONCURRENT_REQUESTS = 18
+# Of three targets, whose loads routers tell each other after 0.2 s.
+MAX_SHARE_OF_ONE = 0.6
+# Time in which all paths are probed.
+PROBE_SECONDS = 0.5
+# Enough requests for a kept connection to each target.
+KEPT_CONNECTIONS = 12
+# Requests that allow a few retries.
+FOR_RETRIES = 60
 
 
 @pytest.fixture
@@ -68,6 +78,61 @@
     assert (resp.status, len(fleet.runs())) == (200, before + 1)
 
 
+# Guards against bookings that are lost on connections kept across a cut.
+async def test_bookings_right_after_a_cut_are_served(fleet):
+    for _ in range(KEPT_CONNECTIONS):
+        await fleet.send(0, '/book/x')
+    await trio.sleep(SETTLE_SECONDS)
+    await fleet.cut(0, 'hanging')
+    statuses = [(await fleet.send(0, '/book/x')).status for _ in range(3)]
+    assert statuses == [200] * 3
+    runs = fleet.runs()
+    assert len(runs) == len(set(runs)) == KEPT_CONNECTIONS + 3
+
+
+# Guards against streams that wait for their silence limit on a cut path.
+async def test_a_stream_right_after_a_cut_begins_within_a_second(fleet):
+    for _ in range(FOR_RETRIES):
+        await fleet.send(0, '/ask/x')
+    await fleet.cut(0, 'hanging')
+    started_at = trio.current_time()
+    resp = await fleet.send(0, '/ask/x')
+    assert resp.status == 200
+    assert trio.current_time() - started_at < 1
+
+
+# Guards against requests that find out one by one which paths are cut.
+async def test_a_failed_connection_has_the_other_paths_probed(fleet):
+    await fleet.cut(0, 'hanging')
+    await fleet.send(0, '/book/x')
+    await trio.sleep(PROBE_SECONDS)
+    started_at = trio.current_time()
+    assert (await fleet.send(0, '/book/x')).status == 200
+    assert trio.current_time() - started_at < AT_ONCE_SECONDS
+
+
+# Guards against the one target that a router still reaches getting all of its
+# requests, while targets that other routers reach have room.
+async def test_a_router_with_one_path_left_uses_other_routers_too(fleet):
+    await fleet.cut(0, 'refused', 'i-0', 'i-1')
+    await use_for_contact_time(fleet, 0)
+    runs = dict.fromkeys(fleet.addresses, 0)
+
+    async def respond(target, exchange):
+        runs[target.name] += 1
+        await trio.sleep(SLOW_SECONDS)
+        fields = stand_in.receipt_headers(target, exchange)
+        await exchange.respond(200, b'', fields)
+
+    for target in fleet.targets:
+        target.script.extend([respond] * CONCURRENT_REQUESTS)
+    async with trio.open_nursery() as nursery:
+        for _ in range(CONCURRENT_REQUESTS):
+            nursery.start_soon(fleet.send, 0, '/book/x')
+    assert sum(runs.values()) == CONCURRENT_REQUESTS
+    assert runs['i-2'] <= MAX_SHARE_OF_ONE * CONCURRENT_REQUESTS
+
+
 async def test_two_cut_routers_are_served_by_the_third(fleet):
     await fleet.cut(0, 'refused')
     await fleet.cut(1, 'refused')
