The admission queue is bounded in bytes and orders customers by their turns

Callers saw nothing yet. Cause: the queue of the product's own interface counted requests only, kept those that had left until they came up, and had no order that a router without counts of customers can use.

Change: a sorted list with a bound in bytes; the last in order give way; a request that leaves is removed at once; it tells how many requests are ahead of one. `overuse` is `fair_order`, which start-time fair queueing (`policy/fair_queueing.py`) fills for forwarded requests. Tests fail before: `max_bytes`, `ahead` and the module are new.

--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -104,7 +104,7 @@
             self._check_servable(placement_request, now)
             queued_request = QueuedRequest(
                 priority=cfg.priority,
-                overuse=self._usage_ratio(request, cfg, now),
+                fair_order=self._usage_ratio(request, cfg, now),
                 arrival=arrival,
                 deadline_at=_wait_deadline(placement_request, cfg, enqueued_at),
             )
--- a/tests/policy/test_policies.py
+++ b/tests/policy/test_policies.py
@@ -157,6 +157,57 @@
     assert len(queue) == 0
 
 
+# Guards against a waiting queue that grows with what callers send.
+async def test_queue_is_bounded_in_bytes_and_the_last_gives_way(
+    autojump_clock,
+):
+    queue = AdmissionQueue(max_bytes=10)
+    refused = []
+
+    async def wait(priority, size_bytes):
+        arrival = queue.next_arrival_number()
+        request = QueuedRequest(priority, 0, arrival, 10, size_bytes)
+        try:
+            await queue.wait(request, 9, 0)
+        except Overloaded:
+            refused.append((priority, size_bytes))
+
+    async with trio.open_nursery() as nursery:
+        for priority, size_bytes in ((1, 4), (2, 4), (3, 3), (2, 11), (0, 5)):
+            nursery.start_soon(wait, priority, size_bytes)
+            await trio.testing.wait_all_tasks_blocked()
+        assert refused == [(3, 3), (2, 11), (2, 4)]
+        assert len(queue) == 2
+        queue.wake_next(2)
+
+
+# Guards against places that stay taken after their callers have left.
+async def test_request_that_leaves_frees_its_place_at_once(autojump_clock):
+    queue = AdmissionQueue(max_bytes=10)
+    with trio.move_on_after(1):
+        await queue.wait(QueuedRequest(1, 0, 1, 10, 10), 1, 0)
+    assert len(queue) == 0
+    with trio.move_on_after(1):
+        await queue.wait(QueuedRequest(2, 0, 2, 10, 10), 1, 0)
+    assert len(queue) == 0
+
+
+async def test_customer_that_had_less_is_ahead_of_equally_urgent_requests(
+    autojump_clock,
+):
+    queue = AdmissionQueue()
+    async with trio.open_nursery() as nursery:
+        for order, arrival in ((1, 1), (3, 2)):
+            request = QueuedRequest(1, order, arrival, 10)
+            nursery.start_soon(queue.wait, request, 9, 0)
+        await trio.testing.wait_all_tasks_blocked()
+        assert queue.ahead(QueuedRequest(1, 0, 3, 10)) == 0
+        assert queue.ahead(QueuedRequest(1, 2, 3, 10)) == 1
+        assert queue.ahead(QueuedRequest(1, 9, 3, 10)) == 2
+        assert queue.ahead(QueuedRequest(0, 9, 3, 10)) == 0
+        queue.wake_next(2)
+
+
 def crash_records():
     return st.builds(
         CrashRecord,
