Requests go only to engines with room; the rest waits briefly or is refused

Cause: what the limits did not let through went to the one engine without a limit (4.3 times the mean), through its whole queue, where a request waits for seconds.

Change: - A first attempt goes to an engine only while the load there, by all routers' counts, leaves it a wait of 0.15 s at most; a tenth of the places is kept for each more urgent priority (forwarding/engine_room.py). Later attempts do not ask. - What finds no room waits in the admission queue, 0.15 s at most, the most urgent first, customers in turn; it is refused on arrival if the rate at which this router has sent lately makes that too long: `no_room`, 503, not run, Retry-After from that rate, spread (forwarding/waiting_room.py). It frees its place when its caller leaves. - Routes whose requests are shorter than the mean leave engines with limits to the others, unless all engines name one or this router's share is unused.

--- a/peridotwell/errors.py
+++ b/peridotwell/errors.py
@@ -28,6 +28,7 @@
     'ClaimUnavailable',
     'NoTarget',
     'NoReachableTarget',
+    'NoRoom',
     'Overloaded',
     'DeadlineExceeded',
     'RequestQuarantined',
@@ -236,6 +237,26 @@
         self.may_try = may_try
 
 
+class NoRoom(NoTarget):
+    """No target has room for the request now.
+
+    `room_seconds` is the time after which one is expected to have room again,
+    by what it says itself; 0 if it says nothing.
+    """
+
+    code = 'no_room'
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        room_seconds: float = 0,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        super().__init__(message, retry_after_seconds=retry_after_seconds)
+        self.room_seconds = room_seconds
+
+
 class Overloaded(RequestError):
     """The customer's share or the pool's capacity is exhausted."""
 
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -26,6 +26,7 @@
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.metrics import Metrics
 from peridotwell.policy.brittle_targets import BrittleTargets
 from peridotwell.policy.outlier_ejection import OutlierEjection
@@ -81,7 +82,9 @@
     update_exchange = UpdateExchange(peers, transport, state, metrics)
     notice_recorder = NoticeRecorder(update_exchange, metrics)
     clients = TargetClients(directory, adapters.targets, notice_recorder.record)
-    forwarding = _make_forwarding(settings, adapters, update_exchange, clients)
+    forwarding = _make_forwarding(
+        settings, adapters, update_exchange, clients, metrics
+    )
     return RouterComponents(
         transport=transport,
         update_exchange=update_exchange,
@@ -122,6 +125,7 @@
     adapters: Adapters,
     update_exchange: UpdateExchange,
     clients: TargetClients,
+    metrics: Metrics,
 ) -> ForwardingComponents:
     state = update_exchange.state
     tracker = TargetTracker(
@@ -141,7 +145,9 @@
             clients, tracker, adapters.targets, crash_tracker, handover_client
         ),
         selector,
-        PathSelector(selector, peer_paths),
+        WaitingRoom(
+            PathSelector(selector, peer_paths), tracker.return_spread, metrics
+        ),
         handover_client,
         ReachabilityProber(tracker),
         crash_tracker,
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -43,6 +43,7 @@
             (0, components.forwarding.crash_tracker.run),
             (0, components.forwarding.silence_limits.run),
             (0, components.forwarding.prober.run),
+            (0, components.forwarding.waiting_room.run),
             (0, self._receive),
             (0, self._update),
             (CLEANUP_SECONDS, self._remove_gone),
--- a/peridotwell/forwarding/brittle_room.py
+++ b/peridotwell/forwarding/brittle_room.py
@@ -5,13 +5,12 @@
 from peridotwell.domain.target import Target
 from peridotwell.policy.brittle_targets import BrittleTargets, RequestCounts
 from peridotwell.policy.own_counts import OwnCounts
-from peridotwell.policy.return_spread import MIN_SPREAD_SECONDS, ReturnSpread
 
 __all__ = ('BrittleRoom',)
 
 
 class BrittleRoom:
-    """Tells which brittle targets have room, and when refused callers return.
+    """Tells which brittle targets have room.
 
     `load` returns the estimated number of requests of all routers on a target.
     """
@@ -25,7 +24,6 @@
         self._targets = targets
         self._own_requests = own_requests
         self._load = load
-        self._return_spread = ReturnSpread()
 
     @property
     def is_empty(self) -> bool:
@@ -45,21 +43,11 @@
         counts = self._counts(target, now)
         return self._targets.wait_seconds(target, counts, now)
 
-    def return_spread_seconds(self, service: str, now: float) -> float:
-        """Return over which time refused callers of a service return.
-
-        Called once for each caller that is refused.
-        """
-        if self.is_empty:
-            return MIN_SPREAD_SECONDS
-        return self._return_spread.record_refused(service, now)
-
     def record_send(self, target: Target, now: float) -> None:
         """Record that a request is about to be sent."""
         if self.is_empty:
             return
         self._targets.record_send(target, self._counts(target, now), now)
-        self._return_spread.record_sent(target.pool.name, now)
 
     def record_unreachable(self, target: Target, now: float) -> None:
         """Record that no connection to a target can be made."""
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -23,6 +23,7 @@
 from peridotwell.forwarding.dispatch import FIRST_SERVER_ERROR, Dispatcher
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
+from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
@@ -70,11 +71,11 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        selector: PathSelector,
+        waiting_room: WaitingRoom,
         adapter: TargetAdapter,
     ) -> None:
         self._dispatcher = dispatcher
-        self._selector = selector
+        self._waiting_room = waiting_room
         self._adapter = adapter
 
     async def get(
@@ -109,9 +110,8 @@
         request: RoutedRequest,
         attempts: Attempts,
     ) -> BufferedResponse | AttemptError:
-        now = trio.current_time()
         self._dispatcher.check(request)
-        choice = self._selector.choose(request, attempts.tried, now)
+        choice = await self._waiting_room.choose(request, attempts.tried)
         number = attempts.begin(choice.target.name)
         may_leave = partial(self._may_leave, request, attempts, choice.target)
         try:
@@ -138,7 +138,9 @@
             self._dispatcher.check(request)
         except ForwardedRequestQuarantined:
             return False
-        return may_leave_target(attempts, self._selector, request, target, now)
+        return may_leave_target(
+            attempts, self._waiting_room.selector, request, target, now
+        )
 
     async def _send(self, attempt: Attempt) -> BufferedResponse:
         async with self._dispatcher.send(attempt) as response:
--- a/peridotwell/forwarding/components.py
+++ b/peridotwell/forwarding/components.py
@@ -6,11 +6,11 @@
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
 from peridotwell.forwarding.handover_client import HandoverClient
-from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.reachability_prober import ReachabilityProber
 from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_selection import TargetSelector
+from peridotwell.forwarding.waiting_room import WaitingRoom
 
 __all__ = ('ForwardingComponents',)
 
@@ -21,7 +21,7 @@
 
     dispatcher: Dispatcher
     selector: TargetSelector
-    path_selector: PathSelector
+    waiting_room: WaitingRoom
     handover_client: HandoverClient
     prober: ReachabilityProber
     crash_tracker: CrashTracker
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -124,6 +124,11 @@
                 seconds = trio.current_time() - started_at
                 self._tracker.record_first_part(request, choice, seconds)
                 yield response
+            self._tracker.lengths.record(
+                request.service,
+                request.route.name,
+                trio.current_time() - started_at,
+            )
         except AttemptError as exc:
             self._record_failure(attempt, exc)
             raise
--- /dev/null
+++ b/peridotwell/forwarding/engine_room.py
@@ -0,0 +1,88 @@
+"""Engines that have room for the first attempt of a request.
+
+Pattern: trunk reservation. The last places of an engine are kept for the most
+urgent requests, so that these find one though they do not wait long.
+
+A limit that a target names counts requests, however long they are. So short
+requests leave such targets to long ones while other targets have room.
+"""
+
+from collections.abc import Sequence
+
+from peridotwell.domain.routing_table import engine_properties
+from peridotwell.errors import NoRoom
+from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.policy.engine_choice import EngineCandidate
+from peridotwell.policy.urgency_ranks import UrgencyRanks
+
+__all__ = ('EngineRoom',)
+
+# A request may wait for this time in the queue of an engine.
+ENGINE_WAIT_SECONDS = 0.15
+# Part of an engine's places that is kept for each more urgent priority.
+RESERVED_SHARE = 0.1
+MIN_SHARE = 0.5
+
+
+class EngineRoom:
+    """Selects the engines that have room."""
+
+    def __init__(self, tracker: TargetTracker) -> None:
+        self._tracker = tracker
+        self._ranks = UrgencyRanks()
+
+    def with_room(
+        self,
+        request: RoutedRequest,
+        engines: Sequence[EngineCandidate],
+        now: float,
+    ) -> Sequence[EngineCandidate]:
+        """Return the engines that suit a request. Raises NoRoom if none."""
+        table = self._tracker.directory.table
+        properties = engine_properties(table, request.service)
+        if properties is None:
+            return engines
+        rank = self._ranks.rank(request.service, request.priority, now)
+        share = max(1 - rank * RESERVED_SHARE, MIN_SHARE)
+        max_load = share * self._max_load(request.service, properties.slots)
+        with_room = [engine for engine in engines if engine.load < max_load]
+        if not self._tracker.limits.is_empty:
+            with_room = self._by_length(request, engines, with_room, now)
+        if not with_room:
+            raise NoRoom(f'All engines of {request.service} are full.')
+        return with_room
+
+    def _max_load(self, service: str, slots: int) -> float:
+        """Return the load with which requests wait for as long as they may."""
+        return slots + self._tracker.lengths.served(
+            service, slots, ENGINE_WAIT_SECONDS
+        )
+
+    def _by_length(
+        self,
+        request: RoutedRequest,
+        engines: Sequence[EngineCandidate],
+        with_room: Sequence[EngineCandidate],
+        now: float,
+    ) -> Sequence[EngineCandidate]:
+        """Return the engines with room that a request of its length may use."""
+        limits = self._tracker.limits
+        limited = [
+            engine
+            for engine in with_room
+            if limits.limit(engine.target, now) is not None
+        ]
+        if not self._tracker.lengths.is_short(
+            request.service, request.route.name
+        ):
+            return limited or with_room
+        if all(
+            limits.limit(engine.target, now) is not None for engine in engines
+        ):
+            return with_room
+        return [
+            engine
+            for engine in with_room
+            if engine not in limited or limits.is_unused(engine.target, now)
+        ]
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -183,7 +183,7 @@
                 caller_response,
                 attempts,
                 components.dispatcher,
-                components.path_selector,
+                components.waiting_room,
                 components.target_adapter,
                 components.stream_affinity,
             )
@@ -201,7 +201,7 @@
             return error_response
         forwarder = BufferedResponseForwarder(
             components.dispatcher,
-            components.path_selector,
+            components.waiting_room,
             components.target_adapter,
         )
         response = await forwarder.get(request, attempts)
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -28,9 +28,9 @@
 )
 from peridotwell.forwarding.caller_response import CallerResponse
 from peridotwell.forwarding.dispatch import Dispatcher
-from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.stream_affinity import StreamAffinity
+from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
@@ -60,7 +60,7 @@
         caller_response: CallerResponse,
         attempts: Attempts,
         dispatcher: Dispatcher,
-        selector: PathSelector,
+        waiting_room: WaitingRoom,
         adapter: TargetAdapter,
         affinity: StreamAffinity,
     ) -> None:
@@ -72,7 +72,7 @@
         self._caller_response = caller_response
         self._attempts = attempts
         self._dispatcher = dispatcher
-        self._selector = selector
+        self._waiting_room = waiting_room
         self._adapter = adapter
         self._affinity = affinity
         self._last_event_id = ''
@@ -84,7 +84,7 @@
         it is not sent to the caller yet. Raises RequestError.
         """
         while True:
-            choice = self._choose(trio.current_time())
+            choice = await self._choose()
             number = self._attempts.begin(choice.target.name)
             self.choice = choice
             attempt = Attempt(
@@ -100,19 +100,18 @@
             except AttemptError as exc:
                 self._raise_unless_retried(exc, trio.current_time())
 
-    def _choose(self, now: float) -> Choice:
+    async def _choose(self) -> Choice:
         try:
             self._dispatcher.check(self._request)
-            return self._selector.choose(
+            return await self._waiting_room.choose(
                 self._request,
                 self._attempts.tried,
-                now,
-                self._required_software(now),
+                self._required_software(trio.current_time()),
                 may_hand_over=self._may_hand_over,
             )
         except (NoTarget, ForwardedRequestQuarantined) as exc:
-            if self._attempts.may_return(now):
-                return self._choose(now)
+            if self._attempts.may_return(trio.current_time()):
+                return await self._choose()
             raise without_target(exc, self._attempts) from exc
 
     def _may_leave(self, target: Target, now: float) -> bool:
@@ -125,7 +124,7 @@
             return False
         return may_leave_target(
             self._attempts,
-            self._selector,
+            self._waiting_room.selector,
             self._request,
             target,
             now,
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -6,8 +6,9 @@
 from peridotwell.domain.prompt import Prompt
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.domain.target import Target
-from peridotwell.errors import NoReachableTarget, NoTarget
+from peridotwell.errors import NoReachableTarget, NoRoom, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.engine_room import EngineRoom
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.policy.choice import Candidate, Choice, choose_least_loaded
 from peridotwell.policy.engine_choice import (
@@ -48,6 +49,7 @@
         self._caches = caches
         self._data_centre = data_centre
         self._bounds = bounds
+        self._engine_room = EngineRoom(tracker)
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
         """Use these bounds from now on."""
@@ -64,8 +66,9 @@
     ) -> Choice:
         """Return the target for a request. Raises NoTarget.
 
-        `tried` has the names of the targets of earlier attempts. `software`
-        is the id of the software version that the target must have, or None.
+        A first attempt raises NoRoom if targets may take it soon. `tried` has
+        the names of the targets of earlier attempts. `software` is the id of
+        the software version that the target must have, or None.
         With `only_reachable`, raises NoReachableTarget if the targets that
         take requests cannot be reached from here.
         """
@@ -78,6 +81,9 @@
         if only_reachable:
             self._check_path(request, accepting, tried, now)
         targets = self._usable_targets(accepting, tried, now)
+        is_first = not tried and software is None
+        if is_first and not accepting:
+            self._check_waits(request, listed, now)
         if not targets:
             raise NoTarget(
                 f'No target of {request.service} takes requests ({len(listed)} '
@@ -88,7 +94,10 @@
                 ),
             )
         if request.prompt is not None:
-            return self._choose_engine(request, request.prompt, targets, now)
+            engines = self._engine_candidates(request.prompt, targets, now)
+            if is_first:
+                engines = self._engine_room.with_room(request, engines, now)
+            return self._choose_engine(request, request.prompt, engines, now)
         candidates = [
             Candidate(target, self._tracker.load(target, now))
             for target in targets
@@ -113,40 +122,37 @@
         self,
         request: RoutedRequest,
         prompt: Prompt,
-        targets: Sequence[Target],
+        candidates: Sequence[EngineCandidate],
         now: float,
     ) -> Choice:
-        parts = cacheable_parts(prompt)
         needs = PromptNeeds(
             prompt.placement_key,
             request.request_id,
             prompt.own_tokens,
             request.route.objective_seconds,
         )
-        candidates = [
-            self._engine_candidate(target, parts, now) for target in targets
-        ]
         return choose_engine(
             needs,
             candidates,
-            self._cache_source(request.service, parts, now),
+            self._cache_source(request.service, cacheable_parts(prompt), now),
             self._bounds.load_factor,
             self._tracker.prefill_speed(request.service).tokens_per_second,
             self._unseen_requests(request, candidates, now),
         )
 
-    def _engine_candidate(
-        self,
-        target: Target,
-        parts: Sequence[CachedPart],
-        now: float,
-    ) -> EngineCandidate:
-        return EngineCandidate(
-            target,
-            self._tracker.load(target, now),
-            self._caches.missing_tokens(target.name, parts, now),
-            self._tracker.tokens_ahead(target),
-        )
+    def _engine_candidates(
+        self, prompt: Prompt, targets: Sequence[Target], now: float
+    ) -> Sequence[EngineCandidate]:
+        parts = cacheable_parts(prompt)
+        return [
+            EngineCandidate(
+                target,
+                self._tracker.load(target, now),
+                self._caches.missing_tokens(target.name, parts, now),
+                self._tracker.tokens_ahead(target),
+            )
+            for target in targets
+        ]
 
     def _cache_source(
         self,
@@ -188,6 +194,27 @@
             return listed
         return [target for target in listed if tracker.accepts(target, now)]
 
+    def _check_waits(
+        self, request: RoutedRequest, listed: Sequence[Target], now: float
+    ) -> None:
+        """Raise NoRoom if a target will take work, by what it says itself."""
+        waits = self._wait_seconds(listed, now)
+        if waits:
+            raise NoRoom(
+                f'No target of {request.service} accepts work.',
+                room_seconds=min(waits),
+            )
+
+    def _wait_seconds(
+        self, listed: Sequence[Target], now: float
+    ) -> Sequence[float]:
+        """Return after which times the targets may take work."""
+        return [
+            wait
+            for target in listed
+            if (wait := self._tracker.wait_seconds(target, now)) is not None
+        ]
+
     def _retry_after_seconds(
         self,
         request: RoutedRequest,
@@ -200,14 +227,10 @@
         Callers that are refused because of what targets say get different
         times, so that they do not return together.
         """
-        waits = [
-            wait
-            for target in listed
-            if (wait := self._tracker.wait_seconds(target, now)) is not None
-        ]
+        waits = self._wait_seconds(listed, now)
         if accepting or not waits:
             return RETRY_AFTER_SECONDS
-        spread = self._tracker.brittle.return_spread_seconds(
+        spread = self._tracker.return_spread.record_refused(
             request.service, now
         )
         return min(waits) + spread * unit_hash(request.request_id)
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -14,6 +14,8 @@
 from peridotwell.policy.outlier_ejection import OutlierEjection
 from peridotwell.policy.prefill_speed import PrefillSpeed
 from peridotwell.policy.prompt_cache_index import cacheable_parts
+from peridotwell.policy.request_lengths import RequestLengths
+from peridotwell.policy.return_spread import ReturnSpread
 from peridotwell.policy.silence import SilenceDetector
 from peridotwell.policy.stale_counts import RequestDuration
 from peridotwell.policy.target_load import LoadReport, TargetLoad
@@ -47,6 +49,8 @@
         self.brittle = BrittleRoom(
             state.brittle_targets, update_exchange.own_requests, self.load
         )
+        self.return_spread = ReturnSpread()
+        self.lengths = RequestLengths()
         self._loads: dict[str, TargetLoad] = {}
         self._incarnations: dict[str, str] = {}
         self._speeds: dict[str, PrefillSpeed] = {}
@@ -60,6 +64,7 @@
         target = choice.target
         self.limits.record_send(target, now)
         self.brittle.record_send(target, now)
+        self.return_spread.record_sent(target.pool.name, now)
         self._load(target).record_start()
         self.silence.record_request(target.name, now)
         self._update_exchange.own_requests.add(target.wire_id, 1)
--- a/peridotwell/policy/return_spread.py
+++ b/peridotwell/policy/return_spread.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ('MIN_SPREAD_SECONDS', 'ReturnSpread')
+__all__ = ('MAX_SPREAD_SECONDS', 'MIN_SPREAD_SECONDS', 'ReturnSpread')
 
 # Weight of counts falls to 1/e in this time.
 MEMORY_SECONDS = 2.0
@@ -11,6 +11,8 @@
 # Callers follow a longer time only if they have much time left.
 MAX_SPREAD_SECONDS = 5.0
 MAX_SERVICES = 1024
+# A rate is measured from this number of recent requests on.
+MIN_SENT = 2
 
 
 @dataclass
@@ -38,6 +40,18 @@
         """Record that a request is sent to a target of a service."""
         self._aged(service, now).sent += 1
 
+    def is_measured(self, service: str, now: float) -> bool:
+        """Return whether enough requests are sent to tell a rate."""
+        return self._aged(service, now).sent >= MIN_SENT
+
+    def sent_per_second(self, service: str, now: float) -> float:
+        """Return how many requests are sent a second, at least one in memory.
+
+        This is the rate of service while requests wait.
+        """
+        sent = self._aged(service, now).sent
+        return max(sent, 1) / MEMORY_SECONDS
+
     def record_refused(self, service: str, now: float) -> float:
         """Record that a request is refused.
 
--- a/peridotwell/policy/stale_counts.py
+++ b/peridotwell/policy/stale_counts.py
@@ -52,18 +52,21 @@
 
 
 class RequestDuration:
-    """The mean duration of a service's requests, in seconds."""
+    """The mean duration of a service's requests, in seconds.
+
+    `mean_seconds` is None until one has ended.
+    """
 
     def __init__(self) -> None:
-        self._mean_seconds: float | None = None
+        self.mean_seconds: float | None = None
 
     def record(self, seconds: float) -> None:
         """Record the duration of a request that has ended."""
-        mean = self._mean_seconds
+        mean = self.mean_seconds
         if mean is None:
-            self._mean_seconds = seconds
+            self.mean_seconds = seconds
         else:
-            self._mean_seconds = mean + (seconds - mean) * DURATION_WEIGHT
+            self.mean_seconds = mean + (seconds - mean) * DURATION_WEIGHT
 
     def arrivals(self, outstanding: float, seconds: float) -> float:
         """Return the number of requests that arrive within a time.
@@ -72,6 +75,6 @@
         duration are the arrivals a second. Returns 0 before a request has
         ended.
         """
-        if not self._mean_seconds:
+        if not self.mean_seconds:
             return 0
-        return outstanding / self._mean_seconds * seconds
+        return outstanding / self.mean_seconds * seconds
--- a/peridotwell/policy/target_limits.py
+++ b/peridotwell/policy/target_limits.py
@@ -193,6 +193,18 @@
         bucket.fill(share, now)
         return max((1 - bucket.tokens) / share, 0)
 
+    def is_unused(self, target: Target, now: float) -> bool:
+        """Return whether this router leaves its share of a limit unused.
+
+        Its bucket is full then, and gains nothing until a request is sent.
+        """
+        per_second = self.limit(target, now)
+        if per_second is None:
+            return False
+        bucket = self._bucket(target, now)
+        bucket.fill(self._share(target.wire_id, per_second), now)
+        return bucket.tokens >= BURST_REQUESTS
+
     def record_send(self, target: Target, now: float) -> None:
         """Record that a request is sent to a target."""
         per_second = self.limit(target, now)
--- a/tests/policy/test_return_spread.py
+++ b/tests/policy/test_return_spread.py
@@ -1,7 +1,10 @@
 """The time over which refused callers return."""
 
+import pytest
+
 from peridotwell.policy.return_spread import (
     MAX_SPREAD_SECONDS,
+    MEMORY_SECONDS,
     MIN_SPREAD_SECONDS,
     ReturnSpread,
 )
@@ -31,3 +34,14 @@
         spread.record_sent('svc', 20)
     assert spread.record_refused('svc', 20) == MIN_SPREAD_SECONDS
     assert spread.record_refused('other', 20) == 2
+
+
+def test_rate_of_service_is_that_of_the_last_seconds():
+    spread = ReturnSpread()
+    assert spread.sent_per_second('svc', 0) == 1 / MEMORY_SECONDS
+    for step in range(1000):
+        spread.record_sent('svc', step / 50)
+    assert spread.sent_per_second('svc', 20) == pytest.approx(50, rel=0.02)
+    assert spread.is_measured('svc', 20)
+    assert spread.sent_per_second('svc', 60) == 1 / MEMORY_SECONDS
+    assert not spread.is_measured('svc', 60)
--- a/tests/policy/test_target_limits.py
+++ b/tests/policy/test_target_limits.py
@@ -259,3 +259,15 @@
         limits.record_send(target(f't{number}'), 0)
     assert len(list(limits.to_repeat(0))) <= 4096
     assert len(limits._buckets) <= 4096
+
+
+# Guards against shares that are left unused although requests could use them.
+def test_share_is_unused_while_its_bucket_is_full():
+    limits = TargetLimits(1)
+    assert not limits.is_unused(FIRST, 0)
+    limits.record(FIRST, 2, 0)
+    assert not limits.is_unused(FIRST, 0)
+    assert limits.is_unused(FIRST, 1)
+    limits.record_send(FIRST, 1)
+    assert not limits.is_unused(FIRST, 1.25)
+    assert limits.is_unused(FIRST, 2)
