--- a/peridotwell/forwarding/crowded_paths.py
+++ b/peridotwell/forwarding/crowded_paths.py
@@ -30,18 +30,28 @@
         These are the ones with at most the mean number of requests. Returns
         none if the chosen target is not crowded.
         """
-        unreachable = self._tracker.ejection.unreachable_targets()
-        if not unreachable:
+        if not self._tracker.ejection.unreachable_targets():
             return ()
-        loads = self._loads(choice.target.pool.name, now)
-        mean = sum(loads.values()) / max(len(loads), 1)
+        service = choice.target.pool.name
+        loads = self._loads(service, now)
         load = loads.get(choice.target, 0)
-        if load <= CROWDED_FACTOR * mean + CROWDED_REQUESTS:
+        if load <= CROWDED_FACTOR * _mean(loads) + CROWDED_REQUESTS:
+            return ()
+        return self.unreachable_with_room(service, now)
+
+    def unreachable_with_room(
+        self, service: str, now: float
+    ) -> Sequence[Target]:
+        """Return the unreachable targets with at most the mean load."""
+        unreachable = self._tracker.ejection.unreachable_targets()
+        if not unreachable:
             return ()
+        loads = self._loads(service, now)
+        mean = _mean(loads)
         return [
             target
-            for target, target_load in loads.items()
-            if target.name in unreachable and target_load <= mean
+            for target, load in loads.items()
+            if target.name in unreachable and load <= mean
         ]
 
     def _loads(self, service: str, now: float) -> dict[Target, float]:
@@ -51,3 +61,7 @@
             for target in tracker.directory.available_targets(service)
             if tracker.accepts(target, now)
         }
+
+
+def _mean(loads: dict[Target, float]) -> float:
+    return sum(loads.values()) / max(len(loads), 1)
--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/path_selection.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from peridotwell.errors import NoReachableTarget, NoTarget
+from peridotwell.errors import NoReachableTarget, NoRoom, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.crowded_paths import CrowdedPaths
 from peridotwell.forwarding.peer_paths import PeerPaths
@@ -51,11 +51,14 @@
             )
         except NoReachableTarget as exc:
             router = self._router(request, tried, now, may_hand_over)
-            if router is not None:
-                return router
-            if request.is_handed_over or not exc.may_try:
+            return router or self._try_anyway(
+                request, tried, now, software, exc
+            )
+        except NoRoom:
+            router = self._router_to_others(request, tried, now, may_hand_over)
+            if router is None:
                 raise
-            return self._selector.choose(request, tried, now, software)
+            return router
         if not may_hand_over:
             return choice
         if self._may_hang(choice, tried, now):
@@ -98,6 +101,37 @@
             request.request_id, tried, now, self._wanted_targets(request, now)
         )
 
+    def _try_anyway(
+        self,
+        request: RoutedRequest,
+        tried: Collection[str],
+        now: float,
+        software: int | None,
+        failure: NoReachableTarget,
+    ) -> Choice:
+        """Return a target that responds to nobody, if one may be tried."""
+        if request.is_handed_over or not failure.may_try:
+            raise failure
+        return self._selector.choose(request, tried, now, software)
+
+    def _router_to_others(
+        self,
+        request: RoutedRequest,
+        tried: Collection[str],
+        now: float,
+        may_hand_over: bool,
+    ) -> Choice | None:
+        """Return a router that reaches targets with room, if there are any."""
+        if not may_hand_over:
+            return None
+        targets = self._crowded_paths.unreachable_with_room(
+            request.service, now
+        )
+        if not targets:
+            return None
+        wanted = [target.wire_id for target in targets]
+        return self._peer_paths.choose(request.request_id, tried, now, wanted)
+
     def _router_with_room(
         self,
         request: RoutedRequest,
