The latest time at which refused callers return is bounded in one place

Cause: the sum of the wait and the spread was bounded in the waiting room only; the selection of targets had the same formula without the bound. Change: both use return_seconds.

--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -22,7 +22,7 @@
     PromptCacheIndex,
     cacheable_parts,
 )
-from peridotwell.policy.rendezvous import unit_hash
+from peridotwell.policy.return_spread import return_seconds
 
 __all__ = ('TargetSelector',)
 
@@ -247,7 +247,7 @@
         spread = self._tracker.return_spread.record_refused(
             request.service, now
         )
-        return wait + spread * unit_hash(request.request_id)
+        return return_seconds(wait, spread, request.request_id)
 
     def _usable_targets(
         self,
--- a/peridotwell/forwarding/waiting_room.py
+++ b/peridotwell/forwarding/waiting_room.py
@@ -23,11 +23,10 @@
 from peridotwell.policy.admission import AdmissionQueue, QueuedRequest
 from peridotwell.policy.choice import Choice
 from peridotwell.policy.fair_queueing import FairOrder
-from peridotwell.policy.rendezvous import unit_hash
 from peridotwell.policy.return_spread import (
-    MAX_SPREAD_SECONDS,
     MIN_SPREAD_SECONDS,
     ReturnSpread,
+    return_seconds,
 )
 
 __all__ = ('WaitingRoom',)
@@ -228,12 +227,11 @@
         spread = self._return_spread.record_refused(request.service, now)
         if not self._return_spread.is_measured(request.service, now):
             spread = MIN_SPREAD_SECONDS
-        retry_after = wait_seconds + spread * unit_hash(request.request_id)
         return NoRoom(
             f'No target of {request.service} has room, and {len(line.queue)} '
             'requests wait: send the request again later.',
-            retry_after_seconds=min(
-                retry_after, max(wait_seconds, MAX_SPREAD_SECONDS)
+            retry_after_seconds=return_seconds(
+                wait_seconds, spread, request.request_id
             ),
         )
 
--- a/peridotwell/policy/return_spread.py
+++ b/peridotwell/policy/return_spread.py
@@ -3,7 +3,14 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ('MAX_SPREAD_SECONDS', 'MIN_SPREAD_SECONDS', 'ReturnSpread')
+from peridotwell.policy.rendezvous import unit_hash
+
+__all__ = (
+    'MAX_SPREAD_SECONDS',
+    'MIN_SPREAD_SECONDS',
+    'ReturnSpread',
+    'return_seconds',
+)
 
 # Weight of counts falls to 1/e in this time.
 MEMORY_SECONDS = 2.0
@@ -72,3 +79,15 @@
             self._counts[service] = counts
         counts.age(now)
         return counts
+
+
+def return_seconds(
+    wait_seconds: float, spread_seconds: float, request_id: str
+) -> float:
+    """Return after which time a refused caller returns.
+
+    Callers return from `wait_seconds` on, spread over `spread_seconds`, and
+    not later than MAX_SPREAD_SECONDS unless the wait is longer.
+    """
+    seconds = wait_seconds + spread_seconds * unit_hash(request_id)
+    return min(seconds, max(wait_seconds, MAX_SPREAD_SECONDS))
--- a/tests/policy/test_return_spread.py
+++ b/tests/policy/test_return_spread.py
@@ -7,6 +7,7 @@
     MEMORY_SECONDS,
     MIN_SPREAD_SECONDS,
     ReturnSpread,
+    return_seconds,
 )
 
 
@@ -45,3 +46,11 @@
     assert spread.is_measured('svc', 20)
     assert spread.sent_per_second('svc', 60) == 1 / MEMORY_SECONDS
     assert not spread.is_measured('svc', 60)
+
+
+# Guards against times that are longer than callers wait.
+def test_the_latest_return_is_bounded():
+    times = [return_seconds(0.5, 5, str(number)) for number in range(100)]
+    assert 0.5 <= min(times) < 1
+    assert max(times) == MAX_SPREAD_SECONDS
+    assert return_seconds(7, 5, 'a') == 7
