Fleet of tests: the route bears as long as its callers

Trace: the log names deadline_exceeded after 1.52 s for each of them. Change: the route bears the 3 s that its callers name. The test asks for the same statuses, the same time of refusals and the same spread as before.

--- a/tests/peridotwell_platform/router_fleet.py
+++ b/tests/peridotwell_platform/router_fleet.py
@@ -30,9 +30,13 @@
 WORK_SECONDS = 0.02
 REJECTION_WINDOW_SECONDS = 1
 PART_TOKENS = 200
+# Of the route and of its callers.
+DEADLINE_MS = 3000
 CONFIG = configuration(
     100,
-    stand_in.route('draft', 'streaming', max_attempts=1),
+    stand_in.route(
+        'draft', 'streaming', max_attempts=1, timeout_ms=DEADLINE_MS
+    ),
     stand_in.route('ask', 'streaming', resumable=True),
 )
 
@@ -184,7 +188,7 @@
         prompt = ','.join(f'{name}:{PART_TOKENS}' for name in names)
         headers = caller_headers(
             number,
-            x_deadline_ms='3000',
+            x_deadline_ms=str(DEADLINE_MS),
             x_model='m',
             x_token_counts=f'{PART_TOKENS * len(names)},40',
             x_prompt_prefix=prompt,
