Review case 3: a cut watch keeps a replica that left in use too long

One cut of the waiting watches starts the grace period of 2.2 s that is meant for outages of the store, so a replica that leaves then gets work later than drain_ms.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -300,6 +300,13 @@
         self._beats.cancel()
         self._store.delete(f'servers/{self.name}')
 
+    def exit(self):
+        """End as a process does: close the port and reset all channels."""
+        self._beats.cancel()
+        self._server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
