Waits for unreachable targets end: the time is passed on

Cause: SilenceLimits.end_waits() called _schedule() without the present time. The TypeError ended the task of ReachabilityProber with all probes under way, when the first target with waits was found unreachable. Change: the time is an argument of end_waits() and passed on.

--- a/peridotwell/forwarding/reachability_prober.py
+++ b/peridotwell/forwarding/reachability_prober.py
@@ -107,10 +107,9 @@
             if self._ejection.record_reachable(target.name):
                 log_event('target.reached', target=target.name)
             return
-        self._ejection.record_failure(
-            target.name, trio.current_time(), is_unreachable=True
-        )
-        self._limits.end_waits(target.name, started_at)
+        now = trio.current_time()
+        self._ejection.record_failure(target.name, now, is_unreachable=True)
+        self._limits.end_waits(target.name, started_at, now)
 
 
 async def _is_reachable(target: Target) -> bool:
--- a/peridotwell/forwarding/silence_limits.py
+++ b/peridotwell/forwarding/silence_limits.py
@@ -112,12 +112,11 @@
         for wait in self._waits.get(source, ()):
             wait.restart(now)
 
-    def end_waits(self, target: str, started_at: float) -> None:
+    def end_waits(self, target: str, started_at: float, now: float) -> None:
         """End the waits for a target without data since a time, if they may.
 
         Nothing can arrive from it: no connection to it can be made.
         """
-        now = trio.current_time()
         for source, waits in self._waits.items():
             if target not in {source, getattr(source, 'target_name', None)}:
                 continue
@@ -125,7 +124,7 @@
                 if wait.deadline - wait.max_seconds < started_at:
                     wait.deadline = now
                     wait.is_extended = True
-                    self._schedule(now)
+                    self._schedule(now, now)
 
     async def run(self) -> None:
         """Cancel the waits whose time has passed, until cancelled."""
--- a/tests/forwarding/test_reachability_prober.py
+++ b/tests/forwarding/test_reachability_prober.py
@@ -46,3 +46,25 @@
     autojump_clock, nursery, tracker, results
 ):
     assert await probe_quiet_target(tracker, nursery) == {NEAR.name}
+
+
+# Guards against a prober that ended at the first unreachable target that had
+# requests: no later target was probed.
+async def test_targets_are_probed_after_waits_were_ended(
+    autojump_clock, nursery, tracker, results
+):
+    nursery.start_soon(tracker.silence_limits.run)
+    cut = trio.Event()
+
+    async def wait():
+        with tracker.silence_limits.limit(NEAR.name, 5):
+            await trio.sleep_forever()
+        cut.set()
+
+    nursery.start_soon(wait)
+    await trio.sleep(0)
+    await probe_quiet_target(tracker, nursery)
+    assert cut.is_set()
+    results.extend([True] * 10)
+    await trio.sleep(4)
+    assert not tracker.ejection.unreachable_targets()
--- a/tests/forwarding/test_silence_limits.py
+++ b/tests/forwarding/test_silence_limits.py
@@ -76,6 +76,36 @@
     assert ended == [(True, 0.7), (True, 3.2)]
 
 
+# Guards against a TypeError that ended the task of the prober, and with it the
+# early end of all waits for unreachable targets.
+async def test_waits_for_an_unreachable_target_end_at_once(
+    autojump_clock, nursery, limits
+):
+    ended = []
+
+    async def wait(target):
+        ended.append(await wait_for_response(limits, target, 5, seconds=6))
+
+    nursery.start_soon(wait, 'e1')
+    nursery.start_soon(wait, 'e2')
+    await trio.sleep(0.5)
+    limits.end_waits('e1', 0.2, trio.current_time())
+    await trio.sleep(0.1)
+    assert ended == [(True, 0.5)]
+
+
+async def test_waits_with_data_since_the_probe_began_go_on(
+    autojump_clock, nursery, limits
+):
+    nursery.start_soon(wait_for_response, limits, 'e1', 5)
+    await trio.sleep(0.3)
+    limits.record_activity('e1', trio.current_time())
+    await trio.sleep(0.2)
+    limits.end_waits('e1', 0.2, trio.current_time())
+    await trio.sleep(0.1)
+    assert [wait.deadline for wait in limits._all_waits()] == [5.3]
+
+
 # Guards against sound targets that count as silent after the router itself has
 # stood still: their data have arrived, but are not read yet.
 async def test_time_in_which_the_router_stood_still_does_not_count(
