Streams stay at their version when routers start: not asked is no answer

Cause: a router took that it knows of no other version for that there is none. The question to the others was sent once, over connections not open yet, and one that could not be sent counted as answered; a service had one version until the router itself had seen two; after a common restart nobody knew. Connections to a restarted router are opened anew at once.

--- a/peridotwell/domain/routing_table.py
+++ b/peridotwell/domain/routing_table.py
@@ -160,6 +160,16 @@
         """Return the customer to whom an API key belongs."""
         return self.customers.get(api_key)
 
+    @cached_property
+    def resumable_services(self) -> frozenset[str]:
+        """The services whose streams may be resumed."""
+        return frozenset(
+            service.name
+            for route in self.routes
+            if route.resumable
+            for service in route.services
+        )
+
     @cached_property
     def _by_host(self) -> dict[str, dict[str, Route]]:
         hosts: dict[str, dict[str, Route]] = {}
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -21,6 +21,7 @@
     StoreContactReport,
 )
 from peridotwell.fleet.replica.store_replica import StoreReplica
+from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
 from peridotwell.fleet.transport.router_registry import (
     ROUTERS_PREFIX,
@@ -204,7 +205,7 @@
             self._apply_target(entry, now)
         elif entry.key.startswith(ROUTERS_PREFIX):
             _apply_router(entry, self._routers)
-        elif not is_table:
+        elif not is_table and entry.key != VERSIONS_KEY:
             return
         self._has_changed = True
         self.replica.put(entry)
--- a/peridotwell/fleet/transport/peer_discovery.py
+++ b/peridotwell/fleet/transport/peer_discovery.py
@@ -47,7 +47,9 @@
         known = self._peers.peer(hello.sender)
         if not self._peers.add(hello):
             return False
-        if known is not None and known.hello.peer_address != hello.peer_address:
+        if known is not None:
+            # Also at the same address: the connection to the process before is
+            # closed, and would be opened again only after a wait.
             self._transport.disconnect(known.hello.peer_address)
         log_event('router.met', router=hello.name)
         return True
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -7,6 +7,7 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.replica.version_record import VersionRecordWriter
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
 from peridotwell.fleet.transport.peers import Peers, make_hello
@@ -51,6 +52,7 @@
     directory: ServiceDirectory
     follower: StoreFollower
     registration: RouterRegistration
+    version_record: VersionRecordWriter
     clients: TargetClients
     recovery: CacheRecovery
     forwarding: ForwardingComponents
@@ -98,6 +100,7 @@
             peers.own,
             settings.bounds.lease_seconds,
         ),
+        version_record=VersionRecordWriter(store, peers, state.stream_versions),
         clients=clients,
         recovery=CacheRecovery(
             directory,
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -10,6 +10,7 @@
 import trio
 
 from peridotwell.errors import StoreError
+from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.forwarding.assembly import RouterComponents
 from peridotwell.logs import log_failure
 
@@ -23,6 +24,7 @@
 UPDATE_SECONDS = 0.1
 MIN_UPDATE_SECONDS = 0.03
 RENEWALS_PER_LEASE = 3
+RECORD_SECONDS = 0.5
 PAUSE_AFTER_FAILURE_SECONDS = 0.2
 
 
@@ -47,6 +49,7 @@
             (0, self._update),
             (CLEANUP_SECONDS, self._remove_gone),
             (self.lease_seconds / RENEWALS_PER_LEASE, self._register),
+            (RECORD_SECONDS, self._record_versions),
         ):
             nursery.start_soon(self._repeat, period, task)
 
@@ -86,6 +89,26 @@
             self.components.metrics.count('store.errors')
             log_failure('registration.failed', code=exc.code, error=str(exc))
 
+    async def _record_versions(self) -> None:
+        """Keep the record of the software versions of resumable streams."""
+        directory = self.components.directory
+        record = self.components.version_record
+        now = trio.current_time()
+        if directory.table is None or not record.is_due(now):
+            return
+        services = directory.table.resumable_services
+        affinity = self.components.forwarding.stream_affinity
+        try:
+            await record.update(
+                await affinity.confirm(services),
+                directory.replica.entry(VERSIONS_KEY),
+                directory.known_revision,
+                now,
+            )
+        except StoreError as exc:
+            self.components.metrics.count('store.errors')
+            log_failure('versions.not_recorded', code=exc.code, error=str(exc))
+
     async def _remove_gone(self) -> None:
         now = trio.current_time()
         directory = self.components.directory
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -1,4 +1,10 @@
-"""Keeps each resumable stream at the software version that began it."""
+"""Keeps each resumable stream at the software version that began it.
+
+That a router does not know of several versions is no evidence that there is
+only one: it may have started since, or have lost its connections.
+"""
+
+from collections.abc import Iterable
 
 import trio
 
@@ -6,6 +12,10 @@
 from peridotwell.errors import NoTarget
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.version_record import (
+    VERSIONS_KEY,
+    decode_versions,
+)
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.logs import log_event
 
@@ -13,6 +23,11 @@
 
 # News of a stream reaches the other routers in less.
 RETRY_AFTER_SECONDS = 0.3
+# A router that has heard neither the store nor another router for longer may
+# lack a version that serves.
+MAX_ISOLATION_SECONDS = 3.0
+# The id in a question that is only about the versions of a service.
+NO_STREAM = 0
 
 
 class StreamAffinity:
@@ -28,6 +43,7 @@
         self._directory = directory
         self._update_exchange = update_exchange
         self._versions = update_exchange.state.stream_versions
+        self._has_read_record = False
         directory.on_change(self._record_serving)
 
     def record_start(
@@ -51,7 +67,8 @@
             return
         now = trio.current_time()
         is_known = self._versions.version(request.stream_id, now) is not None
-        if is_known or not self._versions.may_lack(request.service, now):
+        may_lack = self._versions.may_lack(request.service, now)
+        if is_known or not (may_lack or self._is_isolated(now)):
             return
         await self._update_exchange.stream_lookup.find(
             request.stream_id, request.service
@@ -62,24 +79,70 @@
     ) -> int | None:
         """Return the id of the version that must serve; None if any may.
 
-        Raises NoTarget if it is unknown and several versions serve.
+        Raises NoTarget if it is unknown and several versions may have served.
         """
         if request.resumed_stream is None:
             return None
         software = self._versions.version(request.stream_id, now)
-        if software is None and self._versions.is_mixed(request.service, now):
+        if software is None and self._may_be_mixed(request.service, now):
+            self._update_exchange.stream_lookup.count_unknown()
             raise NoTarget(
                 'It is not known which software version began this stream, and '
-                'several serve: resume it again later, or start anew.',
+                'several may serve: resume it again later, or start anew.',
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
         return software
 
+    async def confirm(self, services: Iterable[str]) -> tuple[str, ...]:
+        """Return those of `services` whose recent versions are all known.
+
+        Other routers are asked for the others first.
+        """
+        now = trio.current_time()
+        for service in services:
+            if not self._is_confirmed(service, now):
+                await self._update_exchange.stream_lookup.find(
+                    NO_STREAM, service
+                )
+        now = trio.current_time()
+        return tuple(
+            service for service in services if self._is_confirmed(service, now)
+        )
+
+    def _is_confirmed(self, service: str, now: float) -> bool:
+        is_alone = self._update_exchange.peers.known_count() == 1
+        return is_alone or self._versions.is_confirmed(service, now)
+
+    def _may_be_mixed(self, service: str, now: float) -> bool:
+        return (
+            self._versions.is_mixed(service, now)
+            or not self._is_confirmed(service, now)
+            or self._is_isolated(now)
+        )
+
+    def _is_isolated(self, now: float) -> bool:
+        """Return whether neither the store nor another router is heard."""
+        answered_at = self._directory.store_contact.answered_at
+        if now - answered_at <= MAX_ISOLATION_SECONDS:
+            return False
+        peers = self._update_exchange.peers
+        return peers.known_count() > 1 and not peers.live_ids(now)
+
+    def _read_record(self) -> None:
+        """Read which versions have served before this router started."""
+        entry = self._directory.replica.entry(VERSIONS_KEY)
+        recorded = decode_versions(entry.value) if entry else None
+        self._versions.record_earlier(recorded or {})
+        log_event('versions.read', services=len(recorded or {}))
+
     def _record_serving(self) -> None:
         now = trio.current_time()
         serving: dict[str, set[int]] = {}
         for target in self._directory.all_targets():
             serving.setdefault(target.pool.name, set()).add(target.software_id)
+        if not self._has_read_record:
+            self._has_read_record = True
+            self._read_record()
         has_become_mixed = self._versions.set_serving(
             {name: frozenset(ids) for name, ids in serving.items()}, now
         )
--- a/peridotwell/policy/stream_versions.py
+++ b/peridotwell/policy/stream_versions.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 __all__ = ('StreamVersions',)
 
@@ -21,16 +21,29 @@
 class StreamVersions:
     """Remembers the versions of recent streams, own ones and those of peers.
 
-    Streams and versions are identified by their wire ids.
+    Streams and versions are identified by their wire ids. Shortly after the
+    start, the versions that have left before are unknown. A service counts as
+    confirmed when this router has learned them from a record or from a peer, or
+    has followed the service for as long as streams last.
     """
 
     def __init__(self) -> None:
         self._versions: dict[int, tuple[int, float]] = {}
         self._serving: dict[str, frozenset[int]] = {}
+        # All versions of mixed services, also those that have left.
+        self._mixed: dict[str, frozenset[int]] = {}
         self._mixed_until: dict[str, float] = {}
+        # Until then, versions that only other routers know may matter.
+        self._unknown_until: dict[str, float] = {}
+        self._confirmed: set[str] = set()
         # From then on this router has learned of all streams.
         self._complete_at = math.inf
 
+    def record_earlier(self, versions: Mapping[str, frozenset[int]]) -> None:
+        """Record, by service, the versions that served before the start."""
+        self._serving.update(versions)
+        self._confirmed.update(versions)
+
     def set_serving(
         self, versions: Mapping[str, frozenset[int]], now: float
     ) -> bool:
@@ -42,14 +55,35 @@
             self._complete_at = now + MEMORY_SECONDS
         has_become_mixed = False
         for service, serving in versions.items():
-            previous = self._serving.get(service, serving)
-            if len(previous | serving) > 1:
-                has_become_mixed |= not self.is_mixed(service, now)
+            served = self._serving.get(service, serving) | serving
+            if len(served) > 1:
+                was_mixed = self.is_mixed(service, now)
+                has_become_mixed |= not was_mixed
+                earlier = self._mixed.get(service) if was_mixed else None
+                self._mixed[service] = served | (earlier or frozenset())
                 self._mixed_until[service] = now + MEMORY_SECONDS
         # A service without targets keeps its last versions.
         self._serving.update(versions)
         return has_become_mixed
 
+    def recent_versions(
+        self, services: Iterable[str], now: float
+    ) -> dict[str, frozenset[int]]:
+        """Return the versions whose streams may be resumed, by service.
+
+        Services of which not all are known are left out.
+        """
+        recent = {}
+        for service in services:
+            if self._unknown_until.get(service, now) > now:
+                continue
+            versions = self._serving.get(service, frozenset())
+            if self.is_mixed(service, now):
+                versions |= self._mixed.get(service, frozenset())
+            if versions:
+                recent[service] = versions
+        return recent
+
     def is_mixed(self, service: str, now: float) -> bool:
         """Return whether streams of several versions may be resumed."""
         return self.mixed_seconds(service, now) > 0
@@ -60,16 +94,31 @@
             return MEMORY_SECONDS
         return max(self._mixed_until.get(service, 0) - now, 0)
 
-    def record_mixed(self, service: str, seconds: float, now: float) -> None:
-        """Record that streams of several versions may be resumed so long."""
-        if seconds > 0:
-            until = now + min(seconds, MEMORY_SECONDS)
-            known = self._mixed_until.get(service, until)
-            self._mixed_until[service] = max(until, known)
+    def record_answer(
+        self, service: str, mixed_seconds: float, now: float
+    ) -> None:
+        """Record what another router knows of the versions of a service.
+
+        Streams of several versions may be resumed for `mixed_seconds`.
+        """
+        self._confirmed.add(service)
+        if not mixed_seconds > 0:
+            return
+        until = now + min(mixed_seconds, MEMORY_SECONDS)
+        if not self.is_mixed(service, now):
+            self._unknown_until[service] = until
+        known = self._mixed_until.get(service, until)
+        self._mixed_until[service] = max(until, known)
+
+    def is_confirmed(self, service: str, now: float) -> bool:
+        """Return whether all versions that have served lately are known."""
+        return now >= self._complete_at or service in self._confirmed
 
     def may_lack(self, service: str, now: float) -> bool:
         """Return whether a version that matters may be known elsewhere."""
-        return now < self._complete_at or self.is_mixed(service, now)
+        return not self.is_confirmed(service, now) or self.is_mixed(
+            service, now
+        )
 
     def record(self, stream: int, version: int, now: float) -> None:
         """Record which version began a stream, unless that is known."""
--- a/tests/fleet/relays/test_stream_lookup.py
+++ b/tests/fleet/relays/test_stream_lookup.py
@@ -72,7 +72,7 @@
     autojump_clock, fleet
 ):
     now = trio.current_time()
-    fleet[1].knowledge.stream_versions.record_mixed(SERVICE, 20, now)
+    fleet[1].knowledge.stream_versions.record_answer(SERVICE, 20, now)
     await find(fleet)
     learned = fleet[0].knowledge.stream_versions
     assert 19 < learned.mixed_seconds(SERVICE, trio.current_time()) <= 20
@@ -104,3 +104,39 @@
     assert known.mixed_seconds(SERVICE, trio.current_time()) <= 30
     unknown = StreamPull(1, STREAM, SERVICE)
     fleet[0].sharing.receive(encode_frame(unknown), trio.current_time())
+
+
+# Guards against a router that takes for unknown what it could not ask, since
+# its connections were not open yet.
+async def test_a_new_router_asks_again_until_it_is_connected(
+    autojump_clock, nursery
+):
+    routers = {}
+    first, second = (Router(f'r{number}', routers) for number in range(2))
+    for router in (first, second):
+        router.sharing.discovery.add_peers([first.hello, second.hello])
+    second.knowledge.stream_versions.record(STREAM, VERSION, 0)
+    first.transport.is_cut = True
+    nursery.start_soon(first.sharing.stream_lookup.find, STREAM, SERVICE)
+    await trio.sleep(0.07)
+    first.transport.is_cut = False
+    await trio.sleep(0.04)
+    for router in (second, first):
+        router.receive_frames(trio.current_time())
+    assert version(first) == VERSION
+
+
+# Guards against answers that are lost because the way back is not open yet.
+async def test_a_router_that_does_not_answer_is_asked_again(
+    autojump_clock, fleet, nursery
+):
+    for router in fleet[1:]:
+        router.knowledge.stream_versions.record(STREAM, VERSION, 0)
+    nursery.start_soon(fleet[0].sharing.stream_lookup.find, STREAM, SERVICE)
+    await trio.sleep(0.01)
+    for router in fleet[1:]:
+        router.inbox.clear()
+    await trio.sleep(0.06)
+    for router in (*fleet[1:], fleet[0]):
+        router.receive_frames(trio.current_time())
+    assert version(fleet[0]) == VERSION
--- /dev/null
+++ b/tests/forwarding/test_stream_affinity.py
@@ -0,0 +1,107 @@
+"""Tests of which software version may resume a stream, without a network."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from peridotwell.domain.target import wire_id
+from peridotwell.errors import NoTarget
+from peridotwell.forwarding.stream_affinity import StreamAffinity
+from peridotwell.policy.stream_versions import MEMORY_SECONDS
+from tests.fleet.relays.test_update_exchange import Router
+
+SERVICE = 's'
+STREAM = SimpleNamespace(
+    resumed_stream='first', service=SERVICE, stream_id=wire_id('first')
+)
+
+
+class AffinityRouter(Router):
+    """A router that has started, and keeps streams at their versions."""
+
+    def __init__(self, name, routers):
+        super().__init__(name, routers)
+        self.affinity = StreamAffinity(self.directory, self.sharing)
+        self.knowledge.stream_versions.set_serving(
+            {SERVICE: frozenset((1,))}, trio.current_time()
+        )
+
+    def hear_store(self):
+        self.directory.store_contact.record_answer(trio.current_time())
+
+    async def required(self):
+        """Return the version that may resume the stream, after a question."""
+        await self.affinity.learn_version(STREAM)
+        now = trio.current_time()
+        return self.affinity.required_software(STREAM, now)
+
+
+async def meet(routers):
+    """Let the routers send what they have for a second."""
+    for router in routers:
+        router.sharing.discovery.add_peers(each.hello for each in routers)
+    for _ in range(20):
+        await trio.sleep(0.05)
+        now = trio.current_time()
+        for router in routers:
+            router.sharing.tick(now)
+        for router in routers:
+            router.receive_frames(now)
+
+
+async def answer_questions(routers):
+    """Let the routers read their messages until cancelled."""
+    while True:
+        await trio.sleep(0.01)
+        for router in routers:
+            router.receive_frames(trio.current_time())
+
+
+@pytest.fixture
+async def routers(autojump_clock):
+    by_address = {}
+    return [AffinityRouter(f'r{number}', by_address) for number in range(2)]
+
+
+# Guards against streams with events of two versions at a router that has asked
+# nobody yet: it only knows which versions serve now.
+async def test_a_new_router_that_nobody_answers_refuses(
+    autojump_clock, routers
+):
+    first, second = routers
+    first.sharing.discovery.add_peers([second.hello])
+    first.hear_store()
+    with pytest.raises(NoTarget) as caught:
+        await first.required()
+    assert caught.value.retry_after_seconds > 0
+
+
+async def test_a_new_router_resumes_after_an_answer(
+    autojump_clock, nursery, routers
+):
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    assert await routers[0].required() is None
+
+
+async def test_a_router_alone_resumes(autojump_clock, routers):
+    assert await routers[0].required() is None
+
+
+# Guards against streams with events of two versions at a router that was cut
+# off from the store and from all others while a version was replaced.
+async def test_a_router_that_hears_nobody_refuses_streams_of_others(
+    autojump_clock, routers
+):
+    await meet(routers)
+    first = routers[0]
+    await trio.sleep(MEMORY_SECONDS)
+    first.hear_store()
+    assert await first.required() is None
+    await trio.sleep(MEMORY_SECONDS)
+    with pytest.raises(NoTarget):
+        await first.required()
+    now = trio.current_time()
+    first.knowledge.stream_versions.record(STREAM.stream_id, 1, now)
+    assert await first.required() == 1
