Reports of targets are ordered by their own number, not by their arrival

Cause: entries of targets were ordered by the store's revision only. A report whose response was lost and that is executed late has a higher revision and an older number (seq) or an older start (born). The class: late reports after a removal, and from the start before, had the same effect. Change: decoders read the number; an older report changes nothing; after a removal it stays out 5 s or until the target reports again; an older start that stays listed for 10 s is taken, as its clock was set back.

--- a/peridotwell/domain/target.py
+++ b/peridotwell/domain/target.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-__all__ = ('TargetKind', 'Pool', 'Target', 'wire_id')
+__all__ = ('TargetKind', 'Pool', 'ReportNumber', 'Target', 'wire_id')
 
 
 class TargetKind(Enum):
@@ -37,6 +37,18 @@
         return wire_id(f'{self.data_centre}/{self.name}')
 
 
+@dataclass(frozen=True, order=True)
+class ReportNumber:
+    """The place of a report among all that targets of one name have written.
+
+    `started_milliseconds` is when the target started, by its own time of day;
+    `number` counts its reports since then.
+    """
+
+    started_milliseconds: int
+    number: int
+
+
 @dataclass(frozen=True)
 class Target:
     """One target as the platform lists it.
@@ -44,7 +56,8 @@
     `weight` is its share of the pool's requests relative to the other
     targets, `slots` the number of requests that it can run at once (0: not
     limited). `incarnation` distinguishes successive starts under the same
-    name. `software` is the version of its software, '' if unknown.
+    name. `software` is the version of its software, '' if unknown. `report` is
+    the number of the report that it is described by, None if it has none.
     """
 
     name: str
@@ -56,6 +69,13 @@
     incarnation: str = ''
     leaving: bool = False
     software: str = ''
+    report: ReportNumber | None = None
+
+    def is_reported_before(self, other: ReportNumber | None) -> bool:
+        """Return whether this is an older report than another one."""
+        if self.report is None or other is None:
+            return False
+        return self.report < other
 
     @cached_property
     def wire_id(self) -> int:
--- a/peridotwell/fleet/replica/departed_targets.py
+++ b/peridotwell/fleet/replica/departed_targets.py
@@ -1,14 +1,18 @@
-"""Targets that have left, in case a restored store lists them again.
+"""Targets that have left, in case the store lists them again.
 
 A store that is restored from an older copy lists targets in their state of
 then. One that has said that it leaves stays out until it starts again. One that
 was removed without that may be live, since its lease may have expired: it stays
 out until it writes its entry again, or has stayed listed for some time.
+
+A report whose response was lost may be executed late, after newer ones. It is
+told by its number: reports are ordered by their target, not by their arrival.
 """
 
 from dataclasses import dataclass, replace
 
-from peridotwell.domain.target import Target
+from peridotwell.domain.target import ReportNumber, Target
+from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
 from peridotwell.store.revisions import era_of
 
@@ -16,6 +20,9 @@
 
 # The entry of a target that is not live expires within this time of a restore.
 EXPIRY_SECONDS = 5.0
+# A report that seems to be from an earlier start is of a live target if it has
+# stayed for this time: the time of day of its machine was set back.
+EARLIER_START_SECONDS = 10.0
 # Number of targets that are remembered.
 MAX_DEPARTED = 2000
 
@@ -27,6 +34,7 @@
     incarnation: str
     era: int
     is_final: bool
+    report: ReportNumber | None
 
 
 @dataclass(frozen=True)
@@ -52,10 +60,14 @@
             and previous.is_final
             and previous.incarnation == target.incarnation
         )
+        report = target.report
+        if previous is not None and target.is_reported_before(previous.report):
+            report = previous.report
         self._departures[key] = _Departure(
             target.incarnation,
             era_of(revision),
             target.leaving or was_final,
+            report,
         )
         self._held.pop(key, None)
         if len(self._departures) > MAX_DEPARTED:
@@ -65,19 +77,33 @@
         """Return a listed target, as leaving if it has left before."""
         departure = self._departures.pop(entry.key, None)
         self._held.pop(entry.key, None)
+        if departure is None:
+            return target
+        if target.is_reported_before(departure.report):
+            return self._keep_out_late(entry, target, departure, now)
         era = era_of(entry.revision)
-        if (
-            departure is None
-            or departure.incarnation != target.incarnation
-            or departure.era >= era
-        ):
+        if departure.incarnation != target.incarnation or departure.era >= era:
             return target
         # What it writes after this entry, in the same era, is its own word.
         self._departures[entry.key] = replace(departure, era=era)
         if not departure.is_final:
-            self._held[entry.key] = _Held(target, now + EXPIRY_SECONDS)
+            self._hold(entry.key, target, now + EXPIRY_SECONDS)
         return replace(target, leaving=True)
 
+    def is_late(
+        self, entry: Entry, target: Target, known: Target, now: float
+    ) -> bool:
+        """Return whether a listed target is as it was before `known`.
+
+        One from an earlier start is released if it stays.
+        """
+        if not target.is_reported_before(known.report):
+            return False
+        if target.incarnation != known.incarnation:
+            self._hold(entry.key, target, now + EARLIER_START_SECONDS)
+        _log_late(entry, target, known.report)
+        return True
+
     def pop_released(self, now: float) -> dict[str, Target]:
         """Remove and return the targets that have stayed listed long enough."""
         released = {
@@ -89,3 +115,31 @@
             self._held.pop(key)
             self._departures.pop(key, None)
         return released
+
+    def _keep_out_late(
+        self, entry: Entry, target: Target, departure: _Departure, now: float
+    ) -> Target:
+        """Return a target whose report is late, as leaving."""
+        self._departures[entry.key] = replace(
+            departure, era=era_of(entry.revision)
+        )
+        if departure.incarnation != target.incarnation:
+            self._hold(entry.key, target, now + EARLIER_START_SECONDS)
+        elif not departure.is_final:
+            self._hold(entry.key, target, now + EXPIRY_SECONDS)
+        _log_late(entry, target, departure.report)
+        return replace(target, leaving=True)
+
+    def _hold(self, key: str, target: Target, until: float) -> None:
+        self._held[key] = _Held(target, until)
+
+
+def _log_late(entry: Entry, target: Target, known: ReportNumber | None) -> None:
+    log_event(
+        'target.report_late',
+        target=target.name,
+        leaving=target.leaving,
+        report=str(target.report),
+        known_report=str(known),
+        revision=entry.revision,
+    )
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -239,6 +239,11 @@
             self._targets.pop(entry.key, None)
             log_event('target.invalid', entry=entry.key, error=str(exc))
             return
+        known = self._targets.get(entry.key)
+        if known is not None and self._departed.is_late(
+            entry, target, known, now
+        ):
+            return
         if target.leaving:
             self._departed.record(entry.key, target, entry.revision)
         else:
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -3,7 +3,7 @@
 import trio
 
 from peridotwell.domain.routing_table import RoutingTable
-from peridotwell.domain.target import Pool, Target, TargetKind
+from peridotwell.domain.target import Pool, ReportNumber, Target, TargetKind
 from peridotwell.errors import EntryError, StoreResponseLost
 from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
@@ -23,7 +23,8 @@
     """Decodes short texts.
 
     A table is its version number. A target is 'ready' or 'leaving', then a
-    space and its incarnation, if it has one.
+    space and its incarnation, if it has one, then the number of its report, if
+    it has one.
     """
 
     def is_table(self, key):
@@ -38,7 +39,7 @@
         return RoutingTable(int(content), revision)
 
     def decode_target(self, key, content):
-        state, _, incarnation = content.decode().partition(' ')
+        state, incarnation, number, *_ = (*content.decode().split(' '), '', '')
         if state not in {'ready', 'leaving'}:
             raise EntryError('target state is neither ready nor leaving')
         return Target(
@@ -48,6 +49,9 @@
             Pool('a', 's'),
             incarnation=incarnation,
             leaving=state == 'leaving',
+            report=(
+                ReportNumber(int(incarnation), int(number)) if number else None
+            ),
         )
 
 
--- a/tests/peridotwell_platform/test_entries.py
+++ b/tests/peridotwell_platform/test_entries.py
@@ -5,6 +5,7 @@
 from peridotwell_platform.entries import PlatformEntryDecoder
 
 from peridotwell.domain.routing_table import RequestKind
+from peridotwell.domain.target import ReportNumber
 from peridotwell.errors import EntryError
 
 ENTRIES = PlatformEntryDecoder()
@@ -135,6 +136,7 @@
     assert (target.name, target.pool.name) == ('i-1', 'big')
     assert target.pool.data_centre == 'north'
     assert target.incarnation == '1700000000000'
+    assert target.report == ReportNumber(1700000000000, 4)
     assert not target.leaving
 
 
