A refusal counts only if it can be of no other request

Cause: a refusal was believed before its request id was compared, one without an id always; notices were read before either. A target could also forge the result field of a handover. Change: ResponseOwnership decides for both request paths which request a response is for. A refusal without the id, or with the id that the request before had too, counts on new connections only. HandoverResponse drops handover fields of targets.

--- a/peridotwell/attempt_errors.py
+++ b/peridotwell/attempt_errors.py
@@ -12,6 +12,7 @@
     'ResponseTimeout',
     'ResponseTruncated',
     'ResponseMismatch',
+    'ResponseUnusable',
 )
 
 
@@ -75,3 +76,9 @@
     """The response belongs to another request."""
 
     code = 'answer_crossed'
+
+
+class ResponseUnusable(AttemptError):
+    """The response of the target must not be passed on to the caller."""
+
+    code = 'answer_unusable'
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -14,6 +14,7 @@
 from peridotwell.forwarding.handover_protocol import (
     HandoverResult,
     result_field,
+    without_handover_fields,
 )
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.error_body import error_body
@@ -43,7 +44,12 @@
     async def send_whole(
         self, status: int, fields: HeaderFields, body: bytes
     ) -> None:
-        """Send a complete response."""
+        """Send the complete response of a target."""
+        await self._send(status, fields, body)
+
+    async def _send(
+        self, status: int, fields: HeaderFields, body: bytes
+    ) -> None:
         length = (b'content-length', str(len(body)).encode())
         await self._exchange.start_raw_response(
             status,
@@ -75,9 +81,7 @@
                 / MILLISECONDS_PER_SECOND
             )
             fields = (*fields, (b'retry-after', f'{wait:g}'.encode()))
-        await self.send_whole(
-            error.status, fields, msgspec.json.encode(document)
-        )
+        await self._send(error.status, fields, msgspec.json.encode(document))
 
     def _error_fields(self, error: RequestError) -> HeaderFields:
         return (JSON_FIELD,)
@@ -86,9 +90,20 @@
 class HandoverResponse(CallerResponse):
     """The response to a request that another router has handed over.
 
-    Its errors tell that router whether the request may have run.
+    Its errors tell that router whether the request may have run. Fields of a
+    target cannot: those of the handover protocol are dropped.
     """
 
+    async def send_whole(
+        self, status: int, fields: HeaderFields, body: bytes
+    ) -> None:
+        """Send the complete response of a target."""
+        await super().send_whole(status, without_handover_fields(fields), body)
+
+    async def begin(self, status: int, fields: HeaderFields) -> None:
+        """Start a response whose length is not known."""
+        await super().begin(status, without_handover_fields(fields))
+
     def _error_fields(self, error: RequestError) -> HeaderFields:
         return (JSON_FIELD, *result_field(_result(error)))
 
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -17,7 +17,6 @@
     ConnectionFailed,
     RefusedByTarget,
     ResponseLost,
-    ResponseMismatch,
     ResponseTimeout,
     ResponseTruncated,
     TargetReplaced,
@@ -25,6 +24,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.serving.event_stream import EventLimit
+from peridotwell.serving.response_ownership import ResponseOwnership
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 from peridotwell.serving.target_response import TargetResponse
 
@@ -127,6 +127,7 @@
         self.target = target
         self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
+        self._ownership = ResponseOwnership()
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             keepalive_expiry=IDLE_CONNECTION_SECONDS,
@@ -165,7 +166,8 @@
         """Send a request and yield the response once its headers arrived.
 
         A response that carries another request's id always raises
-        ResponseMismatch; with `require_request_id`, so does one without an id.
+        ResponseMismatch; so does a refusal that may be an earlier one, and with
+        `require_request_id` any other response without an id.
         """
         timeouts = _make_timeouts(response_timeouts.first_byte_seconds)
         request.extensions['timeout'] = timeouts
@@ -184,10 +186,17 @@
                 response_timeouts.event_limit
                 or EventLimit(response_timeouts.silence_seconds),
             )
-            self._handle_notice(response)
-            self._check_response(
-                request, response, require_request_id=require_request_id
+            refusal = self._reader.refusal_reason(response)
+            self._ownership.check(
+                resp,
+                _request_id(request),
+                self._reader.request_id(response),
+                is_refusal=bool(refusal),
+                require_id=require_request_id,
             )
+            # A response that may be for another request says nothing.
+            self._handle_notice(response)
+            self._raise_if_refused(refusal, response)
             timeouts['read'] = response_timeouts.silence_seconds
             yield response
 
@@ -198,24 +207,11 @@
         if notice is not None:
             self._on_notice(self.target, notice)
 
-    def _check_response(
-        self,
-        request: httpcore.Request,
-        response: TargetResponse,
-        *,
-        require_request_id: bool,
-    ) -> None:
-        refusal = self._reader.refusal_reason(response)
+    def _raise_if_refused(self, refusal: str, response: TargetResponse) -> None:
         if refusal and self._reader.is_target_replaced(response):
             raise TargetReplaced(refusal)
         if refusal:
             raise RefusedByTarget(refusal)
-        expected = dict(request.headers).get(REQUEST_ID_HEADER.encode(), b'')
-        request_id = self._reader.request_id(response)
-        if not (request_id or require_request_id):
-            return
-        if request_id != expected.decode('latin-1'):
-            raise ResponseMismatch(f'The response is for request {request_id}.')
 
     async def check_health(self) -> TargetHealth:
         """Request the target's health on a new connection.
@@ -263,6 +259,11 @@
         ) from exc
 
 
+def _request_id(request: httpcore.Request) -> str:
+    fields = dict(request.headers)
+    return fields.get(REQUEST_ID_HEADER.encode(), b'').decode('latin-1')
+
+
 def _make_timeouts(seconds: float) -> dict[str, float]:
     return {
         'connect': min(seconds, CONNECT_TIMEOUT_SECONDS),
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -47,16 +47,16 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         with suppress(trio.BrokenResourceError):
-            request = await _read_request(stream)
+            request = await read_request(stream)
             if not request:
                 return
             self.requests.append(request)
             number = min(len(self.requests), len(self.responses)) - 1
-            request_id = _field(request, REQUEST_ID)
+            request_id = request_field(request, REQUEST_ID)
             await _send(stream, self.responses[number], request_id)
 
 
-async def _read_request(stream: trio.SocketStream) -> bytes:
+async def read_request(stream: trio.SocketStream) -> bytes:
     """Return a request with its body, or nothing if the connection ends."""
     request = b''
     while HEAD_END not in request:
@@ -64,14 +64,14 @@
         if not part:
             return b''
         request += part
-    body_bytes = int(_field(request, b'content-length: ') or b'0')
+    body_bytes = int(request_field(request, b'content-length: ') or b'0')
     missing = body_bytes - len(request.partition(HEAD_END)[2])
     while missing > 0:
         missing -= len(await stream.receive_some(missing))
     return request
 
 
-def _field(request: bytes, name: bytes) -> bytes:
+def request_field(request: bytes, name: bytes) -> bytes:
     for line in request.lower().split(b'\r\n'):
         if line.startswith(name):
             return line.removeprefix(name)
--- a/tests/serving/test_target_client.py
+++ b/tests/serving/test_target_client.py
@@ -22,6 +22,7 @@
 )
 from peridotwell.serving.request_parser import forwarded_headers
 from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
+from tests.kept_target import KeptTarget
 from tests.raw_server import raw_server, response
 from tests.raw_target import RawResponse, RawTarget
 
@@ -253,3 +254,49 @@
         return
     with pytest.raises(outcome):
         positions = [event.position async for event in events]
+
+
+async def fetch_twice(nursery, extra, first_id, second_id):
+    """Send two requests on one connection; return the second outcome."""
+    address = await KeptTarget(extra).start(nursery)
+    client = make_client(address)
+    for request_id in (first_id, second_id):
+        request = httpcore.Request(
+            'GET',
+            f'http://{address}/',
+            headers=[('host', address), ('x-request-id', request_id)],
+        )
+        timeouts = ResponseTimeouts(MAX_RESPONSE_SECONDS, MAX_RESPONSE_SECONDS)
+        async with client.send(request, timeouts) as target_response:
+            await target_response.read_body()
+
+
+# Guards against "not run" for a request whose response cannot be told from an
+# earlier refusal: of another id, of none, or of an id that is used again.
+@pytest.mark.parametrize(
+    ('request_id_line', 'second_id'),
+    [
+        ('x-request-id: {last}\r\n', 'b'),
+        ('', 'b'),
+        ('x-request-id: {last}\r\n', 'a'),
+    ],
+)
+async def test_an_earlier_refusal_is_not_one_of_the_next_request(
+    nursery, request_id_line, second_id
+):
+    extra = (
+        'HTTP/1.1 503 x\r\nx-refused: full\r\n'
+        f'{request_id_line}content-length: 0\r\n\r\n'
+    )
+    with pytest.raises(ResponseMismatch) as caught:
+        await fetch_twice(nursery, extra, 'a', second_id)
+    assert caught.value.may_have_run
+
+
+async def test_a_refusal_with_the_id_of_its_request_is_believed(nursery):
+    extra = (
+        'HTTP/1.1 503 x\r\nx-refused: full\r\nx-request-id: b\r\n'
+        'content-length: 0\r\n\r\n'
+    )
+    with pytest.raises(RefusedByTarget):
+        await fetch_twice(nursery, extra, 'a', 'b')
