Only a response of the same kind continues a stream that broke off

Cause: whether a response is a stream was decided by its status, for each attempt anew, without what the caller had received. Change: StreamHead keeps status and media type; both request paths check a further response against it. ResponseUnusable moves to the attempt errors.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -5,7 +5,11 @@
 
 import trio
 
-from peridotwell.attempt_errors import AttemptError, ConnectionFailed
+from peridotwell.attempt_errors import (
+    AttemptError,
+    ConnectionFailed,
+    ResponseUnusable,
+)
 from peridotwell.domain.target import Target
 from peridotwell.errors import (
     ForwardedRequestQuarantined,
@@ -30,7 +34,6 @@
 __all__ = (
     'SUCCESSES',
     'BufferedResponse',
-    'ResponseUnusable',
     'BufferedResponseForwarder',
     'check_response',
     'final_error',
@@ -59,12 +62,6 @@
         return self.status >= FIRST_SERVER_ERROR
 
 
-class ResponseUnusable(AttemptError):
-    """The response of the target must not be passed on to the caller."""
-
-    code = 'answer_unusable'
-
-
 class BufferedResponseForwarder:
     """Sends requests to targets until one succeeds or no retry is allowed."""
 
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -20,7 +20,6 @@
 from peridotwell.forwarding.buffered_responses import (
     SUCCESSES,
     BufferedResponse,
-    ResponseUnusable,
     check_response,
     final_error,
     may_leave_target,
@@ -32,6 +31,7 @@
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.policy.choice import Choice
+from peridotwell.serving.stream_head import StreamHead
 from peridotwell.serving.target_response import BodyEnd, TargetResponse
 
 __all__ = ('StreamBroken', 'StreamForwarder')
@@ -76,6 +76,8 @@
         self._adapter = adapter
         self._affinity = affinity
         self._last_event_id = ''
+        # Set when the caller has received the beginning.
+        self._head: StreamHead | None = None
 
     async def run(self) -> BufferedResponse | None:
         """Forward the stream to its end.
@@ -166,6 +168,8 @@
 
     async def _send(self, attempt: Attempt) -> BufferedResponse | None:
         async with self._dispatcher.send(attempt) as response:
+            if self._head is not None:
+                self._head.check_continuation(response)
             check_response(response, self._adapter)
             self.status = response.status
             self.body_end = response.body_end
@@ -181,10 +185,6 @@
         response: TargetResponse,
         attempt: Attempt,
     ) -> BufferedResponse:
-        if self._caller_response.has_begun:
-            raise ResponseUnusable(
-                f'Status {response.status} instead of a stream.'
-            )
         body = await response.read_body(require_end_marker=False)
         self.first_part_at = trio.current_time()
         self._dispatcher.record_completion(attempt, response.status)
@@ -207,6 +207,7 @@
                 if not self._caller_response.has_begun:
                     self.first_part_at = trio.current_time()
                     self._record_start(attempt)
+                    self._head = StreamHead.of(response)
                     await self._caller_response.begin(
                         response.status,
                         self._adapter.caller_fields(response),
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -31,6 +31,7 @@
 )
 from peridotwell.serving.placer import PlacementRequest, Placer
 from peridotwell.serving.request_parser import forwarded_headers
+from peridotwell.serving.stream_head import StreamHead
 from peridotwell.serving.target_client import ResponseTimeouts
 from peridotwell.serving.target_monitor import TargetMonitor
 from peridotwell.serving.target_response import TargetResponse
@@ -86,6 +87,8 @@
             request, is_suspect=monitor.is_suspect(request)
         )
         self._target: Target | None = None
+        # Set when an event of the stream was received.
+        self._head: StreamHead | None = None
 
     async def execute(self) -> BufferedResponse:
         """Return the complete response of a target.
@@ -126,12 +129,15 @@
         self,
     ) -> AsyncIterator[StreamEvent | BufferedResponse]:
         async with self._send_to_target(self._position) as response:
+            if self._head is not None:
+                self._head.check_continuation(response)
             if response.status != OK:
                 yield await self._read_response(response)
                 return
             async with aclosing(self._validated_events(response)) as events:
                 async for event in events:
                     self._position = event.position or self._position
+                    self._head = self._head or StreamHead.of(response)
                     yield event
 
     async def _read_response(
--- a/tests/serving/test_request_executor.py
+++ b/tests/serving/test_request_executor.py
@@ -52,7 +52,7 @@
         """Do not check the target."""
 
 
-async def execute(nursery, *responses):
+async def make_executor(nursery, responses):
     targets = []
     for number, response in enumerate(responses):
         address = await RawTarget([response]).start(nursery)
@@ -68,13 +68,17 @@
         Contract('/ledger', 'ledger'),
         float('inf'),
     )
-    executor = RequestExecutor(
+    return RequestExecutor(
         request,
         Defaults(),
         ListedTargets(targets),
         UncheckedTargets(),
         RetryBudget(),
     )
+
+
+async def execute(nursery, *responses):
+    executor = await make_executor(nursery, responses)
     return await executor.execute()
 
 
@@ -94,3 +98,41 @@
     with pytest.raises(NoTarget) as caught:
         await execute(nursery, REFUSED, REFUSED)
     assert caught.value.run_state is RunState.not_run
+
+
+STREAM_HEAD = ('HTTP/1.1 200 OK', 'content-type: text/event-stream')
+EVENT = b'id: 1\ndata: {"request": "r1"}\n\n'
+CUT_STREAM = RawResponse((*STREAM_HEAD, 'content-length: 99', '', ''), EVENT)
+ERROR_HEADS = (
+    ('HTTP/1.1 500 x',),
+    ('HTTP/1.1 404 x', 'content-type: text/html'),
+    ('HTTP/1.1 201 x', 'content-type: text/event-stream'),
+    ('HTTP/1.1 200 x', 'content-type: application/json'),
+)
+ERROR_RESPONSES = [
+    RawResponse((*head, 'content-length: 4', '', 'oops'))
+    for head in ERROR_HEADS
+]
+
+
+async def read_stream(executor, receive):
+    """Call `receive` with each part of a stream."""
+    async for part in executor.stream_events(0):
+        receive(part)
+
+
+# Guards against an error of the next target within a stream that broke off.
+@pytest.mark.parametrize('response', ERROR_RESPONSES)
+async def test_an_error_does_not_continue_a_stream(nursery, response):
+    executor = await make_executor(nursery, (CUT_STREAM, response))
+    received = []
+    with pytest.raises(TargetFailed):
+        await read_stream(executor, received.append)
+    assert [event.raw for event in received] == [EVENT]
+
+
+@pytest.mark.parametrize('response', ERROR_RESPONSES[:2])
+async def test_an_error_in_place_of_a_stream_is_passed_on(nursery, response):
+    executor = await make_executor(nursery, (response,))
+    received = [event async for event in executor.stream_events(0)]
+    assert [event.body for event in received] == [b'oops']
