A configuration with a lower version is not taken, whenever it arrives

What callers could see: routes and keys of an older configuration, if its write got no answer and was executed after the newer one. Cause: configurations were ordered by the store's revision; their own version was compared only across a restore of the store. Evidence: the new test fails before (version 2 after 3). Change: a lower version is ignored, with the log event table.older. After: the test passes. A router that starts meanwhile knows only the older one: not mended.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -219,7 +219,9 @@
         except EntryError as exc:
             log_event('table.invalid', error=str(exc), revision=entry.revision)
             return
-        if self.table is not None and _is_older_copy(table, self.table):
+        if self.table is not None and table.version < self.table.version:
+            # Its write was executed late, or a restored store lists it. The
+            # one in force stays until its operator has written it again.
             log_event('table.older', version=table.version)
             return
         self.table = table
@@ -303,13 +305,3 @@
         return
     routers.pop(entry.key, None)
     log_event('router.invalid', entry=entry.key)
-
-
-def _is_older_copy(table: RoutingTable, in_force: RoutingTable) -> bool:
-    """Return whether a restored store lists an older configuration.
-
-    The one in force stays until its operator has written it again.
-    """
-    return table.version < in_force.version and is_of_later_era(
-        table.revision, in_force.revision
-    )
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -98,6 +98,17 @@
     assert directory.table.version == 2
 
 
+# Guards against routes and keys of an older configuration, whose write was
+# executed late, after the newer one.
+def test_table_with_a_lower_version_is_not_taken():
+    directory = loaded_directory()
+    apply_changes(directory, entry('table', b'3', 5))
+    apply_changes(directory, entry('table', b'2', 6), revision=10)
+    assert directory.table.version == 3
+    apply_changes(directory, entry('table', b'4', 7), revision=11)
+    assert directory.table.version == 4
+
+
 def test_stale_snapshot_does_not_restore_a_deleted_target():
     directory = loaded_directory()
     apply_changes(directory, deleted=(('t/x', 6),))
