A late answer does not end a limit or the brittleness of a target

What could be seen: a target that names a limit, or is brittle, counts as neither after an answer that was held up since before it said so. Cause: an answer without the field ended the time if the last one with it was a second old, whatever its request's age. Change: such an answer counts only if its request was sent after the field was last heard; for the service, it speaks from the time its request was sent. The check now names the requests.

--- a/peridotwell/forwarding/notice_recorder.py
+++ b/peridotwell/forwarding/notice_recorder.py
@@ -28,10 +28,16 @@
         self._brittle = update_exchange.state.brittle_targets
         self._metrics = metrics
 
-    def record(self, target: Target, notice: TargetNotice) -> None:
-        """Record a notice that has arrived now."""
-        self._record_limit(target, notice.limit_per_second)
-        self._record_brittleness(target, notice.brittleness)
+    def record(
+        self, target: Target, notice: TargetNotice, sent_at: float
+    ) -> None:
+        """Record a notice that has arrived now.
+
+        The request that it answers was sent at `sent_at`: an answer may be held
+        up, and say what held then.
+        """
+        self._record_limit(target, notice.limit_per_second, sent_at)
+        self._record_brittleness(target, notice.brittleness, sent_at)
         if notice is NO_NOTICE:
             return
         incarnation = target.incarnation_id
@@ -52,14 +58,17 @@
             )
 
     def _record_brittleness(
-        self, target: Target, brittleness: Brittleness | None
+        self,
+        target: Target,
+        brittleness: Brittleness | None,
+        sent_at: float,
     ) -> None:
         notices = self._brittle.notices
         if brittleness is None and notices.is_empty:
             return
         previous = notices.max_rejections(target)
         changed = self._brittle.record_answer(
-            target, brittleness, trio.current_time()
+            target, brittleness, trio.current_time(), sent_at
         )
         if brittleness is not None and brittleness.is_rejection:
             self._metrics.count('target.brittle.rejection')
@@ -75,10 +84,14 @@
             max_rejections_per_second=changed.max_rejections_per_second,
         )
 
-    def _record_limit(self, target: Target, per_second: float | None) -> None:
+    def _record_limit(
+        self, target: Target, per_second: float | None, sent_at: float
+    ) -> None:
         if per_second is None and self._limits.is_empty:
             return
-        changed = self._limits.record(target, per_second, trio.current_time())
+        changed = self._limits.record(
+            target, per_second, trio.current_time(), sent_at
+        )
         if changed is None:
             return
         self._update_exchange.limit_sync.share((changed,))
--- a/peridotwell/policy/brittle_notices.py
+++ b/peridotwell/policy/brittle_notices.py
@@ -26,7 +26,8 @@
 )
 
 # The time ends with an answer that names no number, if the last one that named
-# it is older: answers that overtake each other do not end it.
+# it is older by this time, and arrived before the request was sent: answers
+# that overtake each other, or are held up, do not end it.
 END_DELAY_SECONDS = 1.0
 # A target that has not been heard for this time does not speak for its service
 # any more if another one has said since that it is not brittle.
@@ -153,15 +154,21 @@
         return not self._notices
 
     def record(
-        self, target: Target, answer: Brittleness | None, now: float
+        self,
+        target: Target,
+        answer: Brittleness | None,
+        now: float,
+        sent_at: float | None = None,
     ) -> BrittleRecord | None:
         """Record what an answer of a target says, None if nothing.
 
-        Returns the record if the other routers should know it at once.
+        `sent_at` is when its request was sent, by default `now`. Returns the
+        record if the other routers should know it at once.
         """
         known = self._known(target)
         if answer is None:
-            return self._record_none(target, known, now)
+            said_at = now if sent_at is None else sent_at
+            return self._record_none(target, known, said_at, now)
         notice = _make_notice(target, answer, known, now)
         self._set(target.wire_id, notice)
         is_news = (
@@ -257,13 +264,19 @@
         return notice
 
     def _record_none(
-        self, target: Target, known: _Notice | None, now: float
+        self,
+        target: Target,
+        known: _Notice | None,
+        said_at: float,
+        now: float,
     ) -> BrittleRecord | None:
-        self._record_denial(service_id(target.pool.name), now)
+        """Record an answer that names no number, said at `said_at` or later."""
+        self._record_denial(service_id(target.pool.name), said_at)
         if (
             known is None
             or known.max_rejections_per_second is None
             or now - known.named_at < END_DELAY_SECONDS
+            or said_at < known.named_at
         ):
             return None
         notice = replace(known, max_rejections_per_second=None, said_at=now)
--- a/peridotwell/policy/brittle_targets.py
+++ b/peridotwell/policy/brittle_targets.py
@@ -149,13 +149,18 @@
             state.borrowed.record_send(now)
 
     def record_answer(
-        self, target: Target, answer: Brittleness | None, now: float
+        self,
+        target: Target,
+        answer: Brittleness | None,
+        now: float,
+        sent_at: float | None = None,
     ) -> BrittleRecord | None:
         """Record what an answer of a target says, None if nothing.
 
-        Returns the record if the other routers should know it at once.
+        `sent_at` is when its request was sent, by default `now`. Returns the
+        record if the other routers should know it at once.
         """
-        changed = self.notices.record(target, answer, now)
+        changed = self.notices.record(target, answer, now, sent_at)
         if answer is not None:
             self._record_queue(target, answer, now)
             if answer.is_rejection:
--- a/peridotwell/policy/target_limits.py
+++ b/peridotwell/policy/target_limits.py
@@ -111,11 +111,16 @@
             self._chosen.clear()
 
     def record(
-        self, target: Target, per_second: float | None, now: float
+        self,
+        target: Target,
+        per_second: float | None,
+        now: float,
+        sent_at: float | None = None,
     ) -> LimitRecord | None:
         """Record what an answer of a target says of its limit.
 
-        Returns the record if the other routers should know it at once.
+        `sent_at` is when its request was sent, by default `now`. Returns the
+        record if the other routers should know it at once.
         """
         target_id, incarnation = target.incarnation_id
         known = self._limits.get(target_id)
@@ -126,6 +131,7 @@
             known is None
             or previous is None
             or now - known.named_at < END_DELAY_SECONDS
+            or (sent_at is not None and sent_at < known.named_at)
         ):
             return None
         record = LimitRecord(target_id, incarnation, per_second)
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -37,7 +37,9 @@
     'TargetClient',
 )
 
-NoticeListener = Callable[[Target, TargetNotice], None]
+# Called with a target, its notice, and when the request was sent that the
+# response with the notice is for.
+NoticeListener = Callable[[Target, TargetNotice, float], None]
 MAX_CONNECTIONS = 1024
 IDLE_CONNECTION_SECONDS = 20
 # TCP first retransmits a lost SYN packet after 1 s. The timeout is shorter, so
@@ -172,6 +174,7 @@
         timeouts = _make_timeouts(response_timeouts.first_byte_seconds)
         request.extensions['timeout'] = timeouts
         pool = self._single_use_pool if new_connection else self._pool
+        sent_at = trio.current_time()
         # Without a limit on the whole head, a target could send bytes of it
         # now and then, and without end.
         with trio.move_on_after(
@@ -195,17 +198,17 @@
                 require_id=require_request_id,
             )
             # A response that may be for another request says nothing.
-            self._handle_notice(response)
+            self._handle_notice(response, sent_at)
             self._raise_if_refused(refusal, response)
             timeouts['read'] = response_timeouts.silence_seconds
             yield response
 
-    def _handle_notice(self, response: TargetResponse) -> None:
+    def _handle_notice(self, response: TargetResponse, sent_at: float) -> None:
         if self._on_notice is None:
             return
         notice = self._reader.notice(response)
         if notice is not None:
-            self._on_notice(self.target, notice)
+            self._on_notice(self.target, notice, sent_at)
 
     def _raise_if_refused(self, refusal: str, response: TargetResponse) -> None:
         if refusal and self._reader.is_target_replaced(response):
--- a/tests/policy/test_brittle_targets.py
+++ b/tests/policy/test_brittle_targets.py
@@ -7,6 +7,7 @@
 from peridotwell.domain.target import Pool
 from peridotwell.policy.borrowed_slots import KNOWN_AFTER_SECONDS, BorrowedSlots
 from peridotwell.policy.brittle_notices import (
+    END_DELAY_SECONDS,
     TTL_SECONDS,
     Brittleness,
     parse_max_rejections,
@@ -304,3 +305,32 @@
     policy = BrittleTargets(1)
     assert policy.accepts(fleet.targets[0].target, RequestCounts(99, 99), 0)
     assert policy.wait_seconds(fleet.targets[0].target, NO_REQUESTS, 0) == 0
+
+
+# Guards against brittle targets that fall over (soak seed 3667): an answer that
+# was held up since before the notice ended it.
+def test_an_answer_to_an_earlier_request_does_not_end_brittleness():
+    policy = BrittleTargets()
+    (target,) = _targets(1)
+    policy.record_answer(target, Brittleness(5, False, 0, 0, 8), 5)
+    late = 5 + 2 * END_DELAY_SECONDS
+    assert policy.record_answer(target, None, late, sent_at=4.9) is None
+    assert policy.is_brittle(target, late)
+    assert policy.record_answer(target, None, late, sent_at=5.1) is not None
+    assert not policy.is_brittle(target, late)
+
+
+# Guards against a silent brittle target that counts as sound because of an old
+# answer of another one.
+def test_an_answer_to_an_earlier_request_does_not_speak_for_a_service():
+    policy = BrittleTargets()
+    target, other, new = _targets(3)
+    policy.record_answer(target, Brittleness(5, False, 0, 0, 8), 5)
+    policy.record_answer(other, None, 10, sent_at=4.9)
+    assert policy.is_brittle(new, 10)
+    policy.record_answer(other, None, 10, sent_at=9.9)
+    assert not policy.is_brittle(new, 10.1)
+
+
+def _targets(count):
+    return [each.target for each in BrittleFleet(1, 5).targets[:count]]
--- a/tests/policy/test_target_limits.py
+++ b/tests/policy/test_target_limits.py
@@ -271,3 +271,15 @@
     limits.record_send(FIRST, 1)
     assert not limits.is_unused(FIRST, 1.25)
     assert limits.is_unused(FIRST, 2)
+
+
+# Guards against limits that end too early, with an answer that was held up
+# since before its target named them.
+def test_an_answer_to_an_earlier_request_does_not_end_a_limit():
+    limits = TargetLimits()
+    limits.record(FIRST, 3, 5)
+    late = 5 + 2 * END_DELAY_SECONDS
+    assert limits.record(FIRST, None, late, sent_at=4.9) is None
+    assert limits.limit(FIRST, late) == 3
+    ended = limits.record(FIRST, None, late, sent_at=5.1)
+    assert ended.per_second is None
--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -19,7 +19,8 @@
         self.rejections = 0
         self._violations = violations
         self._routers: dict[str, object] = {}
-        self._rejected_at: dict[str, list[float]] = defaultdict(list)
+        # By target: the times of rejections, and the requests.
+        self._rejected: dict[str, list[tuple[float, str]]] = defaultdict(list)
 
     def record_sent(self, request_id: str, router) -> None:
         """Record the router of a request."""
@@ -33,10 +34,12 @@
         if router is None or now - router.disturbed_at < CONTACT_SECONDS:
             return
         self.rejections += 1
-        rejected_at = self._rejected_at[target]
-        rejected_at.append(now)
-        recent = [at for at in rejected_at if now - at < WINDOW_SECONDS]
+        rejected = self._rejected[target]
+        rejected.append((now, request_id))
+        recent = [each for each in rejected if now - each[0] < WINDOW_SECONDS]
         if len(recent) > max_rejections:
+            requests = ', '.join(request for _, request in recent)
             self._violations.append(
-                f'{target} fell over: {len(recent)} rejections in a second'
+                f'{target} fell over: {len(recent)} rejections in a second '
+                f'({requests})'
             )
