Requests that were given up are not delivered when a partition ends

Cause: a closed connection leaves its unsent bytes with the kernel, which delivers them later. Requests that were given up during a partition arrived at the target together when it ended. Evidence: the check names the requests: three of four had been given up 0.5 to 2.5 s before; the new test of the client fails before, the request arrives. The soak's proxy drops held bytes of a connection that its sender resets.

--- a/peridotwell/serving/socket_options.py
+++ b/peridotwell/serving/socket_options.py
@@ -1,10 +1,11 @@
-"""Socket options that detect connections whose peer is unreachable."""
+"""Socket options that detect and drop connections to unreachable peers."""
 
 import socket
+import struct
 
 __all__ = ('SocketOptions', 'CLIENT_SOCKET_OPTIONS', 'keepalive_options')
 
-SocketOptions = tuple[tuple[int, int, int], ...]
+SocketOptions = tuple[tuple[int, int, int | bytes], ...]
 MAX_UNANSWERED_PROBES = 2
 UNACKNOWLEDGED_MILLISECONDS = 3500
 
@@ -35,11 +36,21 @@
     )
 
 
+# A close resets the connection. Bytes that the peer has not received are
+# dropped: a request that was given up does not arrive when a partition ends.
+RESET_ON_CLOSE = (
+    socket.SOL_SOCKET,
+    socket.SO_LINGER,
+    struct.pack('ii', 1, 0),
+)
 # Options of connections to targets and to the store. A connection whose peer
 # stops acknowledging data fails after about 4 s. A peer that stands still for
 # less than 2 s loses none.
-CLIENT_SOCKET_OPTIONS = keepalive_options(
-    idle_seconds=2,
-    probe_seconds=1,
-    unacknowledged_milliseconds=UNACKNOWLEDGED_MILLISECONDS,
+CLIENT_SOCKET_OPTIONS = (
+    *keepalive_options(
+        idle_seconds=2,
+        probe_seconds=1,
+        unacknowledged_milliseconds=UNACKNOWLEDGED_MILLISECONDS,
+    ),
+    RESET_ON_CLOSE,
 )
--- a/tests/serving/test_socket_options.py
+++ b/tests/serving/test_socket_options.py
@@ -3,10 +3,17 @@
 import itertools
 import socket
 
+import httpcore
 import pytest
+import trio
 
+from peridotwell.attempt_errors import ResponseTimeout
+from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.serving.asgi import CALLER_SOCKET_OPTIONS
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
+from tests.raw_target import RawResponse, RawTarget
+from tests.soak.proxy import start_proxy
 
 # A sound peer may stand still for a second or so.
 SOUND_PAUSE_SECONDS = 1.5
@@ -36,3 +43,26 @@
 )
 def test_keepalive_bears_a_peer_that_stands_still_for_a_moment(options):
     assert fatal_silence_seconds(options) > SOUND_PAUSE_SECONDS
+
+
+# Guards against requests that were given up during a partition and reach their
+# target when it ends, in which case a brittle one falls over (soak seed 3667).
+async def test_a_request_that_was_given_up_does_not_arrive(nursery):
+    target = RawTarget([RawResponse(('HTTP/1.1 200 OK', '', ''))])
+    proxy = await start_proxy(nursery, await target.start(nursery))
+    proxy.hold('requests')
+    pool = Pool('dc1', 'ledger')
+    client = TargetClient(Target('t', proxy.address, TargetKind.service, pool))
+    request = httpcore.Request(
+        'POST',
+        f'http://{proxy.address}/',
+        headers=[('host', proxy.address), ('content-length', '1')],
+        content=b'q',
+    )
+    with pytest.raises(ResponseTimeout):
+        async with client.send(request, ResponseTimeouts(0.1, 0.1)):
+            pytest.fail('There is no response.')
+    await trio.sleep(0.05)
+    proxy.release('requests')
+    await trio.sleep(0.1)
+    assert not target.requests
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy that injects network faults between a router and its peer."""
 
+import errno
 import socket
 import struct
 
@@ -8,6 +9,7 @@
 __all__ = ('FaultProxy', 'start_proxy')
 
 CHUNK_BYTES = 65536
+RESET_POLL_SECONDS = 0.02
 LINGER_FOR_RESET = struct.pack('ii', 1, 0)
 
 
@@ -16,7 +18,8 @@
 
     `delay_seconds` delays each chunk of bytes. `refuses_connections` resets new
     connections. `hold` stops the flow of bytes in one or both directions until
-    `release` is called, as a temporary network partition does.
+    `release` is called, as a temporary network partition does. Bytes that are
+    held are lost if their sender resets the connection.
     """
 
     def __init__(self, target_address: str) -> None:
@@ -88,12 +91,26 @@
         try:
             while chunk := await source.receive_some(CHUNK_BYTES):
                 await trio.sleep(self.delay_seconds)
-                await self._may_pass[direction].wait()
+                await self._wait_until_passed(source, direction)
                 await sink.send_all(chunk)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             nursery.cancel_scope.cancel()
 
+    async def _wait_until_passed(
+        self, source: trio.SocketStream, direction: str
+    ) -> None:
+        """Wait until bytes may pass.
+
+        Raises BrokenResourceError if their sender resets the connection.
+        """
+        may_pass = self._may_pass[direction]
+        while not may_pass.is_set():
+            with trio.move_on_after(RESET_POLL_SECONDS):
+                await may_pass.wait()
+            if _is_reset(source):
+                raise trio.BrokenResourceError('reset while bytes were held')
+
 
 async def start_proxy(nursery: trio.Nursery, target_address: str) -> FaultProxy:
     """Start a proxy for `target_address` (host:port) on a free local port."""
@@ -104,6 +121,14 @@
     return proxy
 
 
+def _is_reset(stream: trio.SocketStream) -> bool:
+    """Return whether the connection was reset by either side."""
+    if stream.socket.fileno() < 0:
+        return True
+    error = stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return error in {errno.ECONNRESET, errno.EPIPE}
+
+
 def _reset_connection(stream: trio.SocketStream) -> None:
     try:
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_FOR_RESET)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 # Pairs of a seed and the fault that it found.
 REGRESSIONS = (
     (6, 'a stream reached its deadline and was neither ended nor closed'),
+    (3667, 'requests given up during a partition made a brittle target fall'),
 )
 
 
