A document that cannot be read is skipped alone, however it fails

Cause: decoders caught msgspec.DecodeError; RecursionError ended the reading of all entries, and the task began again with the same list.

--- a/peridotwell/background_tasks.py
+++ b/peridotwell/background_tasks.py
@@ -8,9 +8,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-import msgspec
 import trio
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
 from peridotwell.errors import StoreError
 from peridotwell.fleet.membership.gossip import Gossip, SharedState
@@ -113,7 +113,7 @@
         listing = await self.store.list_instances()
         try:
             listed = decode_listing(listing)
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             self.metrics.count('platform.garbage')
             return
         self._record_platform_state('')
@@ -134,7 +134,7 @@
                 self._record_platform_state(exc.code)
                 await trio.sleep(1)
                 continue
-            except msgspec.DecodeError:
+            except DECODING_ERRORS:
                 self.metrics.count('platform.garbage')
                 await trio.sleep(CONFIGURATION_POLL_SECONDS)
                 continue
--- a/peridotwell/fleet/membership/gossip.py
+++ b/peridotwell/fleet/membership/gossip.py
@@ -6,9 +6,9 @@
 
 from dataclasses import dataclass
 
-import msgspec
 import xxhash
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.fleet.lending.credit_exchange import CreditExchange
 from peridotwell.fleet.lending.load_tracker import LoadTracker
 from peridotwell.fleet.membership.target_membership import (
@@ -184,5 +184,5 @@
                 listed = decode_listing(push.listing)
                 self._state.membership.apply_listing(listed)
                 self.listing = push.listing
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             self._metrics.count('peer.garbage')
--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import StoreConflict
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.rendezvous import first_by_score
@@ -40,7 +41,7 @@
     """Return the recorded versions; None if they cannot be decoded."""
     try:
         return _decoder.decode(content)
-    except (msgspec.DecodeError, RecursionError):
+    except DECODING_ERRORS:
         return None
 
 
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
 from peridotwell.policy.brittle_notices import BrittleRecord
@@ -359,5 +360,5 @@
         raise FrameError('The frame is too long: check who sends to this port.')
     try:
         return _decoder.decode(content)
-    except msgspec.DecodeError as exc:
+    except DECODING_ERRORS as exc:
         raise FrameError(f'{exc}: check who sends to this port.') from exc
--- a/peridotwell/fleet/transport/router_registry.py
+++ b/peridotwell/fleet/transport/router_registry.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import StoreConflict, StoreResponseLost
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.store.base import EntryStore, KeyValueStore
@@ -41,7 +42,7 @@
     """Return the router of an entry; None if it cannot be decoded."""
     try:
         entry = msgspec.json.decode(content, type=RouterEntry)
-    except msgspec.DecodeError:
+    except DECODING_ERRORS:
         return None
     return Hello(**msgspec.structs.asdict(entry))
 
--- a/peridotwell/forwarding/handover_protocol.py
+++ b/peridotwell/forwarding/handover_protocol.py
@@ -7,11 +7,11 @@
 """
 
 import base64
-import binascii
 from enum import Enum
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import BadRequest
 from peridotwell.forwarding.adapters import HeaderFields
 from peridotwell.serving.target_response import TargetResponse
@@ -29,6 +29,8 @@
 
 INFO_FIELD = 'peridotwell-handover'
 RESULT_FIELD = 'peridotwell-handover-result'
+# Of the content of the field, which is base64.
+INFO_ERRORS = (ValueError, *DECODING_ERRORS)
 OWN_FIELDS = frozenset((INFO_FIELD.encode(), RESULT_FIELD.encode()))
 
 
@@ -71,7 +73,7 @@
     try:
         content = base64.b64decode(text, validate=True)
         return msgspec.msgpack.decode(content, type=HandoverInfo)
-    except (binascii.Error, msgspec.DecodeError) as exc:
+    except INFO_ERRORS as exc:
         raise BadRequest(f'The request is not a handover: {exc}') from exc
 
 
--- a/peridotwell/operators/api.py
+++ b/peridotwell/operators/api.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.configuration import Change, Configuration
 from peridotwell.errors import ChangeRefused, PeridotwellError, StoreError
 from peridotwell.fleet.membership.gossip import Gossip, SharedState
@@ -87,7 +88,7 @@
     async def _handle_change(self, exchange: HttpExchange) -> None:
         try:
             change = msgspec.json.decode(await exchange.body(), type=Change)
-        except msgspec.DecodeError as exc:
+        except DECODING_ERRORS as exc:
             raise ChangeRefused(f'{exc}: correct the change.') from exc
         configuration_store = self._state.configuration_store
         unix_now = time.time()
--- a/peridotwell/operators/explain.py
+++ b/peridotwell/operators/explain.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
+
 __all__ = ('LogLine', 'read_lines', 'explain')
 
 OMITTED_FIELDS = frozenset(
@@ -67,7 +69,7 @@
             continue
         try:
             fields = msgspec.json.decode(line[start:])
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             continue
         if isinstance(fields, dict) and 'event' in fields:
             yield LogLine(fields)
--- a/peridotwell/serving/request_parser.py
+++ b/peridotwell/serving/request_parser.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.configuration import Configuration
 from peridotwell.domain.contract import Contract
@@ -157,7 +158,7 @@
         raise BadRequest(f'Use POST for {CHAT_PREFIX}.')
     try:
         return msgspec.json.decode(body, type=ChatRequest)
-    except msgspec.DecodeError as exc:
+    except DECODING_ERRORS as exc:
         raise BadRequest(f'The body is not a chat request: {exc}.') from exc
 
 
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -21,6 +21,7 @@
     ResponseTruncated,
     TargetReplaced,
 )
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.serving.event_stream import EventLimit
@@ -236,7 +237,7 @@
             content = await response.read_body()
         try:
             return msgspec.json.decode(content, type=TargetHealth)
-        except msgspec.DecodeError as exc:
+        except DECODING_ERRORS as exc:
             raise ResponseTruncated(
                 f'The health response is invalid: {exc}'
             ) from exc
--- a/peridotwell/store/claims.py
+++ b/peridotwell/store/claims.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.idempotency_key import key_timestamp
 from peridotwell.errors import (
@@ -262,7 +263,7 @@
 def _decode_record(entry: Entry) -> ClaimRecord:
     try:
         return msgspec.json.decode(entry.value, type=ClaimRecord)
-    except msgspec.DecodeError as exc:
+    except DECODING_ERRORS as exc:
         raise StoreError(
             f'the claim {entry.key} cannot be decoded: {exc}'
         ) from exc
--- a/peridotwell/store/configuration.py
+++ b/peridotwell/store/configuration.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.configuration import (
     Change,
     Configuration,
@@ -193,7 +194,7 @@
         return Configuration()
     try:
         return decode_configuration(entry.value)
-    except msgspec.DecodeError as exc:
+    except DECODING_ERRORS as exc:
         raise ChangeRefused(
             f'The stored configuration is invalid ({exc}): restore key '
             f'{CONFIGURATION_KEY} in the platform from its history.',
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -5,6 +5,7 @@
 import httpcore
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import StoreResponseLost, StoreUnavailable
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 
@@ -74,5 +75,5 @@
     """Decode a JSON response. Raises StoreResponseLost if it is invalid."""
     try:
         return msgspec.json.decode(content, type=kind)
-    except msgspec.DecodeError as exc:
+    except DECODING_ERRORS as exc:
         raise StoreResponseLost(f'the response is invalid: {exc}') from exc
--- a/peridotwell/toml_files.py
+++ b/peridotwell/toml_files.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import SettingsError
 
 __all__ = ('read_toml',)
@@ -33,5 +34,5 @@
         ) from exc
     try:
         return msgspec.toml.decode(content, type=document_type)
-    except msgspec.DecodeError as exc:
+    except DECODING_ERRORS as exc:
         raise SettingsError(f'{path}: {exc}: {invalid_remedy}.') from exc
