A cut watch of the store is no outage: targets that left stay out

Cause: the first answer after any failed call started the grace period in which removed targets stay in use, as if leases had expired. Change: the grace period starts, and contact counts anew, only after more than 1.5 s without a sign of the store; renewals of the own lease are signs too.

--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -49,6 +49,8 @@
         # When the store itself, not a peer, last answered.
         self.answered_at = -math.inf
         self._since = math.inf
+        # When a call that reads nothing, such as a renewal, last succeeded.
+        self._called_at = -math.inf
 
     def record_answer(self, now: float) -> None:
         """Record an answer of the store."""
@@ -56,6 +58,18 @@
             self._since = now
         self.answered_at = now
 
+    def record_call(self, now: float) -> None:
+        """Record that the store has executed a call that reads nothing."""
+        self._called_at = now
+
+    def may_have_ended_leases(self, now: float) -> bool:
+        """Return whether leases may have expired since the last success.
+
+        One call that fails, such as a watch that is cut, shows no outage.
+        """
+        heard_at = max(self.answered_at, self._called_at)
+        return now - heard_at > MAX_ANSWER_AGE_SECONDS
+
     def interrupt(self, now: float) -> None:
         """Start anew: a call has failed, or the store was restored."""
         self._since = now
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -108,7 +108,6 @@
 
     def _record_failure(self, exc: StoreError) -> None:
         self._metrics.count('store.errors')
-        self._directory.store_contact.interrupt(trio.current_time())
         if self.is_connected:
             log_event('store.lost', code=exc.code, error=str(exc))
         self.is_connected = False
@@ -118,9 +117,18 @@
         if self.is_connected:
             return
         self.is_connected = True
-        log_event('store.regained', revision=self._directory.feed_revision)
+        now = trio.current_time()
+        contact = self._directory.store_contact
+        may_have_ended_leases = contact.may_have_ended_leases(now)
+        log_event(
+            'store.regained',
+            revision=self._directory.feed_revision,
+            may_have_ended_leases=may_have_ended_leases,
+        )
+        if not may_have_ended_leases:
+            return
+        contact.interrupt(now)
         if self._directory.is_loaded:
             self._directory.deferred_removals.start_grace_period(
-                REREGISTRATION_SECONDS,
-                trio.current_time(),
+                REREGISTRATION_SECONDS, now
             )
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -88,6 +88,9 @@
         except StoreError as exc:
             self.components.metrics.count('store.errors')
             log_failure('registration.failed', code=exc.code, error=str(exc))
+            return
+        contact = self.components.directory.store_contact
+        contact.record_call(trio.current_time())
 
     async def _record_versions(self) -> None:
         """Keep the record of the software versions of resumable streams."""
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -7,6 +7,7 @@
 from peridotwell.errors import EntryError, StoreResponseLost
 from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_contact import MAX_ANSWER_AGE_SECONDS
 from peridotwell.fleet.replica.store_follower import StoreFollower
 from peridotwell.forwarding.adapters import EntryDecoder
 from peridotwell.metrics import Metrics
@@ -305,3 +306,66 @@
     assert directory.table.version == 4
     apply_changes(directory, entry('table', b'6', 6))
     assert directory.table.version == 6
+
+
+def removal_after_failures(failures, seconds):
+    """Return a feed that fails, and a moment later has a target removed."""
+
+    class RemovingFeed(ScriptedFeed):
+        async def wait_for_changes(self, after, wait_seconds):
+            if len(self.results) == 1:
+                await trio.sleep(seconds)
+            return await super().wait_for_changes(after, wait_seconds)
+
+    listed = Snapshot((entry('table', b'1', 1), entry('t/x', b'ready', 2)), 2)
+    return RemovingFeed(
+        listed,
+        Changes((), (), 2),
+        *(StoreResponseLost('cut') for _ in range(failures)),
+        Changes((), (('t/x', 3),), 3),
+    )
+
+
+async def seconds_of_use(directory, feed, nursery):
+    """Return for how long a target is used after its removal is read."""
+    follower = StoreFollower(feed, directory, Metrics('', ''), lambda now: True)
+    nursery.start_soon(follower.run)
+    while directory.feed_revision < 3:
+        await trio.sleep(0.01)
+    removed_at = trio.current_time()
+    while available_names(directory):
+        await trio.sleep(0.01)
+        directory.remove_expired(trio.current_time())
+    return trio.current_time() - removed_at
+
+
+# Guards against requests at a target that has left, because one watch of the
+# store was cut as it left.
+async def test_a_cut_watch_does_not_keep_a_target_in_use(
+    autojump_clock, nursery
+):
+    directory = ServiceDirectory(Decoder())
+    feed = removal_after_failures(1, 0)
+    assert await seconds_of_use(directory, feed, nursery) == 0
+
+
+async def test_an_outage_keeps_a_removed_target_in_use(autojump_clock, nursery):
+    directory = ServiceDirectory(Decoder())
+    feed = removal_after_failures(2, MAX_ANSWER_AGE_SECONDS)
+    seconds = await seconds_of_use(directory, feed, nursery)
+    assert 0 < seconds <= REREGISTRATION_SECONDS + 0.1
+
+
+# Guards against a watch without news that is taken for an outage when it is
+# cut, although the store renews leases meanwhile.
+async def test_renewals_show_that_the_store_is_up(autojump_clock, nursery):
+    directory = ServiceDirectory(Decoder())
+    feed = removal_after_failures(2, MAX_ANSWER_AGE_SECONDS)
+
+    async def renew():
+        while True:
+            await trio.sleep(1)
+            directory.store_contact.record_call(trio.current_time())
+
+    nursery.start_soon(renew)
+    assert await seconds_of_use(directory, feed, nursery) == 0
