A type checker in make lint; a background task that fails fails its test

Why: SilenceLimits.end_waits() called _schedule() without an argument, which ended a task in tests that passed.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/flake8 .
+	$(VENV)/bin/mypy
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format .
--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -85,8 +85,8 @@
         if known is None and not versions:
             return
         content = _encode_versions(versions)
-        is_own = known is not None and known.revision == self._revision
-        if self._lease and is_own and known.value == content:
+        own = Entry(VERSIONS_KEY, content, self._revision)
+        if self._lease and known == own:
             await self._renew(now)
             return
         await self._write(content, known, now)
--- a/peridotwell/fleet/transport/peer_transport.py
+++ b/peridotwell/fleet/transport/peer_transport.py
@@ -90,8 +90,8 @@
         self._receiver.setsockopt(zmq.IPV6, int(bind.startswith('[')))
         host, _, port = bind.rpartition(':')
         self._receiver.bind(f'tcp://{host}:{port if int(port) else "*"}')
-        endpoint = self._receiver.getsockopt(zmq.LAST_ENDPOINT)
-        super().__init__(endpoint.decode().removeprefix('tcp://'))
+        endpoint = self._receiver.getsockopt_string(zmq.LAST_ENDPOINT)
+        super().__init__(endpoint.removeprefix('tcp://'))
         self._senders: dict[str, zmq.Socket[bytes]] = {}
 
     def close(self) -> None:
@@ -129,14 +129,15 @@
 
     async def received_frames(self) -> AsyncIterator[bytes]:
         """Yield each encoded frame that arrives."""
-        descriptor = self._receiver.getsockopt(zmq.FD)
+        descriptor = self._receiver.fileno()
         for received in itertools.count():
             if received % FRAMES_PER_CHECKPOINT == 0:
                 await trio.lowlevel.checkpoint()
             try:
                 content = self._receiver.recv(zmq.NOBLOCK)
             except zmq.Again:
-                if not self._receiver.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                events = int(self._receiver.getsockopt(zmq.EVENTS))
+                if not events & zmq.POLLIN:
                     await trio.lowlevel.wait_readable(descriptor)
                 continue
             yield content
--- a/peridotwell/forwarding/engine_room.py
+++ b/peridotwell/forwarding/engine_room.py
@@ -46,7 +46,9 @@
         rank = self._ranks.rank(request.service, request.priority, now)
         share = max(1 - rank * RESERVED_SHARE, MIN_SHARE)
         max_load = share * self._max_load(request.service, properties.slots)
-        with_room = [engine for engine in engines if engine.load < max_load]
+        with_room: Sequence[EngineCandidate] = [
+            engine for engine in engines if engine.load < max_load
+        ]
         if not self._tracker.limits.is_empty:
             with_room = self._by_length(request, engines, with_room, now)
         if not with_room:
--- a/peridotwell/logs.py
+++ b/peridotwell/logs.py
@@ -73,7 +73,7 @@
             time.monotonic(), is_failure=is_failure
         ):
             return
-        if self._rate_limiter.dropped_lines:
+        if self._rate_limiter.dropped_lines and isinstance(record.msg, dict):
             record.msg['dropped_lines'] = self._rate_limiter.dropped_lines
         try:
             self.queue.put_nowait(record)
--- a/peridotwell/operators/tables.py
+++ b/peridotwell/operators/tables.py
@@ -233,7 +233,10 @@
 
 
 def _quantiles_in_milliseconds(sketch: DDSketch) -> list[float]:
+    quantiles = (
+        sketch.get_quantile_value(quantile) for quantile in (0.5, 0.95, 0.99)
+    )
     return [
-        round(sketch.get_quantile_value(quantile) * MILLISECONDS_PER_SECOND, 1)
-        for quantile in (0.5, 0.95, 0.99)
+        round((seconds or 0) * MILLISECONDS_PER_SECOND, 1)
+        for seconds in quantiles
     ]
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from functools import partial
-from typing import Any
+from typing import Any, cast
 from urllib.parse import parse_qs
 
 import h11
@@ -251,7 +251,8 @@
                 self._cfg,
                 self._context,
                 ConnectionState({}),
-                stream,
+                # The server names the type of encrypted connections only.
+                cast(Any, stream),
             )
         except Exception as exc:
             log_event('connection.failed', error=repr(exc))
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -37,7 +37,8 @@
     def _has_request(self) -> bool:
         """Return whether a request is being handled or can be read."""
         connection = self.protocol.protocol.connection
-        if connection.their_state is not h11.IDLE:
-            return connection.their_state not in {h11.CLOSED, h11.ERROR}
+        their_state = getattr(connection, 'their_state', h11.IDLE)
+        if their_state is not h11.IDLE:
+            return their_state not in {h11.CLOSED, h11.ERROR}
         readable, _, _ = select.select([self.stream.socket], [], [], 0)
         return bool(readable)
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -178,7 +178,7 @@
     raw_events: AsyncIterator[bytes],
     received: int,
     request_id: str,
-) -> AsyncIterator[StreamEvent]:
+) -> AsyncGenerator[StreamEvent, None]:
     """Yield the events after token `received`, in order and once each.
 
     Tokens that the caller already has are skipped. Raises ResponseMismatch
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -1,6 +1,6 @@
 """Runs one request on targets and retries failed attempts."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, replace
 
@@ -107,7 +107,7 @@
     async def stream_events(
         self,
         received: int,
-    ) -> AsyncIterator[StreamEvent | BufferedResponse]:
+    ) -> AsyncGenerator[StreamEvent | BufferedResponse, None]:
         """Yield the events after token number `received`.
 
         After a failure, the stream is resumed after the last event received.
@@ -127,7 +127,7 @@
 
     async def _stream_once(
         self,
-    ) -> AsyncIterator[StreamEvent | BufferedResponse]:
+    ) -> AsyncGenerator[StreamEvent | BufferedResponse, None]:
         async with self._send_to_target(self._position) as response:
             if self._head is not None:
                 self._head.check_continuation(response)
@@ -152,7 +152,7 @@
 
     async def _validated_events(
         self, response: TargetResponse
-    ) -> AsyncIterator[StreamEvent]:
+    ) -> AsyncGenerator[StreamEvent, None]:
         request_id = self._request.request_id
         received = self._position
         async with (
@@ -207,6 +207,8 @@
     ) -> None:
         """Prepare the next attempt, or raise the error for the caller."""
         target = self._target
+        if target is None:
+            raise failure
         self._may_have_run = self._may_have_run or failure.may_have_run
         self.was_dispatched = self._may_have_run
         await self._record_failure(failure, target)
--- a/peridotwell/serving/socket_options.py
+++ b/peridotwell/serving/socket_options.py
@@ -5,7 +5,7 @@
 
 __all__ = ('SocketOptions', 'CLIENT_SOCKET_OPTIONS', 'keepalive_options')
 
-SocketOptions = tuple[tuple[int, int, int | bytes], ...]
+SocketOptions = tuple[tuple[int, int, int] | tuple[int, int, bytes], ...]
 MAX_UNANSWERED_PROBES = 2
 UNACKNOWLEDGED_MILLISECONDS = 3500
 
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -11,7 +11,7 @@
 
 __all__ = ('StoreHttpClient', 'decode_response')
 
-JSON_TYPE = {'content-type': 'application/json'}
+JSON_TYPE = (('content-type', 'application/json'),)
 
 
 class StoreHttpClient:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,19 @@
         yield running
 
 
+@pytest.fixture(autouse=True)
+def no_failed_tasks(caplog):
+    """Fail a test in which a background task of a router ended by an error."""
+    yield
+    failed = [
+        record.msg
+        for record in caplog.get_records('call')
+        if isinstance(record.msg, dict)
+        and record.msg.get('event') == 'task.failed'
+    ]
+    assert not failed
+
+
 @pytest.fixture
 def free_port():
     return find_free_port
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -300,6 +300,16 @@
         """Return the path of a router's log file."""
         return self.folder / f'{router.name}.log'
 
+    def record_failed_tasks(self) -> None:
+        """Record a violation for each background task that failed."""
+        for router in self.routers:
+            lines = self.log_path(router).read_text(errors='replace')
+            self.checker.violations.extend(
+                f'{router.name}: {line}'
+                for line in lines.splitlines()
+                if '"event": "task.failed"' in line
+            )
+
     def kill_routers(self) -> None:
         """Kill the router processes and wait for their end."""
         for router in self.routers:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -68,6 +68,7 @@
             )
         finally:
             cluster.kill_routers()
+        cluster.record_failed_tasks()
         nursery.cancel_scope.cancel()
     return cluster.checker.violations, cluster, injector
 
