--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -6,6 +6,8 @@
 import socket
 import subprocess
 import sys
+import time
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -112,6 +114,37 @@
     listener.close()
 
 
+# Guards against a process that a SIGHUP ends, because it comes while the
+# program is imported.
+def test_a_reload_signal_during_the_start_is_borne(write_settings):
+    path, ports = write_settings()
+    process = subprocess.Popen(
+        [sys.executable, 'platform/start.py'],
+        cwd=ROOT,
+        env={**os.environ, 'PERIDOTWELL_SETTINGS': str(path)},
+        stdout=subprocess.DEVNULL,
+    )
+    try:
+        wait_for_port(ports['front'])
+        process.send_signal(signal.SIGHUP)
+        with pytest.raises(subprocess.TimeoutExpired):
+            process.wait(1)
+    finally:
+        process.kill()
+        process.wait()
+
+
+def wait_for_port(port):
+    """Wait until a process listens at a port."""
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        with suppress(ConnectionRefusedError):
+            socket.create_connection(('127.0.0.1', port), 1).close()
+            return
+        time.sleep(0.01)
+    pytest.fail('nothing listens')
+
+
 # The request path of the project's own interface came with one function.
 @pytest.mark.parametrize(
     'unused',
