--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -1,9 +1,11 @@
 """Each check of the soak test reports the violation that it guards against."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
+from tests.soak.cluster import SoakCluster
 from tests.soak.guarantees import GuaranteeChecker, Outcome
 
 SERVED = Outcome('q1', 'book', 'r0', 0, 0.1, 200, b'q1')
@@ -83,3 +85,17 @@
     """No router read the request and no target ran it (soak seeds 15, 35)."""
     checker.record_cut(CUT)
     assert not checker.violations
+
+
+# Guards against a soak that passes although a task of a router has ended.
+def test_a_failed_task_in_a_log_is_a_violation(tmp_path):
+    checker = GuaranteeChecker(1)
+    cluster = SoakCluster(tmp_path, None, None, checker, None, None)
+    cluster.routers.append(SimpleNamespace(name='r0'))
+    log = tmp_path / 'r0.log'
+    log.write_text('{"event": "router.started"}\n')
+    cluster.record_failed_tasks()
+    assert not checker.violations
+    log.write_text('{"event": "task.failed", "task": "probe"}\n')
+    cluster.record_failed_tasks()
+    assert len(checker.violations) == 1
