Routers that do not hear each other do not rewrite the versions' record

Found by reading: two routers that each take themselves for the writer would replace the record every 0.5 s. The new test counts the revisions of a minute.

--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -6,6 +6,7 @@
 all streams.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -65,6 +66,7 @@
         self._renewed_at = float(0)
         # The revision of the last record that this router has written.
         self._revision = 0
+        self._written_at = -math.inf
         self._started_at: float | None = None
 
     async def update(
@@ -89,7 +91,8 @@
         if self._lease and known == own:
             await self._renew(now)
             return
-        await self._write(content, known, now)
+        if not self._yields_to(known, now):
+            await self._write(content, known, now)
 
     def is_due(self, now: float) -> bool:
         """Return whether this router is the one that writes the record."""
@@ -113,6 +116,14 @@
         own = self._peers.own.sender
         return first_by_score(VERSIONS_KEY, (own, *routers), 1) == [own]
 
+    def _yields_to(self, known: Entry | None, now: float) -> bool:
+        """Return whether a record that another router has written stays.
+
+        Two that do not hear each other would replace it again and again.
+        """
+        is_of_other = known is not None and known.revision != self._revision
+        return is_of_other and now - self._written_at < RENEWAL_SECONDS
+
     async def _renew(self, now: float) -> None:
         if now - self._renewed_at < RENEWAL_SECONDS:
             return
@@ -136,6 +147,7 @@
                 expected=known.revision if known else 0,
                 lease=self._lease,
             )
+            self._written_at = now
         except StoreConflict:
             # Another router has written, or the lease has ended.
             self._lease = ''
--- a/tests/fleet/replica/test_version_record.py
+++ b/tests/fleet/replica/test_version_record.py
@@ -95,6 +95,18 @@
     assert other.recorded(START_SECONDS + LEASE_SECONDS + 5) == {OLD}
 
 
+# Guards against two routers that replace each other's record without end,
+# because they do not hear each other.
+async def test_two_writers_write_seldom(writer, store):
+    other = Writer('r2', store)
+    other.serve(NEW, now=0)
+    before = store.memory.read(VERSIONS_KEY, 3).revision
+    for tenths in range(30, 630, 5):
+        await writer.update(tenths / 10)
+        await other.update(tenths / 10)
+    assert store.memory.read(VERSIONS_KEY, 63).revision - before <= 8
+
+
 async def test_record_is_written_again_after_its_lease_has_ended(writer):
     late = START_SECONDS + LEASE_SECONDS + 1
     await writer.update(late)
