--- a/peridotwell/domain/counts.py
+++ b/peridotwell/domain/counts.py
@@ -1,9 +1,18 @@
-"""Numbers in texts from outside."""
+"""Numbers in texts and documents from outside."""
 
-__all__ = ('is_count',)
+from typing import Annotated
+
+import msgspec
+
+__all__ = ('Count', 'is_count')
 
 # Longer numbers are no counts, and the language refuses to convert some.
 MAX_DIGITS = 18
+MAX_COUNT = 10**MAX_DIGITS - 1
+
+# A count in a document. Messages between routers have room for it, and it can
+# be converted to a float.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 def is_count(text: str) -> bool:
--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from peridotwell.decoding import DECODING_ERRORS
+from peridotwell.domain.counts import Count
 from peridotwell.errors import StoreConflict
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.rendezvous import first_by_score
@@ -35,7 +36,7 @@
 # Wire ids of software versions, by service.
 ServiceVersions = Mapping[str, frozenset[int]]
 
-_decoder = msgspec.json.Decoder(dict[str, frozenset[int]])
+_decoder = msgspec.json.Decoder(dict[str, frozenset[Count]])
 
 
 def decode_versions(content: bytes) -> ServiceVersions | None:
--- a/peridotwell/fleet/transport/peer_transport.py
+++ b/peridotwell/fleet/transport/peer_transport.py
@@ -17,6 +17,7 @@
 import zmq
 
 from peridotwell.fleet.transport.frames import Frame, encode_frame
+from peridotwell.logs import log_failure
 
 __all__ = ('PeerTransport', 'ZmqPeerTransport')
 
@@ -99,14 +100,21 @@
         self._context.destroy(linger=100)
 
     def connect(self, address: str) -> None:
-        """Open the connection to a peer unless it is open."""
+        """Open the connection to a peer unless it is open.
+
+        Raises zmq.ZMQError if the address cannot be used.
+        """
         if address in self._senders:
             return
         sender = self._context.socket(zmq.PUSH)
         for option, setting in SENDER_OPTIONS:
             sender.setsockopt(option, setting)
         sender.setsockopt(zmq.IPV6, int(address.startswith('[')))
-        sender.connect(f'tcp://{address}')
+        try:
+            sender.connect(f'tcp://{address}')
+        except zmq.ZMQError:
+            sender.close(linger=0)
+            raise
         self._senders[address] = sender
 
     def disconnect(self, address: str) -> None:
@@ -118,13 +126,17 @@
     def transmit(self, address: str, content: bytes) -> bool:
         """Queue an encoded frame.
 
-        Returns False if the peer is disconnected or its queue is full.
+        Returns False if the peer is disconnected, its queue is full, or its
+        address is none to which a connection can be made.
         """
-        self.connect(address)
         try:
+            self.connect(address)
             self._senders[address].send(content, zmq.NOBLOCK)
         except zmq.Again:
             return False
+        except zmq.ZMQError as exc:
+            log_failure('peer.unusable', address=address, error=str(exc))
+            return False
         return True
 
     async def received_frames(self) -> AsyncIterator[bytes]:
--- a/peridotwell/fleet/transport/router_registry.py
+++ b/peridotwell/fleet/transport/router_registry.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from peridotwell.decoding import DECODING_ERRORS
+from peridotwell.domain.addresses import is_endpoint
+from peridotwell.domain.counts import Count
 from peridotwell.errors import StoreConflict, StoreResponseLost
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.store.base import EntryStore, KeyValueStore
@@ -28,13 +30,13 @@
     The addresses are stored under their outer names `peers` and `operators`.
     """
 
-    sender: int
+    sender: Count
     name: str
     data_centre: str
     peer_address: str
     operator_address: str
-    incarnation: int
-    link_bytes_per_second: int = 0
+    incarnation: Count
+    link_bytes_per_second: Count = 0
     handover_address: str = ''
 
 
@@ -44,6 +46,10 @@
         entry = msgspec.json.decode(content, type=RouterEntry)
     except DECODING_ERRORS:
         return None
+    if not is_endpoint(entry.peer_address):
+        return None
+    if entry.handover_address and not is_endpoint(entry.handover_address):
+        return None
     return Hello(**msgspec.structs.asdict(entry))
 
 
--- a/tests/peridotwell_platform/test_unusual_numbers.py
+++ b/tests/peridotwell_platform/test_unusual_numbers.py
@@ -23,6 +23,19 @@
     assert resp.status in {200, 400}
 
 
+# Guards against requests that end without a response because their deadline
+# is not a number.
+@pytest.mark.parametrize(
+    ('deadline', 'status'),
+    [('nan', 400), ('-nan', 400), ('x', 400), ('inf', 200), ('1e400', 200)],
+)
+async def test_unusual_deadlines_get_a_response(harness, deadline, status):
+    resp = await harness.send_request(
+        '/read/x', 'POST', b'q', x_deadline_ms=deadline
+    )
+    assert resp.status == status
+
+
 async def test_unusual_load_report_does_not_lose_a_response(harness):
     async def respond(target, exchange):
         fields = (
