--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -164,6 +164,7 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
+        self.state.directory.remove_expired(now)
         self._set_sharing_routers()
         if now - self._sent_at >= self._update_interval(now):
             self._send_update(now)
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -11,10 +11,7 @@
 from peridotwell.domain.routing_table import RoutingTable
 from peridotwell.domain.target import Target
 from peridotwell.errors import EntryError
-from peridotwell.fleet.replica.deferred_removals import (
-    REREGISTRATION_SECONDS,
-    DeferredRemovals,
-)
+from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
 from peridotwell.fleet.replica.store_contact import (
     StoreContact,
@@ -45,7 +42,6 @@
     def __init__(self, decoder: EntryDecoder) -> None:
         self.table: RoutingTable | None = None
         self.table_loaded_at = float(0)
-        self.store_contact = StoreContact()
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -62,6 +58,7 @@
         self._has_changed = False
         self._targets_by_id: dict[int, Target] = {}
         self.deferred_removals = DeferredRemovals()
+        self.store_contact = StoreContact(self.deferred_removals)
         self._departed = DepartedTargets()
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -171,10 +168,7 @@
             snapshot.revision, self.known_revision
         ):
             # Targets that registered after the copy was made are missing.
-            self.deferred_removals.start_grace_period(
-                REREGISTRATION_SECONDS, now
-            )
-            self.store_contact.interrupt(now)
+            self.store_contact.record_restore(now)
             log_event(
                 'store.restored',
                 era=era_of(snapshot.revision),
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -8,7 +8,11 @@
 import math
 from dataclasses import dataclass
 
-from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
+from peridotwell.fleet.replica.deferred_removals import (
+    REREGISTRATION_SECONDS,
+    DeferredRemovals,
+)
+from peridotwell.logs import log_event
 
 __all__ = (
     'StoreContact',
@@ -43,36 +47,56 @@
 
 
 class StoreContact:
-    """The uninterrupted contact of this router with the store."""
+    """The uninterrupted contact of this router with the store.
+
+    Entries that are missing after an outage may have lapsed in it: their
+    removal is deferred for some time from the store's return.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, deferred_removals: DeferredRemovals) -> None:
+        self._deferred_removals = deferred_removals
         # When the store itself, not a peer, last answered.
         self.answered_at = -math.inf
+        # When the store was first heard after the last outage.
+        self._returned_at = -math.inf
         self._since = math.inf
-        # When a call that reads nothing, such as a renewal, last succeeded.
-        self._called_at = -math.inf
+        # When a call of any kind last succeeded.
+        self._heard_at = -math.inf
+        self._has_failed = False
 
     def record_answer(self, now: float) -> None:
-        """Record an answer of the store."""
+        """Record an answer of the store that tells its entries."""
         if now - self.answered_at > MAX_GAP_SECONDS:
             self._since = now
         self.answered_at = now
+        self.record_call(now)
 
     def record_call(self, now: float) -> None:
-        """Record that the store has executed a call that reads nothing."""
-        self._called_at = now
-
-    def may_have_ended_leases(self, now: float) -> bool:
-        """Return whether leases may have expired since the last success.
+        """Record that the store has executed a call of any kind.
 
-        One call that fails, such as a watch that is cut, shows no outage.
+        It may end an outage, in which leases may have expired. One call that
+        fails, such as a watch that is cut, shows no outage.
         """
-        heard_at = max(self.answered_at, self._called_at)
-        return now - heard_at > MAX_ANSWER_AGE_SECONDS
-
-    def interrupt(self, now: float) -> None:
-        """Start anew: a call has failed, or the store was restored."""
-        self._since = now
+        silent_seconds = now - self._heard_at
+        was_away = self._has_failed and silent_seconds > MAX_ANSWER_AGE_SECONDS
+        if was_away and math.isfinite(silent_seconds):
+            log_event('store.returned', silent_seconds=round(silent_seconds, 3))
+            self._returned_at = now
+            self._start_anew(now, now)
+        self._has_failed = False
+        self._heard_at = now
+
+    def record_failure(self) -> None:
+        """Record that a call got no answer, or was refused."""
+        self._has_failed = True
+
+    def record_restore(self, now: float) -> None:
+        """Record that the store was restored from an older copy.
+
+        Its return counts, if an outage has ended just before.
+        """
+        has_returned = now - self._returned_at < REREGISTRATION_SECONDS
+        self._start_anew(self._returned_at if has_returned else now, now)
 
     def report(self, now: float) -> StoreContactReport:
         """Return what peers are told."""
@@ -80,6 +104,12 @@
             max(0, self.answered_at - self._since), now - self.answered_at
         )
 
+    def _start_anew(self, returned_at: float, now: float) -> None:
+        self._since = now
+        self._deferred_removals.start_grace_period(
+            REREGISTRATION_SECONDS, returned_at
+        )
+
 
 def encode_seconds(seconds: float) -> int:
     """Return seconds as tenths, as they are in messages."""
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -5,7 +5,6 @@
 import trio
 
 from peridotwell.errors import StoreError
-from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
@@ -17,8 +16,11 @@
 # A watch that gets no answer is detected after this time and the margin of the
 # client; other routers usually report changes earlier.
 WATCH_TIMEOUT_SECONDS = 2.0
+# After a failure, calls are short until one succeeds: one that was sent while
+# the store was away may get no answer after its return either.
+PROBE_TIMEOUT_SECONDS = 0.2
 INITIAL_BACKOFF_SECONDS = 0.1
-MAX_BACKOFF_SECONDS = 0.8
+MAX_BACKOFF_SECONDS = 0.4
 IDLE_POLL_SECONDS = 0.1
 BATCH_SECONDS_PER_ROUTER = 0.005
 MAX_BATCH_SECONDS = 0.4
@@ -77,7 +79,9 @@
             return
         changes = await self._feed.wait_for_changes(
             self._directory.feed_revision,
-            WATCH_TIMEOUT_SECONDS,
+            WATCH_TIMEOUT_SECONDS
+            if self.is_connected
+            else PROBE_TIMEOUT_SECONDS,
         )
         self._record_success()
         self._directory.apply_changes(changes, trio.current_time())
@@ -108,6 +112,7 @@
 
     def _record_failure(self, exc: StoreError) -> None:
         self._metrics.count('store.errors')
+        self._directory.store_contact.record_failure()
         if self.is_connected:
             log_event('store.lost', code=exc.code, error=str(exc))
         self.is_connected = False
@@ -117,18 +122,4 @@
         if self.is_connected:
             return
         self.is_connected = True
-        now = trio.current_time()
-        contact = self._directory.store_contact
-        may_have_ended_leases = contact.may_have_ended_leases(now)
-        log_event(
-            'store.regained',
-            revision=self._directory.feed_revision,
-            may_have_ended_leases=may_have_ended_leases,
-        )
-        if not may_have_ended_leases:
-            return
-        contact.interrupt(now)
-        if self._directory.is_loaded:
-            self._directory.deferred_removals.start_grace_period(
-                REREGISTRATION_SECONDS, now
-            )
+        log_event('store.regained', revision=self._directory.feed_revision)
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -87,6 +87,7 @@
             await self.components.registration.renew()
         except StoreError as exc:
             self.components.metrics.count('store.errors')
+            self.components.directory.store_contact.record_failure()
             log_failure('registration.failed', code=exc.code, error=str(exc))
             return
         contact = self.components.directory.store_contact
--- a/tests/fleet/replica/test_store_contact.py
+++ b/tests/fleet/replica/test_store_contact.py
@@ -7,7 +7,10 @@
 
 import pytest
 
-from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
+from peridotwell.fleet.replica.deferred_removals import (
+    REREGISTRATION_SECONDS,
+    DeferredRemovals,
+)
 from peridotwell.fleet.replica.store_contact import StoreContact
 from peridotwell.store.change_feed import Changes, Snapshot
 from peridotwell.store.revisions import ordered_revision
@@ -102,12 +105,12 @@
 
 
 def test_contact_is_interrupted_by_failures_and_long_gaps():
-    contact = StoreContact()
+    contact = StoreContact(DeferredRemovals())
     for now in (1, 3, 5):
         contact.record_answer(now)
     assert contact.report(5).shows_gone
     assert not contact.report(7).shows_gone
-    contact.interrupt(7)
+    contact.record_failure()
     contact.record_answer(7.1)
     assert not contact.report(7.1).shows_gone
     contact.record_answer(9.3)
--- a/tests/forwarding/test_returned_store.py
+++ b/tests/forwarding/test_returned_store.py
@@ -133,7 +133,7 @@
 
     async def read(self, key):
         await self.call(CALL_SECONDS)
-        return None
+        return
 
     async def write(self, key, value, *, expected, lease=''):
         await self.call(CALL_SECONDS)
