--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -41,7 +41,8 @@
         """Send a call and return the response, whatever its status.
 
         Raises StoreUnavailable if the call was not sent, StoreResponseLost if
-        the store may have executed it.
+        the store may have executed it. The next call after a lost response
+        opens a new connection: the others may have gone silent as well.
         """
         timeouts = {
             'connect': self._connect_seconds,
@@ -66,10 +67,16 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as exc:
+            await self._close_idle()
             raise StoreResponseLost(
                 f'no response to {method}: {exc!r}'
             ) from exc
 
+    async def _close_idle(self) -> None:
+        for connection in self._pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
 
 def decode_response(content: bytes, kind: Any) -> Any:
     """Decode a JSON response. Raises StoreResponseLost if it is invalid."""
