--- a/peridotwell/errors.py
+++ b/peridotwell/errors.py
@@ -146,7 +146,7 @@
 
 
 class NotConfigured(RequestError):
-    """The router has not received a configuration yet."""
+    """The router has no configuration yet, or may lack the latest one."""
 
     code = 'not_configured'
     status = 503
--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -10,6 +10,7 @@
 does not call the store for them, unless it lacks what they build on.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from peridotwell.fleet.caches.listed_caches import ListedCaches
@@ -24,6 +25,7 @@
 )
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peers
+from peridotwell.logs import log_failure
 from peridotwell.policy.relays import needs_relays
 
 __all__ = ('RelayProtocol',)
@@ -34,6 +36,12 @@
 # A relay reports that it follows the store if the store has answered it within
 # this time, which leaves time for one long-polling call.
 STORE_FRESH_SECONDS = 3.0
+# A router whose updates take longer to return from its relay follows the store
+# itself, for this time at least: what the relay says of the store is as old.
+MAX_BATCH_DELAY_SECONDS = 0.8
+FOLLOW_SECONDS = 3.0
+# The store answers a router that follows it at least this often.
+MAX_ANSWER_AGE_SECONDS = 2.7
 
 RecordUpdate = Callable[[RouterUpdate, float], bool]
 
@@ -57,6 +65,8 @@
         self._group_updates: list[RouterUpdate] = []
         self._other_updates: list[RouterUpdate] = []
         self._sent_at = float(0)
+        # Batches were late up to this time.
+        self._late_until = -math.inf
         self._change_forwarder = ChangeForwarder(directory)
 
     def is_enabled(self) -> bool:
@@ -68,11 +78,21 @@
         if not self.is_enabled() or self.topology.members(now):
             return True
         relay = self.topology.responsive_relay(now)
-        if relay is None:
+        if relay is None or now < self._late_until:
             return True
         is_behind = self._directory.known_revision < relay.revision
         return is_behind or not relay.follows_store
 
+    def is_current(self, now: float) -> bool:
+        """Return whether this router knows what the store has said lately.
+
+        If not, it may lack a change that is in force elsewhere.
+        """
+        if not self.must_follow_store(now):
+            return True
+        answered_at = self._directory.store_contact.answered_at
+        return now - answered_at <= MAX_ANSWER_AGE_SECONDS
+
     def send_update(self, update: RouterUpdate, now: float) -> None:
         """Send this router's own update to its relay.
 
@@ -92,6 +112,7 @@
 
     def tick(self, now: float) -> None:
         """Send batches as a relay; called every few hundredths of a second."""
+        self._record_late_batches(now)
         has_pending_updates = bool(
             self._group_updates or self._other_updates or self.listed
         )
@@ -135,6 +156,14 @@
             if changes is not None:
                 self._change_forwarder.apply(changes, now)
 
+    def _record_late_batches(self, now: float) -> None:
+        delay = self.topology.update_delay.seconds(now)
+        if delay <= MAX_BATCH_DELAY_SECONDS:
+            return
+        if now >= self._late_until:
+            log_failure('relay.batches_late', delay_seconds=round(delay, 3))
+        self._late_until = now + FOLLOW_SECONDS
+
     def _send_to_relays(
         self,
         relays: Iterable[int],
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -137,6 +137,10 @@
         """Send the next update as soon as its minimum interval allows."""
         self.has_updates.set()
 
+    def is_current(self, now: float) -> bool:
+        """Return whether this router knows what the store has said lately."""
+        return self.relay_protocol.is_current(now)
+
     def router_count(self) -> int:
         """Return the number of routers, this one included.
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -7,7 +7,14 @@
 
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.domain.routing_table import RequestKind
-from peridotwell.errors import DeadlineExceeded, RequestError, RunState
+from peridotwell.errors import (
+    DeadlineExceeded,
+    NotConfigured,
+    RequestError,
+    RunState,
+    UnknownCredential,
+    UnknownPath,
+)
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
@@ -22,6 +29,7 @@
 )
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.request_reader import (
+    NOT_READY_RETRY_AFTER_SECONDS,
     RequestReader,
     read_handed_over_request,
     read_request,
@@ -131,13 +139,29 @@
             )
         except RequestError as exc:
             request_id = self._components.caller_adapter.request_id(exchange)
-            await self._refuse(caller_response, exc, request_id, now)
+            error = self._unless_outdated(exc, trio.current_time())
+            await self._refuse(caller_response, error, request_id, now)
             return
         work = partial(self._serve, caller_response, request)
         if not await run_until_caller_disconnects(exchange, work):
             self._metrics.count('request.caller_left')
             log_event('request.caller_left', request=request.request_id)
 
+    def _unless_outdated(self, error: RequestError, now: float) -> RequestError:
+        """Return an error, or one that lets the caller try another router.
+
+        A path or a key may be unknown only because this router does not have
+        the configuration in force.
+        """
+        may_be_outdated = isinstance(error, UnknownPath | UnknownCredential)
+        if not may_be_outdated or self._update_exchange.is_current(now):
+            return error
+        return NotConfigured(
+            f'{error} This instance may lack the latest configuration: send '
+            'the request again.',
+            retry_after_seconds=NOT_READY_RETRY_AFTER_SECONDS,
+        )
+
     async def _serve(
         self, caller_response: CallerResponse, request: RoutedRequest
     ) -> None:
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import deque
 
 import msgspec
 import pytest
@@ -379,3 +380,41 @@
         router.sharing.discovery.add_peers([new.hello])
     run_ticks(fleet, 6, 6.4)
     assert new.sharing.update_delay.seconds(6.4) <= 0.5
+
+
+def delay_receiving(router, delay_seconds):
+    """Let a router handle frames late, by a function of the time.
+
+    They wait in its queue, in order, as if its processor were short.
+    """
+    waiting = deque()
+
+    def receive_frames(now):
+        waiting.extend((now, frame) for frame in router.inbox)
+        router.inbox.clear()
+        while waiting and now - waiting[0][0] >= delay_seconds(now):
+            router.sharing.receive(waiting.popleft()[1], now)
+
+    router.receive_frames = receive_frames
+
+
+def growing_delay(now):
+    """Return a delay that grows from second 5 on, up to 3.5 s."""
+    return min(max(now - 5, 0) * 0.8, 3.5)
+
+
+# Guards against a router that answers by an older configuration, because the
+# batches of its relays wait for seconds and say nothing of their age.
+def test_a_router_that_gets_batches_late_follows_the_store_itself(fleet):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    followers = routers_following_store(fleet, 5)
+    late = next(each for each in fleet if each not in followers)
+    delay_receiving(late, growing_delay)
+    for step in range(30):
+        now = 5 + step * 0.5
+        mark_store_answered(followers, now)
+        run_ticks(fleet, now, now + 0.5)
+        if growing_delay(now) > 1:
+            protocol = late.sharing.relay_protocol
+            assert protocol.must_follow_store(now + 0.5), now + 0.5
--- a/tests/forwarding/test_recovery.py
+++ b/tests/forwarding/test_recovery.py
@@ -74,7 +74,8 @@
         'sender': hello.sender,
         'name': hello.name,
         'data_centre': hello.data_centre,
-        'peers': hello.peer_address,
+        # A host and a port; frames go to the address of `hello`.
+        'peers': f'{hello.peer_address}:7000',
         'operators': '',
         'incarnation': hello.incarnation,
         'link_bytes_per_second': hello.link_bytes_per_second,
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -359,6 +359,26 @@
     assert (await harness.send_request('/read/x')).status == 404
 
 
+# Guards against callers that are told for good that their route or key does not
+# exist, by a router that is late to hear of it.
+async def test_an_outdated_router_refuses_nothing_for_good(harness):
+    harness.store.faults.extend(['silent'] * 100)
+    with trio.fail_after(8):
+        while (await harness.send_request('/new/x')).status == 404:
+            await trio.sleep(0.1)
+    for path, key in (('/new/x', 'key-1'), ('/read/x', 'new-key')):
+        resp = await harness.send_request(path, x_credential=key)
+        assert resp.status == 503
+        assert float(dict(resp.headers)[b'retry-after']) > 0
+    assert (await harness.send_request('/read/x')).status == 200
+    harness.store.faults.clear()
+    with trio.fail_after(3):
+        while (await harness.send_request('/new/x')).status == 503:
+            await trio.sleep(0.1)
+    resp = await harness.send_request('/read/x', x_credential='new-key')
+    assert resp.status == 401
+
+
 async def test_request_without_any_target_is_refused_immediately(harness):
     for name in ('i-1', 'i-2'):
         harness.store.delete(f'servers/{name}')
