--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -22,19 +22,14 @@
 __all__ = ('CallerResponse', 'HandoverResponse')
 
 JSON_FIELD = (b'content-type', b'application/json')
-CLOSE_FIELD = (b'connection', b'close')
 MILLISECONDS_PER_SECOND = 1000
 
 
 class CallerResponse:
-    """The response to one request.
+    """The response to one request."""
 
-    `closes` ends the connection after the response.
-    """
-
-    def __init__(self, exchange: HttpExchange, *, closes: bool) -> None:
+    def __init__(self, exchange: HttpExchange) -> None:
         self._exchange = exchange
-        self._closing: HeaderFields = (CLOSE_FIELD,) if closes else ()
 
     @property
     def has_begun(self) -> bool:
@@ -53,15 +48,13 @@
         length = (b'content-length', str(len(body)).encode())
         await self._exchange.start_raw_response(
             status,
-            (*fields, length, *self._closing),
+            (*fields, length),
         )
         await self._exchange.finish(body)
 
     async def begin(self, status: int, fields: HeaderFields) -> None:
         """Start a response whose length is not known."""
-        await self._exchange.start_raw_response(
-            status, (*fields, *self._closing)
-        )
+        await self._exchange.start_raw_response(status, fields)
 
     async def send_part(self, chunk: bytes) -> None:
         """Send a part of the body."""
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -1,6 +1,5 @@
 """Handling of callers' requests, from arrival to response."""
 
-from dataclasses import dataclass
 from functools import partial
 
 import trio
@@ -19,7 +18,6 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.buffered_responses import (
-    SUCCESSES,
     BufferedResponse,
     BufferedResponseForwarder,
 )
@@ -28,21 +26,24 @@
     HandoverResponse,
 )
 from peridotwell.forwarding.components import ForwardingComponents
+from peridotwell.forwarding.planned_stop import PlannedStop
 from peridotwell.forwarding.request_reader import (
     NOT_READY_RETRY_AFTER_SECONDS,
     RequestReader,
     read_handed_over_request,
     read_request,
 )
+from peridotwell.forwarding.response_recorder import (
+    ResponseRecorder,
+    ResponseSummary,
+)
 from peridotwell.forwarding.retries import Attempts
 from peridotwell.forwarding.streams import StreamBroken, StreamForwarder
 from peridotwell.logs import log_event, log_failure
-from peridotwell.metrics import Measure, Metrics, Series
-from peridotwell.policy.choice import Choice
+from peridotwell.metrics import Metrics
 from peridotwell.policy.retry_window import RetryWindow
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.caller_disconnect import run_until_caller_disconnects
-from peridotwell.serving.target_response import BodyEnd
 
 __all__ = ('ForwardingHandler',)
 
@@ -54,16 +55,6 @@
 CACHE_RECOVERY_WAIT_SECONDS = 0.15
 
 
-@dataclass(frozen=True)
-class ResponseSummary:
-    """What the log tells of a response."""
-
-    status: int
-    choice: Choice | None
-    first_part_at: float
-    body_end: BodyEnd | None
-
-
 class ForwardingHandler:
     """Responds to callers' requests."""
 
@@ -75,13 +66,14 @@
         update_exchange: UpdateExchange,
         metrics: Metrics,
     ) -> None:
-        self.is_stopping = False
+        self.planned_stop = PlannedStop()
         self.running = 0
         self._directory = directory
         self._components = components
         self._bounds = bounds
         self._update_exchange = update_exchange
         self._metrics = metrics
+        self._recorder = ResponseRecorder(metrics, update_exchange.update_delay)
         self._windows: dict[str, RetryWindow] = {}
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
@@ -92,7 +84,7 @@
 
     async def handle(self, exchange: HttpExchange) -> None:
         """Respond to a caller's request. No exception leaves this method."""
-        response = CallerResponse(exchange, closes=self.is_stopping)
+        response = CallerResponse(exchange)
         await self._handle_safely(exchange, response, read_request)
 
     async def handle_handover(self, exchange: HttpExchange) -> None:
@@ -100,7 +92,7 @@
 
         No exception leaves this method.
         """
-        response = HandoverResponse(exchange, closes=self.is_stopping)
+        response = HandoverResponse(exchange)
         await self._handle_safely(exchange, response, read_handed_over_request)
 
     async def _handle_safely(
@@ -137,6 +129,7 @@
                 self._directory.table,
                 now,
             )
+            self.planned_stop.check(request.deadline_at, trio.current_time())
         except RequestError as exc:
             request_id = self._components.caller_adapter.request_id(exchange)
             error = self._unless_outdated(exc, trio.current_time())
@@ -173,7 +166,7 @@
             request, window, self._update_exchange.router_count()
         )
         try:
-            with trio.fail_at(request.deadline_at):
+            with self.planned_stop.limit(request.deadline_at):
                 response = await self._run(caller_response, request, attempts)
             # The deadline does not limit the sending of a complete response.
             if response is not None:
@@ -212,9 +205,9 @@
                 components.stream_affinity,
             )
             error_response = await stream.run()
-            self._record_response(
+            self._recorder.record(
                 request,
-                attempts,
+                attempts.number,
                 ResponseSummary(
                     stream.status,
                     stream.choice,
@@ -229,9 +222,9 @@
             components.target_adapter,
         )
         response = await forwarder.get(request, attempts)
-        self._record_response(
+        self._recorder.record(
             request,
-            attempts,
+            attempts.number,
             ResponseSummary(
                 response.status,
                 response.choice,
@@ -260,53 +253,6 @@
             self._windows[service] = window
         return window
 
-    def _measure(
-        self,
-        request: RoutedRequest,
-        measure: Measure,
-        seconds: float,
-    ) -> None:
-        series = Series(request.customer, request.route.name, measure)
-        self._metrics.sketch(series).add(seconds)
-
-    def _record_response(
-        self,
-        request: RoutedRequest,
-        attempts: Attempts,
-        response: ResponseSummary,
-    ) -> None:
-        choice = response.choice
-        first_part_seconds = response.first_part_at - request.arrived_at
-        now = trio.current_time()
-        total_seconds = now - request.arrived_at
-        self._metrics.count(f'request.status.{response.status}')
-        if response.status in SUCCESSES:
-            self._measure(request, Measure.first_token, first_part_seconds)
-            self._measure(request, Measure.whole_answer, total_seconds)
-        log_event(
-            'request.answered',
-            request=request.request_id,
-            route=request.route.name,
-            customer=request.customer,
-            target=choice.target.name if choice else '',
-            subject=request.prompt.placement_key if request.prompt else '',
-            load=choice.load if choice else 0,
-            mean_load=round(choice.mean_load, 2) if choice else 0,
-            fill_level=round(choice.level, 2) if choice else 0,
-            missing_tokens=choice.missing_tokens if choice else 0,
-            fetched_tokens=choice.fetched_tokens if choice else 0,
-            tokens_ahead=choice.tokens_ahead if choice else 0,
-            update_delay=round(
-                self._update_exchange.update_delay.seconds(now), 3
-            ),
-            status=response.status,
-            body_end=response.body_end.value if response.body_end else '',
-            attempts=attempts.number,
-            first_seconds=round(first_part_seconds, 4),
-            whole_seconds=round(total_seconds, 4),
-            table=request.table_version,
-        )
-
     async def _refuse(
         self,
         caller_response: CallerResponse,
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -25,6 +25,8 @@
 # Requests that still run are cancelled this long before the end of the grace
 # period, when the process is killed.
 STOP_MARGIN_SECONDS = 1.0
+# Their callers are answered in this time before.
+ANSWER_SECONDS = 0.2
 EXIT_POLL_SECONDS = 0.02
 
 
@@ -109,12 +111,19 @@
             log_event(
                 'router.stopping', running=self._components.handler.running
             )
-            self._components.handler.is_stopping = True
+            cut_at = (
+                stopped_at
+                + self.settings.bounds.grace_seconds
+                - STOP_MARGIN_SECONDS
+            )
+            self._components.handler.planned_stop.begin(
+                stopped_at + STOP_DELAY_SECONDS, cut_at - ANSWER_SECONDS
+            )
+            self._callers.begin_stop()
             self._components.update_exchange.peers.own_is_leaving = True
             await trio.sleep(STOP_DELAY_SECONDS)
             self._may_close.set()
-            grace = self.settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
-            await self._wait_until_idle(stopped_at + grace)
+            await self._wait_until_idle(cut_at)
             serving.cancel_scope.cancel()
 
     async def _wait_until_idle(self, until: float) -> None:
--- a/peridotwell/router.py
+++ b/peridotwell/router.py
@@ -6,7 +6,7 @@
 from peridotwell.assembly import RouterComponents, build_components
 from peridotwell.logs import log_event
 from peridotwell.operators.api import OperatorsApi
-from peridotwell.serving.asgi import HttpExchange, serve_http
+from peridotwell.serving.asgi import HttpExchange, HttpServer, serve_http
 from peridotwell.settings import Settings
 
 __all__ = ('Router', 'RouterAddresses')
@@ -31,6 +31,7 @@
         self.settings = settings
         self.stop_requested = trio.Event()
         self._may_close_listener = trio.Event()
+        self._callers: HttpServer | None = None
         self._api: OperatorsApi | None = None
 
     async def run(
@@ -72,8 +73,8 @@
         *,
         task_status: trio.TaskStatus[str],
     ) -> None:
-        await serve_http(
-            components.request_handler.handle,
+        self._callers = HttpServer(components.request_handler.handle)
+        await self._callers.run(
             self.settings.listen.callers,
             shutdown=self._may_close_listener.wait,
             task_status=task_status,
@@ -87,6 +88,8 @@
         """
         log_event('router.stopping')
         components.readiness.is_stopping = True
+        if self._callers is not None:
+            self._callers.begin_stop()
         components.state.peers.own_is_leaving = True
         now = trio.current_time()
         components.state.credit.tick(now)
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -21,7 +21,7 @@
 
 from peridotwell.errors import RequestTooLarge
 from peridotwell.logs import log_event
-from peridotwell.serving.caller_connection import CallerConnection
+from peridotwell.serving.caller_connection import CallerConnection, ServerStop
 from peridotwell.serving.socket_options import keepalive_options
 
 __all__ = ('HttpExchange', 'HttpServer', 'serve_http')
@@ -36,6 +36,7 @@
     probe_seconds=2,
     unacknowledged_milliseconds=UNACKNOWLEDGED_MILLISECONDS,
 )
+CLOSE_FIELD = (b'connection', b'close')
 JSON_TYPE = ('content-type', 'application/json')
 
 Headers = Sequence[tuple[str, str]]
@@ -47,10 +48,13 @@
 
     The names in `headers` are lower case; `fields` contains the header fields
     as bytes, with repeated ones kept separate. `status` is 0 until the
-    response starts; `is_complete` tells whether its end was sent.
+    response starts; `is_complete` tells whether its end was sent. `stop` tells
+    whether the connection closes after a response that starts now.
     """
 
-    def __init__(self, scope: Any, receive: Any, send: Any) -> None:
+    def __init__(
+        self, scope: Any, receive: Any, send: Any, stop: ServerStop
+    ) -> None:
         self.method: str = scope['method']
         self.path: str = scope['path']
         self.query_string: str = scope['query_string'].decode('latin-1')
@@ -62,6 +66,7 @@
         self.is_complete = False
         self._receive = receive
         self._send = send
+        self._stop = stop
 
     def query(self, name: str, default: str = '') -> str:
         """Return the first query parameter called `name`, else `default`."""
@@ -108,13 +113,17 @@
         status: int,
         fields: Sequence[tuple[bytes, bytes]],
     ) -> None:
-        """Send the status line and header fields unchanged."""
+        """Send the status line and header fields unchanged.
+
+        While the server stops, a field that closes the connection is added.
+        """
         self.status = status
+        closing = (CLOSE_FIELD,) if self._stop.has_begun else ()
         await self._send_message(
             {
                 'type': 'http.response.start',
                 'status': status,
-                'headers': list(fields),
+                'headers': [*fields, *closing],
             }
         )
 
@@ -181,21 +190,23 @@
 class _Application:
     """An ASGI application that passes each HTTP exchange to a handler."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, stop: ServerStop) -> None:
         self._handler = handler
+        self._stop = stop
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one exchange. Raises NotImplementedError for other scopes."""
         if scope['type'] != 'http':
             raise NotImplementedError('only HTTP scopes are supported')
-        await self._handler(HttpExchange(scope, receive, send))
+        await self._handler(HttpExchange(scope, receive, send, self._stop))
 
 
 class HttpServer:
     """Serves a handler; an error on a connection ends only that connection."""
 
     def __init__(self, handler: Handler) -> None:
-        self._app = ASGIWrapper(_Application(handler))
+        self._stop = ServerStop()
+        self._app = ASGIWrapper(_Application(handler, self._stop))
         self._cfg = _server_config()
         self._context = WorkerContext(None)
         self._connections = 0
@@ -209,6 +220,10 @@
         """Set how long connections may stay idle, in seconds."""
         self._cfg.keep_alive_timeout = seconds
 
+    def begin_stop(self) -> None:
+        """Close each connection after the next response that starts on it."""
+        self._stop.has_begun = True
+
     async def run(
         self,
         bind: str,
@@ -219,7 +234,9 @@
     ) -> None:
         """Serve on `bind` until `shutdown` returns.
 
-        Exchanges that are in progress at that time are completed. `listener`
+        Exchanges that are in progress at that time are completed. A caller
+        who was not told that the connection closes may send another request
+        right after them. `listener`
         is an optional socket that already listens on `bind`. Reports the bound
         'host:port' through `task_status`.
         """
@@ -239,7 +256,8 @@
                 task_status.started(_join_address(host, address[1]))
                 await shutdown()
                 accepting.cancel_scope.cancel()
-            await self._context.terminated.set()
+            self.begin_stop()
+            self._stop.may_close.set()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         self._connections += 1
@@ -250,6 +268,7 @@
                 self._app,
                 self._cfg,
                 self._context,
+                self._stop,
                 ConnectionState({}),
                 # The server names the type of encrypted connections only.
                 cast(Any, stream),
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -1,15 +1,34 @@
 """One connection of a caller, served by hypercorn."""
 
 import select
+from dataclasses import dataclass, field
 
 import h11
 import trio
+from hypercorn.config import Config
 from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState
 
-__all__ = ('CallerConnection',)
+__all__ = ('CallerConnection', 'ServerStop')
 
 # Time in which a request that has arrived is read.
 READ_SECONDS = 0.02
+# After a response that did not close the connection, a caller may send the next
+# request within this time although the server stops.
+NEXT_REQUEST_SECONDS = 1.0
+
+
+@dataclass
+class ServerStop:
+    """The planned stop of a server.
+
+    From `has_begun` on, responses close their connections. When `may_close` is
+    set, connections that are idle are closed.
+    """
+
+    has_begun: bool = False
+    may_close: trio.Event = field(default_factory=trio.Event)
 
 
 class CallerConnection(TCPServer):
@@ -20,13 +39,28 @@
     then, although the request is read.
     """
 
+    def __init__(
+        self,
+        app: AppWrapper,
+        cfg: Config,
+        context: WorkerContext,
+        stop: ServerStop,
+        state: ConnectionState,
+        stream: trio.SSLStream[trio.SocketStream],
+    ) -> None:
+        super().__init__(app, cfg, context, state, stream)
+        self._stop = stop
+
     async def _idle_timeout(self) -> None:
         """Close the connection after the idle time, or at a planned stop.
 
         The task of this method is cancelled when a request begins.
         """
+        if self._stop.may_close.is_set():
+            # A response has just ended that was begun before the stop.
+            await trio.sleep(NEXT_REQUEST_SECONDS)
         with trio.move_on_after(self.config.keep_alive_timeout):
-            await self.context.terminated.wait()
+            await self._stop.may_close.wait()
         await trio.sleep(READ_SECONDS)
         while self._has_request():
             await trio.sleep(READ_SECONDS)
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -15,6 +15,7 @@
 from peridotwell.policy.prompt_cache_index import part_id
 from peridotwell.policy.target_notices import NO_NOTICE
 from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.caller_connection import ServerStop
 from peridotwell.serving.target_response import TargetResponse
 
 CALLERS = PlatformCallerAdapter()
@@ -38,7 +39,7 @@
         'query_string': b'',
         'headers': pairs,
     }
-    return HttpExchange(scope, None, None)
+    return HttpExchange(scope, None, None, ServerStop())
 
 
 def make_response(status: int = 200, **fields: str) -> TargetResponse:
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -9,7 +9,7 @@
 import trio
 from peridotwell_platform.headers import PlatformTargetAdapter
 
-from peridotwell.forwarding import handler
+from peridotwell.forwarding import response_recorder
 from peridotwell.metrics import Measure, Series
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
@@ -75,7 +75,7 @@
 def logged_events(monkeypatch):
     lines = []
     monkeypatch.setattr(
-        handler,
+        response_recorder,
         'log_event',
         lambda name, **fields: lines.append((name, fields)),
     )
--- a/tests/serving/test_asgi.py
+++ b/tests/serving/test_asgi.py
@@ -1,9 +1,11 @@
-"""The HTTP server when a handler is cancelled while it sends."""
+"""The HTTP server: cancelled handlers, and planned stops."""
+
+from functools import partial
 
 import httpcore
 import trio
 
-from peridotwell.serving.asgi import serve_http
+from peridotwell.serving.asgi import HttpServer, serve_http
 
 
 async def fetch_body(address) -> bytes:
@@ -45,3 +47,23 @@
 
     address = await nursery.start(serve_http, handle, '127.0.0.1:0')
     assert await fetch_body(address) == b'all of it'
+
+
+# Guards against callers who are not told that a server that stops closes their
+# connection, whichever of the two request paths serves them.
+async def test_responses_that_start_during_a_stop_close_their_connections(
+    nursery,
+):
+    async def handle(exchange):
+        await exchange.respond(200, b'done')
+
+    server = HttpServer(handle)
+    address = await nursery.start(
+        partial(server.run, '127.0.0.1:0', shutdown=trio.sleep_forever)
+    )
+    async with httpcore.AsyncConnectionPool() as pool:
+        before = await pool.request('GET', f'http://{address}/')
+        server.begin_stop()
+        after = await pool.request('GET', f'http://{address}/')
+    assert b'connection' not in dict(before.headers)
+    assert dict(after.headers)[b'connection'] == b'close'
