--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -318,7 +318,8 @@
         ):
             if update.is_full:
                 counts.remove_router(update.sender)
-            counts.update(update.sender, dict(pairs))
+            if pairs:
+                counts.update(update.sender, dict(pairs))
         self.cache_sync.record_prompts(update.prompts, now)
         self._apply_news(update, now)
         self.state.directory.handle_store_contact(
@@ -332,11 +333,16 @@
         return True
 
     def _apply_news(self, update: RouterUpdate, now: float) -> None:
-        self._apply_departures(update.departed, now)
-        self.crash_blame_sync.apply(update.part_records, now)
-        self.crashed_request_sync.apply(update.request_records, now)
-        self.limit_sync.apply(update.target_limits, now)
-        self.brittle_sync.apply(update.brittle_targets, now)
+        if update.departed:
+            self._apply_departures(update.departed, now)
+        if update.part_records:
+            self.crash_blame_sync.apply(update.part_records, now)
+        if update.request_records:
+            self.crashed_request_sync.apply(update.request_records, now)
+        if update.target_limits:
+            self.limit_sync.apply(update.target_limits, now)
+        if update.brittle_targets:
+            self.brittle_sync.apply(update.brittle_targets, now)
         for stream, version in update.stream_versions:
             self.state.stream_versions.record(stream, version, now)
 
--- a/peridotwell/forwarding/attempt_limits.py
+++ b/peridotwell/forwarding/attempt_limits.py
@@ -35,14 +35,15 @@
 def response_timeouts(attempt: Attempt, now: float) -> ResponseTimeouts:
     """Return the timeouts of an attempt that starts `now`.
 
-    They do not limit silence, which may be allowed: see SilenceLimits.
+    They do not limit silence, which may be allowed: see SilenceLimits. The
+    deadline of the request limits the whole response.
     """
     request = attempt.request
     remaining = max(request.deadline_at - now, MIN_TIMEOUT_SECONDS)
     event_limit = EventLimit(
         max_silence_seconds(request, now), attempt.may_leave
     )
-    return ResponseTimeouts(remaining, remaining, event_limit)
+    return ResponseTimeouts(remaining, math.inf, event_limit)
 
 
 def source_before_response(attempt: Attempt) -> Hashable:
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from functools import partial
-from typing import Any, cast
+from typing import Any
 from urllib.parse import parse_qs
 
 import h11
@@ -270,8 +270,7 @@
                 self._context,
                 self._stop,
                 ConnectionState({}),
-                # The server names the type of encrypted connections only.
-                cast(Any, stream),
+                stream,
             )
         except Exception as exc:
             log_event('connection.failed', error=repr(exc))
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -1,15 +1,18 @@
 """One connection of a caller, served by hypercorn."""
 
-import select
 from dataclasses import dataclass, field
+from typing import Any, cast
 
 import h11
 import trio
 from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState
 
+from peridotwell.serving.socket_network import write_now
+
 __all__ = ('CallerConnection', 'ServerStop')
 
 # Time in which a request that has arrived is read.
@@ -46,11 +49,32 @@
         context: WorkerContext,
         stop: ServerStop,
         state: ConnectionState,
-        stream: trio.SSLStream[trio.SocketStream],
+        stream: trio.SocketStream,
     ) -> None:
-        super().__init__(app, cfg, context, state, stream)
+        # The server names the type of encrypted connections only.
+        super().__init__(app, cfg, context, state, cast(Any, stream))
+        self._socket_stream = stream
         self._stop = stop
 
+    async def protocol_send(self, event: Event) -> None:
+        """Send bytes to the caller, or handle the end of a request.
+
+        What the socket takes at once, such as an event of a stream, is sent
+        without a pass of the event loop. In a handler that was cancelled,
+        nothing is sent: hypercorn would send an error of its own.
+        """
+        if not isinstance(event, RawData) or self.send_lock.locked():
+            await super().protocol_send(event)
+            return
+        await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            sent = write_now(self._socket_stream, event.data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            await self.protocol.handle(Closed())
+            return
+        if sent < len(event.data):
+            await super().protocol_send(RawData(event.data[sent:]))
+
     async def _idle_timeout(self) -> None:
         """Close the connection after the idle time, or at a planned stop.
 
@@ -74,5 +98,4 @@
         their_state = getattr(connection, 'their_state', h11.IDLE)
         if their_state is not h11.IDLE:
             return their_state not in {h11.CLOSED, h11.ERROR}
-        readable, _, _ = select.select([self.stream.socket], [], [], 0)
-        return bool(readable)
+        return self._socket_stream.socket.is_readable()
--- /dev/null
+++ b/peridotwell/serving/socket_network.py
@@ -0,0 +1,156 @@
+"""Connections to targets for httpcore, straight on the sockets of trio.
+
+httpcore's own backend resolves names and races addresses for each connection,
+and makes several context managers for each read and write. Targets have IP
+addresses, and each event of a stream is a read of its own. Addresses that are
+host names go to httpcore's backend.
+"""
+
+import ipaddress
+import math
+import os
+import socket
+import ssl
+from collections.abc import Iterable
+from typing import Any
+
+import httpcore
+import trio
+
+__all__ = ('SocketNetwork', 'write_now')
+
+
+def write_now(stream: trio.SocketStream, content: bytes) -> int:
+    """Send what the socket takes at once; return the number of bytes.
+
+    Raises trio.BrokenResourceError if the connection is broken, and
+    trio.ClosedResourceError if it is closed.
+    """
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        raise trio.ClosedResourceError('the connection is closed')
+    try:
+        return os.write(descriptor, content)
+    except BlockingIOError:
+        return 0
+    except OSError as exc:
+        raise trio.BrokenResourceError(str(exc)) from exc
+
+
+class _SocketStream(httpcore.AsyncNetworkStream):
+    """One connection."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return the bytes that arrive next, b'' at the end."""
+        seconds = math.inf if timeout is None else timeout
+        try:
+            with trio.move_on_after(seconds):
+                await trio.lowlevel.wait_readable(self._stream.socket)
+                return os.read(self._stream.socket.fileno(), max_bytes)
+        except (OSError, trio.ClosedResourceError) as exc:
+            raise httpcore.ReadError(str(exc)) from exc
+        raise httpcore.ReadTimeout
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send all bytes."""
+        seconds = math.inf if timeout is None else timeout
+        try:
+            sent = write_now(self._stream, buffer)
+            if sent == len(buffer):
+                return
+            with trio.move_on_after(seconds):
+                await self._stream.send_all(buffer[sent:])
+                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise httpcore.WriteError(str(exc)) from exc
+        raise httpcore.WriteTimeout
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Raise NotImplementedError: targets speak plain HTTP."""
+        raise NotImplementedError('Targets speak plain HTTP.')
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what httpcore asks for, None if it is not known."""
+        match info:
+            case 'socket':
+                return self._stream.socket
+            case 'is_readable':
+                return self._stream.socket.is_readable()
+            case 'client_addr':
+                return self._stream.socket.getsockname()
+            case 'server_addr':
+                return self._stream.socket.getpeername()
+        return None
+
+
+class SocketNetwork(httpcore.AsyncNetworkBackend):
+    """Opens connections to IP addresses without resolving names."""
+
+    def __init__(self) -> None:
+        self._named = httpcore.TrioBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection within `timeout` seconds."""
+        options = tuple(socket_options or ())
+        version = _ip_version(host)
+        if version is None or local_address is not None:
+            return await self._named.connect_tcp(
+                host, port, timeout, local_address, options
+            )
+        family = socket.AF_INET if version == 4 else socket.AF_INET6
+        connecting = trio.socket.socket(family, socket.SOCK_STREAM)
+        try:
+            await _connect(connecting, host, port, timeout, options)
+        except BaseException:
+            connecting.close()
+            raise
+        return _SocketStream(trio.SocketStream(connecting))
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep."""
+        await trio.sleep(seconds)
+
+
+def _ip_version(host: str) -> int | None:
+    try:
+        return ipaddress.ip_address(host).version
+    except ValueError:
+        return None
+
+
+async def _connect(
+    connecting: trio.socket.SocketType,
+    host: str,
+    port: int,
+    timeout: float | None,
+    options: Iterable[Any],
+) -> None:
+    seconds = math.inf if timeout is None else timeout
+    try:
+        for option in options:
+            connecting.setsockopt(*option)
+        with trio.move_on_after(seconds):
+            await connecting.connect((host, port))
+            return
+    except OSError as exc:
+        raise httpcore.ConnectError(str(exc)) from exc
+    raise httpcore.ConnectTimeout
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -4,6 +4,7 @@
 sent, the target refused to run it, or its outcome is unknown.
 """
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
@@ -26,6 +27,7 @@
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.response_ownership import ResponseOwnership
+from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 from peridotwell.serving.target_response import TargetResponse
 
@@ -136,12 +138,14 @@
             keepalive_expiry=IDLE_CONNECTION_SECONDS,
             retries=0,
             socket_options=CLIENT_SOCKET_OPTIONS,
+            network_backend=SocketNetwork(),
         )
         self._single_use_pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=0,
             retries=0,
             socket_options=CLIENT_SOCKET_OPTIONS,
+            network_backend=SocketNetwork(),
         )
 
     def is_busy(self) -> bool:
@@ -201,7 +205,7 @@
             # A response that may be for another request says nothing.
             self._handle_notice(response, sent_at)
             self._raise_if_refused(refusal, response)
-            timeouts['read'] = response_timeouts.silence_seconds
+            timeouts['read'] = _finite(response_timeouts.silence_seconds)
             yield response
 
     def _handle_notice(self, response: TargetResponse, sent_at: float) -> None:
@@ -268,7 +272,12 @@
     return fields.get(REQUEST_ID_HEADER.encode(), b'').decode('latin-1')
 
 
-def _make_timeouts(seconds: float) -> dict[str, float]:
+def _finite(seconds: float) -> float | None:
+    """Return a time limit, or None for none."""
+    return seconds if math.isfinite(seconds) else None
+
+
+def _make_timeouts(seconds: float) -> dict[str, float | None]:
     return {
         'connect': min(seconds, CONNECT_TIMEOUT_SECONDS),
         'read': seconds,
--- /dev/null
+++ b/tests/serving/test_socket_network.py
@@ -0,0 +1,115 @@
+"""Connections to targets on sockets: what httpcore expects of a network."""
+
+import httpcore
+import pytest
+import trio
+import trio.testing
+
+from peridotwell.serving.socket_network import SocketNetwork, write_now
+from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from tests.ports import find_free_port
+
+LOCALHOST = '127.0.0.1'
+LARGE_BYTES = 8_000_000
+
+
+@pytest.fixture
+async def pair(nursery):
+    """Both ends of a connection: the network's, and the accepted stream."""
+    listeners = await trio.open_tcp_listeners(0, host=LOCALHOST)
+    port = listeners[0].socket.getsockname()[1]
+    near = await SocketNetwork().connect_tcp(
+        LOCALHOST, port, 1, socket_options=CLIENT_SOCKET_OPTIONS
+    )
+    far = await listeners[0].accept()
+    yield near, far
+    await near.aclose()
+    await far.aclose()
+    await listeners[0].aclose()
+
+
+async def test_bytes_pass_in_both_directions(pair):
+    near, far = pair
+    await near.write(b'question', 1)
+    assert await far.receive_some() == b'question'
+    await far.send_all(b'answer')
+    assert await near.read(100, 1) == b'answer'
+    await far.send_eof()
+    assert await near.read(100, None) == b''
+
+
+async def test_more_bytes_than_the_socket_takes_are_sent_whole(pair, nursery):
+    near, far = pair
+    content = bytes(range(250)) * (LARGE_BYTES // 250)
+    nursery.start_soon(near.write, content, 10)
+    received = bytearray()
+    while len(received) < len(content):
+        received += await far.receive_some()
+    assert received == content
+
+
+async def test_a_silent_peer_is_a_timeout(pair):
+    near, _ = pair
+    with pytest.raises(httpcore.ReadTimeout):
+        await near.read(100, 0.05)
+    with pytest.raises(httpcore.WriteTimeout):
+        await near.write(bytes(LARGE_BYTES * 4), 0.05)
+
+
+async def test_a_reset_connection_is_an_error_of_the_network(pair):
+    near, far = pair
+    for option in CLIENT_SOCKET_OPTIONS:
+        far.setsockopt(*option)
+    await trio.aclose_forcefully(far)
+    with pytest.raises(httpcore.ReadError):
+        await near.read(100, 1)
+    with pytest.raises(httpcore.WriteError):
+        await near.write(b'late', 1)
+
+
+async def test_a_closed_connection_ends_a_waiting_read(pair, nursery):
+    near, _ = pair
+
+    async def read():
+        with pytest.raises(httpcore.ReadError):
+            await near.read(100, 5)
+
+    async with trio.open_nursery() as reading:
+        reading.start_soon(read)
+        await trio.testing.wait_all_tasks_blocked()
+        await near.aclose()
+
+
+async def test_an_address_where_nothing_listens_is_refused():
+    with pytest.raises(httpcore.ConnectError):
+        await SocketNetwork().connect_tcp(LOCALHOST, find_free_port(), 1)
+
+
+async def test_host_names_are_resolved(nursery):
+    listeners = await trio.open_tcp_listeners(0, host=LOCALHOST)
+    port = listeners[0].socket.getsockname()[1]
+    near = await SocketNetwork().connect_tcp('localhost', port, 1)
+    far = await listeners[0].accept()
+    await near.write(b'question')
+    assert await far.receive_some() == b'question'
+    for each in (near, far, listeners[0]):
+        await each.aclose()
+
+
+async def test_a_closed_stream_cannot_be_written():
+    listeners = await trio.open_tcp_listeners(0, host=LOCALHOST)
+    port = listeners[0].socket.getsockname()[1]
+    stream = await trio.open_tcp_stream(LOCALHOST, port)
+    await stream.aclose()
+    with pytest.raises(trio.ClosedResourceError):
+        write_now(stream, b'late')
+    await listeners[0].aclose()
+
+
+async def test_arrived_bytes_make_a_connection_readable(pair):
+    near, far = pair
+    assert not near.get_extra_info('is_readable')
+    await far.send_all(b'x')
+    with trio.fail_after(1):
+        while not near.get_extra_info('is_readable'):
+            await trio.sleep(0.01)
