--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -1,5 +1,6 @@
 """One connection of a caller, served by hypercorn."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -8,8 +9,8 @@
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData
 from hypercorn.trio.tcp_server import TCPServer
-from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.typing import AppWrapper, ConnectionState
+from hypercorn.trio.worker_context import TrioSingleTask, WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState, TaskGroup
 
 from peridotwell.serving.socket_network import write_now
 
@@ -34,6 +35,35 @@
     may_close: trio.Event = field(default_factory=trio.Event)
 
 
+class _IdleTask(TrioSingleTask):
+    """Runs the task of an idle connection, of which there is one at a time.
+
+    hypercorn waits until each has started; nothing here needs that.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._scope = trio.CancelScope()
+
+    async def restart(
+        self, task_group: TaskGroup, action: Callable[..., Awaitable[None]]
+    ) -> None:
+        """Cancel the task that runs, and start the next one."""
+        self._scope.cancel()
+        self._scope = trio.CancelScope()
+        task_group.spawn(self._run, self._scope, action)
+
+    async def stop(self) -> None:
+        """Cancel the task that runs."""
+        self._scope.cancel()
+
+    async def _run(
+        self, scope: trio.CancelScope, action: Callable[..., Awaitable[None]]
+    ) -> None:
+        with scope:
+            await action()
+
+
 class CallerConnection(TCPServer):
     """Closes an idle connection only if no request has arrived on it.
 
@@ -53,6 +83,7 @@
     ) -> None:
         # The server names the type of encrypted connections only.
         super().__init__(app, cfg, context, state, cast(Any, stream))
+        self.idle_task = _IdleTask()
         self._socket_stream = stream
         self._stop = stop
 
