--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -134,6 +134,23 @@
         process.wait()
 
 
+# Guards against a program that never collects garbage, because its start ends
+# in the middle.
+def test_garbage_is_collected_after_the_start(write_settings, monkeypatch):
+    path, _ = write_settings()
+    monkeypatch.setenv('PERIDOTWELL_SETTINGS', str(path))
+    code = (
+        "import gc, sys; sys.path.insert(0, 'platform'); import start; "
+        'import peridotwell_platform.program as program; '
+        'program.run = lambda listener: listener.close() or gc.isenabled(); '
+        'sys.exit(start.main())'
+    )
+    process = subprocess.run(
+        [sys.executable, '-c', code], cwd=ROOT, timeout=20, check=False
+    )
+    assert process.returncode == 1
+
+
 def wait_for_port(port):
     """Wait until a process listens at a port."""
     until = time.monotonic() + 10
