--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -41,7 +41,7 @@
 MAX_BATCH_DELAY_SECONDS = 0.8
 FOLLOW_SECONDS = 3.0
 # The store answers a router that follows it at least this often.
-MAX_ANSWER_AGE_SECONDS = 2.7
+MAX_WATCH_AGE_SECONDS = 2.7
 
 RecordUpdate = Callable[[RouterUpdate, float], bool]
 
@@ -91,7 +91,7 @@
         if not self.must_follow_store(now):
             return True
         answered_at = self._directory.store_contact.answered_at
-        return now - answered_at <= MAX_ANSWER_AGE_SECONDS
+        return now - answered_at <= MAX_WATCH_AGE_SECONDS
 
     def send_update(self, update: RouterUpdate, now: float) -> None:
         """Send this router's own update to its relay.
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -49,6 +49,8 @@
         # The last known revision, from the store or from a peer.
         self.known_revision = 0
         self.is_loaded = False
+        # Number of entries that could not be read.
+        self.invalid_entries = 0
         # Set when the routing table and the targets are loaded.
         self.ready = trio.Event()
         self._decoder = decoder
@@ -198,7 +200,8 @@
         if self._decoder.is_target(entry.key):
             self._apply_target(entry, now)
         elif entry.key.startswith(ROUTERS_PREFIX):
-            _apply_router(entry, self._routers)
+            is_valid = _apply_router(entry, self._routers)
+            self.invalid_entries += not is_valid
         elif not is_table and entry.key != VERSIONS_KEY:
             return
         self._has_changed = True
@@ -211,6 +214,7 @@
         try:
             table = self._decoder.decode_table(entry.value, entry.revision)
         except EntryError as exc:
+            self.invalid_entries += 1
             log_event('table.invalid', error=str(exc), revision=entry.revision)
             return
         if self.table is not None and table.version < self.table.version:
@@ -233,6 +237,7 @@
             target = self._decoder.decode_target(entry.key, entry.value)
         except EntryError as exc:
             self._targets.pop(entry.key, None)
+            self.invalid_entries += 1
             log_event('target.invalid', entry=entry.key, error=str(exc))
             return
         known = self._targets.get(entry.key)
@@ -292,10 +297,12 @@
             listener()
 
 
-def _apply_router(entry: Entry, routers: dict[str, Hello]) -> None:
+def _apply_router(entry: Entry, routers: dict[str, Hello]) -> bool:
+    """Add, replace or remove a router; return whether the entry is valid."""
     hello = decode_router(entry.value)
     if hello is not None:
         routers[entry.key] = hello
-        return
+        return True
     routers.pop(entry.key, None)
     log_event('router.invalid', entry=entry.key)
+    return False
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -117,6 +117,9 @@
         now = trio.current_time()
         directory = self.components.directory
         directory.remove_expired(now)
+        self.components.metrics.record_total(
+            'entries.invalid', directory.invalid_entries
+        )
         update_exchange = self.components.update_exchange
         update_exchange.discovery.remove_gone(directory.routers(), now)
         state = update_exchange.state
--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -12,6 +12,7 @@
 import socket
 import ssl
 from collections.abc import Iterable
+from contextlib import suppress
 from typing import Any
 
 import httpcore
@@ -48,12 +49,18 @@
         seconds = math.inf if timeout is None else timeout
         try:
             with trio.move_on_after(seconds):
-                await trio.lowlevel.wait_readable(self._stream.socket)
-                return os.read(self._stream.socket.fileno(), max_bytes)
+                return await self._read(max_bytes)
         except (OSError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
         raise httpcore.ReadTimeout
 
+    async def _read(self, max_bytes: int) -> bytes:
+        while True:
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            # A socket may be reported as readable and have nothing to read.
+            with suppress(BlockingIOError):
+                return os.read(self._stream.socket.fileno(), max_bytes)
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all bytes."""
         seconds = math.inf if timeout is None else timeout
--- a/tests/peridotwell_platform/test_unreadable_documents.py
+++ b/tests/peridotwell_platform/test_unreadable_documents.py
@@ -131,3 +131,19 @@
     store.delete('servers/i-0')
     await trio.sleep(0.3)
     assert not components.directory.available_targets('svc')
+
+
+# Guards against unreadable entries that operators can only find in the log.
+async def test_unreadable_entries_are_counted(nursery):
+    store, address = await start_store(nursery, cut_fleet.CONFIG)
+    store.put('servers/a', b'{')
+    store.put('routers/north/b', b'[]')
+    started = await start_router(nursery, 'r-0', address)
+    counters = started.router.metrics.counters
+    with trio.fail_after(3):
+        while counters['entries.invalid'] < 2:
+            await trio.sleep(0.05)
+    store.put('op/config', b'null')
+    with trio.fail_after(3):
+        while counters['entries.invalid'] < 3:
+            await trio.sleep(0.05)
