A configuration that cannot be served is refused; the one in force stays

Cause: documents were checked for types, not for what they say together. Class: as with odd entries of targets, a document that is wrong in one part.

Before: the seven cases of test_entries.py fail (none was refused).

--- a/tests/peridotwell_platform/test_entries.py
+++ b/tests/peridotwell_platform/test_entries.py
@@ -119,6 +119,25 @@
         ENTRIES.decode_table(content, 1)
 
 
+# A well-formed configuration that cannot be served replaced the one in force.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'timeout_ms': 0},
+        {'timeout_ms': -5},
+        {'path_prefix': 'a/'},
+        {'path_prefix': '/a'},
+        {'max_attempts': 0},
+        {'split': [{'service': 'big', 'weight': 0}]},
+        {'split': [], 'service': ''},
+    ],
+)
+def test_configuration_that_cannot_be_served_is_rejected(changes):
+    document = {**CONFIG, 'routes': [{**ROUTE, **changes}]}
+    with pytest.raises(EntryError, match='r-1'):
+        ENTRIES.decode_table(encode(document), 1)
+
+
 @pytest.mark.parametrize(
     ('path', 'prefix'),
     [('/a/', '/a/'), ('/a/b/c', '/a/b/'), ('/a/bc', '/a/'), ('/b/a/', None)],
