--- a/peridotwell/domain/table_faults.py
+++ b/peridotwell/domain/table_faults.py
@@ -35,7 +35,7 @@
     if not (
         route.prefix.startswith(SEPARATOR) and route.prefix.endswith(SEPARATOR)
     ):
-        yield f'its prefix {route.prefix!r} does not begin and end with a slash.'
+        yield f'its prefix {route.prefix!r} lacks a slash at an end.'
     if not _is_positive(route.timeout_seconds):
         yield 'its time limit is not above 0.'
     if route.max_attempts < 1:
