--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from enum import Enum
 
 import trio
 
@@ -33,6 +34,13 @@
 __all__ = ('ServiceDirectory',)
 
 
+class _Source(Enum):
+    """Who has told a change."""
+
+    store = 'store'
+    peer = 'peer'
+
+
 class ServiceDirectory:
     """The routing table, targets and routers as last read.
 
@@ -93,7 +101,7 @@
         """Apply a snapshot of the store."""
         self.store_contact.record_answer(now)
         self.feed_revision = max(self.feed_revision, snapshot.revision)
-        self._apply_all_entries(snapshot, now)
+        self._apply_all_entries(snapshot, _Source.store, now)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
@@ -101,9 +109,9 @@
         # Of several versions of a large configuration, only the last valid
         # one is decoded.
         for entry in reversed(changes.entries):
-            self._apply_entry(entry, now)
+            self._apply_entry(entry, _Source.store, now)
         for key, revision in changes.deleted:
-            self._apply_deletion(key, revision, now)
+            self._apply_deletion(key, revision, _Source.store, now)
         self.feed_revision = max(self.feed_revision, changes.revision)
         self._finish_changes(changes.revision, now)
 
@@ -120,10 +128,12 @@
         """
         for entry in entries:
             if entry.value is None:
-                self._apply_deletion(entry.key, entry.revision, now)
+                self._apply_deletion(
+                    entry.key, entry.revision, _Source.peer, now
+                )
             else:
                 store_entry = Entry(entry.key, entry.value, entry.revision)
-                self._apply_entry(store_entry, now)
+                self._apply_entry(store_entry, _Source.peer, now)
         self._finish_changes(revision, now)
 
     def apply_peer_snapshot(
@@ -138,7 +148,9 @@
             for entry in entries
             if entry.value is not None
         )
-        self._apply_all_entries(Snapshot(store_entries, revision), now)
+        self._apply_all_entries(
+            Snapshot(store_entries, revision), _Source.peer, now
+        )
 
     def handle_store_contact(
         self, report: StoreContactReport, revision: int, now: float
@@ -164,7 +176,9 @@
             self._has_changed = False
             self._rebuild_indexes()
 
-    def _apply_all_entries(self, snapshot: Snapshot, now: float) -> None:
+    def _apply_all_entries(
+        self, snapshot: Snapshot, source: _Source, now: float
+    ) -> None:
         missing = self.replica.keys_missing_from(snapshot)
         if self.is_loaded and is_of_later_era(
             snapshot.revision, self.known_revision
@@ -178,9 +192,9 @@
                 missing_entries=len(missing),
             )
         for entry in snapshot.entries:
-            self._apply_entry(entry, now)
+            self._apply_entry(entry, source, now)
         for key in missing:
-            self._apply_deletion(key, snapshot.revision, now)
+            self._apply_deletion(key, snapshot.revision, source, now)
         self.replica.record_snapshot(snapshot.revision)
         self._finish_changes(snapshot.revision, now)
 
@@ -191,14 +205,14 @@
         if self.table is not None:
             self.ready.set()
 
-    def _apply_entry(self, entry: Entry, now: float) -> None:
+    def _apply_entry(self, entry: Entry, source: _Source, now: float) -> None:
         is_table = self._decoder.is_table(entry.key)
         if is_table:
             self._apply_table(entry, now)
         if not self.replica.is_newer(entry):
             return
         if self._decoder.is_target(entry.key):
-            self._apply_target(entry, now)
+            self._apply_target(entry, source, now)
         elif entry.key.startswith(ROUTERS_PREFIX):
             is_valid = _apply_router(entry, self._routers)
             self.invalid_entries += not is_valid
@@ -231,7 +245,7 @@
             routes=len(table.routes),
         )
 
-    def _apply_target(self, entry: Entry, now: float) -> None:
+    def _apply_target(self, entry: Entry, source: _Source, now: float) -> None:
         self.deferred_removals.cancel(entry.key)
         try:
             target = self._decoder.decode_target(entry.key, entry.value)
@@ -256,19 +270,26 @@
             service=target.pool.name,
             address=target.address,
             revision=entry.revision,
+            source=source.value,
         )
 
-    def _apply_deletion(self, key: str, revision: int, now: float) -> None:
+    def _apply_deletion(
+        self, key: str, revision: int, source: _Source, now: float
+    ) -> None:
         is_table = self._decoder.is_table(key)
         if is_table or not self.replica.is_newer_deletion(key, revision):
             return
         self.replica.record_deletion(key, revision)
-        if (
-            self.deferred_removals.remaining_seconds(now)
-            and key in self._targets
-        ):
+        doubted_seconds = self.deferred_removals.remaining_seconds(now)
+        if doubted_seconds and key in self._targets:
             self.deferred_removals.defer(key)
-            log_event('target.doubted', entry=key, revision=revision)
+            log_event(
+                'target.doubted',
+                entry=key,
+                revision=revision,
+                source=source.value,
+                seconds=round(doubted_seconds, 3),
+            )
             return
         self._remove_entry(key)
 
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -1,5 +1,7 @@
 """Tests of the tables and targets read from the store, also during faults."""
 
+import logging
+
 import trio
 
 from peridotwell.domain.routing_table import RoutingTable
@@ -9,6 +11,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_contact import MAX_ANSWER_AGE_SECONDS
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.forwarding.adapters import EntryDecoder
 from peridotwell.metrics import Metrics
 from peridotwell.store.base import Entry
@@ -369,3 +372,19 @@
 
     nursery.start_soon(renew)
     assert await seconds_of_use(directory, feed, nursery) == 0
+
+
+# Guards against a removed target in use of which the log does not tell for how
+# long it is doubted, and who has told of its removal.
+def test_the_log_tells_how_long_a_removal_is_doubted_and_who_told_it(caplog):
+    caplog.set_level(logging.INFO, 'peridotwell')
+    directory = loaded_directory()
+    directory.deferred_removals.start_grace_period(2, 5)
+    directory.apply_changes(Changes((), (('t/x', 4),), 4), 5.5)
+    directory.apply_peer_changes((SharedEntry('t/y', 5, None),), 5, 6)
+    doubted = [
+        (each.msg['entry'], each.msg['source'], each.msg['seconds'])
+        for each in caplog.records
+        if each.msg['event'] == 'target.doubted'
+    ]
+    assert doubted == [('t/x', 'store', 1.5), ('t/y', 'peer', 1)]
