A target that is kept out for a time does not return once its entry is unreadable

What callers saw: requests at a target although its entry in the store was odd or removed, until it wrote again, that is for good if it had left.

Cause: a target that a restored store lists again, or that seems to be of an earlier start, is held for 5 or 10 s and then used. An unreadable entry took the target out of the list but left what was held; the removal of the entry found no target and left it as well. When the time was over, the held one was put in use.

Evidence: the four cases of test_an_unreadable_entry_ends_the_wait_of_a_target_ kept_out fail before.

Why it works: a target that an unreadable entry takes out is remembered as one that was removed. That ends what was held, and the target returns with its next report, as before.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -250,7 +250,9 @@
         try:
             target = self._decoder.decode_target(entry.key, entry.value)
         except EntryError as exc:
-            self._targets.pop(entry.key, None)
+            known = self._targets.pop(entry.key, None)
+            if known is not None:
+                self._departed.record(entry.key, known, entry.revision)
             self.invalid_entries += 1
             log_event('target.invalid', entry=entry.key, error=str(exc))
             return
--- a/tests/fleet/replica/test_late_reports.py
+++ b/tests/fleet/replica/test_late_reports.py
@@ -102,7 +102,37 @@
     assert feed.available == [str(START)]
 
 
-# Guards against the same through another router, which tells entries on.
+# Guards against requests at a target that was kept out for some time, and whose
+# entry became unreadable or was removed in that time.
+@pytest.mark.parametrize('is_removed', [False, True])
+@pytest.mark.parametrize('kept_out_by', ['earlier start', 'removal'])
+def test_an_unreadable_entry_ends_the_wait_of_a_target_kept_out(
+    kept_out_by, is_removed
+):
+    feed = Feed()
+    if kept_out_by == 'removal':
+        feed.report('ready', START, 5)
+        feed.delete()
+    else:
+        feed.report('ready', RESTART, 5)
+    feed.report('ready', START, 1, now=1)
+    feed.report('odd', START, 6, now=2)
+    if is_removed:
+        feed.delete(now=3)
+    feed.directory.remove_expired(1000)
+    assert feed.available == []
+
+
+# Guards against a target that stays out of use because its entry was unreadable
+# for a moment.
+def test_a_target_that_reports_after_an_unreadable_entry_is_available(feed):
+    feed.report('odd', START, 2)
+    feed.report('ready', START, 3, now=1)
+    assert feed.available == [str(START)]
+
+
+# Guards against the end of the leaving of a target by an older report that
+# another router tells.
 def test_an_older_report_told_by_a_peer_changes_nothing(feed):
     feed.report('leaving', START, 3)
     late = SharedEntry(KEY, 50, f'ready {START} 2'.encode())
