Log how late a router hears of changes, and where a table came from

Each refusal (request.refused) now says whether the router follows the store, the age of the store's last answer, the time until its own updates return from its relay and the time since the last turn of its background tasks; table.taken says whether the store or a peer brought the table, as changes or whole.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from enum import Enum
 
 import trio
 
@@ -30,7 +31,16 @@
 from peridotwell.store.change_feed import Changes, Snapshot
 from peridotwell.store.revisions import era_of, is_of_later_era
 
-__all__ = ('ServiceDirectory',)
+__all__ = ('EntrySource', 'ServiceDirectory')
+
+
+class EntrySource(Enum):
+    """From where an entry was taken."""
+
+    store_changes = 'store changes'
+    store_snapshot = 'store snapshot'
+    peer_changes = 'peer changes'
+    peer_snapshot = 'peer snapshot'
 
 
 class ServiceDirectory:
@@ -93,7 +103,7 @@
         """Apply a snapshot of the store."""
         self.store_contact.record_answer(now)
         self.feed_revision = max(self.feed_revision, snapshot.revision)
-        self._apply_all_entries(snapshot, now)
+        self._apply_all_entries(snapshot, EntrySource.store_snapshot, now)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
@@ -101,7 +111,7 @@
         # Of several versions of a large configuration, only the last valid
         # one is decoded.
         for entry in reversed(changes.entries):
-            self._apply_entry(entry, now)
+            self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, now)
         self.feed_revision = max(self.feed_revision, changes.revision)
@@ -123,7 +133,7 @@
                 self._apply_deletion(entry.key, entry.revision, now)
             else:
                 store_entry = Entry(entry.key, entry.value, entry.revision)
-                self._apply_entry(store_entry, now)
+                self._apply_entry(store_entry, EntrySource.peer_changes, now)
         self._finish_changes(revision, now)
 
     def apply_peer_snapshot(
@@ -138,7 +148,9 @@
             for entry in entries
             if entry.value is not None
         )
-        self._apply_all_entries(Snapshot(store_entries, revision), now)
+        self._apply_all_entries(
+            Snapshot(store_entries, revision), EntrySource.peer_snapshot, now
+        )
 
     def handle_store_contact(
         self, report: StoreContactReport, revision: int, now: float
@@ -164,7 +176,9 @@
             self._has_changed = False
             self._rebuild_indexes()
 
-    def _apply_all_entries(self, snapshot: Snapshot, now: float) -> None:
+    def _apply_all_entries(
+        self, snapshot: Snapshot, source: EntrySource, now: float
+    ) -> None:
         missing = self.replica.keys_missing_from(snapshot)
         if self.is_loaded and is_of_later_era(
             snapshot.revision, self.known_revision
@@ -178,7 +192,7 @@
                 missing_entries=len(missing),
             )
         for entry in snapshot.entries:
-            self._apply_entry(entry, now)
+            self._apply_entry(entry, source, now)
         for key in missing:
             self._apply_deletion(key, snapshot.revision, now)
         self.replica.record_snapshot(snapshot.revision)
@@ -191,10 +205,12 @@
         if self.table is not None:
             self.ready.set()
 
-    def _apply_entry(self, entry: Entry, now: float) -> None:
+    def _apply_entry(
+        self, entry: Entry, source: EntrySource, now: float
+    ) -> None:
         is_table = self._decoder.is_table(entry.key)
         if is_table:
-            self._apply_table(entry, now)
+            self._apply_table(entry, source, now)
         if not self.replica.is_newer(entry):
             return
         if self._decoder.is_target(entry.key):
@@ -207,7 +223,9 @@
         self._has_changed = True
         self.replica.put(entry)
 
-    def _apply_table(self, entry: Entry, now: float) -> None:
+    def _apply_table(
+        self, entry: Entry, source: EntrySource, now: float
+    ) -> None:
         in_force = self.table.revision if self.table else 0
         if entry.revision <= in_force or self.replica.has_version(entry):
             return
@@ -229,6 +247,7 @@
             version=table.version,
             revision=table.revision,
             routes=len(table.routes),
+            source=source.value,
         )
 
     def _apply_target(self, entry: Entry, now: float) -> None:
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -98,6 +98,12 @@
         has_returned = now - self._returned_at < REREGISTRATION_SECONDS
         self._start_anew(self._returned_at if has_returned else now, now)
 
+    def answer_age(self, now: float) -> float | None:
+        """Return the age of the last answer in seconds, None before it."""
+        if math.isinf(self.answered_at):
+            return None
+        return round(now - self.answered_at, 3)
+
     def report(self, now: float) -> StoreContactReport:
         """Return what peers are told."""
         return StoreContactReport(
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -234,12 +234,12 @@
         )
         return response
 
-    def _table_log_fields(self) -> dict[str, object]:
+    def _table_log_fields(self, now: float) -> dict[str, object]:
         """Return the log fields for the configuration version and its age."""
         table = self._directory.table
         if table is None:
             return {'table': None}
-        age = trio.current_time() - self._directory.table_loaded_at
+        age = now - self._directory.table_loaded_at
         return {'table': table.version, 'table_age_seconds': round(age, 3)}
 
     def _window(self, service: str) -> RetryWindow:
@@ -261,16 +261,18 @@
         arrived_at: float,
     ) -> None:
         self._metrics.count(f'request.{error.code}')
+        now = trio.current_time()
         log_failure(
             'request.refused',
             request=request_id,
             code=error.code,
             status=error.status,
             reason=str(error),
-            after_seconds=round(trio.current_time() - arrived_at, 4),
+            after_seconds=round(now - arrived_at, 4),
             retry_after=error.retry_after_seconds,
             cut=caller_response.has_begun,
-            **self._table_log_fields(),
+            **self._table_log_fields(now),
+            **self._update_exchange.knowledge_log_fields(now),
         )
         if caller_response.has_begun or isinstance(error, StreamBroken):
             return
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -1,5 +1,7 @@
 """Tests of the tables and targets read from the store, also during faults."""
 
+import logging
+
 import trio
 
 from peridotwell.domain.routing_table import RoutingTable
@@ -9,6 +11,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_contact import MAX_ANSWER_AGE_SECONDS
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.forwarding.adapters import EntryDecoder
 from peridotwell.metrics import Metrics
 from peridotwell.store.base import Entry
@@ -110,6 +113,18 @@
     assert directory.table.version == 4
 
 
+def test_log_tells_from_where_a_table_was_taken(caplog):
+    caplog.set_level(logging.INFO, 'peridotwell')
+    directory = loaded_directory()
+    apply_changes(directory, entry('table', b'2', 5))
+    directory.apply_peer_changes([SharedEntry('table', 6, b'3')], 6, 2)
+    directory.apply_peer_snapshot([SharedEntry('table', 7, b'4')], 7, 3)
+    lines = [record.msg for record in caplog.records]
+    assert [
+        line['source'] for line in lines if line['event'] == 'table.taken'
+    ] == ['store snapshot', 'store changes', 'peer changes', 'peer snapshot']
+
+
 def test_stale_snapshot_does_not_restore_a_deleted_target():
     directory = loaded_directory()
     apply_changes(directory, deleted=(('t/x', 6),))
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -359,6 +359,18 @@
     assert (await harness.send_request('/read/x')).status == 404
 
 
+async def test_log_of_a_refusal_tells_how_late_the_router_hears_of_changes(
+    harness, caplog
+):
+    await trio.sleep(0.3)
+    await harness.send_request('/new/x')
+    lines = [record.msg for record in caplog.records]
+    refused = [each for each in lines if each['event'] == 'request.refused']
+    assert refused[-1]['follows_store']
+    assert 0 <= refused[-1]['store_answer_age'] < 3
+    assert 0 <= refused[-1]['turn_age'] < 1
+
+
 # Guards against callers that are told for good that their route or key does not
 # exist, by a router that is late to hear of it.
 async def test_an_outdated_router_refuses_nothing_for_good(harness):
