A router that was late to read asks the store before it decides

Cause: a router decides by the configuration that it has applied. When its process gets no processor time, requests and the change wait in its sockets together, and nothing orders them: a request that was sent two seconds after the change was confirmed is often read first. is_current judged by the time at which an answer was processed, allowed 2.7 s, and was asked for 404 and 401 only; what was run by a dropped route or key was never checked. Class: the age of what a router knows was measured by its own late clock ticks, not by what it has read.

Evidence: tests/processes/test_late_processes.py, four router processes stopped for 2 s while a version is confirmed, three times.

Change: the background tasks tell when their turns are late. From then on the knowledge ages until the store has answered a call that was sent after the late turn. Such a call is sent at once, beside the watch, and requests wait for it, 0.3 s at most; without an answer they get 503, unless the call has failed: then the store is away and the router serves with what it knows, as before. 404 and 401 become 503 when the knowledge is older than 1.5 s. A watch or relay that is in time counts as before, so calm routers send no further calls.

--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -40,8 +40,9 @@
 # itself, for this time at least: what the relay says of the store is as old.
 MAX_BATCH_DELAY_SECONDS = 0.8
 FOLLOW_SECONDS = 3.0
-# The store answers a router that follows it at least this often.
-MAX_WATCH_AGE_SECONDS = 2.7
+# The store answers a watch after two seconds at the latest. One that takes
+# longer may have lost its connection.
+MAX_WATCH_SECONDS = 2.3
 
 RecordUpdate = Callable[[RouterUpdate, float], bool]
 
@@ -83,15 +84,17 @@
         is_behind = self._directory.known_revision < relay.revision
         return is_behind or not relay.follows_store
 
-    def is_current(self, now: float) -> bool:
-        """Return whether this router knows what the store has said lately.
+    def told_until(self, now: float) -> float:
+        """Return the time up to which this router is told every change.
 
-        If not, it may lack a change that is in force elsewhere.
+        That is by the watch that waits for changes, or by its relay.
         """
         if not self.must_follow_store(now):
-            return True
-        answered_at = self._directory.store_contact.answered_at
-        return now - answered_at <= MAX_WATCH_AGE_SECONDS
+            return now - self.topology.update_delay.seconds(now)
+        since = self._directory.watched_since
+        if since is None or now - since > MAX_WATCH_SECONDS:
+            return -math.inf
+        return now
 
     def send_update(self, update: RouterUpdate, now: float) -> None:
         """Send this router's own update to its relay.
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -132,33 +132,24 @@
         self._sent_revision = 0
         self._sent_at = float(0)
         self._full_at = float(0)
-        self._ticked_at: float | None = None
 
     def wake(self) -> None:
         """Send the next update as soon as its minimum interval allows."""
         self.has_updates.set()
 
-    def is_current(self, now: float) -> bool:
-        """Return whether this router knows what the store has said lately."""
-        return self.relay_protocol.is_current(now)
-
     def knowledge_log_fields(self, now: float) -> dict[str, object]:
         """Return the log fields for how late this router hears of changes.
 
         These are ages in seconds: of the store's last answer, of this router's
-        updates when they return from its relay, and of the last turn of its
-        background tasks; None before the first.
+        updates when they return from its relay, and of what it knows; None
+        before the first.
         """
-        contact = self.state.directory.store_contact
+        directory = self.state.directory
         return {
             'follows_store': self.relay_protocol.must_follow_store(now),
-            'store_answer_age': contact.answer_age(now),
+            'store_answer_age': directory.store_contact.answer_age(now),
             'update_delay': round(self.update_delay.seconds(now), 3),
-            'turn_age': (
-                None
-                if self._ticked_at is None
-                else round(now - self._ticked_at, 3)
-            ),
+            'knowledge_age': directory.freshness.logged_age(now),
         }
 
     def router_count(self) -> int:
@@ -188,7 +179,9 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
-        self._ticked_at = now
+        self.state.directory.freshness.record_turn(
+            now, self.relay_protocol.told_until(now)
+        )
         self.state.directory.remove_expired(now)
         self._set_sharing_routers()
         if now - self._sent_at >= self._update_interval(now):
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -18,6 +18,7 @@
     StoreContact,
     StoreContactReport,
 )
+from peridotwell.fleet.replica.store_freshness import StoreFreshness
 from peridotwell.fleet.replica.store_replica import StoreReplica
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
@@ -54,6 +55,8 @@
         self.table_loaded_at = float(0)
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
+        # When the watch began that waits for the store's changes, or None.
+        self.watched_since: float | None = None
         # The last revision read from the store's change feed.
         self.feed_revision = 0
         # The last known revision, from the store or from a peer.
@@ -71,6 +74,7 @@
         self._targets_by_id: dict[int, Target] = {}
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
+        self.freshness = StoreFreshness()
         self._departed = DepartedTargets()
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -8,7 +8,12 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import ChangeFeed, HistoryGone, Snapshot
+from peridotwell.store.change_feed import (
+    ChangeFeed,
+    Changes,
+    HistoryGone,
+    Snapshot,
+)
 from peridotwell.store.revisions import is_of_later_era
 
 __all__ = ('StoreFollower',)
@@ -72,19 +77,18 @@
             snapshot = await self._read_snapshot(now)
             self._record_success()
             self._count_restore(snapshot)
-            self._directory.apply_snapshot(snapshot, trio.current_time())
+            answered_at = trio.current_time()
+            self._directory.apply_snapshot(snapshot, answered_at)
+            self._directory.freshness.record_answer(now, answered_at)
             self._needs_snapshot = False
             # A snapshot takes long to transfer on a slow link.
             await trio.sleep(2 * self._batch_seconds())
             return
-        changes = await self._feed.wait_for_changes(
-            self._directory.feed_revision,
-            WATCH_TIMEOUT_SECONDS
-            if self.is_connected
-            else PROBE_TIMEOUT_SECONDS,
-        )
+        changes = await self._wait_for_changes(now)
         self._record_success()
-        self._directory.apply_changes(changes, trio.current_time())
+        answered_at = trio.current_time()
+        self._directory.apply_changes(changes, answered_at)
+        self._directory.freshness.record_answer(now, answered_at)
         if changes.entries or changes.deleted:
             await trio.sleep(self._batch_seconds())
 
@@ -101,6 +105,22 @@
         finally:
             self._directory.snapshot_requested_at = None
 
+    async def _wait_for_changes(self, now: float) -> Changes:
+        if self.is_connected:
+            self._directory.watched_since = now
+        try:
+            return await self._feed.wait_for_changes(
+                self._directory.feed_revision,
+                WATCH_TIMEOUT_SECONDS
+                if self.is_connected
+                else PROBE_TIMEOUT_SECONDS,
+            )
+        except StoreError:
+            self._directory.freshness.record_failure(now, trio.current_time())
+            raise
+        finally:
+            self._directory.watched_since = None
+
     def _batch_seconds(self) -> float:
         """Return the delay before the next call, to receive changes in batches.
 
--- /dev/null
+++ b/peridotwell/fleet/replica/store_freshness.py
@@ -0,0 +1,110 @@
+"""Up to what time a router knows what the store has said.
+
+A watch without an answer shows that nothing has changed, but only while the
+router reads what arrives. After it has stood still, or was short of processor
+time, changes may wait unread, or come with the next call. So the knowledge ages
+from its last turn in time on, until the store has answered a call that was sent
+later.
+"""
+
+import math
+
+import trio
+
+from peridotwell.logs import log_event
+
+__all__ = ('StoreFreshness',)
+
+# Turns of the background tasks follow each other faster, unless they are late.
+MAX_TURN_SECONDS = 0.3
+# Knowledge that is older may lack a change that must be in force.
+MAX_AGE_SECONDS = 1.5
+# Longest time that a request waits for the check after a late turn.
+SETTLE_SECONDS = 0.3
+
+
+class StoreFreshness:
+    """The age of what one router knows of the store.
+
+    `late` is set while a check is due after a late turn, `settled` otherwise.
+    """
+
+    def __init__(self) -> None:
+        self.late = trio.Event()
+        self.settled = trio.Event()
+        self.settled.set()
+        self._known_until = -math.inf
+        self._turned_at: float | None = None
+        self._late_at = -math.inf
+        self._is_caught_up = False
+
+    def record_turn(self, now: float, told_until: float) -> None:
+        """Record a turn of the background tasks.
+
+        `told_until` is the time up to which the store, or a relay, would have
+        told every change.
+        """
+        self._notice_late(now)
+        self._turned_at = now
+        if self._is_caught_up:
+            self._known_until = max(self._known_until, told_until)
+
+    def record_answer(self, asked_at: float, now: float) -> None:
+        """Record that the changes up to the time of a call are known."""
+        self._notice_late(now)
+        self._known_until = max(self._known_until, asked_at)
+        if asked_at >= self._late_at:
+            self._is_caught_up = True
+            self._settle()
+
+    def record_failure(self, asked_at: float, now: float) -> None:
+        """Record that a call got no answer: it showed nothing while it waited.
+
+        After one that was sent since the last late turn, requests do not wait
+        for the store any more.
+        """
+        self._notice_late(now)
+        self._is_caught_up = False
+        self._known_until = min(self._known_until, asked_at)
+        if asked_at >= self._late_at:
+            self._settle()
+
+    def age(self, now: float) -> float:
+        """Return the age of the knowledge in seconds."""
+        self._notice_late(now)
+        return now - self._known_until
+
+    def logged_age(self, now: float) -> float | None:
+        """Return the age for the log; None if nothing is known."""
+        age = self.age(now)
+        return round(age, 3) if math.isfinite(age) else None
+
+    def is_current(self, now: float) -> bool:
+        """Return whether all changes that must be in force are known."""
+        return self.age(now) <= MAX_AGE_SECONDS
+
+    async def settle(self, now: float) -> bool:
+        """Wait for the check after a late turn, if the knowledge is old.
+
+        Returns whether the store has answered, or is known not to answer.
+        """
+        if not self.is_current(now):
+            with trio.move_on_after(SETTLE_SECONDS):
+                await self.settled.wait()
+        return self.settled.is_set() or self.is_current(trio.current_time())
+
+    def _notice_late(self, now: float) -> None:
+        if self._turned_at is None or now - self._turned_at <= MAX_TURN_SECONDS:
+            return
+        log_event('store.unread', seconds=round(now - self._turned_at, 3))
+        self._turned_at = now
+        self._late_at = now
+        self._is_caught_up = False
+        if self.settled.is_set():
+            self.settled = trio.Event()
+            self.late.set()
+
+    def _settle(self) -> None:
+        self.settled.set()
+        if self.late.is_set():
+            self.late = trio.Event()
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -6,6 +6,7 @@
 from peridotwell.fleet.relays.forwarding_state import ForwardingState
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_check import StoreCheck
 from peridotwell.fleet.replica.store_follower import StoreFollower
 from peridotwell.fleet.replica.version_record import VersionRecordWriter
 from peridotwell.fleet.transport.frames import Hello
@@ -51,6 +52,7 @@
     update_exchange: UpdateExchange
     directory: ServiceDirectory
     follower: StoreFollower
+    store_check: StoreCheck
     registration: RouterRegistration
     version_record: VersionRecordWriter
     clients: TargetClients
@@ -95,6 +97,7 @@
             metrics,
             update_exchange.relay_protocol.must_follow_store,
         ),
+        store_check=StoreCheck(store, directory, metrics),
         registration=RouterRegistration(
             store,
             peers.own,
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -41,6 +41,7 @@
         nursery.start_soon(self._run_once, components.recovery.run)
         for period, task in (
             (0, components.follower.run),
+            (0, components.store_check.run),
             (0, components.forwarding.crash_tracker.run),
             (0, components.forwarding.silence_limits.run),
             (0, components.forwarding.prober.run),
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -123,6 +123,7 @@
         with trio.move_on_after(STARTUP_WAIT_SECONDS):
             await self._directory.ready.wait()
         try:
+            await self._require_settled()
             request = await read(
                 exchange,
                 self._components.caller_adapter,
@@ -140,6 +141,19 @@
             self._metrics.count('request.caller_left')
             log_event('request.caller_left', request=request.request_id)
 
+    async def _require_settled(self) -> None:
+        """Let this router read first what has changed while it was late.
+
+        Raises NotConfigured if the store has not answered yet: this router may
+        lack a change that forbids the request.
+        """
+        if not await self._directory.freshness.settle(trio.current_time()):
+            raise NotConfigured(
+                'This instance may lack the latest configuration: send the '
+                'request again.',
+                retry_after_seconds=NOT_READY_RETRY_AFTER_SECONDS,
+            )
+
     def _unless_outdated(self, error: RequestError, now: float) -> RequestError:
         """Return an error, or one that lets the caller try another router.
 
@@ -147,7 +161,7 @@
         the configuration in force.
         """
         may_be_outdated = isinstance(error, UnknownPath | UnknownCredential)
-        if not may_be_outdated or self._update_exchange.is_current(now):
+        if not may_be_outdated or self._directory.freshness.is_current(now):
             return error
         return NotConfigured(
             f'{error} This instance may lack the latest configuration: send '
--- /dev/null
+++ b/tests/fleet/replica/test_store_freshness.py
@@ -0,0 +1,100 @@
+"""Tests of the age of what a router knows of the store."""
+
+import math
+
+import pytest
+import trio
+
+from peridotwell.fleet.replica.store_freshness import (
+    MAX_AGE_SECONDS,
+    SETTLE_SECONDS,
+    StoreFreshness,
+)
+
+STALL_SECONDS = 2.0
+
+
+def make_watched(now):
+    """Return the knowledge of a router with a watch, up to a time."""
+    freshness = StoreFreshness()
+    freshness.record_answer(now - 1, now - 1)
+    take_turns(freshness, now - 1, now)
+    return freshness
+
+
+def take_turns(freshness, start, end):
+    for step in range(round((end - start) * 10) + 1):
+        now = start + step / 10
+        freshness.record_turn(now, now)
+
+
+def test_a_silent_watch_shows_that_nothing_has_changed():
+    freshness = make_watched(10)
+    take_turns(freshness, 10, 20)
+    assert freshness.age(20) == 0
+    assert freshness.is_current(20)
+
+
+def test_without_a_watch_the_knowledge_ages():
+    freshness = make_watched(10)
+    for step in range(20):
+        freshness.record_turn(10 + step / 10, -math.inf)
+    assert freshness.is_current(10 + MAX_AGE_SECONDS)
+    assert not freshness.is_current(10.1 + MAX_AGE_SECONDS)
+
+
+# Guards against a router that takes itself to be current right after it stood
+# still, because nothing tells how old its knowledge is.
+def test_after_a_late_turn_only_an_answer_to_a_later_call_counts():
+    freshness = make_watched(10)
+    now = 10 + STALL_SECONDS
+    assert not freshness.is_current(now)
+    assert freshness.late.is_set()
+    freshness.record_turn(now, now)
+    # The watch was sent before.
+    freshness.record_answer(9.5, now)
+    assert not freshness.is_current(now)
+    assert not freshness.settled.is_set()
+    freshness.record_answer(now, now + 0.01)
+    assert freshness.is_current(now + 0.01)
+    assert freshness.settled.is_set()
+    assert not freshness.late.is_set()
+
+
+def test_a_lost_watch_showed_nothing_while_it_waited():
+    freshness = make_watched(10)
+    freshness.record_failure(8, 10)
+    take_turns(freshness, 10, 10.5)
+    assert freshness.age(10.5) == 2.5
+    freshness.record_answer(10.5, 10.6)
+    freshness.record_turn(10.7, 10.7)
+    assert freshness.age(10.7) == 0
+
+
+async def test_requests_wait_for_the_answer_after_a_late_turn(autojump_clock):
+    now = trio.current_time()
+    freshness = make_watched(now - STALL_SECONDS)
+
+    async def answer():
+        await trio.sleep(0.1)
+        freshness.record_answer(now, trio.current_time())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(answer)
+        assert await freshness.settle(now)
+    assert trio.current_time() - now == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize('fails', [False, True])
+async def test_requests_do_not_wait_long_for_a_store_that_is_away(
+    autojump_clock, fails
+):
+    now = trio.current_time()
+    freshness = make_watched(now - STALL_SECONDS)
+    if fails:
+        # Known not to answer: the router serves with what it knows.
+        freshness.record_failure(now, now)
+    assert await freshness.settle(now) is fails
+    waited = trio.current_time() - now
+    assert waited == pytest.approx(0 if fails else SETTLE_SECONDS)
+    assert not freshness.is_current(trio.current_time())
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -368,7 +368,7 @@
     refused = [each for each in lines if each['event'] == 'request.refused']
     assert refused[-1]['follows_store']
     assert 0 <= refused[-1]['store_answer_age'] < 3
-    assert 0 <= refused[-1]['turn_age'] < 1
+    assert 0 <= refused[-1]['knowledge_age'] < 1
 
 
 # Guards against callers that are told for good that their route or key does not
--- /dev/null
+++ b/tests/processes/test_late_processes.py
@@ -0,0 +1,192 @@
+"""Router processes that stand still, and what they answer when they go on.
+
+A process that is short of processor time reads late what has arrived. What was
+confirmed two seconds before a request was sent holds for that request, however
+late it is read.
+"""
+
+import signal
+from contextlib import suppress
+from dataclasses import dataclass, field
+from functools import partial
+
+import h11
+import msgspec
+import trio
+
+from tests.peridotwell_platform.stand_in import route
+from tests.soak import cluster as soak_cluster
+
+# Time in which a confirmed change must be in force.
+IN_FORCE_SECONDS = 2.0
+SERVING_SECONDS = 20
+ROUNDS = 3
+ROUTERS = 4
+REQUESTS = 4
+ANSWER_SECONDS = 4
+OK = 200
+UNKNOWN_KEY = 401
+UNKNOWN_PATH = 404
+
+
+@dataclass(frozen=True)
+class Probe:
+    """A request, and the statuses that only an older configuration gives."""
+
+    path: str
+    key: str
+    outdated: frozenset[int]
+
+
+@dataclass
+class Versions:
+    """Writes versions that each have a route and a key of their own."""
+
+    cluster: soak_cluster.SoakCluster
+    number: int = 0
+    probes: tuple[Probe, ...] = field(default=())
+
+    def write(self) -> None:
+        """Write the next version; `probes` tell it from the one before."""
+        self.number += 1
+        document = {
+            'version': 100 + self.number,
+            'routes': [
+                *soak_cluster.ROUTES,
+                route(f'new{self.number}', 'idempotent'),
+            ],
+            'services': [{'name': 'svc', 'max_conns': 100}],
+            'tenants': [
+                {
+                    'name': 'tenant-1',
+                    'api_keys': ['key-1', f'new-key{self.number}'],
+                }
+            ],
+        }
+        self.cluster.store.put('op/config', msgspec.json.encode(document))
+        last = self.number - 1
+        refusals = frozenset((UNKNOWN_KEY, UNKNOWN_PATH))
+        self.probes = (
+            Probe(f'new{self.number}', 'key-1', refusals),
+            Probe('read', f'new-key{self.number}', refusals),
+            Probe(f'new{last}', 'key-1', frozenset((OK,))),
+            Probe('read', f'new-key{last}', frozenset((OK,))),
+        )
+
+
+class Connection:
+    """A caller's connection, for which a process that stands still is open."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    async def send(self, probe: Probe, request_id: str) -> None:
+        """Send a whole request."""
+        request = h11.Request(
+            method='GET',
+            target=f'/{probe.path}/x',
+            headers=[
+                ('host', 'a.example'),
+                ('x-request-id', f'{request_id}-read'),
+                ('x-credential', probe.key),
+                ('x-deadline-ms', '3000'),
+            ],
+        )
+        await self._stream.send_all(
+            self._protocol.send(request)
+            + self._protocol.send(h11.EndOfMessage())
+        )
+
+    async def status(self) -> int:
+        """Return the status of the answer, 0 without one."""
+        while True:
+            event = self._protocol.next_event()
+            if isinstance(event, h11.Response):
+                return event.status_code
+            if isinstance(event, h11.ConnectionClosed):
+                return 0
+            if event is h11.NEED_DATA:
+                self._protocol.receive_data(await self._stream.receive_some())
+
+
+async def connect(router) -> Connection:
+    host, _, port = router.address.rpartition(':')
+    return Connection(await trio.open_tcp_stream(host, int(port)))
+
+
+async def ask(cluster, router, probe, request_id, answers, sent=None) -> None:
+    """Send a probe and add its status to the answers."""
+    cluster.checker.record_sent(f'{request_id}-read', may_repeat=True)
+    cluster.notices.record_sent(
+        f'{request_id}-read', router, trio.current_time()
+    )
+    cluster.brittle.record_sent(f'{request_id}-read', router)
+    connection = await connect(router)
+    await connection.send(probe, request_id)
+    if sent is not None:
+        sent.release()
+    with trio.move_on_after(ANSWER_SECONDS):
+        answers.append((probe, await connection.status()))
+
+
+async def wait_until_serving(cluster, probe) -> None:
+    for router in cluster.routers:
+        answers: list[tuple[Probe, int]] = []
+        with trio.fail_after(SERVING_SECONDS):
+            while not answers or answers[-1][1] != OK:
+                with suppress(OSError):
+                    await ask(cluster, router, probe, 'first', answers)
+                await trio.sleep(0.05)
+
+
+async def stand_still(cluster, versions, number, answers) -> None:
+    """Let all routers stand still while a version is confirmed."""
+    for router in cluster.routers:
+        router.signal(signal.SIGSTOP)
+    versions.write()
+    await trio.sleep(IN_FORCE_SECONDS)
+    sent = trio.Semaphore(0)
+    async with trio.open_nursery() as asking:
+        for router in cluster.routers:
+            for index in range(REQUESTS):
+                for place, probe in enumerate(versions.probes):
+                    request_id = f'{router.name}-{number}-{index}-{place}'
+                    asking.start_soon(
+                        ask, cluster, router, probe, request_id, answers, sent
+                    )
+        for _ in range(ROUTERS * REQUESTS * len(versions.probes)):
+            await sent.acquire()
+        for router in cluster.routers:
+            router.signal(signal.SIGCONT)
+
+
+async def run_rounds(folder, routers) -> list[tuple[Probe, int]]:
+    """Let routers stand still some times; return the answers."""
+    answers: list[tuple[Probe, int]] = []
+    async with trio.open_nursery() as nursery:
+        cluster = await soak_cluster.start_cluster(nursery, folder, routers, 2)
+        try:
+            versions = Versions(cluster)
+            versions.write()
+            await wait_until_serving(cluster, versions.probes[0])
+            for number in range(ROUNDS):
+                await trio.sleep(1)
+                await stand_still(cluster, versions, number, answers)
+        finally:
+            cluster.kill_routers()
+        nursery.cancel_scope.cancel()
+    return answers
+
+
+# Guards against a router that answers by an older configuration, because it
+# reads requests before the change that has arrived, or that it must ask for.
+def test_a_router_that_stood_still_decides_by_the_confirmed_version(tmp_path):
+    answers = trio.run(partial(run_rounds, tmp_path, ROUTERS))
+    outdated = [
+        (probe.path, probe.key, status)
+        for probe, status in answers
+        if status in probe.outdated
+    ]
+    assert not outdated, f'{len(outdated)} of {len(answers)}'
+    assert len(answers) == ROUNDS * ROUTERS * REQUESTS * 4
