--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -137,9 +137,20 @@
         """Send the next update as soon as its minimum interval allows."""
         self.has_updates.set()
 
-    def is_current(self, now: float) -> bool:
-        """Return whether this router knows what the store has said lately."""
-        return self.relay_protocol.is_current(now)
+    def knowledge_log_fields(self, now: float) -> dict[str, object]:
+        """Return the log fields for how late this router hears of changes.
+
+        These are ages in seconds: of the store's last answer, of this router's
+        updates when they return from its relay, and of what it knows; None
+        before the first.
+        """
+        directory = self.state.directory
+        return {
+            'follows_store': self.relay_protocol.must_follow_store(now),
+            'store_answer_age': directory.store_contact.answer_age(now),
+            'update_delay': round(self.update_delay.seconds(now), 3),
+            'knowledge_age': directory.freshness.logged_age(now),
+        }
 
     def router_count(self) -> int:
         """Return the number of routers, this one included.
@@ -168,6 +179,9 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
+        self.state.directory.freshness.record_turn(
+            now, self.relay_protocol.told_until(now)
+        )
         self.state.directory.remove_expired(now)
         self._set_sharing_routers()
         if now - self._sent_at >= self._update_interval(now):
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -18,6 +18,7 @@
     StoreContact,
     StoreContactReport,
 )
+from peridotwell.fleet.replica.store_freshness import StoreFreshness
 from peridotwell.fleet.replica.store_replica import StoreReplica
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
@@ -31,14 +32,16 @@
 from peridotwell.store.change_feed import Changes, Snapshot
 from peridotwell.store.revisions import era_of, is_of_later_era
 
-__all__ = ('ServiceDirectory',)
+__all__ = ('EntrySource', 'ServiceDirectory')
 
 
-class _Source(Enum):
-    """Who has told a change."""
+class EntrySource(Enum):
+    """From where an entry was taken."""
 
-    store = 'store'
-    peer = 'peer'
+    store_changes = 'store changes'
+    store_snapshot = 'store snapshot'
+    peer_changes = 'peer changes'
+    peer_snapshot = 'peer snapshot'
 
 
 class ServiceDirectory:
@@ -52,6 +55,8 @@
         self.table_loaded_at = float(0)
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
+        # When the watch began that waits for the store's changes, or None.
+        self.watched_since: float | None = None
         # The last revision read from the store's change feed.
         self.feed_revision = 0
         # The last known revision, from the store or from a peer.
@@ -69,6 +74,7 @@
         self._targets_by_id: dict[int, Target] = {}
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
+        self.freshness = StoreFreshness()
         self._departed = DepartedTargets()
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -101,7 +107,7 @@
         """Apply a snapshot of the store."""
         self.store_contact.record_answer(now)
         self.feed_revision = max(self.feed_revision, snapshot.revision)
-        self._apply_all_entries(snapshot, _Source.store, now)
+        self._apply_all_entries(snapshot, EntrySource.store_snapshot, now)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
@@ -109,9 +115,9 @@
         # Of several versions of a large configuration, only the last valid
         # one is decoded.
         for entry in reversed(changes.entries):
-            self._apply_entry(entry, _Source.store, now)
+            self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
-            self._apply_deletion(key, revision, _Source.store, now)
+            self._apply_deletion(key, revision, EntrySource.store_changes, now)
         self.feed_revision = max(self.feed_revision, changes.revision)
         self._finish_changes(changes.revision, now)
 
@@ -129,11 +135,11 @@
         for entry in entries:
             if entry.value is None:
                 self._apply_deletion(
-                    entry.key, entry.revision, _Source.peer, now
+                    entry.key, entry.revision, EntrySource.peer_changes, now
                 )
             else:
                 store_entry = Entry(entry.key, entry.value, entry.revision)
-                self._apply_entry(store_entry, _Source.peer, now)
+                self._apply_entry(store_entry, EntrySource.peer_changes, now)
         self._finish_changes(revision, now)
 
     def apply_peer_snapshot(
@@ -149,7 +155,7 @@
             if entry.value is not None
         )
         self._apply_all_entries(
-            Snapshot(store_entries, revision), _Source.peer, now
+            Snapshot(store_entries, revision), EntrySource.peer_snapshot, now
         )
 
     def handle_store_contact(
@@ -177,7 +183,7 @@
             self._rebuild_indexes()
 
     def _apply_all_entries(
-        self, snapshot: Snapshot, source: _Source, now: float
+        self, snapshot: Snapshot, source: EntrySource, now: float
     ) -> None:
         missing = self.replica.keys_missing_from(snapshot)
         if self.is_loaded and is_of_later_era(
@@ -205,10 +211,12 @@
         if self.table is not None:
             self.ready.set()
 
-    def _apply_entry(self, entry: Entry, source: _Source, now: float) -> None:
+    def _apply_entry(
+        self, entry: Entry, source: EntrySource, now: float
+    ) -> None:
         is_table = self._decoder.is_table(entry.key)
         if is_table:
-            self._apply_table(entry, now)
+            self._apply_table(entry, source, now)
         if not self.replica.is_newer(entry):
             return
         if self._decoder.is_target(entry.key):
@@ -221,7 +229,9 @@
         self._has_changed = True
         self.replica.put(entry)
 
-    def _apply_table(self, entry: Entry, now: float) -> None:
+    def _apply_table(
+        self, entry: Entry, source: EntrySource, now: float
+    ) -> None:
         in_force = self.table.revision if self.table else 0
         if entry.revision <= in_force or self.replica.has_version(entry):
             return
@@ -243,9 +253,12 @@
             version=table.version,
             revision=table.revision,
             routes=len(table.routes),
+            source=source.value,
         )
 
-    def _apply_target(self, entry: Entry, source: _Source, now: float) -> None:
+    def _apply_target(
+        self, entry: Entry, source: EntrySource, now: float
+    ) -> None:
         self.deferred_removals.cancel(entry.key)
         try:
             target = self._decoder.decode_target(entry.key, entry.value)
@@ -276,7 +289,7 @@
         )
 
     def _apply_deletion(
-        self, key: str, revision: int, source: _Source, now: float
+        self, key: str, revision: int, source: EntrySource, now: float
     ) -> None:
         is_table = self._decoder.is_table(key)
         if is_table or not self.replica.is_newer_deletion(key, revision):
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -113,6 +113,18 @@
     assert directory.table.version == 4
 
 
+def test_log_tells_from_where_a_table_was_taken(caplog):
+    caplog.set_level(logging.INFO, 'peridotwell')
+    directory = loaded_directory()
+    apply_changes(directory, entry('table', b'2', 5))
+    directory.apply_peer_changes([SharedEntry('table', 6, b'3')], 6, 2)
+    directory.apply_peer_snapshot([SharedEntry('table', 7, b'4')], 7, 3)
+    lines = [record.msg for record in caplog.records]
+    assert [
+        line['source'] for line in lines if line['event'] == 'table.taken'
+    ] == ['store snapshot', 'store changes', 'peer changes', 'peer snapshot']
+
+
 def test_stale_snapshot_does_not_restore_a_deleted_target():
     directory = loaded_directory()
     apply_changes(directory, deleted=(('t/x', 6),))
@@ -387,4 +399,7 @@
         for each in caplog.records
         if each.msg['event'] == 'target.doubted'
     ]
-    assert doubted == [('t/x', 'store', 1.5), ('t/y', 'peer', 1)]
+    assert doubted == [
+        ('t/x', 'store changes', 1.5),
+        ('t/y', 'peer changes', 1),
+    ]
