Measure: what a router process costs, by what it does

Processor time and calls of functions of a start, a second at rest, a request by kind, an event of a stream and a change of a large configuration, of a real router process under load from another one, with the pass-through of the same libraries beside it.

Handed over requests, updates and log lines stay in measure.handover_costs and measure.forwarding_costs. A second among 60 and 200 routers is not measured.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,4 @@
 measure: $(STAMP)
 	$(PYTHON) -m measure.run
 	$(PYTHON) -m measure.forwarding_costs
+	$(PYTHON) -m measure.process_costs
