A removal that a router doubts is told as a removal, not as a listed target

What callers saw: requests at a target that had been removed, without end, through routers that follow a relay.

Cause: after an outage a router keeps a removed target for 2.2 s and its entry as well. Both went to a router that asked: in a complete answer (EntriesPush) the entry counted and its removal was dropped, while the receiver took the sender's revision for its own. A router that follows its relay does not read the store as long as its revision is not behind, so it never heard of the removal. A relay's batch told the removal before the entry, with the same end for a target that the receiver had not known.

Why the fix works: an entry whose removal is known is told as removed only.

Class: what one router believes was told to another as what the store has said.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -231,7 +231,7 @@
             case UpdateBatch():
                 self._handle_batch(frame, now)
             case EntriesPull():
-                self.entry_sync.push_entries(frame)
+                self.entry_sync.push_entries(frame, now)
             case EntriesPush():
                 self.entry_sync.apply_entries(frame, now)
             case CachesPull():
--- a/peridotwell/fleet/replica/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -75,15 +75,9 @@
             and changes.base_revision <= known
             and len(patched) == len(changes.patches)
         )
-        if changes.removal_grace_seconds:
-            self._directory.deferred_removals.start_grace_period(
-                changes.removal_grace_seconds, now
-            )
-            log_event(
-                'removals.doubted',
-                source='relay',
-                seconds=round(changes.removal_grace_seconds, 3),
-            )
+        self._directory.store_contact.doubt_as_peer(
+            changes.removal_grace_seconds, now
+        )
         self._directory.apply_peer_changes(
             (*changes.entries, *patched),
             changes.revision if is_complete else known,
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -75,7 +75,7 @@
                 ahead=peer_ahead.version,
             )
 
-    def push_entries(self, pull: EntriesPull) -> None:
+    def push_entries(self, pull: EntriesPull, now: float) -> None:
         """Send a peer the entries that it lacks, the urgent ones first.
 
         A configuration among them takes up to a second on a slow link.
@@ -84,7 +84,7 @@
         directory = self._directory
         if peer is None or not directory.is_loaded:
             return
-        self._push_urgent_entries(pull, peer)
+        self._push_urgent_entries(pull, peer, now)
         is_complete = not directory.replica.has_all_deletions_since(
             pull.revision
         )
@@ -95,19 +95,32 @@
                 0 if is_complete else pull.revision
             ),
             is_complete,
+            directory.deferred_removals.remaining_seconds(now),
         )
         self._transport.send(peer.hello.peer_address, push)
 
-    def _push_urgent_entries(self, pull: EntriesPull, peer: Peer) -> None:
+    def _push_urgent_entries(
+        self, pull: EntriesPull, peer: Peer, now: float
+    ) -> None:
         """Send some entries ahead; the peer stays behind the others."""
         changed = self._directory.replica.changes_since(pull.revision)
         urgent = tuple(urgent_entries(changed))
         if 0 < len(urgent) < len(changed):
-            push = EntriesPush(self._own, pull.revision, urgent)
+            push = EntriesPush(
+                self._own,
+                pull.revision,
+                urgent,
+                removal_grace_seconds=(
+                    self._directory.deferred_removals.remaining_seconds(now)
+                ),
+            )
             self._transport.send(peer.hello.peer_address, push)
 
     def apply_entries(self, push: EntriesPush, now: float) -> None:
         """Apply the entries that a peer has sent."""
+        self._directory.store_contact.doubt_as_peer(
+            push.removal_grace_seconds, now
+        )
         if push.is_complete:
             self._directory.apply_peer_snapshot(
                 push.entries, push.revision, now
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -98,6 +98,17 @@
         has_returned = now - self._returned_at < REREGISTRATION_SECONDS
         self._start_anew(self._returned_at if has_returned else now, now)
 
+    def doubt_as_peer(self, seconds: float, now: float) -> None:
+        """Doubt removals for as long as the peer does that tells them.
+
+        An outage may have ended the leases, unless this router has been in
+        contact for some time.
+        """
+        if seconds <= 0 or self.report(now).shows_gone:
+            return
+        self._deferred_removals.start_grace_period(seconds, now)
+        log_event('removals.doubted', seconds=round(seconds, 3))
+
     def report(self, now: float) -> StoreContactReport:
         """Return what peers are told."""
         return StoreContactReport(
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -86,11 +86,14 @@
         return revision >= self._complete_since
 
     def changes_since(self, revision: int) -> tuple[SharedEntry, ...]:
-        """Return the changes after a revision, including deletions."""
+        """Return the changes after a revision, including deletions.
+
+        An entry that is kept although it was deleted counts as deleted.
+        """
         written = (
             SharedEntry(entry.key, entry.revision, entry.value)
             for entry in self._entries.values()
-            if entry.revision > revision
+            if entry.revision > revision and entry.key not in self._deleted
         )
         deleted = (
             SharedEntry(key, deleted_at, None)
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -265,7 +265,9 @@
         1,
     )
     second.inbox.clear()
-    second.sharing.entry_sync.push_entries(EntriesPull(first.hello.sender, 2))
+    second.sharing.entry_sync.push_entries(
+        EntriesPull(first.hello.sender, 2), 1
+    )
     urgent, everything = first.inbox
     assert len(urgent) < 100
     first.sharing.receive(urgent, 1)
