An answer that has arrived is read although the time for it has ended

Cause: a process that stands still in epoll_wait (SIGSTOP, a suspended machine) gets no events when it goes on if its timer has ended meanwhile, only the timer. The watch's answer lay in the socket, and the read was given up; so were the answers of targets. Class: a timer that ended during a standstill beats an event that came before.

Evidence: test_late_processes.py (2 s of SIGSTOP): store.lost and store.returned in the routers' logs before, none now; test_socket_network.py failed before.

Change: when the time of a read ends, it takes what the socket has. The store's client uses the same connections as the targets' clients.

--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -45,14 +45,20 @@
         self._stream = stream
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the bytes that arrive next, b'' at the end."""
+        """Return the bytes that arrive next, b'' at the end.
+
+        Bytes that have arrived are returned although the time has ended: a
+        process that stood still meanwhile learns of both at once.
+        """
         seconds = math.inf if timeout is None else timeout
         try:
             with trio.move_on_after(seconds):
                 return await self._read(max_bytes)
+            return os.read(self._stream.socket.fileno(), max_bytes)
+        except BlockingIOError as exc:
+            raise httpcore.ReadTimeout from exc
         except (OSError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
-        raise httpcore.ReadTimeout
 
     async def _read(self, max_bytes: int) -> bytes:
         while True:
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -7,6 +7,7 @@
 
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import StoreResponseLost, StoreUnavailable
+from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 
 __all__ = ('StoreHttpClient', 'decode_response')
@@ -29,6 +30,7 @@
             max_connections=max_connections,
             retries=0,
             socket_options=CLIENT_SOCKET_OPTIONS,
+            network_backend=SocketNetwork(),
         )
 
     async def send(
--- a/tests/processes/test_late_processes.py
+++ b/tests/processes/test_late_processes.py
@@ -8,10 +8,11 @@
 import signal
 from contextlib import suppress
 from dataclasses import dataclass, field
-from functools import partial
+from typing import NamedTuple
 
 import h11
 import msgspec
+import pytest
 import trio
 
 from tests.peridotwell_platform.stand_in import route
@@ -74,6 +75,13 @@
         )
 
 
+class StoodStill(NamedTuple):
+    """The answers of routers that stood still, and their log lines."""
+
+    answers: list[tuple[Probe, int]]
+    log_lines: list[str]
+
+
 class Connection:
     """A caller's connection, for which a process that stands still is open."""
 
@@ -161,8 +169,8 @@
             router.signal(signal.SIGCONT)
 
 
-async def run_rounds(folder, routers) -> list[tuple[Probe, int]]:
-    """Let routers stand still some times; return the answers."""
+async def run_rounds(folder, routers) -> StoodStill:
+    """Let routers stand still some times; return what was seen."""
     answers: list[tuple[Probe, int]] = []
     async with trio.open_nursery() as nursery:
         cluster = await soak_cluster.start_cluster(nursery, folder, routers, 2)
@@ -176,17 +184,42 @@
         finally:
             cluster.kill_routers()
         nursery.cancel_scope.cancel()
-    return answers
+    lines = [
+        line
+        for router in cluster.routers
+        for line in cluster.log_path(router).read_text().splitlines()
+    ]
+    return StoodStill(answers, lines)
+
+
+@pytest.fixture(scope='module')
+def stood_still(tmp_path_factory) -> StoodStill:
+    folder = tmp_path_factory.mktemp('routers')
+    return trio.run(run_rounds, folder, ROUTERS)
 
 
 # Guards against a router that answers by an older configuration, because it
 # reads requests before the change that has arrived, or that it must ask for.
-def test_a_router_that_stood_still_decides_by_the_confirmed_version(tmp_path):
-    answers = trio.run(partial(run_rounds, tmp_path, ROUTERS))
+def test_a_router_that_stood_still_decides_by_the_confirmed_version(
+    stood_still,
+):
     outdated = [
         (probe.path, probe.key, status)
-        for probe, status in answers
+        for probe, status in stood_still.answers
         if status in probe.outdated
     ]
-    assert not outdated, f'{len(outdated)} of {len(answers)}'
-    assert len(answers) == ROUNDS * ROUTERS * REQUESTS * 4
+    assert not outdated, f'{len(outdated)} of {len(stood_still.answers)}'
+    assert len(stood_still.answers) == ROUNDS * ROUTERS * REQUESTS * 4
+
+
+# Guards against an outage of the store that nobody had: the time of a watch
+# ended together with the standstill, and its answer was there.
+def test_a_router_that_stood_still_does_not_take_the_store_to_be_away(
+    stood_still,
+):
+    lost = [
+        line
+        for line in stood_still.log_lines
+        if '"store.lost"' in line or '"store.returned"' in line
+    ]
+    assert not lost
--- a/tests/serving/test_socket_network.py
+++ b/tests/serving/test_socket_network.py
@@ -56,6 +56,24 @@
         await near.write(bytes(LARGE_BYTES * 4), 0.05)
 
 
+# Guards against an answer that is lost because the process stood still until
+# its time had ended, and learns of both at once.
+async def test_bytes_that_have_arrived_are_read_although_the_time_has_ended(
+    pair, monkeypatch
+):
+    near, far = pair
+    await far.send_all(b'answer')
+    await trio.sleep(0.05)
+
+    async def wait_readable(_) -> None:
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(trio.lowlevel, 'wait_readable', wait_readable)
+    assert await near.read(100, 0.05) == b'answer'
+    with pytest.raises(httpcore.ReadTimeout):
+        await near.read(100, 0.05)
+
+
 async def test_a_reset_connection_is_an_error_of_the_network(pair):
     near, far = pair
     for option in CLIENT_SOCKET_OPTIONS:
