Header fields up to the configured limit may arrive in parts

What callers saw: 431 without a body, and no line in the router's log, for a request whose header fields are within the configured limit.

Cause: the HTTP library refuses on its own what exceeds 16 KiB while the end of the fields is still missing, whatever the configuration allows. Header fields that arrive whole pass, the same ones in two parts do not: so it depends on the network and on how late the router reads. Class: a limit of a library below the one that was promised.

Evidence: test_asgi.py, fields of 16,384 and of 200,000 bytes in four parts: refused before, served now.

--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -201,7 +201,9 @@
     def _apply_changes(self) -> None:
         directory = self._components.directory
         if directory.table is not None:
-            self._callers.set_idle_timeout(directory.table.limits.idle_seconds)
+            limits = directory.table.limits
+            self._callers.set_idle_timeout(limits.idle_seconds)
+            self._callers.set_header_limit(limits.header_bytes)
         self._components.update_exchange.discovery.add_peers(
             directory.routers()
         )
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -27,6 +27,10 @@
 __all__ = ('HttpExchange', 'HttpServer', 'serve_http')
 
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+DEFAULT_HEADER_LIMIT_BYTES = 16384
+# Room for the request line and the separators of header fields, which do not
+# count towards a limit on header fields.
+REQUEST_LINE_BYTES = 65536
 KEEP_ALIVE_SECONDS = 30
 # Time that sent data may stay unacknowledged before the connection is closed,
 # to detect within seconds that a caller is gone without having closed it.
@@ -208,6 +212,7 @@
         self._stop = ServerStop()
         self._app = ASGIWrapper(_Application(handler, self._stop))
         self._cfg = _server_config()
+        self.set_header_limit(DEFAULT_HEADER_LIMIT_BYTES)
         self._context = WorkerContext(None)
         self._connections = 0
 
@@ -220,6 +225,13 @@
         """Set how long connections may stay idle, in seconds."""
         self._cfg.keep_alive_timeout = seconds
 
+    def set_header_limit(self, limit_bytes: int) -> None:
+        """Let new connections send header fields of this size.
+
+        The handler refuses larger ones with an answer that says so.
+        """
+        self._cfg.h11_max_incomplete_size = limit_bytes + REQUEST_LINE_BYTES
+
     def begin_stop(self) -> None:
         """Close each connection after the next response that starts on it."""
         self._stop.has_begun = True
--- a/tests/serving/test_asgi.py
+++ b/tests/serving/test_asgi.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 import httpcore
+import pytest
 import trio
 
 from peridotwell.serving.asgi import HttpServer, serve_http
@@ -49,6 +50,37 @@
     assert await fetch_body(address) == b'all of it'
 
 
+# Guards against a proper request that the server refuses on its own because its
+# header fields arrive in several parts.
+@pytest.mark.parametrize('limit_bytes', [16_384, 200_000])
+async def test_header_fields_up_to_the_limit_may_arrive_in_parts(
+    nursery, limit_bytes
+):
+    async def handle(exchange):
+        await exchange.respond(200, exchange.headers['x-last'].encode())
+
+    server = HttpServer(handle)
+    server.set_header_limit(limit_bytes)
+    address = await nursery.start(
+        partial(server.run, '127.0.0.1:0', shutdown=trio.sleep_forever)
+    )
+    # Separators do not count towards the limit.
+    fields = b''.join(
+        b'X-%05d: %b\r\n' % (number, b'v' * 91)
+        for number in range(limit_bytes // 100)
+    )
+    host, _, port = address.rpartition(':')
+    stream = await trio.open_tcp_stream(host, int(port))
+    for part in (b'GET / HTTP/1.1\r\nHost: a\r\n', fields, b'X-Last: yes\r\n'):
+        await stream.send_all(part)
+        await trio.sleep(0.05)
+    await stream.send_all(b'\r\n')
+    with trio.fail_after(2):
+        received = await stream.receive_some()
+    assert received.startswith(b'HTTP/1.1 200')
+    assert received.endswith(b'yes')
+
+
 # Guards against callers who are not told that a server that stops closes their
 # connection, whichever of the two request paths serves them.
 async def test_responses_that_start_during_a_stop_close_their_connections(
