Logs tell how a response came, and each error response of a target

An error response after which another target was asked left no line at all.

`request.answered` now has `body_bytes` and `earlier_requests` (on the connection to the target, 0 for a new one), and `attempt.error_response` names the request, the target, the attempt and the status.

The tests of both failed before: the fields and the line did not exist.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -29,7 +29,7 @@
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.policy.choice import Choice
-from peridotwell.serving.target_response import BodyEnd, TargetResponse
+from peridotwell.serving.target_response import ResponseOrigin, TargetResponse
 
 __all__ = (
     'SUCCESSES',
@@ -54,7 +54,7 @@
     fields: HeaderFields
     body: bytes
     choice: Choice
-    body_end: BodyEnd
+    origin: ResponseOrigin
 
     @property
     def is_failure(self) -> bool:
@@ -148,7 +148,7 @@
                 self._adapter.caller_fields(response),
                 body,
                 attempt.choice,
-                response.body_end,
+                response.origin,
             )
         self._dispatcher.record_completion(attempt, buffered.status)
         return buffered
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -156,6 +156,8 @@
             return
         self._crash_tracker.clear(attempt.request)
         name = attempt.target.name
+        if status >= FIRST_SERVER_ERROR:
+            _log_error_response(attempt, status)
         if not is_target_error(status):
             self._tracker.ejection.record_success(name)
         elif self._tracker.ejection.record_error_response(
@@ -298,6 +300,16 @@
     )
 
 
+def _log_error_response(attempt: Attempt, status: int) -> None:
+    log_failure(
+        'attempt.error_response',
+        request=attempt.request.request_id,
+        target=attempt.target.name,
+        attempt=attempt.number,
+        status=status,
+    )
+
+
 def is_target_error(status: int) -> bool:
     """Return whether a status reports an error of the target.
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -212,7 +212,8 @@
                     stream.status,
                     stream.choice,
                     stream.first_part_at,
-                    stream.body_end,
+                    stream.origin,
+                    stream.body_bytes,
                 ),
             )
             return error_response
@@ -229,7 +230,8 @@
                 response.status,
                 response.choice,
                 trio.current_time(),
-                response.body_end,
+                response.origin,
+                len(response.body),
             ),
         )
         return response
--- a/peridotwell/forwarding/response_recorder.py
+++ b/peridotwell/forwarding/response_recorder.py
@@ -10,7 +10,7 @@
 from peridotwell.metrics import Measure, Metrics, Series
 from peridotwell.policy.choice import Choice
 from peridotwell.policy.update_delay import UpdateDelay
-from peridotwell.serving.target_response import BodyEnd
+from peridotwell.serving.target_response import ResponseOrigin
 
 __all__ = ('ResponseRecorder', 'ResponseSummary')
 
@@ -22,7 +22,8 @@
     status: int
     choice: Choice | None
     first_part_at: float
-    body_end: BodyEnd | None
+    origin: ResponseOrigin | None
+    body_bytes: int
 
 
 class ResponseRecorder:
@@ -37,6 +38,7 @@
     ) -> None:
         """Record a response that took a number of attempts."""
         choice = response.choice
+        origin = response.origin
         first_part_seconds = response.first_part_at - request.arrived_at
         now = trio.current_time()
         total_seconds = now - request.arrived_at
@@ -59,7 +61,9 @@
             tokens_ahead=choice.tokens_ahead if choice else 0,
             update_delay=round(self._update_delay.seconds(now), 3),
             status=response.status,
-            body_end=response.body_end.value if response.body_end else '',
+            body_end=origin.body_end.value if origin else '',
+            body_bytes=response.body_bytes,
+            earlier_requests=origin.earlier_requests if origin else 0,
             attempts=attempts,
             first_seconds=round(first_part_seconds, 4),
             whole_seconds=round(total_seconds, 4),
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -32,7 +32,7 @@
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.stream_head import StreamHead
-from peridotwell.serving.target_response import BodyEnd, TargetResponse
+from peridotwell.serving.target_response import ResponseOrigin, TargetResponse
 
 __all__ = ('StreamBroken', 'StreamForwarder')
 
@@ -66,7 +66,8 @@
     ) -> None:
         self.choice: Choice | None = None
         self.status = 0
-        self.body_end: BodyEnd | None = None
+        self.origin: ResponseOrigin | None = None
+        self.body_bytes = 0
         self.first_part_at = float(0)
         self._request = request
         self._caller_response = caller_response
@@ -172,7 +173,7 @@
                 self._head.check_continuation(response)
             check_response(response, self._adapter)
             self.status = response.status
-            self.body_end = response.body_end
+            self.origin = response.origin
             if response.status not in SUCCESSES:
                 return await self._error_response(response, attempt)
             await self._forward_events(response, attempt)
@@ -187,10 +188,11 @@
     ) -> BufferedResponse:
         body = await response.read_body(require_end_marker=False)
         self.first_part_at = trio.current_time()
+        self.body_bytes = len(body)
         self._dispatcher.record_completion(attempt, response.status)
         fields = self._adapter.caller_fields(response)
         return BufferedResponse(
-            response.status, fields, body, attempt.choice, response.body_end
+            response.status, fields, body, attempt.choice, response.origin
         )
 
     async def _forward_events(
@@ -213,6 +215,7 @@
                         self._adapter.caller_fields(response),
                     )
                 self._dispatcher.record_event(attempt)
+                self.body_bytes += len(part)
                 await self._caller_response.send_part(part)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -195,7 +195,7 @@
                 or EventLimit(response_timeouts.silence_seconds),
             )
             refusal = self._reader.refusal_reason(response)
-            self._ownership.check(
+            response.earlier_requests = self._ownership.check(
                 resp,
                 _request_id(request),
                 self._reader.request_id(response),
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator, Mapping
+from dataclasses import dataclass
 from enum import Enum
 
 import httpcore
@@ -14,7 +15,7 @@
     whole_events,
 )
 
-__all__ = ('BodyEnd', 'ReadObserver', 'TargetResponse')
+__all__ = ('BodyEnd', 'ReadObserver', 'ResponseOrigin', 'TargetResponse')
 
 NO_BODY_STATUSES = frozenset((204, 304))
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -29,6 +30,18 @@
     connection = 'connection'
 
 
+@dataclass(frozen=True)
+class ResponseOrigin:
+    """How a response came: the mark of its end, and its connection.
+
+    `earlier_requests` is the number of requests that were sent on the
+    connection before.
+    """
+
+    body_end: BodyEnd
+    earlier_requests: int
+
+
 class ReadObserver(ABC):
     """Is told when data of a response body is waited for."""
 
@@ -48,6 +61,7 @@
     yields the body as it arrives, and raises ResponseTruncated or
     ResponseTimeout if it does not arrive completely. `event_limit` limits
     the wait for each event of a stream. `observer` is told of reads.
+    `earlier_requests` is the number of requests before on the connection.
     """
 
     def __init__(
@@ -60,6 +74,7 @@
         )
         self.headers: Mapping[str, str] = dict(self.fields)
         self.observer: ReadObserver | None = None
+        self.earlier_requests = 0
         self._resp = resp
         self._event_limit = event_limit
 
@@ -78,6 +93,11 @@
             return BodyEnd.length
         return BodyEnd.connection
 
+    @property
+    def origin(self) -> ResponseOrigin:
+        """How the response came."""
+        return ResponseOrigin(self.body_end, self.earlier_requests)
+
     async def body_chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the chunks of the body."""
         self._before_read()
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -9,7 +9,7 @@
 import trio
 from peridotwell_platform.headers import PlatformTargetAdapter
 
-from peridotwell.forwarding import response_recorder
+from peridotwell.forwarding import dispatch, response_recorder
 from peridotwell.metrics import Measure, Series
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
@@ -282,6 +282,44 @@
     assert not harness.router.metrics.sketch(series).count
 
 
+# Guards against logs that do not tell whether a response came on a connection
+# that had served others, or how much of it came.
+async def test_the_log_tells_how_a_response_came(harness, logged_events):
+    harness.store.delete('servers/i-2')
+    await trio.sleep(stand_in.SETTLE_SECONDS * 10)
+    for _ in range(2):
+        await harness.send_request('/read/x')
+        await harness.send_request('/ask/x', 'POST', b'q')
+    answered = [
+        (fields['earlier_requests'], fields['body_bytes'], fields['body_end'])
+        for name, fields in logged_events
+        if name.endswith('answered')
+    ]
+    assert answered == [
+        (0, len(b'done'), 'length'),
+        (1, len(b'data: done\n\n'), 'length'),
+        (2, len(b'done'), 'length'),
+        (3, len(b'data: done\n\n'), 'length'),
+    ]
+
+
+# Guards against error responses that leave no trace when another target is
+# asked after them.
+async def test_the_log_tells_each_error_response(harness, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        dispatch,
+        'log_failure',
+        lambda name, **fields: lines.append((name, fields)),
+    )
+    harness.script_responses(stand_in.respond_with_status(500))
+    resp = await harness.send_request('/read/x')
+    assert resp.status == 200
+    ((name, fields),) = lines
+    assert name == 'attempt.error_response'
+    assert (fields['status'], fields['attempt']) == (500, 1)
+
+
 async def test_request_to_a_silent_target_gets_504_at_the_deadline(harness):
     harness.script_responses(stand_in.never_respond)
     started_at = trio.current_time()
