A reset that a write finds out is no ordinary end of a response

Callers could get a cut response as a complete one: status 200, the receipt of the target, a part of the body. It was one whose end is marked by the end of its connection, which the target reset.

Cause: the system reports a reset to one call only. If that call is a write, the next read returns no bytes, as after an ordinary end. httpcore ignores the failure of a write, because a target may answer before it has read the whole request, and takes the end for that of the body. Two writes met it: - the rest of a long body, at any target that answers early; - the write of no bytes with which httpcore ends each request without a body. It came with the sockets of our own; httpcore's backend writes nothing then. It met a target that answers and resets within about 0.2 ms, or a router process that does not run for a moment between its two writes.

The connection now remembers the error of a write, and a read that finds the end raises it; no bytes are not written. A target that ended its side first (broken pipe) has sent its whole response.

The first two tests failed before (the read returned b''), the third guards the early answer and passed.

--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -39,21 +39,36 @@
 
 
 class _SocketStream(httpcore.AsyncNetworkStream):
-    """One connection."""
+    """One connection.
+
+    The system reports a reset to one call only. If that is a write, the reads
+    after it find an ordinary end: `_write_error` keeps what the write found.
+    """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
+        self._write_error: Exception | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the bytes that arrive next, b'' at the end."""
+        """Return the bytes that arrive next, b'' at the end.
+
+        Raises httpcore.ReadError if the connection broke, also if that was
+        found out by a write.
+        """
         seconds = math.inf if timeout is None else timeout
         try:
             with trio.move_on_after(seconds):
-                return await self._read(max_bytes)
+                received = await self._read(max_bytes)
+                self._check_end(received)
+                return received
         except (OSError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
         raise httpcore.ReadTimeout
 
+    def _check_end(self, received: bytes) -> None:
+        if not received and self._write_error is not None:
+            raise httpcore.ReadError(str(self._write_error))
+
     async def _read(self, max_bytes: int) -> bytes:
         while True:
             await trio.lowlevel.wait_readable(self._stream.socket)
@@ -63,6 +78,9 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all bytes."""
+        # httpcore also writes the end of a body, which may be no bytes.
+        if not buffer:
+            return
         seconds = math.inf if timeout is None else timeout
         try:
             sent = write_now(self._stream, buffer)
@@ -72,6 +90,8 @@
                 await self._stream.send_all(buffer[sent:])
                 return
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            if not _is_after_end(exc):
+                self._write_error = exc
             raise httpcore.WriteError(str(exc)) from exc
         raise httpcore.WriteTimeout
 
@@ -137,6 +157,11 @@
         await trio.sleep(seconds)
 
 
+def _is_after_end(exc: Exception) -> bool:
+    """Return whether the peer ended its side before it refused the bytes."""
+    return isinstance(exc.__cause__, BrokenPipeError)
+
+
 def _ip_version(host: str) -> int | None:
     try:
         return ipaddress.ip_address(host).version
--- a/tests/serving/test_socket_network.py
+++ b/tests/serving/test_socket_network.py
@@ -1,5 +1,8 @@
 """Connections to targets on sockets: what httpcore expects of a network."""
 
+import socket
+import struct
+
 import httpcore
 import pytest
 import trio
@@ -11,6 +14,8 @@
 
 LOCALHOST = '127.0.0.1'
 LARGE_BYTES = 8_000_000
+# An active close with this option resets the connection.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 @pytest.fixture
@@ -67,6 +72,52 @@
         await near.write(b'late', 1)
 
 
+async def reset(stream):
+    """Reset a connection; what was sent before arrives first."""
+    await trio.sleep(0.02)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    await trio.aclose_forcefully(stream)
+    await trio.sleep(0.02)
+
+
+# Guards against cut responses that look complete: the system tells of a reset
+# once, and a write of nothing, which follows each request, took it.
+async def test_a_reset_is_seen_after_a_write_of_nothing(pair):
+    near, far = pair
+    await far.send_all(b'half')
+    await reset(far)
+    await near.write(b'', 1)
+    assert await near.read(100, 1) == b'half'
+    with pytest.raises(httpcore.ReadError):
+        await near.read(100, 1)
+
+
+# Guards against cut responses that look complete because the reset came while
+# the body of the request was sent: httpcore ignores the failure of a write.
+async def test_a_reset_is_seen_after_a_write_that_it_broke(pair, nursery):
+    near, far = pair
+    await far.send_all(b'half')
+    nursery.start_soon(reset, far)
+    with pytest.raises(httpcore.WriteError):
+        await near.write(bytes(LARGE_BYTES * 4), 5)
+    assert await near.read(100, 1) == b'half'
+    with pytest.raises(httpcore.ReadError):
+        await near.read(100, 1)
+
+
+# Guards against whole responses that count as cut because their target closed
+# the connection before it had read the whole request.
+async def test_an_end_before_a_reset_is_an_end(pair):
+    near, far = pair
+    await far.send_all(b'whole')
+    await far.send_eof()
+    await reset(far)
+    with pytest.raises(httpcore.WriteError):
+        await near.write(b'late', 1)
+    assert await near.read(100, 1) == b'whole'
+    assert not await near.read(100, 1)
+
+
 async def test_a_closed_connection_ends_a_waiting_read(pair, nursery):
     near, _ = pair
 
