Streams: no cancel scope for each read and each part

Each event opened two cancel scopes: one for a read without a time limit (the silence and the deadline of a request are limited elsewhere), and one that shields the sending of a part, which nearly always ends without waiting. A read without a limit opens none now. The connection shields a part only when it waits; it is told which send is a part of a body through the state of the ASGI scope. The start and the end of a response are shielded as before: hypercorn waits there.

New tests send a part in a handler that is cancelled before or while it is sent; both fail if the part is not shielded, or if the connection heeds the cancellation at its start.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -17,11 +17,14 @@
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
 from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.typing import ConnectionState
 
 from peridotwell.errors import RequestTooLarge
 from peridotwell.logs import log_event
-from peridotwell.serving.caller_connection import CallerConnection, ServerStop
+from peridotwell.serving.caller_connection import (
+    BodyPart,
+    CallerConnection,
+    ServerStop,
+)
 from peridotwell.serving.socket_options import keepalive_options
 
 __all__ = ('HttpExchange', 'HttpServer', 'serve_http')
@@ -67,6 +70,8 @@
         self._receive = receive
         self._send = send
         self._stop = stop
+        state = scope.get('state', {})
+        self._body_part: BodyPart = state.get('body_part') or BodyPart()
 
     def query(self, name: str, default: str = '') -> str:
         """Return the first query parameter called `name`, else `default`."""
@@ -128,14 +133,23 @@
         )
 
     async def write(self, chunk: bytes) -> None:
-        """Send a part of the response body."""
-        await self._send_message(
-            {
-                'type': 'http.response.body',
-                'body': chunk,
-                'more_body': True,
-            }
-        )
+        """Send a part of the response body.
+
+        It is sent as a whole though the handler is cancelled: see BodyPart.
+        """
+        self._body_part.is_next = True
+        try:
+            await self._send(
+                {
+                    'type': 'http.response.body',
+                    'body': chunk,
+                    'more_body': True,
+                }
+            )
+        except h11.LocalProtocolError as exc:
+            raise _closed_error(exc) from exc
+        finally:
+            self._body_part.is_next = False
 
     async def finish(self, chunk: bytes = b'') -> None:
         """Send the last part of the response body and end the response."""
@@ -182,9 +196,11 @@
             with trio.CancelScope(shield=True):
                 await self._send(message)
         except h11.LocalProtocolError as exc:
-            raise trio.ClosedResourceError(
-                f'the response cannot be written: {exc}'
-            ) from exc
+            raise _closed_error(exc) from exc
+
+
+def _closed_error(exc: h11.LocalProtocolError) -> trio.ClosedResourceError:
+    return trio.ClosedResourceError(f'the response cannot be written: {exc}')
 
 
 class _Application:
@@ -269,7 +285,6 @@
                 self._cfg,
                 self._context,
                 self._stop,
-                ConnectionState({}),
                 stream,
             )
         except Exception as exc:
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -14,7 +14,7 @@
 
 from peridotwell.serving.socket_network import write_now
 
-__all__ = ('CallerConnection', 'ServerStop')
+__all__ = ('BodyPart', 'CallerConnection', 'ServerStop')
 
 # Time in which a request that has arrived is read.
 READ_SECONDS = 0.02
@@ -35,6 +35,24 @@
     may_close: trio.Event = field(default_factory=trio.Event)
 
 
+@dataclass
+class BodyPart:
+    """Tells a connection that what it sends next is a part of a body.
+
+    A part is sent as a whole though its handler is cancelled. Most parts are
+    sent without waiting, so the connection opens a cancel scope only when it
+    waits, in place of one for each part.
+    """
+
+    is_next: bool = False
+
+    def take(self) -> bool:
+        """Return whether a part comes next, and expect none after it."""
+        is_next = self.is_next
+        self.is_next = False
+        return is_next
+
+
 class _IdleTask(TrioSingleTask):
     """Runs the task of an idle connection, of which there is one at a time.
 
@@ -78,11 +96,18 @@
         cfg: Config,
         context: WorkerContext,
         stop: ServerStop,
-        state: ConnectionState,
         stream: trio.SocketStream,
     ) -> None:
-        # The server names the type of encrypted connections only.
-        super().__init__(app, cfg, context, state, cast(Any, stream))
+        self._body_part = BodyPart()
+        # The server names the type of encrypted connections only. The state
+        # reaches the scope of each request.
+        super().__init__(
+            app,
+            cfg,
+            context,
+            ConnectionState({'body_part': self._body_part}),
+            cast(Any, stream),
+        )
         self.idle_task = _IdleTask()
         self._socket_stream = stream
         self._stop = stop
@@ -92,19 +117,27 @@
 
         What the socket takes at once, such as an event of a stream, is sent
         without a pass of the event loop. In a handler that was cancelled,
-        nothing is sent: hypercorn would send an error of its own.
+        nothing is sent but parts of a body that it has begun to send:
+        hypercorn would send an error of its own.
         """
-        if not isinstance(event, RawData) or self.send_lock.locked():
+        if not isinstance(event, RawData):
             await super().protocol_send(event)
             return
-        await trio.lowlevel.checkpoint_if_cancelled()
-        try:
-            sent = write_now(self._socket_stream, event.data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            await self.protocol.handle(Closed())
-            return
-        if sent < len(event.data):
-            await super().protocol_send(RawData(event.data[sent:]))
+        is_part = self._body_part.take()
+        if not self.send_lock.locked():
+            if not is_part:
+                await trio.lowlevel.checkpoint_if_cancelled()
+            try:
+                sent = write_now(self._socket_stream, event.data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                with trio.CancelScope(shield=is_part):
+                    await self.protocol.handle(Closed())
+                return
+            if sent == len(event.data):
+                return
+            event = RawData(event.data[sent:])
+        with trio.CancelScope(shield=is_part):
+            await super().protocol_send(event)
 
     async def _idle_timeout(self) -> None:
         """Close the connection after the idle time, or at a planned stop.
--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -12,7 +12,6 @@
 import socket
 import ssl
 from collections.abc import Iterable
-from contextlib import suppress
 from typing import Any
 
 import httpcore
@@ -38,6 +37,14 @@
         raise trio.BrokenResourceError(str(exc)) from exc
 
 
+def _read_now(descriptor: int, max_bytes: int) -> bytes | None:
+    """Return what has arrived, or None if nothing has."""
+    try:
+        return os.read(descriptor, max_bytes)
+    except BlockingIOError:
+        return None
+
+
 class _SocketStream(httpcore.AsyncNetworkStream):
     """One connection."""
 
@@ -46,20 +53,23 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the bytes that arrive next, b'' at the end."""
-        seconds = math.inf if timeout is None else timeout
         try:
-            with trio.move_on_after(seconds):
+            # A cancel scope costs as much as the rest of a read.
+            if timeout is None:
+                return await self._read(max_bytes)
+            with trio.move_on_after(timeout):
                 return await self._read(max_bytes)
         except (OSError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
         raise httpcore.ReadTimeout
 
     async def _read(self, max_bytes: int) -> bytes:
-        while True:
+        received = None
+        # A socket may be reported as readable and have nothing to read.
+        while received is None:
             await trio.lowlevel.wait_readable(self._stream.socket)
-            # A socket may be reported as readable and have nothing to read.
-            with suppress(BlockingIOError):
-                return os.read(self._stream.socket.fileno(), max_bytes)
+            received = _read_now(self._stream.socket.fileno(), max_bytes)
+        return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all bytes."""
--- a/tests/serving/test_asgi.py
+++ b/tests/serving/test_asgi.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 import httpcore
+import pytest
 import trio
 
 from peridotwell.serving.asgi import HttpServer, serve_http
@@ -67,3 +68,29 @@
         after = await pool.request('GET', f'http://{address}/')
     assert b'connection' not in dict(before.headers)
     assert dict(after.headers)[b'connection'] == b'close'
+
+
+# Guards against a body that lacks a part whose sending was cancelled, before it
+# began or while the caller did not read.
+@pytest.mark.parametrize('part_bytes', [9, 16_000_000])
+@pytest.mark.parametrize('cancel_after', [0, 0.05])
+async def test_part_of_body_is_sent_despite_cancellation(
+    nursery, part_bytes, cancel_after
+):
+    async def handle(exchange) -> None:
+        await exchange.start_response(200)
+        with trio.move_on_after(cancel_after):
+            await exchange.write(b'x' * part_bytes)
+        await exchange.finish(b'end')
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    host, port = address.split(':')
+    caller = await trio.open_tcp_stream(host, int(port))
+    async with caller:
+        await caller.send_all(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        await trio.sleep(0.2)
+        received = bytearray()
+        with trio.fail_after(10):
+            while not received.endswith(b'\r\n3\r\nend\r\n0\r\n\r\n'):
+                received += await caller.receive_some()
+    assert received.count(b'x') == part_bytes
