Soak: judge changes of the configuration, answers and leaving targets

Its callers never used a route or a key that was added or dropped, no target answered twice or late, no success was compared with what the target had answered, and no entry was removed without draining.

Now each version adds a route and a key and drops others. Callers ask for what was just added, just dropped or never there. Targets answer a second time up to a second late, break answers off, fail a part, are slow, start anew under their name and lose their entries while they serve on; they report themselves each second. The checks of before stay as they are, but for one: an answer that the target itself breaks off is not cut by a planned stop.

--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -72,7 +72,10 @@
     body_bytes = int(request_field(request, b'content-length: ') or b'0')
     missing = body_bytes - len(request.partition(HEAD_END)[2])
     while missing > 0:
-        missing -= len(await stream.receive_some(missing))
+        part = await stream.receive_some(missing)
+        if not part:
+            return b''
+        missing -= len(part)
     return request
 
 
--- /dev/null
+++ b/tests/soak/answer_rule.py
@@ -0,0 +1,68 @@
+"""Judges whether each answer is the whole answer of a run of its request."""
+
+import re
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from tests.soak.guarantees import FIRST_REDIRECT_STATUS, FIRST_SUCCESS_STATUS
+from tests.soak.records import Answered, Record, Replied, select
+
+__all__ = ('EVENTS_PER_STREAM', 'judge_answers')
+
+EVENTS_PER_STREAM = 4
+EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
+
+
+def judge_answers(records: Iterable[Record]) -> Iterator[str]:
+    """Yield the violations of MIXED."""
+    records = tuple(records)
+    replies: dict[str, list[Replied]] = defaultdict(list)
+    for reply in select(records, Replied):
+        replies[reply.request_id].append(reply)
+    for answer in select(records, Answered):
+        why = _find_fault(answer, replies[answer.request_id])
+        if why:
+            yield f'MIXED: {answer} {why}: {replies[answer.request_id]}'
+
+
+def _find_fault(answer: Answered, replies: list[Replied]) -> str:
+    if answer.named_id not in {'', answer.request_id}:
+        return 'names another request'
+    reply = next(
+        (each for each in replies if each.receipt == answer.receipt), None
+    )
+    is_success = _is_success(answer.status)
+    if reply is None:
+        return 'has no run' if is_success or answer.receipt else ''
+    if reply.status != answer.status:
+        return f'has another status than its run, {reply.status}'
+    if is_success and not _is_whole(answer, reply, replies):
+        return 'has not the whole body of its run'
+    return ''
+
+
+def _is_whole(answer: Answered, reply: Replied, replies: list[Replied]) -> bool:
+    if reply.is_whole and reply.body == answer.body:
+        return True
+    is_resumed = answer.request_id.endswith('-ask') and len(replies) > 1
+    return is_resumed and _is_joined(answer, replies)
+
+
+def _is_joined(answer: Answered, replies: list[Replied]) -> bool:
+    """Whether events of several runs make up one whole stream, in order."""
+    events = EVENT.findall(answer.body)
+    numbers = [int(number) for number, _ in events]
+    receipts = {
+        each.receipt.encode() for each in replies if _is_success(each.status)
+    }
+    end = b': %b\n\n' % answer.request_id.encode()
+    text = b''.join(b'id: %b\ndata: %b\n\n' % event for event in events)
+    return (
+        numbers == list(range(1, EVENTS_PER_STREAM + 1))
+        and {receipt for _, receipt in events} <= receipts
+        and answer.body == text + end
+    )
+
+
+def _is_success(status: int) -> bool:
+    return FIRST_SUCCESS_STATUS <= status < FIRST_REDIRECT_STATUS
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,11 +9,16 @@
 
 from tests.soak.cluster import DEADLINE_SECONDS, Router, SoakCluster
 from tests.soak.guarantees import Outcome
+from tests.soak.records import Answered, Sent, now
+from tests.soak.versions import BASE_KEY, Versions
 
 __all__ = ('Callers',)
 
 KINDS = ('read', 'book', 'draft', 'ask')
-REPEATABLE_KINDS = frozenset(('read', 'ask'))
+# Requests with routes and keys that are added and dropped, or never were.
+PROBE = 'probe'
+PROBE_SHARE = 0.3
+REPEATABLE_KINDS = frozenset(('read', 'ask', PROBE))
 MAX_PAUSE_SECONDS = 0.05
 # A caller gives up after this time without a response, long after the deadline.
 RESPONSE_TIMEOUT_SECONDS = DEADLINE_SECONDS + 4
@@ -25,6 +30,8 @@
     def __init__(self, cluster: SoakCluster, seed: int) -> None:
         self._cluster = cluster
         self._random = random.Random(f'callers {seed}')
+        self._probe_random = random.Random(f'probes {seed}')
+        self._versions = Versions(seed)
         self._request_numbers: Iterator[int] = itertools.count(1)
 
     async def run(self, router: Router) -> None:
@@ -46,6 +53,8 @@
         """Send requests on one connection until one gets no response."""
         while True:
             kind = self._random.choice(KINDS)
+            if self._probe_random.random() < PROBE_SHARE:
+                kind = PROBE
             outcome = await self._send(pool, router, kind)
             is_disturbed = router.disturbed_at >= outcome.sent_at - 1
             self._cluster.checker.record_outcome(
@@ -64,37 +73,65 @@
         self._cluster.checker.record_sent(
             request_id, may_repeat=kind in REPEATABLE_KINDS
         )
-        began = trio.current_time()
+        route, key = kind, BASE_KEY
+        if kind == PROBE:
+            route, key = self._versions.draw(self._cluster.version)
+        began = now()
+        sent = Sent(began, request_id, router.name, route, key)
+        self._cluster.records.append(sent)
         self._cluster.notices.record_sent(request_id, router, began)
         self._cluster.brittle.record_sent(request_id, router)
-        status, body, error = 0, b'', ''
-        try:
-            with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
-                resp = await pool.request(
-                    'POST',
-                    f'http://{router.address}/{kind}/x',
-                    headers=_request_headers(request_id),
-                    content=b'question',
-                )
-            status, body = resp.status, resp.content
-            self._cluster.notices.record_answer(request_id, trio.current_time())
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            error = 'unreachable'
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            error = 'cut'
-        except trio.TooSlowError:
-            error = 'silent'
-        took = trio.current_time() - began
+        resp, error = await _exchange(pool, router, sent)
+        if resp:
+            self._cluster.notices.record_answer(request_id, now())
+            self._record_answer(request_id, resp)
         return Outcome(
-            request_id, kind, router.name, began, took, status, body, error
+            request_id,
+            kind,
+            router.name,
+            began,
+            now() - began,
+            resp.status if resp else 0,
+            resp.content if resp else b'',
+            error,
         )
 
+    def _record_answer(self, request_id: str, resp) -> None:
+        fields = {name.lower(): value.decode() for name, value in resp.headers}
+        answer = Answered(
+            now(),
+            request_id,
+            resp.status,
+            fields.get(b'x-server-seal', ''),
+            resp.content,
+            fields.get(b'x-request-id', ''),
+        )
+        self._cluster.records.append(answer)
+
+
+async def _exchange(pool, router: Router, sent: Sent):
+    """Return the response, or None and what went wrong."""
+    url = f'http://{router.address}/{sent.route}/x'
+    fields = _request_headers(sent)
+    try:
+        with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
+            resp = await pool.request(
+                'POST', url, headers=fields, content=b'question'
+            )
+    except (httpcore.ConnectError, httpcore.ConnectTimeout):
+        return None, 'unreachable'
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return None, 'cut'
+    except trio.TooSlowError:
+        return None, 'silent'
+    return resp, ''
+
 
-def _request_headers(request_id: str) -> list[tuple[str, str]]:
+def _request_headers(sent: Sent) -> list[tuple[str, str]]:
     return [
         ('host', 'a.example'),
-        ('x-request-id', request_id),
-        ('x-credential', 'key-1'),
+        ('x-request-id', sent.request_id),
+        ('x-credential', sent.key),
         ('x-deadline-ms', str(int(DEADLINE_SECONDS * 1000))),
         ('content-length', '8'),
     ]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,13 +2,22 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
+from contextlib import ExitStack
 
 import trio
 
 from tests.soak.brittle import CONTACT_SECONDS
-from tests.soak.cluster import Router, SoakCluster, SoakTarget
+from tests.soak.cluster import Router, SoakCluster
 from tests.soak.proxy import FaultProxy
+from tests.soak.records import (
+    PathDisturbed,
+    RouterDisturbed,
+    StoreDisturbed,
+    now,
+)
+from tests.soak.target import SoakTarget
+from tests.soak.target_faults import TargetFaults
 
 __all__ = ('FaultInjector',)
 
@@ -30,31 +39,40 @@
 class FaultInjector:
     """Injects faults into a cluster; `injected` lists their names in order."""
 
-    def __init__(self, cluster: SoakCluster, seed: int) -> None:
+    def __init__(
+        self, cluster: SoakCluster, seed: int, without: Collection[str] = ()
+    ) -> None:
+        """Create an injector; `without` has the groups to leave out."""
         self.injected: list[str] = []
+        self._without = without
+        self._disturbed = cluster.disturbed
         self._cluster = cluster
         self._random = random.Random(f'faults {seed}')
         self._brittle_random = random.Random(f'brittle {seed}')
         self._cut_random = random.Random(f'cuts {seed}')
-        self._faults: tuple[Fault, ...] = (
-            self._kill_router,
-            self._stop_router,
-            self._pause_router,
-            self._delay_target,
-            self._hold_target_requests,
-            self._hold_target_responses,
-            self._reset_target_connections,
-            self._refuse_target_connections,
-            self._fail_target,
-            self._drain_target,
-            self._leave_by_answers,
-            self._ask_for_pauses,
-            self._name_limit,
-            self._disrupt_store,
-            self._forget_store_history,
-            self._restore_store,
-            self._change_configuration,
-            self._reload_router,
+        self._target_faults = TargetFaults(cluster, seed, MIN_TARGETS)
+        faults: tuple[tuple[str, Fault], ...] = (
+            ('routers', self._kill_router),
+            ('routers', self._stop_router),
+            ('routers', self._pause_router),
+            ('paths', self._delay_target),
+            ('paths', self._hold_target_requests),
+            ('paths', self._hold_target_responses),
+            ('paths', self._reset_target_connections),
+            ('paths', self._refuse_target_connections),
+            ('targets', self._fail_target),
+            ('targets', self._drain_target),
+            ('targets', self._leave_by_answers),
+            ('targets', self._ask_for_pauses),
+            ('targets', self._name_limit),
+            ('store', self._disrupt_store),
+            ('store', self._forget_store_history),
+            ('store', self._restore_store),
+            ('', self._change_configuration),
+            ('', self._reload_router),
+        )
+        self._faults = tuple(
+            fault for group, fault in faults if group not in without
         )
 
     async def run(self) -> None:
@@ -64,7 +82,9 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_brittle_times)
-            nursery.start_soon(self._run_cuts)
+            if 'paths' not in self._without:
+                nursery.start_soon(self._run_cuts)
+            nursery.start_soon(self._target_faults.run, self.injected)
             while True:
                 fault = self._random.choice(self._faults)
                 name = fault.__name__.strip('_')
@@ -90,7 +110,7 @@
             if router.process is not None
             and router.process.poll() is None
             and not router.is_stopping
-            and trio.current_time() - router.disturbed_at > STOP_TIMEOUT_SECONDS
+            and now() - router.disturbed_at > STOP_TIMEOUT_SECONDS
         ]
         return self._random.choice(running) if len(running) > 1 else None
 
@@ -101,16 +121,21 @@
         router = self._choose_router()
         if router is None:
             return
-        router.disturbed_at = trio.current_time()
-        router.signal(signal.SIGKILL)
-        await self._wait_for_duration()
-        self._restart(router)
+        router.disturbed_at = now()
+        with self._disturbed(RouterDisturbed, router.name):
+            router.signal(signal.SIGKILL)
+            await self._wait_for_duration()
+            self._restart(router)
 
     async def _stop_router(self) -> None:
         router = self._choose_router()
         if router is None:
             return
         router.is_stopping = True
+        with self._disturbed(RouterDisturbed, router.name):
+            await self._stop(router)
+
+    async def _stop(self, router: Router) -> None:
         router.signal(signal.SIGTERM)
         with trio.move_on_after(STOP_TIMEOUT_SECONDS):
             while router.process.poll() is None:
@@ -126,44 +151,48 @@
         router = self._choose_router()
         if router is None:
             return
-        router.disturbed_at = trio.current_time()
-        router.signal(signal.SIGSTOP)
-        await self._wait_for_duration()
-        router.signal(signal.SIGCONT)
-        router.disturbed_at = trio.current_time()
+        router.disturbed_at = now()
+        with self._disturbed(RouterDisturbed, router.name):
+            router.signal(signal.SIGSTOP)
+            await self._wait_for_duration()
+            router.signal(signal.SIGCONT)
+        router.disturbed_at = now()
 
     def _restart(self, router: Router) -> None:
         router.process.wait()
-        router.disturbed_at = trio.current_time()
-        router.start(self._cluster.log_path(router))
+        router.disturbed_at = now()
+        self._cluster.start_router(router)
 
     async def _delay_target(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.delay_seconds = self._random.uniform(0.02, 0.4)
-        await self._wait_for_duration()
-        proxy.delay_seconds = 0
+        target = self._choose_target()
+        with self._disturbed(PathDisturbed, target.name):
+            target.proxy.delay_seconds = self._random.uniform(0.02, 0.4)
+            await self._wait_for_duration()
+            target.proxy.delay_seconds = 0
 
     async def _hold_target_requests(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.hold('requests')
-        await self._wait_for_duration()
-        proxy.release('requests')
+        await self._hold_target('requests')
 
     async def _hold_target_responses(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.hold('responses')
-        await self._wait_for_duration()
-        proxy.release('responses')
+        await self._hold_target('responses')
+
+    async def _hold_target(self, direction: str) -> None:
+        target = self._choose_target()
+        with self._disturbed(PathDisturbed, target.name):
+            target.proxy.hold(direction)
+            await self._wait_for_duration()
+            target.proxy.release(direction)
 
     async def _reset_target_connections(self) -> None:
         self._choose_target().proxy.reset_connections()
 
     async def _refuse_target_connections(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.refuses_connections = True
-        proxy.reset_connections()
-        await self._wait_for_duration()
-        proxy.refuses_connections = False
+        target = self._choose_target()
+        with self._disturbed(PathDisturbed, target.name):
+            target.proxy.refuses_connections = True
+            target.proxy.reset_connections()
+            await self._wait_for_duration()
+            target.proxy.refuses_connections = False
 
     async def _fail_target(self) -> None:
         target = self._choose_target()
@@ -192,7 +221,7 @@
         ready_targets = [
             target
             for target in self._cluster.targets
-            if trio.current_time() < target.left_at and not target.says_leaving
+            if target.state == 'ready' and not target.says_leaving
         ]
         if len(ready_targets) <= MIN_TARGETS:
             return None
@@ -214,7 +243,7 @@
         """Make one target after the other brittle, from draws of their own."""
         while True:
             target = self._brittle_random.choice(self._cluster.targets)
-            target.brittle_from = trio.current_time() + CONTACT_SECONDS
+            target.brittle_from = now() + CONTACT_SECONDS
             target.max_rejections = str(MAX_REJECTIONS)
             await trio.sleep(
                 CONTACT_SECONDS + self._brittle_random.uniform(1, 4)
@@ -226,21 +255,28 @@
         """Cut one router after the other from all or some of the targets."""
         while True:
             router = self._cut_random.choice(self._cluster.routers)
-            paths = tuple(router.paths.proxies.values())
+            paths = tuple(router.paths.proxies.items())
             count = self._cut_random.choice((len(paths), len(paths) // 2))
             how = self._cut_random.choice(('held', 'refused'))
             self.injected.append(f'{router.name} {how} from {count} targets')
             cut = self._cut_random.sample(paths, count)
-            for proxy in cut:
-                _cut_path(proxy, how)
-            await trio.sleep(self._cut_random.uniform(1, MAX_CUT_SECONDS))
-            for proxy in cut:
-                proxy.clear_faults()
+            with ExitStack() as stack:
+                for name, proxy in cut:
+                    _cut_path(proxy, how)
+                    fault = self._disturbed(PathDisturbed, name, router.name)
+                    stack.enter_context(fault)
+                await trio.sleep(self._cut_random.uniform(1, MAX_CUT_SECONDS))
+                for _, proxy in cut:
+                    proxy.clear_faults()
             await trio.sleep(self._cut_random.uniform(0, 2))
 
     async def _disrupt_store(self) -> None:
-        proxy = self._cluster.store_proxy
         outage = self._random.choice(('hold', 'refuse', 'busy'))
+        with self._disturbed(StoreDisturbed, False):
+            await self._disrupt(outage)
+
+    async def _disrupt(self, outage: str) -> None:
+        proxy = self._cluster.store_proxy
         if outage == 'hold':
             proxy.hold('requests', 'responses')
         elif outage == 'refuse':
@@ -252,7 +288,8 @@
         self._cluster.store.faults.clear()
 
     async def _forget_store_history(self) -> None:
-        self._cluster.store.drop_history()
+        with self._disturbed(StoreDisturbed, True):
+            self._cluster.store.drop_history()
 
     async def _restore_store(self) -> None:
         """Let the store come back from a copy some seconds old."""
@@ -260,13 +297,14 @@
         proxy = self._cluster.store_proxy
         copy = store.copy()
         await self._wait_for_duration()
-        proxy.hold('requests', 'responses')
-        await trio.sleep(self._random.uniform(0, 1))
-        store.restore(copy)
-        proxy.clear_faults()
-        proxy.reset_connections()
-        await trio.sleep(self._random.uniform(0, 1))
-        self._cluster.write_again()
+        with self._disturbed(StoreDisturbed, False, True):
+            proxy.hold('requests', 'responses')
+            await trio.sleep(self._random.uniform(0, 1))
+            store.restore(copy)
+            proxy.clear_faults()
+            proxy.reset_connections()
+            await trio.sleep(self._random.uniform(0, 1))
+            self._cluster.write_again()
 
     async def _change_configuration(self) -> None:
         self._cluster.configure()
--- /dev/null
+++ b/tests/soak/leaving_rule.py
@@ -0,0 +1,62 @@
+"""Judges whether requests still reach targets that have left the service."""
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from operator import attrgetter
+
+from tests.soak.records import Arrived, EntryWritten, Record, Sent, select
+from tests.soak.touch import Touch
+
+__all__ = ('judge_leaving',)
+
+# A target gets no requests later than this after the store's answer.
+DRAIN_SECONDS = 2.0
+
+
+def judge_leaving(records: Iterable[Record]) -> Iterator[str]:
+    """Yield the violations of DRAIN; `records` are in order."""
+    records = tuple(records)
+    touch = Touch(records)
+    entries: dict[str, list[EntryWritten]] = defaultdict(list)
+    for entry in select(records, EntryWritten):
+        entries[entry.target].append(entry)
+    sent = {each.request_id: each for each in select(records, Sent)}
+    for arrived in select(records, Arrived):
+        left = _find_leaving(entries[arrived.target], arrived)
+        request = sent.get(arrived.request_id)
+        if left is None or request is None:
+            continue
+        late_seconds = arrived.at - left.at
+        if late_seconds > DRAIN_SECONDS and not _is_excused(
+            touch, request, arrived, left
+        ):
+            yield (
+                f'DRAIN: {request} reached {arrived.target} start '
+                f'{arrived.start} at {arrived.at:.3f}, {late_seconds:.2f} s '
+                f'after it was {left.state}'
+            )
+
+
+def _find_leaving(
+    entries: list[EntryWritten], arrived: Arrived
+) -> EntryWritten | None:
+    """Return the entry since which the target was leaving at an arrival."""
+    count = bisect_right(entries, arrived.at, key=attrgetter('at'))
+    left = None
+    for entry in reversed(entries[:count]):
+        if entry.state == 'ready' or entry.start != arrived.start:
+            break
+        left = entry
+    return left
+
+
+def _is_excused(
+    touch: Touch, sent: Sent, arrived: Arrived, left: EntryWritten
+) -> bool:
+    router = sent.router
+    return not (
+        touch.is_router_calm(router, sent.at, arrived.at)
+        and touch.is_store_calm(left.at, arrived.at)
+        and touch.is_path_calm(router, arrived.target, arrived.at, arrived.at)
+    )
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,138 @@
+"""What callers, targets, the store and the injector record during a soak run.
+
+All times are seconds of the system's monotonic clock, which the processes of
+a machine share. Rules are judged from these records after the run.
+"""
+
+import time
+from collections.abc import Iterable, Iterator
+from typing import TypeVar
+
+import msgspec
+
+__all__ = (
+    'now',
+    'Record',
+    'Sent',
+    'Answered',
+    'Arrived',
+    'Replied',
+    'VersionWritten',
+    'EntryWritten',
+    'RouterDisturbed',
+    'RouterStarted',
+    'StoreDisturbed',
+    'PathDisturbed',
+    'select',
+)
+
+now = time.monotonic
+
+
+class Record(msgspec.Struct, frozen=True, tag=True):
+    """One observation."""
+
+
+class Sent(Record, frozen=True):
+    """A caller sends a request; `route` and `key` are what it asks with."""
+
+    at: float
+    request_id: str
+    router: str
+    route: str
+    key: str
+
+
+class Answered(Record, frozen=True):
+    """A caller has the whole answer to a request."""
+
+    at: float
+    request_id: str
+    status: int
+    receipt: str
+    body: bytes
+    # The id of the request that the answer names, if any.
+    named_id: str = ''
+
+
+class Arrived(Record, frozen=True):
+    """A request reaches a target, which runs it or rejects it."""
+
+    at: float
+    request_id: str
+    target: str
+    start: int
+    runs: bool
+
+
+class Replied(Record, frozen=True):
+    """A target has answered a run; `is_whole` if the answer was not cut."""
+
+    at: float
+    request_id: str
+    receipt: str
+    status: int
+    body: bytes
+    is_whole: bool
+
+
+class VersionWritten(Record, frozen=True):
+    """The store is given a version of the configuration, and has taken it."""
+
+    began_at: float
+    at: float
+    version: int
+
+
+class EntryWritten(Record, frozen=True):
+    """The store has taken a target's state: ready, draining or gone."""
+
+    at: float
+    target: str
+    start: int
+    state: str
+
+
+class RouterDisturbed(Record, frozen=True):
+    """A router was not running as usual during a time."""
+
+    began_at: float
+    at: float
+    router: str
+
+
+class RouterStarted(Record, frozen=True):
+    """A process of a router is started."""
+
+    at: float
+    router: str
+
+
+class StoreDisturbed(Record, frozen=True):
+    """The store had a fault; `is_reachable` if it answered all the same."""
+
+    began_at: float
+    at: float
+    is_reachable: bool
+    # The store went back to an older state of its entries.
+    is_restored: bool = False
+
+
+class PathDisturbed(Record, frozen=True):
+    """Bytes were held, delayed or lost on the way to a target.
+
+    An empty `router` stands for all routers.
+    """
+
+    began_at: float
+    at: float
+    target: str
+    router: str = ''
+
+
+Kind = TypeVar('Kind', bound=Record)
+
+
+def select(records: Iterable[Record], kind: type[Kind]) -> Iterator[Kind]:
+    """Yield the records of one kind in their order."""
+    return (each for each in records if isinstance(each, kind))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Collection
 from pathlib import Path
 
 import trio
@@ -19,6 +20,7 @@
 from tests.soak.callers import Callers
 from tests.soak.cluster import Router, SoakCluster, start_cluster
 from tests.soak.faults import FaultInjector
+from tests.soak.judge import judge
 
 __all__ = ('soak',)
 
@@ -32,6 +34,9 @@
 )
 ROUTERS = flags.DEFINE_integer('routers', 3, 'Number of router processes.')
 TARGETS = flags.DEFINE_integer('targets', 4, 'Number of simulated targets.')
+WITHOUT = flags.DEFINE_list(
+    'without', [], 'Groups of faults to leave out: store, routers, paths.'
+)
 
 CALLERS_PER_ROUTER = 4
 START_TIMEOUT_SECONDS = 15
@@ -46,17 +51,19 @@
     folder: Path,
     routers: int = 3,
     targets: int = 4,
+    without: Collection[str] = (),
 ) -> tuple[list[str], SoakCluster, FaultInjector]:
     """Run one seed; return the violations, the cluster and the injector.
 
-    Faults are injected for `seconds`; `routers` and `targets` are numbers.
+    Faults are injected for `seconds`, but none of the groups in `without`;
+    `routers` and `targets` are numbers.
     """
     async with trio.open_nursery() as nursery:
-        cluster = await start_cluster(nursery, folder, routers, targets)
+        cluster = await start_cluster(nursery, folder, routers, targets, seed)
         try:
             callers = Callers(cluster, seed)
             await _wait_until_all_serve(cluster, callers, START_TIMEOUT_SECONDS)
-            injector = FaultInjector(cluster, seed)
+            injector = FaultInjector(cluster, seed, without)
             with trio.move_on_after(seconds):
                 async with trio.open_nursery() as load_nursery:
                     for router in cluster.routers * CALLERS_PER_ROUTER:
@@ -69,6 +76,7 @@
         finally:
             cluster.kill_routers()
         cluster.record_failed_tasks()
+        cluster.checker.violations.extend(judge(cluster.records))
         nursery.cancel_scope.cancel()
     return cluster.checker.violations, cluster, injector
 
@@ -99,6 +107,10 @@
     for target in cluster.targets:
         target.proxy.clear_faults()
         target.is_failing = False
+        target.failing_share = 0
+        target.slow_seconds = 0
+        target.stutters = False
+        target.cuts = False
         target.pause_seconds = 0
         target.limit = ''
         target.max_rejections = ''
@@ -110,7 +122,7 @@
         # A planned stop that is under way must be allowed to complete.
         while router.is_stopping and router.process.poll() is None:
             await trio.sleep(0.05)
-        router.resume(cluster.log_path(router))
+        cluster.resume_router(router)
 
 
 def _seed_range() -> range:
@@ -129,7 +141,13 @@
     for seed in _seed_range():
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         violations, cluster, injector = trio.run(
-            soak, seed, SECONDS.value, folder, ROUTERS.value, TARGETS.value
+            soak,
+            seed,
+            SECONDS.value,
+            folder,
+            ROUTERS.value,
+            TARGETS.value,
+            WITHOUT.value,
         )
         counts = dict(sorted(cluster.checker.outcome_counts.items()))
         sys.stdout.write(
--- /dev/null
+++ b/tests/soak/target.py
@@ -0,0 +1,235 @@
+"""A simulated target, which records what it runs and answers."""
+
+import random
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import trio
+
+from tests.raw_target import read_request
+from tests.soak.answer_rule import EVENTS_PER_STREAM
+from tests.soak.brittle import BrittleChecker
+from tests.soak.guarantees import GuaranteeChecker
+from tests.soak.notices import NoticeChecker
+from tests.soak.proxy import FaultProxy
+from tests.soak.raw_answers import Answer, Manner, Request, send_answer
+from tests.soak.records import Arrived, Record, Replied, now
+
+__all__ = ('EXECUTION_SECONDS', 'SoakTarget')
+
+EXECUTION_SECONDS = 0.03
+BRITTLE_SLOTS = 2
+# A target must get no requests when it has been draining for longer than this.
+DRAIN_GRACE_SECONDS = 2.5
+MAX_EXTRA_SECONDS = 1.0
+# Shares of the answers of targets with that fault.
+STUTTER_SHARE = 0.5
+CUT_SHARE = 0.3
+CUTS = (
+    Manner('length', 'end'),
+    Manner('length', 'reset'),
+    Manner('chunks', 'end'),
+    Manner('chunks', 'reset'),
+    Manner('open', 'reset'),
+    Manner('open'),
+)
+
+
+@dataclass
+class SoakTarget:
+    """A simulated target whose responses contain the ID of their request.
+
+    `left_at` is the time at which it began to drain, `starts` the number of
+    its starts. Its answers may say that it leaves, ask for a pause, name a
+    limit or say that it is brittle. From `brittle_from` on, a brittle target
+    runs so few requests at once that it has to reject some. A target that
+    `stutters` sends answers a second time, one that `cuts` breaks them off.
+    """
+
+    name: str
+    data_centre: str
+    checker: GuaranteeChecker
+    notices: NoticeChecker
+    brittle: BrittleChecker
+    records: list[Record]
+    proxy: FaultProxy | None = None
+    is_failing: bool = False
+    failing_share: float = 0
+    slow_seconds: float = 0
+    stutters: bool = False
+    cuts: bool = False
+    says_leaving: bool = False
+    pause_seconds: float = 0
+    limit: str = ''
+    max_rejections: str = ''
+    brittle_from: float = 0
+    running: int = 0
+    left_at: float = float('inf')
+    state: str = 'ready'
+    starts: int = 1
+    # Unix milliseconds of its start, and the number of its reports since.
+    born: int = 0
+    seq: int = 0
+    runs: int = 0
+    draws: random.Random = field(default_factory=random.Random)
+
+    @property
+    def incarnation(self) -> str:
+        """Its name with the number of its start."""
+        return f'{self.name} start {self.starts}'
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Answer the requests of one connection, one after the other."""
+        lock = trio.Lock()
+        async with trio.open_nursery() as nursery:
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while content := await read_request(stream):
+                    request = Request.parse(content)
+                    answer, manner = await self._answer(request, stream, lock)
+                    if manner.closes:
+                        break
+                    self._stutter(nursery, stream, lock, answer, manner)
+            nursery.cancel_scope.cancel()
+
+    async def _answer(
+        self, request: Request, stream: trio.SocketStream, lock: trio.Lock
+    ) -> tuple[Answer, Manner]:
+        request_id = request.headers['x-request-id']
+        rejection = self._reject(request_id)
+        arrived = Arrived(
+            now(), request_id, self.name, self.starts, runs=not rejection
+        )
+        self.records.append(arrived)
+        if rejection:
+            async with lock:
+                await send_answer(stream, rejection, Manner('length'))
+            return rejection, Manner('length')
+        self.running += 1
+        try:
+            return await self._run(request, stream, lock)
+        finally:
+            self.running -= 1
+
+    def _reject(self, request_id: str) -> Answer | None:
+        at = now()
+        self.notices.record_arrival(request_id, self.incarnation, at)
+        fields = (('x-request-id', request_id), ('x-not-executed', '1'))
+        if self.pause_seconds:
+            self._say_pause(request_id, at)
+            pause = ('retry-after', f'{self.pause_seconds}')
+            return Answer(503, (*fields, pause), ())
+        is_brittle = self.max_rejections and at >= self.brittle_from
+        if not is_brittle or self.running < BRITTLE_SLOTS:
+            return None
+        if self.proxy.is_clear:
+            self.brittle.record_rejection(
+                request_id, self.name, float(self.max_rejections), at
+            )
+        return Answer(503, (*fields, *self._brittle_fields()), ())
+
+    def _say_pause(self, request_id: str, at: float) -> None:
+        if self.proxy.is_clear:
+            self.notices.say_pause(
+                request_id, self.incarnation, self.pause_seconds, at
+            )
+
+    def _brittle_fields(self) -> tuple[tuple[str, str], ...]:
+        return (
+            ('server-brittle', self.max_rejections),
+            ('x-replica-load', f'{self.running},0,{BRITTLE_SLOTS}'),
+        )
+
+    async def _run(
+        self, request: Request, stream: trio.SocketStream, lock: trio.Lock
+    ) -> tuple[Answer, Manner]:
+        request_id = request.headers['x-request-id']
+        has_left = now() - self.left_at > DRAIN_GRACE_SECONDS
+        self.checker.record_run(request_id, self.name, has_left=has_left)
+        self.runs += 1
+        receipt = f'seal.{self.name}.{self.runs}'
+        is_stream = request.path.startswith(('/draft/', '/ask/'))
+        answer = self._make_answer(request, receipt, is_stream=is_stream)
+        manner = Manner('chunks' if is_stream else 'length')
+        if self.cuts and self.draws.random() < CUT_SHARE:
+            manner = self.draws.choice(CUTS)
+        if manner.cut:
+            self.checker.broken_off.add(request_id)
+        await trio.sleep(
+            self.slow_seconds + (not is_stream) * EXECUTION_SECONDS
+        )
+        async with lock:
+            self.records.append(
+                Replied(
+                    now(),
+                    request_id,
+                    receipt,
+                    answer.status,
+                    answer.body,
+                    is_whole=not manner.cut,
+                )
+            )
+            await send_answer(stream, answer, manner)
+        return answer, manner
+
+    def _make_answer(
+        self, request: Request, receipt: str, *, is_stream: bool
+    ) -> Answer:
+        request_id = request.headers['x-request-id']
+        fields = self._fields(request_id, receipt)
+        if is_stream:
+            after = int(request.headers.get('last-event-id', '0'))
+            pieces = _events(request_id, receipt, after)
+            return Answer(200, fields, pieces, EXECUTION_SECONDS)
+        fails = self.is_failing or self.draws.random() < self.failing_share
+        body = f'{receipt} {request_id}'.encode()
+        return Answer(500 if fails else 200, fields, (body,))
+
+    def _fields(
+        self, request_id: str, receipt: str
+    ) -> tuple[tuple[str, str], ...]:
+        fields = [('x-request-id', request_id), ('x-server-seal', receipt)]
+        if self.says_leaving:
+            self.notices.say_leaving(request_id, self.incarnation)
+            fields.append(('server-leaving', '1'))
+        if self.limit:
+            fields.append(('server-limit', self.limit))
+        if self.max_rejections:
+            fields.extend(self._brittle_fields())
+        else:
+            fields.append(('x-replica-load', '1,0,6'))
+        return tuple(fields)
+
+    def _stutter(
+        self,
+        nursery: trio.Nursery,
+        stream: trio.SocketStream,
+        lock: trio.Lock,
+        answer: Answer,
+        manner: Manner,
+    ) -> None:
+        """Send the answer again later, perhaps with another status."""
+        if not self.stutters or self.draws.random() >= STUTTER_SHARE:
+            return
+        status = self.draws.choice((answer.status, 200, 500))
+        extra = Answer(status, answer.fields, answer.pieces)
+        delay = self.draws.choice((0, self.draws.uniform(0, MAX_EXTRA_SECONDS)))
+        nursery.start_soon(_send_later, delay, stream, lock, extra, manner)
+
+
+async def _send_later(
+    delay_seconds: float,
+    stream: trio.SocketStream,
+    lock: trio.Lock,
+    answer: Answer,
+    manner: Manner,
+) -> None:
+    await trio.sleep(delay_seconds)
+    with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        async with lock:
+            await send_answer(stream, answer, manner)
+
+
+def _events(request_id: str, receipt: str, after: int) -> tuple[bytes, ...]:
+    numbers = range(after + 1, EVENTS_PER_STREAM + 1)
+    events = (f'id: {each}\ndata: {receipt}\n\n' for each in numbers)
+    return tuple(each.encode() for each in (*events, f': {request_id}\n\n'))
--- /dev/null
+++ b/tests/soak/target_faults.py
@@ -0,0 +1,115 @@
+"""Faults of targets themselves: odd answers, sudden ends, changes of entries.
+
+They are drawn apart from the other faults, so that seeds keep those.
+"""
+
+import random
+
+import trio
+
+from tests.soak.cluster import SoakCluster
+from tests.soak.target import SoakTarget
+
+__all__ = ('TargetFaults',)
+
+MAX_GAP_SECONDS = 1.5
+MIN_FAULT_SECONDS, MAX_FAULT_SECONDS = 1.0, 4.0
+MAX_SLOW_SECONDS = 1.0
+FAILING_SHARE = 0.4
+# A target serves on for so long after its entry is removed.
+MIN_SERVE_SECONDS, MAX_SERVE_SECONDS = 3.0, 6.0
+MAX_CHANGE_GAP_SECONDS = 1.5
+MAX_CHANGES_AT_ONCE = 3
+
+
+class TargetFaults:
+    """Injects faults of targets and changes of the configuration."""
+
+    def __init__(self, cluster: SoakCluster, seed: int, min_ready: int) -> None:
+        self._cluster = cluster
+        self._random = random.Random(f'targets {seed}')
+        self._min_ready = min_ready
+        self._faults = (
+            self._stutter,
+            self._cut_answers,
+            self._fail_part,
+            self._slow_down,
+            self._remove_entry,
+            self._restart,
+        )
+
+    async def run(self, injected: list[str]) -> None:
+        """Inject faults until cancelled, and add their names to the list."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_changes)
+            while True:
+                fault = self._random.choice(self._faults)
+                injected.append(fault.__name__.strip('_'))
+                nursery.start_soon(fault)
+                await trio.sleep(self._random.uniform(0.05, MAX_GAP_SECONDS))
+
+    async def _run_changes(self) -> None:
+        while True:
+            gap = self._random.uniform(0.05, MAX_CHANGE_GAP_SECONDS)
+            await trio.sleep(gap)
+            for _ in range(self._random.randint(1, MAX_CHANGES_AT_ONCE)):
+                self._cluster.configure()
+
+    def _choose(self) -> SoakTarget:
+        return self._random.choice(self._cluster.targets)
+
+    async def _wait(self) -> None:
+        seconds = self._random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        await trio.sleep(seconds)
+
+    async def _stutter(self) -> None:
+        target = self._choose()
+        target.stutters = True
+        await self._wait()
+        target.stutters = False
+
+    async def _cut_answers(self) -> None:
+        target = self._choose()
+        target.cuts = True
+        await self._wait()
+        target.cuts = False
+
+    async def _fail_part(self) -> None:
+        target = self._choose()
+        target.failing_share = FAILING_SHARE
+        await self._wait()
+        target.failing_share = 0
+
+    async def _slow_down(self) -> None:
+        target = self._choose()
+        target.slow_seconds = self._random.uniform(0, MAX_SLOW_SECONDS)
+        await self._wait()
+        target.slow_seconds = 0
+
+    async def _remove_entry(self) -> None:
+        """Remove a target's entry, while the target serves on."""
+        target = self._choose_ready()
+        if target is None:
+            return
+        self._cluster.publish_target(target, 'gone')
+        await trio.sleep(
+            self._random.uniform(MIN_SERVE_SECONDS, MAX_SERVE_SECONDS)
+        )
+        self._cluster.publish_target(target, 'ready')
+
+    async def _restart(self) -> None:
+        """End a target's connections, and start it anew under its name."""
+        target = self._choose_ready()
+        if target is not None:
+            target.proxy.reset_connections()
+            self._cluster.restart_target(target)
+
+    def _choose_ready(self) -> SoakTarget | None:
+        ready = [
+            target
+            for target in self._cluster.targets
+            if target.state == 'ready' and not target.says_leaving
+        ]
+        if len(ready) <= self._min_ready:
+            return None
+        return self._random.choice(ready)
--- /dev/null
+++ b/tests/soak/test_leaving_rule.py
@@ -0,0 +1,75 @@
+"""The check of leaving targets reports requests that reach them late."""
+
+import pytest
+
+from tests.soak.leaving_rule import judge_leaving
+from tests.soak.records import (
+    Arrived,
+    EntryWritten,
+    PathDisturbed,
+    RouterDisturbed,
+    Sent,
+    StoreDisturbed,
+)
+
+READY = EntryWritten(0, 't0', 1, 'ready')
+LEFT_AT = 10
+
+
+def judge(after_seconds, *records, state='draining', start=1):
+    at = LEFT_AT + after_seconds
+    return list(
+        judge_leaving(
+            sorted(
+                (
+                    READY,
+                    EntryWritten(LEFT_AT, 't0', 1, state),
+                    Sent(at - 0.5, 'q1', 'r0', 'read', 'key-1'),
+                    Arrived(at, 'q1', 't0', start, True),
+                    *records,
+                ),
+                key=lambda record: record.at,
+            )
+        )
+    )
+
+
+@pytest.mark.parametrize('state', ['draining', 'gone'])
+def test_target_that_left_gets_requests_for_two_seconds_only(state):
+    assert not judge(1.9, state=state)
+    assert 'DRAIN' in judge(2.1, state=state)[0]
+
+
+def test_removal_after_draining_does_not_begin_the_time_anew():
+    assert judge(2.1, EntryWritten(LEFT_AT + 1.5, 't0', 1, 'gone'))
+
+
+def test_target_that_started_anew_gets_requests():
+    assert not judge(5, EntryWritten(LEFT_AT + 4, 't0', 2, 'ready'), start=2)
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        RouterDisturbed(LEFT_AT, LEFT_AT + 0.6, 'r0'),
+        StoreDisturbed(LEFT_AT - 4, LEFT_AT - 2.9, False),
+        PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't0'),
+        PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't0', 'r0'),
+    ],
+)
+def test_faults_excuse_until_contact(fault):
+    assert not judge(3, fault)
+    assert judge(4.2, fault) or isinstance(fault, StoreDisturbed)
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        RouterDisturbed(LEFT_AT, LEFT_AT + 0.6, 'r1'),
+        StoreDisturbed(LEFT_AT - 5, LEFT_AT - 3.1, False),
+        PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't1'),
+        PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't0', 'r1'),
+    ],
+)
+def test_faults_elsewhere_do_not_excuse(fault):
+    assert judge(3, fault)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,8 @@
     (6, 'a stream reached its deadline and was neither ended nor closed'),
     (3667, 'requests given up during a partition made a brittle target fall'),
 )
+# Bounds of time hold for routers that are in touch all the while.
+CALM = ('store', 'routers', 'paths')
 
 
 @pytest.mark.parametrize('seed', [2, *(seed for seed, _ in REGRESSIONS)])
@@ -20,3 +22,11 @@
     )
     assert not violations, injector.injected
     assert cluster.checker.outcome_counts['book 200'] > 0
+
+
+def test_guarantees_hold_while_only_targets_and_versions_change(tmp_path):
+    violations, cluster, injector = trio.run(
+        soak, 1, FAULT_SECONDS, tmp_path, 3, 4, CALM
+    )
+    assert not violations, injector.injected
+    assert cluster.checker.outcome_counts['probe 200'] > 0
--- /dev/null
+++ b/tests/soak/touch.py
@@ -0,0 +1,72 @@
+"""Which routers are in touch: they ran undisturbed, and so did the store."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from tests.soak.records import (
+    PathDisturbed,
+    Record,
+    RouterDisturbed,
+    RouterStarted,
+    StoreDisturbed,
+    select,
+)
+
+__all__ = ('CONTACT_SECONDS', 'Touch')
+
+CONTACT_SECONDS = 3.0
+
+
+class Touch:
+    """Answers from the records of a run whether faults excuse a router.
+
+    A fault excuses until CONTACT_SECONDS after its end.
+    """
+
+    def __init__(self, records: Iterable[Record]) -> None:
+        records = tuple(records)
+        self._store = tuple(select(records, StoreDisturbed))
+        self._routers: dict[str, list[RouterDisturbed]] = defaultdict(list)
+        for fault in select(records, RouterDisturbed):
+            self._routers[fault.router].append(fault)
+        for start in select(records, RouterStarted):
+            fault = RouterDisturbed(start.at, start.at, start.router)
+            self._routers[start.router].append(fault)
+        self._paths: dict[str, list[PathDisturbed]] = defaultdict(list)
+        for path in select(records, PathDisturbed):
+            self._paths[path.target].append(path)
+
+    def is_router_calm(self, router: str, begin: float, end: float) -> bool:
+        """Whether a router ran undisturbed."""
+        return not _any_in(self._routers[router], begin, end)
+
+    def is_store_reachable(self, begin: float, end: float) -> bool:
+        """Whether the store answered all the while, and lost nothing."""
+        return not _any_in(
+            (each for each in self._store if not each.is_reachable), begin, end
+        )
+
+    def is_store_calm(self, begin: float, end: float) -> bool:
+        """Whether the store had no fault at all."""
+        return not _any_in(self._store, begin, end)
+
+    def is_path_calm(
+        self, router: str, target: str, begin: float, end: float
+    ) -> bool:
+        """Whether bytes passed between a router and a target."""
+        paths = (
+            each for each in self._paths[target] if each.router in {'', router}
+        )
+        return not _any_in(paths, begin, end)
+
+    def was_restored(self, begin: float, end: float) -> bool:
+        """Whether the store went back to older entries."""
+        restored = (each for each in self._store if each.is_restored)
+        return _any_in(restored, begin, end)
+
+
+def _any_in(faults: Iterable, begin: float, end: float) -> bool:
+    return any(
+        fault.began_at <= end and begin - CONTACT_SECONDS <= fault.at
+        for fault in faults
+    )
