--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,129 +2,153 @@
 
 import itertools
 import random
-from collections.abc import Iterator
+from functools import partial
+from typing import Any
 
 import httpcore
 import trio
 
-from tests.soak.cluster import DEADLINE_SECONDS, Router, SoakCluster
-from tests.soak.guarantees import Outcome
-from tests.soak.records import Answered, Sent, now
+from tests.soak.records import Answered, Record, Sent, now
+from tests.soak.replay import WAITING
 from tests.soak.versions import BASE_KEY, Versions
 
-__all__ = ('Callers',)
+__all__ = ('DEADLINE_SECONDS', 'Callers')
 
 KINDS = ('read', 'book', 'draft', 'ask')
 # Requests with routes and keys that are added and dropped, or never were.
 PROBE = 'probe'
 PROBE_SHARE = 0.3
-REPEATABLE_KINDS = frozenset(('read', 'ask', PROBE))
-MAX_PAUSE_SECONDS = 0.05
+CALLERS_PER_ROUTER = 4
+RETRY_SECONDS = 0.05
+DEADLINE_SECONDS = 1.5
 # A caller gives up after this time without a response, long after the deadline.
 RESPONSE_TIMEOUT_SECONDS = DEADLINE_SECONDS + 4
+REQUIRED_SUCCESSES = 5
 
 
 class Callers:
     """Sends random requests; each caller reuses one connection at a time."""
 
-    def __init__(self, cluster: SoakCluster, seed: int) -> None:
-        self._cluster = cluster
-        self._random = random.Random(f'callers {seed}')
-        self._probe_random = random.Random(f'probes {seed}')
-        self._versions = Versions(seed)
-        self._request_numbers: Iterator[int] = itertools.count(1)
-
-    async def run(self, router: Router) -> None:
-        """Send requests to one router until cancelled.
-
-        Opens a new connection after a request without a response.
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        records: list[Record],
+        objects: dict[str, Any],
+    ) -> None:
+        self.version = 1
+        self._nursery = nursery
+        self._records = records
+        self._load = trio.CancelScope()
+        self._routers: dict[str, str] = {}
+        self._max_pause_seconds = float(0)
+
+    def start(
+        self, routers: dict[str, str], name: str, seed: int, pause: float
+    ) -> None:
+        """Prepare to call routers, by name and address.
+
+        `name` begins the ids of all requests; the longest time between two
+        requests of a caller is `pause` seconds.
         """
+        self._routers = routers
+        self._max_pause_seconds = pause
+        self._name = name
+        self._random = random.Random(f'{name} {seed}')
+        self._versions = Versions(f'{name} {seed}')
+        self._numbers = itertools.count(1)
+
+    def run(self) -> None:
+        """Send requests to all routers until `stop`."""
+        self._nursery.start_soon(self._run)
+
+    def stop(self) -> None:
+        """Send no more requests; those under way are given up."""
+        self._load.cancel()
+
+    async def wait_until_all_serve(self, seconds: float) -> list[str]:
+        """Wait until the routers serve; return those that do not in time."""
+        missing = set(self._routers)
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                for router in self._routers:
+                    nursery.start_soon(self._wait_for, router, missing)
+        return sorted(missing)
+
+    async def _run(self) -> None:
+        with self._load:
+            async with trio.open_nursery() as nursery:
+                for router in tuple(self._routers) * CALLERS_PER_ROUTER:
+                    nursery.start_soon(self._call_on, router)
+
+    async def _wait_for(self, router: str, missing: set[str]) -> None:
+        served = 0
+        while served < REQUIRED_SUCCESSES:
+            async with httpcore.AsyncConnectionPool() as pool:
+                status = await self._send(pool, router, 'book', WAITING)
+            served = served + 1 if status == 200 else 0
+            await trio.sleep(RETRY_SECONDS)
+        missing.remove(router)
+
+    async def _call_on(self, router: str) -> None:
+        """Send requests to one router, on a new connection after a failure."""
         while True:
             async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-                await self._send_until_failure(pool, router)
-            await trio.sleep(MAX_PAUSE_SECONDS)
-
-    async def send_once(self, router: Router, kind: str) -> Outcome:
-        """Send one request on a new connection."""
-        async with httpcore.AsyncConnectionPool() as pool:
-            return await self._send(pool, router, kind)
-
-    async def _send_until_failure(self, pool, router: Router) -> None:
-        """Send requests on one connection until one gets no response."""
-        while True:
-            kind = self._random.choice(KINDS)
-            if self._probe_random.random() < PROBE_SHARE:
-                kind = PROBE
-            outcome = await self._send(pool, router, kind)
-            is_disturbed = router.disturbed_at >= outcome.sent_at - 1
-            self._cluster.checker.record_outcome(
-                outcome, is_disturbed=is_disturbed
-            )
-            if outcome.error == 'cut' and _is_cut_by_planned_stop(
-                router, outcome
-            ):
-                self._cluster.checker.record_cut(outcome)
-            if not outcome.status:
-                return
-            await trio.sleep(MAX_PAUSE_SECONDS * self._random.random())
-
-    async def _send(self, pool, router: Router, kind: str) -> Outcome:
-        request_id = f'q{next(self._request_numbers)}-{kind}'
-        self._cluster.checker.record_sent(
-            request_id, may_repeat=kind in REPEATABLE_KINDS
-        )
+                while await self._send(pool, router, self._draw_kind()):
+                    share = self._random.random()
+                    await trio.sleep(self._max_pause_seconds * share)
+            await trio.sleep(self._max_pause_seconds)
+
+    def _draw_kind(self) -> str:
+        if self._random.random() < PROBE_SHARE:
+            return PROBE
+        return self._random.choice(KINDS)
+
+    async def _send(
+        self, pool, router: str, kind: str, prefix: str = 'q'
+    ) -> int:
+        """Return the status of the response; 0 if there is none."""
+        request_id = f'{prefix}{self._name}{next(self._numbers)}-{kind}'
         route, key = kind, BASE_KEY
         if kind == PROBE:
-            route, key = self._versions.draw(self._cluster.version)
-        began = now()
-        sent = Sent(began, request_id, router.name, route, key)
-        self._cluster.records.append(sent)
-        self._cluster.notices.record_sent(request_id, router, began)
-        self._cluster.brittle.record_sent(request_id, router)
-        resp, error = await _exchange(pool, router, sent)
-        if resp:
-            self._cluster.notices.record_answer(request_id, now())
-            self._record_answer(request_id, resp)
-        return Outcome(
-            request_id,
-            kind,
-            router.name,
-            began,
-            now() - began,
-            resp.status if resp else 0,
-            resp.content if resp else b'',
-            error,
-        )
-
-    def _record_answer(self, request_id: str, resp) -> None:
-        fields = {name.lower(): value.decode() for name, value in resp.headers}
-        answer = Answered(
-            now(),
-            request_id,
-            resp.status,
-            fields.get(b'x-server-seal', ''),
-            resp.content,
-            fields.get(b'x-request-id', ''),
-        )
-        self._cluster.records.append(answer)
-
-
-async def _exchange(pool, router: Router, sent: Sent):
+            route, key = self._versions.draw(self.version)
+        sent = Sent(now(), request_id, router, route, key)
+        self._records.append(sent)
+        resp, error = await _exchange(pool, self._routers[router], sent)
+        if resp is None:
+            answer = Answered(now(), request_id, 0, '', b'', error=error)
+        else:
+            answer = _describe(request_id, resp)
+        self._records.append(answer)
+        return answer.status
+
+
+def _describe(request_id: str, resp) -> Answered:
+    fields = {name.lower(): value.decode() for name, value in resp.headers}
+    receipt = fields.get(b'x-server-seal', '')
+    named_id = fields.get(b'x-request-id', '')
+    return Answered(
+        now(), request_id, resp.status, receipt, resp.content, named_id
+    )
+
+
+async def _exchange(pool, address: str, sent: Sent):
     """Return the response, or None and what went wrong."""
-    url = f'http://{router.address}/{sent.route}/x'
-    fields = _request_headers(sent)
+    request = partial(
+        pool.request,
+        'POST',
+        f'http://{address}/{sent.route}/x',
+        headers=_request_headers(sent),
+        content=b'question',
+    )
     try:
         with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
-            resp = await pool.request(
-                'POST', url, headers=fields, content=b'question'
-            )
+            return await request(), ''
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return None, 'unreachable'
     except (httpcore.NetworkError, httpcore.ProtocolError):
         return None, 'cut'
     except trio.TooSlowError:
         return None, 'silent'
-    return resp, ''
 
 
 def _request_headers(sent: Sent) -> list[tuple[str, str]]:
@@ -135,13 +159,3 @@
         ('x-deadline-ms', str(int(DEADLINE_SECONDS * 1000))),
         ('content-length', '8'),
     ]
-
-
-def _is_cut_by_planned_stop(router: Router, outcome: Outcome) -> bool:
-    """Return whether only a planned stop can have cut the response.
-
-    Only requests that get a single response count, not streams.
-    """
-    is_single_response = outcome.kind in {'read', 'book'}
-    is_undisturbed = router.disturbed_at < outcome.sent_at
-    return is_single_response and router.is_stopping and is_undisturbed
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,11 +1,10 @@
-"""The cluster of a soak run: router processes, simulated targets and store.
+"""The cluster of a soak run: router processes and worker processes.
 
-The targets and the store run in the process of the soak, each behind a proxy
-that injects network faults, so that the soak sees every request they get.
+The store, the targets and the callers run in processes of their own, so that
+waits of one do not look like those of another.
 """
 
 import os
-import random
 import signal
 import subprocess
 import sys
@@ -18,36 +17,20 @@
 import msgspec
 import trio
 
-from tests.peridotwell_platform.stand_in import StoreStandIn
 from tests.ports import find_free_port
-from tests.raw_target import listen
-from tests.soak.brittle import BrittleChecker
-from tests.soak.guarantees import GuaranteeChecker
-from tests.soak.notices import NoticeChecker
-from tests.soak.proxy import start_proxy
-from tests.soak.records import (
-    EntryWritten,
-    Record,
-    RouterStarted,
-    VersionWritten,
-    now,
-)
-from tests.soak.router_paths import ProxyGroup, RouterPaths, start_paths
-from tests.soak.target import SoakTarget
-from tests.soak.versions import document
-
-__all__ = (
-    'DEADLINE_SECONDS',
-    'Router',
-    'SoakCluster',
-    'start_cluster',
-)
+from tests.soak.control import Remote, Worker
+from tests.soak.records import AnyRecord, Record, RouterStarted, now
+
+__all__ = ('Router', 'SoakCluster', 'Target', 'start_cluster')
 
 ROOT = Path(__file__).parent.parent.parent
-DEADLINE_SECONDS = 1.5
 # Last part of the first router's IP address; each router has its own address.
 FIRST_HOST_NUMBER = 10
-HEARTBEAT_SECONDS = 1.0
+TARGETS_PER_WORKER = 8
+ROUTERS_PER_CALLERS = 15
+# Longest pause of a caller, for few routers; more routers share that load.
+MAX_PAUSE_SECONDS = 0.05
+FEW_ROUTERS = 3
 DATA_CENTRES = ('north', 'south')
 SETTINGS_TEMPLATE = """
 node = "{name}"
@@ -70,13 +53,13 @@
 
     `disturbed_at` is the time at which it was last killed, paused, resumed or
     restarted; `address` is the host:port for callers, `paths` its ways to the
-    targets.
+    targets, by their names.
     """
 
     name: str
     settings_path: Path
     address: str
-    paths: RouterPaths
+    paths: dict[str, Remote] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = float('-inf')
     is_stopping: bool = False
@@ -102,28 +85,65 @@
             self.process.send_signal(number)
 
 
+@dataclass
+class Target:
+    """A simulated target, which runs in a worker process.
+
+    `state` is ready, draining or gone: without an entry, though it may still
+    serve. `starts` is the number of its starts.
+    """
+
+    name: str
+    data_centre: str
+    remote: Remote
+    proxy: Remote
+    address: str
+    state: str = 'ready'
+    says_leaving: bool = False
+    starts: int = 1
+    # Unix milliseconds of its start.
+    born: int = field(default_factory=lambda: int(time.time() * 1000))
+
+    async def start_anew(self) -> None:
+        """Let the target begin anew under its name."""
+        self.starts += 1
+        self.born = int(time.time() * 1000)
+        self.says_leaving = False
+        await self.remote.set(starts=self.starts, says_leaving=False)
+
+
 @dataclass
 class SoakCluster:
-    """The store, targets, routers and checks of one soak run."""
+    """The workers and routers of one soak run, and what its parts record."""
 
     folder: Path
-    store: StoreStandIn
-    store_proxy: ProxyGroup
-    checker: GuaranteeChecker
-    notices: NoticeChecker
-    brittle: BrittleChecker
+    workers: list[Worker] = field(default_factory=list)
     routers: list[Router] = field(default_factory=list)
-    targets: list[SoakTarget] = field(default_factory=list)
+    targets: list[Target] = field(default_factory=list)
+    callers: list[Remote] = field(default_factory=list)
+    # The worker of each target, by the target's name.
+    target_workers: dict[str, Worker] = field(default_factory=dict)
     records: list[Record] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
     version: int = 0
 
-    def configure(self) -> None:
+    @property
+    def store(self) -> Remote:
+        """The store, in the first worker."""
+        return Remote(self.workers[0], 'host')
+
+    def start_worker(self, role: str) -> Worker:
+        """Start a worker process."""
+        worker = Worker(f'{role} {len(self.workers)}', role)
+        self.workers.append(worker)
+        return worker
+
+    async def configure(self) -> None:
         """Write the next version of the configuration to the store."""
-        began_at = now()
         self.version += 1
-        self._write_configuration()
-        written = VersionWritten(began_at, now(), self.version)
-        self.records.append(written)
+        await self.store.call('configure', self.version)
+        for callers in self.callers:
+            await callers.set(version=self.version)
 
     @contextmanager
     def disturbed(self, kind: type[Record], *details) -> Iterator[None]:
@@ -145,60 +165,47 @@
         if router.process is not None and router.process.poll() is not None:
             self.start_router(router)
 
-    def publish_target(self, target: SoakTarget, state: str) -> None:
+    async def publish_target(self, target: Target, state: str) -> None:
         """Write a target's entry; `state` is ready, draining or gone.
 
-        A target that is ready again has started anew. One that is gone has no
-        entry, but may still serve.
+        A target that is ready again has started anew.
         """
         if state == 'ready' and target.state != 'ready':
-            _start_anew(target)
+            await target.start_anew()
         target.state = state
-        target.left_at = now() if state == 'draining' else float('inf')
-        self._write_target(target)
-        entry = EntryWritten(now(), target.name, target.starts, state)
-        self.records.append(entry)
-
-    def restart_target(self, target: SoakTarget) -> None:
-        """Let a target start anew under its name, without a word before."""
-        target.says_leaving = False
-        if target.state == 'ready':
-            _start_anew(target)
-            self.publish_target(target, 'ready')
-
-    def write_again(self) -> None:
-        """Write what a restored store has lost, as operators and targets do."""
-        self._write_configuration()
-        for target in self.targets:
-            self._write_target(target)
-
-    async def run_heartbeats(self) -> None:
-        """Write the entries of all targets again and again."""
-        while True:
-            await trio.sleep(HEARTBEAT_SECONDS)
-            for target in self.targets:
-                target.seq += 1
-                self._write_target(target)
-
-    def _write_configuration(self) -> None:
-        content = msgspec.json.encode(document(self.version))
-        self.store.put('op/config', content)
-
-    def _write_target(self, target: SoakTarget) -> None:
-        key = f'servers/{target.name}'
-        if target.state == 'gone':
-            if key in self.store.items:
-                self.store.delete(key)
-            return
         entry = {
             'service': 'svc',
-            'address': target.proxy.address,
+            'address': target.address,
             'zone': target.data_centre,
-            'state': target.state,
+            'state': state,
             'born': target.born,
-            'seq': target.seq,
         }
-        self.store.put(key, msgspec.json.encode(entry))
+        await self.store.call(
+            'publish_target', target.name, target.starts, entry
+        )
+
+    async def restart_target(self, target: Target) -> None:
+        """Let a target start anew under its name, without a word before."""
+        await target.remote.set(says_leaving=False)
+        target.says_leaving = False
+        if target.state == 'ready':
+            await target.start_anew()
+            await self.publish_target(target, 'ready')
+
+    async def wait_until_all_serve(self, seconds: float) -> None:
+        """Wait until each router serves; record those that do not in time."""
+        async with trio.open_nursery() as nursery:
+            for callers in self.callers:
+                nursery.start_soon(self._wait_for, callers, seconds)
+
+    async def collect_records(self) -> None:
+        """Take over what the workers have recorded."""
+        for worker in self.workers:
+            path = self.folder / f'{worker.name}.records'
+            await Remote(worker, 'recorder').call('write', str(path))
+            self.records.extend(
+                msgspec.msgpack.decode(path.read_bytes(), type=list[AnyRecord])
+            )
 
     def log_path(self, router: Router) -> Path:
         """Return the path of a router's log file."""
@@ -208,99 +215,96 @@
         """Record a violation for each background task that failed."""
         for router in self.routers:
             lines = self.log_path(router).read_text(errors='replace')
-            self.checker.violations.extend(
+            self.violations.extend(
                 f'{router.name}: {line}'
                 for line in lines.splitlines()
                 if '"event": "task.failed"' in line
             )
 
-    def kill_routers(self) -> None:
-        """Kill the router processes and wait for their end."""
+    def stop(self) -> None:
+        """End the workers; kill the routers and wait for their end."""
         for router in self.routers:
             router.signal(signal.SIGCONT)
             router.signal(signal.SIGKILL)
             if router.process is not None:
                 router.process.wait()
+        for worker in self.workers:
+            worker.stop()
+
+    async def _wait_for(self, callers: Remote, seconds: float) -> None:
+        missing = await callers.call('wait_until_all_serve', seconds)
+        self.violations.extend(
+            f'{name} does not serve after {seconds} s' for name in missing
+        )
 
 
 async def start_cluster(
-    nursery: trio.Nursery,
-    folder: Path,
-    routers: int,
-    targets: int,
-    seed: int,
-) -> SoakCluster:
-    """Start the store, the targets and the routers.
+    cluster: SoakCluster, routers: int, targets: int, seed: int
+) -> None:
+    """Start the store, the targets, the routers and the callers.
 
     `routers` and `targets` are their numbers. Does not wait until the routers
     are ready.
     """
-    store = StoreStandIn()
-    store.page_size = 100
-    checker = GuaranteeChecker(DEADLINE_SECONDS)
-    notices = NoticeChecker(checker.violations)
-    brittle = BrittleChecker(checker.violations)
-    cluster = SoakCluster(
-        folder,
-        store,
-        ProxyGroup(),
-        checker,
-        notices,
-        brittle,
-    )
-    cluster.configure()
-    for number in range(targets):
-        await _add_target(nursery, cluster, number, seed)
-    for number in range(routers):
-        await _add_router(nursery, cluster, number)
-    for router in cluster.routers:
+    cluster.start_worker('store')
+    names = [f'r{number}' for number in range(routers)]
+    paths: dict[str, dict[str, str]] = {name: {} for name in names}
+    for first in range(0, targets, TARGETS_PER_WORKER):
+        numbers = range(first, min(first + TARGETS_PER_WORKER, targets))
+        await _start_targets(cluster, numbers, paths, seed)
+    stores = await cluster.store.call('start', paths)
+    await cluster.configure()
+    for target in cluster.targets:
+        await cluster.publish_target(target, 'ready')
+    for number, name in enumerate(names):
+        router = _create_router(cluster, number, stores[name])
+        cluster.routers.append(router)
         cluster.start_router(router)
-    nursery.start_soon(cluster.run_heartbeats)
-    return cluster
+    for first in range(0, routers, ROUTERS_PER_CALLERS):
+        await _start_callers(cluster, first, seed)
 
 
-async def _add_target(
-    nursery: trio.Nursery, cluster: SoakCluster, number: int, seed: int
+async def _start_targets(
+    cluster: SoakCluster,
+    numbers: range,
+    paths: dict[str, dict[str, str]],
+    seed: int,
 ) -> None:
-    target = SoakTarget(
-        f't{number}',
-        DATA_CENTRES[number % len(DATA_CENTRES)],
-        cluster.checker,
-        cluster.notices,
-        cluster.brittle,
-        cluster.records,
-        born=_unix_milliseconds(),
-        draws=random.Random(f't{number} {seed}'),
+    worker = cluster.start_worker('targets')
+    names = [f't{number}' for number in numbers]
+    host = Remote(worker, 'host')
+    addresses = await host.call('start', names, list(paths), seed)
+    own_addresses = addresses.pop('')
+    for router, ways in addresses.items():
+        paths[router].update(ways)
+    for number, name in zip(numbers, names, strict=True):
+        target = Target(
+            name,
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            Remote(worker, name),
+            Remote(worker, f'{name} proxy'),
+            own_addresses[name],
+        )
+        cluster.targets.append(target)
+    cluster.target_workers.update(dict.fromkeys(names, worker))
+
+
+async def _start_callers(cluster: SoakCluster, first: int, seed: int) -> None:
+    worker = cluster.start_worker('callers')
+    routers = cluster.routers[first : first + ROUTERS_PER_CALLERS]
+    callers = Remote(worker, 'host')
+    few = max(1, len(cluster.routers) / FEW_ROUTERS)
+    await callers.call(
+        'start',
+        {router.name: router.address for router in routers},
+        f'{first}x',
+        seed,
+        MAX_PAUSE_SECONDS * few,
     )
-    address = await listen(nursery, target.serve)
-    target.proxy = await start_proxy(nursery, address)
-    cluster.targets.append(target)
-    cluster.publish_target(target, 'ready')
-
-
-def _start_anew(target: SoakTarget) -> None:
-    target.starts += 1
-    target.born = _unix_milliseconds()
-    target.seq = 0
-
-
-def _unix_milliseconds() -> int:
-    return int(time.time() * 1000)
-
-
-async def _add_router(
-    nursery: trio.Nursery, cluster: SoakCluster, number: int
-) -> None:
-    addresses = {each.name: each.proxy.address for each in cluster.targets}
-    paths, store_proxy = await start_paths(nursery, cluster.store, addresses)
-    cluster.store_proxy.members.append(store_proxy)
-    router = _create_router(cluster, number, paths, store_proxy.address)
-    cluster.routers.append(router)
+    cluster.callers.append(callers)
 
 
-def _create_router(
-    cluster: SoakCluster, number: int, paths: RouterPaths, store: str
-) -> Router:
+def _create_router(cluster: SoakCluster, number: int, store: str) -> Router:
     name = f'r{number}'
     # No outgoing connection uses this address, so its free ports stay free.
     ip = f'127.0.0.{FIRST_HOST_NUMBER + number}'
@@ -316,4 +320,8 @@
             **ports,
         )
     )
-    return Router(name, path, f'{ip}:{ports["callers"]}', paths)
+    ways = {
+        target: Remote(worker, f'{name} {target}')
+        for target, worker in cluster.target_workers.items()
+    }
+    return Router(name, path, f'{ip}:{ports["callers"]}', ways)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Injects random faults, drawn from a seed, into routers, targets and store."""
 
+import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable, Collection
@@ -8,15 +9,14 @@
 import trio
 
 from tests.soak.brittle import CONTACT_SECONDS
-from tests.soak.cluster import Router, SoakCluster
-from tests.soak.proxy import FaultProxy
+from tests.soak.cluster import Router, SoakCluster, Target
+from tests.soak.control import Remote
 from tests.soak.records import (
     PathDisturbed,
     RouterDisturbed,
     StoreDisturbed,
     now,
 )
-from tests.soak.target import SoakTarget
 from tests.soak.target_faults import TargetFaults
 
 __all__ = ('FaultInjector',)
@@ -45,6 +45,8 @@
         """Create an injector; `without` has the groups to leave out."""
         self.injected: list[str] = []
         self._without = without
+        self._proxies = Remote(cluster.workers[0], 'proxies')
+        self._copy_numbers = itertools.count()
         self._disturbed = cluster.disturbed
         self._cluster = cluster
         self._random = random.Random(f'faults {seed}')
@@ -114,7 +116,7 @@
         ]
         return self._random.choice(running) if len(running) > 1 else None
 
-    def _choose_target(self) -> SoakTarget:
+    def _choose_target(self) -> Target:
         return self._random.choice(self._cluster.targets)
 
     async def _kill_router(self) -> None:
@@ -132,7 +134,7 @@
         if router is None:
             return
         router.is_stopping = True
-        with self._disturbed(RouterDisturbed, router.name):
+        with self._disturbed(RouterDisturbed, router.name, True):
             await self._stop(router)
 
     async def _stop(self, router: Router) -> None:
@@ -141,9 +143,7 @@
             while router.process.poll() is None:
                 await trio.sleep(0.05)
         if router.process.poll() is None:
-            self._cluster.checker.violations.append(
-                f'{router.name} did not stop'
-            )
+            self._cluster.violations.append(f'{router.name} did not stop')
             router.signal(signal.SIGKILL)
         self._restart(router)
 
@@ -166,9 +166,10 @@
     async def _delay_target(self) -> None:
         target = self._choose_target()
         with self._disturbed(PathDisturbed, target.name):
-            target.proxy.delay_seconds = self._random.uniform(0.02, 0.4)
+            seconds = self._random.uniform(0.02, 0.4)
+            await target.proxy.set(delay_seconds=seconds)
             await self._wait_for_duration()
-            target.proxy.delay_seconds = 0
+            await target.proxy.set(delay_seconds=0)
 
     async def _hold_target_requests(self) -> None:
         await self._hold_target('requests')
@@ -179,34 +180,33 @@
     async def _hold_target(self, direction: str) -> None:
         target = self._choose_target()
         with self._disturbed(PathDisturbed, target.name):
-            target.proxy.hold(direction)
+            await target.proxy.call('hold', direction)
             await self._wait_for_duration()
-            target.proxy.release(direction)
+            await target.proxy.call('release', direction)
 
     async def _reset_target_connections(self) -> None:
-        self._choose_target().proxy.reset_connections()
+        await self._choose_target().proxy.call('reset_connections')
 
     async def _refuse_target_connections(self) -> None:
         target = self._choose_target()
         with self._disturbed(PathDisturbed, target.name):
-            target.proxy.refuses_connections = True
-            target.proxy.reset_connections()
+            await target.proxy.call('refuse')
             await self._wait_for_duration()
-            target.proxy.refuses_connections = False
+            await target.proxy.set(refuses_connections=False)
 
     async def _fail_target(self) -> None:
         target = self._choose_target()
-        target.is_failing = True
+        await target.remote.set(is_failing=True)
         await self._wait_for_duration()
-        target.is_failing = False
+        await target.remote.set(is_failing=False)
 
     async def _drain_target(self) -> None:
         target = self._choose_leaving_target()
         if target is None:
             return
-        self._cluster.publish_target(target, 'draining')
+        await self._cluster.publish_target(target, 'draining')
         await trio.sleep(MAX_FAULT_SECONDS + 1.5)
-        self._cluster.publish_target(target, 'ready')
+        await self._cluster.publish_target(target, 'ready')
 
     async def _leave_by_answers(self) -> None:
         """Let a target say in its answers alone that it leaves."""
@@ -214,10 +214,11 @@
         if target is None:
             return
         target.says_leaving = True
+        await target.remote.set(says_leaving=True)
         await trio.sleep(MAX_FAULT_SECONDS + 1.5)
-        self._cluster.restart_target(target)
+        await self._cluster.restart_target(target)
 
-    def _choose_leaving_target(self) -> SoakTarget | None:
+    def _choose_leaving_target(self) -> Target | None:
         ready_targets = [
             target
             for target in self._cluster.targets
@@ -229,45 +230,49 @@
 
     async def _ask_for_pauses(self) -> None:
         target = self._choose_target()
-        target.pause_seconds = round(self._random.uniform(0.6, 2), 1)
+        seconds = round(self._random.uniform(0.6, 2), 1)
+        await target.remote.set(pause_seconds=seconds)
         await self._wait_for_duration()
-        target.pause_seconds = 0
+        await target.remote.set(pause_seconds=0)
 
     async def _name_limit(self) -> None:
         target = self._choose_target()
-        target.limit = f'{self._random.uniform(0, 20):.1f}'
+        limit = f'{self._random.uniform(0, 20):.1f}'
+        await target.remote.set(limit=limit)
         await self._wait_for_duration()
-        target.limit = ''
+        await target.remote.set(limit='')
 
     async def _run_brittle_times(self) -> None:
         """Make one target after the other brittle, from draws of their own."""
         while True:
             target = self._brittle_random.choice(self._cluster.targets)
-            target.brittle_from = now() + CONTACT_SECONDS
-            target.max_rejections = str(MAX_REJECTIONS)
+            await target.remote.set(
+                brittle_from=now() + CONTACT_SECONDS,
+                max_rejections=str(MAX_REJECTIONS),
+            )
             await trio.sleep(
                 CONTACT_SECONDS + self._brittle_random.uniform(1, 4)
             )
-            target.max_rejections = ''
+            await target.remote.set(max_rejections='')
             await trio.sleep(self._brittle_random.uniform(0, 2))
 
     async def _run_cuts(self) -> None:
         """Cut one router after the other from all or some of the targets."""
         while True:
             router = self._cut_random.choice(self._cluster.routers)
-            paths = tuple(router.paths.proxies.items())
+            paths = tuple(router.paths.items())
             count = self._cut_random.choice((len(paths), len(paths) // 2))
             how = self._cut_random.choice(('held', 'refused'))
             self.injected.append(f'{router.name} {how} from {count} targets')
             cut = self._cut_random.sample(paths, count)
             with ExitStack() as stack:
                 for name, proxy in cut:
-                    _cut_path(proxy, how)
+                    await _cut_path(proxy, how)
                     fault = self._disturbed(PathDisturbed, name, router.name)
                     stack.enter_context(fault)
                 await trio.sleep(self._cut_random.uniform(1, MAX_CUT_SECONDS))
                 for _, proxy in cut:
-                    proxy.clear_faults()
+                    await proxy.call('clear_faults')
             await trio.sleep(self._cut_random.uniform(0, 2))
 
     async def _disrupt_store(self) -> None:
@@ -276,38 +281,34 @@
             await self._disrupt(outage)
 
     async def _disrupt(self, outage: str) -> None:
-        proxy = self._cluster.store_proxy
         if outage == 'hold':
-            proxy.hold('requests', 'responses')
+            await self._proxies.call('hold', 'requests', 'responses')
         elif outage == 'refuse':
-            proxy.refuse()
+            await self._proxies.call('refuse')
         else:
-            self._cluster.store.faults.extend([503] * 20)
+            await self._cluster.store.call('turn_away')
         await self._wait_for_duration()
-        proxy.clear_faults()
-        self._cluster.store.faults.clear()
+        await self._cluster.store.call('clear_faults')
 
     async def _forget_store_history(self) -> None:
         with self._disturbed(StoreDisturbed, True):
-            self._cluster.store.drop_history()
+            await self._cluster.store.call('drop_history')
 
     async def _restore_store(self) -> None:
         """Let the store come back from a copy some seconds old."""
         store = self._cluster.store
-        proxy = self._cluster.store_proxy
-        copy = store.copy()
+        number = next(self._copy_numbers)
+        await store.call('copy', number)
         await self._wait_for_duration()
         with self._disturbed(StoreDisturbed, False, True):
-            proxy.hold('requests', 'responses')
+            await self._proxies.call('hold', 'requests', 'responses')
             await trio.sleep(self._random.uniform(0, 1))
-            store.restore(copy)
-            proxy.clear_faults()
-            proxy.reset_connections()
+            await store.call('restore', number)
             await trio.sleep(self._random.uniform(0, 1))
-            self._cluster.write_again()
+            await store.call('write_again')
 
     async def _change_configuration(self) -> None:
-        self._cluster.configure()
+        await self._cluster.configure()
 
     async def _reload_router(self) -> None:
         router = self._choose_router()
@@ -315,10 +316,9 @@
             router.signal(signal.SIGHUP)
 
 
-def _cut_path(proxy: FaultProxy, how: str) -> None:
+async def _cut_path(proxy: Remote, how: str) -> None:
     """Hold all bytes of a path, or reset its connections."""
     if how == 'held':
-        proxy.hold('requests', 'responses')
-        return
-    proxy.refuses_connections = True
-    proxy.reset_connections()
+        await proxy.call('hold', 'requests', 'responses')
+    else:
+        await proxy.call('refuse')
--- a/tests/soak/leaving_rule.py
+++ b/tests/soak/leaving_rule.py
@@ -12,6 +12,8 @@
 
 # A target gets no requests later than this after the store's answer.
 DRAIN_SECONDS = 2.0
+# No fault excuses a request that reaches a draining target later than this.
+DRAIN_GRACE_SECONDS = 2.5
 
 
 def judge_leaving(records: Iterable[Record]) -> Iterator[str]:
@@ -28,7 +30,10 @@
         if left is None or request is None:
             continue
         late_seconds = arrived.at - left.at
-        if late_seconds > DRAIN_SECONDS and not _is_excused(
+        if late_seconds <= DRAIN_SECONDS:
+            continue
+        is_past_grace = late_seconds > DRAIN_GRACE_SECONDS and arrived.runs
+        if (left.state == 'draining' and is_past_grace) or not _is_excused(
             touch, request, arrived, left
         ):
             yield (
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,7 +6,7 @@
 
 import trio
 
-__all__ = ('FaultProxy', 'start_proxy')
+__all__ = ('FaultProxy', 'ProxyGroup', 'start_proxy')
 
 CHUNK_BYTES = 65536
 RESET_POLL_SECONDS = 0.02
@@ -45,6 +45,11 @@
         for direction in directions:
             self._may_pass[direction] = trio.Event()
 
+    def refuse(self) -> None:
+        """Reset all connections, and new ones too."""
+        self.refuses_connections = True
+        self.reset_connections()
+
     def release(self, *directions: str) -> None:
         """Forward the bytes that were held in the given directions."""
         for direction in directions:
@@ -112,6 +117,33 @@
                 raise trio.BrokenResourceError('reset while bytes were held')
 
 
+class ProxyGroup:
+    """Proxies that have the same faults."""
+
+    def __init__(self) -> None:
+        self.members: list[FaultProxy] = []
+
+    def hold(self, *directions: str) -> None:
+        """Stop the flow of bytes in the given directions."""
+        for proxy in self.members:
+            proxy.hold(*directions)
+
+    def refuse(self) -> None:
+        """Reset all connections, and new ones too."""
+        for proxy in self.members:
+            proxy.refuse()
+
+    def clear_faults(self) -> None:
+        """End all faults and forward the bytes that were held."""
+        for proxy in self.members:
+            proxy.clear_faults()
+
+    def reset_connections(self) -> None:
+        """Reset every open connection."""
+        for proxy in self.members:
+            proxy.reset_connections()
+
+
 async def start_proxy(nursery: trio.Nursery, target_address: str) -> FaultProxy:
     """Start a proxy for `target_address` (host:port) on a free local port."""
     proxy = FaultProxy(target_address)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -23,6 +23,8 @@
     'RouterStarted',
     'StoreDisturbed',
     'PathDisturbed',
+    'Late',
+    'AnyRecord',
     'select',
 )
 
@@ -44,7 +46,11 @@
 
 
 class Answered(Record, frozen=True):
-    """A caller has the whole answer to a request."""
+    """A request has ended at its caller.
+
+    Without a whole answer, `status` is 0, and `error` is 'unreachable' (no
+    connection), 'cut' (connection closed) or 'silent' (nothing in time).
+    """
 
     at: float
     request_id: str
@@ -53,20 +59,27 @@
     body: bytes
     # The id of the request that the answer names, if any.
     named_id: str = ''
+    error: str = ''
 
 
 class Arrived(Record, frozen=True):
-    """A request reaches a target, which runs it or rejects it."""
+    """A request reaches a target, which runs it or rejects it.
+
+    A rejection may ask for a pause, or come of a brittle target that bears so
+    many a second. Both are 0 if a fault held up the request or its answer.
+    """
 
     at: float
     request_id: str
     target: str
     start: int
     runs: bool
+    pause_seconds: float = 0
+    max_rejections: float = 0
 
 
 class Replied(Record, frozen=True):
-    """A target has answered a run; `is_whole` if the answer was not cut."""
+    """A target answers a run; `is_whole` if the answer is not broken off."""
 
     at: float
     request_id: str
@@ -74,6 +87,8 @@
     status: int
     body: bytes
     is_whole: bool
+    # The target, with its start, if the answer says that it leaves.
+    leaves: str = ''
 
 
 class VersionWritten(Record, frozen=True):
@@ -94,11 +109,12 @@
 
 
 class RouterDisturbed(Record, frozen=True):
-    """A router was not running as usual during a time."""
+    """A router was not running as usual; `is_planned` for a stop."""
 
     began_at: float
     at: float
     router: str
+    is_planned: bool = False
 
 
 class RouterStarted(Record, frozen=True):
@@ -130,6 +146,27 @@
     router: str = ''
 
 
+class Late(Record, frozen=True):
+    """A timer of a process of the soak itself was late."""
+
+    at: float
+    process: str
+    seconds: float
+
+
+AnyRecord = (
+    Sent
+    | Answered
+    | Arrived
+    | Replied
+    | VersionWritten
+    | EntryWritten
+    | RouterDisturbed
+    | RouterStarted
+    | StoreDisturbed
+    | PathDisturbed
+    | Late
+)
 Kind = TypeVar('Kind', bound=Record)
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,18 +11,24 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Collection
+from dataclasses import dataclass
 from pathlib import Path
 
 import trio
 from absl import app, flags
 
-from tests.soak.callers import Callers
-from tests.soak.cluster import Router, SoakCluster, start_cluster
+from tests.soak.callers import DEADLINE_SECONDS
+from tests.soak.cluster import SoakCluster, start_cluster
+from tests.soak.control import record_lateness
 from tests.soak.faults import FaultInjector
+from tests.soak.guarantees import GuaranteeChecker
 from tests.soak.judge import judge
+from tests.soak.records import Late, select
+from tests.soak.replay import replay
 
-__all__ = ('soak',)
+__all__ = ('Report', 'soak')
 
 SEEDS = flags.DEFINE_string(
     'seeds',
@@ -38,11 +44,25 @@
     'without', [], 'Groups of faults to leave out: store, routers, paths.'
 )
 
-CALLERS_PER_ROUTER = 4
 START_TIMEOUT_SECONDS = 15
 # All routers must serve again within this time after the last fault.
 RECOVERY_TIMEOUT_SECONDS = 12
-REQUIRED_SUCCESSES = 5
+# Routers that can start at once without waiting for a processor.
+ROUTERS_AT_ONCE = 6
+
+
+@dataclass(frozen=True)
+class Report:
+    """What a run has shown.
+
+    `outcomes` counts the outcomes by kind of request and status or error,
+    `late_seconds` has the longest delay of a timer by process of the soak.
+    """
+
+    violations: tuple[str, ...]
+    outcomes: Counter[str]
+    injected: tuple[str, ...]
+    late_seconds: dict[str, float]
 
 
 async def soak(
@@ -52,73 +72,85 @@
     routers: int = 3,
     targets: int = 4,
     without: Collection[str] = (),
-) -> tuple[list[str], SoakCluster, FaultInjector]:
-    """Run one seed; return the violations, the cluster and the injector.
+) -> Report:
+    """Run one seed, and report what it has shown.
 
     Faults are injected for `seconds`, but none of the groups in `without`;
     `routers` and `targets` are numbers.
     """
+    cluster = SoakCluster(folder)
     async with trio.open_nursery() as nursery:
-        cluster = await start_cluster(nursery, folder, routers, targets, seed)
+        nursery.start_soon(record_lateness, cluster.records, 'injector')
         try:
-            callers = Callers(cluster, seed)
-            await _wait_until_all_serve(cluster, callers, START_TIMEOUT_SECONDS)
-            injector = FaultInjector(cluster, seed, without)
-            with trio.move_on_after(seconds):
-                async with trio.open_nursery() as load_nursery:
-                    for router in cluster.routers * CALLERS_PER_ROUTER:
-                        load_nursery.start_soon(callers.run, router)
-                    load_nursery.start_soon(injector.run)
-            await _end_faults(cluster)
-            await _wait_until_all_serve(
-                cluster, callers, RECOVERY_TIMEOUT_SECONDS
+            injected = await _run_faults(
+                cluster, seed, seconds, routers, targets, without
             )
+            await cluster.collect_records()
         finally:
-            cluster.kill_routers()
-        cluster.record_failed_tasks()
-        cluster.checker.violations.extend(judge(cluster.records))
+            cluster.stop()
         nursery.cancel_scope.cancel()
-    return cluster.checker.violations, cluster, injector
-
-
-async def _wait_until_all_serve(
-    cluster: SoakCluster, callers: Callers, seconds: float
-) -> None:
-    """Wait until each router serves; record a violation if one does not."""
-    for router in cluster.routers:
-        with trio.move_on_after(seconds) as scope:
-            await _wait_until_router_serves(router, callers)
-        if scope.cancelled_caught:
-            why = f'{router.name} does not serve after {seconds} s'
-            cluster.checker.violations.append(why)
+    return _judge(cluster, injected)
 
 
-async def _wait_until_router_serves(router: Router, callers: Callers) -> None:
-    served = 0
-    while served < REQUIRED_SUCCESSES:
-        outcome = await callers.send_once(router, 'book')
-        served = served + 1 if outcome.status == 200 else 0
-        await trio.sleep(0.05)
+async def _run_faults(
+    cluster: SoakCluster,
+    seed: int,
+    seconds: float,
+    routers: int,
+    targets: int,
+    without: Collection[str],
+) -> list[str]:
+    """Run the cluster, with faults meanwhile; return what was injected."""
+    share = max(1, routers / ROUTERS_AT_ONCE)
+    await start_cluster(cluster, routers, targets, seed)
+    await cluster.wait_until_all_serve(START_TIMEOUT_SECONDS * share)
+    injector = FaultInjector(cluster, seed, without)
+    for callers in cluster.callers:
+        await callers.call('run')
+    with trio.move_on_after(seconds):
+        await injector.run()
+    for callers in cluster.callers:
+        await callers.call('stop')
+    await _end_faults(cluster)
+    await cluster.wait_until_all_serve(RECOVERY_TIMEOUT_SECONDS * share)
+    return injector.injected
+
+
+def _judge(cluster: SoakCluster, injected: list[str]) -> Report:
+    cluster.record_failed_tasks()
+    checker = GuaranteeChecker(DEADLINE_SECONDS)
+    replay(cluster.records, checker)
+    late_seconds: dict[str, float] = {}
+    for late in select(cluster.records, Late):
+        longest = max(late.seconds, late_seconds.get(late.process, 0))
+        late_seconds[late.process] = round(longest, 3)
+    return Report(
+        (*cluster.violations, *checker.violations, *judge(cluster.records)),
+        checker.outcome_counts,
+        tuple(injected),
+        late_seconds,
+    )
 
 
 async def _end_faults(cluster: SoakCluster) -> None:
-    cluster.store_proxy.clear_faults()
-    cluster.store.faults.clear()
+    await cluster.store.call('clear_faults')
     for target in cluster.targets:
-        target.proxy.clear_faults()
-        target.is_failing = False
-        target.failing_share = 0
-        target.slow_seconds = 0
-        target.stutters = False
-        target.cuts = False
-        target.pause_seconds = 0
-        target.limit = ''
-        target.max_rejections = ''
-        cluster.restart_target(target)
-        cluster.publish_target(target, 'ready')
+        await target.proxy.call('clear_faults')
+        await target.remote.set(
+            is_failing=False,
+            failing_share=0,
+            slow_seconds=0,
+            stutters=False,
+            cuts=False,
+            pause_seconds=0,
+            limit='',
+            max_rejections='',
+        )
+        await cluster.restart_target(target)
+        await cluster.publish_target(target, 'ready')
     for router in cluster.routers:
-        for path in router.paths.proxies.values():
-            path.clear_faults()
+        for path in router.paths.values():
+            await path.call('clear_faults')
         # A planned stop that is under way must be allowed to complete.
         while router.is_stopping and router.process.poll() is None:
             await trio.sleep(0.05)
@@ -133,6 +165,18 @@
     return range(int(first), int(last or first) + 1)
 
 
+def _print(seed: int, report: Report) -> None:
+    counts = dict(sorted(report.outcomes.items()))
+    sys.stdout.write(
+        f'seed {seed}: {len(report.violations)} violations, {counts}\n'
+        f'    own longest delays in seconds: {report.late_seconds}\n'
+    )
+    for line in report.violations:
+        sys.stdout.write(f'    {line}\n')
+    if report.violations:
+        sys.stdout.write(f'    {report.injected}\n')
+
+
 def main(_: list[str]) -> int:
     """Run the seeds that were asked for and return the exit status."""
     # SIGTERM raises KeyboardInterrupt, so that the routers are killed too.
@@ -140,7 +184,7 @@
     failed = 0
     for seed in _seed_range():
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        violations, cluster, injector = trio.run(
+        report = trio.run(
             soak,
             seed,
             SECONDS.value,
@@ -149,15 +193,10 @@
             TARGETS.value,
             WITHOUT.value,
         )
-        counts = dict(sorted(cluster.checker.outcome_counts.items()))
-        sys.stdout.write(
-            f'seed {seed}: {len(violations)} violations, {counts}\n'
-        )
-        for line in violations:
-            sys.stdout.write(f'    {line}\n')
-        if violations:
+        _print(seed, report)
+        if report.violations:
             failed += 1
-            sys.stdout.write(f'    {injector.injected}\n    logs: {folder}\n')
+            sys.stdout.write(f'    logs: {folder}\n')
         else:
             shutil.rmtree(folder)
         sys.stdout.flush()
--- /dev/null
+++ b/tests/soak/store_host.py
@@ -0,0 +1,126 @@
+"""The store of a soak run, in a worker process of its own."""
+
+from typing import Any
+
+import msgspec
+import trio
+
+from peridotwell.serving.asgi import serve_http
+from tests.peridotwell_platform.stand_in import StoreCopy, StoreStandIn
+from tests.soak.proxy import ProxyGroup, start_proxy
+from tests.soak.records import EntryWritten, Record, VersionWritten, now
+from tests.soak.router_paths import RouterView
+from tests.soak.versions import document
+
+__all__ = ('StoreHost',)
+
+HEARTBEAT_SECONDS = 1.0
+PAGE_SIZE = 100
+BUSY_STATUS, BUSY_CALLS = 503, 20
+
+
+class StoreHost:
+    """The store, which operators and targets write to, and its faults.
+
+    Each router has a view of it, behind a proxy of its own.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        records: list[Record],
+        objects: dict[str, Any],
+    ) -> None:
+        self._nursery = nursery
+        self._records = records
+        self._store = StoreStandIn()
+        self._store.page_size = PAGE_SIZE
+        self._proxies = ProxyGroup()
+        self._copies: dict[int, StoreCopy] = {}
+        self._version = 0
+        self._entries: dict[str, dict] = {}
+        objects['proxies'] = self._proxies
+
+    async def start(self, paths: dict[str, dict[str, str]]) -> dict[str, str]:
+        """Serve each router; return the address for it.
+
+        `paths` has the addresses of the targets by router and target.
+        """
+        self._nursery.start_soon(self._run_heartbeats)
+        addresses = {}
+        for router, targets in paths.items():
+            view = RouterView(self._store, targets)
+            address = await self._nursery.start(
+                serve_http, view.handle, '127.0.0.1:0'
+            )
+            proxy = await start_proxy(self._nursery, address)
+            self._proxies.members.append(proxy)
+            addresses[router] = proxy.address
+        return addresses
+
+    def configure(self, version: int) -> None:
+        """Write a version of the configuration."""
+        began_at = now()
+        self._version = version
+        self._write_configuration()
+        self._records.append(VersionWritten(began_at, now(), version))
+
+    def publish_target(self, name: str, start: int, entry: dict) -> None:
+        """Write a target's entry; remove it if its state is 'gone'.
+
+        Its number of reports begins anew with each start of the target.
+        """
+        old = self._entries.get(name, {'born': 0})
+        entry['seq'] = old['seq'] + 1 if old['born'] == entry['born'] else 0
+        self._entries[name] = entry
+        self._write_target(name)
+        written = EntryWritten(now(), name, start, entry['state'])
+        self._records.append(written)
+
+    def drop_history(self) -> None:
+        """Let the store forget the changes so far."""
+        self._store.drop_history()
+
+    def turn_away(self) -> None:
+        """Answer the next calls with a failure."""
+        self._store.faults.extend([BUSY_STATUS] * BUSY_CALLS)
+
+    def clear_faults(self) -> None:
+        """Let the store answer again."""
+        self._proxies.clear_faults()
+        self._store.faults.clear()
+
+    def copy(self, number: int) -> None:
+        """Keep a copy of the store."""
+        self._copies[number] = self._store.copy()
+
+    def restore(self, number: int) -> None:
+        """Go back to a copy, and end the routers' connections."""
+        self._store.restore(self._copies[number])
+        self._proxies.clear_faults()
+        self._proxies.reset_connections()
+
+    def write_again(self) -> None:
+        """Write what a restored store has lost, as operators and targets do."""
+        self._write_configuration()
+        for name in self._entries:
+            self._write_target(name)
+
+    async def _run_heartbeats(self) -> None:
+        while True:
+            await trio.sleep(HEARTBEAT_SECONDS)
+            for name, entry in self._entries.items():
+                entry['seq'] += 1
+                self._write_target(name)
+
+    def _write_configuration(self) -> None:
+        content = msgspec.json.encode(document(self._version))
+        self._store.put('op/config', content)
+
+    def _write_target(self, name: str) -> None:
+        key = f'servers/{name}'
+        entry = self._entries[name]
+        if entry['state'] != 'gone':
+            self._store.put(key, msgspec.json.encode(entry))
+        elif key in self._store.items:
+            self._store.delete(key)
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -2,15 +2,12 @@
 
 import random
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
 from tests.raw_target import read_request
 from tests.soak.answer_rule import EVENTS_PER_STREAM
-from tests.soak.brittle import BrittleChecker
-from tests.soak.guarantees import GuaranteeChecker
-from tests.soak.notices import NoticeChecker
 from tests.soak.proxy import FaultProxy
 from tests.soak.raw_answers import Answer, Manner, Request, send_answer
 from tests.soak.records import Arrived, Record, Replied, now
@@ -19,8 +16,6 @@
 
 EXECUTION_SECONDS = 0.03
 BRITTLE_SLOTS = 2
-# A target must get no requests when it has been draining for longer than this.
-DRAIN_GRACE_SECONDS = 2.5
 MAX_EXTRA_SECONDS = 1.0
 # Shares of the answers of targets with that fault.
 STUTTER_SHARE = 0.5
@@ -39,19 +34,16 @@
 class SoakTarget:
     """A simulated target whose responses contain the ID of their request.
 
-    `left_at` is the time at which it began to drain, `starts` the number of
-    its starts. Its answers may say that it leaves, ask for a pause, name a
-    limit or say that it is brittle. From `brittle_from` on, a brittle target
-    runs so few requests at once that it has to reject some. A target that
-    `stutters` sends answers a second time, one that `cuts` breaks them off.
+    `starts` is the number of its starts. Its answers may say that it leaves,
+    ask for a pause, name a limit or say that it is brittle. From `brittle_from`
+    on, a brittle target runs so few requests at once that it has to reject
+    some. A target that `stutters` sends answers a second time, one that `cuts`
+    breaks them off.
     """
 
     name: str
-    data_centre: str
-    checker: GuaranteeChecker
-    notices: NoticeChecker
-    brittle: BrittleChecker
     records: list[Record]
+    draws: random.Random
     proxy: FaultProxy | None = None
     is_failing: bool = False
     failing_share: float = 0
@@ -64,14 +56,8 @@
     max_rejections: str = ''
     brittle_from: float = 0
     running: int = 0
-    left_at: float = float('inf')
-    state: str = 'ready'
     starts: int = 1
-    # Unix milliseconds of its start, and the number of its reports since.
-    born: int = 0
-    seq: int = 0
     runs: int = 0
-    draws: random.Random = field(default_factory=random.Random)
 
     @property
     def incarnation(self) -> str:
@@ -94,12 +80,7 @@
     async def _answer(
         self, request: Request, stream: trio.SocketStream, lock: trio.Lock
     ) -> tuple[Answer, Manner]:
-        request_id = request.headers['x-request-id']
-        rejection = self._reject(request_id)
-        arrived = Arrived(
-            now(), request_id, self.name, self.starts, runs=not rejection
-        )
-        self.records.append(arrived)
+        rejection = self._reject(request.headers['x-request-id'])
         if rejection:
             async with lock:
                 await send_answer(stream, rejection, Manner('length'))
@@ -111,27 +92,34 @@
             self.running -= 1
 
     def _reject(self, request_id: str) -> Answer | None:
-        at = now()
-        self.notices.record_arrival(request_id, self.incarnation, at)
+        """Return the answer to a request that does not run."""
         fields = (('x-request-id', request_id), ('x-not-executed', '1'))
         if self.pause_seconds:
-            self._say_pause(request_id, at)
+            self._record_arrival(request_id, pause=self.pause_seconds)
             pause = ('retry-after', f'{self.pause_seconds}')
             return Answer(503, (*fields, pause), ())
-        is_brittle = self.max_rejections and at >= self.brittle_from
-        if not is_brittle or self.running < BRITTLE_SLOTS:
-            return None
-        if self.proxy.is_clear:
-            self.brittle.record_rejection(
-                request_id, self.name, float(self.max_rejections), at
-            )
-        return Answer(503, (*fields, *self._brittle_fields()), ())
-
-    def _say_pause(self, request_id: str, at: float) -> None:
-        if self.proxy.is_clear:
-            self.notices.say_pause(
-                request_id, self.incarnation, self.pause_seconds, at
-            )
+        is_brittle = self.max_rejections and now() >= self.brittle_from
+        if is_brittle and self.running >= BRITTLE_SLOTS:
+            bearable = float(self.max_rejections)
+            self._record_arrival(request_id, max_rejections=bearable)
+            return Answer(503, (*fields, *self._brittle_fields()), ())
+        self._record_arrival(request_id)
+        return None
+
+    def _record_arrival(
+        self, request_id: str, pause: float = 0, max_rejections: float = 0
+    ) -> None:
+        is_clear = self.proxy.is_clear
+        arrived = Arrived(
+            now(),
+            request_id,
+            self.name,
+            self.starts,
+            not (pause or max_rejections),
+            pause * is_clear,
+            max_rejections * is_clear,
+        )
+        self.records.append(arrived)
 
     def _brittle_fields(self) -> tuple[tuple[str, str], ...]:
         return (
@@ -143,8 +131,6 @@
         self, request: Request, stream: trio.SocketStream, lock: trio.Lock
     ) -> tuple[Answer, Manner]:
         request_id = request.headers['x-request-id']
-        has_left = now() - self.left_at > DRAIN_GRACE_SECONDS
-        self.checker.record_run(request_id, self.name, has_left=has_left)
         self.runs += 1
         receipt = f'seal.{self.name}.{self.runs}'
         is_stream = request.path.startswith(('/draft/', '/ask/'))
@@ -152,8 +138,6 @@
         manner = Manner('chunks' if is_stream else 'length')
         if self.cuts and self.draws.random() < CUT_SHARE:
             manner = self.draws.choice(CUTS)
-        if manner.cut:
-            self.checker.broken_off.add(request_id)
         await trio.sleep(
             self.slow_seconds + (not is_stream) * EXECUTION_SECONDS
         )
@@ -165,7 +149,8 @@
                     receipt,
                     answer.status,
                     answer.body,
-                    is_whole=not manner.cut,
+                    not manner.cut,
+                    self.incarnation * self.says_leaving,
                 )
             )
             await send_answer(stream, answer, manner)
@@ -189,7 +174,6 @@
     ) -> tuple[tuple[str, str], ...]:
         fields = [('x-request-id', request_id), ('x-server-seal', receipt)]
         if self.says_leaving:
-            self.notices.say_leaving(request_id, self.incarnation)
             fields.append(('server-leaving', '1'))
         if self.limit:
             fields.append(('server-limit', self.limit))
--- a/tests/soak/target_faults.py
+++ b/tests/soak/target_faults.py
@@ -7,8 +7,7 @@
 
 import trio
 
-from tests.soak.cluster import SoakCluster
-from tests.soak.target import SoakTarget
+from tests.soak.cluster import SoakCluster, Target
 
 __all__ = ('TargetFaults',)
 
@@ -53,58 +52,47 @@
             gap = self._random.uniform(0.05, MAX_CHANGE_GAP_SECONDS)
             await trio.sleep(gap)
             for _ in range(self._random.randint(1, MAX_CHANGES_AT_ONCE)):
-                self._cluster.configure()
-
-    def _choose(self) -> SoakTarget:
-        return self._random.choice(self._cluster.targets)
-
-    async def _wait(self) -> None:
-        seconds = self._random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
-        await trio.sleep(seconds)
+                await self._cluster.configure()
 
     async def _stutter(self) -> None:
-        target = self._choose()
-        target.stutters = True
-        await self._wait()
-        target.stutters = False
+        await self._set_for_a_time('stutters', True, False)
 
     async def _cut_answers(self) -> None:
-        target = self._choose()
-        target.cuts = True
-        await self._wait()
-        target.cuts = False
+        await self._set_for_a_time('cuts', True, False)
 
     async def _fail_part(self) -> None:
-        target = self._choose()
-        target.failing_share = FAILING_SHARE
-        await self._wait()
-        target.failing_share = 0
+        await self._set_for_a_time('failing_share', FAILING_SHARE, 0)
 
     async def _slow_down(self) -> None:
-        target = self._choose()
-        target.slow_seconds = self._random.uniform(0, MAX_SLOW_SECONDS)
-        await self._wait()
-        target.slow_seconds = 0
+        seconds = self._random.uniform(0, MAX_SLOW_SECONDS)
+        await self._set_for_a_time('slow_seconds', seconds, 0)
+
+    async def _set_for_a_time(self, name: str, during, after) -> None:
+        remote = self._random.choice(self._cluster.targets).remote
+        await remote.set(**{name: during})
+        seconds = self._random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        await trio.sleep(seconds)
+        await remote.set(**{name: after})
 
     async def _remove_entry(self) -> None:
         """Remove a target's entry, while the target serves on."""
         target = self._choose_ready()
         if target is None:
             return
-        self._cluster.publish_target(target, 'gone')
+        await self._cluster.publish_target(target, 'gone')
         await trio.sleep(
             self._random.uniform(MIN_SERVE_SECONDS, MAX_SERVE_SECONDS)
         )
-        self._cluster.publish_target(target, 'ready')
+        await self._cluster.publish_target(target, 'ready')
 
     async def _restart(self) -> None:
         """End a target's connections, and start it anew under its name."""
         target = self._choose_ready()
         if target is not None:
-            target.proxy.reset_connections()
-            self._cluster.restart_target(target)
+            await target.proxy.call('reset_connections')
+            await self._cluster.restart_target(target)
 
-    def _choose_ready(self) -> SoakTarget | None:
+    def _choose_ready(self) -> Target | None:
         ready = [
             target
             for target in self._cluster.targets
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -89,13 +89,12 @@
 
 # Guards against a soak that passes although a task of a router has ended.
 def test_a_failed_task_in_a_log_is_a_violation(tmp_path):
-    checker = GuaranteeChecker(1)
-    cluster = SoakCluster(tmp_path, None, None, checker, None, None)
+    cluster = SoakCluster(tmp_path)
     cluster.routers.append(SimpleNamespace(name='r0'))
     log = tmp_path / 'r0.log'
     log.write_text('{"event": "router.started"}\n')
     cluster.record_failed_tasks()
-    assert not checker.violations
+    assert not cluster.violations
     log.write_text('{"event": "task.failed", "task": "probe"}\n')
     cluster.record_failed_tasks()
-    assert len(checker.violations) == 1
+    assert len(cluster.violations) == 1
--- a/tests/soak/test_leaving_rule.py
+++ b/tests/soak/test_leaving_rule.py
@@ -16,7 +16,7 @@
 LEFT_AT = 10
 
 
-def judge(after_seconds, *records, state='draining', start=1):
+def judge(after_seconds, *records, state='gone', start=1):
     at = LEFT_AT + after_seconds
     return list(
         judge_leaving(
@@ -41,7 +41,9 @@
 
 
 def test_removal_after_draining_does_not_begin_the_time_anew():
-    assert judge(2.1, EntryWritten(LEFT_AT + 1.5, 't0', 1, 'gone'))
+    assert judge(
+        2.1, EntryWritten(LEFT_AT + 1.5, 't0', 1, 'gone'), state='draining'
+    )
 
 
 def test_target_that_started_anew_gets_requests():
@@ -60,6 +62,8 @@
 def test_faults_excuse_until_contact(fault):
     assert not judge(3, fault)
     assert judge(4.2, fault) or isinstance(fault, StoreDisturbed)
+    # A target that drains gets nothing after a grace, whatever the fault.
+    assert judge(3, fault, state='draining')
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/soak/test_replay.py
@@ -0,0 +1,100 @@
+"""The replay of a run's records shows the checks its course."""
+
+import pytest
+
+from tests.soak.guarantees import GuaranteeChecker
+from tests.soak.records import (
+    Answered,
+    Arrived,
+    Replied,
+    RouterDisturbed,
+    RouterStarted,
+    Sent,
+)
+from tests.soak.replay import replay
+
+BEGIN = (RouterStarted(0, 'r0'),)
+
+
+def find(*records):
+    checker = GuaranteeChecker(1.5)
+    replay([*BEGIN, *records], checker)
+    return checker.violations
+
+
+def send(at, request_id='q1-book'):
+    return Sent(at, request_id, 'r0', 'book', 'key-1')
+
+
+def arrive(at, request_id='q1-book', runs=True, **details):
+    return Arrived(at, request_id, 't0', 1, runs, **details)
+
+
+def answer(at, status, request_id='q1-book', error=''):
+    body = request_id.encode()
+    return Answered(at, request_id, status, 's', body, error=error)
+
+
+def test_an_answered_run_is_allowed():
+    assert not find(answer(3, 200), arrive(2), send(1))
+
+
+def test_second_run_of_a_booking_but_not_of_a_lookup():
+    assert 'ran twice' in find(send(1), arrive(2), arrive(3))[0]
+    again = (arrive(2, 'q1-read'), arrive(3, 'q1-read'))
+    assert not find(send(1, 'q1-read'), *again)
+
+
+@pytest.mark.parametrize('run_at', [2, 4])
+def test_refused_request_that_ran(run_at):
+    assert find(send(1), arrive(run_at), answer(3, 503))
+    assert not find(send(1), arrive(run_at, runs=False), answer(3, 503))
+
+
+def test_late_answer_unless_its_router_was_disturbed():
+    late = (send(1), arrive(1.1), answer(4, 200))
+    assert 'too late' in find(*late)[0]
+    assert not find(*late, RouterDisturbed(0.5, 2, 'r0'))
+    assert find(*late, RouterDisturbed(0.5, 2, 'r1'))
+
+
+def test_planned_stop_that_cuts_a_run_unless_the_target_broke_off():
+    stop = RouterDisturbed(0.9, 5, 'r0', is_planned=True)
+    cut = (send(1), arrive(1.1), answer(1.2, 0, error='cut'))
+    assert 'planned stop' in find(stop, *cut)[0]
+    assert not find(RouterDisturbed(0.9, 5, 'r0'), *cut)
+    broken = Replied(1.15, 'q1-book', 's', 200, b'', is_whole=False)
+    assert not find(stop, *cut, broken)
+
+
+def test_requests_after_the_router_passed_on_that_a_target_leaves():
+    told = (
+        send(1),
+        arrive(1.1),
+        Replied(1.2, 'q1-book', 's', 200, b'', True, 't0 start 1'),
+        answer(1.3, 200),
+    )
+    later = (send(4, 'q2-read'), arrive(4.1, 'q2-read'))
+    assert 'leaves' in find(*told, *later)[0]
+    assert not find(*told, RouterDisturbed(2, 3, 'r0'), *later)
+
+
+def test_rejections_of_a_brittle_target():
+    def reject(count):
+        for number in range(count):
+            request_id = f'q{number}-read'
+            yield send(4, request_id)
+            yield arrive(4.1, request_id, runs=False, max_rejections=2)
+
+    assert not find(*reject(2))
+    assert 'fell over' in find(*reject(3))[0]
+
+
+def test_requests_within_a_pause():
+    records = [send(1, 'q0-read')]
+    records.append(arrive(1, 'q0-read', runs=False, pause_seconds=3))
+    for number in (1, 2, 3):
+        records.append(send(2, f'q{number}-read'))
+        records.append(arrive(2.1, f'q{number}-read', runs=False))
+    assert not find(*records[:-2])
+    assert 'pause' in find(*records)[0]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,16 +17,12 @@
 
 @pytest.mark.parametrize('seed', [2, *(seed for seed, _ in REGRESSIONS)])
 def test_guarantees_hold_under_faults(seed, tmp_path):
-    violations, cluster, injector = trio.run(
-        soak, seed, FAULT_SECONDS, tmp_path
-    )
-    assert not violations, injector.injected
-    assert cluster.checker.outcome_counts['book 200'] > 0
+    report = trio.run(soak, seed, FAULT_SECONDS, tmp_path)
+    assert not report.violations, report
+    assert report.outcomes['book 200'] > 0
 
 
 def test_guarantees_hold_while_only_targets_and_versions_change(tmp_path):
-    violations, cluster, injector = trio.run(
-        soak, 1, FAULT_SECONDS, tmp_path, 3, 4, CALM
-    )
-    assert not violations, injector.injected
-    assert cluster.checker.outcome_counts['probe 200'] > 0
+    report = trio.run(soak, 1, FAULT_SECONDS, tmp_path, 3, 4, CALM)
+    assert not report.violations, report
+    assert report.outcomes['probe 200'] > 0
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -46,7 +46,7 @@
 class Versions:
     """Draws routes and keys that were just added or dropped, or never were."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: str) -> None:
         self._random = random.Random(f'versions {seed}')
 
     def draw(self, version: int) -> tuple[str, str]:
