--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -83,6 +83,7 @@
     cluster = SoakCluster(folder)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(record_lateness, cluster.records, 'injector')
+        nursery.start_soon(_interrupt_on_sigterm)
         try:
             injected = await _run_faults(
                 cluster, seed, seconds, routers, targets, without
@@ -94,6 +95,13 @@
     return _judge(cluster, injected)
 
 
+async def _interrupt_on_sigterm() -> None:
+    """Raise KeyboardInterrupt on SIGTERM, so that all processes are ended."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise KeyboardInterrupt
+
+
 async def _run_faults(
     cluster: SoakCluster,
     seed: int,
@@ -183,8 +191,6 @@
 
 def main(_: list[str]) -> int:
     """Run the seeds that were asked for and return the exit status."""
-    # SIGTERM raises KeyboardInterrupt, so that the routers are killed too.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in _seed_range():
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
