--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,14 +1,23 @@
 """Injects random faults, drawn from a seed, into routers, targets and store."""
 
+import itertools
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
+from contextlib import ExitStack
 
 import trio
 
 from tests.soak.brittle import CONTACT_SECONDS
-from tests.soak.cluster import Router, SoakCluster, SoakTarget
-from tests.soak.proxy import FaultProxy
+from tests.soak.cluster import Router, SoakCluster, Target
+from tests.soak.control import Remote
+from tests.soak.records import (
+    PathDisturbed,
+    RouterDisturbed,
+    StoreDisturbed,
+    now,
+)
+from tests.soak.target_faults import TargetFaults
 
 __all__ = ('FaultInjector',)
 
@@ -17,6 +26,7 @@
 # Longest time between the starts of two faults; most faults last longer.
 MAX_GAP_SECONDS = 1.2
 MAX_FAULT_SECONDS = 2.5
+LEAVING_SECONDS = 4.0
 # A router must stop within this time after SIGTERM.
 STOP_TIMEOUT_SECONDS = 5.5
 MAX_REPEATS = 3
@@ -30,31 +40,42 @@
 class FaultInjector:
     """Injects faults into a cluster; `injected` lists their names in order."""
 
-    def __init__(self, cluster: SoakCluster, seed: int) -> None:
+    def __init__(
+        self, cluster: SoakCluster, seed: int, without: Collection[str] = ()
+    ) -> None:
+        """Create an injector; `without` has the groups to leave out."""
         self.injected: list[str] = []
+        self._without = without
+        self._proxies = Remote(cluster.workers[0], 'proxies')
+        self._copy_numbers = itertools.count()
+        self._disturbed = cluster.disturbed
         self._cluster = cluster
         self._random = random.Random(f'faults {seed}')
         self._brittle_random = random.Random(f'brittle {seed}')
         self._cut_random = random.Random(f'cuts {seed}')
-        self._faults: tuple[Fault, ...] = (
-            self._kill_router,
-            self._stop_router,
-            self._pause_router,
-            self._delay_target,
-            self._hold_target_requests,
-            self._hold_target_responses,
-            self._reset_target_connections,
-            self._refuse_target_connections,
-            self._fail_target,
-            self._drain_target,
-            self._leave_by_answers,
-            self._ask_for_pauses,
-            self._name_limit,
-            self._disrupt_store,
-            self._forget_store_history,
-            self._restore_store,
-            self._change_configuration,
-            self._reload_router,
+        self._target_faults = TargetFaults(cluster, seed, MIN_TARGETS)
+        faults: tuple[tuple[str, Fault], ...] = (
+            ('routers', self._kill_router),
+            ('routers', self._stop_router),
+            ('routers', self._pause_router),
+            ('paths', self._delay_target),
+            ('paths', self._hold_target_requests),
+            ('paths', self._hold_target_responses),
+            ('paths', self._reset_target_connections),
+            ('paths', self._refuse_target_connections),
+            ('targets', self._fail_target),
+            ('targets', self._drain_target),
+            ('targets', self._leave_by_answers),
+            ('targets', self._ask_for_pauses),
+            ('targets', self._name_limit),
+            ('store', self._disrupt_store),
+            ('store', self._forget_store_history),
+            ('store', self._restore_store),
+            ('', self._change_configuration),
+            ('', self._reload_router),
+        )
+        self._faults = tuple(
+            fault for group, fault in faults if group not in without
         )
 
     async def run(self) -> None:
@@ -64,7 +85,9 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_brittle_times)
-            nursery.start_soon(self._run_cuts)
+            if 'paths' not in self._without:
+                nursery.start_soon(self._run_cuts)
+            nursery.start_soon(self._target_faults.run, self.injected)
             while True:
                 fault = self._random.choice(self._faults)
                 name = fault.__name__.strip('_')
@@ -90,197 +113,202 @@
             if router.process is not None
             and router.process.poll() is None
             and not router.is_stopping
-            and trio.current_time() - router.disturbed_at > STOP_TIMEOUT_SECONDS
+            and now() - router.disturbed_at > STOP_TIMEOUT_SECONDS
         ]
         return self._random.choice(running) if len(running) > 1 else None
 
-    def _choose_target(self) -> SoakTarget:
+    def _choose_target(self) -> Target:
         return self._random.choice(self._cluster.targets)
 
     async def _kill_router(self) -> None:
-        router = self._choose_router()
-        if router is None:
-            return
-        router.disturbed_at = trio.current_time()
-        router.signal(signal.SIGKILL)
-        await self._wait_for_duration()
-        self._restart(router)
+        if router := self._choose_router():
+            router.disturbed_at = now()
+            with self._disturbed(RouterDisturbed, router.name):
+                router.signal(signal.SIGKILL)
+                await self._wait_for_duration()
+                self._restart(router)
 
     async def _stop_router(self) -> None:
-        router = self._choose_router()
-        if router is None:
-            return
-        router.is_stopping = True
+        if router := self._choose_router():
+            router.is_stopping = True
+            with self._disturbed(RouterDisturbed, router.name, True):
+                await self._stop(router)
+
+    async def _stop(self, router: Router) -> None:
         router.signal(signal.SIGTERM)
         with trio.move_on_after(STOP_TIMEOUT_SECONDS):
             while router.process.poll() is None:
                 await trio.sleep(0.05)
         if router.process.poll() is None:
-            self._cluster.checker.violations.append(
-                f'{router.name} did not stop'
-            )
+            self._cluster.violations.append(f'{router.name} did not stop')
             router.signal(signal.SIGKILL)
         self._restart(router)
 
     async def _pause_router(self) -> None:
-        router = self._choose_router()
-        if router is None:
-            return
-        router.disturbed_at = trio.current_time()
-        router.signal(signal.SIGSTOP)
-        await self._wait_for_duration()
-        router.signal(signal.SIGCONT)
-        router.disturbed_at = trio.current_time()
+        if router := self._choose_router():
+            router.disturbed_at = now()
+            with self._disturbed(RouterDisturbed, router.name):
+                router.signal(signal.SIGSTOP)
+                await self._wait_for_duration()
+                router.signal(signal.SIGCONT)
+            router.disturbed_at = now()
 
     def _restart(self, router: Router) -> None:
         router.process.wait()
-        router.disturbed_at = trio.current_time()
-        router.start(self._cluster.log_path(router))
+        router.disturbed_at = now()
+        self._cluster.start_router(router)
 
     async def _delay_target(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.delay_seconds = self._random.uniform(0.02, 0.4)
-        await self._wait_for_duration()
-        proxy.delay_seconds = 0
+        target = self._choose_target()
+        seconds = self._random.uniform(0.02, 0.4)
+        with self._disturbed(PathDisturbed, target.name):
+            await self._set(target.proxy, delay_seconds=(seconds, 0))
 
     async def _hold_target_requests(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.hold('requests')
-        await self._wait_for_duration()
-        proxy.release('requests')
+        await self._hold_target('requests')
 
     async def _hold_target_responses(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.hold('responses')
-        await self._wait_for_duration()
-        proxy.release('responses')
+        await self._hold_target('responses')
+
+    async def _hold_target(self, direction: str) -> None:
+        target = self._choose_target()
+        with self._disturbed(PathDisturbed, target.name):
+            await target.proxy.call('hold', direction)
+            await self._wait_for_duration()
+            await target.proxy.call('release', direction)
 
     async def _reset_target_connections(self) -> None:
-        self._choose_target().proxy.reset_connections()
+        await self._choose_target().proxy.call('reset_connections')
 
     async def _refuse_target_connections(self) -> None:
-        proxy = self._choose_target().proxy
-        proxy.refuses_connections = True
-        proxy.reset_connections()
-        await self._wait_for_duration()
-        proxy.refuses_connections = False
+        target = self._choose_target()
+        with self._disturbed(PathDisturbed, target.name):
+            await target.proxy.call('refuse')
+            await self._wait_for_duration()
+            await target.proxy.set(refuses_connections=False)
 
     async def _fail_target(self) -> None:
         target = self._choose_target()
-        target.is_failing = True
-        await self._wait_for_duration()
-        target.is_failing = False
+        await self._set(target.remote, is_failing=(True, False))
+
+    async def _ask_for_pauses(self) -> None:
+        target = self._choose_target()
+        seconds = round(self._random.uniform(0.6, 2), 1)
+        await self._set(target.remote, pause_seconds=(seconds, 0))
+
+    async def _name_limit(self) -> None:
+        target = self._choose_target()
+        limit = f'{self._random.uniform(0, 20):.1f}'
+        await self._set(target.remote, limit=(limit, ''))
+
+    async def _set(self, remote: Remote, **attributes) -> None:
+        """Set attributes for a time; each has a value and one for later."""
+        for index in (0, 1):
+            changes = {name: pair[index] for name, pair in attributes.items()}
+            await remote.set(**changes)
+            if not index:
+                await self._wait_for_duration()
 
     async def _drain_target(self) -> None:
-        target = self._choose_leaving_target()
-        if target is None:
-            return
-        self._cluster.publish_target(target, 'draining')
-        await trio.sleep(MAX_FAULT_SECONDS + 1.5)
-        self._cluster.publish_target(target, 'ready')
+        if target := self._choose_leaving_target():
+            await self._cluster.publish_target(target, 'draining')
+            await trio.sleep(LEAVING_SECONDS)
+            await self._cluster.publish_target(target, 'ready')
 
     async def _leave_by_answers(self) -> None:
         """Let a target say in its answers alone that it leaves."""
-        target = self._choose_leaving_target()
-        if target is None:
-            return
-        target.says_leaving = True
-        await trio.sleep(MAX_FAULT_SECONDS + 1.5)
-        self._cluster.restart_target(target)
-
-    def _choose_leaving_target(self) -> SoakTarget | None:
+        if target := self._choose_leaving_target():
+            target.says_leaving = True
+            await target.remote.set(says_leaving=True)
+            await trio.sleep(LEAVING_SECONDS)
+            await self._cluster.restart_target(target)
+
+    def _choose_leaving_target(self) -> Target | None:
         ready_targets = [
             target
             for target in self._cluster.targets
-            if trio.current_time() < target.left_at and not target.says_leaving
+            if target.state == 'ready' and not target.says_leaving
         ]
         if len(ready_targets) <= MIN_TARGETS:
             return None
         return self._random.choice(ready_targets)
 
-    async def _ask_for_pauses(self) -> None:
-        target = self._choose_target()
-        target.pause_seconds = round(self._random.uniform(0.6, 2), 1)
-        await self._wait_for_duration()
-        target.pause_seconds = 0
-
-    async def _name_limit(self) -> None:
-        target = self._choose_target()
-        target.limit = f'{self._random.uniform(0, 20):.1f}'
-        await self._wait_for_duration()
-        target.limit = ''
-
     async def _run_brittle_times(self) -> None:
         """Make one target after the other brittle, from draws of their own."""
         while True:
             target = self._brittle_random.choice(self._cluster.targets)
-            target.brittle_from = trio.current_time() + CONTACT_SECONDS
-            target.max_rejections = str(MAX_REJECTIONS)
+            await target.remote.set(
+                brittle_from=now() + CONTACT_SECONDS,
+                max_rejections=str(MAX_REJECTIONS),
+            )
             await trio.sleep(
                 CONTACT_SECONDS + self._brittle_random.uniform(1, 4)
             )
-            target.max_rejections = ''
+            await target.remote.set(max_rejections='')
             await trio.sleep(self._brittle_random.uniform(0, 2))
 
     async def _run_cuts(self) -> None:
         """Cut one router after the other from all or some of the targets."""
         while True:
             router = self._cut_random.choice(self._cluster.routers)
-            paths = tuple(router.paths.proxies.values())
+            paths = tuple(router.paths.items())
             count = self._cut_random.choice((len(paths), len(paths) // 2))
             how = self._cut_random.choice(('held', 'refused'))
             self.injected.append(f'{router.name} {how} from {count} targets')
             cut = self._cut_random.sample(paths, count)
-            for proxy in cut:
-                _cut_path(proxy, how)
-            await trio.sleep(self._cut_random.uniform(1, MAX_CUT_SECONDS))
-            for proxy in cut:
-                proxy.clear_faults()
+            with ExitStack() as stack:
+                for name, proxy in cut:
+                    fault = self._disturbed(PathDisturbed, name, router.name)
+                    stack.enter_context(fault)
+                    await _cut_path(proxy, how)
+                await trio.sleep(self._cut_random.uniform(1, MAX_CUT_SECONDS))
+                for _, proxy in cut:
+                    await proxy.call('clear_faults')
             await trio.sleep(self._cut_random.uniform(0, 2))
 
     async def _disrupt_store(self) -> None:
-        proxy = self._cluster.store_proxy
         outage = self._random.choice(('hold', 'refuse', 'busy'))
+        with self._disturbed(StoreDisturbed, False):
+            await self._disrupt(outage)
+
+    async def _disrupt(self, outage: str) -> None:
         if outage == 'hold':
-            proxy.hold('requests', 'responses')
+            await self._proxies.call('hold', 'requests', 'responses')
         elif outage == 'refuse':
-            proxy.refuse()
+            await self._proxies.call('refuse')
         else:
-            self._cluster.store.faults.extend([503] * 20)
+            await self._cluster.store.call('turn_away')
         await self._wait_for_duration()
-        proxy.clear_faults()
-        self._cluster.store.faults.clear()
+        await self._cluster.store.call('clear_faults')
 
     async def _forget_store_history(self) -> None:
-        self._cluster.store.drop_history()
+        with self._disturbed(StoreDisturbed, True):
+            await self._cluster.store.call('drop_history')
 
     async def _restore_store(self) -> None:
         """Let the store come back from a copy some seconds old."""
         store = self._cluster.store
-        proxy = self._cluster.store_proxy
-        copy = store.copy()
+        number = next(self._copy_numbers)
+        await store.call('copy', number)
         await self._wait_for_duration()
-        proxy.hold('requests', 'responses')
-        await trio.sleep(self._random.uniform(0, 1))
-        store.restore(copy)
-        proxy.clear_faults()
-        proxy.reset_connections()
-        await trio.sleep(self._random.uniform(0, 1))
-        self._cluster.write_again()
+        with self._disturbed(StoreDisturbed, False, True):
+            await self._proxies.call('hold', 'requests', 'responses')
+            await trio.sleep(self._random.uniform(0, 1))
+            await store.call('restore', number)
+            await trio.sleep(self._random.uniform(0, 1))
+            await store.call('write_again')
 
     async def _change_configuration(self) -> None:
-        self._cluster.configure()
+        await self._cluster.configure()
 
     async def _reload_router(self) -> None:
-        router = self._choose_router()
-        if router is not None:
+        if router := self._choose_router():
             router.signal(signal.SIGHUP)
 
 
-def _cut_path(proxy: FaultProxy, how: str) -> None:
+async def _cut_path(proxy: Remote, how: str) -> None:
     """Hold all bytes of a path, or reset its connections."""
     if how == 'held':
-        proxy.hold('requests', 'responses')
-        return
-    proxy.refuses_connections = True
-    proxy.reset_connections()
+        await proxy.call('hold', 'requests', 'responses')
+    else:
+        await proxy.call('refuse')
