A router that was late to read chooses targets after the news

Cause: the same as that of late configurations, for requests that had been read before the router stood still: one that waits for room, or goes on at another target, was sent to a target by the list as it was before. Class: what was checked when a request arrived was taken to hold later.

Evidence: test_waiting_room.py, first choice and later ones: sent at once before, after the store's answer now.

Change: each choice of a target waits for the check after a late turn, as the reading of requests does. Nothing waits while the knowledge is in time, or the store is known not to answer.

--- a/peridotwell/fleet/replica/store_freshness.py
+++ b/peridotwell/fleet/replica/store_freshness.py
@@ -88,9 +88,10 @@
 
         Returns whether the store has answered, or is known not to answer.
         """
-        if not self.is_current(now):
-            with trio.move_on_after(SETTLE_SECONDS):
-                await self.settled.wait()
+        if self.is_current(now) or self.settled.is_set():
+            return True
+        with trio.move_on_after(SETTLE_SECONDS):
+            await self.settled.wait()
         return self.settled.is_set() or self.is_current(trio.current_time())
 
     def _notice_late(self, now: float) -> None:
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -153,6 +153,7 @@
             PathSelector(selector, tracker, peer_paths),
             tracker.return_spread,
             metrics,
+            state.directory.freshness,
         ),
         handover_client,
         ReachabilityProber(tracker, settings.name, state.own_reach),
--- a/peridotwell/forwarding/waiting_room.py
+++ b/peridotwell/forwarding/waiting_room.py
@@ -16,6 +16,7 @@
 import trio
 
 from peridotwell.errors import NoRoom, Overloaded
+from peridotwell.fleet.replica.store_freshness import StoreFreshness
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.logs import log_event
@@ -100,7 +101,8 @@
 class WaitingRoom:
     """Chooses targets for requests, and lets those wait that find no room.
 
-    `selector` chooses the targets.
+    `selector` chooses the targets. If the router was late to read that targets
+    leave, as `freshness` tells, it reads that first.
     """
 
     def __init__(
@@ -108,8 +110,10 @@
         selector: PathSelector,
         return_spread: ReturnSpread,
         metrics: Metrics,
+        freshness: StoreFreshness,
     ) -> None:
         self.selector = selector
+        self._freshness = freshness
         self._return_spread = return_spread
         self._metrics = metrics
         self._lines: dict[str, _Line] = {}
@@ -127,6 +131,7 @@
 
         The choice must be used before the next checkpoint.
         """
+        await self._freshness.settle(trio.current_time())
         if tried or software is not None:
             return self.selector.choose(
                 request,
@@ -167,6 +172,7 @@
                 line.waited += 1
                 self._metrics.count('request.waited')
             await self._wait(line, request, place, now)
+            await self._freshness.settle(trio.current_time())
             now = trio.current_time()
         raise AssertionError('The loop ends only with a choice or an error.')
 
--- a/tests/forwarding/test_waiting_room.py
+++ b/tests/forwarding/test_waiting_room.py
@@ -9,6 +9,7 @@
 import trio.testing
 
 from peridotwell.errors import NoRoom, RunState
+from peridotwell.fleet.replica.store_freshness import StoreFreshness
 from peridotwell.forwarding.waiting_room import (
     MAX_WAITING_BYTES,
     WaitingRoom,
@@ -45,7 +46,10 @@
 
     def __init__(self, selector):
         self.spread = ReturnSpread()
-        super().__init__(selector, self.spread, Metrics('', 'p'))
+        self.freshness = StoreFreshness()
+        super().__init__(
+            selector, self.spread, Metrics('', 'p'), self.freshness
+        )
         self.results = Counter()
 
     def record_sent(self, count=RATE * 2):
@@ -246,3 +250,21 @@
     await room.call(request_of())
     events = [record.msg['event'] for record in caplog.records]
     assert events == ['service.full', 'service.has_room']
+
+
+# Guards against a request that was read before the router stood still, and goes
+# to a target that has left meanwhile.
+@pytest.mark.parametrize('tried', [(), ('another',)])
+async def test_a_router_that_stood_still_reads_the_news_before_it_chooses(
+    room, selector, nursery, autojump_clock, tried
+):
+    selector.room = 1
+    now = trio.current_time()
+    room.freshness.record_answer(now - 2.1, now - 2.1)
+    room.freshness.record_turn(now - 2, now - 2)
+    nursery.start_soon(room.call, request_of(), tried)
+    await trio.sleep(0.1)
+    assert not selector.sent
+    room.freshness.record_answer(now, trio.current_time())
+    await trio.testing.wait_all_tasks_blocked()
+    assert len(selector.sent) == 1
