--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -5,6 +5,7 @@
 routers must learn of them soon.
 """
 
+import math
 import random
 from collections import deque
 
@@ -418,3 +419,26 @@
         if growing_delay(now) > 1:
             protocol = late.sharing.relay_protocol
             assert protocol.must_follow_store(now + 0.5), now + 0.5
+
+
+def test_a_router_is_told_what_its_relay_knew_a_moment_ago(fleet):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    followers = routers_following_store(fleet, 5)
+    member = next(each for each in fleet if each not in followers)
+    told_until = member.sharing.relay_protocol.told_until(5)
+    assert 5 - told_until == pytest.approx(
+        member.sharing.update_delay.seconds(5)
+    )
+    assert told_until > 4
+
+
+def test_a_silent_watch_tells_nothing_once_it_is_overdue(fleet):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    protocol = routers_following_store(fleet, 5)[0].sharing.relay_protocol
+    directory = protocol._directory
+    assert protocol.told_until(5) == -math.inf
+    directory.watched_since = 5
+    assert protocol.told_until(7) == 7
+    assert protocol.told_until(7.4) == -math.inf
