--- /dev/null
+++ b/tests/soak/target.py
@@ -0,0 +1,219 @@
+"""A simulated target, which records what it runs and answers."""
+
+import random
+from contextlib import suppress
+from dataclasses import dataclass
+
+import trio
+
+from tests.raw_target import read_request
+from tests.soak.answer_rule import EVENTS_PER_STREAM
+from tests.soak.proxy import FaultProxy
+from tests.soak.raw_answers import Answer, Manner, Request, send_answer
+from tests.soak.records import Arrived, Record, Replied, now
+
+__all__ = ('EXECUTION_SECONDS', 'SoakTarget')
+
+EXECUTION_SECONDS = 0.03
+BRITTLE_SLOTS = 2
+MAX_EXTRA_SECONDS = 1.0
+# Shares of the answers of targets with that fault.
+STUTTER_SHARE = 0.5
+CUT_SHARE = 0.3
+CUTS = (
+    Manner('length', 'end'),
+    Manner('length', 'reset'),
+    Manner('chunks', 'end'),
+    Manner('chunks', 'reset'),
+    Manner('open', 'reset'),
+    Manner('open'),
+)
+
+
+@dataclass
+class SoakTarget:
+    """A simulated target whose responses contain the ID of their request.
+
+    `starts` is the number of its starts. Its answers may say that it leaves,
+    ask for a pause, name a limit or say that it is brittle. From `brittle_from`
+    on, a brittle target runs so few requests at once that it has to reject
+    some. A target that `stutters` sends answers a second time, one that `cuts`
+    breaks them off.
+    """
+
+    name: str
+    records: list[Record]
+    draws: random.Random
+    proxy: FaultProxy | None = None
+    is_failing: bool = False
+    failing_share: float = 0
+    slow_seconds: float = 0
+    stutters: bool = False
+    cuts: bool = False
+    says_leaving: bool = False
+    pause_seconds: float = 0
+    limit: str = ''
+    max_rejections: str = ''
+    brittle_from: float = 0
+    running: int = 0
+    starts: int = 1
+    runs: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Its name with the number of its start."""
+        return f'{self.name} start {self.starts}'
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Answer the requests of one connection, one after the other."""
+        lock = trio.Lock()
+        async with trio.open_nursery() as nursery:
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while content := await read_request(stream):
+                    request = Request.parse(content)
+                    answer, manner = await self._answer(request, stream, lock)
+                    if manner.closes:
+                        break
+                    self._stutter(nursery, stream, lock, answer)
+            nursery.cancel_scope.cancel()
+
+    async def _answer(
+        self, request: Request, stream: trio.SocketStream, lock: trio.Lock
+    ) -> tuple[Answer, Manner]:
+        rejection = self._reject(request.headers['x-request-id'])
+        if rejection:
+            async with lock:
+                await send_answer(stream, rejection, Manner('length'))
+            return rejection, Manner('length')
+        self.running += 1
+        try:
+            return await self._run(request, stream, lock)
+        finally:
+            self.running -= 1
+
+    def _reject(self, request_id: str) -> Answer | None:
+        """Return the answer to a request that does not run."""
+        fields = (('x-request-id', request_id), ('x-not-executed', '1'))
+        if self.pause_seconds:
+            self._record_arrival(request_id, pause=self.pause_seconds)
+            pause = ('retry-after', f'{self.pause_seconds}')
+            return Answer(503, (*fields, pause), ())
+        is_brittle = self.max_rejections and now() >= self.brittle_from
+        if is_brittle and self.running >= BRITTLE_SLOTS:
+            bearable = float(self.max_rejections)
+            self._record_arrival(request_id, max_rejections=bearable)
+            return Answer(503, (*fields, *self._brittle_fields()), ())
+        self._record_arrival(request_id)
+        return None
+
+    def _record_arrival(
+        self, request_id: str, pause: float = 0, max_rejections: float = 0
+    ) -> None:
+        is_clear = self.proxy.is_clear
+        arrived = Arrived(
+            now(),
+            request_id,
+            self.name,
+            self.starts,
+            not (pause or max_rejections),
+            pause * is_clear,
+            max_rejections * is_clear,
+        )
+        self.records.append(arrived)
+
+    def _brittle_fields(self) -> tuple[tuple[str, str], ...]:
+        return (
+            ('server-brittle', self.max_rejections),
+            ('x-replica-load', f'{self.running},0,{BRITTLE_SLOTS}'),
+        )
+
+    async def _run(
+        self, request: Request, stream: trio.SocketStream, lock: trio.Lock
+    ) -> tuple[Answer, Manner]:
+        request_id = request.headers['x-request-id']
+        self.runs += 1
+        receipt = f'seal.{self.name}.{self.runs}'
+        is_stream = request.path.startswith(('/draft/', '/ask/'))
+        answer = self._make_answer(request, receipt, is_stream=is_stream)
+        manner = Manner('chunks' if is_stream else 'length')
+        if self.cuts and self.draws.random() < CUT_SHARE:
+            manner = self.draws.choice(CUTS)
+        await trio.sleep(
+            self.slow_seconds + (not is_stream) * EXECUTION_SECONDS
+        )
+        async with lock:
+            self.records.append(
+                Replied(
+                    now(),
+                    request_id,
+                    receipt,
+                    answer.status,
+                    answer.body,
+                    not manner.cut,
+                    self.incarnation * self.says_leaving,
+                )
+            )
+            await send_answer(stream, answer, manner)
+        return answer, manner
+
+    def _make_answer(
+        self, request: Request, receipt: str, *, is_stream: bool
+    ) -> Answer:
+        request_id = request.headers['x-request-id']
+        fields = self._fields(request_id, receipt)
+        if is_stream:
+            after = int(request.headers.get('last-event-id', '0'))
+            pieces = _events(request_id, receipt, after)
+            return Answer(200, fields, pieces, EXECUTION_SECONDS)
+        fails = self.is_failing or self.draws.random() < self.failing_share
+        body = f'{receipt} {request_id}'.encode()
+        return Answer(500 if fails else 200, fields, (body,))
+
+    def _fields(
+        self, request_id: str, receipt: str
+    ) -> tuple[tuple[str, str], ...]:
+        fields = [('x-request-id', request_id), ('x-server-seal', receipt)]
+        if self.says_leaving:
+            fields.append(('server-leaving', '1'))
+        if self.limit:
+            fields.append(('server-limit', self.limit))
+        if self.max_rejections:
+            fields.extend(self._brittle_fields())
+        else:
+            fields.append(('x-replica-load', '1,0,6'))
+        return tuple(fields)
+
+    def _stutter(
+        self,
+        nursery: trio.Nursery,
+        stream: trio.SocketStream,
+        lock: trio.Lock,
+        answer: Answer,
+    ) -> None:
+        """Send the answer again later, perhaps with another status."""
+        if not self.stutters or self.draws.random() >= STUTTER_SHARE:
+            return
+        status = self.draws.choice((answer.status, 200, 500))
+        manner = self.draws.choice((Manner('length'), Manner('chunks')))
+        extra = Answer(status, answer.fields, answer.pieces)
+        delay = self.draws.choice((0, self.draws.uniform(0, MAX_EXTRA_SECONDS)))
+        nursery.start_soon(_send_later, delay, stream, lock, extra, manner)
+
+
+async def _send_later(
+    delay_seconds: float,
+    stream: trio.SocketStream,
+    lock: trio.Lock,
+    answer: Answer,
+    manner: Manner,
+) -> None:
+    await trio.sleep(delay_seconds)
+    with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        async with lock:
+            await send_answer(stream, answer, manner)
+
+
+def _events(request_id: str, receipt: str, after: int) -> tuple[bytes, ...]:
+    numbers = range(after + 1, EVENTS_PER_STREAM + 1)
+    events = (f'id: {each}\ndata: {receipt}\n\n' for each in numbers)
+    return tuple(each.encode() for each in (*events, f': {request_id}\n\n'))
