A late answer of a peer does not bring a target back that is gone

What callers saw: requests at a removed target, without end, through a router that had been cut off from the store for some seconds.

Cause: a removal is remembered only for a target that this router has known. One that registered and left while the router heard nothing was unknown; when the router read the store again, its list did not have it. An answer of a peer that had been asked in the cut and arrives after that told the registration, which counted as new. The removal lies before the revision that is read, so no watch tells it again; a router that follows its relay reads nothing at all.

Why it works: a router knows every entry up to its known revision. One that a peer tells, not later than that and unknown here, is gone. What the store itself says counts as before.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -206,6 +206,10 @@
             self.ready.set()
 
     def _apply_entry(self, entry: Entry, source: _Source, now: float) -> None:
+        if source is _Source.peer and self.replica.is_known_gone(
+            entry, self.known_revision
+        ):
+            return
         is_table = self._decoder.is_table(entry.key)
         if is_table:
             self._apply_table(entry, now)
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -29,6 +29,15 @@
             return False
         return entry.revision > self._deleted.get(entry.key, 0)
 
+    def is_known_gone(self, entry: Entry, known_revision: int) -> bool:
+        """Return whether an entry is not listed at the known revision.
+
+        Answers of peers may arrive late, after those of others or the store.
+        """
+        return (
+            entry.revision <= known_revision and entry.key not in self._entries
+        )
+
     def has_version(self, entry: Entry) -> bool:
         """Return whether the latest known version of a key is this one."""
         known = self._entries.get(entry.key)
