--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -43,6 +43,11 @@
     peer_changes = 'peer changes'
     peer_snapshot = 'peer snapshot'
 
+    @property
+    def is_peer(self) -> bool:
+        """Whether another router has told the entry."""
+        return self in {EntrySource.peer_changes, EntrySource.peer_snapshot}
+
 
 class ServiceDirectory:
     """The routing table, targets and routers as last read.
@@ -214,6 +219,10 @@
     def _apply_entry(
         self, entry: Entry, source: EntrySource, now: float
     ) -> None:
+        if source.is_peer and self.replica.is_known_gone(
+            entry, self.known_revision
+        ):
+            return
         is_table = self._decoder.is_table(entry.key)
         if is_table:
             self._apply_table(entry, source, now)
