A target that ended with its unmarked response has cut it

Callers got cut responses of killed targets as complete ones: status 200, the receipt of the target, the first part of the body. The end of such a response is marked only by that of its connection.

Cause: the end of the connection was the end of the body unless it was a reset. The system ends the connections of a process that is killed or crashes like those that a process closes, if nothing unread has arrived on them. Nothing in the response tells it from a whole one.

After a response whose end is not marked, the router now connects to the target once. If its machine refuses the connection, nothing listens there any more, and the response counts as cut: an idempotent request goes elsewhere, another one gets 502, and the loss of the target counts for the request like any. A target that cannot be reached, or listens, is believed. Responses with a length or in chunks are not concerned.

What remains: a target that cuts such a response, closes the connection and goes on listening cannot be told from one that sent all of it.

--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 
 import httpcore
 import msgspec
@@ -29,6 +30,7 @@
 from peridotwell.serving.response_ownership import ResponseOwnership
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from peridotwell.serving.target_presence import check_still_listens
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = (
@@ -194,6 +196,9 @@
                 response_timeouts.event_limit
                 or EventLimit(response_timeouts.silence_seconds),
             )
+            response.check_end = partial(
+                check_still_listens, self.target, CONNECT_TIMEOUT_SECONDS
+            )
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
                 resp,
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -1,7 +1,7 @@
 """A target's response, and how the end of its body is marked."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, Mapping
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -62,6 +62,8 @@
     ResponseTimeout if it does not arrive completely. `event_limit` limits
     the wait for each event of a stream. `observer` is told of reads.
     `earlier_requests` is the number of requests before on the connection.
+    `check_end` is awaited after a body that ends with its connection; it raises
+    ResponseTruncated if that was no ordinary end.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.headers: Mapping[str, str] = dict(self.fields)
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
+        self.check_end: Callable[[], Awaitable[None]] | None = None
         self._resp = resp
         self._event_limit = event_limit
 
@@ -114,6 +117,8 @@
             raise ResponseTruncated(
                 f'The response was truncated: {exc}'
             ) from exc
+        if self.body_end is BodyEnd.connection and self.check_end is not None:
+            await self.check_end()
 
     def whole_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in parts that contain whole events only."""
