A request whose id was just used goes over a new connection

A target that answers twice, the second time late, may send the second answer where the answer of the next request on the connection is due. Its id tells it from that, unless the next request has the same id: a caller of the project's own interface that sends again with its id, or a request that goes back to the target, or to the router, that it left. The copy of the first answer was then taken for the second one: a success where the target answered an error, or the reverse. For refusals alone such a copy was noticed, as a failure.

A connection knows the id of its last request already. The client of a target now sends a request whose id was the last one on a kept connection over a new one, where no earlier answer can arrive; a response that could still be a copy counts as a mismatch, whatever its status. Both request paths use it.

Evidence: the new test, with a target that sends the copy, failed before: the success was returned for the second request, the refusal was a mismatch.

The case of test_an_earlier_refusal_is_not_one_of_the_next_request with the id used again is replaced by the new test: it expected a failure, which a caller now is spared; the new test also covers successes and three requests.

--- a/peridotwell/serving/response_ownership.py
+++ b/peridotwell/serving/response_ownership.py
@@ -4,10 +4,11 @@
 the connection is expected. A response is for a request if it has the id of the
 request. A response without an id may be an earlier one unless its connection is
 new, and one with the id of the request before may be the copy of that response.
+So a request whose id was just used goes over a new connection.
 """
 
 from dataclasses import dataclass
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakValueDictionary
 
 import httpcore
 
@@ -31,6 +32,13 @@
         self._connections: WeakKeyDictionary[object, _Connection] = (
             WeakKeyDictionary()
         )
+        self._by_last_id: WeakValueDictionary[str, _Connection] = (
+            WeakValueDictionary()
+        )
+
+    def was_last(self, request_id: str) -> bool:
+        """Return whether the last request on a connection had this id."""
+        return bool(request_id) and request_id in self._by_last_id
 
     def check(
         self,
@@ -52,13 +60,12 @@
             raise ResponseMismatch(
                 f'The response is for request {response_id}.'
             )
-        if not is_refusal:
-            if require_id and not response_id:
-                raise ResponseMismatch('The response names no request.')
-            return earlier_requests
-        if last_id is not None and response_id in {'', last_id}:
+        needs_id = last_id is not None if is_refusal else require_id
+        if needs_id and not response_id:
+            raise ResponseMismatch('The response names no request.')
+        if response_id and response_id == last_id:
             raise ResponseMismatch(
-                'The refusal may be one of an earlier request.'
+                'The response may be a copy of an earlier one.'
             )
         return earlier_requests
 
@@ -71,5 +78,9 @@
         )
         before = connection.requests, connection.last_id
         connection.requests += 1
+        if connection.last_id is not None:
+            self._by_last_id.pop(connection.last_id, None)
         connection.last_id = request_id
+        # The first one: later requests with the id get new connections.
+        self._by_last_id.setdefault(request_id, connection)
         return before
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -122,7 +122,8 @@
 
     A request that must not run twice is sent on a new connection: after a
     failure on a reused connection, it would be unknown whether the target
-    received the request.
+    received the request. So is one whose id was the last one on a connection: a
+    late copy of the response then could not be told from its own.
     """
 
     def __init__(
@@ -180,7 +181,10 @@
         """
         timeouts = _make_timeouts(response_timeouts.first_byte_seconds)
         request.extensions['timeout'] = timeouts
-        pool = self._single_use_pool if new_connection else self._pool
+        request_id = _request_id(request)
+        pool = self._pool
+        if new_connection or self._ownership.was_last(request_id):
+            pool = self._single_use_pool
         sent_at = trio.current_time()
         # Without a limit on the whole head, a target could send bytes of it
         # now and then, and without end.
@@ -202,7 +206,7 @@
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
                 resp,
-                _request_id(request),
+                request_id,
                 self._reader.request_id(response),
                 is_refusal=bool(refusal),
                 require_id=require_request_id,
--- a/tests/serving/test_target_client.py
+++ b/tests/serving/test_target_client.py
@@ -22,7 +22,7 @@
 )
 from peridotwell.serving.request_parser import forwarded_headers
 from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
-from tests.kept_target import KeptTarget
+from tests.kept_target import EVENT, KeptTarget
 from tests.raw_server import raw_server, response
 from tests.raw_target import RawResponse, RawTarget
 
@@ -256,11 +256,12 @@
         positions = [event.position async for event in events]
 
 
-async def fetch_twice(nursery, extra, first_id, second_id):
-    """Send two requests on one connection; return the second outcome."""
-    address = await KeptTarget(extra).start(nursery)
+async def fetch_all(nursery, target, *request_ids):
+    """Send requests one after the other; return the bodies."""
+    address = await target.start(nursery)
     client = make_client(address)
-    for request_id in (first_id, second_id):
+    bodies = []
+    for request_id in request_ids:
         request = httpcore.Request(
             'GET',
             f'http://{address}/',
@@ -268,17 +269,17 @@
         )
         timeouts = ResponseTimeouts(MAX_RESPONSE_SECONDS, MAX_RESPONSE_SECONDS)
         async with client.send(request, timeouts) as target_response:
-            await target_response.read_body()
+            bodies.append(await target_response.read_body())
+    return bodies
 
 
 # Guards against "not run" for a request whose response cannot be told from an
-# earlier refusal: of another id, of none, or of an id that is used again.
+# earlier refusal: of another id, or of none.
 @pytest.mark.parametrize(
     ('request_id_line', 'second_id'),
     [
         ('x-request-id: {last}\r\n', 'b'),
         ('', 'b'),
-        ('x-request-id: {last}\r\n', 'a'),
     ],
 )
 async def test_an_earlier_refusal_is_not_one_of_the_next_request(
@@ -289,14 +290,32 @@
         f'{request_id_line}content-length: 0\r\n\r\n'
     )
     with pytest.raises(ResponseMismatch) as caught:
-        await fetch_twice(nursery, extra, 'a', second_id)
+        await fetch_all(nursery, KeptTarget(extra), 'a', second_id)
     assert caught.value.may_have_run
 
 
+# Guards against an answer to an earlier attempt, sent once more and late, that
+# a later attempt with the same id takes for its own.
+@pytest.mark.parametrize(
+    'head',
+    ['200 x\r\ncontent-length: 5', '503 x\r\nx-refused: full'],
+)
+async def test_a_request_whose_id_was_just_used_gets_its_own_response(
+    nursery, head
+):
+    extra = f'HTTP/1.1 {head}\r\nx-request-id: {{last}}\r\n'
+    extra += '\r\nearly' if '200' in head else 'content-length: 0\r\n\r\n'
+    target = KeptTarget(extra)
+    bodies = await fetch_all(nursery, target, 'a', 'a', 'a')
+    assert bodies == [EVENT] * 3
+    assert not target.extras_sent
+    assert target.runs == ['a', 'a', 'a']
+
+
 async def test_a_refusal_with_the_id_of_its_request_is_believed(nursery):
     extra = (
         'HTTP/1.1 503 x\r\nx-refused: full\r\nx-request-id: b\r\n'
         'content-length: 0\r\n\r\n'
     )
     with pytest.raises(RefusedByTarget):
-        await fetch_twice(nursery, extra, 'a', 'b')
+        await fetch_all(nursery, KeptTarget(extra), 'a', 'b')
