--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 
 import httpcore
 import msgspec
@@ -29,6 +30,7 @@
 from peridotwell.serving.response_ownership import ResponseOwnership
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from peridotwell.serving.target_presence import check_still_listens
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = (
@@ -120,7 +122,8 @@
 
     A request that must not run twice is sent on a new connection: after a
     failure on a reused connection, it would be unknown whether the target
-    received the request.
+    received the request. So is one whose id was the last one on a connection: a
+    late copy of the response then could not be told from its own.
     """
 
     def __init__(
@@ -178,7 +181,10 @@
         """
         timeouts = _make_timeouts(response_timeouts.first_byte_seconds)
         request.extensions['timeout'] = timeouts
-        pool = self._single_use_pool if new_connection else self._pool
+        request_id = _request_id(request)
+        pool = self._pool
+        if new_connection or self._ownership.was_last(request_id):
+            pool = self._single_use_pool
         sent_at = trio.current_time()
         # Without a limit on the whole head, a target could send bytes of it
         # now and then, and without end.
@@ -194,10 +200,13 @@
                 response_timeouts.event_limit
                 or EventLimit(response_timeouts.silence_seconds),
             )
+            response.check_end = partial(
+                check_still_listens, self.target, CONNECT_TIMEOUT_SECONDS
+            )
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
                 resp,
-                _request_id(request),
+                request_id,
                 self._reader.request_id(response),
                 is_refusal=bool(refusal),
                 require_id=require_request_id,
