Soak: tell waits for a processor from own work; tests of its targets

A late timer of a worker is recorded with the processor time that it had meanwhile. In a run with 40 routers beside other work (load 55 on 8 cores), the store's process was late 17.0 s in sum and worked for 1.3 s of them: it waited for a processor. The stuttering and breaking targets get tests of their own.

--- a/tests/soak/control.py
+++ b/tests/soak/control.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -79,6 +80,14 @@
         """Set attributes."""
         await self._worker.ask(self._name, 'set', **attributes)
 
+    async def set_for(
+        self, seconds: float, attribute: str, during: Any, after: Any
+    ) -> None:
+        """Set an attribute for a time."""
+        await self.set(**{attribute: during})
+        await trio.sleep(seconds)
+        await self.set(**{attribute: after})
+
 
 async def serve_calls(objects: dict[str, Any]) -> None:
     """Serve the calls on standard input until it ends."""
@@ -106,7 +115,9 @@
     """Record how late timers of this process are."""
     while True:
         due_at = now() + TICK_SECONDS
+        worked_before = time.process_time()
         await trio.sleep(TICK_SECONDS)
         late_seconds = now() - due_at
         if late_seconds > MIN_LATE_SECONDS:
-            records.append(Late(now(), process, late_seconds))
+            worked_seconds = time.process_time() - worked_before
+            records.append(Late(now(), process, late_seconds, worked_seconds))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -99,8 +99,11 @@
     def _random_gap(self) -> float:
         return self._random.uniform(0.05, MAX_GAP_SECONDS)
 
+    def _duration(self) -> float:
+        return self._random.uniform(0.3, MAX_FAULT_SECONDS)
+
     async def _wait_for_duration(self) -> None:
-        await trio.sleep(self._random.uniform(0.3, MAX_FAULT_SECONDS))
+        await trio.sleep(self._duration())
 
     def _choose_router(self) -> Router | None:
         """Return a running router that was not disturbed recently.
@@ -162,7 +165,9 @@
         target = self._choose_target()
         seconds = self._random.uniform(0.02, 0.4)
         with self._disturbed(PathDisturbed, target.name):
-            await self._set(target.proxy, delay_seconds=(seconds, 0))
+            await target.proxy.set_for(
+                self._duration(), 'delay_seconds', seconds, 0
+            )
 
     async def _hold_target_requests(self) -> None:
         await self._hold_target('requests')
@@ -189,25 +194,19 @@
 
     async def _fail_target(self) -> None:
         target = self._choose_target()
-        await self._set(target.remote, is_failing=(True, False))
+        await target.remote.set_for(self._duration(), 'is_failing', True, False)
 
     async def _ask_for_pauses(self) -> None:
         target = self._choose_target()
         seconds = round(self._random.uniform(0.6, 2), 1)
-        await self._set(target.remote, pause_seconds=(seconds, 0))
+        await target.remote.set_for(
+            self._duration(), 'pause_seconds', seconds, 0
+        )
 
     async def _name_limit(self) -> None:
         target = self._choose_target()
         limit = f'{self._random.uniform(0, 20):.1f}'
-        await self._set(target.remote, limit=(limit, ''))
-
-    async def _set(self, remote: Remote, **attributes) -> None:
-        """Set attributes for a time; each has a value and one for later."""
-        for index in (0, 1):
-            changes = {name: pair[index] for name, pair in attributes.items()}
-            await remote.set(**changes)
-            if not index:
-                await self._wait_for_duration()
+        await target.remote.set_for(self._duration(), 'limit', limit, '')
 
     async def _drain_target(self) -> None:
         if target := self._choose_leaving_target():
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -147,11 +147,15 @@
 
 
 class Late(Record, frozen=True):
-    """A timer of a process of the soak itself was late."""
+    """A timer of a process of the soak itself was late.
+
+    For `worked_seconds` of that time, the process had a processor.
+    """
 
     at: float
     process: str
     seconds: float
+    worked_seconds: float = 0
 
 
 AnyRecord = (
--- a/tests/soak/target_faults.py
+++ b/tests/soak/target_faults.py
@@ -69,10 +69,8 @@
 
     async def _set_for_a_time(self, name: str, during, after) -> None:
         remote = self._random.choice(self._cluster.targets).remote
-        await remote.set(**{name: during})
         seconds = self._random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
-        await trio.sleep(seconds)
-        await remote.set(**{name: after})
+        await remote.set_for(seconds, name, during, after)
 
     async def _remove_entry(self) -> None:
         """Remove a target's entry, while the target serves on."""
--- /dev/null
+++ b/tests/soak/test_target.py
@@ -0,0 +1,81 @@
+"""Targets of the soak answer twice, break off and record what they answered."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from tests.raw_target import listen
+from tests.soak.records import Arrived, Replied, select
+from tests.soak.target import CUTS, SoakTarget
+
+REQUEST = (
+    'POST /{kind}/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: q1-{kind}\r\n'
+    'Content-Length: 8\r\n\r\nquestion'
+)
+# A cut answer without its connection's end takes longer than this.
+WAIT_SECONDS = 2
+
+
+class Draws:
+    """Draws that always have the fault, and take the `number`th choice."""
+
+    def __init__(self, number=0):
+        self._number = number
+
+    def random(self):
+        return 0
+
+    def uniform(self, low, high):
+        return low
+
+    def choice(self, choices):
+        return choices[self._number % len(choices)]
+
+
+async def exchange(nursery, target, kind='read', *, answers=9):
+    """Send a request; return the bytes of some answers, or until the end."""
+    target.proxy = SimpleNamespace(is_clear=True)
+    address = await listen(nursery, target.serve)
+    stream = await trio.open_tcp_stream('127.0.0.1', int(address[10:]))
+    await stream.send_all(REQUEST.format(kind=kind).encode())
+    received = b''
+    with trio.move_on_after(WAIT_SECONDS):
+        while received.count(b'HTTP/1.1') < answers:
+            part = await stream.receive_some()
+            if not part:
+                return received + b'END'
+            received += part
+    return received
+
+
+@pytest.mark.parametrize('kind', ['read', 'draft'])
+async def test_a_stuttering_target_answers_twice(nursery, kind):
+    target = SoakTarget('t0', [], Draws(), stutters=True)
+    received = await exchange(nursery, target, kind, answers=2)
+    assert received.count(b'HTTP/1.1 200') == 2
+    assert len(list(select(target.records, Replied))) == 1
+
+
+@pytest.mark.parametrize('number', range(len(CUTS)))
+async def test_a_target_that_cuts_ends_the_connection(nursery, number):
+    target = SoakTarget('t0', [], Draws(number), cuts=True)
+    manner = CUTS[number]
+    if manner.cut == 'reset':
+        with pytest.raises(trio.BrokenResourceError):
+            await exchange(nursery, target)
+    else:
+        received = await exchange(nursery, target)
+        assert received.endswith(b'END')
+        assert received.endswith(b'q1-readEND') is not bool(manner.cut)
+    (reply,) = select(target.records, Replied)
+    assert reply.is_whole is not bool(manner.cut)
+
+
+async def test_a_target_in_a_pause_runs_nothing(nursery):
+    target = SoakTarget('t0', [], Draws(), pause_seconds=1.5)
+    received = await exchange(nursery, target, answers=1)
+    assert b'503' in received
+    assert b'x-not-executed: 1' in received
+    (arrived,) = select(target.records, Arrived)
+    assert (arrived.runs, arrived.pause_seconds) == (False, 1.5)
