Log the answers that the HTTP library gives on its own

What hypercorn refuses because h11 cannot read it left no line and no count, so the record of a router could not tell it from a refusal that never happened. request.unreadable does now.

--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -12,10 +12,13 @@
 from hypercorn.trio.worker_context import TrioSingleTask, WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState, TaskGroup
 
+from peridotwell.logs import log_failure
 from peridotwell.serving.socket_network import write_now
 
 __all__ = ('BodyPart', 'CallerConnection', 'ServerStop')
 
+# How a response that refuses a request begins.
+REFUSAL_START = b'HTTP/1.1 4'
 # Time in which a request that has arrived is read.
 READ_SECONDS = 0.02
 # After a response that did not close the connection, a caller may send the next
@@ -123,6 +126,7 @@
         if not isinstance(event, RawData):
             await super().protocol_send(event)
             return
+        self._log_refusal(event.data)
         is_part = self._body_part.take()
         if not self.send_lock.locked():
             if not is_part:
@@ -139,6 +143,18 @@
         with trio.CancelScope(shield=is_part):
             await super().protocol_send(event)
 
+    def _log_refusal(self, content: bytes) -> None:
+        """Log an answer that hypercorn gives on its own to what it cannot read.
+
+        No handler has seen such a request.
+        """
+        if not content.startswith(REFUSAL_START):
+            return
+        connection = self.protocol.protocol.connection
+        if getattr(connection, 'their_state', h11.IDLE) is h11.ERROR:
+            status = content.split(b' ', 2)[1].decode('latin-1')
+            log_failure('request.unreadable', status=status)
+
     async def _idle_timeout(self) -> None:
         """Close the connection after the idle time, or at a planned stop.
 
--- a/tests/serving/test_asgi.py
+++ b/tests/serving/test_asgi.py
@@ -81,6 +81,24 @@
     assert received.endswith(b'yes')
 
 
+async def test_a_request_that_cannot_be_read_leaves_a_line(nursery, caplog):
+    async def handle(exchange):
+        await exchange.respond(404, b'unknown')
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    host, _, port = address.rpartition(':')
+    for content in (b'GET / HTTP/1.1\r\nhost: a\r\n\r\n', b'GET  / x\r\n\r\n'):
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(content)
+        assert (await stream.receive_some()).startswith(b'HTTP/1.1 4')
+    lines = [
+        record.msg for record in caplog.records if isinstance(record.msg, dict)
+    ]
+    assert [line for line in lines if line['event'] != 'connection.failed'] == [
+        {'event': 'request.unreadable', 'status': '400'}
+    ]
+
+
 # Guards against callers who are not told that a server that stops closes their
 # connection, whichever of the two request paths serves them.
 async def test_responses_that_start_during_a_stop_close_their_connections(
