What is observed of a target reaches a router that was told in vain

Cause, by reading: an observation is told once. Routers compare a digest of what they know, and ask if it differs, but the digest held only who leaves and which requests crash targets. A router that had no connection yet when the slots or the new start of a target were told never learned them, and gave the target no requests.

Evidence: test_lost_start_or_slots_are_requested_again, both cases fail before (the router has not learned it after 6 s).

Change: the digest holds all that is observed of the listed targets, and is made when that changes, not for each heartbeat.

--- a/peridotwell/fleet/membership/gossip.py
+++ b/peridotwell/fleet/membership/gossip.py
@@ -142,7 +142,7 @@
     def _digest(self) -> int:
         """Return a hash of the observations that routers must not miss."""
         observations = (
-            self._state.membership.leaving_target_ids(),
+            self._state.membership.digest,
             self._state.quarantine.summary(),
         )
         return xxhash.xxh32_intdigest(repr(observations).encode())
--- a/peridotwell/fleet/membership/target_membership.py
+++ b/peridotwell/fleet/membership/target_membership.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 import msgspec
+import xxhash
 
 from peridotwell.domain.target import Pool, Target, TargetKind
 
@@ -84,6 +85,8 @@
 
     def __init__(self) -> None:
         self.doubted: frozenset[str] = frozenset()
+        # A hash of what has been observed of the listed targets.
+        self.digest = 0
         self._listed: dict[str, Target] = {}
         self._observations: dict[int, TargetObservation] = {}
         self._backoffs: dict[str, _Backoff] = {}
@@ -111,7 +114,7 @@
         if known is not None and known.observed_at >= observation.observed_at:
             return False
         self._observations[observation.target_id] = observation
-        if known is not None and not _differs(known, observation):
+        if known is not None and _content(known) == _content(observation):
             return False
         self._rebuild()
         return True
@@ -120,16 +123,6 @@
         """Return the latest observation of each target."""
         return tuple(self._observations.values())
 
-    def leaving_target_ids(self) -> tuple[int, ...]:
-        """Return the wire ids of targets that were observed to be leaving."""
-        return tuple(
-            sorted(
-                target_id
-                for target_id, observation in self._observations.items()
-                if observation.is_leaving
-            ),
-        )
-
     def record_connection_failure(self, name: str, now: float) -> None:
         """Avoid a target for some time; remove it if it was doubted."""
         if name in self.doubted:
@@ -221,6 +214,7 @@
         self._targets_by_id = {
             target.wire_id: target for target in self._targets.values()
         }
+        self.digest = self._make_digest()
         by_pool: dict[Pool, list[Target]] = {}
         for target in self._targets.values():
             by_pool.setdefault(target.pool, []).append(target)
@@ -229,6 +223,14 @@
         }
         self._pools_by_id = {pool.wire_id: pool for pool in by_pool}
 
+    def _make_digest(self) -> int:
+        observed = sorted(
+            _content(self._observations[target_id])
+            for target_id in self._targets_by_id
+            if target_id in self._observations
+        )
+        return xxhash.xxh32_intdigest(repr(observed).encode())
+
     def _is_doubtful(self, name: str, missing: Iterable[str]) -> bool:
         pool = self._listed[name].pool
         listed_count = sum(
@@ -253,8 +255,10 @@
     )
 
 
-def _differs(known: TargetObservation, observation: TargetObservation) -> bool:
-    return (known.is_leaving, known.incarnation, known.slots) != (
+def _content(observation: TargetObservation) -> tuple[int, bool, str, int]:
+    """Return what an observation says, without its time."""
+    return (
+        observation.target_id,
         observation.is_leaving,
         observation.incarnation,
         observation.slots,
--- a/tests/fleet/membership/test_gossip.py
+++ b/tests/fleet/membership/test_gossip.py
@@ -43,6 +43,28 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against targets whose slots a router never learns, because it had no
+# connection yet when another one told them.
+@pytest.mark.parametrize(
+    'observed',
+    [
+        TargetObservation(wire_id('engine-0'), False, 10, 'start 2'),
+        TargetObservation(wire_id('engine-0'), False, 10, slots=6),
+    ],
+)
+async def test_lost_start_or_slots_are_requested_again(
+    autojump_clock, fleet, observed
+):
+    async with trio.open_nursery() as nursery:
+        fleet.start(nursery)
+        await trio.sleep(5)
+        fleet.routers[0].membership.apply_observation(observed)
+        await trio.sleep(6)
+        learned = fleet.routers[2].membership.target('engine-0')
+        assert learned == fleet.routers[0].membership.target('engine-0')
+        nursery.cancel_scope.cancel()
+
+
 async def test_lost_observations_are_requested_again(autojump_clock, fleet):
     async with trio.open_nursery() as nursery:
         fleet.start(nursery)
