The pause after a failed call to the store counts from the call, not from its end

What callers would see: requests at a target that left while a router was cut off from the store alone, when the router is back in touch (3 s after its path), DRAIN.

Cause: a call that cannot connect takes 0.5 s, and the pause of 0.4 s came on top. So the store was heard up to 0.9 s after the path was back, and what is missing is doubted for 2.2 s from then: up to 3.1 s and the 0.1 s of a tick. Peers that are heard end the doubt sooner; after a cut from all they may not be.

Evidence: test_what_left_during_a_cut_is_out_of_use_in_time fails at 4 of 36 phases of the router's calls before, at none after.

Why it works: pauses from call to call are 0.1 to 0.4 s as before for calls that are refused at once; after a call that has waited longer, the next one follows in 0.1 s.

--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -20,6 +20,7 @@
 # the store was away may get no answer after its return either.
 PROBE_TIMEOUT_SECONDS = 0.2
 INITIAL_BACKOFF_SECONDS = 0.1
+# From call to call, for calls that fail sooner.
 MAX_BACKOFF_SECONDS = 0.4
 IDLE_POLL_SECONDS = 0.1
 BATCH_SECONDS_PER_ROUTER = 0.005
@@ -48,6 +49,7 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
+            started_at = trio.current_time()
             try:
                 await self._step()
             except HistoryGone as exc:
@@ -55,7 +57,12 @@
                 log_event('store.history_gone', error=str(exc))
             except StoreError as exc:
                 self._record_failure(exc)
-                await trio.sleep(self._backoff_seconds)
+                await trio.sleep_until(
+                    max(
+                        started_at + self._backoff_seconds,
+                        trio.current_time() + INITIAL_BACKOFF_SECONDS,
+                    )
+                )
                 self._backoff_seconds = min(
                     self._backoff_seconds * 2,
                     MAX_BACKOFF_SECONDS,
--- a/tests/forwarding/test_returned_store.py
+++ b/tests/forwarding/test_returned_store.py
@@ -44,6 +44,7 @@
 DOWN_AT = 10.0
 CALL_SECONDS = 1.0
 RENEWAL_SECONDS = 0.6
+CONNECT_SECONDS = 0.5
 WATCH_MARGIN_SECONDS = 0.6
 ANSWER_SECONDS = 0.002
 PHASES = tuple(step / 10 for step in range(36))
@@ -58,8 +59,8 @@
 
     With `hangs`, calls get no answer then, not even those that wait when the
     outage begins or that the store would answer after its return, nor those on
-    connections from before it. These are closed once a call has got no answer.
-    Without `hangs`, calls are refused.
+    connections from before it. These are closed once a call has got no answer,
+    and later calls fail to connect. Without `hangs`, calls are refused.
     """
 
     down_at: float
@@ -95,10 +96,13 @@
         if now < self.down_at or (now >= self.up_at and not is_silent):
             await trio.sleep(ANSWER_SECONDS)
             return
-        if self.hangs:
+        if is_silent:
             await trio.sleep(seconds)
             self.has_new_connections = True
             raise StoreResponseLost('no response')
+        if self.hangs:
+            await trio.sleep(CONNECT_SECONDS)
+            raise StoreUnavailable('no connection')
         await trio.sleep(ANSWER_SECONDS)
         raise StoreUnavailable('status 503')
 
@@ -249,6 +253,21 @@
     assert directory.table.version == 2
 
 
+# Guards against requests at targets that left while the router was cut off from
+# the store, which served the others: it is back in touch when the store counts
+# as stable for it.
+@pytest.mark.parametrize('phase', PHASES)
+async def test_what_left_during_a_cut_is_out_of_use_in_time(
+    autojump_clock, nursery, phase
+):
+    store = make_store(phase, hangs=True)
+    directory = start_router(nursery, store).directory
+    await trio.sleep_until(store.up_at - IN_FORCE_SECONDS)
+    store.delete('t/x')
+    await trio.sleep_until(store.up_at + STABLE_SECONDS)
+    assert available_names(directory) == ['y']
+
+
 # Guards against requests that are refused because live targets, whose leases
 # ended in an outage, are taken for gone until they have registered again.
 @pytest.mark.parametrize('hangs', [True, False])
