A router that has lost the store hears it again although it is slow

It had lost the store 13 s before and not regained it.

Class: a limit that is right for a store that is away was used for one that is slow.

The first outcome counts. The store's return is noticed as soon as before.

Evidence: test_slow_store.py, real connections, answers after 1.3 s: the next configuration is not taken in 4 s before, taken after. A check after a late turn still fails after 0.6 s, since requests wait for it.

--- a/peridotwell/fleet/replica/store_check.py
+++ b/peridotwell/fleet/replica/store_check.py
@@ -1,16 +1,20 @@
 """Asks the store for changes after a router was late to read what arrives."""
 
+from contextlib import suppress
+
 import trio
 
 from peridotwell.errors import StoreError
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import ChangeFeed
+from peridotwell.store.change_feed import ChangeFeed, Changes
 
 __all__ = ('StoreCheck',)
 
 # Minimum time between two checks.
 INTERVAL_SECONDS = 0.1
+# Requests wait for a check: without an answer in this time it has failed.
+ANSWER_SECONDS = 0.6
 
 
 class StoreCheck:
@@ -34,15 +38,14 @@
     async def _check(self) -> None:
         asked_at = trio.current_time()
         self._metrics.count('store.checks')
-        try:
+        changes: Changes | None = None
+        with suppress(StoreError), trio.move_on_after(ANSWER_SECONDS):
             changes = await self._feed.wait_for_changes(
                 self._directory.known_revision, wait_seconds=0
             )
-        except StoreError:
-            self._directory.freshness.record_failure(
-                asked_at, trio.current_time()
-            )
-            return
         now = trio.current_time()
+        if changes is None:
+            self._directory.freshness.record_failure(asked_at, now)
+            return
         self._directory.apply_changes(changes, now)
         self._directory.freshness.record_answer(asked_at, now)
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -1,6 +1,7 @@
 """Follows the store's change feed through outages and lost history."""
 
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -14,6 +15,7 @@
     HistoryGone,
     Snapshot,
 )
+from peridotwell.store.overlapping_calls import first_outcome
 from peridotwell.store.revisions import is_of_later_era
 
 __all__ = ('StoreFollower',)
@@ -21,9 +23,11 @@
 # A watch that gets no answer is detected after this time and the margin of the
 # client; other routers usually report changes earlier.
 WATCH_TIMEOUT_SECONDS = 2.0
-# After a failure, calls are short until one succeeds: one that was sent while
-# the store was away may get no answer after its return either.
+# After a failure, calls are short until one succeeds, and another one follows
+# while they wait: one that was sent while the store was away may get no answer
+# after its return either.
 PROBE_TIMEOUT_SECONDS = 0.2
+PROBE_INTERVAL_SECONDS = 0.8
 INITIAL_BACKOFF_SECONDS = 0.1
 # From call to call, for calls that fail sooner.
 MAX_BACKOFF_SECONDS = 0.4
@@ -113,14 +117,20 @@
             self._directory.snapshot_requested_at = None
 
     async def _wait_for_changes(self, now: float) -> Changes:
-        if self.is_connected:
-            self._directory.watched_since = now
+        revision = self._directory.feed_revision
         try:
+            if not self.is_connected:
+                return await first_outcome(
+                    partial(
+                        self._feed.wait_for_changes,
+                        revision,
+                        PROBE_TIMEOUT_SECONDS,
+                    ),
+                    PROBE_INTERVAL_SECONDS,
+                )
+            self._directory.watched_since = now
             return await self._feed.wait_for_changes(
-                self._directory.feed_revision,
-                WATCH_TIMEOUT_SECONDS
-                if self.is_connected
-                else PROBE_TIMEOUT_SECONDS,
+                revision, WATCH_TIMEOUT_SECONDS
             )
         except StoreError:
             self._directory.freshness.record_failure(now, trio.current_time())
--- /dev/null
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -0,0 +1,56 @@
+"""A store that takes long to answer, for a router that had lost it."""
+
+import msgspec
+import trio
+from peridotwell_platform.entries import PlatformEntryDecoder
+from peridotwell_platform.store import PlatformStore
+
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.metrics import Metrics
+from peridotwell.serving.asgi import serve_http
+from tests.peridotwell_platform import stand_in
+
+ANSWER_SECONDS = 1.3
+LATE_SECONDS = 4
+
+
+class SlowStore:
+    """A store whose answers take a time."""
+
+    def __init__(self) -> None:
+        self.store = stand_in.StoreStandIn()
+        self.seconds = 0
+
+    async def handle(self, exchange):
+        await trio.sleep(self.seconds)
+        await self.store.handle(exchange)
+
+    def configure(self, version):
+        route = stand_in.route(f'read{version}', 'idempotent')
+        document = {'version': version, 'routes': [route]}
+        self.store.put('op/config', msgspec.json.encode(document))
+
+
+# Guards against a router that never hears the store again, and serves by an old
+# configuration, because it gives up each call before a slow store answers.
+async def test_a_slow_store_is_heard_again_after_it_was_lost(nursery):
+    slow = SlowStore()
+    slow.configure(1)
+    address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
+    directory = ServiceDirectory(PlatformEntryDecoder())
+    feed = PlatformStore(address)
+    follower = StoreFollower(feed, directory, Metrics('', ''), lambda now: True)
+    nursery.start_soon(follower.run)
+    with trio.fail_after(LATE_SECONDS):
+        await directory.ready.wait()
+        slow.seconds = ANSWER_SECONDS
+        slow.store.faults.extend([503])
+        # Ends the watch that waits: the next call gets the fault.
+        slow.configure(2)
+        while follower.is_connected:
+            await trio.sleep(0.02)
+    slow.configure(3)
+    with trio.fail_after(LATE_SECONDS):
+        while directory.table.version < 3:
+            await trio.sleep(0.02)
