A success whose end is not marked is asked for again where marks are usual

Callers got cut responses as complete ones from a target that goes on running: a faulty target may break off a response without length and close the connection, and its end then looks like that of a whole one. For streams the last event tells, for plain responses nothing does.

Nothing on the wire can decide it, so the router asks for evidence: if nearly all responses of the service have marked ends, a success without one is doubted (`response.doubted` in the log). A request that may be repeated goes to another target, within its attempts, its deadline and the retry budget like a retry after an error; the other target's success is returned, else the doubted one. The own interface refuses plain responses without a marked end anyway.

The first new test failed before (the cut body was returned); the others guard whole responses of bookings and of requests that find no other target.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -1,5 +1,6 @@
 """Forwarding of requests whose response is sent to the caller complete."""
 
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 
@@ -28,8 +29,13 @@
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.logs import log_failure
 from peridotwell.policy.choice import Choice
-from peridotwell.serving.target_response import ResponseOrigin, TargetResponse
+from peridotwell.serving.target_response import (
+    BodyEnd,
+    ResponseOrigin,
+    TargetResponse,
+)
 
 __all__ = (
     'SUCCESSES',
@@ -44,6 +50,8 @@
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
 SUCCESSES = range(FIRST_SUCCESS, FIRST_REDIRECT)
 RETRY_AFTER_SECONDS = 0.3
+# A response that may be cut is sent this long before the deadline.
+ANSWER_SECONDS = 0.05
 
 
 @dataclass(frozen=True)
@@ -81,8 +89,45 @@
         """Return the response for the caller. Raises RequestError.
 
         If no target succeeds, this is the last error response that a target
-        sent, if any.
+        sent, if any. A success that may be cut is returned only if no other
+        target succeeds in time.
+        """
+        response = await self._get(request, attempts)
+        if not self._may_be_cut(request, response):
+            return response
+        log_failure(
+            'response.doubted',
+            request=request.request_id,
+            target=response.choice.target.name,
+            body_bytes=len(response.body),
+        )
+        if attempts.after_run(trio.current_time()) is RetryDecision.give_up:
+            return response
+        with (
+            trio.move_on_at(request.deadline_at - ANSWER_SECONDS),
+            suppress(RequestError),
+        ):
+            other = await self._get(request, attempts)
+            return response if other.is_failure else other
+        return response
+
+    def _may_be_cut(
+        self, request: RoutedRequest, response: BufferedResponse
+    ) -> bool:
+        """Whether a success has no marked end, unlike others of its service.
+
+        Only a request that may be repeated can be asked again.
         """
+        return (
+            request.route.may_repeat
+            and not response.is_failure
+            and response.origin.body_end is BodyEnd.connection
+            and self._dispatcher.end_marks.are_usual(request.service)
+        )
+
+    async def _get(
+        self, request: RoutedRequest, attempts: Attempts
+    ) -> BufferedResponse:
         error_response: BufferedResponse | None = None
         while True:
             try:
@@ -151,6 +196,10 @@
                 response.origin,
             )
         self._dispatcher.record_completion(attempt, buffered.status)
+        self._dispatcher.end_marks.record(
+            attempt.request.service,
+            is_marked=buffered.origin.body_end is not BodyEnd.connection,
+        )
         return buffered
 
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -38,6 +38,7 @@
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
+from peridotwell.policy.end_marks import EndMarks
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'is_target_error')
@@ -48,7 +49,10 @@
 
 
 class Dispatcher:
-    """Sends requests to targets and records the outcomes of the targets."""
+    """Sends requests to targets and records the outcomes of the targets.
+
+    `end_marks` tells how the complete responses of each service end.
+    """
 
     def __init__(
         self,
@@ -58,6 +62,7 @@
         crash_tracker: CrashTracker,
         handover_client: HandoverClient,
     ) -> None:
+        self.end_marks = EndMarks()
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
         self._clients = clients
--- a/tests/peridotwell_platform/test_broken_answers.py
+++ b/tests/peridotwell_platform/test_broken_answers.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from tests.peridotwell_platform import stand_in
 from tests.peridotwell_platform.test_path import harness
 from tests.raw_target import RawResponse, RawTarget
 
@@ -163,6 +164,46 @@
     assert resp.content == b'booked' or status != 200
 
 
+async def send_to_raw_target(harness, target, path):
+    """Send requests until the raw target has had one; return the response."""
+    for _ in range(30):
+        resp = await harness.send_request(path, 'POST', b'q')
+        if target.requests:
+            return resp
+    return pytest.fail('no request was sent to the raw target')
+
+
+# Guards against cut responses whose connection ends as after a complete one.
+async def test_a_plain_answer_that_may_be_cut_is_asked_for_again(
+    harness, use_raw_target
+):
+    cut = RawResponse(UNMARKED, b'do')
+    target = await use_raw_target(cut, alone=False)
+    resp = await send_to_raw_target(harness, target, '/read/x')
+    assert (resp.status, resp.content) == (200, b'done')
+    assert len(target.requests) == 1
+
+
+# Guards against whole responses that are lost because their end is not marked:
+# of a request that must not run twice, and where no other target succeeds.
+@pytest.mark.parametrize(
+    ('path', 'others'),
+    [('/book/x', 'sound'), ('/read/x', 'failing'), ('/read/x', 'silent')],
+)
+async def test_a_plain_answer_that_may_be_cut_is_better_than_none(
+    harness, use_raw_target, path, others
+):
+    target = await use_raw_target(RawResponse(UNMARKED, b'do'), alone=False)
+    step = {
+        'sound': stand_in.respond_ok,
+        'failing': stand_in.respond_with_status(500),
+        'silent': stand_in.never_respond,
+    }[others]
+    harness.targets[0].script.extend([step] * 30)
+    resp = await send_to_raw_target(harness, target, path)
+    assert (resp.status, resp.content) == (200, b'do')
+
+
 ENDLESS = {
     'head fields': RawResponse((HEAD[0], ''), endless=b'x-a: b\r\n'),
     'one head field': RawResponse((HEAD[0], 'x-a: '), endless=b'y' * 4096),
