--- a/tests/soak/replay.py
+++ b/tests/soak/replay.py
@@ -1,6 +1,7 @@
 """Replays the records of a run to the checks that follow its course."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from operator import itemgetter
 from types import SimpleNamespace
 
@@ -16,6 +17,7 @@
     RouterStarted,
     Sent,
 )
+from tests.soak.touch import Touch
 
 __all__ = ('REPEATABLE_KINDS', 'WAITING', 'replay')
 
@@ -28,7 +30,8 @@
 
 def replay(records: Iterable[Record], checker: GuaranteeChecker) -> None:
     """Give the records in the order of their times to the checks."""
-    course = _Course(checker)
+    records = tuple(records)
+    course = _Course(checker, Touch(records))
     events = []
     for record in records:
         events.append((record.at, course.follow, record))
@@ -41,8 +44,9 @@
 class _Course:
     """The state of the routers and requests at a time of the run."""
 
-    def __init__(self, checker: GuaranteeChecker) -> None:
+    def __init__(self, checker: GuaranteeChecker, touch: Touch) -> None:
         self._checker = checker
+        self._touch = touch
         self._notices = NoticeChecker(checker.violations)
         self._brittle = BrittleChecker(checker.violations)
         self._routers: dict[str, SimpleNamespace] = {}
@@ -131,7 +135,12 @@
         is_disturbed = router.disturbed_at >= sent.at - DISTURBED_SECONDS
         self._checker.record_outcome(outcome, is_disturbed=is_disturbed)
         if answer.error == 'cut' and _is_cut_by_planned_stop(router, outcome):
-            self._checker.record_cut(outcome)
+            # The caller may have seen the end late.
+            waited = self._touch.soak_late_seconds(
+                'callers', sent.at, answer.at
+            )
+            took = max(0, outcome.duration_seconds - waited)
+            self._checker.record_cut(replace(outcome, duration_seconds=took))
 
 
 def _kind(sent: Sent) -> str:
--- a/tests/soak/test_replay.py
+++ b/tests/soak/test_replay.py
@@ -6,6 +6,7 @@
 from tests.soak.records import (
     Answered,
     Arrived,
+    Late,
     Replied,
     RouterDisturbed,
     RouterStarted,
@@ -67,6 +68,16 @@
     assert not find(stop, *cut, broken)
 
 
+# Guards against cuts that only the soak's callers saw late (seed 223).
+def test_waits_of_callers_do_not_make_a_cut_late():
+    stop = RouterDisturbed(0.9, 5, 'r0', is_planned=True)
+    cut = (send(1), answer(1.35, 0, error='cut'))
+    assert 'planned stop' in find(stop, *cut)[0]
+    assert not find(stop, *cut, Late(1.3, 'callers 3', 0.23))
+    assert find(stop, *cut, Late(1.3, 'targets 1', 0.23))
+    assert find(stop, *cut, arrive(1.1), Late(1.3, 'callers 3', 0.23))
+
+
 def test_requests_after_the_router_passed_on_that_a_target_leaves():
     told = (
         send(1),
