A busy router whose store is away refuses nothing for its own lateness

Cause: each late turn made requests wait for a check, although it was known that the store does not answer. A check that failed was not repeated, so a router behind a relay counted as not current without end; and changes that the store no longer has (410) were taken for an outage, so the old configuration was used. Class: three answers of the store, "away", "late" and "gone", were one.

Change: away stays known until an answer, or until a standstill so long that the store may be back; then requests wait once. Checks are repeated each second until one succeeds. A relay counts again after a second of turns in time. A check reads all entries if the changes are gone.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -180,7 +180,9 @@
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
         self.state.directory.freshness.record_turn(
-            now, self.relay_protocol.told_until(now)
+            now,
+            self.relay_protocol.told_until(now),
+            is_relayed=not self.relay_protocol.must_follow_store(now),
         )
         self.state.directory.remove_expired(now)
         self._set_sharing_routers()
--- a/peridotwell/fleet/replica/store_check.py
+++ b/peridotwell/fleet/replica/store_check.py
@@ -7,12 +7,13 @@
 from peridotwell.errors import StoreError
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import ChangeFeed, Changes
+from peridotwell.store.change_feed import ChangeFeed, HistoryGone
 
 __all__ = ('StoreCheck',)
 
-# Minimum time between two checks.
+# Time between two checks, and after one that failed.
 INTERVAL_SECONDS = 0.1
+RETRY_SECONDS = 1.0
 # Requests wait for a check: without an answer in this time it has failed.
 ANSWER_SECONDS = 0.6
 
@@ -28,24 +29,35 @@
         self._metrics = metrics
 
     async def run(self) -> None:
-        """Check after each late turn, until cancelled."""
+        """Check after each late turn, until one succeeds or it is cancelled."""
         while True:
             await self._directory.freshness.late.wait()
-            if self._directory.is_loaded:
-                await self._check()
-            await trio.sleep(INTERVAL_SECONDS)
+            is_answered = self._directory.is_loaded and await self._check()
+            await trio.sleep(INTERVAL_SECONDS if is_answered else RETRY_SECONDS)
 
-    async def _check(self) -> None:
+    async def _check(self) -> bool:
+        """Return whether the store has answered."""
         asked_at = trio.current_time()
         self._metrics.count('store.checks')
-        changes: Changes | None = None
+        is_answered = False
         with suppress(StoreError), trio.move_on_after(ANSWER_SECONDS):
+            await self._read()
+            is_answered = True
+        now = trio.current_time()
+        if is_answered:
+            self._directory.freshness.record_answer(asked_at, now)
+        else:
+            self._directory.freshness.record_failure(asked_at, now)
+        return is_answered
+
+    async def _read(self) -> None:
+        """Apply the changes, or all entries if the changes are gone."""
+        try:
             changes = await self._feed.wait_for_changes(
                 self._directory.known_revision, wait_seconds=0
             )
-        now = trio.current_time()
-        if changes is None:
-            self._directory.freshness.record_failure(asked_at, now)
+        except HistoryGone:
+            snapshot = await self._feed.read_snapshot()
+            self._directory.apply_snapshot(snapshot, trio.current_time())
             return
-        self._directory.apply_changes(changes, now)
-        self._directory.freshness.record_answer(asked_at, now)
+        self._directory.apply_changes(changes, trio.current_time())
--- a/tests/fleet/replica/test_store_freshness.py
+++ b/tests/fleet/replica/test_store_freshness.py
@@ -98,3 +98,45 @@
     waited = trio.current_time() - now
     assert waited == pytest.approx(0 if fails else SETTLE_SECONDS)
     assert not freshness.is_current(trio.current_time())
+
+
+def fail_check(freshness, now):
+    """Let a check fail that was sent at a time; return when it has failed."""
+    freshness.record_turn(now, -math.inf)
+    freshness.record_failure(now, now + 0.6)
+    return now + 0.6
+
+
+# Guards against a busy router that refuses requests while the store is away,
+# because each late turn makes them wait for a check that fails later.
+def test_late_turns_of_a_router_without_a_store_refuse_nothing():
+    freshness = make_watched(10)
+    now = fail_check(freshness, 10 + STALL_SECONDS)
+    for _ in range(20):
+        now += 0.35
+        freshness.record_turn(now, -math.inf)
+        assert freshness.settled.is_set()
+    assert freshness.late.is_set()
+
+
+# Guards against the same after a standstill in which the store may be back.
+def test_after_a_long_standstill_a_store_that_was_away_is_asked_again():
+    freshness = make_watched(10)
+    now = fail_check(freshness, 10 + STALL_SECONDS) + STALL_SECONDS
+    freshness.record_turn(now, -math.inf)
+    assert not freshness.settled.is_set()
+
+
+# Guards against a router that never counts as current again, although its relay
+# tells every change, because one check of the store has failed.
+def test_a_relay_counts_again_after_a_check_that_failed():
+    freshness = make_watched(10)
+    now = fail_check(freshness, 10 + STALL_SECONDS)
+    for step in range(30):
+        freshness.record_turn(now + step / 10, now, is_relayed=True)
+    assert not freshness.is_current(now + 2.9)
+    for step in range(30, 40):
+        told_until = now + step / 10
+        freshness.record_turn(told_until, told_until, is_relayed=True)
+    assert freshness.is_current(now + 3.9)
+    assert not freshness.late.is_set()
