A response that may be cut is asked for again within its attempts

Now another target is asked while attempts, deadline and retry budget last.

Three cases of the new test failed before: after two cut responses, no third target was asked.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -93,23 +93,32 @@
         target succeeds in time.
         """
         response = await self._get(request, attempts)
-        if not self._may_be_cut(request, response):
-            return response
-        log_failure(
-            'response.doubted',
-            request=request.request_id,
-            target=response.choice.target.name,
-            body_bytes=len(response.body),
-        )
-        if attempts.after_run(trio.current_time()) is RetryDecision.give_up:
-            return response
+        while self._may_be_cut(request, response):
+            log_failure(
+                'response.doubted',
+                request=request.request_id,
+                target=response.choice.target.name,
+                body_bytes=len(response.body),
+            )
+            now = trio.current_time()
+            if attempts.after_run(now) is RetryDecision.give_up:
+                break
+            other = await self._get_in_time(request, attempts)
+            if other is None or other.is_failure:
+                break
+            response = other
+        return response
+
+    async def _get_in_time(
+        self, request: RoutedRequest, attempts: Attempts
+    ) -> BufferedResponse | None:
+        """Return another response, or None if there is none in time."""
         with (
             trio.move_on_at(request.deadline_at - ANSWER_SECONDS),
             suppress(RequestError),
         ):
-            other = await self._get(request, attempts)
-            return response if other.is_failure else other
-        return response
+            return await self._get(request, attempts)
+        return None
 
     def _may_be_cut(
         self, request: RoutedRequest, response: BufferedResponse
--- /dev/null
+++ b/tests/forwarding/test_buffered_responses.py
@@ -0,0 +1,67 @@
+"""Tests of what follows a complete response that may be cut."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from peridotwell.forwarding.buffered_responses import (
+    BufferedResponse,
+    BufferedResponseForwarder,
+)
+from peridotwell.forwarding.retries import RetryDecision
+from peridotwell.policy.end_marks import EndMarks
+from peridotwell.serving.target_response import BodyEnd, ResponseOrigin
+
+CHOICE = SimpleNamespace(target=SimpleNamespace(name='t'))
+
+
+def response(body, body_end, status=200):
+    origin = ResponseOrigin(body_end, 0)
+    return BufferedResponse(status, (), body, CHOICE, origin)
+
+
+CUT = response(b'cut', BodyEnd.connection)
+WHOLE = response(b'whole', BodyEnd.length)
+ERROR = response(b'error', BodyEnd.length, 500)
+
+
+class ScriptedForwarder(BufferedResponseForwarder):
+    """Gets these responses, one after the other."""
+
+    def __init__(self, responses):
+        super().__init__(SimpleNamespace(end_marks=EndMarks()), None, None)
+        self.remaining = list(responses)
+
+    async def _get(self, request, attempts):
+        return self.remaining.pop(0)
+
+
+# Guards against cut responses of several targets, one after the other.
+@pytest.mark.parametrize(
+    ('responses', 'runs', 'expected'),
+    [
+        ([WHOLE], 3, WHOLE),
+        ([CUT, WHOLE], 3, WHOLE),
+        ([CUT, CUT, WHOLE], 3, WHOLE),
+        ([CUT, CUT, ERROR], 3, CUT),
+        ([CUT, CUT, CUT], 3, CUT),
+        ([CUT], 1, CUT),
+    ],
+)
+async def test_targets_are_asked_while_attempts_last(responses, runs, expected):
+    decisions = [RetryDecision.other_target] * (runs - 1)
+    attempts = SimpleNamespace(
+        after_run=lambda now: (
+            decisions.pop() if decisions else RetryDecision.give_up
+        )
+    )
+    request = SimpleNamespace(
+        route=SimpleNamespace(may_repeat=True),
+        service='svc',
+        request_id='r',
+        deadline_at=trio.current_time() + 1,
+    )
+    forwarder = ScriptedForwarder(responses)
+    assert await forwarder.get(request, attempts) == expected
+    assert not forwarder.remaining
