--- a/tests/fleet/replica/test_store_check.py
+++ b/tests/fleet/replica/test_store_check.py
@@ -47,8 +47,8 @@
     return directory
 
 
-# Guards against a router that serves by an old configuration after a standstill,
-# because changes that the store no longer has were taken for an outage.
+# Guards against a router that serves by an old configuration after it stood
+# still, because changes that the store no longer has were taken for an outage.
 async def test_changes_that_are_gone_are_read_as_a_snapshot(
     autojump_clock, nursery
 ):
--- a/tests/soak/configuration_rule.py
+++ b/tests/soak/configuration_rule.py
@@ -166,8 +166,10 @@
         bound += UNSTABLE_SECONDS
     in_force = (each for each in versions if each.at < sent.at - bound)
     for version in sorted(in_force, key=attrgetter('version'), reverse=True):
-        # The soak's own store may have been late to tell the router.
-        waited = touch.soak_late_seconds('store', version.at, sent.at)
+        # The soak's own store may have been late to tell the router in time.
+        waited = touch.soak_late_seconds(
+            'store', version.at, version.at + bound
+        )
         if version.at < sent.at - bound - waited:
             return version.version
     return 0
--- a/tests/soak/leaving_rule.py
+++ b/tests/soak/leaving_rule.py
@@ -29,9 +29,11 @@
         request = sent.get(arrived.request_id)
         if left is None or request is None:
             continue
-        # The soak's own store may have been late to tell the router, and the
-        # request may have waited in its targets.
-        waited = touch.soak_late_seconds('store', left.at, arrived.at)
+        # The soak's own store may have been late to tell the router in time,
+        # and the request may have waited in its targets.
+        waited = touch.soak_late_seconds(
+            'store', left.at, min(arrived.at, left.at + DRAIN_SECONDS)
+        )
         waited += touch.soak_late_seconds('targets', request.at, arrived.at)
         late_seconds = arrived.at - left.at - waited
         if late_seconds <= DRAIN_SECONDS:
@@ -66,6 +68,8 @@
     router = sent.router
     return not (
         touch.is_router_calm(router, sent.at, arrived.at)
-        and touch.is_store_calm(left.at, arrived.at)
+        # What happens to the store in between excuses nothing.
+        and touch.is_store_calm(left.at, left.at)
+        and touch.is_store_calm(sent.at, arrived.at)
         and touch.is_path_calm(router, arrived.target, arrived.at, arrived.at)
     )
--- a/tests/soak/test_leaving_rule.py
+++ b/tests/soak/test_leaving_rule.py
@@ -73,6 +73,7 @@
 )
 def test_faults_excuse_until_contact(fault):
     assert not judge(3, fault)
+    # The answer of a store that was not stable begins no time.
     assert judge(4.2, fault) or isinstance(fault, StoreDisturbed)
     # A target that drains gets nothing after a grace, whatever the fault.
     assert judge(3, fault, state='draining')
@@ -89,3 +90,21 @@
 )
 def test_faults_elsewhere_do_not_excuse(fault):
     assert judge(3, fault)
+
+
+# Guards against an excuse that is wider than the rule: a fault of the store
+# after the target has left, which is over when the request is sent.
+@pytest.mark.parametrize(
+    'fault',
+    [
+        StoreDisturbed(LEFT_AT + 1, LEFT_AT + 1.1, False),
+        Late(LEFT_AT + 2.5, 'store 0', 0.26),
+    ],
+)
+def test_fault_of_the_store_in_between_excuses_nothing(fault):
+    assert judge(6.5, fault)
+
+
+def test_waits_of_the_store_count_until_the_bound_only():
+    waits = [Late(LEFT_AT + step / 2, 'store 0', 0.24) for step in range(1, 9)]
+    assert judge(3.5, *waits)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,8 @@
 )
 # Groups of faults to leave out: bounds of time bind routers in touch only.
 CALM = (('store',), ('store', 'routers', 'paths'))
+# A run without faults of stores and routers shows nothing if it binds fewer.
+MIN_BOUND_SHARE = 0.25
 
 
 @pytest.mark.parametrize('seed', [2, *(seed for seed, _ in REGRESSIONS)])
@@ -27,3 +29,5 @@
     report = trio.run(soak, 1, FAULT_SECONDS, tmp_path, 3, 6, without)
     assert not report.violations, report
     assert report.outcomes['probe 200'] > 0
+    if 'routers' in without:
+        assert report.bound_share >= MIN_BOUND_SHARE, report
