A cut in which calls to the store stay silent ends in time too

What callers would see: requests at a target that left while a router was cut off, 3 s after its path is back (DRAIN).

Cause: looked at a store to which no connection can be made. Calls that stay silent wait longer; the next one was sent 0.8 s after the last, and removals are doubted for 2.2 s from the first answer: over 3 s with a tick.

In an outage without answers a router sends a call each 0.6 s in place of 0.8.

--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -27,7 +27,7 @@
 # while they wait: one that was sent while the store was away may get no answer
 # after its return either.
 PROBE_TIMEOUT_SECONDS = 0.2
-PROBE_INTERVAL_SECONDS = 0.8
+PROBE_INTERVAL_SECONDS = 0.6
 INITIAL_BACKOFF_SECONDS = 0.1
 # From call to call, for calls that fail sooner.
 MAX_BACKOFF_SECONDS = 0.4
--- a/tests/forwarding/test_returned_store.py
+++ b/tests/forwarding/test_returned_store.py
@@ -46,6 +46,7 @@
 RENEWAL_SECONDS = 0.6
 CONNECT_SECONDS = 0.5
 WATCH_MARGIN_SECONDS = 0.6
+MIN_WATCH_SECONDS = 2.6
 ANSWER_SECONDS = 0.002
 PHASES = tuple(step / 10 for step in range(36))
 # Shorter than a watch, which may wait all the while.
@@ -60,7 +61,8 @@
     With `hangs`, calls get no answer then, not even those that wait when the
     outage begins or that the store would answer after its return, nor those on
     connections from before it. These are closed once a call has got no answer,
-    and later calls fail to connect. Without `hangs`, calls are refused.
+    and later calls fail to connect, or with `stays_silent` get no answer.
+    Without `hangs`, calls are refused.
     """
 
     down_at: float
@@ -73,6 +75,7 @@
     lease: int = 1
     changed: trio.Event = field(default_factory=trio.Event)
     has_new_connections: bool = False
+    stays_silent: bool = False
 
     def put(self, key, content):
         self.revision += 1
@@ -96,7 +99,7 @@
         if now < self.down_at or (now >= self.up_at and not is_silent):
             await trio.sleep(ANSWER_SECONDS)
             return
-        if is_silent:
+        if is_silent or self.stays_silent:
             await trio.sleep(seconds)
             self.has_new_connections = True
             raise StoreResponseLost('no response')
@@ -119,7 +122,9 @@
 
     async def wait_for_changes(self, after, wait_seconds):
         started_at = trio.current_time()
-        await self.call(wait_seconds + WATCH_MARGIN_SECONDS)
+        await self.call(
+            max(wait_seconds + WATCH_MARGIN_SECONDS, MIN_WATCH_SECONDS)
+        )
         if era_of(after) != self.era:
             raise HistoryGone('the store was restored')
         with trio.move_on_at(started_at + wait_seconds):
@@ -256,11 +261,13 @@
 # Guards against requests at targets that left while the router was cut off from
 # the store, which served the others: it is back in touch when the store counts
 # as stable for it.
+@pytest.mark.parametrize('stays_silent', [False, True])
 @pytest.mark.parametrize('phase', PHASES)
 async def test_what_left_during_a_cut_is_out_of_use_in_time(
-    autojump_clock, nursery, phase
+    autojump_clock, nursery, phase, stays_silent
 ):
     store = make_store(phase, hangs=True)
+    store.stays_silent = stays_silent
     directory = start_router(nursery, store).directory
     await trio.sleep_until(store.up_at - IN_FORCE_SECONDS)
     store.delete('t/x')
