The soak takes only the answer of a target that leaves for its notice

The check took any answer of the request for the target's own: an answer that is lost on the way, followed by one of another target or by the router's own 504, counted as the notice. The rule speaks of an answer with Server-Leaving that was passed on. Answers are matched by their receipts now; what is passed on is judged as before.

tests/soak/test_replay.py::test_only_the_answer_of_the_target_that_leaves_tells_so fails on the code before.

--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -38,7 +38,8 @@
     def __init__(self, violations: list[str]) -> None:
         self._violations = violations
         self._sent: dict[str, _Sent] = {}
-        self._said_leaving: dict[str, str] = {}
+        # Target by request and receipt of the answer that says so.
+        self._said_leaving: dict[tuple[str, str], str] = {}
         self._told_leaving: dict[tuple[str, int, str], float] = {}
         self._pauses: dict[tuple[str, int, str], _Pause] = {}
         self._in_pause: Counter[tuple[str, int, str]] = Counter()
@@ -48,15 +49,15 @@
         process_id = router.process.pid if router.process else 0
         self._sent[request_id] = _Sent(router, process_id, now)
 
-    def record_answer(self, request_id: str, now: float) -> None:
-        """Record that a caller has an answer, which its router passed on."""
-        target = self._said_leaving.pop(request_id, None)
+    def record_answer(self, request_id: str, receipt: str, now: float) -> None:
+        """Record that a caller has an answer, with this receipt of its run."""
+        target = self._said_leaving.get((request_id, receipt))
         if target is not None:
             self._told_leaving.setdefault(self._key(request_id, target), now)
 
-    def say_leaving(self, request_id: str, target: str) -> None:
+    def say_leaving(self, request_id: str, receipt: str, target: str) -> None:
         """Record that the answer to a request says that its target leaves."""
-        self._said_leaving[request_id] = target
+        self._said_leaving[request_id, receipt] = target
 
     def say_pause(
         self, request_id: str, target: str, seconds: float, now: float
--- a/tests/soak/replay.py
+++ b/tests/soak/replay.py
@@ -74,7 +74,9 @@
                 self._follow_arrival(record)
             case Replied():
                 if record.leaves:
-                    self._notices.say_leaving(record.request_id, record.leaves)
+                    self._notices.say_leaving(
+                        record.request_id, record.receipt, record.leaves
+                    )
             case Answered():
                 self._follow_answer(record)
 
@@ -116,7 +118,9 @@
     def _follow_answer(self, answer: Answered) -> None:
         sent = self._sent[answer.request_id]
         if answer.status:
-            self._notices.record_answer(answer.request_id, answer.at)
+            self._notices.record_answer(
+                answer.request_id, answer.receipt, answer.at
+            )
         if answer.request_id.startswith(WAITING):
             return
         outcome = Outcome(
--- a/tests/soak/test_notices.py
+++ b/tests/soak/test_notices.py
@@ -28,8 +28,8 @@
 
 def tell_leaving(checker, router):
     checker.record_sent('q0', router, 0)
-    checker.say_leaving('q0', TARGET)
-    checker.record_answer('q0', 0)
+    checker.say_leaving('q0', 's', TARGET)
+    checker.record_answer('q0', 's', 0)
 
 
 def test_request_to_a_target_long_after_it_said_it_leaves(checker, router):
@@ -42,9 +42,9 @@
 
 def test_router_that_was_not_told_or_was_disturbed_is_excused(checker, router):
     checker.record_sent('q0', router, 0)
-    checker.say_leaving('q0', TARGET)
+    checker.say_leaving('q0', 's', TARGET)
     send(checker, router, 'q1', 9)
-    checker.record_answer('q0', 9)
+    checker.record_answer('q0', 's', 9)
     router.disturbed_at = 10
     send(checker, router, 'q2', 15)
     assert not checker._violations
--- a/tests/soak/test_replay.py
+++ b/tests/soak/test_replay.py
@@ -90,6 +90,21 @@
     assert not find(*told, RouterDisturbed(2, 3, 'r0'), *later)
 
 
+# Guards against answers of other targets, or of the router itself, that the
+# soak took for the lost one of a target that leaves (seed 3667).
+def test_only_the_answer_of_the_target_that_leaves_tells_so():
+    told = (
+        send(1, 'q1-read'),
+        arrive(1.1, 'q1-read'),
+        Replied(1.2, 'q1-read', 'lost', 200, b'', True, 't0 start 1'),
+        answer(1.3, 200, 'q1-read'),
+    )
+    later = (send(4, 'q2-read'), arrive(4.1, 'q2-read'))
+    assert not find(*told, *later)
+    whole = Replied(1.2, 'q1-read', 's', 200, b'', True, 't0 start 1')
+    assert 'leaves' in find(*told, whole, *later)[0]
+
+
 def test_rejections_of_a_brittle_target():
     def reject(count):
         for number in range(count):
