Tests of brittle targets run on a clock slower than real time

In this test one process is three routers, four targets and 150 callers a second; its log there shows 0.48 s late turns of the loop, and refusals after 0.001 to 0.03 s by the router's own count. So it measured the machine.

The bounds stay as they are. A router that waits too long fails as before, as its waits are on the same clock.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,13 @@
 import pytest
+import trio.testing
 from hypothesis import settings
 
 from standins.cluster import LocalCluster
 from tests.ports import find_free_port
 
+# Seconds of the slow clock in a second of real time.
+SLOW_CLOCK_RATE = 0.25
+
 # Folders of tests that start many processes.
 PROCESS_FOLDERS = frozenset(('processes', 'soak'))
 
@@ -30,6 +34,16 @@
     assert not failed
 
 
+@pytest.fixture
+def slow_clock():
+    """Let trio's time pass more slowly than real time.
+
+    For tests of several routers in this process whose bounds are short: what
+    they measure is then less the time that this machine needs to run them.
+    """
+    return trio.testing.MockClock(rate=SLOW_CLOCK_RATE)
+
+
 @pytest.fixture
 def free_port():
     return find_free_port
