Offers of another protocol and empty lines before a request are ignored

A server may ignore Upgrade (RFC 9110, 7.8) and should ignore an empty line before the request line (RFC 9112, 2.2).

Cause: hypercorn answers such requests on its own, before any handler.

Change: the connection uses a subclass of hypercorn's HTTP/1.1 protocol, which makes a plain request of each. A CR that is no line break is refused as before, and the HTTP/2 preface is served as before. The field is not passed on to targets (as before: it is hop by hop).

--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -8,11 +8,14 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData
+from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import TrioSingleTask, WorkerContext
-from hypercorn.typing import AppWrapper, ConnectionState, TaskGroup
+from hypercorn.typing import AppWrapper, ConnectionState
+from hypercorn.utils import parse_socket_addr
 
-from peridotwell.logs import log_failure
+from peridotwell.logs import log_event, log_failure
+from peridotwell.serving.caller_protocol import CallerProtocols
 from peridotwell.serving.socket_network import write_now
 
 __all__ = ('BodyPart', 'CallerConnection', 'ServerStop')
@@ -67,7 +70,7 @@
         self._scope = trio.CancelScope()
 
     async def restart(
-        self, task_group: TaskGroup, action: Callable[..., Awaitable[None]]
+        self, task_group: Any, action: Callable[..., Awaitable[None]]
     ) -> None:
         """Cancel the task that runs, and start the next one."""
         self._scope.cancel()
@@ -115,6 +118,30 @@
         self._socket_stream = stream
         self._stop = stop
 
+    async def run(self) -> None:
+        """Serve the connection until it is closed."""
+        sock = self._socket_stream.socket
+        try:
+            async with TaskGroup() as task_group:
+                self._task_group = task_group
+                self.protocol = CallerProtocols(
+                    self.app,
+                    self.config,
+                    self.context,
+                    task_group,
+                    ConnectionState(self.state),
+                    False,
+                    parse_socket_addr(sock.family, sock.getpeername()),
+                    parse_socket_addr(sock.family, sock.getsockname()),
+                    self.protocol_send,
+                )
+                await self.idle_task.restart(task_group, self._idle_timeout)
+                await self._read_data()
+        except OSError as exc:
+            log_event('connection.failed', error=repr(exc))
+        finally:
+            await self._close()
+
     async def protocol_send(self, event: Event) -> None:
         """Send bytes to the caller, or handle the end of a request.
 
