Sound targets beside a brittle one count as sound at all routers

Cause: (1) an answer without a number of a target that had named none yet, or that had started again, was neither kept nor told: the target counted as one of which nothing is known, so as brittle while any target of its service was, and its two slots were divided among eight routers. Evidence: three new tests of tests/policy/test_brittle_targets.py fail before. Change: an answer without a number, while another target of the service is brittle, is kept and told as the end of a time is (same record, so older versions read it). It frees its target for 2 s after its request was sent, less than contact_ms, and is told again after a second at the earliest, by the router that first hears it. Such an answer is now as old as its request, not as its arrival. Not changed: targets that are all brittle and have fewer slots than there are routers leave some routers without any (docs/design/soft-state.md).

--- a/peridotwell/policy/brittle_notices.py
+++ b/peridotwell/policy/brittle_notices.py
@@ -3,7 +3,9 @@
 A brittle target falls over when it has to reject more requests in a second,
 from all routers together, than it names. A target of which nothing is known
 counts as brittle while another one of its service is: it has just started, or
-has not been asked lately.
+has not been asked lately. Therefore routers also tell each other which targets
+have answered without a number meanwhile: a router that may not ask any target
+learns it from the others alone.
 """
 
 import math
@@ -32,6 +34,12 @@
 # A target that has not been heard for this time does not speak for its service
 # any more if another one has said since that it is not brittle.
 SILENCE_SECONDS = 3.0
+# An answer without a number, beside another target that is brittle, counts for
+# this time after its request was sent: less than a target that becomes brittle
+# gives its callers to learn it.
+DENIAL_SECONDS = 2.0
+# While such answers arrive, the other routers are told this often.
+DENIAL_REPEAT_SECONDS = 1.0
 # A notice that no answer has confirmed for this time is forgotten.
 TTL_SECONDS = 20.0
 MAX_NOTICES = 4096
@@ -69,7 +77,7 @@
 class BrittleRecord(msgspec.Struct, frozen=True, array_like=True):
     """What a target incarnation last said, by wire ids.
 
-    `max_rejections_per_second` is None if it is not brittle any more.
+    `max_rejections_per_second` is None if it is not brittle, or not any more.
     `full_requests` is the number of requests that it had when it last rejected
     one, or -1. Ages are in tenths of a second.
     """
@@ -93,7 +101,8 @@
 class _Notice:
     """The last answer of a target, and its last rejection.
 
-    `named_at` is the time of the last answer that named a number.
+    `named_at` is the time of the last answer that named a number. An answer
+    that names none is as old as its request.
     """
 
     incarnation: int
@@ -107,7 +116,7 @@
 
     @cached_property
     def terms(self) -> Terms | None:
-        """What the target has named, None if it is not brittle any more."""
+        """What the target has named, None if it is not brittle."""
         if self.max_rejections_per_second is None:
             return None
         return Terms(self.max_rejections_per_second, self.slots)
@@ -119,6 +128,12 @@
         is_named = self.max_rejections_per_second is not None
         return is_named and not self.is_expired(now)
 
+    def speaks_for_target(self, now: float) -> bool:
+        """Whether the answer is recent enough for what it says."""
+        if self.max_rejections_per_second is None:
+            return now - self.said_at < DENIAL_SECONDS
+        return not self.is_expired(now)
+
     def with_rejection_of(self, other: '_Notice | None') -> '_Notice':
         """Return this notice with the later rejection of both."""
         if other is None or other.incarnation != self.incarnation:
@@ -220,7 +235,7 @@
     def terms(self, target: Target, now: float) -> Terms | None:
         """Return what holds for a target, or None if it is not brittle."""
         notice = self._known(target)
-        if notice is None or notice.is_expired(now):
+        if notice is None or not notice.speaks_for_target(now):
             return self.service_terms(service_id(target.pool.name), now)
         return notice.terms
 
@@ -271,18 +286,32 @@
         now: float,
     ) -> BrittleRecord | None:
         """Record an answer that names no number, said at `said_at` or later."""
-        self._record_denial(service_id(target.pool.name), said_at)
-        if (
-            known is None
-            or known.max_rejections_per_second is None
-            or now - known.named_at < END_DELAY_SECONDS
-            or said_at < known.named_at
-        ):
+        service = service_id(target.pool.name)
+        self._record_denial(service, said_at)
+        if known is None:
+            is_news = self._has_brittle(service, now)
+            known = _unheard(target)
+        elif known.max_rejections_per_second is None:
+            repeat_at = known.said_at + DENIAL_REPEAT_SECONDS
+            is_news = said_at >= repeat_at and self._has_brittle(service, now)
+        else:
+            named_for = now - known.named_at
+            is_news = (
+                named_for >= END_DELAY_SECONDS and said_at >= known.named_at
+            )
+        if not is_news:
             return None
-        notice = replace(known, max_rejections_per_second=None, said_at=now)
+        notice = replace(known, max_rejections_per_second=None, said_at=said_at)
         self._set(target.wire_id, notice)
         return _make_record(target.wire_id, notice, now)
 
+    def _has_brittle(self, service: int, now: float) -> bool:
+        """Return whether any target of a service has named a number lately."""
+        return any(
+            notice.service == service and notice.is_brittle(now)
+            for notice in self._notices.values()
+        )
+
     def _record_denial(self, service: int, denied_at: float) -> None:
         known_at = self._denied_at.get(service, denied_at)
         self._denied_at[service] = max(known_at, denied_at)
@@ -335,6 +364,18 @@
     return replace(notice, full_requests=full_requests, rejected_at=now)
 
 
+def _unheard(target: Target) -> _Notice:
+    """Return what is known of a target before its first answer."""
+    return _Notice(
+        target.incarnation_id[1],
+        service_id(target.pool.name),
+        None,
+        0,
+        said_at=-math.inf,
+        named_at=-math.inf,
+    )
+
+
 def _make_record(target_id: int, notice: _Notice, now: float) -> BrittleRecord:
     record = BrittleRecord(
         target_id,
--- a/tests/policy/test_brittle_targets.py
+++ b/tests/policy/test_brittle_targets.py
@@ -7,6 +7,8 @@
 from peridotwell.domain.target import Pool
 from peridotwell.policy.borrowed_slots import KNOWN_AFTER_SECONDS, BorrowedSlots
 from peridotwell.policy.brittle_notices import (
+    DENIAL_REPEAT_SECONDS,
+    DENIAL_SECONDS,
     END_DELAY_SECONDS,
     TTL_SECONDS,
     Brittleness,
@@ -332,5 +334,58 @@
     assert not policy.is_brittle(new, 10.1)
 
 
+# Guards against a router without slots that serves nothing for 20 s (soak seed
+# 41): a brittle target starts again and is sound, which only others can learn.
+def test_end_at_a_target_that_has_restarted_is_told_to_all_routers():
+    hearing, told = BrittleTargets(1), BrittleTargets(2)
+    target, other = _targets(2)
+    record = hearing.record_answer(target, Brittleness(5, False, 0, 0, 8), 0)
+    told.notices.merge([record], 0)
+    restarted = replace(target, incarnation='again')
+    full = RequestCounts(8, 8)
+    assert not told.accepts(restarted, full, 1)
+    record = hearing.record_answer(restarted, None, 1)
+    told.notices.merge([record], 1)
+    assert told.accepts(restarted, full, 1)
+    assert told.accepts(other, full, 30)
+
+
+# Guards against sound targets whose slots are divided among the routers because
+# another target of their service is brittle (soak seeds 41 and 42).
+def test_answer_without_a_number_frees_its_target_for_a_time():
+    hearing, told = BrittleTargets(1), BrittleTargets(2)
+    brittle, sound = _targets(2)
+    full = RequestCounts(8, 8)
+    record = hearing.record_answer(brittle, Brittleness(5, False, 0, 0, 8), 0)
+    told.notices.merge([record], 0)
+    record = hearing.record_answer(sound, None, 1, sent_at=0.5)
+    told.notices.merge([record], 1)
+    for policy in (hearing, told):
+        assert policy.accepts(sound, full, 0.4 + DENIAL_SECONDS)
+        assert not policy.accepts(sound, full, 0.5 + DENIAL_SECONDS)
+        assert not policy.accepts(brittle, full, 1)
+
+
+def test_answers_without_a_number_are_told_from_time_to_time():
+    policy = BrittleTargets(1)
+    brittle, sound = _targets(2)
+    assert policy.record_answer(sound, None, 0) is None
+    policy.record_answer(brittle, Brittleness(5, False, 0, 0, 8), 0)
+    assert policy.record_answer(sound, None, 1) is not None
+    soon = 0.9 + DENIAL_REPEAT_SECONDS
+    assert policy.record_answer(sound, None, soon) is None
+    assert policy.record_answer(sound, None, 0.1 + soon) is not None
+    policy.expire(TTL_SECONDS)
+    assert policy.record_answer(sound, None, TTL_SECONDS) is None
+
+
+def test_answer_to_an_old_request_does_not_free_its_target():
+    policy = BrittleTargets(1)
+    brittle, sound = _targets(2)
+    policy.record_answer(brittle, Brittleness(5, False, 0, 0, 8), 0)
+    policy.record_answer(sound, None, 5, sent_at=5 - DENIAL_SECONDS)
+    assert policy.is_brittle(sound, 5)
+
+
 def _targets(count):
     return [each.target for each in BrittleFleet(1, 5).targets[:count]]
