A check that the router itself is slow to read is no outage of the store

A call takes some six turns of the event loop; a router with long turns gave it up with its answer in the socket, and takes each check that failed for a store that is away, for which requests do not wait.

Change: the limit counts steps of running time, as the check of connections to targets did already; both use move_on_after_running.

Evidence: test_the_time_of_slow_turns_is_not_the_store_s fails before.

--- a/peridotwell/fleet/replica/store_check.py
+++ b/peridotwell/fleet/replica/store_check.py
@@ -7,6 +7,7 @@
 from peridotwell.errors import StoreError
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.metrics import Metrics
+from peridotwell.running_time import move_on_after_running
 from peridotwell.store.change_feed import ChangeFeed, HistoryGone
 
 __all__ = ('StoreCheck',)
@@ -14,7 +15,7 @@
 # Time between two checks, and after one that failed.
 INTERVAL_SECONDS = 0.1
 RETRY_SECONDS = 1.0
-# Requests wait for a check: without an answer in this time it has failed.
+# Without an answer in this time, in which the router runs, a check has failed.
 ANSWER_SECONDS = 0.6
 
 
@@ -40,9 +41,10 @@
         asked_at = trio.current_time()
         self._metrics.count('store.checks')
         is_answered = False
-        with suppress(StoreError), trio.move_on_after(ANSWER_SECONDS):
-            await self._read()
-            is_answered = True
+        async with move_on_after_running(ANSWER_SECONDS):
+            with suppress(StoreError):
+                await self._read()
+                is_answered = True
         now = trio.current_time()
         if is_answered:
             self._directory.freshness.record_answer(asked_at, now)
--- a/tests/fleet/replica/test_store_check.py
+++ b/tests/fleet/replica/test_store_check.py
@@ -16,6 +16,9 @@
 from tests.fleet.replica.test_service_directory import Decoder, entry
 
 STALL_SECONDS = 3.0
+# A call takes some turns of the event loop, one for each step of its client.
+TURNS_PER_CALL = 8
+TURN_SECONDS = 0.25
 
 
 class FailingFeed(ChangeFeed):
@@ -35,6 +38,29 @@
         return Changes((entry('table', b'2', 9),), (), 9)
 
 
+class SilentFeed(FailingFeed):
+    """Gives no answer."""
+
+    async def wait_for_changes(self, after, wait_seconds):
+        return await trio.sleep_forever()
+
+
+class SlowlyReadFeed(FailingFeed):
+    """Answers at once; the client takes some turns to read the answer."""
+
+    async def wait_for_changes(self, after, wait_seconds):
+        for _ in range(TURNS_PER_CALL):
+            await trio.lowlevel.checkpoint()
+        return await super().wait_for_changes(after, wait_seconds)
+
+
+async def take_slow_turns(clock):
+    """Let each turn of the event loop take some time."""
+    while True:
+        await trio.lowlevel.checkpoint()
+        clock.jump(TURN_SECONDS)
+
+
 def stalled_directory():
     """Return a directory of a router that has just stood still."""
     directory = ServiceDirectory(Decoder())
@@ -72,3 +98,29 @@
             directory.freshness.record_turn(trio.current_time(), 0)
     assert directory.table.version == 2
     assert trio.current_time() - began == pytest.approx(1, abs=0.2)
+
+
+# Guards against a router that decides by an old configuration, because it takes
+# the store to be away whose answer it is itself too slow to read.
+async def test_the_time_of_slow_turns_is_not_the_store_s(
+    autojump_clock, nursery
+):
+    directory = stalled_directory()
+    failures = []
+    directory.freshness.record_failure = lambda *_: failures.append(1)
+    check = StoreCheck(SlowlyReadFeed(), directory, Metrics('', ''))
+    nursery.start_soon(check.run)
+    nursery.start_soon(take_slow_turns, autojump_clock)
+    with trio.fail_after(5):
+        while directory.table.version < 2:
+            await trio.lowlevel.checkpoint()
+    assert not failures
+
+
+async def test_a_silent_store_is_known_to_be_away_soon(autojump_clock, nursery):
+    directory = stalled_directory()
+    check = StoreCheck(SilentFeed(), directory, Metrics('', ''))
+    nursery.start_soon(check.run)
+    began = trio.current_time()
+    await directory.freshness.settled.wait()
+    assert trio.current_time() - began == pytest.approx(0.6, abs=0.01)
