Update exchange: one turn of the event loop a tick at rest

Cause: each tick slept the minimum time, waited for updates until the longest one, and returned to a task that sleeps zero seconds: three turns of the event loop, ten times a second.

Now the task waits for updates for the whole time, and sleeps the rest of the minimum time only if it was woken up sooner. The times of the ticks are as before: 0.03 s after the last one if there are updates, else after 0.1 s. The event loop's delay is measured at whichever timer ended the wait; a wait that an update ends later than the minimum time measures none.

--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -75,14 +75,32 @@
 
     async def _update(self) -> None:
         update_exchange = self.components.update_exchange
-        started_at = trio.current_time()
-        await trio.sleep(MIN_UPDATE_SECONDS)
-        update_exchange.delay_monitor.record_loop_delay(
-            trio.current_time() - started_at - MIN_UPDATE_SECONDS
-        )
-        with trio.move_on_after(UPDATE_SECONDS - MIN_UPDATE_SECONDS):
-            await update_exchange.has_updates.wait()
-        update_exchange.tick(trio.current_time())
+        while True:
+            await self._wait_for_tick(trio.current_time())
+            update_exchange.tick(trio.current_time())
+
+    async def _wait_for_tick(self, last_at: float) -> None:
+        """Wait until the next update may be due.
+
+        Without updates the event loop wakes up once for that.
+        """
+        has_updates = self.components.update_exchange.has_updates
+        soonest_at = last_at + MIN_UPDATE_SECONDS
+        if not has_updates.is_set():
+            due_at = last_at + UPDATE_SECONDS
+            with trio.move_on_at(due_at) as waiting:
+                await has_updates.wait()
+            if waiting.cancelled_caught:
+                self._record_loop_delay(due_at)
+                return
+            if trio.current_time() >= soonest_at:
+                return
+        await trio.sleep_until(soonest_at)
+        self._record_loop_delay(soonest_at)
+
+    def _record_loop_delay(self, due_at: float) -> None:
+        monitor = self.components.update_exchange.delay_monitor
+        monitor.record_loop_delay(trio.current_time() - due_at)
 
     async def _register(self) -> None:
         """Keep this router's entry in the store.
