Reachability prober: no polls while there is nothing to probe

Cause: the prober looked 20 times a second whether a target is to be probed, also at a router without requests and with all targets reachable.

Now it waits for the next request then: a target is found unreachable only by a request or by a probe that runs. With requests it polls as before.

The test probes targets that turn quiet after some seconds at rest.

--- a/peridotwell/forwarding/reachability_prober.py
+++ b/peridotwell/forwarding/reachability_prober.py
@@ -51,15 +51,33 @@
         self._limits = tracker.silence_limits
         self._probed_at: dict[str, float] = {}
         self._unreachable: frozenset[str] = frozenset()
+        # Set when a target gets requests; replaced when there is nothing to do.
+        self._has_requests = trio.Event()
+        self._silence.on_request(lambda: self._has_requests.set())
 
     async def run(self) -> None:
         """Probe targets until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                if self._is_idle():
+                    self._has_requests = trio.Event()
+                    await self._has_requests.wait()
                 await trio.sleep(POLL_SECONDS)
                 for target in self._due_targets(trio.current_time()):
                     nursery.start_soon(self._probe, target)
 
+    def _is_idle(self) -> bool:
+        """Return whether there is nothing to probe until the next request.
+
+        A target is found unreachable only by a request or by a probe.
+        """
+        return not (
+            self._silence.has_requests()
+            or self._probed_at
+            or self._unreachable
+            or self._ejection.unreachable_targets()
+        )
+
     def _due_targets(self, now: float) -> list[Target]:
         """Return the targets that are to be probed now."""
         self._probed_at = {
--- a/peridotwell/policy/silence.py
+++ b/peridotwell/policy/silence.py
@@ -4,7 +4,7 @@
 It gets requests again as soon as a byte arrives on any of its connections.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 __all__ = ('SilenceDetector',)
 
@@ -24,12 +24,23 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, _PendingRequests] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_request(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when a target without requests gets one."""
+        self._listeners.append(listener)
+
+    def has_requests(self) -> bool:
+        """Return whether any target has requests."""
+        return bool(self._targets)
 
     def record_request(self, name: str, now: float) -> None:
         """Record a request sent to a target."""
         pending = self._targets.setdefault(name, _PendingRequests())
         if not pending.count:
             pending.silent_since = now
+            for listener in self._listeners:
+                listener()
         pending.count += 1
 
     def record_activity(self, name: str, now: float) -> None:
--- a/tests/forwarding/test_reachability_prober.py
+++ b/tests/forwarding/test_reachability_prober.py
@@ -68,3 +68,22 @@
     results.extend([True] * 10)
     await trio.sleep(4)
     assert not tracker.ejection.unreachable_targets()
+
+
+# Guards against a prober that is idle while nobody sends requests, and does not
+# notice the next one.
+async def test_a_target_that_is_quiet_after_a_time_at_rest_is_probed(
+    autojump_clock, nursery, tracker, results
+):
+    tracker.directory.all_targets = lambda: (NEAR,)
+    nursery.start_soon(ReachabilityProber(tracker, 'r', OwnReach()).run)
+    for _ in range(3):
+        await trio.sleep(7)
+        tracker.silence.record_request(NEAR.name, trio.current_time())
+        await trio.sleep(0.31)
+        assert tracker.ejection.unreachable_targets() == {NEAR.name}
+        tracker.silence.record_end(NEAR.name)
+        results.extend([True] * 10)
+        await trio.sleep(4)
+        assert not tracker.ejection.unreachable_targets()
+        results.clear()
