Store follower: no polls while the relay follows the store

Cause: a router whose relay reads the store for it looked ten times a second whether it must do so itself, beside the tick of the update exchange, which asks the same ten times a second or more.

Now the tick tells the follower. It is as soon as the poll was: ticks are 0.1 s apart at most.

--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -13,6 +13,8 @@
 import math
 from collections.abc import Callable, Iterable
 
+import trio
+
 from peridotwell.fleet.caches.listed_caches import ListedCaches
 from peridotwell.fleet.relays.relay_topology import RelayTopology
 from peridotwell.fleet.replica.change_forwarding import ChangeForwarder
@@ -68,6 +70,8 @@
         self._sent_at = float(0)
         # Batches were late up to this time.
         self._late_until = -math.inf
+        # Set by a tick at which this router must follow the store.
+        self._following = trio.Event()
         self._change_forwarder = ChangeForwarder(directory)
 
     def is_enabled(self) -> bool:
@@ -84,6 +88,21 @@
         is_behind = self._directory.known_revision < relay.revision
         return is_behind or not relay.follows_store
 
+    def check_following(self, now: float) -> bool:
+        """Return whether this router must follow the store itself.
+
+        The one that waits for that is told.
+        """
+        must_follow = self.must_follow_store(now)
+        if must_follow:
+            self._following.set()
+        return must_follow
+
+    async def wait_until_following(self) -> None:
+        """Wait for the next check that finds that this router must follow."""
+        self._following = trio.Event()
+        await self._following.wait()
+
     def told_until(self, now: float) -> float:
         """Return the time up to which this router is told every change.
 
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -179,10 +179,11 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
+        is_relayed = not self.relay_protocol.check_following(now)
         self.state.directory.freshness.record_turn(
             now,
             self.relay_protocol.told_until(now),
-            is_relayed=not self.relay_protocol.must_follow_store(now),
+            is_relayed=is_relayed,
         )
         self.state.directory.remove_expired(now)
         self._set_sharing_routers()
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -1,6 +1,6 @@
 """Follows the store's change feed through outages and lost history."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import trio
@@ -31,7 +31,6 @@
 INITIAL_BACKOFF_SECONDS = 0.1
 # From call to call, for calls that fail sooner.
 MAX_BACKOFF_SECONDS = 0.4
-IDLE_POLL_SECONDS = 0.1
 BATCH_SECONDS_PER_ROUTER = 0.005
 MAX_BATCH_SECONDS = 0.4
 
@@ -45,10 +44,15 @@
         directory: ServiceDirectory,
         metrics: Metrics,
         must_follow_store: Callable[[float], bool],
+        wait_until_needed: Callable[[], Awaitable[None]],
     ) -> None:
-        """Make a follower that is idle while `must_follow_store` is False."""
+        """Make a follower that is idle while `must_follow_store` is False.
+
+        `wait_until_needed` returns soon after it has become True.
+        """
         self.is_connected = False
         self._must_follow_store = must_follow_store
+        self._wait_until_needed = wait_until_needed
         self._feed = feed
         self._directory = directory
         self._metrics = metrics
@@ -82,7 +86,7 @@
         if self._directory.is_loaded and not self._must_follow_store(now):
             # The changes missed meanwhile are read with a snapshot.
             self._needs_snapshot = True
-            await trio.sleep(IDLE_POLL_SECONDS)
+            await self._wait_until_needed()
             return
         if self._needs_snapshot:
             snapshot = await self._read_snapshot(now)
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -96,6 +96,7 @@
             directory,
             metrics,
             update_exchange.relay_protocol.must_follow_store,
+            update_exchange.relay_protocol.wait_until_following,
         ),
         store_check=StoreCheck(store, directory, metrics),
         registration=RouterRegistration(
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -11,6 +11,8 @@
 
 import msgspec
 import pytest
+import trio
+import trio.testing
 
 from peridotwell.domain.target import wire_id
 from peridotwell.fleet.transport.frames import RouterUpdate, StoreChanges
@@ -433,6 +435,33 @@
     assert told_until > 4
 
 
+# Guards against a router whose relay loses the store, and that does not read
+# the store itself because it was at rest.
+async def test_a_router_at_rest_follows_the_store_once_its_relay_does_not(
+    fleet,
+):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    followers = routers_following_store(fleet, 5)
+    member = next(each for each in fleet if each not in followers)
+    is_following = trio.Event()
+
+    async def follow():
+        await member.sharing.relay_protocol.wait_until_following()
+        is_following.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follow)
+        for start in (5, 6):
+            await trio.testing.wait_all_tasks_blocked()
+            assert not is_following.is_set()
+            run_ticks(fleet, start, start + 1)
+        for start in (7, 8, 9):
+            run_ticks(fleet, start, start + 1)
+        await trio.testing.wait_all_tasks_blocked()
+        assert is_following.is_set()
+
+
 def test_a_silent_watch_tells_nothing_once_it_is_overdue(fleet):
     mark_store_answered(fleet, 4)
     run_ticks(fleet, 4, 5)
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -1,6 +1,7 @@
 """Tests of the tables and targets read from the store, also during faults."""
 
 import logging
+from functools import partial
 
 import trio
 
@@ -224,7 +225,11 @@
 
 async def follow(directory, feed, must_follow_store=lambda now: True):
     follower = StoreFollower(
-        feed, directory, Metrics('', ''), must_follow_store
+        feed,
+        directory,
+        Metrics('', ''),
+        must_follow_store,
+        partial(trio.sleep, 0.1),
     )
     with trio.move_on_after(5):
         await follower.run()
@@ -343,7 +348,13 @@
 
 async def seconds_of_use(directory, feed, nursery):
     """Return for how long a target is used after its removal is read."""
-    follower = StoreFollower(feed, directory, Metrics('', ''), lambda now: True)
+    follower = StoreFollower(
+        feed,
+        directory,
+        Metrics('', ''),
+        lambda now: True,
+        trio.sleep_forever,
+    )
     nursery.start_soon(follower.run)
     while directory.feed_revision < 3:
         await trio.sleep(0.01)
--- a/tests/peridotwell_platform/test_slow_store.py
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -40,7 +40,13 @@
     address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
     directory = ServiceDirectory(PlatformEntryDecoder())
     feed = PlatformStore(address)
-    follower = StoreFollower(feed, directory, Metrics('', ''), lambda now: True)
+    follower = StoreFollower(
+        feed,
+        directory,
+        Metrics('', ''),
+        lambda now: True,
+        trio.sleep_forever,
+    )
     nursery.start_soon(follower.run)
     with trio.fail_after(LATE_SECONDS):
         await directory.ready.wait()
