The rest of a body is read after an answer that came before it

What callers saw: a request that is refused before its body has arrived (404, 401, 503 of an unknown path or key, 413) lost its connection, with no `connection: close` in the answer; what the caller still sent met a reset, which may destroy the answer too. With a body of over ten reads that nobody took, the exchange hung for good. So did an answer 400 or 431 of the HTTP library meet a reset while more arrived.

Cause: hypercorn keeps a connection only if the whole request was read when the response ends, and closes it at once if not. Received bytes that are not read make that close a reset. A part of the body that waits for the handler kept the end of the response waiting as well.

A connection that has to be closed while its caller may send ends in this direction first and is closed 2 s later, or when the caller closes it (RFC 9112, 9.6).

--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller, served by hypercorn."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -24,9 +25,15 @@
 REFUSAL_START = b'HTTP/1.1 4'
 # Time in which a request that has arrived is read.
 READ_SECONDS = 0.02
+READ_BYTES = 65536
 # After a response that did not close the connection, a caller may send the next
 # request within this time although the server stops.
 NEXT_REQUEST_SECONDS = 1.0
+# The states of a request in which its caller may still send.
+SENDING_STATES = frozenset((h11.SEND_BODY, h11.ERROR))
+# How long a caller who still sends may read the answer to its request. A close
+# that leaves received bytes unread resets the connection (RFC 9112, 9.6).
+LINGER_SECONDS = 2.0
 
 
 @dataclass
@@ -117,6 +124,9 @@
         self.idle_task = _IdleTask()
         self._socket_stream = stream
         self._stop = stop
+        # Ends when the connection has to be closed although the caller sends.
+        self._reading = trio.CancelScope()
+        self._is_lingering = False
 
     async def run(self) -> None:
         """Serve the connection until it is closed."""
@@ -137,6 +147,9 @@
                 )
                 await self.idle_task.restart(task_group, self._idle_timeout)
                 await self._read_data()
+                if self._is_lingering:
+                    await self.idle_task.stop()
+                    await self._close()
         except OSError as exc:
             log_event('connection.failed', error=repr(exc))
         finally:
@@ -150,6 +163,9 @@
         nothing is sent but parts of a body that it has begun to send:
         hypercorn would send an error of its own.
         """
+        if isinstance(event, Closed) and self._is_sending():
+            await self._linger()
+            return
         if not isinstance(event, RawData):
             await super().protocol_send(event)
             return
@@ -170,6 +186,41 @@
         with trio.CancelScope(shield=is_part):
             await super().protocol_send(event)
 
+    async def _read_data(self) -> None:
+        with self._reading:
+            while await self._read_part():
+                """Read until the end of the connection."""
+        await self.protocol.handle(Closed())
+
+    async def _read_part(self) -> bool:
+        """Read what arrives next; return False if nothing more can."""
+        try:
+            content = await self._socket_stream.receive_some(READ_BYTES)
+        except (trio.ClosedResourceError, trio.BrokenResourceError):
+            return False
+        if not self._is_lingering:
+            await self.protocol.handle(RawData(bytes(content)))
+        return bool(content)
+
+    async def _linger(self) -> None:
+        """End the connection in this direction; drop what still arrives."""
+        if self._is_lingering:
+            return
+        self._is_lingering = True
+        self._reading.deadline = trio.current_time() + LINGER_SECONDS
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await self._socket_stream.send_eof()
+        await self.protocol.handle(Closed())
+
+    def _is_sending(self) -> bool:
+        """Return whether the caller may send the rest of a request."""
+        return self._their_state() in SENDING_STATES
+
+    def _their_state(self) -> Any:
+        """Return the state of the request, as h11 knows it."""
+        connection = self.protocol.protocol.connection
+        return getattr(connection, 'their_state', h11.IDLE)
+
     def _log_refusal(self, content: bytes) -> None:
         """Log an answer that hypercorn gives on its own to what it cannot read.
 
@@ -177,8 +228,7 @@
         """
         if not content.startswith(REFUSAL_START):
             return
-        connection = self.protocol.protocol.connection
-        if getattr(connection, 'their_state', h11.IDLE) is h11.ERROR:
+        if self._their_state() is h11.ERROR:
             status = content.split(b' ', 2)[1].decode('latin-1')
             log_failure('request.unreadable', status=status)
 
@@ -201,8 +251,7 @@
 
     def _has_request(self) -> bool:
         """Return whether a request is being handled or can be read."""
-        connection = self.protocol.protocol.connection
-        their_state = getattr(connection, 'their_state', h11.IDLE)
+        their_state = self._their_state()
         if their_state is not h11.IDLE:
             return their_state not in {h11.CLOSED, h11.ERROR}
         return self._socket_stream.socket.is_readable()
