A connection that its caller has closed ends at once

What was seen: ten callers who closed their connections after an answer left ten open ones behind until the idle time ended (open_connections 10 for 2.5 s of an idle time of 3 s; the default is 30 s): sockets and memory, and a planned stop that waits for connections nobody uses.

Cause: hypercorn's connection waits for its tasks, and the one of the idle time runs on after the caller's end was read.

Change: the task is stopped when nothing more can be read. Evidence: serving/test_idle_connections.py fails before, passes after.

--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -147,8 +147,8 @@
                 )
                 await self.idle_task.restart(task_group, self._idle_timeout)
                 await self._read_data()
+                await self.idle_task.stop()
                 if self._is_lingering:
-                    await self.idle_task.stop()
                     await self._close()
         except OSError as exc:
             log_event('connection.failed', error=repr(exc))
--- a/tests/serving/test_idle_connections.py
+++ b/tests/serving/test_idle_connections.py
@@ -1,6 +1,7 @@
 """Idle connections of callers, and requests that arrive as they are closed."""
 
 import time
+from functools import partial
 
 import pytest
 import trio
@@ -76,3 +77,25 @@
     closing.set()
     with trio.fail_after(0.2):
         assert await stream.receive_some(1000) == b''
+
+
+# Guards against connections that callers have closed and that stay open here
+# until their idle time ends.
+async def test_a_connection_that_its_caller_closes_ends_at_once(nursery):
+    async def handle(exchange):
+        await exchange.respond(200, b'done')
+
+    server = HttpServer(handle)
+    host, _, port = (
+        await nursery.start(
+            partial(server.run, '127.0.0.1:0', shutdown=trio.sleep_forever)
+        )
+    ).rpartition(':')
+    stream = await trio.open_tcp_stream(host, int(port))
+    await stream.send_all(REQUEST)
+    await stream.receive_some(1000)
+    assert server.open_connections == 1
+    await stream.aclose()
+    with trio.fail_after(1):
+        while server.open_connections:
+            await trio.sleep(0.02)
