A router that starts beside a slow store reads its entries

What callers saw: a router that starts beside a store that takes over 1 s a page has no configuration and refuses all requests (503) for as long as the store is slow.

Same class as: a limit that is right for a store that is away was used for one that is slow.

The other request path (store/http_store.py) has a timeout of its settings and is not touched.

--- a/tests/peridotwell_platform/test_slow_store.py
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -1,4 +1,4 @@
-"""A store that takes long to answer, for a router that had lost it."""
+"""A store that takes long to answer, for routers that start or had lost it."""
 
 import msgspec
 import trio
@@ -54,3 +54,29 @@
     with trio.fail_after(LATE_SECONDS):
         while directory.table.version < 3:
             await trio.sleep(0.02)
+
+
+# Guards against a router that has no configuration, and refuses all requests,
+# because it started beside a slow store and gave up each page too soon.
+async def test_a_router_that_starts_beside_a_slow_store_is_ready(nursery):
+    slow = SlowStore()
+    slow.seconds = ANSWER_SECONDS
+    slow.configure(1)
+    address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
+    directory = ServiceDirectory(PlatformEntryDecoder())
+    feed = PlatformStore(address)
+    follower = StoreFollower(feed, directory, Metrics('', ''), lambda now: True)
+    nursery.start_soon(follower.run)
+    with trio.fail_after(LATE_SECONDS):
+        await directory.ready.wait()
+    assert directory.table.version == 1
+
+
+async def test_an_entry_of_a_slow_store_is_read(nursery):
+    slow = SlowStore()
+    slow.seconds = ANSWER_SECONDS
+    slow.store.put('key', b'value')
+    address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
+    entry = await PlatformStore(address).read('key')
+    assert entry is not None
+    assert entry.value == b'value'
