Soak: a late answer is judged without the waits of its caller's process

Change: the time by which the process of that very caller was late is taken off, as it was for cuts (there, that of the latest of all callers; now the caller's own). In its place, the routers' logs are judged as well: no router may have a request for longer than the same bound after it has read it, however late callers are. Tests: a caller's waits excuse no more than their length, waits of other processes nothing; a request held for 2.6 s by the router's log is a violation.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -21,6 +21,7 @@
 from tests.soak.brittle import CONTACT_SECONDS
 from tests.soak.control import Remote, Worker
 from tests.soak.records import AnyRecord, Record, RouterStarted, now
+from tests.soak.router_logs import read_handled
 
 __all__ = ('Router', 'SoakCluster', 'Target', 'start_cluster')
 
@@ -227,6 +228,15 @@
             if '"event": "task.failed"' in line
         )
 
+    def record_handled_requests(self) -> None:
+        """Record for how long the routers had each request, by their logs."""
+        clock_offset = now() - time.time()
+        for router in self.routers:
+            for line in self._log_lines(router):
+                handled = read_handled(line, router.name, clock_offset)
+                if handled is not None:
+                    self.records.append(handled)
+
     def longest_loop_delay(self) -> float:
         """Return the longest delay, in seconds, that a router has logged."""
         delays = (
@@ -319,6 +329,7 @@
         f'{first}x',
         seed,
         MAX_PAUSE_SECONDS * few,
+        worker.name,
     )
     cluster.callers.append(callers)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -132,6 +132,7 @@
 
 def _judge(cluster: SoakCluster, injected: list[str]) -> Report:
     cluster.record_failed_tasks()
+    cluster.record_handled_requests()
     checker = GuaranteeChecker(DEADLINE_SECONDS)
     replay(cluster.records, checker)
     late_seconds: dict[str, float] = {}
--- a/tests/soak/test_replay.py
+++ b/tests/soak/test_replay.py
@@ -6,6 +6,7 @@
 from tests.soak.records import (
     Answered,
     Arrived,
+    Handled,
     Late,
     Replied,
     RouterDisturbed,
@@ -59,6 +60,25 @@
     assert find(*late, RouterDisturbed(0.5, 2, 'r1'))
 
 
+# Guards against answers that only a starved caller had late (seed 313).
+def test_waits_of_its_caller_do_not_make_an_answer_late():
+    sent = Sent(1, 'q1-book', 'r0', 'book', 'key-1', 'callers 4')
+    late = (sent, arrive(1.1), answer(3.8, 504))
+    assert 'too late' in find(*late)[0]
+    assert not find(*late, Late(3.75, 'callers 4', 0.4))
+    assert find(*late, Late(3.75, 'callers 4', 0.2))
+    assert find(*late, Late(3.75, 'callers 5', 0.4))
+    assert find(*late, Late(3.75, 'targets 1', 0.4))
+
+
+def test_request_that_its_router_held_by_its_own_log():
+    held = (send(1), answer(3.8, 504), Late(3.75, 'callers 4', 0.4))
+    assert not find(*held, Handled(3.5, 'q1-book', 'r0', 2.4))
+    assert 'held by r0' in find(*held, Handled(3.7, 'q1-book', 'r0', 2.6))[0]
+    pause = RouterDisturbed(0.5, 2, 'r0')
+    assert not find(*held, Handled(3.7, 'q1-book', 'r0', 2.6), pause)
+
+
 def test_planned_stop_that_cuts_a_run_also_if_the_target_broke_off():
     stop = RouterDisturbed(0.9, 5, 'r0', is_planned=True)
     cut = (send(1), arrive(1.1), answer(1.2, 0, error='cut'))
