--- a/tests/peridotwell_platform/test_slow_store.py
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -71,7 +71,13 @@
     address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
     directory = ServiceDirectory(PlatformEntryDecoder())
     feed = PlatformStore(address)
-    follower = StoreFollower(feed, directory, Metrics('', ''), lambda now: True)
+    follower = StoreFollower(
+        feed,
+        directory,
+        Metrics('', ''),
+        lambda now: True,
+        trio.sleep_forever,
+    )
     nursery.start_soon(follower.run)
     with trio.fail_after(LATE_SECONDS):
         await directory.ready.wait()
