A router registers beside a slow store

What was seen: a router that starts beside a store that takes over 1 s to answer never registers: each lease is granted and given up, so the other routers do not learn of it from the store, and leases are asked for without end.

--- a/tests/peridotwell_platform/test_slow_store.py
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -1,12 +1,20 @@
 """A store that takes long to answer, for routers that start or had lost it."""
 
+from contextlib import suppress
+
 import msgspec
 import trio
 from peridotwell_platform.entries import PlatformEntryDecoder
 from peridotwell_platform.store import PlatformStore
 
+from peridotwell.errors import StoreError
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.transport.frames import Hello
+from peridotwell.fleet.transport.router_registry import (
+    ROUTERS_PREFIX,
+    RouterRegistration,
+)
 from peridotwell.metrics import Metrics
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
@@ -80,3 +88,16 @@
     entry = await PlatformStore(address).read('key')
     assert entry is not None
     assert entry.value == b'value'
+
+
+# Guards against a router that the others never learn of, because it started
+# beside a slow store.
+async def test_a_router_registers_beside_a_slow_store(nursery):
+    slow = SlowStore()
+    slow.seconds = ANSWER_SECONDS
+    address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
+    own = Hello(1, 'r1', 'z1', '127.0.0.1:1', '127.0.0.1:2', 1, 1)
+    registration = RouterRegistration(PlatformStore(address), own, 10)
+    with suppress(StoreError):
+        await registration.renew()
+    assert list(slow.store.items) == [f'{ROUTERS_PREFIX}z1/r1']
