A removal that is told before its registration is remembered

What callers could see: requests at a target that is removed (DRAIN). If a router hears of a removal before it has heard of the registration, and the registration comes later with an older answer of the store (a check runs beside the watch) or of a peer, the target was in use, and without end: the store does not tell the removal again.

Cause: a deletion was recorded only for a key that is known. For the same reason a router that had never known the target did not tell its removal to others, although it claimed to know all deletions.

Change: deletions of targets, routers and versions are recorded whether or not their keys are known. Those of other keys are not: only so many are kept.

Evidence: by reading; fleet/replica/test_late_answers.py, three cases fail before, pass after; no run of processes showed it. The other request path (fleet/membership) learns targets from their heartbeats, not from the store.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -300,10 +300,14 @@
     def _apply_deletion(
         self, key: str, revision: int, source: EntrySource, now: float
     ) -> None:
-        is_table = self._decoder.is_table(key)
-        if is_table or not self.replica.is_newer_deletion(key, revision):
+        if not (
+            _is_removable(key, self._decoder)
+            and self.replica.is_newer_deletion(key, revision)
+        ):
             return
         self.replica.record_deletion(key, revision)
+        if self.replica.entry(key) is None:
+            return
         doubted_seconds = self.deferred_removals.remaining_seconds(now)
         if doubted_seconds and key in self._targets:
             self.deferred_removals.defer(key)
@@ -342,6 +346,15 @@
             listener()
 
 
+def _is_removable(key: str, decoder: EntryDecoder) -> bool:
+    """Return whether an entry is kept until its deletion is told."""
+    return (
+        decoder.is_target(key)
+        or key.startswith(ROUTERS_PREFIX)
+        or key == VERSIONS_KEY
+    )
+
+
 def _apply_router(entry: Entry, routers: dict[str, Hello]) -> bool:
     """Add, replace or remove a router; return whether the entry is valid."""
     hello = decode_router(entry.value)
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -61,12 +61,17 @@
         self._deleted.pop(entry.key, None)
 
     def is_newer_deletion(self, key: str, revision: int) -> bool:
-        """Return whether a deletion is newer than the entry of its key."""
+        """Return whether a deletion is newer than what is known of its key."""
         known = self._entries.get(key)
-        return known is not None and revision >= known.revision
+        if known is None:
+            return revision > self._deleted.get(key, 0)
+        return revision >= known.revision
 
     def record_deletion(self, key: str, revision: int) -> None:
-        """Record a deletion; the entry is kept until `remove` is called."""
+        """Record a deletion; the entry is kept until `remove` is called.
+
+        It may be told before an older entry of its key is.
+        """
         self._deleted[key] = revision
         while len(self._deleted) > MAX_DELETED:
             oldest = next(iter(self._deleted))
--- a/tests/fleet/replica/test_late_answers.py
+++ b/tests/fleet/replica/test_late_answers.py
@@ -10,6 +10,7 @@
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.replica.test_service_directory import (
     Decoder,
+    apply_changes,
     available_names,
     entry,
     loaded_directory,
@@ -48,6 +49,39 @@
     assert 'z' not in available_names(directory)
 
 
+# Guards against a target that comes back after its removal, because the removal
+# was told before the registration: nobody here knew it then.
+@pytest.mark.parametrize('told_by', ['peer', 'store'])
+def test_a_removal_is_remembered_before_its_registration_is_known(told_by):
+    directory = loaded_directory()
+    late = entry('t/z', b'ready', REGISTERED)
+    if told_by == 'peer':
+        # Some of its changes are missing, so it tells no later revision.
+        removal = SharedEntry('t/z', REMOVED, None)
+        directory.apply_peer_changes((removal,), directory.known_revision, 1)
+        directory.apply_peer_changes(
+            (SharedEntry(late.key, late.revision, late.value),), LATE, 1.5
+        )
+    else:
+        apply_changes(
+            directory, deleted=(('t/z', REMOVED),), revision=NOW_KNOWN
+        )
+        apply_changes(directory, late, revision=LATE, now=1.5)
+    directory.remove_expired(100)
+    assert available_names(directory) == ['x', 'y']
+
+
+# Guards against a router that keeps a removed target, because the one that told
+# it the latest changes had never known that target.
+def test_removals_of_unknown_targets_are_told_to_others():
+    directory = loaded_directory()
+    deleted = (('t/z', REMOVED), ('other/z', REMOVED))
+    apply_changes(directory, deleted=deleted, revision=NOW_KNOWN)
+    assert directory.replica.changes_since(REGISTERED) == (
+        SharedEntry('t/z', REMOVED, None),
+    )
+
+
 KEYS = ('t/a', 't/b')
 WRITES = st.lists(
     st.tuples(st.sampled_from(KEYS), st.booleans()), min_size=1, max_size=8
