An answer of the store that is older than what is known brings nothing back

What callers could see: requests at a removed target (DRAIN), without end. The removal is told by its absence there, so nothing stood against the registration in the older answer; the store does not tell the removal again.

Cause: that an entry is not listed at the known revision counted against answers of peers only.

Change: it counts against each answer whose revision is below the known one. The latest answer of the store is believed as before, whatever peers have told.

Evidence: by reading; fleet/replica/test_late_answers.py, two cases fail before, pass after. No run of processes showed it.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -119,7 +119,10 @@
         self.store_contact.record_answer(now)
         # Of several versions of a large configuration, only the last valid
         # one is decoded.
-        for entry in reversed(changes.entries):
+        listed = self.replica.listed_entries(
+            reversed(changes.entries), changes.revision, self.known_revision
+        )
+        for entry in listed:
             self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, EntrySource.store_changes, now)
@@ -202,7 +205,10 @@
                 previous_era=era_of(self.known_revision),
                 missing_entries=len(missing),
             )
-        for entry in snapshot.entries:
+        listed = self.replica.listed_entries(
+            snapshot.entries, snapshot.revision, self.known_revision
+        )
+        for entry in listed:
             self._apply_entry(entry, source, now)
         for key in missing:
             self._apply_deletion(key, snapshot.revision, source, now)
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -3,6 +3,8 @@
 Routers that lag behind get the changes that they lack from it.
 """
 
+from collections.abc import Iterable, Iterator
+
 from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
@@ -32,12 +34,24 @@
     def is_known_gone(self, entry: Entry, known_revision: int) -> bool:
         """Return whether an entry is not listed at the known revision.
 
-        Answers of peers may arrive late, after those of others or the store.
+        Answers may arrive late, after those of others or of the store.
         """
         return (
             entry.revision <= known_revision and entry.key not in self._entries
         )
 
+    def listed_entries(
+        self, entries: Iterable[Entry], revision: int, known_revision: int
+    ) -> Iterator[Entry]:
+        """Yield the entries of an answer at `revision` that are not gone.
+
+        Only an answer older than what is known may tell others.
+        """
+        for entry in entries:
+            is_current = revision >= known_revision
+            if is_current or not self.is_known_gone(entry, known_revision):
+                yield entry
+
     def has_version(self, entry: Entry) -> bool:
         """Return whether the latest known version of a key is this one."""
         known = self._entries.get(entry.key)
--- a/tests/fleet/replica/test_late_answers.py
+++ b/tests/fleet/replica/test_late_answers.py
@@ -71,6 +71,42 @@
     assert available_names(directory) == ['x', 'y']
 
 
+# Guards against a removed target that comes back with an answer that the store
+# gave earlier than the news of its removal, which told only what is listed.
+@pytest.mark.parametrize('late_is_snapshot', [True, False])
+def test_a_late_answer_of_the_store_does_not_bring_a_target_back(
+    late_is_snapshot,
+):
+    directory = loaded_directory()
+    listed = Snapshot(
+        tuple(
+            entry(key, b'ready', revision)
+            for key, revision in (('t/x', 2), ('t/y', 3))
+        ),
+        NOW_KNOWN,
+    )
+    directory.apply_snapshot(listed, 1)
+    late = entry('t/z', b'ready', REGISTERED)
+    if late_is_snapshot:
+        directory.apply_snapshot(
+            Snapshot((*listed.entries, late), LATE), now=1.5
+        )
+    else:
+        apply_changes(directory, late, revision=LATE, now=1.5)
+    directory.remove_expired(100)
+    assert available_names(directory) == ['x', 'y']
+
+
+# The same answer, if it is the latest, is believed whatever peers have told.
+def test_the_latest_answer_of_the_store_is_believed():
+    directory = loaded_directory()
+    directory.apply_peer_changes((), LATE, 1)
+    apply_changes(
+        directory, entry('t/z', b'ready', REGISTERED), revision=LATE, now=1.5
+    )
+    assert 'z' in available_names(directory)
+
+
 # Guards against a router that keeps a removed target, because the one that told
 # it the latest changes had never known that target.
 def test_removals_of_unknown_targets_are_told_to_others():
