--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -119,7 +119,10 @@
         self.store_contact.record_answer(now)
         # Of several versions of a large configuration, only the last valid
         # one is decoded.
-        for entry in reversed(changes.entries):
+        listed = self.replica.listed_entries(
+            reversed(changes.entries), changes.revision, self.known_revision
+        )
+        for entry in listed:
             self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, EntrySource.store_changes, now)
@@ -202,7 +205,10 @@
                 previous_era=era_of(self.known_revision),
                 missing_entries=len(missing),
             )
-        for entry in snapshot.entries:
+        listed = self.replica.listed_entries(
+            snapshot.entries, snapshot.revision, self.known_revision
+        )
+        for entry in listed:
             self._apply_entry(entry, source, now)
         for key in missing:
             self._apply_deletion(key, snapshot.revision, source, now)
@@ -300,10 +306,14 @@
     def _apply_deletion(
         self, key: str, revision: int, source: EntrySource, now: float
     ) -> None:
-        is_table = self._decoder.is_table(key)
-        if is_table or not self.replica.is_newer_deletion(key, revision):
+        if not (
+            _is_removable(key, self._decoder)
+            and self.replica.is_newer_deletion(key, revision)
+        ):
             return
         self.replica.record_deletion(key, revision)
+        if self.replica.entry(key) is None:
+            return
         doubted_seconds = self.deferred_removals.remaining_seconds(now)
         if doubted_seconds and key in self._targets:
             self.deferred_removals.defer(key)
@@ -342,6 +352,15 @@
             listener()
 
 
+def _is_removable(key: str, decoder: EntryDecoder) -> bool:
+    """Return whether an entry is kept until its deletion is told."""
+    return (
+        decoder.is_target(key)
+        or key.startswith(ROUTERS_PREFIX)
+        or key == VERSIONS_KEY
+    )
+
+
 def _apply_router(entry: Entry, routers: dict[str, Hello]) -> bool:
     """Add, replace or remove a router; return whether the entry is valid."""
     hello = decode_router(entry.value)
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -3,6 +3,8 @@
 Routers that lag behind get the changes that they lack from it.
 """
 
+from collections.abc import Iterable, Iterator
+
 from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
@@ -32,12 +34,24 @@
     def is_known_gone(self, entry: Entry, known_revision: int) -> bool:
         """Return whether an entry is not listed at the known revision.
 
-        Answers of peers may arrive late, after those of others or the store.
+        Answers may arrive late, after those of others or of the store.
         """
         return (
             entry.revision <= known_revision and entry.key not in self._entries
         )
 
+    def listed_entries(
+        self, entries: Iterable[Entry], revision: int, known_revision: int
+    ) -> Iterator[Entry]:
+        """Yield the entries of an answer at `revision` that are not gone.
+
+        Only an answer older than what is known may tell others.
+        """
+        for entry in entries:
+            is_current = revision >= known_revision
+            if is_current or not self.is_known_gone(entry, known_revision):
+                yield entry
+
     def has_version(self, entry: Entry) -> bool:
         """Return whether the latest known version of a key is this one."""
         known = self._entries.get(entry.key)
@@ -61,12 +75,17 @@
         self._deleted.pop(entry.key, None)
 
     def is_newer_deletion(self, key: str, revision: int) -> bool:
-        """Return whether a deletion is newer than the entry of its key."""
+        """Return whether a deletion is newer than what is known of its key."""
         known = self._entries.get(key)
-        return known is not None and revision >= known.revision
+        if known is None:
+            return revision > self._deleted.get(key, 0)
+        return revision >= known.revision
 
     def record_deletion(self, key: str, revision: int) -> None:
-        """Record a deletion; the entry is kept until `remove` is called."""
+        """Record a deletion; the entry is kept until `remove` is called.
+
+        It may be told before an older entry of its key is.
+        """
         self._deleted[key] = revision
         while len(self._deleted) > MAX_DELETED:
             oldest = next(iter(self._deleted))
