--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -22,6 +22,8 @@
     'EntryWritten',
     'RouterDisturbed',
     'RouterStarted',
+    'RouterRuns',
+    'Busy',
     'StoreDisturbed',
     'PathDisturbed',
     'Late',
@@ -138,6 +140,20 @@
     router: str
 
 
+class RouterRuns(Record, frozen=True):
+    """A started process logs that it now reads what its port has received."""
+
+    at: float
+    router: str
+
+
+class Busy(Record, frozen=True):
+    """How many threads of the machine want a processor, for each of these."""
+
+    at: float
+    per_processor: float
+
+
 class StoreDisturbed(Record, frozen=True):
     """The store had a fault; `is_reachable` if it answered all the same."""
 
@@ -182,6 +198,8 @@
     | EntryWritten
     | RouterDisturbed
     | RouterStarted
+    | RouterRuns
+    | Busy
     | StoreDisturbed
     | PathDisturbed
     | Late
