Soak: what a starved target reads too late is no rejection too many

A router does not count what it has ended, so its other requests meet those that the target reads then. Change: a rejection does not count if its request had ended at its caller before the target read it, and that target's own process was late for at least half of the time between. All others count, also those that a fault of the soak held up. Test: the wait of another process, one that is too short, one before the end, and a request that had not ended excuse nothing.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -302,7 +302,7 @@
     worker = cluster.start_worker('targets')
     names = [f't{number}' for number in numbers]
     host = Remote(worker, 'host')
-    addresses = await host.call('start', names, list(paths), seed)
+    addresses = await host.call('start', names, list(paths), seed, worker.name)
     own_addresses = addresses.pop('')
     for router, ways in addresses.items():
         paths[router].update(ways)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -83,6 +83,7 @@
 
     A rejection may ask for a pause, or come of a brittle target that bears so
     many a second. Both are 0 if a fault held up the request or its answer.
+    `process` is the name of the target's process, or how it begins.
     """
 
     at: float
@@ -92,6 +93,7 @@
     runs: bool
     pause_seconds: float = 0
     max_rejections: float = 0
+    process: str = 'targets'
 
 
 class Replied(Record, frozen=True):
--- a/tests/soak/replay.py
+++ b/tests/soak/replay.py
@@ -27,6 +27,9 @@
 WAITING = 'wait'
 # A router that was disturbed this short before a request excuses its lateness.
 DISTURBED_SECONDS = 1
+# A target's process that was late for this part of a time has kept waiting what
+# arrived then.
+LATE_SHARE = 0.5
 
 
 def replay(records: Iterable[Record], checker: GuaranteeChecker) -> None:
@@ -52,6 +55,7 @@
         self._brittle = BrittleChecker(checker.violations)
         self._routers: dict[str, SimpleNamespace] = {}
         self._sent: dict[str, Sent] = {}
+        self._answered_at: dict[str, float] = {}
 
     def disturb(self, fault: RouterDisturbed) -> None:
         """Begin a fault of a router."""
@@ -114,7 +118,7 @@
             self._notices.say_pause(
                 request_id, incarnation, arrived.pause_seconds, arrived.at
             )
-        if arrived.max_rejections:
+        if arrived.max_rejections and not self._was_kept_waiting(arrived):
             self._brittle.record_rejection(
                 request_id, arrived.target, arrived.max_rejections, arrived.at
             )
@@ -123,6 +127,7 @@
 
     def _follow_answer(self, answer: Answered) -> None:
         sent = self._sent[answer.request_id]
+        self._answered_at[answer.request_id] = answer.at
         if answer.status:
             self._notices.record_answer(answer.request_id, answer.at)
         if answer.request_id.startswith(WAITING):
@@ -143,6 +148,19 @@
         if answer.error == 'cut' and _is_cut_by_planned_stop(router, outcome):
             self._checker.record_cut(outcome)
 
+    def _was_kept_waiting(self, arrived: Arrived) -> bool:
+        """Whether a target's own process read a request too late to count.
+
+        Its router has ended it before, and does not count it any more.
+        """
+        answered_at = self._answered_at.get(arrived.request_id)
+        if answered_at is None:
+            return False
+        late_seconds = self._touch.soak_late_seconds(
+            arrived.process, answered_at, arrived.at
+        )
+        return late_seconds >= (arrived.at - answered_at) * LATE_SHARE
+
     def _duration(
         self, sent: Sent, answer: Answered, router: SimpleNamespace
     ) -> float:
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -44,6 +44,7 @@
     name: str
     records: list[Record]
     draws: random.Random
+    process: str = 'targets'
     proxy: FaultProxy | None = None
     is_failing: bool = False
     failing_share: float = 0
@@ -118,6 +119,7 @@
             not (pause or max_rejections),
             pause * is_clear,
             max_rejections * is_clear,
+            self.process,
         )
         self.records.append(arrived)
 
--- a/tests/soak/target_host.py
+++ b/tests/soak/target_host.py
@@ -27,10 +27,11 @@
         self._objects = objects
 
     async def start(
-        self, names: list[str], routers: list[str], seed: int
+        self, names: list[str], routers: list[str], seed: int, process: str
     ) -> dict[str, dict[str, str]]:
         """Start targets; return their addresses by router and target.
 
+        `process` is the name of this process.
         The addresses for no particular router stand under an empty name. The
         objects of this process are then the targets by their names, their
         proxies as 't0 proxy', and the ways of each router as 'r0 t0'.
@@ -38,7 +39,7 @@
         addresses: dict = {each: {} for each in ('', *routers)}
         for name in names:
             draws = random.Random(f'{name} {seed}')
-            target = SoakTarget(name, self._records, draws)
+            target = SoakTarget(name, self._records, draws, process)
             address = await listen(self._nursery, target.serve)
             target.proxy = await start_proxy(self._nursery, address)
             self._objects[name] = target
--- a/tests/soak/test_replay.py
+++ b/tests/soak/test_replay.py
@@ -135,6 +135,30 @@
     assert 'fell over' in find(*reject(3))[0]
 
 
+# Guards against falls of targets that were themselves starved: they read and
+# rejected what its routers had ended seconds before (seeds 42, 300, 310).
+def test_rejections_of_requests_that_only_the_target_kept_waiting():
+    def reject(arrive_at):
+        for number in range(3):
+            request_id = f'q{number}-read'
+            yield send(4, request_id)
+            yield answer(5.5, 504, request_id)
+            yield arrive(
+                arrive_at,
+                request_id,
+                runs=False,
+                max_rejections=2,
+                process='targets 1',
+            )
+
+    assert 'fell over' in find(*reject(8))[0]
+    assert not find(*reject(8), Late(7.9, 'targets 1', 1.3))
+    assert find(*reject(8), Late(7.9, 'targets 1', 1.2))
+    assert find(*reject(8), Late(7.9, 'targets 2', 1.3))
+    assert find(*reject(8), Late(5.4, 'targets 1', 1.3))
+    assert find(*reject(5.4), Late(5.3, 'targets 1', 1.3))
+
+
 def test_requests_within_a_pause():
     records = [send(1, 'q0-read')]
     records.append(arrive(1, 'q0-read', runs=False, pause_seconds=3))
