--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -22,6 +22,8 @@
     'EntryWritten',
     'RouterDisturbed',
     'RouterStarted',
+    'RouterRuns',
+    'Busy',
     'StoreDisturbed',
     'PathDisturbed',
     'Late',
@@ -81,6 +83,7 @@
 
     A rejection may ask for a pause, or come of a brittle target that bears so
     many a second. Both are 0 if a fault held up the request or its answer.
+    `process` is the name of the target's process, or how it begins.
     """
 
     at: float
@@ -90,6 +93,7 @@
     runs: bool
     pause_seconds: float = 0
     max_rejections: float = 0
+    process: str = 'targets'
 
 
 class Replied(Record, frozen=True):
@@ -138,6 +142,20 @@
     router: str
 
 
+class RouterRuns(Record, frozen=True):
+    """A started process logs that it now reads what its port has received."""
+
+    at: float
+    router: str
+
+
+class Busy(Record, frozen=True):
+    """How many threads of the machine want a processor, for each of these."""
+
+    at: float
+    per_processor: float
+
+
 class StoreDisturbed(Record, frozen=True):
     """The store had a fault; `is_reachable` if it answered all the same."""
 
@@ -182,6 +200,8 @@
     | EntryWritten
     | RouterDisturbed
     | RouterStarted
+    | RouterRuns
+    | Busy
     | StoreDisturbed
     | PathDisturbed
     | Late
