A connection that was made is used although the time for it has ended

A process that stands still in epoll_wait while it connects gets its timer, not the event, when it goes on. The connect was given up: a target counted as unreachable (both request paths), the store as away, which makes removals doubted (DRAIN).

Cause: trio closes a socket whose connect is cancelled, though the connection may have been made.

Change: the network of the clients connects by itself; when the time of a connect has ended, it looks whether the connection is there.

Evidence: serving/test_socket_network.py: ConnectTimeout before, the connection after. A connect that is not made is a timeout as before (new test, passed before too).

--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -6,6 +6,7 @@
 host names go to httpcore's backend.
 """
 
+import errno
 import ipaddress
 import math
 import os
@@ -161,13 +162,14 @@
                 host, port, timeout, local_address, options
             )
         family = socket.AF_INET if version == 4 else socket.AF_INET6
-        connecting = trio.socket.socket(family, socket.SOCK_STREAM)
+        connecting = socket.socket(family, socket.SOCK_STREAM)
         try:
-            await _connect(connecting, host, port, timeout, options)
+            await _connect(connecting, (host, port), timeout, options)
         except BaseException:
             connecting.close()
             raise
-        return _SocketStream(trio.SocketStream(connecting))
+        connected = trio.socket.from_stdlib_socket(connecting)
+        return _SocketStream(trio.SocketStream(connected))
 
     async def sleep(self, seconds: float) -> None:
         """Sleep."""
@@ -187,19 +189,46 @@
 
 
 async def _connect(
-    connecting: trio.socket.SocketType,
-    host: str,
-    port: int,
+    connecting: socket.socket,
+    address: tuple[str, int],
     timeout: float | None,
     options: Iterable[Any],
 ) -> None:
     seconds = math.inf if timeout is None else timeout
+    connecting.setblocking(False)
     try:
         for option in options:
             connecting.setsockopt(*option)
-        with trio.move_on_after(seconds):
-            await connecting.connect((host, port))
-            return
+        is_connected = await _connect_within(connecting, address, seconds)
     except OSError as exc:
         raise httpcore.ConnectError(str(exc)) from exc
-    raise httpcore.ConnectTimeout
+    if not is_connected:
+        raise httpcore.ConnectTimeout
+
+
+async def _connect_within(
+    connecting: socket.socket, address: tuple[str, int], seconds: float
+) -> bool:
+    """Return whether a connection is made within a time.
+
+    One that was made counts although the time has ended: a process that stood
+    still meanwhile learns of both at once. Raises OSError.
+    """
+    code = connecting.connect_ex(address)
+    has_timed_out = False
+    if code == errno.EINPROGRESS:
+        with trio.move_on_after(seconds) as scope:
+            await trio.lowlevel.wait_writable(connecting)
+        has_timed_out = scope.cancelled_caught
+        code = connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, os.strerror(code))
+    return not has_timed_out or _has_peer(connecting)
+
+
+def _has_peer(connecting: socket.socket) -> bool:
+    try:
+        connecting.getpeername()
+    except OSError:
+        return False
+    return True
--- a/tests/serving/test_socket_network.py
+++ b/tests/serving/test_socket_network.py
@@ -182,3 +182,40 @@
     with trio.fail_after(1):
         while not near.get_extra_info('is_readable'):
             await trio.sleep(0.01)
+
+
+# Guards against a target or a store that counts as unreachable because the
+# process stood still until the time of the connect had ended.
+async def test_a_connection_that_was_made_is_used_although_the_time_has_ended(
+    monkeypatch,
+):
+    async def wait_writable(_) -> None:
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(trio.lowlevel, 'wait_writable', wait_writable)
+    monkeypatch.setattr(trio._core, 'wait_writable', wait_writable)
+    listeners = await trio.open_tcp_listeners(0, host=LOCALHOST)
+    port = listeners[0].socket.getsockname()[1]
+    near = await SocketNetwork().connect_tcp(LOCALHOST, port, 0.05)
+    far = await listeners[0].accept()
+    await far.send_all(b'answer')
+    assert await near.read(100, 1) == b'answer'
+    for each in (near, far, listeners[0]):
+        await each.aclose()
+
+
+async def test_a_connection_that_is_not_made_in_time_is_a_timeout():
+    listener = socket.socket()
+    listener.bind((LOCALHOST, 0))
+    listener.listen(0)
+    port = listener.getsockname()[1]
+    # The queue of connections that wait to be accepted is full after these.
+    waiting = [socket.socket() for _ in range(2)]
+    for each in waiting:
+        each.setblocking(False)
+        each.connect_ex((LOCALHOST, port))
+    await trio.sleep(0.05)
+    with pytest.raises(httpcore.ConnectTimeout):
+        await SocketNetwork().connect_tcp(LOCALHOST, port, 0.1)
+    for each in (*waiting, listener):
+        each.close()
