--- a/tests/peridotwell_platform/test_brittle_targets.py
+++ b/tests/peridotwell_platform/test_brittle_targets.py
@@ -30,7 +30,7 @@
 
 
 @pytest.fixture
-async def fleet(slow_clock, nursery):
+async def fleet(nursery):
     fleet = await start_fleet(nursery, 'no part crashes', targets=TARGETS)
     for target in fleet.targets:
         target.slots = SLOTS
@@ -93,7 +93,7 @@
 
 # Guards against routers that together send a target so much beyond its room
 # that it falls over, which brings the next ones down.
-async def test_burst_does_not_bring_brittle_targets_down(fleet):
+async def test_burst_does_not_bring_brittle_targets_down(slow_clock, fleet):
     await send_for(fleet, CONTACT_SECONDS, CALM_PER_SECOND)
     outcomes = await send_for(
         fleet, BURST_SECONDS, CALM_PER_SECOND * BURST_FACTOR
@@ -107,7 +107,9 @@
     )
 
 
-async def test_requests_beyond_the_room_are_refused_at_once(fleet, nursery):
+async def test_requests_beyond_the_room_are_refused_at_once(
+    slow_clock, fleet, nursery
+):
     await send_for(fleet, CONTACT_SECONDS, CALM_PER_SECOND)
     control = []
     nursery.start_soon(time_unknown_paths, fleet, control)
@@ -124,7 +126,7 @@
 
 
 # Guards against a target that all routers fill at once when it is back.
-async def test_target_that_is_back_is_filled_step_by_step(fleet):
+async def test_target_that_is_back_is_filled_step_by_step(slow_clock, fleet):
     await send_for(fleet, CONTACT_SECONDS, CALM_PER_SECOND)
     fallen = fleet.targets[0]
     fallen.fall_over()
