Calls to the store that are sent again use no other old connection

The second call could also take an idle connection that had gone silent with the first.

Idle connections are closed before a call is sent again (first_outcome).

--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -69,12 +69,13 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as exc:
-            await self._close_idle()
+            await self.close_idle()
             raise StoreResponseLost(
                 f'no response to {method}: {exc!r}'
             ) from exc
 
-    async def _close_idle(self) -> None:
+    async def close_idle(self) -> None:
+        """Close idle connections, which may have gone silent."""
         for connection in self._pool.connections:
             if connection.is_idle():
                 await connection.aclose()
--- a/peridotwell/store/overlapping_calls.py
+++ b/peridotwell/store/overlapping_calls.py
@@ -35,18 +35,23 @@
 
 
 async def first_outcome(
-    call: Callable[[], Awaitable[Answer]], interval_seconds: float
+    call: Callable[[], Awaitable[Answer]],
+    interval_seconds: float,
+    before_repeat: Callable[[], Awaitable[None]] | None = None,
 ) -> Answer:
     """Return the first answer to calls that are sent at an interval.
 
-    Each waits as long as it would alone. Raises the StoreError of the first
-    one that fails, unless another one was answered before.
+    Each waits as long as it would alone. `before_repeat` is awaited before each
+    but the first one. Raises the StoreError of the first one that fails, unless
+    another one was answered before.
     """
     async with trio.open_nursery() as nursery:
         outcome: _Outcome[Answer] = _Outcome(nursery.cancel_scope)
         while True:
             nursery.start_soon(outcome.take, call)
             await trio.sleep(interval_seconds)
+            if before_repeat is not None:
+                await before_repeat()
     if outcome.answer is None:
         raise outcome.error or StoreError('the call has no outcome')
     return outcome.answer
--- a/tests/store/test_overlapping_calls.py
+++ b/tests/store/test_overlapping_calls.py
@@ -57,6 +57,18 @@
     assert calls.cancelled == 1
 
 
+async def test_something_is_done_before_each_repetition(autojump_clock):
+    calls = Calls(2.0, 2.0, 2.0)
+    done_at = []
+
+    async def record() -> None:
+        done_at.append(trio.current_time() - began)
+
+    began = trio.current_time()
+    await first_outcome(calls.send, INTERVAL_SECONDS, record)
+    assert done_at == pytest.approx([0.8, 1.6])
+
+
 async def test_the_first_failure_ends_all(autojump_clock):
     calls = Calls(1.0, 5.0)
     calls.failing = (0,)
