Choose among many engines with figures computed together

Cause: loads, tokens ahead and cached parts were asked engine by engine, all targets were filtered by service for each request, and each engine that has a part of the prompt was checked as a source although only the best one is used.

Change: loads and tokens ahead are read for all engines at once; the targets of a service are indexed when they change; sources are checked in the order of their missing tokens until one may be used.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -81,7 +81,9 @@
         self.store_contact = StoreContact(self.deferred_removals)
         self.freshness = StoreFreshness()
         self._departed = DepartedTargets()
+        # By service: all targets, and those that accept new work.
         self._by_service: dict[str, tuple[Target, ...]] = {}
+        self._available: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -90,15 +92,13 @@
 
     def available_targets(self, service: str) -> tuple[Target, ...]:
         """Return the targets of a service that accept new work."""
-        return self._by_service.get(service, ())
+        return self._available.get(service, ())
 
     def all_targets(self, service: str = '') -> tuple[Target, ...]:
         """Return all targets, or all of one service, including leaving ones."""
-        return tuple(
-            target
-            for target in self._targets.values()
-            if service in {'', target.pool.name}
-        )
+        if service:
+            return self._by_service.get(service, ())
+        return tuple(self._targets.values())
 
     def target_by_id(self, target_id: int) -> Target | None:
         """Return the target with that wire id."""
@@ -332,12 +332,14 @@
             target.wire_id: target for target in self._targets.values()
         }
         for target in self._targets.values():
-            if target.leaving:
-                continue
             by_service.setdefault(target.pool.name, []).append(target)
         self._by_service = {
             name: tuple(members) for name, members in by_service.items()
         }
+        self._available = {
+            name: tuple(target for target in members if not target.leaving)
+            for name, members in by_service.items()
+        }
         for listener in self._listeners:
             listener()
 
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -98,10 +98,8 @@
             return self._choose_engine(
                 request, request.prompt, engines, holders, now
             )
-        candidates = [
-            Candidate(target, self._tracker.load(target, now))
-            for target in targets
-        ]
+        loads = self._tracker.loads(targets, now)
+        candidates = list(map(Candidate, targets, loads))
         return choose_least_loaded(
             candidates,
             self._data_centre,
@@ -123,7 +121,7 @@
         candidates: Sequence[Candidate],
         now: float,
     ) -> float:
-        outstanding = sum(each.load for each in candidates)
+        outstanding = sum([each.load for each in candidates])
         return self._tracker.unseen_requests(request.service, outstanding, now)
 
     def _choose_engine(
@@ -157,15 +155,18 @@
         now: float,
     ) -> Sequence[EngineCandidate]:
         shared_tokens = sum(part.tokens for part in parts)
-        return [
-            EngineCandidate(
-                target,
-                self._tracker.load(target, now),
-                holders.get(target.name, shared_tokens),
-                self._tracker.tokens_ahead(target),
-            )
-            for target in targets
+        missing_tokens = [
+            holders.get(target.name, shared_tokens) for target in targets
         ]
+        return list(
+            map(
+                EngineCandidate,
+                targets,
+                self._tracker.loads(targets, now),
+                missing_tokens,
+                self._tracker.tokens_ahead(targets),
+            )
+        )
 
     def _cache_source(
         self,
@@ -184,15 +185,22 @@
         engine = engine_properties(self._directory.table, service)
         if engine is None or not engine.can_fetch_cache:
             return None
-        sources = [
-            CacheSource(target, holders[target.name])
+        holding = [
+            target
             for target in self._directory.all_targets(service)
             if target.name in holders
-            and not self._tracker.is_ejected_or_silent(target, now)
-            and not self._tracker.notices.is_paused(target, now)
         ]
-        return min(
-            sources, key=lambda source: source.missing_tokens, default=None
+        holding.sort(key=lambda target: holders[target.name])
+        for target in holding:
+            if self._is_source(target, now):
+                return CacheSource(target, holders[target.name])
+        return None
+
+    def _is_source(self, target: Target, now: float) -> bool:
+        """Return whether engines may copy cached tokens from an engine."""
+        return not (
+            self._tracker.is_ejected_or_silent(target, now)
+            or self._tracker.notices.is_paused(target, now)
         )
 
     def _accepting_targets(
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -1,5 +1,7 @@
 """The state of each target, from own requests and from other routers."""
 
+from collections.abc import Sequence
+
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.domain.target import Target
 from peridotwell.fleet.relays.forwarding_state import ForwardingState
@@ -158,13 +160,27 @@
         others = self._state.peer_requests.outstanding(target.wire_id)
         return self._load(target).estimate(now, others)
 
-    def tokens_ahead(self, target: Target) -> int:
-        """Return the prompt tokens that an engine has not prefilled yet."""
-        others = self._state.peer_prefill_tokens.outstanding(target.wire_id)
-        return (
-            self._update_exchange.own_prefill_tokens.count(target.wire_id)
-            + others
+    def loads(self, targets: Sequence[Target], now: float) -> Sequence[float]:
+        """Return the loads of targets, as `load` does."""
+        others = self._state.peer_requests.outstanding_of(
+            target.wire_id for target in targets
         )
+        known = self._loads
+        return [
+            float(count) if load is None else load.estimate(now, count)
+            for load, count in zip(
+                [known.get(target.name) for target in targets],
+                others,
+                strict=True,
+            )
+        ]
+
+    def tokens_ahead(self, targets: Sequence[Target]) -> Sequence[int]:
+        """Return the prompt tokens that engines have not prefilled yet."""
+        ids = [target.wire_id for target in targets]
+        own = self._update_exchange.own_prefill_tokens.counts(ids)
+        others = self._state.peer_prefill_tokens.outstanding_of(ids)
+        return [mine + rest for mine, rest in zip(own, others, strict=True)]
 
     def unseen_requests(
         self, service: str, outstanding: float, now: float
--- a/peridotwell/policy/choice.py
+++ b/peridotwell/policy/choice.py
@@ -47,7 +47,7 @@
 
 def mean_load(candidates: Sequence[Candidate]) -> float:
     """Return the mean load of the candidates."""
-    return sum(each.load for each in candidates) / len(candidates)
+    return sum([each.load for each in candidates]) / len(candidates)
 
 
 def choose_least_loaded(
--- a/peridotwell/policy/engine_choice.py
+++ b/peridotwell/policy/engine_choice.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
+from operator import attrgetter
 
 from peridotwell.domain.target import Target
 from peridotwell.policy.choice import Candidate, Choice, mean_load
@@ -40,6 +41,8 @@
 TOKENS_PER_LATE_RESPONSE = 6000
 # Fraction of the objective up to which an expected wait adds no penalty.
 SAFE_FRACTION = 0.3
+# The properties of an engine that decide its cost.
+_cost_state = attrgetter('load', 'missing_tokens', 'tokens_ahead')
 
 
 class EngineCandidate(Candidate, frozen=True):
@@ -104,8 +107,8 @@
     cost = partial(
         _cost, needs, source=source, speed=tokens_per_second, level=level
     )
-    costs = _costs(allowed or candidates, cost)
-    best = _engine_with_room(needs, costs, level)
+    engines = allowed or candidates
+    best = _engine_with_room(needs, engines, _costs(engines, cost), level)
     fetched_tokens = _fetched_tokens(best, source)
     return Choice(
         best.target,
@@ -121,33 +124,30 @@
 
 def _costs(
     engines: Sequence[EngineCandidate], cost: Callable[[EngineCandidate], float]
-) -> list[tuple[float, EngineCandidate]]:
-    """Return each engine with its cost.
+) -> list[float]:
+    """Return the cost of each engine.
 
     Many engines are alike: one cost is computed for all that are.
     """
-    states = [_state(each) for each in engines]
+    states = list(map(_cost_state, engines))
     examples = dict(zip(states, engines, strict=True))
     cost_of = {state: cost(each) for state, each in examples.items()}
-    return [
-        (cost_of[state], each)
-        for state, each in zip(states, engines, strict=True)
-    ]
-
-
-def _state(engine: EngineCandidate) -> tuple[float, int, int]:
-    """Return the properties of an engine that decide its cost."""
-    return engine.load, engine.missing_tokens, engine.tokens_ahead
+    return [cost_of[state] for state in states]
 
 
 def _engine_with_room(
     needs: PromptNeeds,
-    costs: Sequence[tuple[float, EngineCandidate]],
+    engines: Sequence[EngineCandidate],
+    costs: Sequence[float],
     level: float,
 ) -> EngineCandidate:
     """Return one of the engines whose costs are equal to the lowest cost."""
-    max_cost = min(cost for cost, _ in costs) + TOKENS_PER_REQUEST
-    equal = [each for cost, each in costs if cost < max_cost]
+    max_cost = min(costs) + TOKENS_PER_REQUEST
+    equal = [
+        each
+        for cost, each in zip(costs, engines, strict=True)
+        if cost < max_cost
+    ]
     is_cached = all(not each.missing_tokens for each in equal)
     key = needs.request_key if is_cached else needs.subject
     return max(
--- a/peridotwell/policy/own_counts.py
+++ b/peridotwell/policy/own_counts.py
@@ -1,6 +1,7 @@
 """This router's counts by target, and which of them are not sent yet."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 __all__ = ('OwnCounts',)
 
@@ -28,6 +29,11 @@
         """Return the count of a target."""
         return self._counts.get(target, 0)
 
+    def counts(self, targets: Iterable[int]) -> list[int]:
+        """Return the counts of targets."""
+        counts = self._counts
+        return [counts.get(target, 0) for target in targets]
+
     def take_counts(self, *, include_unchanged: bool) -> CountPairs:
         """Return the counts to send: all, or those that have changed.
 
--- a/peridotwell/policy/peer_counts.py
+++ b/peridotwell/policy/peer_counts.py
@@ -1,7 +1,7 @@
 """Sums of the counts that the other routers report for each target."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 __all__ = ('PeerCounts',)
 
@@ -32,3 +32,8 @@
     def outstanding(self, target: int) -> int:
         """Return the sum of the other routers' counts for a target id."""
         return self._sums.get(target, 0)
+
+    def outstanding_of(self, targets: Iterable[int]) -> list[int]:
+        """Return the sums of the other routers' counts for target ids."""
+        sums = self._sums
+        return [sums.get(target, 0) for target in targets]
--- a/peridotwell/policy/prompt_cache_index.py
+++ b/peridotwell/policy/prompt_cache_index.py
@@ -60,28 +60,25 @@
         # Whether anything was learned of it, even that it is empty.
         self.is_known = False
         self._tokens = 0
-        self._parts: OrderedDict[int, tuple[int, float]] = OrderedDict()
+        # By part id: tokens, and when the part was used last.
+        self.used: OrderedDict[int, tuple[int, float]] = OrderedDict()
 
     def record_use(self, part: CachedPart, now: float) -> bool:
         """Record a use and return whether to announce it to the peers."""
-        previous = self._parts.pop(part.part_id, None)
+        previous = self.used.pop(part.part_id, None)
         if previous is None:
             self._tokens += part.tokens
-        self._parts[part.part_id] = (part.tokens, now)
-        while self._tokens > self.capacity_tokens and len(self._parts) > 1:
-            _, (tokens, _) = self._parts.popitem(last=False)
+        self.used[part.part_id] = (part.tokens, now)
+        while self._tokens > self.capacity_tokens and len(self.used) > 1:
+            _, (tokens, _) = self.used.popitem(last=False)
             self._tokens -= tokens
         return previous is None or now - previous[1] > REANNOUNCE_SECONDS
 
     def parts(self) -> Iterator[CachedPart]:
         """Yield all parts, the least recently used one first."""
-        for stored_id, (tokens, _) in self._parts.items():
+        for stored_id, (tokens, _) in self.used.items():
             yield CachedPart(stored_id, tokens)
 
-    def lists(self, part: CachedPart) -> bool:
-        """Return whether the part was used, however long ago."""
-        return part.part_id in self._parts
-
     def cached_tokens(self, parts: Iterable[CachedPart], now: float) -> int:
         """Return the tokens of the first parts that are all cached.
 
@@ -89,7 +86,7 @@
         """
         tokens = 0
         for part in parts:
-            previous = self._parts.get(part.part_id)
+            previous = self.used.get(part.part_id)
             if previous is None or now - previous[1] > PART_TTL_SECONDS:
                 break
             tokens += part.tokens
@@ -143,11 +140,11 @@
         """
         if not parts:
             return {}
-        first = parts[0]
+        first = parts[0].part_id
         holding = [
             (name, engine)
             for name, engine in self._engines.items()
-            if engine.lists(first)
+            if first in engine.used
         ]
         total = sum(part.tokens for part in parts)
         cached = (
