A response that may be cut is sent also by a router that is late

Cause: the router asks another target and falls back on the first response 0.05 s before the deadline. If its turn comes after the deadline, both limits end at once and the outer one wins, so the response it has is dropped. Class: the order in which a process handles what is due.

Change: the response is held where the deadline is handled, for requests that end with the process as well. A ready answer is sent, also when late.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -71,7 +71,10 @@
 
 
 class BufferedResponseForwarder:
-    """Sends requests to targets until one succeeds or no retry is allowed."""
+    """Sends a request to targets until one succeeds or no retry is allowed.
+
+    `held` is a success that may be cut, for a caller who gets no other in time.
+    """
 
     def __init__(
         self,
@@ -82,6 +85,7 @@
         self._dispatcher = dispatcher
         self._waiting_room = waiting_room
         self._adapter = adapter
+        self.held: BufferedResponse | None = None
 
     async def get(
         self, request: RoutedRequest, attempts: Attempts
@@ -100,6 +104,7 @@
                 target=response.choice.target.name,
                 body_bytes=len(response.body),
             )
+            self.held = response
             now = trio.current_time()
             if attempts.after_run(now) is RetryDecision.give_up:
                 break
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -180,8 +180,7 @@
             request, window, self._update_exchange.router_count()
         )
         try:
-            with self.planned_stop.limit(request.deadline_at):
-                response = await self._run(caller_response, request, attempts)
+            response = await self._run(caller_response, request, attempts)
             # The deadline does not limit the sending of a complete response.
             if response is not None:
                 await caller_response.send_whole(
@@ -203,40 +202,55 @@
         request: RoutedRequest,
         attempts: Attempts,
     ) -> BufferedResponse | None:
-        """Return the response to send, or None if a stream was forwarded."""
+        """Return the response to send, or None if a stream was forwarded.
+
+        Raises trio.TooSlowError if there is none in time.
+        """
+        if request.route.kind is not RequestKind.streaming:
+            return await self._get_buffered(request, attempts)
         components = self._components
-        if request.prompt is not None:
-            with trio.move_on_after(CACHE_RECOVERY_WAIT_SECONDS):
-                await self._update_exchange.cache_sync.is_ready.wait()
-        if request.route.kind is RequestKind.streaming:
-            stream = StreamForwarder(
-                request,
-                caller_response,
-                attempts,
-                components.dispatcher,
-                components.waiting_room,
-                components.target_adapter,
-                components.stream_affinity,
-            )
+        stream = StreamForwarder(
+            request,
+            caller_response,
+            attempts,
+            components.dispatcher,
+            components.waiting_room,
+            components.target_adapter,
+            components.stream_affinity,
+        )
+        with self.planned_stop.limit(request.deadline_at):
+            await self._wait_for_caches(request)
             error_response = await stream.run()
-            self._recorder.record(
-                request,
-                attempts.number,
-                ResponseSummary(
-                    stream.status,
-                    stream.choice,
-                    stream.first_part_at,
-                    stream.origin,
-                    stream.body_bytes,
-                ),
-            )
-            return error_response
+        self._recorder.record(
+            request,
+            attempts.number,
+            ResponseSummary(
+                stream.status,
+                stream.choice,
+                stream.first_part_at,
+                stream.origin,
+                stream.body_bytes,
+            ),
+        )
+        return error_response
+
+    async def _get_buffered(
+        self, request: RoutedRequest, attempts: Attempts
+    ) -> BufferedResponse:
+        components = self._components
         forwarder = BufferedResponseForwarder(
             components.dispatcher,
             components.waiting_room,
             components.target_adapter,
         )
-        response = await forwarder.get(request, attempts)
+        try:
+            with self.planned_stop.limit(request.deadline_at):
+                await self._wait_for_caches(request)
+                response = await forwarder.get(request, attempts)
+        except trio.TooSlowError:
+            if forwarder.held is None:
+                raise
+            response = forwarder.held
         self._recorder.record(
             request,
             attempts.number,
@@ -250,6 +264,11 @@
         )
         return response
 
+    async def _wait_for_caches(self, request: RoutedRequest) -> None:
+        if request.prompt is not None:
+            with trio.move_on_after(CACHE_RECOVERY_WAIT_SECONDS):
+                await self._update_exchange.cache_sync.is_ready.wait()
+
     def _table_log_fields(self, now: float) -> dict[str, object]:
         """Return the log fields for the configuration version and its age."""
         table = self._directory.table
--- a/tests/peridotwell_platform/test_broken_answers.py
+++ b/tests/peridotwell_platform/test_broken_answers.py
@@ -1,5 +1,7 @@
 """Answers of targets that break off, in each form that the end may have."""
 
+import time
+
 import httpcore
 import msgspec
 import pytest
@@ -204,6 +206,24 @@
     assert (resp.status, resp.content) == (200, b'do')
 
 
+# Guards against such a response that is lost because the router is late: the
+# deadline passes while its process stands still.
+async def test_a_plain_answer_that_may_be_cut_is_sent_by_a_late_router(
+    harness, use_raw_target, nursery
+):
+    async def stand_still_once_asked():
+        while not target.requests:
+            await trio.sleep(0.01)
+        await trio.sleep(DEADLINE_SECONDS / 2)
+        time.sleep(DEADLINE_SECONDS)
+
+    target = await use_raw_target(RawResponse(UNMARKED, b'do'), alone=False)
+    harness.targets[0].script.extend([stand_in.never_respond] * 30)
+    nursery.start_soon(stand_still_once_asked)
+    resp = await send_to_raw_target(harness, target, '/read/x')
+    assert (resp.status, resp.content) == (200, b'do')
+
+
 ENDLESS = {
     'head fields': RawResponse((HEAD[0], ''), endless=b'x-a: b\r\n'),
     'one head field': RawResponse((HEAD[0], 'x-a: '), endless=b'y' * 4096),
