Connections of calls that are given up are closed

What callers would see (found by review): a router that hears the store no more until it is started again, and connections to targets that stay open for good and use up what targets and this process bear.

Cause: httpcore 1.0.9 keeps a connection for good if its first request is cancelled once it is connected and nothing is sent, or as it gets the connection that it waited for: not idle, not closed, not expired. Calls to the store are cancelled much since (first_outcome) and share 8 connections; requests to targets are cancelled by deadlines, silence and callers that leave, at any time. Class: who gives up does not say so to what it has asked for.

Change: both clients use one kind of pool, whose connections are closed when their first request fails, and count as closed if it does not begin within a second.

--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -26,10 +26,9 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
+from peridotwell.serving.connection_pool import ConnectionPool
 from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.response_ownership import ResponseOwnership
-from peridotwell.serving.socket_network import SocketNetwork
-from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 from peridotwell.serving.target_presence import check_still_listens
 from peridotwell.serving.target_response import TargetResponse
 
@@ -136,19 +135,11 @@
         self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
         self._ownership = ResponseOwnership()
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            keepalive_expiry=IDLE_CONNECTION_SECONDS,
-            retries=0,
-            socket_options=CLIENT_SOCKET_OPTIONS,
-            network_backend=SocketNetwork(),
+        self._pool = ConnectionPool(
+            MAX_CONNECTIONS, idle_seconds=IDLE_CONNECTION_SECONDS
         )
-        self._single_use_pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=0,
-            retries=0,
-            socket_options=CLIENT_SOCKET_OPTIONS,
-            network_backend=SocketNetwork(),
+        self._single_use_pool = ConnectionPool(
+            MAX_CONNECTIONS, keeps_idle=False
         )
 
     def is_busy(self) -> bool:
@@ -257,7 +248,7 @@
 
 
 async def _send_request(
-    pool: httpcore.AsyncConnectionPool,
+    pool: ConnectionPool,
     request: httpcore.Request,
 ) -> httpcore.Response:
     try:
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -7,8 +7,7 @@
 
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import StoreResponseLost, StoreUnavailable
-from peridotwell.serving.socket_network import SocketNetwork
-from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from peridotwell.serving.connection_pool import ConnectionPool
 
 __all__ = ('StoreHttpClient', 'decode_response')
 
@@ -26,12 +25,7 @@
     ) -> None:
         self._url = url
         self._connect_seconds = connect_seconds
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            retries=0,
-            socket_options=CLIENT_SOCKET_OPTIONS,
-            network_backend=SocketNetwork(),
-        )
+        self._pool = ConnectionPool(max_connections)
 
     async def send(
         self,
