A relay too busy to read the store's answers does not count as following

What callers would see (found by review, shown in memory only): all routers of a group go by what their relay knows, and a relay whose turns are late knows what the store said seconds ago.

Cause: a relay said that it follows the store if an answer had been read within 3 s, however long the answer had waited; asks how old the knowledge is, but for the relay's own requests only. Class: when a thing is read was taken for when it happened.

Change: a relay that was late to read, and whose knowledge is older than what it would decide by, says that it does not follow the store; its group then reads the store itself. A watch that is cut, or one late turn that a check makes up for, changes nothing.

--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -34,7 +34,8 @@
 BATCH_SECONDS = 0.06
 IDLE_BATCH_SECONDS = 0.2
 # A relay reports that it follows the store if the store has answered it within
-# this time, which leaves time for one long-polling call.
+# this time, which leaves time for one long-polling call, and if it is not too
+# busy to read the answers in time.
 STORE_FRESH_SECONDS = 3.0
 # A router whose updates take longer to return from its relay follows the store
 # itself, for this time at least: what the relay says of the store is as old.
@@ -216,7 +217,8 @@
         self._transport.send_all(addresses, batch)
 
     def _follows_store(self, now: float) -> bool:
+        answered_at = self._directory.store_contact.answered_at
         return (
-            now - self._directory.store_contact.answered_at
-            <= STORE_FRESH_SECONDS
+            now - answered_at <= STORE_FRESH_SECONDS
+            and not self._directory.freshness.may_lack_changes(now)
         )
--- a/peridotwell/fleet/replica/store_freshness.py
+++ b/peridotwell/fleet/replica/store_freshness.py
@@ -98,6 +98,10 @@
         """Return whether all changes that must be in force are known."""
         return self.age(now) <= MAX_AGE_SECONDS
 
+    def may_lack_changes(self, now: float) -> bool:
+        """Whether the knowledge is old since the router was late to read."""
+        return not self.is_current(now) and self.late.is_set()
+
     async def settle(self, now: float) -> bool:
         """Wait for the check after a late turn, if the knowledge is old.
 
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -23,6 +23,7 @@
 ENGINE = wire_id('engine')
 ROUTER_COUNT = 60
 LARGE_TABLE_BYTES = 4100
+LATE_TURN_SECONDS = 0.35
 
 
 @pytest.fixture
@@ -115,6 +116,24 @@
     assert len(routers_following_store(fleet, 9)) == ROUTER_COUNT
 
 
+# Guards against a group that goes by an old configuration, because its relay is
+# too busy to read in time what the store answers.
+def test_all_routers_follow_the_store_when_relays_read_it_late(fleet):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    relays = routers_following_store(fleet, 5)
+    others = [each for each in fleet if each not in relays]
+    for step in range(12):
+        now = 5 + step * LATE_TURN_SECONDS
+        for relay in relays:
+            relay.receive_frames(now)
+            relay.directory.store_contact.record_answer(now)
+            relay.directory.freshness.record_answer(now - 2, now)
+            relay.sharing.tick(now)
+        run_ticks(others, now, now + LATE_TURN_SECONDS)
+    assert len(routers_following_store(fleet, now)) == ROUTER_COUNT
+
+
 def test_large_store_change_reaches_all_routers_within_a_second(fleet):
     """The change is too large for an update batch of a relay.
 
--- a/tests/fleet/replica/test_store_freshness.py
+++ b/tests/fleet/replica/test_store_freshness.py
@@ -140,3 +140,22 @@
         freshness.record_turn(told_until, told_until, is_relayed=True)
     assert freshness.is_current(now + 3.9)
     assert not freshness.late.is_set()
+
+
+def test_after_a_late_turn_changes_may_lack_until_a_check_is_answered():
+    freshness = make_watched(10)
+    now = 10 + MAX_AGE_SECONDS + 0.1
+    freshness.record_turn(now, -math.inf)
+    assert freshness.may_lack_changes(now)
+    freshness.record_answer(now, now)
+    assert not freshness.may_lack_changes(now)
+
+
+# Guards against a relay that is left by its whole group whenever a watch ends.
+def test_a_watch_that_failed_is_no_late_turn():
+    freshness = make_watched(10)
+    freshness.record_failure(8, 10)
+    for step in range(5):
+        freshness.record_turn(10 + step / 10, -math.inf)
+    assert not freshness.is_current(10.4)
+    assert not freshness.may_lack_changes(10.4)
