A store that was away does not count as away once a relay tells everything

What callers would see (found by review, theory): after one call to the store that failed, a router behind a relay never lets requests wait for the check after a late turn again. Behind a relay with a delay of 0.7 s, a turn 1.4 s late makes it decide by what it knew 2.1 s before (CONFIG).

Cause: ends "away" with an answer of the store only; a router whose relay tells everything asks for none.

Evidence: the new test fails before. A router without a store that has late turns again and again is not caught up by its relay and refuses nothing, as before.

--- a/peridotwell/fleet/replica/store_freshness.py
+++ b/peridotwell/fleet/replica/store_freshness.py
@@ -133,6 +133,7 @@
 
     def _catch_up(self) -> None:
         self._is_caught_up = True
+        self._is_away = False
         self.settled.set()
         if self.late.is_set():
             self.late = trio.Event()
--- a/tests/fleet/replica/test_store_freshness.py
+++ b/tests/fleet/replica/test_store_freshness.py
@@ -159,3 +159,17 @@
         freshness.record_turn(10 + step / 10, -math.inf)
     assert not freshness.is_current(10.4)
     assert not freshness.may_lack_changes(10.4)
+
+
+# Guards against a router that decides by old knowledge after a late turn: one
+# call failed long ago, and its relay has told everything since.
+def test_a_store_that_was_away_does_not_count_when_a_relay_tells_all():
+    freshness = make_watched(10)
+    now = fail_check(freshness, 10 + STALL_SECONDS)
+    for _ in range(20):
+        now += 0.1
+        freshness.record_turn(now, now - 0.7, is_relayed=True)
+    assert freshness.is_current(now)
+    now += 1.4
+    assert not freshness.is_current(now)
+    assert not freshness.settled.is_set()
