A response to HEAD ends with its header fields

What callers could see: a response to HEAD without a length or chunks counted as one whose end only its connection marks. forwarding/ opened a connection to ask whether its target still listens, and asked for it again where marks are usual, a second run; a target that had closed its port since cost a 502. serving/ refused each as cut.

Cause: the end was read from the fields alone. A response to HEAD never has a body (RFC 9112, 6.3).

Change: its end needs no mark, like that of a 204. Responses without a body do not count as marked ones any more, which would make bodies without a mark doubted.

Evidence: serving/test_target_client.py, two cases fail before, pass after; forwarding/test_buffered_responses.py for the marks (by reading; new test).

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -210,12 +210,16 @@
                 response.origin,
             )
         self._dispatcher.record_completion(attempt, buffered.status)
-        self._dispatcher.end_marks.record(
-            attempt.request.service,
-            is_marked=buffered.origin.body_end is not BodyEnd.connection,
-        )
+        self._record_end(attempt.request.service, buffered.origin.body_end)
         return buffered
 
+    def _record_end(self, service: str, body_end: BodyEnd) -> None:
+        """Record whether the end of a body was marked, if there was one."""
+        if body_end is not BodyEnd.none:
+            self._dispatcher.end_marks.record(
+                service, is_marked=body_end is not BodyEnd.connection
+            )
+
 
 def check_response(response: TargetResponse, adapter: TargetAdapter) -> None:
     """Raise ResponseUnusable if the caller must not get this response."""
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -190,6 +190,7 @@
                 resp,
                 response_timeouts.event_limit
                 or EventLimit(response_timeouts.silence_seconds),
+                request.method,
             )
             response.check_end = partial(
                 check_still_listens, self.target, CONNECT_TIMEOUT_SECONDS
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -17,6 +17,8 @@
 
 __all__ = ('BodyEnd', 'ReadObserver', 'ResponseOrigin', 'TargetResponse')
 
+# Responses to it, or with these statuses, end with their header fields.
+NO_BODY_METHOD = b'HEAD'
 NO_BODY_STATUSES = frozenset((204, 304))
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
@@ -55,7 +57,7 @@
 
 
 class TargetResponse:
-    """A response whose headers have arrived.
+    """A response, to a request with `method`, whose headers have arrived.
 
     Header names are lower case; `fields` keeps repeated ones. `body_chunks`
     yields the body as it arrives, and raises ResponseTruncated or
@@ -67,7 +69,10 @@
     """
 
     def __init__(
-        self, resp: httpcore.Response, event_limit: EventLimit = NO_LIMIT
+        self,
+        resp: httpcore.Response,
+        event_limit: EventLimit = NO_LIMIT,
+        method: bytes = b'GET',
     ) -> None:
         self.status: int = resp.status
         self.fields: tuple[tuple[str, str], ...] = tuple(
@@ -78,6 +83,9 @@
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
         self.check_end: Callable[[], Awaitable[None]] | None = None
+        self._has_no_body = (
+            method == NO_BODY_METHOD or resp.status in NO_BODY_STATUSES
+        )
         self._resp = resp
         self._event_limit = event_limit
 
@@ -88,7 +96,7 @@
         With `connection`, the end of the connection does: a body that was cut
         off looks the same as a complete one.
         """
-        if self.status in NO_BODY_STATUSES:
+        if self._has_no_body:
             return BodyEnd.none
         if 'transfer-encoding' in self.headers:
             return BodyEnd.chunks
--- a/tests/forwarding/test_buffered_responses.py
+++ b/tests/forwarding/test_buffered_responses.py
@@ -65,3 +65,25 @@
     forwarder = ScriptedForwarder(responses)
     assert await forwarder.get(request, attempts) == expected
     assert not forwarder.remaining
+
+
+class SendingForwarder(BufferedResponseForwarder):
+    """Gets responses with these ends from its targets."""
+
+    def record_ends(self, *body_ends):
+        for body_end in body_ends:
+            self._record_end('svc', body_end)
+
+
+# Guards against whole responses that are asked for again, because responses
+# without a body count as ones whose bodies have a marked end.
+def test_responses_without_a_body_do_not_make_marks_usual():
+    end_marks = EndMarks()
+    dispatcher = SimpleNamespace(end_marks=end_marks)
+    forwarder = SendingForwarder(dispatcher, None, None)
+    forwarder.record_ends(*[BodyEnd.connection] * 50)
+    assert not end_marks.are_usual('svc')
+    forwarder.record_ends(*[BodyEnd.none] * 500)
+    assert not end_marks.are_usual('svc')
+    forwarder.record_ends(*[BodyEnd.chunks] * 500)
+    assert end_marks.are_usual('svc')
--- a/tests/serving/test_target_client.py
+++ b/tests/serving/test_target_client.py
@@ -22,6 +22,7 @@
 )
 from peridotwell.serving.request_parser import forwarded_headers
 from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
+from peridotwell.serving.target_response import BodyEnd
 from tests.kept_target import EVENT, KeptTarget
 from tests.raw_server import raw_server, response
 from tests.raw_target import RawResponse, RawTarget
@@ -319,3 +320,20 @@
     )
     with pytest.raises(RefusedByTarget):
         await fetch_all(nursery, KeptTarget(extra), 'a', 'b')
+
+
+# Guards against responses to HEAD that count as cut, or are asked for again,
+# because nothing marks the end of a body that they do not have.
+@pytest.mark.parametrize('is_kept', [True, False])
+async def test_a_response_to_head_ends_with_its_fields(is_kept):
+    sent = response(200, b'', OWN_REQUEST_ID, length=0)
+    async with raw_server(sent, silent=is_kept) as address:
+        request = httpcore.Request(
+            'HEAD',
+            f'http://{address}/',
+            headers=[('host', address), ('x-request-id', 'mine')],
+        )
+        timeouts = ResponseTimeouts(MAX_RESPONSE_SECONDS, MAX_RESPONSE_SECONDS)
+        async with make_client(address).send(request, timeouts) as received:
+            assert await received.read_body() == b''
+            assert received.body_end is BodyEnd.none
