A health check does not count time in which the process stands still

Not changed: the limit on the head of other responses, which in forwarding/ is the request's deadline.

Evidence: serving/test_target_client.py: a standstill of 1 s, the answer lost before, read after; a target that is silent is given up in time.

--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -16,6 +16,7 @@
 import trio
 
 from peridotwell.attempt_errors import (
+    AttemptError,
     ConnectionFailed,
     RefusedByTarget,
     ResponseLost,
@@ -26,6 +27,7 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
+from peridotwell.running_time import move_on_after_running
 from peridotwell.serving.connection_pool import ConnectionPool
 from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.response_ownership import ResponseOwnership
@@ -50,7 +52,7 @@
 # that another target is tried before that.
 CONNECT_TIMEOUT_SECONDS = 0.3
 POOL_TIMEOUT_SECONDS = 1
-HEALTH_TIMEOUT_SECONDS = 0.5
+HEALTH_TIMEOUT_SECONDS = 0.8
 REFUSED_STATUS = 503
 REQUEST_ID_HEADER = 'x-request-id'
 
@@ -226,26 +228,38 @@
         """Request the target's health on a new connection.
 
         Raises ConnectionFailed when no connection can be made, and other
-        AttemptErrors when no valid response arrives.
+        AttemptErrors when no valid response arrives. Time in which this process
+        stands still does not count.
         """
+        content: bytes | None = None
+        error: AttemptError | None = None
+        async with move_on_after_running(HEALTH_TIMEOUT_SECONDS):
+            try:
+                content = await self._fetch_health()
+            except AttemptError as exc:
+                error = exc
+        if error is not None:
+            raise error
+        if content is None:
+            raise ResponseTimeout('The target sent no health in time.')
+        try:
+            return msgspec.json.decode(content, type=TargetHealth)
+        except DECODING_ERRORS as exc:
+            raise ResponseTruncated(
+                f'The health response is invalid: {exc}'
+            ) from exc
+
+    async def _fetch_health(self) -> bytes:
         request = httpcore.Request(
             'GET',
             f'http://{self.target.address}/health',
             headers=((b'host', self.target.address.encode()),),
         )
-        response_timeouts = ResponseTimeouts(
-            HEALTH_TIMEOUT_SECONDS, HEALTH_TIMEOUT_SECONDS
-        )
+        unlimited = ResponseTimeouts(math.inf, math.inf)
         async with self.send(
-            request, response_timeouts, new_connection=True
+            request, unlimited, new_connection=True
         ) as response:
-            content = await response.read_body()
-        try:
-            return msgspec.json.decode(content, type=TargetHealth)
-        except DECODING_ERRORS as exc:
-            raise ResponseTruncated(
-                f'The health response is invalid: {exc}'
-            ) from exc
+            return await response.read_body()
 
 
 async def _send_request(
--- a/tests/serving/test_target_client.py
+++ b/tests/serving/test_target_client.py
@@ -1,5 +1,6 @@
 """The target client against valid and faulty responses of targets."""
 
+import time
 from functools import partial
 
 import httpcore
@@ -15,13 +16,18 @@
     ResponseTruncated,
 )
 from peridotwell.domain.target import Pool, Target, TargetKind
+from peridotwell.serving.asgi import serve_http
 from peridotwell.serving.event_stream import (
     EventLimit,
     split_events,
     validated_events,
 )
 from peridotwell.serving.request_parser import forwarded_headers
-from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
+from peridotwell.serving.target_client import (
+    ResponseTimeouts,
+    TargetClient,
+    TargetHealth,
+)
 from peridotwell.serving.target_response import BodyEnd
 from tests.kept_target import EVENT, KeptTarget
 from tests.raw_server import raw_server, response
@@ -322,6 +328,32 @@
         await fetch_all(nursery, KeptTarget(extra), 'a', 'b')
 
 
+# Guards against a health check whose answer is lost because this process stood
+# still until its time had ended.
+async def test_a_health_check_outlasts_a_standstill(nursery):
+    async def handle(exchange):
+        await trio.sleep(0.05)
+        await exchange.respond_json({'boot': 'b1', 'slots': 2})
+
+    async def stand_still():
+        await trio.sleep(0.03)
+        time.sleep(1)
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    nursery.start_soon(stand_still)
+    health = await make_client(address).check_health()
+    assert health == TargetHealth('b1', slots=2)
+
+
+async def test_a_health_check_ends_in_time(nursery):
+    async def handle(exchange):
+        await trio.sleep_forever()
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    with trio.fail_after(1.5), pytest.raises(ResponseTimeout):
+        await make_client(address).check_health()
+
+
 # Guards against responses to HEAD that count as cut, or are asked for again,
 # because nothing marks the end of a body that they do not have.
 @pytest.mark.parametrize('is_kept', [True, False])
