Updates of other routers: no work for what they do not say

Cause: each update of another router built a report of its contact with the store, and the removals that are in doubt anew, although none were; it made a new record for an engine that has one, and looked for prompts that it does not have.

The doubt of a removal ends as before, by test.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -337,18 +337,20 @@
                 counts.remove_router(update.sender)
             if pairs:
                 counts.update(update.sender, dict(pairs))
-        self.cache_sync.record_prompts(update.prompts, now)
+        if update.prompts:
+            self.cache_sync.record_prompts(update.prompts, now)
         self._apply_news(update, now)
-        self.state.directory.handle_store_contact(
-            StoreContactReport(
-                decode_seconds(update.store_contact_deciseconds),
-                decode_seconds(update.store_answer_age_deciseconds),
-            ),
-            update.revision,
-            now,
-        )
+        if self.state.directory.deferred_removals.is_active(now):
+            self._handle_store_contact(update, now)
         return True
 
+    def _handle_store_contact(self, update: RouterUpdate, now: float) -> None:
+        report = StoreContactReport(
+            decode_seconds(update.store_contact_deciseconds),
+            decode_seconds(update.store_answer_age_deciseconds),
+        )
+        self.state.directory.handle_store_contact(report, update.revision, now)
+
     def _apply_news(self, update: RouterUpdate, now: float) -> None:
         if update.departed:
             self._apply_departures(update.departed, now)
--- a/peridotwell/fleet/replica/deferred_removals.py
+++ b/peridotwell/fleet/replica/deferred_removals.py
@@ -30,6 +30,10 @@
             key: min(deadline, now) for key, deadline in self._keys.items()
         }
 
+    def is_active(self, now: float) -> bool:
+        """Return whether there is a grace period, or a deferred key."""
+        return bool(self._keys) or self._grace_ends_at > now
+
     def remaining_seconds(self, now: float) -> float:
         """Return the rest of the grace period, in seconds."""
         return max(0, self._grace_ends_at - now)
--- a/peridotwell/policy/prompt_cache_index.py
+++ b/peridotwell/policy/prompt_cache_index.py
@@ -185,4 +185,7 @@
         }
 
     def _engine(self, target: str) -> _EngineCache:
-        return self._engines.setdefault(target, _EngineCache())
+        engine = self._engines.get(target)
+        if engine is None:
+            engine = self._engines[target] = _EngineCache()
+        return engine
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -313,3 +313,21 @@
     )
     assert len(encode_frame(update)) < 60
     assert decode_frame(encode_frame(update)) == update
+
+
+# Guards against a removed target that stays in use for the whole grace period
+# although a peer was in touch with the store all the while.
+def test_a_peer_in_touch_with_the_store_ends_the_doubt_of_a_removal(fleet):
+    first, second, _ = fleet
+    for now in (1, 3, 5):
+        second.directory.store_contact.record_answer(now)
+    first.directory.deferred_removals.start_grace_period(3, 5)
+    first.directory.apply_changes(Changes((), (('t/engine', 3),), 3), 5)
+    assert first.directory.available_targets('s')
+    assert first.directory.deferred_removals.is_active(5)
+    run_ticks((second,), 5, 6)
+    first.receive_frames(6)
+    assert not first.directory.deferred_removals.remaining_seconds(6)
+    first.directory.remove_expired(6)
+    assert not first.directory.available_targets('s')
+    assert not first.directory.deferred_removals.is_active(6)
