Send the parts of a streamed body to the caller's socket in one step

Cause: each event went through a message, hypercorn's stream and protocol and h11's state machine, none of which keeps state for the chunks of a body.

Change: a part of a body that h11 frames as chunks is framed and written by the connection itself. Everything else goes the way it did: heads, ends, other framings (a length, HTTP/1.0, no body), parts while other bytes wait, and parts on a connection that turns out to be broken, which then ends as before. What the socket does not take at once is sent under the lock, in a shielded scope.

Evidence: tests of the framing (chunks with an empty part, a length, HTTP/1.0, HEAD, 204) and of a caller that resets its connection pass before and after; two of them fail if the framing of the head is not looked at.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -44,6 +44,10 @@
     unacknowledged_milliseconds=UNACKNOWLEDGED_MILLISECONDS,
 )
 CLOSE_FIELD = (b'connection', b'close')
+# Responses to these methods, and with these statuses, have no body.
+BODILESS_METHODS = frozenset(('HEAD', 'CONNECT'))
+BODILESS_STATUSES = frozenset((204, 304))
+FRAMING_FIELDS = frozenset((b'content-length', b'transfer-encoding'))
 JSON_TYPE = ('content-type', 'application/json')
 
 Headers = Sequence[tuple[str, str]]
@@ -71,6 +75,8 @@
         self.raw_query: bytes = scope['query_string']
         self.status = 0
         self.is_complete = False
+        self._is_chunked = False
+        self._http_version: str = scope.get('http_version', '')
         self._receive = receive
         self._send = send
         self._stop = stop
@@ -127,6 +133,7 @@
         While the server stops, a field that closes the connection is added.
         """
         self.status = status
+        self._is_chunked = self._consists_of_chunks(status, fields)
         closing = (CLOSE_FIELD,) if self._stop.has_begun else ()
         await self._send_message(
             {
@@ -141,6 +148,9 @@
 
         It is sent as a whole though the handler is cancelled: see BodyPart.
         """
+        may_send_chunk = self._is_chunked and chunk
+        if may_send_chunk and await self._body_part.send_chunk(chunk):
+            return
         self._body_part.is_next = True
         try:
             await self._send(
@@ -187,6 +197,15 @@
         body = msgspec.json.encode(document)
         await self.respond(status, body, (JSON_TYPE, *headers))
 
+    def _consists_of_chunks(
+        self, status: int, fields: Iterable[tuple[bytes, bytes]]
+    ) -> bool:
+        """Return whether h11 sends the body of a response in chunks."""
+        if self._http_version != '1.1' or self.method in BODILESS_METHODS:
+            return False
+        has_framing = any(name.lower() in FRAMING_FIELDS for name, _ in fields)
+        return not has_framing and status not in BODILESS_STATUSES
+
     async def _send_message(self, message: dict[str, Any]) -> None:
         """Send an ASGI message.
 
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -48,16 +48,23 @@
     may_close: trio.Event = field(default_factory=trio.Event)
 
 
+async def _send_no_chunk(content: bytes) -> bool:
+    """Send nothing: the connection is none of a CallerConnection."""
+    return False
+
+
 @dataclass
 class BodyPart:
     """Tells a connection that what it sends next is a part of a body.
 
     A part is sent as a whole though its handler is cancelled. Most parts are
     sent without waiting, so the connection opens a cancel scope only when it
-    waits, in place of one for each part.
+    waits, in place of one for each part. `send_chunk` sends a part of a body
+    that consists of chunks, and returns whether it could.
     """
 
     is_next: bool = False
+    send_chunk: Callable[[bytes], Awaitable[bool]] = _send_no_chunk
 
     def take(self) -> bool:
         """Return whether a part comes next, and expect none after it."""
@@ -111,7 +118,7 @@
         stop: ServerStop,
         stream: trio.SocketStream,
     ) -> None:
-        self._body_part = BodyPart()
+        self._body_part = BodyPart(send_chunk=self._send_chunk)
         # The server names the type of encrypted connections only. The state
         # reaches the scope of each request.
         super().__init__(
@@ -221,6 +228,27 @@
         connection = self.protocol.protocol.connection
         return getattr(connection, 'their_state', h11.IDLE)
 
+    async def _send_chunk(self, content: bytes) -> bool:
+        """Send a chunk of a body that was begun; return whether it could.
+
+        hypercorn and h11 keep no state of the chunks of a body, so an event of
+        a stream need not pass them. It does while other bytes wait, and if the
+        connection is broken: then it ends as with any other bytes.
+        """
+        connection = self.protocol.protocol.connection
+        our_state = getattr(connection, 'our_state', None)
+        if our_state is not h11.SEND_BODY or self.send_lock.locked():
+            return False
+        chunk = b'%x\r\n%b\r\n' % (len(content), content)
+        try:
+            sent = write_now(self._socket_stream, chunk)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        if sent < len(chunk):
+            self._body_part.is_next = True
+            await self.protocol_send(RawData(chunk[sent:]))
+        return True
+
     def _log_refusal(self, content: bytes) -> None:
         """Log an answer that hypercorn gives on its own to what it cannot read.
 
--- a/tests/serving/test_asgi.py
+++ b/tests/serving/test_asgi.py
@@ -1,5 +1,8 @@
 """The HTTP server: cancelled handlers, and planned stops."""
 
+import socket
+import struct
+from contextlib import suppress
 from functools import partial
 
 import httpcore
@@ -143,3 +146,74 @@
             while not received.endswith(b'\r\n3\r\nend\r\n0\r\n\r\n'):
                 received += await caller.receive_some()
     assert received.count(b'x') == part_bytes
+
+
+PARTS = (b'id: 1\n\n', b'', b'x' * 300, b'end')
+CHUNKS = b''.join(b'%x\r\n%b\r\n' % (len(part), part) for part in PARTS if part)
+LENGTH = ('content-length', str(len(b''.join(PARTS))))
+
+
+# Guards against bytes of another framing in a body, and against an empty part
+# that ends one.
+@pytest.mark.parametrize(
+    ('request_line', 'status', 'fields', 'body'),
+    [
+        (b'GET / HTTP/1.1', 200, (), CHUNKS + b'0\r\n\r\n'),
+        (b'GET / HTTP/1.1', 200, (LENGTH,), b''.join(PARTS)),
+        (b'GET / HTTP/1.0', 200, (), b''.join(PARTS)),
+        (b'HEAD / HTTP/1.1', 200, (), b''),
+        (b'GET / HTTP/1.1', 204, (), b''),
+    ],
+)
+async def test_parts_of_a_body_are_framed_as_its_head_says(
+    nursery, request_line, status, fields, body
+):
+    async def handle(exchange) -> None:
+        await exchange.start_response(status, fields)
+        for part in PARTS:
+            await exchange.write(part)
+        await exchange.finish()
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    host, port = address.split(':')
+    caller = await trio.open_tcp_stream(host, int(port))
+    async with caller:
+        await caller.send_all(
+            b'%b\r\nhost: a\r\nconnection: close\r\n\r\n' % request_line
+        )
+        received = b''
+        with trio.fail_after(5):
+            async for part in caller:
+                received += part
+    assert received.partition(b'\r\n\r\n')[2] == body
+
+
+# Guards against a handler that goes on, or an error that ends other requests,
+# after a caller has reset its connection between two parts.
+async def test_writing_ends_after_the_caller_has_gone(nursery):
+    has_gone = trio.Event()
+    ended = trio.Event()
+
+    async def handle(exchange) -> None:
+        await exchange.start_response(200)
+        await exchange.write(b'first')
+        await has_gone.wait()
+        await trio.sleep(0.05)
+        with trio.move_on_after(2):
+            await exchange.wait_for_disconnect()
+            for _ in range(3):
+                with suppress(trio.ClosedResourceError):
+                    await exchange.write(b'next')
+            ended.set()
+
+    address = await nursery.start(serve_http, handle, '127.0.0.1:0')
+    host, port = address.split(':')
+    caller = await trio.open_tcp_stream(host, int(port))
+    await caller.send_all(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+    await caller.receive_some()
+    reset = struct.pack('ii', 1, 0)
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+    await trio.aclose_forcefully(caller)
+    has_gone.set()
+    with trio.fail_after(5):
+        await ended.wait()
