--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,4 @@
 	$(PYTHON) -m measure.run
 	$(PYTHON) -m measure.forwarding_costs
 	$(PYTHON) -m measure.process_costs
+	$(PYTHON) -m measure.rest_costs
