A read from a target brings at most 16 KiB

What callers saw: a target that sends interim responses without end held all requests of its router up.

Cause: httpcore reads 64 KiB and parses 2,500 such responses in one turn of the event loop.

Change: a read brings at most 16 KiB, to targets, peers and the store. A body of 64 KiB takes four reads in place of one.

The new test fails before.

--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -20,6 +20,10 @@
 
 __all__ = ('SocketNetwork', 'write_now')
 
+# What a read brings is parsed in one turn of the event loop, which takes 40 ms
+# for 64 KiB of interim responses.
+MAX_READ_BYTES = 16 * 1024
+
 
 def write_now(stream: trio.SocketStream, content: bytes) -> int:
     """Send what the socket takes at once; return the number of bytes.
@@ -65,6 +69,7 @@
         httpcore.ReadError if the connection broke, also if that was found out
         by a write, and httpcore.ReadTimeout.
         """
+        max_bytes = min(max_bytes, MAX_READ_BYTES)
         try:
             received = await self._read_within(max_bytes, timeout)
         except (OSError, trio.ClosedResourceError) as exc:
--- a/tests/serving/test_socket_network.py
+++ b/tests/serving/test_socket_network.py
@@ -53,6 +53,14 @@
     assert received == content
 
 
+# Guards against a target that keeps a router from its other requests: what one
+# read brings is parsed at once (a flood of interim responses).
+async def test_a_read_takes_no_more_than_is_parsed_in_a_short_turn(pair):
+    near, far = pair
+    await far.send_all(b'x' * 65536)
+    assert len(await near.read(65536, 1)) <= 16384
+
+
 async def test_a_silent_peer_is_a_timeout(pair):
     near, _ = pair
     with pytest.raises(httpcore.ReadTimeout):
