--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -22,7 +22,7 @@
 
 # What a read brings is parsed in one turn of the event loop, which takes 40 ms
 # for 64 KiB of interim responses.
-MAX_READ_BYTES = 16 * 1024
+MAX_READ_BYTES = 16384
 
 
 def write_now(stream: trio.SocketStream, content: bytes) -> int:
