A request has its connection to itself from the moment that it is chosen

Cause: the connection pool of the HTTP library gives the same idle connection to all requests that ask in the same turns of the event loop; one begins, the others begin again, some of them dozens of times, with three turns each. So a request reached its target long after it was chosen, while no turn was late and no line said so.

The new test fails before: of 200 requests of 40 callers one took 101 turns; 2 after. The pool is now our own, on the library's connections. Connections of requests that were given up before they began need no special case any more; its test waits no second for that, and cancels as the connection is being made in place of when the library made its object.

--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -1,11 +1,14 @@
-"""Pools of connections whose requests may be given up at any time.
+"""Pools of connections to one address, whose requests may be given up.
 
-httpcore keeps a connection for good if its first request is cancelled before it
-begins, or once the connection is made and before anything is sent: it counts as
-used, and nobody uses it.
+A request has its connection to itself from the moment that it is chosen, so it
+never waits for another request that was given the same one: many requests at
+once are sent in as few turns of the event loop as a single one.
 """
 
-from typing import Any
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from functools import partial
+from typing import Protocol, cast
 
 import httpcore
 import trio
@@ -15,49 +18,55 @@
 
 __all__ = ('ConnectionPool',)
 
-# The first request of a connection begins at once, unless the process is late.
-MAX_BEGIN_SECONDS = 1.0
+# Idle connections that have expired are closed this often.
+SWEEP_SECONDS = 1.0
 
+_Connection = httpcore.AsyncHTTP11Connection
 
-class _Connection(httpcore.AsyncHTTPConnection):
-    """A connection that is closed if its first request fails.
 
-    Until then, only that request has it. A connection whose first request does
-    not begin is given up after some time.
-    """
+class _Stream(Protocol):
+    """The body of a response of httpcore."""
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
-        self._has_begun = False
-        self._begin_until = trio.current_time() + MAX_BEGIN_SECONDS
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body."""
 
-    async def handle_async_request(
-        self, request: httpcore.Request
-    ) -> httpcore.Response:
-        """Send a request and return the response."""
-        if self._has_begun:
-            return await super().handle_async_request(request)
-        if self.is_closed():
-            raise httpcore.ConnectionNotAvailable
-        self._has_begun = True
-        try:
-            return await super().handle_async_request(request)
-        except BaseException:
-            with trio.CancelScope(shield=True):
-                await self.aclose()
-            raise
+    async def aclose(self) -> None:
+        """End the response."""
 
-    def is_closed(self) -> bool:
-        """Whether the connection cannot be used any more."""
-        if not self._has_begun:
-            return trio.current_time() > self._begin_until
-        return super().is_closed()
+
+class _Body:
+    """The body of a response; its connection is given back at the end."""
+
+    def __init__(
+        self,
+        resp: httpcore.Response,
+        give_back: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._stream = cast(_Stream, resp.stream)
+        self._give_back = give_back
+        self._is_closed = False
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive."""
+        return aiter(self._stream)
+
+    async def aclose(self) -> None:
+        """End the response; a connection that is not at its end closes."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        with trio.CancelScope(shield=True):
+            try:
+                await self._stream.aclose()
+            finally:
+                await self._give_back()
 
 
 class ConnectionPool(httpcore.AsyncConnectionPool):
     """Up to `max_connections` connections straight on the sockets of trio.
 
-    Idle ones are closed after `idle_seconds`, or at once without `keeps_idle`.
+    All requests go to the same address. Idle connections are closed after
+    `idle_seconds`, or at once without `keeps_idle`.
     """
 
     def __init__(
@@ -67,20 +76,129 @@
         idle_seconds: float | None = None,
         keeps_idle: bool = True,
     ) -> None:
-        super().__init__(
-            max_connections=max_connections,
-            max_keepalive_connections=None if keeps_idle else 0,
-        )
-        self._idle_seconds = idle_seconds
+        super().__init__(max_connections=max_connections)
         self._network = SocketNetwork()
+        self._idle_seconds = idle_seconds
+        self._keeps_idle = keeps_idle
+        self._max_used = max_connections
+        self._places = trio.Semaphore(max_connections)
+        # The connection that was used last is at the end.
+        self._idle: list[_Connection] = []
+        self._swept_at = -math.inf
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request uses one of the connections."""
+        return self._places.value < self._max_used
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Send a request and return the response, whose body must be closed.
 
-    def create_connection(
-        self, origin: httpcore.Origin
-    ) -> httpcore.AsyncConnectionInterface:
-        """Return a new connection."""
-        return _Connection(
-            origin,
-            keepalive_expiry=self._idle_seconds,
+        Raises the errors of httpcore.
+        """
+        await self._take_place(request)
+        try:
+            conn = await self._take_idle() or await self._connect(request)
+            resp = await _send(conn, request)
+        except BaseException:
+            self._places.release()
+            raise
+        return httpcore.Response(
+            resp.status,
+            headers=resp.headers,
+            content=_Body(resp, partial(self._give_back, conn)),
+            extensions=resp.extensions,
+        )
+
+    async def close_idle(self) -> None:
+        """Close all idle connections."""
+        idle = tuple(self._idle)
+        self._idle.clear()
+        await _close(idle)
+
+    async def aclose(self) -> None:
+        """Close idle connections; requests that run keep theirs open."""
+        self._keeps_idle = False
+        await self.close_idle()
+
+    async def _take_place(self, request: httpcore.Request) -> None:
+        """Wait until one more connection may be used. Raises PoolTimeout."""
+        try:
+            self._places.acquire_nowait()
+        except trio.WouldBlock:
+            seconds = _timeout(request, 'pool')
+            with trio.move_on_after(
+                math.inf if seconds is None else seconds
+            ) as scope:
+                await self._places.acquire()
+            if scope.cancelled_caught:
+                raise httpcore.PoolTimeout from None
+
+    async def _take_idle(self) -> _Connection | None:
+        """Return an idle connection that its peer has not closed, if any."""
+        await self._sweep(trio.current_time())
+        while self._idle:
+            conn = self._idle.pop()
+            if _is_usable(conn):
+                return conn
+            await _close((conn,))
+        return None
+
+    async def _sweep(self, now: float) -> None:
+        """Close the idle connections that have expired, if that is due."""
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        expired = [conn for conn in self._idle if not _is_usable(conn)]
+        self._idle = [conn for conn in self._idle if conn not in expired]
+        await _close(expired)
+
+    async def _connect(self, request: httpcore.Request) -> _Connection:
+        origin = request.url.origin
+        stream = await self._network.connect_tcp(
+            origin.host.decode('ascii'),
+            origin.port,
+            timeout=_timeout(request, 'connect'),
             socket_options=CLIENT_SOCKET_OPTIONS,
-            network_backend=self._network,
         )
+        return httpcore.AsyncHTTP11Connection(
+            origin, stream, keepalive_expiry=self._idle_seconds
+        )
+
+    async def _give_back(self, conn: _Connection) -> None:
+        """Let other requests use a connection whose response has ended."""
+        self._places.release()
+        if conn.is_idle() and self._keeps_idle:
+            self._idle.append(conn)
+        elif not conn.is_closed():
+            await _close((conn,))
+
+
+async def _send(
+    conn: _Connection, request: httpcore.Request
+) -> httpcore.Response:
+    """Send a request, and close the connection if that fails."""
+    try:
+        return await conn.handle_async_request(request)
+    except BaseException:
+        await _close((conn,))
+        raise
+
+
+async def _close(connections: Iterable[_Connection]) -> None:
+    with trio.CancelScope(shield=True):
+        for conn in connections:
+            await conn.aclose()
+
+
+def _is_usable(conn: _Connection) -> bool:
+    """Whether an idle connection takes a request, as far as is known."""
+    return conn.is_available() and not conn.has_expired()
+
+
+def _timeout(request: httpcore.Request, step: str) -> float | None:
+    """Return the limit on a step of a request, in seconds."""
+    seconds: float | None = request.extensions.get('timeout', {}).get(step)
+    return seconds
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -146,11 +146,7 @@
 
     def is_busy(self) -> bool:
         """Whether a request still uses one of the connections."""
-        return any(
-            not conn.is_idle()
-            for pool in (self._pool, self._single_use_pool)
-            for conn in pool.connections
-        )
+        return self._pool.is_busy or self._single_use_pool.is_busy
 
     async def aclose(self) -> None:
         """Close idle connections; running requests keep theirs open."""
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -70,9 +70,7 @@
 
     async def close_idle(self) -> None:
         """Close idle connections, which may have gone silent."""
-        for connection in self._pool.connections:
-            if connection.is_idle():
-                await connection.aclose()
+        await self._pool.close_idle()
 
 
 def decode_response(content: bytes, kind: Any) -> Any:
--- a/tests/serving/test_connection_pool.py
+++ b/tests/serving/test_connection_pool.py
@@ -8,10 +8,7 @@
 import trio.testing
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.serving.connection_pool import (
-    MAX_BEGIN_SECONDS,
-    ConnectionPool,
-)
+from peridotwell.serving.connection_pool import ConnectionPool
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
 from peridotwell.store.http_client import StoreHttpClient
@@ -19,6 +16,11 @@
 
 MAX_CONNECTIONS = 2
 TIMEOUT_SECONDS = 2
+MANY_CONNECTIONS = 1000
+CALLERS = 40
+REQUESTS_OF_CALLER = 5
+# To open a connection and to begin a request on it.
+MAX_TURNS = 8
 ANSWER = response(200, b'{}', 'x-request-id: mine')
 
 
@@ -127,18 +129,57 @@
         await trio.testing.wait_all_tasks_blocked()
         calls.start_soon(call, second)
         await trio.testing.wait_all_tasks_blocked()
-        create_connection = ConnectionPool.create_connection
+        connect_tcp = SocketNetwork.connect_tcp
 
-        def cancel_and_create(pool, origin):
+        async def cancel_and_connect(self, *arguments, **options):
             second.cancel()
-            return create_connection(pool, origin)
+            return await connect_tcp(self, *arguments, **options)
 
         with monkeypatch.context() as patch:
-            patch.setattr(
-                ConnectionPool, 'create_connection', cancel_and_create
-            )
+            patch.setattr(SocketNetwork, 'connect_tcp', cancel_and_connect)
             first.cancel()
             await trio.testing.wait_all_tasks_blocked()
+        assert second.cancelled_caught
     is_silent = False
-    await trio.sleep(MAX_BEGIN_SECONDS)
     assert (await call(trio.CancelScope())).status == 200
+
+
+class TurnCounter(trio.abc.Instrument):
+    """Counts the turns of the event loop."""
+
+    def __init__(self):
+        self.count = 0
+
+    def before_io_wait(self, timeout):
+        self.count += 1
+
+
+# Guards against requests that reach a target seconds after it was chosen: many
+# at once were given the same connection, and all but one began again.
+async def test_requests_at_once_do_not_wait_for_each_other(address):
+    pool = ConnectionPool(MANY_CONNECTIONS)
+    turns = TurnCounter()
+    trio.lowlevel.add_instrument(turns)
+    taken = []
+
+    async def send():
+        began = turns.count
+
+        async def record_sent(event, _):
+            if event == 'http11.send_request_headers.started':
+                taken.append(turns.count - began)
+
+        await pool.request(
+            'GET', f'http://{address}/', extensions={'trace': record_sent}
+        )
+
+    async def send_again_and_again():
+        for _ in range(REQUESTS_OF_CALLER):
+            await send()
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(CALLERS):
+            nursery.start_soon(send_again_and_again)
+    trio.lowlevel.remove_instrument(turns)
+    assert len(taken) == CALLERS * REQUESTS_OF_CALLER
+    assert max(taken) <= MAX_TURNS
