A request is not sent to a target that has left since it was chosen

Callers' requests ran at targets that had left (DRAIN). Cause: a target is chosen, then a connection is taken or made, which takes turns of the event loop, up to 0.3 s and more at a router that is short of processor time; nobody looked again. Now the one place that sends for both request paths asks right before the request goes out; TargetLeft counts as no attempt that was sent, and the request goes on elsewhere, or is refused as not run.

--- a/peridotwell/attempt_errors.py
+++ b/peridotwell/attempt_errors.py
@@ -6,6 +6,7 @@
     'AttemptError',
     'ConnectionFailed',
     'RouterUnable',
+    'TargetLeft',
     'RefusedByTarget',
     'TargetReplaced',
     'ResponseLost',
@@ -41,6 +42,13 @@
     may_have_run = False
 
 
+class TargetLeft(AttemptError):
+    """The target left before the request was sent; nothing was sent."""
+
+    code = 'target_left'
+    may_have_run = False
+
+
 class RefusedByTarget(AttemptError):
     """The target responded that it will not execute the request."""
 
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -71,6 +71,8 @@
         self.invalid_entries = 0
         # Set when the routing table and the targets are loaded.
         self.ready = trio.Event()
+        # The names of the targets that accept new work.
+        self.available_names: frozenset[str] = frozenset()
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
         self.replica = StoreReplica()
@@ -350,6 +352,11 @@
             name: tuple(target for target in members if not target.leaving)
             for name, members in by_service.items()
         }
+        self.available_names = frozenset(
+            target.name
+            for target in self._targets.values()
+            if not target.leaving
+        )
         for listener in self._listeners:
             listener()
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -6,6 +6,7 @@
     AsyncExitStack,
     asynccontextmanager,
 )
+from functools import partial
 
 import httpcore
 import trio
@@ -17,6 +18,7 @@
     ResponseLost,
     ResponseTimeout,
     ResponseTruncated,
+    TargetLeft,
     TargetReplaced,
 )
 from peridotwell.domain.target import Target
@@ -206,6 +208,7 @@
                 request, target, now
             ),
             require_request_id=True,
+            before_send=partial(_check_present, self._tracker, target),
         )
         max_seconds = max_silence_seconds(request, now)
         source = source_before_response(attempt)
@@ -251,6 +254,10 @@
         self._tracker.record_end(attempt.target, seconds)
 
     def _record_failure(self, attempt: Attempt, exc: AttemptError) -> None:
+        if isinstance(exc, TargetLeft):
+            # It says nothing of the target but what is known.
+            _log_failure(attempt, exc)
+            return
         name = attempt.target.name
         now = trio.current_time()
         self._crash_tracker.schedule_check(
@@ -293,6 +300,13 @@
             )
 
 
+def _check_present(tracker: TargetTracker, target: Target) -> None:
+    """Raise TargetLeft if a target has left since it was chosen."""
+    has_left = target.name not in tracker.directory.available_names
+    if has_left or tracker.notices.is_leaving(target):
+        raise TargetLeft(f'{target.name} has left: choose another target.')
+
+
 def _log_failure(attempt: Attempt, exc: AttemptError) -> None:
     log_failure(
         'attempt.failed',
--- a/peridotwell/forwarding/retries.py
+++ b/peridotwell/forwarding/retries.py
@@ -7,6 +7,7 @@
     AttemptError,
     ConnectionFailed,
     RouterUnable,
+    TargetLeft,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.policy.retry_window import RetryWindow
@@ -146,7 +147,7 @@
     ) -> RetryDecision:
         if failure.may_have_run:
             return self._after_run(now)
-        if isinstance(failure, RouterUnable):
+        if isinstance(failure, RouterUnable | TargetLeft):
             return RetryDecision.other_target
         reached_target = not isinstance(failure, ConnectionFailed)
         self._not_run_attempts += 1
--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -16,8 +16,11 @@
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 
-__all__ = ('ConnectionPool',)
+__all__ = ('BEFORE_SEND', 'ConnectionPool')
 
+# The extension of a request with a function that is called once a connection
+# is there, right before the request is sent. What it raises ends the request.
+BEFORE_SEND = 'before_send'
 # Idle connections that have expired are closed this often.
 SWEEP_SECONDS = 1.0
 
@@ -96,7 +99,8 @@
     ) -> httpcore.Response:
         """Send a request and return the response, whose body must be closed.
 
-        Raises the errors of httpcore.
+        Raises the errors of httpcore, and what the function raises that the
+        request's extension BEFORE_SEND names.
         """
         await self._take_place(request)
         try:
@@ -181,6 +185,9 @@
 ) -> httpcore.Response:
     """Send a request, and close the connection if that fails."""
     try:
+        check = request.extensions.get(BEFORE_SEND)
+        if check is not None:
+            check()
         return await conn.handle_async_request(request)
     except BaseException:
         await _close((conn,))
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, replace
+from functools import partial
 
 import httpcore
 
@@ -181,6 +182,7 @@
             self._timeouts,
             new_connection=not self._request.is_idempotent,
             require_request_id=self._request.contract.echoes_request_id,
+            before_send=partial(self._monitor.check_present, target),
         )
         self.was_dispatched = True
         try:
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -28,7 +28,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.running_time import move_on_after_running
-from peridotwell.serving.connection_pool import ConnectionPool
+from peridotwell.serving.connection_pool import BEFORE_SEND, ConnectionPool
 from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.response_ownership import ResponseOwnership
 from peridotwell.serving.target_presence import check_still_listens
@@ -161,15 +161,20 @@
         *,
         new_connection: bool = False,
         require_request_id: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> AsyncIterator[TargetResponse]:
         """Send a request and yield the response once its headers arrived.
 
+        `before_send` is called once there is a connection: it may raise an
+        AttemptError, such as TargetLeft, in place of which nothing is sent.
+
         A response that carries another request's id always raises
         ResponseMismatch; so does a refusal that may be an earlier one, and with
         `require_request_id` any other response without an id.
         """
         timeouts = _make_timeouts(response_timeouts.first_byte_seconds)
         request.extensions['timeout'] = timeouts
+        request.extensions[BEFORE_SEND] = before_send
         request_id = _request_id(request)
         pool = self._pool
         if new_connection or self._ownership.was_last(request_id):
--- a/peridotwell/serving/target_monitor.py
+++ b/peridotwell/serving/target_monitor.py
@@ -9,6 +9,7 @@
     AttemptError,
     ConnectionFailed,
     ResponseLost,
+    TargetLeft,
 )
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.target import Target, wire_id
@@ -61,6 +62,12 @@
             self._clients[client_key] = client
         return client
 
+    def check_present(self, target: Target) -> None:
+        """Raise TargetLeft if a target has left since it was chosen."""
+        known = self._membership.target(target.name)
+        if known is None or known.leaving:
+            raise TargetLeft(f'{target.name} has left: choose another target.')
+
     async def close_unused_clients(self) -> None:
         """Close the clients of targets that are no longer known."""
         known = {
--- a/tests/serving/test_request_executor.py
+++ b/tests/serving/test_request_executor.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from peridotwell.attempt_errors import TargetLeft
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.configuration import Defaults
 from peridotwell.domain.contract import Contract
@@ -34,7 +35,13 @@
 
 
 class UncheckedTargets:
-    """Gives out clients and believes all targets to be live."""
+    """Gives out clients and believes all targets to be live but some."""
+
+    left: frozenset[str] = frozenset()
+
+    def check_present(self, target):
+        if target.name in self.left:
+            raise TargetLeft(target.name)
 
     def client(self, target):
         return TargetClient(target)
@@ -100,6 +107,17 @@
     assert caught.value.run_state is RunState.not_run
 
 
+# Guards against requests at targets that left after they were chosen, and
+# before the request was sent.
+async def test_a_request_is_not_sent_to_a_target_that_has_left(
+    nursery, monkeypatch
+):
+    monkeypatch.setattr(UncheckedTargets, 'left', {'t0'})
+    answer = RawResponse(('HTTP/1.1 200 OK', 'content-length: 2', '', 'ok'))
+    response = await execute(nursery, BROKEN_OFF, answer)
+    assert (response.status, response.body) == (200, b'ok')
+
+
 STREAM_HEAD = ('HTTP/1.1 200 OK', 'content-type: text/event-stream')
 EVENT = b'id: 1\ndata: {"request": "r1"}\n\n'
 CUT_STREAM = RawResponse((*STREAM_HEAD, 'content-length: 99', '', ''), EVENT)
