The soak runs a deployment like those of users, and judges it a second time

Faults that the soak lacked: the store turns some routers away, watches hear nothing and then the history is lost, connections to the store go silent for good; a strike that kills all routers right after a change ends the run, and changes go on for 10 s. The second judgement makes no allowance for the soak's own waits, but for what rules on routers in touch excuse.

--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -11,6 +11,7 @@
 from peridotwell.serving.asgi import HttpExchange
 
 SETTLE_SECONDS = 0.01
+
 TIMEOUT_MS = 1500
 # Longer than `slo_ms` of the routes, and well below their deadlines.
 QUEUE_SECONDS = 0.5
@@ -60,8 +61,11 @@
         self.era = 1
         # After a number of further calls, the copy to go back to.
         self.restore_after_calls = None
+        # Watches hear nothing, and wait on, until the next loss of history.
+        self.is_mute = False
         self._last_lease = 0
         self._changed = trio.Event()
+        self._cut = trio.Event()
 
     def copy(self) -> StoreCopy:
         """Return a copy, from which the store may be restored later."""
@@ -107,6 +111,10 @@
     def drop_history(self) -> None:
         self.events.clear()
         self.oldest_revision = self.revision
+        if self.is_mute:
+            self.is_mute = False
+            self._cut.set()
+            self._cut = trio.Event()
 
     def expire_lease(self, lease: int) -> None:
         self.leases.discard(lease)
@@ -129,7 +137,10 @@
         if isinstance(fault, int):
             await exchange.respond_json({}, fault)
             return
-        status, document = await self._run(exchange, name, body)
+        outcome = await self._run(exchange, name, body)
+        if outcome is None:
+            raise ConnectionResetError('the watch is cut')
+        status, document = outcome
         if fault == 'lost':
             await trio.sleep_forever()
         if fault == 'garbage':
@@ -186,9 +197,14 @@
         after = int(query['after'])
         if not self.oldest_revision <= after <= self.revision:
             return 410, {}
+        cut = self._cut
         with trio.move_on_after(int(query['wait_ms']) / 1000):
             while self.revision <= after:
                 await self._changed.wait()
+        if self.is_mute:
+            await cut.wait()
+        if cut.is_set():
+            return None
         events = [event for event in self.events if event['rev'] > after]
         return 200, {'events': events, 'current_rev': self.revision}
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,23 +6,23 @@
 from typing import Any
 
 import httpcore
+import msgspec
 import trio
 
 from tests.soak.records import Answered, Record, Sent, now
 from tests.soak.replay import WAITING
-from tests.soak.versions import BASE_KEY, Versions
+from tests.soak.site import Site
+from tests.soak.versions import BASE_KEY, MILLISECONDS, Versions
 
-__all__ = ('DEADLINE_SECONDS', 'Callers')
+__all__ = ('Callers',)
 
 KINDS = ('read', 'book', 'draft', 'ask')
 # Requests with routes and keys that are added and dropped, or never were.
 PROBE = 'probe'
 PROBE_SHARE = 0.3
-CALLERS_PER_ROUTER = 4
 RETRY_SECONDS = 0.05
-DEADLINE_SECONDS = 1.5
-# A caller gives up after this time without a response, long after the deadline.
-RESPONSE_TIMEOUT_SECONDS = DEADLINE_SECONDS + 4
+# A caller gives up this long after the deadline without a response.
+EXTRA_SECONDS = 4
 REQUIRED_SUCCESSES = 5
 
 
@@ -49,13 +49,17 @@
         seed: int,
         pause: float,
         process: str,
+        site: dict[str, Any],
     ) -> None:
         """Prepare to call routers, by name and address.
 
+        `site` is the deployment, as a document.
+
         `name` begins the ids of all requests; the longest time between two
         requests of a caller is `pause` seconds; `process` is the name of this
         process.
         """
+        self._site = msgspec.convert(site, Site)
         self._process = process
         self._routers = routers
         self._max_pause_seconds = pause
@@ -84,7 +88,7 @@
     async def _run(self) -> None:
         with self._load:
             async with trio.open_nursery() as nursery:
-                for router in tuple(self._routers) * CALLERS_PER_ROUTER:
+                for router in tuple(self._routers) * self._site.callers:
                     nursery.start_soon(self._call_on, router)
 
     async def _wait_for(self, router: str, missing: set[str]) -> None:
@@ -120,7 +124,9 @@
             route, key = self._versions.draw(self.version)
         sent = Sent(now(), request_id, router, route, key, self._process)
         self._records.append(sent)
-        resp, error = await _exchange(pool, self._routers[router], sent)
+        resp, error = await _exchange(
+            pool, self._routers[router], sent, self._site.deadline_seconds
+        )
         if resp is None:
             answer = Answered(now(), request_id, 0, '', b'', error=error)
         else:
@@ -138,17 +144,17 @@
     )
 
 
-async def _exchange(pool, address: str, sent: Sent):
+async def _exchange(pool, address: str, sent: Sent, deadline: float):
     """Return the response, or None and what went wrong."""
     request = partial(
         pool.request,
         'POST',
         f'http://{address}/{sent.route}/x',
-        headers=_request_headers(sent),
+        headers=_request_headers(sent, deadline),
         content=b'question',
     )
     try:
-        with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
+        with trio.fail_after(deadline + EXTRA_SECONDS):
             return await request(), ''
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return None, 'unreachable'
@@ -158,11 +164,11 @@
         return None, 'silent'
 
 
-def _request_headers(sent: Sent) -> list[tuple[str, str]]:
+def _request_headers(sent: Sent, deadline: float) -> list[tuple[str, str]]:
     return [
         ('host', 'a.example'),
         ('x-request-id', sent.request_id),
         ('x-credential', sent.key),
-        ('x-deadline-ms', str(int(DEADLINE_SECONDS * 1000))),
+        ('x-deadline-ms', str(int(deadline * MILLISECONDS))),
         ('content-length', '8'),
     ]
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 import msgspec
@@ -22,6 +22,7 @@
 from tests.soak.control import Remote, Worker
 from tests.soak.records import AnyRecord, Record, RouterStarted, now
 from tests.soak.router_logs import read_log_line
+from tests.soak.site import Site
 
 __all__ = ('Router', 'SoakCluster', 'Target', 'start_cluster')
 
@@ -33,7 +34,6 @@
 # Longest pause of a caller, for few routers; more routers share that load.
 MAX_PAUSE_SECONDS = 0.05
 FEW_ROUTERS = 3
-DATA_CENTRES = ('north', 'south')
 SETTINGS_TEMPLATE = """
 node = "{name}"
 zone = "{data_centre}"
@@ -97,6 +97,7 @@
 
     name: str
     data_centre: str
+    service: str
     remote: Remote
     proxy: Remote
     address: str
@@ -124,6 +125,7 @@
     """The workers and routers of one soak run, and what its parts record."""
 
     folder: Path
+    site: Site = field(default_factory=Site)
     workers: list[Worker] = field(default_factory=list)
     routers: list[Router] = field(default_factory=list)
     targets: list[Target] = field(default_factory=list)
@@ -181,7 +183,7 @@
             await target.start_anew()
         target.state = state
         entry = {
-            'service': 'svc',
+            'service': target.service,
             'address': target.address,
             'zone': target.data_centre,
             'state': state,
@@ -281,7 +283,7 @@
     for first in range(0, targets, TARGETS_PER_WORKER):
         numbers = range(first, min(first + TARGETS_PER_WORKER, targets))
         await _start_targets(cluster, numbers, paths, seed)
-    stores = await cluster.store.call('start', paths)
+    stores = await cluster.store.call('start', paths, asdict(cluster.site))
     await cluster.configure()
     for target in cluster.targets:
         await cluster.publish_target(target, 'ready')
@@ -300,6 +302,7 @@
     seed: int,
 ) -> None:
     worker = cluster.start_worker('targets')
+    site = cluster.site
     names = [f't{number}' for number in numbers]
     host = Remote(worker, 'host')
     addresses = await host.call('start', names, list(paths), seed, worker.name)
@@ -309,7 +312,8 @@
     for number, name in zip(numbers, names, strict=True):
         target = Target(
             name,
-            DATA_CENTRES[number % len(DATA_CENTRES)],
+            site.data_centres[number % len(site.data_centres)],
+            site.services[number % len(site.services)],
             Remote(worker, name),
             Remote(worker, f'{name} proxy'),
             own_addresses[name],
@@ -330,6 +334,7 @@
         seed,
         MAX_PAUSE_SECONDS * few,
         worker.name,
+        asdict(cluster.site),
     )
     cluster.callers.append(callers)
 
@@ -340,11 +345,12 @@
     ip = f'127.0.0.{FIRST_HOST_NUMBER + number}'
     ports = {key: find_free_port(ip) for key in ('callers', 'ready', 'peers')}
     path = cluster.folder / f'{name}.toml'
+    places = cluster.site.data_centres
     path.write_text(
         SETTINGS_TEMPLATE.format(
             name=name,
             ip=ip,
-            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            data_centre=places[number % len(places)],
             store=store,
             handovers=ports['peers'] + 1,
             **ports,
--- a/tests/soak/configuration_rule.py
+++ b/tests/soak/configuration_rule.py
@@ -22,7 +22,13 @@
 from tests.soak.touch import Touch
 from tests.soak.versions import ADDED, allows
 
-__all__ = ('bound_share', 'judge_configuration')
+__all__ = (
+    'IN_FORCE_SECONDS',
+    'bound_share',
+    'collect_handlings',
+    'is_allowed',
+    'judge_configuration',
+)
 
 # A version is in force this long after the store's answer; longer while the
 # store has faults, but answers.
@@ -80,7 +86,7 @@
     records = tuple(records)
     touch = Touch(records)
     versions = tuple(select(records, VersionWritten))
-    handlings = _collect_handlings(records)
+    handlings = collect_handlings(records)
     shown = _collect_shown(records, touch)
     for sent in select(records, Sent):
         for handling in handlings[sent.request_id]:
@@ -94,7 +100,7 @@
                 ),
             }
             for rule, floor in floors.items():
-                if not _is_allowed(versions, sent, handling, floor):
+                if not is_allowed(versions, sent, handling, floor):
                     yield (
                         f'{rule}: {sent} {handling.how} at {handling.at:.3f}, '
                         f'which no version from {floor} on allows'
@@ -110,7 +116,7 @@
     records = tuple(records)
     touch = Touch(records)
     versions = tuple(select(records, VersionWritten))
-    handlings = _collect_handlings(records)
+    handlings = collect_handlings(records)
     is_bound = [
         _version_in_force(versions, touch, sent, handling.at) > 0
         for sent in select(records, Sent)
@@ -119,7 +125,8 @@
     return sum(is_bound) / max(len(is_bound), 1)
 
 
-def _collect_handlings(records) -> dict[str, list[_Handling]]:
+def collect_handlings(records) -> dict[str, list[_Handling]]:
+    """Return how each request was handled, by its id."""
     handlings = defaultdict(list)
     for record in records:
         match record:
@@ -175,7 +182,7 @@
     return 0
 
 
-def _is_allowed(versions, sent: Sent, handling: _Handling, floor: int) -> bool:
+def is_allowed(versions, sent: Sent, handling: _Handling, floor: int) -> bool:
     """Whether a version handles a request so that is `floor` or newer."""
     return any(
         allows(each.version, sent.route, sent.key) == handling.ran
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -84,7 +84,8 @@
         Each is repeated up to MAX_REPEATS times; faults overlap.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_brittle_times)
+            if 'brittle' not in self._without:
+                nursery.start_soon(self._run_brittle_times)
             if 'paths' not in self._without:
                 nursery.start_soon(self._run_cuts)
             nursery.start_soon(self._target_faults.run, self.injected)
@@ -96,6 +97,10 @@
                     nursery.start_soon(fault)
                     await trio.sleep(self._random_gap())
 
+    async def run_changes(self) -> None:
+        """Change the configuration, and let targets leave, until cancelled."""
+        await self._target_faults.run_changes(self.injected)
+
     def _random_gap(self) -> float:
         return self._random.uniform(0.05, MAX_GAP_SECONDS)
 
--- a/tests/soak/leaving_rule.py
+++ b/tests/soak/leaving_rule.py
@@ -8,7 +8,7 @@
 from tests.soak.records import Arrived, EntryWritten, Record, Sent, select
 from tests.soak.touch import Touch
 
-__all__ = ('judge_leaving',)
+__all__ = ('DRAIN_SECONDS', 'find_leaving', 'judge_leaving')
 
 # A target gets no requests later than this after the store's answer.
 DRAIN_SECONDS = 2.0
@@ -25,7 +25,7 @@
         entries[entry.target].append(entry)
     sent = {each.request_id: each for each in select(records, Sent)}
     for arrived in select(records, Arrived):
-        left = _find_leaving(entries[arrived.target], arrived)
+        left = find_leaving(entries[arrived.target], arrived)
         request = sent.get(arrived.request_id)
         if left is None or request is None:
             continue
@@ -49,7 +49,7 @@
             )
 
 
-def _find_leaving(
+def find_leaving(
     entries: list[EntryWritten], arrived: Arrived
 ) -> EntryWritten | None:
     """Return the entry since which the target was leaving at an arrival."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -29,6 +29,9 @@
         self.refuses_connections = False
         self._may_pass = {'requests': trio.Event(), 'responses': trio.Event()}
         self._streams: set[trio.SocketStream] = set()
+        # Streams that pass nothing on for good, and whether new ones do.
+        self._silent: set[trio.SocketStream] = set()
+        self._silences_new = False
         self.release('requests', 'responses')
 
     @property
@@ -50,6 +53,14 @@
         self.refuses_connections = True
         self.reset_connections()
 
+    def silence(self) -> None:
+        """Pass nothing on, on open connections for good.
+
+        New ones pass nothing on either until `clear_faults`, nor after it.
+        """
+        self._silent |= self._streams
+        self._silences_new = True
+
     def release(self, *directions: str) -> None:
         """Forward the bytes that were held in the given directions."""
         for direction in directions:
@@ -59,6 +70,7 @@
         """End all faults and forward the bytes that were held."""
         self.delay_seconds = 0
         self.refuses_connections = False
+        self._silences_new = False
         self.release(*self._may_pass)
 
     def reset_connections(self) -> None:
@@ -78,6 +90,8 @@
             _reset_connection(caller)
             return
         self._streams |= {caller, target_stream}
+        if self._silences_new:
+            self._silent |= {caller, target_stream}
         try:
             async with trio.open_nursery() as nursery:
                 for source, sink, direction in (
@@ -89,6 +103,7 @@
                     )
         finally:
             self._streams -= {caller, target_stream}
+            self._silent -= {caller, target_stream}
             _reset_connection(caller)
             _reset_connection(target_stream)
 
@@ -96,6 +111,8 @@
         try:
             while chunk := await source.receive_some(CHUNK_BYTES):
                 await trio.sleep(self.delay_seconds)
+                while source in self._silent:
+                    await trio.sleep(RESET_POLL_SECONDS)
                 await self._wait_until_passed(source, direction)
                 await sink.send_all(chunk)
             await sink.send_eof()
--- a/tests/soak/router_paths.py
+++ b/tests/soak/router_paths.py
@@ -15,9 +15,13 @@
 
 
 class RouterView:
-    """The store as one router sees it; `addresses` are those of targets."""
+    """The store as one router sees it; `addresses` are those of targets.
+
+    With a `refusal`, a status, it is turned away while others are served.
+    """
 
     def __init__(self, store, addresses: dict[str, str]) -> None:
+        self.refusal = 0
         self._store = store
         self._addresses = {
             f'{TARGETS_PREFIX}{name}': address
@@ -26,6 +30,9 @@
 
     async def handle(self, exchange) -> None:
         """Answer a call to the store, with the addresses of the proxies."""
+        if self.refusal:
+            await exchange.respond_json({}, self.refusal)
+            return
         await self._store.handle(_ViewedExchange(exchange, self._addresses))
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,22 +13,24 @@
 import time
 from collections import Counter
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import trio
 from absl import app, flags
 
-from tests.soak.callers import DEADLINE_SECONDS
 from tests.soak.cluster import SoakCluster, start_cluster
 from tests.soak.configuration_rule import bound_share
 from tests.soak.control import record_lateness
 from tests.soak.faults import FaultInjector
+from tests.soak.field_faults import FieldFaults
 from tests.soak.guarantees import GuaranteeChecker
 from tests.soak.judge import judge
 from tests.soak.records import Late, select
 from tests.soak.replay import replay
+from tests.soak.site import FIELD, Site
 from tests.soak.start_rule import record_busy
+from tests.soak.unexcused import judge_unexcused
 
 __all__ = ('Report', 'soak')
 
@@ -43,13 +45,24 @@
 ROUTERS = flags.DEFINE_integer('routers', 3, 'Number of router processes.')
 TARGETS = flags.DEFINE_integer('targets', 4, 'Number of simulated targets.')
 WITHOUT = flags.DEFINE_list(
-    'without', [], 'Groups of faults to leave out: store, routers, paths.'
+    'without',
+    [],
+    'Groups of faults to leave out: store, routers, paths, brittle, field.',
+)
+FIELD_SITE = flags.DEFINE_bool(
+    'field', False, 'Run a deployment like those of users, with its faults.'
+)
+CALLERS = flags.DEFINE_integer(
+    'callers', 0, 'Number of callers of each router; 0: that of the deployment.'
 )
 KEEP = flags.DEFINE_bool('keep', False, 'Keep the logs of all seeds.')
 
 START_TIMEOUT_SECONDS = 15
 # All routers must serve again within this time after the last fault.
 RECOVERY_TIMEOUT_SECONDS = 12
+# Traffic and changes go on for this time after the strike.
+AFTER_STRIKE_SECONDS = 10
+MAX_UNEXCUSED_LINES = 10
 # Routers that can start at once without waiting for a processor.
 ROUTERS_AT_ONCE = 6
 
@@ -70,6 +83,8 @@
     late_seconds: dict[str, float]
     router_late_seconds: float
     bound_share: float
+    # What a judgement finds that makes no allowance for the soak itself.
+    unexcused: tuple[str, ...]
 
 
 async def soak(
@@ -79,13 +94,15 @@
     routers: int = 3,
     targets: int = 4,
     without: Collection[str] = (),
+    site: Site | None = None,
 ) -> Report:
     """Run one seed, and report what it has shown.
 
     Faults are injected for `seconds`, but none of the groups in `without`;
-    `routers` and `targets` are numbers.
+    `routers` and `targets` are numbers. With a `site` other than the small one,
+    faults of the field are added, and the run ends with a strike.
     """
-    cluster = SoakCluster(folder)
+    cluster = SoakCluster(folder, site or Site())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(record_lateness, cluster.records, 'injector')
         nursery.start_soon(record_busy, cluster.records)
@@ -121,10 +138,20 @@
     await start_cluster(cluster, routers, targets, seed)
     await cluster.wait_until_all_serve(START_TIMEOUT_SECONDS * share)
     injector = FaultInjector(cluster, seed, without)
+    field = FieldFaults(cluster, seed)
+    has_field = cluster.site != Site() and 'field' not in without
     for callers in cluster.callers:
         await callers.call('run')
     with trio.move_on_after(seconds):
-        await injector.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(injector.run)
+            if has_field:
+                nursery.start_soon(field.run, injector.injected)
+    if has_field:
+        await cluster.store.call('clear_faults')
+        await field.strike()
+        with trio.move_on_after(AFTER_STRIKE_SECONDS):
+            await injector.run_changes()
     for callers in cluster.callers:
         await callers.call('stop')
     await _end_faults(cluster)
@@ -135,7 +162,7 @@
 def _judge(cluster: SoakCluster, injected: list[str]) -> Report:
     cluster.record_failed_tasks()
     cluster.record_logs()
-    checker = GuaranteeChecker(DEADLINE_SECONDS)
+    checker = GuaranteeChecker(cluster.site.deadline_seconds)
     replay(cluster.records, checker)
     late_seconds: dict[str, float] = {}
     for late in select(cluster.records, Late):
@@ -148,6 +175,7 @@
         late_seconds,
         cluster.longest_loop_delay(),
         round(bound_share(cluster.records), 2),
+        tuple(judge_unexcused(cluster.records)),
     )
 
 
@@ -184,6 +212,11 @@
     return range(int(first), int(last or first) + 1)
 
 
+def _site() -> Site:
+    site = FIELD if FIELD_SITE.value else Site()
+    return replace(site, callers=CALLERS.value or site.callers)
+
+
 def _print(seed: int, report: Report) -> None:
     counts = dict(sorted(report.outcomes.items()))
     sys.stdout.write(
@@ -191,7 +224,10 @@
         f'    own longest delays in seconds: {report.late_seconds}, '
         f"the routers' {report.router_late_seconds}; "
         f'bounds held for a share of {report.bound_share}\n'
+        f'    without allowances: {len(report.unexcused)}\n'
     )
+    for line in report.unexcused[:MAX_UNEXCUSED_LINES]:
+        sys.stdout.write(f'    ({line})\n')
     for line in report.violations:
         sys.stdout.write(f'    {line}\n')
     if report.violations:
@@ -211,6 +247,7 @@
             ROUTERS.value,
             TARGETS.value,
             WITHOUT.value,
+            _site(),
         )
         _print(seed, report)
         failed += bool(report.violations)
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -10,11 +10,11 @@
 from tests.soak.proxy import ProxyGroup, start_proxy
 from tests.soak.records import EntryWritten, Record, VersionWritten, now
 from tests.soak.router_paths import RouterView
+from tests.soak.site import Site
 from tests.soak.versions import document
 
 __all__ = ('StoreHost',)
 
-HEARTBEAT_SECONDS = 1.0
 PAGE_SIZE = 100
 BUSY_STATUS, BUSY_CALLS = 503, 20
 
@@ -38,15 +38,24 @@
         self._proxies = ProxyGroup()
         self._copies: dict[int, StoreCopy] = {}
         self._version = 0
+        self._site = Site()
         self._entries: dict[str, dict] = {}
+        self._objects = objects
         objects['proxies'] = self._proxies
 
-    async def start(self, paths: dict[str, dict[str, str]]) -> dict[str, str]:
+    async def start(
+        self, paths: dict[str, dict[str, str]], site: dict[str, Any]
+    ) -> dict[str, str]:
         """Serve each router; return the address for it.
 
-        `paths` has the addresses of the targets by router and target.
+        `site` is the deployment, as a document. `paths` has the addresses of
+        the targets by router and target. The objects of this process are then
+        each router's view of the store, and its way there, as 'view r0' and
+        'way r0'.
         """
-        self._nursery.start_soon(self._run_heartbeats)
+        self._site = msgspec.convert(site, Site)
+        if self._site.beat_seconds:
+            self._nursery.start_soon(self._run_heartbeats)
         addresses = {}
         for router, targets in paths.items():
             view = RouterView(self._store, targets)
@@ -55,6 +64,8 @@
             )
             proxy = await start_proxy(self._nursery, address)
             self._proxies.members.append(proxy)
+            self._objects[f'view {router}'] = view
+            self._objects[f'way {router}'] = proxy
             addresses[router] = proxy.address
         return addresses
 
@@ -81,6 +92,10 @@
         """Let the store forget the changes so far."""
         self._store.drop_history()
 
+    def mute_watches(self) -> None:
+        """Let watches hear nothing until the history is lost."""
+        self._store.is_mute = True
+
     def turn_away(self) -> None:
         """Answer the next calls with a failure."""
         self._store.faults.extend([BUSY_STATUS] * BUSY_CALLS)
@@ -89,6 +104,8 @@
         """Let the store answer again."""
         self._proxies.clear_faults()
         self._store.faults.clear()
+        if self._store.is_mute:
+            self._store.drop_history()
 
     def copy(self, number: int) -> None:
         """Keep a copy of the store."""
@@ -108,13 +125,13 @@
 
     async def _run_heartbeats(self) -> None:
         while True:
-            await trio.sleep(HEARTBEAT_SECONDS)
+            await trio.sleep(self._site.beat_seconds)
             for name, entry in self._entries.items():
                 entry['seq'] += 1
                 self._write_target(name)
 
     def _write_configuration(self) -> None:
-        content = msgspec.json.encode(document(self._version))
+        content = msgspec.json.encode(document(self._version, self._site))
         self._store.put('op/config', content)
 
     def _write_target(self, name: str) -> None:
--- a/tests/soak/target_faults.py
+++ b/tests/soak/target_faults.py
@@ -47,6 +47,15 @@
                 nursery.start_soon(fault)
                 await trio.sleep(self._random.uniform(0.05, MAX_GAP_SECONDS))
 
+    async def run_changes(self, injected: list[str]) -> None:
+        """Only change entries and the configuration until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_changes)
+            while True:
+                injected.append('remove_entry')
+                nursery.start_soon(self._remove_entry)
+                await trio.sleep(self._random.uniform(0.05, MAX_GAP_SECONDS))
+
     async def _run_changes(self) -> None:
         while True:
             gap = self._random.uniform(0.05, MAX_CHANGE_GAP_SECONDS)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,9 +1,12 @@
 """A short soak run for CI, including every seed that has found a fault."""
 
+from dataclasses import replace
+
 import pytest
 import trio
 
 from tests.soak.run import soak
+from tests.soak.site import FIELD
 
 FAULT_SECONDS = 8
 # Pairs of a seed and the fault that it found.
@@ -15,6 +18,9 @@
 CALM = (('store',), ('store', 'routers', 'paths'))
 # A run without faults of stores and routers shows nothing if it binds fewer.
 MIN_BOUND_SHARE = 0.25
+# Callers that use up the processor of each router.
+MANY_CALLERS = 200
+ONLY_CHANGES = ('store', 'routers', 'paths', 'brittle', 'field')
 
 
 @pytest.mark.parametrize('seed', [2, *(seed for seed, _ in REGRESSIONS)])
@@ -31,3 +37,21 @@
     assert report.outcomes['probe 200'] > 0
     if 'routers' in without:
         assert report.bound_share >= MIN_BOUND_SHARE, report
+
+
+# Guards against changes that are in force too late, and requests at targets
+# that have left, at routers that are short of processor time and else calm.
+def test_busy_routers_act_on_changes_in_time(tmp_path):
+    site = replace(FIELD, callers=MANY_CALLERS)
+    report = trio.run(
+        soak, 11, FAULT_SECONDS, tmp_path, 2, 8, ONLY_CHANGES, site
+    )
+    assert not report.violations, report
+    assert report.outcomes['probe 200'] > 0
+    assert report.bound_share >= MIN_BOUND_SHARE, report
+
+
+def test_guarantees_hold_under_faults_of_the_field(tmp_path):
+    report = trio.run(soak, 5951, FAULT_SECONDS, tmp_path, 5, 9, (), FIELD)
+    assert not report.violations, report
+    assert report.outcomes['book 200'] > 0
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -6,11 +6,22 @@
 import random
 
 from tests.peridotwell_platform.stand_in import route
-
-__all__ = ('ADDED', 'BASE_KEY', 'Versions', 'allows', 'document')
+from tests.soak.site import Site
+
+__all__ = (
+    'ADDED',
+    'BASE_KEY',
+    'MILLISECONDS',
+    'Versions',
+    'allows',
+    'document',
+)
 
 ADDED = 'extra'
 BASE_KEY = 'key-1'
+SMALL_SITE = Site()
+MILLISECONDS = 1000
+MAX_CONNECTIONS = 100
 # Added routes and keys that a version holds.
 WINDOW = 5
 RECENT = 3
@@ -24,14 +35,22 @@
 BASE_NAMES = frozenset(each['name'] for each in BASE_ROUTES)
 
 
-def document(version: int) -> dict:
+def document(version: int, site: Site = SMALL_SITE) -> dict:
     """Return the configuration document of a version."""
     added = [f'{ADDED}{number}' for number in _window(version)]
-    routes = [route(name, 'idempotent', slo_ms=SLO_MS) for name in added]
+    names = (*added, *(f'idle{each}' for each in range(site.idle_routes)))
+    routes = [route(name, 'idempotent', slo_ms=SLO_MS) for name in names]
+    terms = {'timeout_ms': int(site.deadline_seconds * MILLISECONDS)}
     return {
         'version': version,
-        'routes': [*BASE_ROUTES, *routes],
-        'services': [{'name': 'svc', 'max_conns': 100}],
+        'routes': [
+            {**each, **terms, 'service': site.service_of(each['kind'])}
+            for each in (*BASE_ROUTES, *routes)
+        ],
+        'services': [
+            {'name': name, 'max_conns': MAX_CONNECTIONS}
+            for name in site.services
+        ],
         'tenants': [{'name': 'tenant-1', 'api_keys': [BASE_KEY, *added]}],
     }
 
