Changes that a watch does not tell are read

A configuration that was replaced, and targets that had left, would be used for as long as nothing else changes, by each router whose watch was answered so, and without a line (CONFIG, DRAIN). And while watches get no answer but other calls do, a router asked by watches only.

That the users' store answered like this is not shown.

--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -86,6 +86,10 @@
         self._has_failed = False
         self._heard_at = now
 
+    def has_heard_since(self, since: float) -> bool:
+        """Return whether a call of any kind has succeeded since a time."""
+        return self._heard_at > since
+
     def record_failure(self) -> None:
         """Record that a call got no answer, or was refused."""
         self._has_failed = True
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -29,6 +29,8 @@
 PROBE_TIMEOUT_SECONDS = 0.2
 PROBE_INTERVAL_SECONDS = 0.6
 INITIAL_BACKOFF_SECONDS = 0.1
+# The lease is renewed more often, so a store that answers was heard since.
+RECENT_SECONDS = 1.5
 # From call to call, for calls that fail sooner.
 MAX_BACKOFF_SECONDS = 0.4
 BATCH_SECONDS_PER_ROUTER = 0.005
@@ -70,6 +72,9 @@
                 log_event('store.history_gone', error=str(exc))
             except StoreError as exc:
                 self._record_failure(exc)
+                self._needs_snapshot = self._needs_snapshot or self._is_mute(
+                    started_at, trio.current_time()
+                )
                 await trio.sleep_until(
                     max(
                         started_at + self._backoff_seconds,
@@ -107,6 +112,15 @@
         if changes.entries or changes.deleted:
             await trio.sleep(self._batch_seconds())
 
+    def _is_mute(self, started_at: float, now: float) -> bool:
+        """Whether a watch got no answer from a store that answered others.
+
+        Entries may have changed meanwhile.
+        """
+        is_overdue = now - started_at > WATCH_TIMEOUT_SECONDS
+        contact = self._directory.store_contact
+        return is_overdue and contact.has_heard_since(now - RECENT_SECONDS)
+
     def _count_restore(self, snapshot: Snapshot) -> None:
         if self._directory.is_loaded and is_of_later_era(
             snapshot.revision, self._directory.known_revision
