A removal that came after an outage is doubted for one second at most

Cause: all removals in the 2.2 s from the store's return were doubted until their end, also those that came after it, although a target that has left must be out of use in 2.0 s; a router told of the doubt doubted all that it heard itself too.

Doubted for as long as before are only removals up to the revision of the store's first answer after its return; later ones for 1 s, in which a target whose lease had nearly ended is back; a peer's doubt covers the removals that it tells. 4 of 4 new cases fail without that.

--- a/peridotwell/fleet/replica/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -76,7 +76,7 @@
             and len(patched) == len(changes.patches)
         )
         self._directory.store_contact.doubt_as_peer(
-            changes.removal_grace_seconds, now
+            changes.removal_grace_seconds, changes.revision, now
         )
         self._directory.apply_peer_changes(
             (*changes.entries, *patched),
--- a/peridotwell/fleet/replica/deferred_removals.py
+++ b/peridotwell/fleet/replica/deferred_removals.py
@@ -1,15 +1,24 @@
 """Defers the removal of targets shortly after an outage of the store.
 
 Leases may expire while the store is unavailable. Live targets register again
-shortly after its return and are kept until then.
+shortly after its return and are kept until then. A removal that the store has
+executed after its return is mostly of a target that has left: it is deferred for
+a shorter time, in which a target whose lease had nearly ended registers again.
 """
 
 import math
 
-__all__ = ('REREGISTRATION_SECONDS', 'DeferredRemovals')
+__all__ = (
+    'LATER_REMOVAL_SECONDS',
+    'REREGISTRATION_SECONDS',
+    'DeferredRemovals',
+)
 
 # Live targets register again within this time after an outage of the store.
 REREGISTRATION_SECONDS = 2.2
+# Longest time that a later removal is deferred: half of the time in which a
+# target that has left must be out of use.
+LATER_REMOVAL_SECONDS = 1.0
 
 
 class DeferredRemovals:
@@ -17,11 +26,26 @@
 
     def __init__(self) -> None:
         self._grace_ends_at = -math.inf
+        # Removals up to this revision may have fallen into the outage.
+        self._outage_revision: float = -math.inf
         self._keys: dict[str, float] = {}
 
-    def start_grace_period(self, seconds: float, now: float) -> None:
-        """Start or extend the grace period for keys that are deleted."""
+    def start_grace_period(
+        self, seconds: float, now: float, revision: float = math.inf
+    ) -> None:
+        """Start or extend the grace period for keys that are deleted.
+
+        Removals up to `revision` may have fallen into the outage; those of the
+        store's next answer, if that is not known yet.
+        """
+        if self._grace_ends_at <= now:
+            self._outage_revision = -math.inf
         self._grace_ends_at = max(self._grace_ends_at, now + seconds)
+        self._outage_revision = max(self._outage_revision, revision)
+
+    def record_answer(self, revision: int) -> None:
+        """Record that the store has told its removals up to a revision."""
+        self._outage_revision = min(self._outage_revision, revision)
 
     def end_grace_period(self, now: float) -> None:
         """End the grace period, also for the keys that are deferred."""
@@ -38,9 +62,15 @@
         """Return the rest of the grace period, in seconds."""
         return max(0, self._grace_ends_at - now)
 
-    def defer(self, key: str) -> None:
-        """Defer the removal of a key until the grace period ends."""
-        self._keys.setdefault(key, self._grace_ends_at)
+    def defer(self, key: str, revision: int, now: float) -> float:
+        """Defer the removal of a key that was deleted at a revision.
+
+        Returns for how many seconds, until the grace period ends at most.
+        """
+        until = self._grace_ends_at
+        if revision > self._outage_revision:
+            until = min(until, now + LATER_REMOVAL_SECONDS)
+        return self._keys.setdefault(key, until) - now
 
     def cancel(self, key: str) -> None:
         """Cancel the removal of a key that is registered again."""
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -119,7 +119,9 @@
     def apply_entries(self, push: EntriesPush, now: float) -> None:
         """Apply the entries that a peer has sent."""
         self._directory.store_contact.doubt_as_peer(
-            push.removal_grace_seconds, now
+            push.removal_grace_seconds,
+            max((entry.revision for entry in push.entries), default=0),
+            now,
         )
         if push.is_complete:
             self._directory.apply_peer_snapshot(
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -115,6 +115,7 @@
         self.store_contact.record_answer(now)
         self.feed_revision = max(self.feed_revision, snapshot.revision)
         self._apply_all_entries(snapshot, EntrySource.store_snapshot, now)
+        self.deferred_removals.record_answer(snapshot.revision)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
@@ -128,6 +129,7 @@
             self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, EntrySource.store_changes, now)
+        self.deferred_removals.record_answer(changes.revision)
         self.feed_revision = max(self.feed_revision, changes.revision)
         self._finish_changes(changes.revision, now)
 
@@ -316,15 +318,15 @@
         self.replica.record_deletion(key, revision)
         if self.replica.entry(key) is None:
             return
-        doubted_seconds = self.deferred_removals.remaining_seconds(now)
-        if doubted_seconds and key in self._targets:
-            self.deferred_removals.defer(key)
+        is_doubted = self.deferred_removals.remaining_seconds(now) > 0
+        if is_doubted and key in self._targets:
+            seconds = self.deferred_removals.defer(key, revision, now)
             log_event(
                 'target.doubted',
                 entry=key,
                 revision=revision,
                 source=source.value,
-                seconds=round(doubted_seconds, 3),
+                seconds=round(seconds, 3),
             )
             return
         self._remove_entry(key)
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -108,15 +108,15 @@
             return None
         return round(now - self.answered_at, 3)
 
-    def doubt_as_peer(self, seconds: float, now: float) -> None:
+    def doubt_as_peer(self, seconds: float, revision: int, now: float) -> None:
         """Doubt removals for as long as the peer does that tells them.
 
-        An outage may have ended the leases, unless this router has been in
+        They are those up to a revision. An outage may have ended the leases, unless this router has been in
         contact for some time.
         """
         if seconds <= 0 or self.report(now).shows_gone:
             return
-        self._deferred_removals.start_grace_period(seconds, now)
+        self._deferred_removals.start_grace_period(seconds, now, revision)
         log_event('removals.doubted', seconds=round(seconds, 3))
 
     def report(self, now: float) -> StoreContactReport:
--- a/tests/fleet/replica/test_doubted_removals.py
+++ b/tests/fleet/replica/test_doubted_removals.py
@@ -3,7 +3,10 @@
 import pytest
 
 from peridotwell.fleet.replica.change_forwarding import ChangeForwarder
-from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
+from peridotwell.fleet.replica.deferred_removals import (
+    LATER_REMOVAL_SECONDS,
+    REREGISTRATION_SECONDS,
+)
 from peridotwell.fleet.replica.store_replica import StoreReplica
 from peridotwell.fleet.transport.frames import EntriesPull
 from peridotwell.store.base import Entry
@@ -85,6 +88,31 @@
     assert names(behind, RETURNED_AT + 0.1) == ['y']
 
 
+# Guards against requests at a target that left after an outage: its removal was
+# doubted for longer than it may be in use.
+@pytest.mark.parametrize('after_seconds', [0.01, 0.5, 1])
+def test_a_removal_after_the_return_is_doubted_for_a_short_time(
+    peers, after_seconds
+):
+    returned, _ = peers
+    removed_at = RETURNED_AT + after_seconds
+    returned.directory.apply_changes(Changes((), (('t/y', 7),), 7), removed_at)
+    assert names(returned, removed_at + 0.5) == ['engine', 'y']
+    gone_at = removed_at + LATER_REMOVAL_SECONDS
+    assert 'y' not in names(returned, gone_at)
+
+
+# Guards against the same at a router that was told of the doubt, and hears the
+# removal itself.
+def test_a_peers_doubt_ends_with_the_removals_that_it_tells(peers):
+    _, behind = peers
+    pull(*peers, 2, RETURNED_AT + 0.1)
+    removed_at = RETURNED_AT + 0.2
+    behind.directory.apply_changes(Changes((), (('t/y', 7),), 7), removed_at)
+    assert 'y' not in names(behind, removed_at + LATER_REMOVAL_SECONDS)
+    assert 'engine' in names(behind, removed_at + LATER_REMOVAL_SECONDS)
+
+
 # Guards against requests at a target that is gone, without end: a relay told
 # its registration after its removal, in one batch.
 def test_a_relay_tells_an_entry_that_is_gone_as_removed_only(peers):
