--- a/peridotwell/fleet/replica/deferred_removals.py
+++ b/peridotwell/fleet/replica/deferred_removals.py
@@ -1,9 +1,10 @@
 """Defers the removal of targets shortly after an outage of the store.
 
 Leases may expire while the store is unavailable. Live targets register again
-shortly after its return and are kept until then. A removal that the store has
-executed after its return is mostly of a target that has left: it is deferred for
-a shorter time, in which a target whose lease had nearly ended registers again.
+shortly after its return and are kept until then. A removal that the store
+executes after its return is mostly of a target that has left: it is deferred
+for a shorter time, in which a target whose lease had nearly ended registers
+again.
 """
 
 import math
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -114,8 +114,8 @@
     def doubt_as_peer(self, seconds: float, revision: int, now: float) -> None:
         """Doubt removals for as long as the peer does that tells them.
 
-        They are those up to a revision. An outage may have ended the leases, unless this router has been in
-        contact for some time.
+        They are those up to a revision. An outage may have ended the leases,
+        unless this router has been in contact for some time.
         """
         if seconds <= 0 or self.report(now).shows_gone:
             return
--- a/tests/soak/router_paths.py
+++ b/tests/soak/router_paths.py
@@ -31,7 +31,8 @@
     async def handle(self, exchange) -> None:
         """Answer a call to the store, with the addresses of the proxies."""
         if self.refusal:
-            await exchange.respond_json({}, self.refusal)
+            era = ('store-era', str(self._store.era))
+            await exchange.respond_json({}, self.refusal, (era,))
             return
         await self._store.handle(_ViewedExchange(exchange, self._addresses))
 
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -37,6 +37,7 @@
         self._store.page_size = PAGE_SIZE
         self._proxies = ProxyGroup()
         self._copies: dict[int, StoreCopy] = {}
+        self._views: list[RouterView] = []
         self._version = 0
         self._site = Site()
         self._entries: dict[str, dict] = {}
@@ -64,6 +65,7 @@
             )
             proxy = await start_proxy(self._nursery, address)
             self._proxies.members.append(proxy)
+            self._views.append(view)
             self._objects[f'view {router}'] = view
             self._objects[f'way {router}'] = proxy
             addresses[router] = proxy.address
@@ -104,6 +106,8 @@
         """Let the store answer again."""
         self._proxies.clear_faults()
         self._store.faults.clear()
+        for view in self._views:
+            view.refusal = 0
         if self._store.is_mute:
             self._store.drop_history()
 
