Each request that a router has read leaves a line

Paths that ended one without: the caller left while its body was read, or while its response was written (a counter only; now request.caller_left, with whether the response had begun), and an internal error (without the request). What is left: requests under way when the process is killed, and those that h11 refuses, which have request.unreadable without an id as none was read.

The new test fails before: no line when the body was cut off, no word on the response otherwise.

--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -105,11 +105,15 @@
         try:
             await self._handle(exchange, caller_response, read)
         except (trio.ClosedResourceError, trio.BrokenResourceError):
-            self._metrics.count('request.caller_left')
+            self._record_caller_left(exchange)
         except Exception as exc:
             # The connection closes without a response; others are unaffected.
             self._metrics.count('request.internal_error')
-            log_failure('request.internal_error', error=repr(exc))
+            log_failure(
+                'request.internal_error',
+                request=self._request_id(exchange),
+                error=repr(exc),
+            )
         finally:
             self.running -= 1
 
@@ -132,14 +136,29 @@
             )
             self.planned_stop.check(request.deadline_at, trio.current_time())
         except RequestError as exc:
-            request_id = self._components.caller_adapter.request_id(exchange)
             error = self._unless_outdated(exc, trio.current_time())
-            await self._refuse(caller_response, error, request_id, now)
+            await self._refuse(
+                caller_response, error, self._request_id(exchange), now
+            )
             return
         work = partial(self._serve, caller_response, request)
         if not await run_until_caller_disconnects(exchange, work):
-            self._metrics.count('request.caller_left')
-            log_event('request.caller_left', request=request.request_id)
+            self._record_caller_left(exchange)
+
+    def _request_id(self, exchange: HttpExchange) -> str:
+        return self._components.caller_adapter.request_id(exchange)
+
+    def _record_caller_left(self, exchange: HttpExchange) -> None:
+        """Record that a caller disconnected before its request had ended.
+
+        A target may have run it, so it has a line like all others.
+        """
+        self._metrics.count('request.caller_left')
+        log_event(
+            'request.caller_left',
+            request=self._request_id(exchange),
+            begun=bool(exchange.status),
+        )
 
     async def _require_settled(self) -> None:
         """Let this router read first what has changed while it was late.
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -9,7 +9,7 @@
 import trio
 from peridotwell_platform.headers import PlatformTargetAdapter
 
-from peridotwell.forwarding import dispatch, response_recorder
+from peridotwell.forwarding import dispatch, handler, response_recorder
 from peridotwell.metrics import Measure, Series
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
@@ -324,6 +324,36 @@
     assert (fields['status'], fields['attempt']) == (500, 1)
 
 
+# Guards against requests without any line: their callers left while the router
+# read their bodies.
+@pytest.mark.parametrize('body', [b'kg', b'k'])
+async def test_the_log_names_a_request_whose_caller_leaves(
+    harness, monkeypatch, body
+):
+    lines = []
+    has_line = trio.Event()
+
+    def record(name, **fields):
+        lines.append((name, fields))
+        has_line.set()
+
+    monkeypatch.setattr(handler, 'log_event', record)
+    harness.script_responses(stand_in.never_respond)
+    fields = caller_headers(7, content_length='2', x_deadline_ms='1000')
+    head = ''.join(f'{name}: {text}\r\n' for name, text in fields.items())
+    host, _, port = harness.address.partition(':')
+    stream = await trio.open_tcp_stream(host, int(port))
+    await stream.send_all(
+        f'POST /book/x HTTP/1.1\r\n{head}\r\n'.encode() + body
+    )
+    await trio.sleep(0.1)
+    await stream.aclose()
+    with trio.fail_after(1):
+        await has_line.wait()
+    begun = {'request': 'id-7', 'begun': False}
+    assert lines == [('request.caller_left', begun)]
+
+
 async def test_request_to_a_silent_target_gets_504_at_the_deadline(harness):
     harness.script_responses(stand_in.never_respond)
     started_at = trio.current_time()
