Soak: the second judgement binds routers by all that was before they are in touch

Only what the store takes while it has faults itself counts from later. Stricter for routers, the same for the store; the loop over arrivals now stands once.

--- a/tests/soak/leaving_rule.py
+++ b/tests/soak/leaving_rule.py
@@ -8,7 +8,11 @@
 from tests.soak.records import Arrived, EntryWritten, Record, Sent, select
 from tests.soak.touch import Touch
 
-__all__ = ('DRAIN_SECONDS', 'find_leaving', 'judge_leaving')
+__all__ = (
+    'DRAIN_SECONDS',
+    'find_arrivals_after_leaving',
+    'judge_leaving',
+)
 
 # A target gets no requests later than this after the store's answer.
 DRAIN_SECONDS = 2.0
@@ -20,15 +24,7 @@
     """Yield the violations of DRAIN; `records` are in order."""
     records = tuple(records)
     touch = Touch(records)
-    entries: dict[str, list[EntryWritten]] = defaultdict(list)
-    for entry in select(records, EntryWritten):
-        entries[entry.target].append(entry)
-    sent = {each.request_id: each for each in select(records, Sent)}
-    for arrived in select(records, Arrived):
-        left = find_leaving(entries[arrived.target], arrived)
-        request = sent.get(arrived.request_id)
-        if left is None or request is None:
-            continue
+    for arrived, left, request in find_arrivals_after_leaving(records):
         # The soak's own store may have been late to tell the router in time,
         # and the request may have waited in its targets.
         waited = touch.soak_late_seconds(
@@ -49,7 +45,26 @@
             )
 
 
-def find_leaving(
+def find_arrivals_after_leaving(
+    records: Iterable[Record],
+) -> Iterator[tuple[Arrived, EntryWritten, Sent]]:
+    """Yield each request that reached a target which was leaving.
+
+    With it come the entry since which it was, and the request as it was sent.
+    """
+    records = tuple(records)
+    entries: dict[str, list[EntryWritten]] = defaultdict(list)
+    for entry in select(records, EntryWritten):
+        entries[entry.target].append(entry)
+    sent = {each.request_id: each for each in select(records, Sent)}
+    for arrived in select(records, Arrived):
+        left = _find_leaving(entries[arrived.target], arrived)
+        request = sent.get(arrived.request_id)
+        if left is not None and request is not None:
+            yield arrived, left, request
+
+
+def _find_leaving(
     entries: list[EntryWritten], arrived: Arrived
 ) -> EntryWritten | None:
     """Return the entry since which the target was leaving at an arrival."""
--- a/tests/soak/test_unexcused.py
+++ b/tests/soak/test_unexcused.py
@@ -43,17 +43,32 @@
 
 
 @pytest.mark.parametrize(
-    ('ended_at', 'is_found'), [(16.0, True), (17.5, False), (18.9, False)]
+    ('left_at', 'is_found'),
+    [(9.9, True), (10.5, True), (13.9, True), (14.1, True), (17.5, False)],
 )
-@pytest.mark.parametrize('of_store', [True, False])
-def test_a_bound_runs_from_the_end_of_a_fault(ended_at, is_found, of_store):
-    """The router is in touch from three seconds after it."""
-    fault = (
-        StoreDisturbed(ended_at - 1, ended_at, False)
-        if of_store
-        else RouterDisturbed(ended_at - 1, ended_at, 'r0')
-    )
-    left = EntryWritten(10, 't0', 1, 'gone')
+def test_what_the_store_takes_in_an_outage_counts_from_after_it(
+    left_at, is_found
+):
+    outage = StoreDisturbed(10, 11, False)
+    left = EntryWritten(left_at, 't0', 1, 'gone')
+    assert bool(find(left, outage, SENT, arrive(19.4))) == is_found
+
+
+def test_what_the_store_takes_in_an_outage_does_not_count_before():
+    outage = StoreDisturbed(15, 16, False)
+    left = EntryWritten(15.5, 't0', 1, 'gone')
+    assert not find(left, outage, SENT, arrive(20.9))
+    assert find(left, outage, SENT, arrive(21.1))
+
+
+# Guards against what is late in the three seconds after a router was disturbed,
+# and goes on after them.
+@pytest.mark.parametrize(
+    ('ended_at', 'is_found'), [(15.9, True), (16.1, False), (18.9, False)]
+)
+def test_a_router_is_bound_by_all_that_was_before(ended_at, is_found):
+    fault = RouterDisturbed(ended_at - 1, ended_at, 'r0')
+    left = EntryWritten(ended_at + 0.1, 't0', 1, 'gone')
     assert bool(find(left, fault, SENT, arrive(21.5))) == is_found
 
 
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -1,7 +1,7 @@
 """Which routers are in touch: they ran undisturbed, and so did the store."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 from tests.soak.records import (
     Late,
@@ -29,9 +29,8 @@
     def __init__(self, records: Iterable[Record]) -> None:
         records = tuple(records)
         self._late = tuple(select(records, Late))
-        self._recorded = tuple(select(records, StoreDisturbed))
         self._store = (
-            *self._recorded,
+            *select(records, StoreDisturbed),
             *(
                 StoreDisturbed(late.at - late.seconds, late.at, False)
                 for late in self._late
@@ -49,11 +48,6 @@
         for path in select(records, PathDisturbed):
             self._paths[path.target].append(path)
 
-    def faults(self, router: str) -> Iterator[RouterDisturbed | StoreDisturbed]:
-        """Yield the faults of a router and of the store."""
-        yield from self._routers[router]
-        yield from self._recorded
-
     def is_router_calm(self, router: str, begin: float, end: float) -> bool:
         """Whether a router ran undisturbed."""
         return not _any_in(self._routers[router], begin, end)
--- a/tests/soak/unexcused.py
+++ b/tests/soak/unexcused.py
@@ -1,12 +1,11 @@
 """A second judgement of a run, without the allowances of the soak itself.
 
-It excuses only what rules on routers in touch do: while a router or the store
-is disturbed, and until CONTACT_SECONDS after it, nothing is bound, and a bound
-on an earlier change runs from then. Waits of the soak's own processes count.
+It excuses only what the rules do: a router that was disturbed in the last
+CONTACT_SECONDS is not bound, and what is written while the store has faults
+counts as written CONTACT_SECONDS after them. Waits of the soak's own processes
+count, and so does whatever happens in between.
 """
 
-from bisect import bisect_left
-from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from operator import attrgetter
 
@@ -15,12 +14,11 @@
     collect_handlings,
     is_allowed,
 )
-from tests.soak.leaving_rule import DRAIN_SECONDS, find_leaving
+from tests.soak.leaving_rule import DRAIN_SECONDS, find_arrivals_after_leaving
 from tests.soak.records import (
-    Arrived,
-    EntryWritten,
     Record,
     Sent,
+    StoreDisturbed,
     VersionWritten,
     select,
 )
@@ -33,58 +31,56 @@
     """Yield what is too late for routers in touch, whatever the reason."""
     in_order = sorted(records, key=attrgetter('at'))
     touch = Touch(in_order)
-    yield from _judge_leaving(in_order, touch)
-    yield from _judge_configuration(in_order, touch)
+    outages = tuple(select(in_order, StoreDisturbed))
+    yield from _judge_leaving(in_order, touch, outages)
+    yield from _judge_configuration(in_order, touch, outages)
 
 
-def _judge_leaving(records: list[Record], touch: Touch) -> Iterator[str]:
-    entries: dict[str, list[EntryWritten]] = defaultdict(list)
-    for entry in select(records, EntryWritten):
-        entries[entry.target].append(entry)
-    sent = {each.request_id: each for each in select(records, Sent)}
-    for arrived in select(records, Arrived):
-        left = find_leaving(entries[arrived.target], arrived)
-        request = sent.get(arrived.request_id)
-        if left is None or request is None:
-            continue
-        since = max(left.at, _calm_since(touch, request.router, arrived.at))
-        seconds = arrived.at - since
-        if seconds > DRAIN_SECONDS and touch.is_path_calm(
-            request.router, arrived.target, arrived.at, arrived.at
-        ):
+def _judge_leaving(
+    records: list[Record], touch: Touch, outages: Iterable[StoreDisturbed]
+) -> Iterator[str]:
+    for arrived, left, request in find_arrivals_after_leaving(records):
+        router = request.router
+        seconds = arrived.at - _counts_from(left.at, outages)
+        is_bound = touch.is_router_calm(
+            router, request.at, arrived.at
+        ) and touch.is_path_calm(router, arrived.target, arrived.at, arrived.at)
+        if seconds > DRAIN_SECONDS and is_bound:
             yield (
-                f'DRAIN: {request.request_id} by {request.router} reached '
+                f'DRAIN: {request.request_id} by {router} reached '
                 f'{arrived.target} {seconds:.2f} s after it was {left.state}'
             )
 
 
-def _judge_configuration(records: list[Record], touch: Touch) -> Iterator[str]:
-    versions = sorted(select(records, VersionWritten), key=attrgetter('at'))
-    written = [version.at for version in versions]
+def _judge_configuration(
+    records: list[Record], touch: Touch, outages: Iterable[StoreDisturbed]
+) -> Iterator[str]:
+    versions = tuple(select(records, VersionWritten))
+    counts_from = {
+        each.version: _counts_from(each.at, outages) for each in versions
+    }
     handlings = collect_handlings(records)
     for sent in select(records, Sent):
         due = sent.at - IN_FORCE_SECONDS
-        in_force = bisect_left(written, due) - 1
-        calm_since = _calm_since(touch, sent.router, sent.at)
-        if in_force < 0 or calm_since >= due:
+        floor = max(
+            (version for version, at in counts_from.items() if at < due),
+            default=0,
+        )
+        if not floor:
             continue
-        floor = versions[in_force].version
         for handling in handlings[sent.request_id]:
-            if not is_allowed(versions, sent, handling, floor):
+            is_bound = touch.is_router_calm(sent.router, sent.at, handling.at)
+            if is_bound and not is_allowed(versions, sent, handling, floor):
                 yield (
                     f'CONFIG: {sent.request_id} {handling.how} by '
                     f'{sent.router}, against version {floor}'
                 )
 
 
-def _calm_since(touch: Touch, router: str, at: float) -> float:
-    """Return since when a router and the store are calm; `at` if not yet."""
-    ended = max(
-        (
-            at if fault.began_at <= at <= fault.at else fault.at
-            for fault in touch.faults(router)
-            if fault.began_at <= at
-        ),
-        default=float('-inf'),
-    )
-    return min(at, ended + CONTACT_SECONDS)
+def _counts_from(at: float, outages: Iterable[StoreDisturbed]) -> float:
+    """Return from when on what the store took at a time binds routers."""
+    for outage in outages:
+        calm_at = outage.at + CONTACT_SECONDS
+        if outage.began_at <= at < calm_at:
+            at = calm_at
+    return at
