The soak's targets and proxies take all connections that have arrived at once

Traced: 61 requests, each sent before its router knew of the leaving (0 to 1.08 s after it), reached one target one after the other, some 50 ms apart: the library's server takes one new connection a turn of the event loop, in the soak's own starved process. The check is as it was; its targets no longer wait.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from tests.accepting import serve_connections
+
 __all__ = ('FaultProxy', 'ProxyGroup', 'start_proxy')
 
 CHUNK_BYTES = 65536
@@ -164,9 +166,7 @@
 async def start_proxy(nursery: trio.Nursery, target_address: str) -> FaultProxy:
     """Start a proxy for `target_address` (host:port) on a free local port."""
     proxy = FaultProxy(target_address)
-    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-    proxy.address = f'127.0.0.1:{listeners[0].socket.getsockname()[1]}'
-    nursery.start_soon(trio.serve_listeners, proxy.serve, listeners)
+    proxy.address = await nursery.start(serve_connections, proxy.serve)
     return proxy
 
 
--- a/tests/soak/target_host.py
+++ b/tests/soak/target_host.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from tests.raw_target import listen
+from tests.accepting import serve_connections
 from tests.soak.proxy import start_proxy
 from tests.soak.records import Record
 from tests.soak.target import SoakTarget
@@ -40,7 +40,7 @@
         for name in names:
             draws = random.Random(f'{name} {seed}')
             target = SoakTarget(name, self._records, draws, process)
-            address = await listen(self._nursery, target.serve)
+            address = await self._nursery.start(serve_connections, target.serve)
             target.proxy = await start_proxy(self._nursery, address)
             self._objects[name] = target
             self._objects[f'{name} proxy'] = target.proxy
