--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 from tests.soak.site import FIELD
 
 FAULT_SECONDS = 8
+BUSY_SECONDS = 12
 # Pairs of a seed and the fault that it found.
 REGRESSIONS = (
     (6, 'a stream reached its deadline and was neither ended nor closed'),
@@ -19,7 +20,7 @@
 # A run without faults of stores and routers shows nothing if it binds fewer.
 MIN_BOUND_SHARE = 0.25
 # Callers that use up the processor of each router.
-MANY_CALLERS = 200
+MANY_CALLERS = 300
 ONLY_CHANGES = ('store', 'routers', 'paths', 'brittle', 'field')
 
 
@@ -44,7 +45,7 @@
 def test_busy_routers_act_on_changes_in_time(tmp_path):
     site = replace(FIELD, callers=MANY_CALLERS)
     report = trio.run(
-        soak, 11, FAULT_SECONDS, tmp_path, 2, 8, ONLY_CHANGES, site
+        soak, 11, BUSY_SECONDS, tmp_path, 2, 8, ONLY_CHANGES, site
     )
     assert not report.violations, report
     assert report.outcomes['probe 200'] > 0
