Requests are decided by what the store has shown, not by its silence

Callers saw 404 up to 2.2 s after the acknowledgement of the version that added their route (bound 2.0 s), at all routers, none of which doubted itself; dropped routes and keys were served as long.

Cause: a watch that waited counted as knowledge up to now for 2.3 s, and a relay's word for 3 s. Whatever holds back the answer of a watch, such as a lost packet or a half-open connection, was taken for a store with nothing to tell.

Change: one belief (store_belief.py) with its evidence: an answer contains what was acknowledged before its call was sent. Table, removals and refusals come from answers that one reader applies (store_reader.py). Requests are decided by a belief of 1.6 s at most; from 1.45 s on the store is asked beside the watch, once for all that wait (store_check.py), for the changes and 0.25 s later, on a new connection, for all entries. Without an answer requests wait 0.3 s, then 503 until the store is known to be away; then known routes are served, and unknown paths and keys get 503. Watches end after 0.7 s (2.0 before). A relay tells the age of what it knows; a member knows no more than that.

The test that took silence for knowledge is turned round, that of told_until is replaced by one on what a member knows. Turns of the event loop at rest stay below their bound: cleanup and the version record run each 0.6 s (0.5 before).

--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -19,6 +19,8 @@
 from peridotwell.fleet.relays.relay_topology import RelayTopology
 from peridotwell.fleet.replica.change_forwarding import ChangeForwarder
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
+from peridotwell.fleet.replica.store_contact import decode_seconds, encode_age
 from peridotwell.fleet.transport.frames import (
     CachedPrompt,
     RouterUpdate,
@@ -35,17 +37,10 @@
 # Minimum time between two batches, with and without pending updates.
 BATCH_SECONDS = 0.06
 IDLE_BATCH_SECONDS = 0.2
-# A relay reports that it follows the store if the store has answered it within
-# this time, which leaves time for one long-polling call, and if it is not too
-# busy to read the answers in time.
-STORE_FRESH_SECONDS = 3.0
 # A router whose updates take longer to return from its relay follows the store
 # itself, for this time at least: what the relay says of the store is as old.
 MAX_BATCH_DELAY_SECONDS = 0.8
 FOLLOW_SECONDS = 3.0
-# The store answers a watch after two seconds at the latest. One that takes
-# longer may have lost its connection.
-MAX_WATCH_SECONDS = 2.3
 
 RecordUpdate = Callable[[RouterUpdate, float], bool]
 
@@ -89,33 +84,16 @@
         is_behind = self._directory.known_revision < relay.revision
         return is_behind or not relay.follows_store
 
-    def check_following(self, now: float) -> bool:
-        """Return whether this router must follow the store itself.
-
-        The one that waits for that is told.
-        """
-        must_follow = self.must_follow_store(now)
-        if must_follow:
+    def check_following(self, now: float) -> None:
+        """Wake the one that waits until this router must follow the store."""
+        if self.must_follow_store(now):
             self._following.set()
-        return must_follow
 
     async def wait_until_following(self) -> None:
         """Wait for the next check that finds that this router must follow."""
         self._following = trio.Event()
         await self._following.wait()
 
-    def told_until(self, now: float) -> float:
-        """Return the time up to which this router is told every change.
-
-        That is by the watch that waits for changes, or by its relay.
-        """
-        if not self.must_follow_store(now):
-            return now - self.topology.update_delay.seconds(now)
-        since = self._directory.watched_since
-        if since is None or now - since > MAX_WATCH_SECONDS:
-            return -math.inf
-        return now
-
     def send_update(self, update: RouterUpdate, now: float) -> None:
         """Send this router's own update to its relay.
 
@@ -178,6 +156,19 @@
         for changes in (batch.store_changes, batch.extended_changes):
             if changes is not None:
                 self._change_forwarder.apply(changes, now)
+        if batch.sender == self.topology.relay and batch.follows_store:
+            self._believe(batch, now)
+
+    def _believe(self, batch: UpdateBatch, now: float) -> None:
+        """Record what this router's relay knew when it sent a batch."""
+        delay = self.topology.update_delay.measured_seconds(now)
+        if self._directory.known_revision < batch.revision or delay is None:
+            return
+        age = decode_seconds(batch.knowledge_age_deciseconds)
+        evidence = Evidence(
+            now - delay - age, batch.revision, EvidenceSource.relay
+        )
+        self._directory.belief.record(evidence, now)
 
     def _record_late_batches(self, now: float) -> None:
         delay = self.topology.update_delay.seconds(now)
@@ -218,14 +209,16 @@
         is_extended = changes is not None and (
             changes.is_partial or bool(changes.patches)
         )
+        belief = self._directory.belief
         return UpdateBatch(
             self._own,
-            self._follows_store(now),
+            belief.is_own(now),
             self._directory.known_revision,
             tuple(updates),
             None if is_extended else changes,
             listed,
             changes if is_extended else None,
+            encode_age(belief.age(now)),
         )
 
     def _send(self, routers: Iterable[int], batch: UpdateBatch) -> None:
@@ -234,10 +227,3 @@
             peer.hello.peer_address for peer in peers if peer is not None
         ]
         self._transport.send_all(addresses, batch)
-
-    def _follows_store(self, now: float) -> bool:
-        answered_at = self._directory.store_contact.answered_at
-        return (
-            now - answered_at <= STORE_FRESH_SECONDS
-            and not self._directory.freshness.may_lack_changes(now)
-        )
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -149,7 +149,8 @@
             'follows_store': self.relay_protocol.must_follow_store(now),
             'store_answer_age': directory.store_contact.answer_age(now),
             'update_delay': round(self.update_delay.seconds(now), 3),
-            'knowledge_age': directory.freshness.logged_age(now),
+            'knowledge_age': directory.belief.logged_age(now),
+            'knowledge_source': directory.belief.logged_source(),
         }
 
     def router_count(self) -> int:
@@ -179,12 +180,8 @@
 
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
-        is_relayed = not self.relay_protocol.check_following(now)
-        self.state.directory.freshness.record_turn(
-            now,
-            self.relay_protocol.told_until(now),
-            is_relayed=is_relayed,
-        )
+        self.relay_protocol.check_following(now)
+        self.state.directory.belief.record_turn(now)
         self.state.directory.remove_expired(now)
         self._set_sharing_routers()
         if now - self._sent_at >= self._update_interval(now):
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -14,11 +14,11 @@
 from peridotwell.errors import EntryError
 from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
+from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.fleet.replica.store_contact import (
     StoreContact,
     StoreContactReport,
 )
-from peridotwell.fleet.replica.store_freshness import StoreFreshness
 from peridotwell.fleet.replica.store_replica import StoreReplica
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
@@ -60,8 +60,6 @@
         self.table_loaded_at = float(0)
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
-        # When the watch began that waits for the store's changes, or None.
-        self.watched_since: float | None = None
         # The last revision read from the store's change feed.
         self.feed_revision = 0
         # The last known revision, from the store or from a peer.
@@ -81,7 +79,7 @@
         self._targets_by_id: dict[int, Target] = {}
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
-        self.freshness = StoreFreshness()
+        self.belief = StoreBelief()
         self._departed = DepartedTargets()
         # By service: all targets, and those that accept new work.
         self._by_service: dict[str, tuple[Target, ...]] = {}
--- /dev/null
+++ b/peridotwell/fleet/replica/store_belief.py
@@ -0,0 +1,141 @@
+"""What a router believes of the store, and the evidence for it.
+
+Only an answer is evidence: one to a call that was sent at a time contains all
+changes that were acknowledged before. A call that waits shows nothing. So the
+belief ages until the next answer, and requests are decided by it only while it
+is young, or while the store is known not to answer.
+"""
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from peridotwell.logs import log_event
+
+__all__ = ('Evidence', 'EvidenceSource', 'StoreBelief')
+
+# A request is not decided by an older belief, unless the store is away.
+MAX_AGE_SECONDS = 1.6
+# The store is asked beside the watch once the belief is older: two watches
+# and the time in which the second one should have been answered.
+DUE_AGE_SECONDS = 1.45
+# Longest time that a request waits for the answer to that call.
+SETTLE_SECONDS = 0.3
+# Turns of the background tasks follow each other faster, unless they are late.
+MAX_TURN_SECONDS = 0.3
+
+
+class EvidenceSource(Enum):
+    """Where the evidence for a belief comes from."""
+
+    watch = 'watch'
+    check = 'check'
+    snapshot = 'snapshot'
+    relay = 'relay'
+
+
+@dataclass(frozen=True)
+class Evidence:
+    """Shows the store at `revision`, with every change up to `known_until`."""
+
+    known_until: float
+    revision: int
+    source: EvidenceSource
+
+
+class StoreBelief:
+    """The latest evidence of one router, and whether more is needed.
+
+    `due` is set while the store is to be asked, which one task does for all
+    requests that wait.
+    """
+
+    def __init__(self) -> None:
+        self.evidence: Evidence | None = None
+        self.due = trio.Event()
+        # Set, and replaced, when evidence comes, or a call gets no answer.
+        self._news = trio.Event()
+        # When the background tasks took their last turn; 0 before the first.
+        self._turned_at = float(0)
+        # When the last call was sent that got no answer.
+        self._failed_asked_at = -math.inf
+
+    def record(self, evidence: Evidence, now: float) -> None:
+        """Record an answer whose entries have been applied."""
+        if evidence.known_until <= self._known_until:
+            return
+        self.evidence = evidence
+        if self.age(now) <= DUE_AGE_SECONDS and self.due.is_set():
+            self.due = trio.Event()
+        self._announce()
+
+    def record_failure(self, asked_at: float) -> None:
+        """Record that a call that was sent at a time got no answer."""
+        self._failed_asked_at = max(self._failed_asked_at, asked_at)
+        self._announce()
+
+    def record_turn(self, now: float) -> None:
+        """Record a turn of the background tasks; ask the store if it is due.
+
+        After a long standstill, the store may be back that was away before.
+        """
+        late_seconds = now - self._turned_at if self._turned_at else 0
+        self._turned_at = now
+        if late_seconds > MAX_TURN_SECONDS:
+            log_event('store.unread', seconds=round(late_seconds, 3))
+        if late_seconds > MAX_AGE_SECONDS:
+            self._failed_asked_at = -math.inf
+        if self.age(now) > DUE_AGE_SECONDS:
+            self.due.set()
+
+    def age(self, now: float) -> float:
+        """Return the age of the belief in seconds, infinite without any."""
+        return now - self._known_until
+
+    def logged_age(self, now: float) -> float | None:
+        """Return the age for the log; None if nothing is known."""
+        age = self.age(now)
+        return round(age, 3) if math.isfinite(age) else None
+
+    def logged_source(self) -> str | None:
+        """Return the source of the evidence for the log."""
+        return self.evidence.source.value if self.evidence else None
+
+    def is_current(self, now: float) -> bool:
+        """Return whether all changes that must be in force are known."""
+        return self.age(now) <= MAX_AGE_SECONDS
+
+    def is_own(self, now: float) -> bool:
+        """Return whether the store itself has shown what is known here."""
+        is_relayed = self.logged_source() == EvidenceSource.relay.value
+        return self.is_current(now) and not is_relayed
+
+    def is_away(self) -> bool:
+        """Return whether the store gave no answer when it was last asked."""
+        return self._failed_asked_at > self._known_until
+
+    async def settle(self, now: float) -> bool:
+        """Wait until a request can be decided, or be served all the same.
+
+        Returns whether the belief is current, or the store known to be away.
+        """
+        if self._is_settled(now):
+            return True
+        self.due.set()
+        with trio.move_on_after(SETTLE_SECONDS):
+            while not self._is_settled(trio.current_time()):
+                await self._news.wait()
+        return self._is_settled(trio.current_time())
+
+    def _is_settled(self, now: float) -> bool:
+        return self.is_current(now) or self.is_away()
+
+    @property
+    def _known_until(self) -> float:
+        return self.evidence.known_until if self.evidence else -math.inf
+
+    def _announce(self) -> None:
+        self._news.set()
+        self._news = trio.Event()
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -18,6 +18,7 @@
     'StoreContact',
     'StoreContactReport',
     'decode_seconds',
+    'encode_age',
     'encode_seconds',
 )
 
@@ -140,6 +141,11 @@
     return int(min(seconds * DECISECONDS, MAX_DECISECONDS))
 
 
+def encode_age(seconds: float) -> int:
+    """Return an age as tenths of a second, rounded up."""
+    return math.ceil(min(seconds * DECISECONDS, MAX_DECISECONDS))
+
+
 def decode_seconds(deciseconds: int) -> float:
     """Return the seconds of a message."""
     return deciseconds / DECISECONDS
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -1,5 +1,6 @@
 """Follows the store's change feed through outages and lost history."""
 
+import math
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -7,30 +8,25 @@
 
 from peridotwell.errors import StoreError, StoreResponseLost
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_belief import EvidenceSource
+from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import (
-    ChangeFeed,
-    Changes,
-    HistoryGone,
-    Snapshot,
-)
+from peridotwell.store.change_feed import Changes, HistoryGone
 from peridotwell.store.overlapping_calls import first_outcome
-from peridotwell.store.revisions import is_of_later_era
 
 __all__ = ('StoreFollower',)
 
-# A watch that gets no answer is detected after this time and the margin of the
-# client; other routers usually report changes earlier.
-WATCH_TIMEOUT_SECONDS = 2.0
+# A watch is answered after this time at the latest, and is overdue somewhat
+# later. So an answer comes well before the belief is too old.
+WATCH_SECONDS = 0.7
+OVERDUE_SECONDS = 0.25
 # After a failure, calls are short until one succeeds, and another one follows
 # while they wait: one that was sent while the store was away may get no answer
 # after its return either.
 PROBE_TIMEOUT_SECONDS = 0.2
 PROBE_INTERVAL_SECONDS = 0.6
 INITIAL_BACKOFF_SECONDS = 0.1
-# The lease is renewed more often, so a store that answers was heard since.
-RECENT_SECONDS = 1.5
 # From call to call, for calls that fail sooner.
 MAX_BACKOFF_SECONDS = 0.4
 BATCH_SECONDS_PER_ROUTER = 0.005
@@ -42,7 +38,7 @@
 
     def __init__(
         self,
-        feed: ChangeFeed,
+        reader: StoreReader,
         directory: ServiceDirectory,
         metrics: Metrics,
         must_follow_store: Callable[[float], bool],
@@ -55,18 +51,27 @@
         self.is_connected = False
         self._must_follow_store = must_follow_store
         self._wait_until_needed = wait_until_needed
-        self._feed = feed
+        self._reader = reader
         self._directory = directory
         self._metrics = metrics
         self._needs_snapshot = True
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
-        # Of the watch that waits for changes.
+        # Of the watch that waits for changes, and when it was sent.
         self._watch = trio.CancelScope()
+        self._watched_since = math.inf
 
     def restart_watch(self) -> None:
         """Ask again: the connection of the watch may have gone silent."""
         self._watch.cancel()
 
+    def restart_overdue_watch(self, asked_at: float) -> None:
+        """Ask again if the store has answered a later call before the watch.
+
+        That call was sent at `asked_at`, when the watch was overdue.
+        """
+        if asked_at - self._watched_since > WATCH_SECONDS + OVERDUE_SECONDS:
+            self._watch.cancel()
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -78,9 +83,6 @@
                 log_event('store.history_gone', error=str(exc))
             except StoreError as exc:
                 self._record_failure(exc)
-                self._needs_snapshot = self._needs_snapshot or self._is_mute(
-                    started_at, trio.current_time()
-                )
                 await trio.sleep_until(
                     max(
                         started_at + self._backoff_seconds,
@@ -100,70 +102,34 @@
             await self._wait_until_needed()
             return
         if self._needs_snapshot:
-            snapshot = await self._read_snapshot(now)
+            await self._reader.read_snapshot()
             self._record_success()
-            self._count_restore(snapshot)
-            answered_at = trio.current_time()
-            self._directory.apply_snapshot(snapshot, answered_at)
-            self._directory.freshness.record_answer(now, answered_at)
             self._needs_snapshot = False
             # A snapshot takes long to transfer on a slow link.
             await trio.sleep(2 * self._batch_seconds())
             return
         changes = await self._wait_for_changes(now)
         self._record_success()
-        answered_at = trio.current_time()
-        self._directory.apply_changes(changes, answered_at)
-        self._directory.freshness.record_answer(now, answered_at)
         if changes.entries or changes.deleted:
             await trio.sleep(self._batch_seconds())
 
-    def _is_mute(self, started_at: float, now: float) -> bool:
-        """Whether a watch got no answer from a store that answered others.
-
-        Entries may have changed meanwhile.
-        """
-        is_overdue = now - started_at > WATCH_TIMEOUT_SECONDS
-        contact = self._directory.store_contact
-        return is_overdue and contact.has_heard_since(now - RECENT_SECONDS)
-
-    def _count_restore(self, snapshot: Snapshot) -> None:
-        if self._directory.is_loaded and is_of_later_era(
-            snapshot.revision, self._directory.known_revision
-        ):
-            self._metrics.count('store.restores')
-
-    async def _read_snapshot(self, now: float) -> Snapshot:
-        self._directory.snapshot_requested_at = now
-        try:
-            return await self._feed.read_snapshot()
-        finally:
-            self._directory.snapshot_requested_at = None
-
     async def _wait_for_changes(self, now: float) -> Changes:
-        revision = self._directory.feed_revision
+        if not self.is_connected:
+            probe = partial(self._read_changes, PROBE_TIMEOUT_SECONDS)
+            return await first_outcome(probe, PROBE_INTERVAL_SECONDS)
+        self._watched_since = now
+        self._watch = trio.CancelScope()
         try:
-            if not self.is_connected:
-                return await first_outcome(
-                    partial(
-                        self._feed.wait_for_changes,
-                        revision,
-                        PROBE_TIMEOUT_SECONDS,
-                    ),
-                    PROBE_INTERVAL_SECONDS,
-                )
-            self._directory.watched_since = now
-            self._watch = trio.CancelScope()
             with self._watch:
-                return await self._feed.wait_for_changes(
-                    revision, WATCH_TIMEOUT_SECONDS
-                )
-            raise StoreResponseLost('the watch is given up: it may be silent')
-        except StoreError:
-            self._directory.freshness.record_failure(now, trio.current_time())
-            raise
+                return await self._read_changes(WATCH_SECONDS)
         finally:
-            self._directory.watched_since = None
+            self._watched_since = math.inf
+        raise StoreResponseLost('the watch is given up: it may be silent')
+
+    async def _read_changes(self, wait_seconds: float) -> Changes:
+        return await self._reader.read_changes(
+            self._directory.feed_revision, wait_seconds, EvidenceSource.watch
+        )
 
     def _batch_seconds(self) -> float:
         """Return the delay before the next call, to receive changes in batches.
--- /dev/null
+++ b/peridotwell/fleet/replica/store_reader.py
@@ -0,0 +1,82 @@
+"""Reads the store, applies what it says, and records it as evidence."""
+
+import trio
+
+from peridotwell.errors import StoreError
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
+from peridotwell.metrics import Metrics
+from peridotwell.store.change_feed import (
+    ChangeFeed,
+    Changes,
+    HistoryGone,
+    Snapshot,
+)
+from peridotwell.store.revisions import is_of_later_era
+
+__all__ = ('StoreReader',)
+
+
+class StoreReader:
+    """Makes the calls that tell a router the store's entries.
+
+    Each answer is evidence for what the store held when its call was sent.
+    """
+
+    def __init__(
+        self, feed: ChangeFeed, directory: ServiceDirectory, metrics: Metrics
+    ) -> None:
+        self._feed = feed
+        self._directory = directory
+        self._metrics = metrics
+
+    async def read_changes(
+        self, after: int, wait_seconds: float, source: EvidenceSource
+    ) -> Changes:
+        """Read the changes after a revision; wait up to `wait_seconds`.
+
+        Raises StoreError.
+        """
+        asked_at = trio.current_time()
+        try:
+            changes = await self._feed.wait_for_changes(after, wait_seconds)
+        except HistoryGone:
+            raise
+        except StoreError:
+            self._directory.belief.record_failure(asked_at)
+            raise
+        now = trio.current_time()
+        self._directory.apply_changes(changes, now)
+        self._directory.belief.record(
+            Evidence(asked_at, changes.revision, source), now
+        )
+        return changes
+
+    async def read_snapshot(self) -> Snapshot:
+        """Read all entries. Raises StoreError."""
+        asked_at = trio.current_time()
+        self._directory.snapshot_requested_at = asked_at
+        try:
+            snapshot = await self._feed.read_snapshot()
+        except StoreError:
+            self._directory.belief.record_failure(asked_at)
+            raise
+        finally:
+            self._directory.snapshot_requested_at = None
+        now = trio.current_time()
+        self._count_restore(snapshot)
+        self._directory.apply_snapshot(snapshot, now)
+        self._directory.belief.record(
+            Evidence(asked_at, snapshot.revision, EvidenceSource.snapshot), now
+        )
+        return snapshot
+
+    async def renew_connections(self) -> None:
+        """Let the next call open a connection of its own."""
+        await self._feed.renew_connections()
+
+    def _count_restore(self, snapshot: Snapshot) -> None:
+        if self._directory.is_loaded and is_of_later_era(
+            snapshot.revision, self._directory.known_revision
+        ):
+            self._metrics.count('store.restores')
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -275,10 +275,12 @@
     """Updates of several routers, forwarded by a relay.
 
     `follows_store` tells whether the sender reads the store itself,
-    `revision` is the store revision that it knows. `listed` holds caches that
-    engines have listed after the start of routers. Changes with patches and
-    partial ones are in `extended_changes`: older versions know only
-    `store_changes` and would count as up to date without what is missing.
+    `revision` is the store revision that it knows, `knowledge_age_deciseconds`
+    the age of that in tenths of a second: older versions do not tell it, and
+    watch for two seconds. `listed` holds caches that engines have listed after
+    the start of routers. Changes with patches and partial ones are in
+    `extended_changes`: older versions know only `store_changes` and would count
+    as up to date without what is missing.
     """
 
     follows_store: bool
@@ -287,6 +289,7 @@
     store_changes: StoreChanges | None = None
     listed: tuple[CachedPrompt, ...] = ()
     extended_changes: StoreChanges | None = None
+    knowledge_age_deciseconds: int = 26
 
 
 class CachesPull(Frame, frozen=True, array_like=True, tag=14):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -8,6 +8,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_check import StoreCheck
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.fleet.replica.version_record import VersionRecordWriter
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
@@ -87,18 +88,22 @@
     forwarding = _make_forwarding(
         settings, adapters, update_exchange, clients, metrics
     )
+    reader = StoreReader(store, directory, metrics)
+    follower = StoreFollower(
+        reader,
+        directory,
+        metrics,
+        update_exchange.relay_protocol.must_follow_store,
+        update_exchange.relay_protocol.wait_until_following,
+    )
     return RouterComponents(
         transport=transport,
         update_exchange=update_exchange,
         directory=directory,
-        follower=StoreFollower(
-            store,
-            directory,
-            metrics,
-            update_exchange.relay_protocol.must_follow_store,
-            update_exchange.relay_protocol.wait_until_following,
+        follower=follower,
+        store_check=StoreCheck(
+            reader, directory, metrics, follower.restart_overdue_watch
         ),
-        store_check=StoreCheck(store, directory, metrics),
         registration=RouterRegistration(
             store,
             peers.own,
@@ -154,7 +159,7 @@
             PathSelector(selector, tracker, peer_paths),
             tracker.return_spread,
             metrics,
-            state.directory.freshness,
+            state.directory.belief,
         ),
         handover_client,
         ReachabilityProber(tracker, settings.name, state.own_reach),
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -19,13 +19,13 @@
 
 Task = Callable[[], Awaitable[None]]
 
-CLEANUP_SECONDS = 0.5
+CLEANUP_SECONDS = 0.6
 # Longest and shortest time between two updates to the peers. An update is sent
 # early if there are changes to send.
 UPDATE_SECONDS = 0.1
 MIN_UPDATE_SECONDS = 0.03
 RENEWALS_PER_LEASE = 3
-RECORD_SECONDS = 0.5
+RECORD_SECONDS = 0.6
 PAUSE_AFTER_FAILURE_SECONDS = 0.2
 
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -161,12 +161,12 @@
         )
 
     async def _require_settled(self) -> None:
-        """Let this router read first what has changed while it was late.
+        """Let this router ask the store first if its belief is old.
 
         Raises NotConfigured if the store has not answered yet: this router may
         lack a change that forbids the request.
         """
-        if not await self._directory.freshness.settle(trio.current_time()):
+        if not await self._directory.belief.settle(trio.current_time()):
             raise NotConfigured(
                 'This instance may lack the latest configuration: send the '
                 'request again.',
@@ -180,7 +180,7 @@
         the configuration in force.
         """
         may_be_outdated = isinstance(error, UnknownPath | UnknownCredential)
-        if not may_be_outdated or self._directory.freshness.is_current(now):
+        if not may_be_outdated or self._directory.belief.is_current(now):
             return error
         return NotConfigured(
             f'{error} This instance may lack the latest configuration: send '
--- a/peridotwell/forwarding/waiting_room.py
+++ b/peridotwell/forwarding/waiting_room.py
@@ -16,7 +16,7 @@
 import trio
 
 from peridotwell.errors import NoRoom, Overloaded
-from peridotwell.fleet.replica.store_freshness import StoreFreshness
+from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.logs import log_event
@@ -101,8 +101,8 @@
 class WaitingRoom:
     """Chooses targets for requests, and lets those wait that find no room.
 
-    `selector` chooses the targets. If the router was late to read that targets
-    leave, as `freshness` tells, it reads that first.
+    `selector` chooses the targets. If the router may lack that targets leave,
+    as its `belief` tells, it asks the store first.
     """
 
     def __init__(
@@ -110,10 +110,10 @@
         selector: PathSelector,
         return_spread: ReturnSpread,
         metrics: Metrics,
-        freshness: StoreFreshness,
+        belief: StoreBelief,
     ) -> None:
         self.selector = selector
-        self._freshness = freshness
+        self._belief = belief
         self._return_spread = return_spread
         self._metrics = metrics
         self._lines: dict[str, _Line] = {}
@@ -131,7 +131,7 @@
 
         The choice must be used before the next checkpoint.
         """
-        await self._freshness.settle(trio.current_time())
+        await self._belief.settle(trio.current_time())
         if tried or software is not None:
             return self.selector.choose(
                 request,
@@ -172,7 +172,7 @@
                 line.waited += 1
                 self._metrics.count('request.waited')
             await self._wait(line, request, place, now)
-            await self._freshness.settle(trio.current_time())
+            await self._belief.settle(trio.current_time())
             now = trio.current_time()
         raise AssertionError('The loop ends only with a choice or an error.')
 
--- a/peridotwell/policy/update_delay.py
+++ b/peridotwell/policy/update_delay.py
@@ -21,6 +21,7 @@
             maxlen=MAX_PENDING_UPDATES
         )
         self._last_seconds = float(0)
+        self._is_measured = False
 
     def record_sent(self, sequence: int, now: float) -> None:
         """Record that the update with this sequence number is sent."""
@@ -38,12 +39,18 @@
             pending, sent_at = self._pending.popleft()
             if pending == sequence:
                 self._last_seconds = now - sent_at
+                self._is_measured = True
                 return
 
     def clear(self) -> None:
         """Forget all updates; a router that is a relay gets none back."""
         self._pending.clear()
         self._last_seconds = 0
+        self._is_measured = False
+
+    def measured_seconds(self, now: float) -> float | None:
+        """Return the delay; None before an update has returned."""
+        return self.seconds(now) if self._is_measured else None
 
     def seconds(self, now: float) -> float:
         """Return the last delay, or the age of the oldest pending update.
--- a/peridotwell/store/change_feed.py
+++ b/peridotwell/store/change_feed.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+import trio
+
 from peridotwell.errors import StoreError
 from peridotwell.store.base import Entry, EntryStore
 
@@ -64,6 +66,13 @@
         HistoryGone if the store no longer has the changes.
         """
 
+    async def renew_connections(self) -> None:
+        """Let the next call use a new connection: idle ones may be silent.
+
+        A store without connections has nothing to do.
+        """
+        await trio.lowlevel.checkpoint()
+
 
 class ChangeFeedStore(EntryStore, ChangeFeed):
     """A store that can be followed and whose entries can be written."""
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -5,7 +5,6 @@
 routers must learn of them soon.
 """
 
-import math
 import random
 from collections import deque
 
@@ -15,6 +14,7 @@
 import trio.testing
 
 from peridotwell.domain.target import wire_id
+from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
 from peridotwell.fleet.transport.frames import RouterUpdate, StoreChanges
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
@@ -55,10 +55,18 @@
     return {each.knowledge.peer_requests.outstanding(ENGINE) for each in fleet}
 
 
-def mark_store_answered(fleet, now):
-    """Let each router assume that the store responded to it at `now`."""
+def mark_store_answered(fleet, now, age=0):
+    """Let each router assume that the store responded to it at `now`.
+
+    The call was sent `age` seconds before.
+    """
     for router in fleet:
-        router.directory.store_contact.record_answer(now)
+        directory = router.directory
+        directory.store_contact.record_answer(now)
+        directory.belief.record(
+            Evidence(now - age, directory.known_revision, EvidenceSource.watch),
+            now,
+        )
 
 
 def test_every_router_considers_all_others_live(fleet):
@@ -129,8 +137,7 @@
         now = 5 + step * LATE_TURN_SECONDS
         for relay in relays:
             relay.receive_frames(now)
-            relay.directory.store_contact.record_answer(now)
-            relay.directory.freshness.record_answer(now - 2, now)
+            mark_store_answered([relay], now, age=2)
             relay.sharing.tick(now)
         run_ticks(others, now, now + LATE_TURN_SECONDS)
     assert len(routers_following_store(fleet, now)) == ROUTER_COUNT
@@ -442,16 +449,22 @@
             assert protocol.must_follow_store(now + 0.5), now + 0.5
 
 
-def test_a_router_is_told_what_its_relay_knew_a_moment_ago(fleet):
+# Guards against a router that goes by an older configuration, because it takes
+# what its relay tells for knowledge of now.
+def test_a_router_knows_no_more_than_its_relay_did(fleet):
     mark_store_answered(fleet, 4)
     run_ticks(fleet, 4, 5)
     followers = routers_following_store(fleet, 5)
-    member = next(each for each in fleet if each not in followers)
-    told_until = member.sharing.relay_protocol.told_until(5)
-    assert 5 - told_until == pytest.approx(
-        member.sharing.update_delay.seconds(5)
-    )
-    assert told_until > 4
+    members = [each for each in fleet if each not in followers]
+    mark_store_answered(followers, 5, age=0.7)
+    run_ticks(fleet, 5, 5.5)
+    for member in members:
+        belief = member.directory.belief
+        assert belief.logged_source() == 'relay'
+        assert belief.evidence.known_until <= 4.3
+        assert belief.is_current(5.5)
+    run_ticks(fleet, 5.5, 7)
+    assert not any(each.directory.belief.is_current(7) for each in fleet)
 
 
 # Guards against a router whose relay loses the store, and that does not read
@@ -474,19 +487,9 @@
         for start in (5, 6):
             await trio.testing.wait_all_tasks_blocked()
             assert not is_following.is_set()
+            mark_store_answered(followers, start)
             run_ticks(fleet, start, start + 1)
         for start in (7, 8, 9):
             run_ticks(fleet, start, start + 1)
         await trio.testing.wait_all_tasks_blocked()
         assert is_following.is_set()
-
-
-def test_a_silent_watch_tells_nothing_once_it_is_overdue(fleet):
-    mark_store_answered(fleet, 4)
-    run_ticks(fleet, 4, 5)
-    protocol = routers_following_store(fleet, 5)[0].sharing.relay_protocol
-    directory = protocol._directory
-    assert protocol.told_until(5) == -math.inf
-    directory.watched_since = 5
-    assert protocol.told_until(7) == 7
-    assert protocol.told_until(7.4) == -math.inf
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -12,6 +12,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_contact import MIN_OUTAGE_SECONDS
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.forwarding.adapters import EntryDecoder
 from peridotwell.metrics import Metrics
@@ -224,8 +225,9 @@
 
 
 async def follow(directory, feed, must_follow_store=lambda now: True):
+    reader = StoreReader(feed, directory, Metrics('', ''))
     follower = StoreFollower(
-        feed,
+        reader,
         directory,
         Metrics('', ''),
         must_follow_store,
@@ -348,8 +350,9 @@
 
 async def seconds_of_use(directory, feed, nursery):
     """Return for how long a target is used after its removal is read."""
+    reader = StoreReader(feed, directory, Metrics('', ''))
     follower = StoreFollower(
-        feed,
+        reader,
         directory,
         Metrics('', ''),
         lambda now: True,
--- a/tests/fleet/replica/test_store_check.py
+++ b/tests/fleet/replica/test_store_check.py
@@ -2,10 +2,13 @@
 
 import pytest
 import trio
+import trio.testing
 
 from peridotwell.errors import StoreUnavailable
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
 from peridotwell.fleet.replica.store_check import StoreCheck
+from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.metrics import Metrics
 from peridotwell.store.change_feed import (
     ChangeFeed,
@@ -38,13 +41,20 @@
         return Changes((entry('table', b'2', 9),), (), 9)
 
 
-class SilentFeed(FailingFeed):
-    """Gives no answer."""
+class MuteFeed(FailingFeed):
+    """Gives no answer to calls that ask for changes."""
 
     async def wait_for_changes(self, after, wait_seconds):
         return await trio.sleep_forever()
 
 
+class SilentFeed(MuteFeed):
+    """Gives no answer."""
+
+    async def read_snapshot(self):
+        return await trio.sleep_forever()
+
+
 class SlowlyReadFeed(FailingFeed):
     """Answers at once; the client takes some turns to read the answer."""
 
@@ -67,12 +77,19 @@
     now = trio.current_time()
     snapshot = Snapshot((entry('table', b'1', 1),), 1)
     directory.apply_snapshot(snapshot, now - STALL_SECONDS)
-    directory.freshness.record_answer(now - STALL_SECONDS, now - STALL_SECONDS)
-    directory.freshness.record_turn(now - STALL_SECONDS, now - STALL_SECONDS)
-    directory.freshness.record_turn(now, now)
+    known = Evidence(now - STALL_SECONDS, 1, EvidenceSource.snapshot)
+    directory.belief.record(known, now - STALL_SECONDS)
+    directory.belief.record_turn(now - STALL_SECONDS)
+    directory.belief.record_turn(now)
     return directory
 
 
+def make_check(feed, directory, on_answer=print):
+    metrics = Metrics('', '')
+    reader = StoreReader(feed, directory, metrics)
+    return StoreCheck(reader, directory, metrics, on_answer)
+
+
 # Guards against a router that serves by an old configuration after it stood
 # still, because changes that the store no longer has were taken for an outage.
 async def test_changes_that_are_gone_are_read_as_a_snapshot(
@@ -80,22 +97,22 @@
 ):
     directory = stalled_directory()
     feed = FailingFeed(HistoryGone('gone'))
-    nursery.start_soon(StoreCheck(feed, directory, Metrics('', '')).run)
-    assert await directory.freshness.settle(trio.current_time())
+    nursery.start_soon(make_check(feed, directory).run)
+    assert await directory.belief.settle(trio.current_time())
     assert directory.table.version == 2
 
 
 async def test_a_check_that_failed_is_repeated(autojump_clock, nursery):
     directory = stalled_directory()
     feed = FailingFeed(StoreUnavailable('status 503'))
-    nursery.start_soon(StoreCheck(feed, directory, Metrics('', '')).run)
-    assert await directory.freshness.settle(trio.current_time())
+    nursery.start_soon(make_check(feed, directory).run)
+    assert await directory.belief.settle(trio.current_time())
     assert directory.table.version == 1
     began = trio.current_time()
     with trio.fail_after(2):
-        while directory.freshness.late.is_set():
+        while directory.belief.due.is_set():
             await trio.sleep(0.1)
-            directory.freshness.record_turn(trio.current_time(), 0)
+            directory.belief.record_turn(trio.current_time())
     assert directory.table.version == 2
     assert trio.current_time() - began == pytest.approx(1, abs=0.2)
 
@@ -107,8 +124,8 @@
 ):
     directory = stalled_directory()
     failures = []
-    directory.freshness.record_failure = lambda *_: failures.append(1)
-    check = StoreCheck(SlowlyReadFeed(), directory, Metrics('', ''))
+    directory.belief.record_failure = lambda *_: failures.append(1)
+    check = make_check(SlowlyReadFeed(), directory)
     nursery.start_soon(check.run)
     nursery.start_soon(take_slow_turns, autojump_clock)
     with trio.fail_after(5):
@@ -119,8 +136,26 @@
 
 async def test_a_silent_store_is_known_to_be_away_soon(autojump_clock, nursery):
     directory = stalled_directory()
-    check = StoreCheck(SilentFeed(), directory, Metrics('', ''))
+    check = make_check(SilentFeed(), directory)
     nursery.start_soon(check.run)
     began = trio.current_time()
-    await directory.freshness.settled.wait()
+    while not directory.belief.is_away():
+        await trio.sleep(0.01)
     assert trio.current_time() - began == pytest.approx(0.6, abs=0.01)
+
+
+# Guards against an older configuration that decides requests for as long as a
+# store answers all calls but those that ask for changes.
+async def test_all_entries_are_read_from_a_store_that_tells_no_changes(
+    autojump_clock, nursery
+):
+    directory = stalled_directory()
+    answered = []
+    check = make_check(MuteFeed(), directory, answered.append)
+    nursery.start_soon(check.run)
+    asked_at = trio.current_time()
+    assert await directory.belief.settle(asked_at)
+    assert directory.table.version == 2
+    assert directory.belief.is_current(trio.current_time())
+    await trio.testing.wait_all_tasks_blocked()
+    assert answered == [asked_at]
--- a/tests/forwarding/test_waiting_room.py
+++ b/tests/forwarding/test_waiting_room.py
@@ -1,6 +1,7 @@
 """Requests for which no target has room wait, or are refused at once."""
 
 import logging
+import math
 from collections import Counter
 from dataclasses import replace
 
@@ -9,7 +10,11 @@
 import trio.testing
 
 from peridotwell.errors import NoRoom, RunState
-from peridotwell.fleet.replica.store_freshness import StoreFreshness
+from peridotwell.fleet.replica.store_belief import (
+    Evidence,
+    EvidenceSource,
+    StoreBelief,
+)
 from peridotwell.forwarding.waiting_room import (
     MAX_WAITING_BYTES,
     WaitingRoom,
@@ -46,10 +51,9 @@
 
     def __init__(self, selector):
         self.spread = ReturnSpread()
-        self.freshness = StoreFreshness()
-        super().__init__(
-            selector, self.spread, Metrics('', 'p'), self.freshness
-        )
+        self.belief = StoreBelief()
+        self.belief.evidence = Evidence(math.inf, 1, EvidenceSource.watch)
+        super().__init__(selector, self.spread, Metrics('', 'p'), self.belief)
         self.results = Counter()
 
     def record_sent(self, count=RATE * 2):
@@ -260,11 +264,11 @@
 ):
     selector.room = 1
     now = trio.current_time()
-    room.freshness.record_answer(now - 2.1, now - 2.1)
-    room.freshness.record_turn(now - 2, now - 2)
+    room.belief.evidence = Evidence(now - 2.1, 1, EvidenceSource.watch)
     nursery.start_soon(room.call, request_of(), tried)
     await trio.sleep(0.1)
     assert not selector.sent
-    room.freshness.record_answer(now, trio.current_time())
+    new = Evidence(now, 2, EvidenceSource.check)
+    room.belief.record(new, trio.current_time())
     await trio.testing.wait_all_tasks_blocked()
     assert len(selector.sent) == 1
--- a/tests/peridotwell_platform/test_slow_store.py
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -10,6 +10,7 @@
 from peridotwell.errors import StoreError
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_follower import StoreFollower
+from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.fleet.transport.router_registry import (
     ROUTERS_PREFIX,
@@ -47,9 +48,9 @@
     slow.configure(1)
     address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
     directory = ServiceDirectory(PlatformEntryDecoder())
-    feed = PlatformStore(address)
+    reader = StoreReader(PlatformStore(address), directory, Metrics('', ''))
     follower = StoreFollower(
-        feed,
+        reader,
         directory,
         Metrics('', ''),
         lambda now: True,
@@ -78,9 +79,9 @@
     slow.configure(1)
     address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
     directory = ServiceDirectory(PlatformEntryDecoder())
-    feed = PlatformStore(address)
+    reader = StoreReader(PlatformStore(address), directory, Metrics('', ''))
     follower = StoreFollower(
-        feed,
+        reader,
         directory,
         Metrics('', ''),
         lambda now: True,
