Lines about refusals begin with what the router went by

Cause: operators keep 200 characters of a line.

Change: lines have no spaces between items; the level and the data centre, which the event and the instance imply, come last. `request.refused` has `code`, `table`, `knowledge_age`, `source` (from where the version was taken) and `revision` (the last known one) next if the error comes of what is known of the store (404, 401, not_configured), else `status`, `after_seconds`, `retry_after`, `cut`; `reason` is the last field. New: `source`, `revision`, `table_revision`. `attempt.failed` has `code` before the target, `error` last.

The soak searched lines for `"event": "..."` with a space, which no line has any more; it searches for the quoted name, and read_log_line checks the event after decoding, which is as strict.

Nothing that decides has changed.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -138,18 +138,28 @@
         self.has_updates.set()
 
     def knowledge_log_fields(self, now: float) -> dict[str, object]:
-        """Return the log fields for how late this router hears of changes.
+        """Return the log fields for what this router knows of the store.
 
-        These are ages in seconds: of the store's last answer, of this router's
-        updates when they return from its relay, and of what it knows; None
-        before the first.
+        First the configuration in force, the age of the knowledge, where the
+        configuration came from, and the last known revision. Ages are in
+        seconds: of what is known, of the store's last answer, of the
+        configuration, and of this router's updates when they return from its
+        relay; None before the first.
         """
         directory = self.state.directory
+        table = directory.table
+        source = directory.table_source
+        table_age = now - directory.table_loaded_at
         return {
-            'follows_store': self.relay_protocol.must_follow_store(now),
+            'table': table.version if table else None,
+            'knowledge_age': directory.freshness.logged_age(now),
+            'source': source.value if source else None,
+            'revision': directory.known_revision,
+            'table_revision': table.revision if table else None,
             'store_answer_age': directory.store_contact.answer_age(now),
+            'follows_store': self.relay_protocol.must_follow_store(now),
+            'table_age_seconds': round(table_age, 3) if table else None,
             'update_delay': round(self.update_delay.seconds(now), 3),
-            'knowledge_age': directory.freshness.logged_age(now),
         }
 
     def router_count(self) -> int:
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -58,6 +58,7 @@
     def __init__(self, decoder: EntryDecoder) -> None:
         self.table: RoutingTable | None = None
         self.table_loaded_at = float(0)
+        self.table_source: EntrySource | None = None
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # When the watch began that waits for the store's changes, or None.
@@ -267,6 +268,7 @@
             return
         self.table = table
         self.table_loaded_at = now
+        self.table_source = source
         log_event(
             'table.taken',
             version=table.version,
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -311,11 +311,11 @@
     log_failure(
         'attempt.failed',
         request=attempt.request.request_id,
+        code=exc.code,
         target=attempt.target.name,
         attempt=attempt.number,
-        code=exc.code,
-        error=str(exc),
         may_have_run=exc.may_have_run,
+        error=str(exc),
     )
 
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -27,6 +27,7 @@
 )
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.planned_stop import PlannedStop
+from peridotwell.forwarding.refusal_log import refusal_log_fields
 from peridotwell.forwarding.request_reader import (
     NOT_READY_RETRY_AFTER_SECONDS,
     RequestReader,
@@ -288,14 +289,6 @@
             with trio.move_on_after(CACHE_RECOVERY_WAIT_SECONDS):
                 await self._update_exchange.cache_sync.is_ready.wait()
 
-    def _table_log_fields(self, now: float) -> dict[str, object]:
-        """Return the log fields for the configuration version and its age."""
-        table = self._directory.table
-        if table is None:
-            return {'table': None}
-        age = now - self._directory.table_loaded_at
-        return {'table': table.version, 'table_age_seconds': round(age, 3)}
-
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
@@ -320,13 +313,12 @@
             'request.refused',
             request=request_id,
             code=error.code,
-            status=error.status,
-            reason=str(error),
-            after_seconds=round(now - arrived_at, 4),
-            retry_after=error.retry_after_seconds,
-            cut=caller_response.has_begun,
-            **self._table_log_fields(now),
-            **self._update_exchange.knowledge_log_fields(now),
+            **refusal_log_fields(
+                error,
+                self._update_exchange.knowledge_log_fields(now),
+                after_seconds=now - arrived_at,
+                has_begun=caller_response.has_begun,
+            ),
         )
         if caller_response.has_begun or isinstance(error, StreamBroken):
             return
--- a/peridotwell/logs.py
+++ b/peridotwell/logs.py
@@ -5,23 +5,31 @@
 output never delays requests. Lines beyond the rate limit or the capacity of
 the queue are dropped and counted. Part of the rate limit is reserved for
 failures, so that lines about failures are dropped last.
+
+Readers may keep only the beginning of a line. So the time, the instance and the
+event come first, then the fields in the order of the call, and last what other
+fields imply: the level and the data centre.
 """
 
 import atexit
+import json
 import logging
 import queue
 import sys
 import time
 from contextlib import suppress
+from functools import partial
 from logging.handlers import QueueHandler, QueueListener
-from typing import TextIO
+from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 __all__ = ('configure_logging', 'log_event', 'log_failure', 'LogRateLimiter')
 
 LOGGER_NAME = 'peridotwell'
-LINE_FORMAT = '%(asctime)s %(levelname)s'
+LINE_FORMAT = '%(asctime)s'
+# Of items, and of names from values: lines have no spaces between them.
+SEPARATORS = (',', ':')
 QUEUE_CAPACITY_LINES = 4000
 LINES_PER_SECOND = 400
 BURST_LINES = 1000
@@ -98,6 +106,30 @@
             self._thread.join(FLUSH_TIMEOUT_SECONDS)
 
 
+class _LineFormatter(JsonFormatter):
+    """Formats a record as one JSON object; what tells least comes last."""
+
+    def __init__(self, instance: str, data_centre: str) -> None:
+        super().__init__(
+            LINE_FORMAT,
+            rename_fields={'asctime': 'time'},
+            static_fields={'instance': instance},
+            json_serializer=partial(json.dumps, separators=SEPARATORS),
+        )
+        self._data_centre = data_centre
+
+    def add_fields(
+        self,
+        log_data: dict[str, Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, Any],
+    ) -> None:
+        """Add the fields of a record in the order of the line."""
+        super().add_fields(log_data, record, message_dict)
+        log_data['level'] = record.levelname
+        log_data['data_centre'] = self._data_centre
+
+
 def configure_logging(
     instance: str,
     data_centre: str,
@@ -105,16 +137,7 @@
 ) -> None:
     """Write the log to `stream`, one JSON object a line."""
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        JsonFormatter(
-            LINE_FORMAT,
-            rename_fields={
-                'asctime': 'time',
-                'levelname': 'level',
-            },
-            static_fields={'instance': instance, 'data_centre': data_centre},
-        ),
-    )
+    handler.setFormatter(_LineFormatter(instance, data_centre))
     records: queue.Queue[logging.LogRecord] = queue.Queue(QUEUE_CAPACITY_LINES)
     logger = logging.getLogger(LOGGER_NAME)
     logger.addHandler(_RateLimitedHandler(records))
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -441,6 +441,16 @@
     assert refused[-1]['follows_store']
     assert 0 <= refused[-1]['store_answer_age'] < 3
     assert 0 <= refused[-1]['knowledge_age'] < 1
+    assert list(refused[-1])[:7] == [
+        'event',
+        'request',
+        'code',
+        'table',
+        'knowledge_age',
+        'source',
+        'revision',
+    ]
+    assert refused[-1]['table_revision'] <= refused[-1]['revision']
 
 
 # Guards against callers that are told for good that their route or key does not
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -227,7 +227,7 @@
             f'{router.name}: {line}'
             for router in self.routers
             for line in self._log_lines(router)
-            if '"event": "task.failed"' in line
+            if '"task.failed"' in line
         )
 
     def record_logs(self) -> None:
@@ -245,7 +245,7 @@
             msgspec.json.decode(line)['loop_delay_seconds']
             for router in self.routers
             for line in self._log_lines(router)
-            if '"event": "state.delayed"' in line
+            if '"state.delayed"' in line
         )
         return max(delays, default=0)
 
--- a/tests/soak/router_logs.py
+++ b/tests/soak/router_logs.py
@@ -25,13 +25,15 @@
 
     `clock_offset` is added to the time of day, in seconds.
     """
-    if not any(f'"event": "{event}"' in line for event in EVENTS):
+    if not any(f'"{event}"' in line for event in EVENTS):
         return None
     try:
         fields = msgspec.json.decode(line)
     except msgspec.DecodeError:
         # A line of a process that was killed may end early.
         return None
+    if fields['event'] not in EVENTS:
+        return None
     logged_at = datetime.strptime(fields['time'], TIME_FORMAT)
     at = logged_at.replace(tzinfo=UTC).timestamp() + clock_offset
     if fields['event'] == START_EVENT:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -92,9 +92,9 @@
     cluster = SoakCluster(tmp_path)
     cluster.routers.append(SimpleNamespace(name='r0'))
     log = tmp_path / 'r0.log'
-    log.write_text('{"event": "router.started"}\n')
+    log.write_text('{"event":"router.started"}\n')
     cluster.record_failed_tasks()
     assert not cluster.violations
-    log.write_text('{"event": "task.failed", "task": "probe"}\n')
+    log.write_text('{"event":"task.failed","task":"probe"}\n')
     cluster.record_failed_tasks()
     assert len(cluster.violations) == 1
--- a/tests/soak/test_router_logs.py
+++ b/tests/soak/test_router_logs.py
@@ -6,8 +6,8 @@
 
 def line(event, field):
     return (
-        '{"time": "1970-01-01 00:01:40,500", "instance": "r0", '
-        f'"event": "{event}", "request": "q1-book", "{field}": 1.25}}'
+        '{"time":"1970-01-01 00:01:40,500","instance":"r0",'
+        f'"event":"{event}","request":"q1-book","{field}":1.25}}'
     )
 
 
@@ -27,6 +27,10 @@
 def test_other_lines_say_nothing():
     other = line('request.handed_over', 'whole_seconds')
     assert read_log_line(other, 'r0', 0) is None
+    named = line('request.handed_over', 'whole_seconds').replace(
+        'q1-book', 'router.started'
+    )
+    assert read_log_line(named, 'r0', 0) is None
     cut = line('request.answered', 'whole_seconds')[:-10]
     assert read_log_line(cut, 'r0', 0) is None
     assert read_log_line('Traceback', 'r0', 0) is None
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,12 +1,18 @@
 """Logging is rate-limited and never blocks."""
 
 import ast
+import json
 import logging
 import queue
 import time
 from pathlib import Path
 
-from peridotwell.logs import LogRateLimiter, _RateLimitedHandler, log_event
+from peridotwell.logs import (
+    LogRateLimiter,
+    _LineFormatter,
+    _RateLimitedHandler,
+    log_event,
+)
 
 
 def test_lines_per_second_are_limited():
@@ -61,6 +67,23 @@
     assert records.get_nowait().msg['dropped_lines'] == 2
 
 
+# Guards against lines whose beginning says what other fields imply.
+def test_level_and_data_centre_are_the_last_fields_of_a_line():
+    formatter = _LineFormatter('r-1', 'north')
+    record = logging.LogRecord(
+        'x', logging.WARNING, '', 0, {'event': 'e', 'code': 'c'}, None, None
+    )
+    line = formatter.format(record)
+    assert ' ' not in line.partition(',"instance"')[2]
+    assert list(json.loads(line).items())[1:] == [
+        ('instance', 'r-1'),
+        ('event', 'e'),
+        ('code', 'c'),
+        ('level', 'WARNING'),
+        ('data_centre', 'north'),
+    ]
+
+
 def logged_fields():
     """Yield the keyword arguments of all log calls, with their place."""
     for folder in ('peridotwell', 'platform'):
