A router that takes a table tells what it refused by an older one

Cause: a router that does not know of a newer configuration refuses what that one allows, and nothing it writes later says so; records of incidents leave that to be guessed from refusals and versions of several routers.

`table.taken` is followed by one warning, `table.refused_by_older`, if the new table allows some of them: number, versions, ages, source, revisions, id of the last request. Requests that are not refused cost nothing more. The check is RoutingTable.find_route and find_customer, as for a request.

A refusal from before the version was written counts too, as a router cannot know when it was acknowledged; `last_age` tells them apart.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -14,6 +14,7 @@
 from peridotwell.errors import EntryError
 from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
+from peridotwell.fleet.replica.recent_refusals import RecentRefusals
 from peridotwell.fleet.replica.store_contact import (
     StoreContact,
     StoreContactReport,
@@ -83,6 +84,7 @@
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
         self.freshness = StoreFreshness()
+        self.refusals = RecentRefusals()
         self._departed = DepartedTargets()
         # By service: all targets, and those that accept new work.
         self._by_service: dict[str, tuple[Target, ...]] = {}
@@ -276,6 +278,7 @@
             routes=len(table.routes),
             source=source.value,
         )
+        self.refusals.log_allowed_by(table, source.value, now)
 
     def _apply_target(
         self, entry: Entry, source: EntrySource, now: float
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -27,7 +27,10 @@
 )
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.planned_stop import PlannedStop
-from peridotwell.forwarding.refusal_log import refusal_log_fields
+from peridotwell.forwarding.refusal_log import (
+    record_refusal,
+    refusal_log_fields,
+)
 from peridotwell.forwarding.request_reader import (
     NOT_READY_RETRY_AFTER_SECONDS,
     RequestReader,
@@ -138,6 +141,13 @@
             self.planned_stop.check(request.deadline_at, trio.current_time())
         except RequestError as exc:
             error = self._unless_outdated(exc, trio.current_time())
+            record_refusal(
+                error,
+                exchange,
+                self._components.caller_adapter,
+                self._directory,
+                trio.current_time(),
+            )
             await self._refuse(
                 caller_response, error, self._request_id(exchange), now
             )
--- a/peridotwell/forwarding/refusal_log.py
+++ b/peridotwell/forwarding/refusal_log.py
@@ -9,8 +9,37 @@
     UnknownCredential,
     UnknownPath,
 )
+from peridotwell.fleet.replica.recent_refusals import Refusal
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.forwarding.adapters import CallerAdapter
+from peridotwell.serving.asgi import HttpExchange
 
-__all__ = ('refusal_log_fields',)
+__all__ = ('record_refusal', 'refusal_log_fields')
+
+
+def record_refusal(
+    error: RequestError,
+    exchange: HttpExchange,
+    adapter: CallerAdapter,
+    directory: ServiceDirectory,
+    now: float,
+) -> None:
+    """Record the refusal of a path or a key that a newer table may allow."""
+    if directory.table is None or not _is_by_configuration(error):
+        return
+    metadata = adapter.read(exchange)
+    directory.refusals.record(
+        Refusal(
+            refused_at=now,
+            request_id=metadata.request_id,
+            host=exchange.headers.get('host', ''),
+            path=exchange.raw_path.decode('latin-1'),
+            api_key=metadata.api_key,
+            version=directory.table.version,
+            known_revision=directory.known_revision,
+            knowledge_age=directory.freshness.logged_age(now),
+        )
+    )
 
 
 def refusal_log_fields(
@@ -32,6 +61,10 @@
         'cut': has_begun,
     }
     reason = {'reason': str(error)}
-    if isinstance(error, UnknownPath | UnknownCredential | NotConfigured):
+    if _is_by_configuration(error) or isinstance(error, NotConfigured):
         return knowledge | outcome | reason
     return outcome | knowledge | reason
+
+
+def _is_by_configuration(error: RequestError) -> bool:
+    return isinstance(error, UnknownPath | UnknownCredential)
--- a/peridotwell/operators/explain.py
+++ b/peridotwell/operators/explain.py
@@ -19,6 +19,7 @@
     (
         'table.taken',
         'table.invalid',
+        'table.refused_by_older',
         'target.leaving',
         'target.gone',
         'target.doubted',
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -36,6 +36,14 @@
 )
 
 
+WITH_NEW_ROUTE = {
+    **CONFIG,
+    'version': CONFIG['version'] + 1,
+    'routes': [*CONFIG['routes'], stand_in.route('new', 'idempotent')],
+}
+REFUSED_BY_OLDER = 'table.refused_by_older'
+
+
 class RouterHarness:
     """A router with two targets and a store, all in this process."""
 
@@ -453,6 +461,26 @@
     assert refused[-1]['table_revision'] <= refused[-1]['revision']
 
 
+# Guards against an incident without a trace: a router that learns that it
+# refused what was in force says nothing.
+async def test_log_tells_what_was_refused_by_an_older_configuration(
+    harness, caplog
+):
+    assert (await harness.send_request('/new/x')).status == 404
+    assert (await harness.send_request('/never/x')).status == 404
+    harness.store.put('op/config', msgspec.json.encode(WITH_NEW_ROUTE))
+    await trio.sleep(0.3)
+    lines = [record.msg for record in caplog.records]
+    refused = [each for each in lines if each['event'] == 'request.refused']
+    told = [each for each in lines if each['event'] == REFUSED_BY_OLDER]
+    assert len(refused) == 2
+    assert len(told) == 1
+    assert told[0]['request'] == refused[0]['request']
+    assert told[0]['refused'] == 1
+    assert told[0]['table'] == refused[0]['table'] == CONFIG['version']
+    assert told[0]['version'] == WITH_NEW_ROUTE['version']
+
+
 # Guards against callers that are told for good that their route or key does not
 # exist, by a router that is late to hear of it.
 async def test_an_outdated_router_refuses_nothing_for_good(harness):
