The line of a failure is written before its answer, if the output is a pipe

Cause: a thread writes the lines, so a process that is killed loses those that wait for it.

Ways weighed: to wait for the thread delays answers, and a stalled reader would delay them for as long as one waits; O_NONBLOCK on standard output changes it for all processes that share it; a pipe that poll calls writable may be full before the write. Linux has a flag for one write that must not wait (pwritev2 with RWF_NOWAIT, on pipes of newer kernels): it writes a line of up to PIPE_BUF bytes whole or not at all.

Change: a line about a failure goes out this way if the output is a pipe and all earlier lines are written, else to the queue as before: order stays, no line is torn, nothing waits.

--- a/peridotwell/logs.py
+++ b/peridotwell/logs.py
@@ -6,6 +6,12 @@
 the queue are dropped and counted. Part of the rate limit is reserved for
 failures, so that lines about failures are dropped last.
 
+A line about a failure is written at once, by its caller, if the output is a
+pipe that has room and all earlier lines are written. Then it is out before the
+answer to its request, also if the process is killed next. For other outputs (a
+file, a full pipe) no write is sure not to wait: a killed process loses the
+lines that its thread has not written yet.
+
 Readers may keep only the beginning of a line. So the time, the instance and the
 event come first, then the fields in the order of the call, and last what other
 fields imply: the level and the data centre.
@@ -24,12 +30,15 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from peridotwell.pipe_output import PipeOutput
+
 __all__ = ('configure_logging', 'log_event', 'log_failure', 'LogRateLimiter')
 
 LOGGER_NAME = 'peridotwell'
 LINE_FORMAT = '%(asctime)s'
 # Of items, and of names from values: lines have no spaces between them.
 SEPARATORS = (',', ':')
+LINE_END = '\n'
 QUEUE_CAPACITY_LINES = 4000
 LINES_PER_SECOND = 400
 BURST_LINES = 1000
@@ -70,8 +79,14 @@
 class _RateLimitedHandler(QueueHandler):
     """Queues records within a rate limit and reports how many it dropped."""
 
-    def __init__(self, records: 'queue.Queue[logging.LogRecord]') -> None:
+    def __init__(
+        self,
+        records: 'queue.Queue[logging.LogRecord]',
+        output: PipeOutput | None = None,
+    ) -> None:
         super().__init__(records)
+        self._records = records
+        self._output = output
         self._rate_limiter = LogRateLimiter(LINES_PER_SECOND, BURST_LINES)
 
     def enqueue(self, record: logging.LogRecord) -> None:
@@ -83,6 +98,9 @@
             return
         if self._rate_limiter.dropped_lines and isinstance(record.msg, dict):
             record.msg['dropped_lines'] = self._rate_limiter.dropped_lines
+        if is_failure and self._try_write(record):
+            self._rate_limiter.dropped_lines = 0
+            return
         try:
             self.queue.put_nowait(record)
         except queue.Full:
@@ -94,6 +112,12 @@
         """Return the record as it is, because the listener formats it."""
         return record
 
+    def _try_write(self, record: logging.LogRecord) -> bool:
+        """Write a record at once if all earlier ones are written."""
+        if self._output is None or self._records.unfinished_tasks:
+            return False
+        return self._output.try_write(self.format(record) + LINE_END)
+
 
 class _TimeLimitedListener(QueueListener):
     """Writes queued records when the process ends, for a limited time."""
@@ -136,11 +160,14 @@
     stream: TextIO = sys.stdout,
 ) -> None:
     """Write the log to `stream`, one JSON object a line."""
+    formatter = _LineFormatter(instance, data_centre)
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(_LineFormatter(instance, data_centre))
+    handler.setFormatter(formatter)
     records: queue.Queue[logging.LogRecord] = queue.Queue(QUEUE_CAPACITY_LINES)
     logger = logging.getLogger(LOGGER_NAME)
-    logger.addHandler(_RateLimitedHandler(records))
+    queue_handler = _RateLimitedHandler(records, PipeOutput(stream))
+    queue_handler.setFormatter(formatter)
+    logger.addHandler(queue_handler)
     logger.setLevel(logging.INFO)
     logger.propagate = False
     listener = _TimeLimitedListener(records, handler)
