--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -14,6 +14,7 @@
 from peridotwell.errors import EntryError
 from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
+from peridotwell.fleet.replica.recent_refusals import RecentRefusals
 from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.fleet.replica.store_contact import (
     StoreContact,
@@ -58,6 +59,7 @@
     def __init__(self, decoder: EntryDecoder) -> None:
         self.table: RoutingTable | None = None
         self.table_loaded_at = float(0)
+        self.table_source: EntrySource | None = None
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -80,6 +82,7 @@
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
         self.belief = StoreBelief()
+        self.refusals = RecentRefusals()
         self._departed = DepartedTargets()
         # By service: all targets, and those that accept new work.
         self._by_service: dict[str, tuple[Target, ...]] = {}
@@ -265,6 +268,7 @@
             return
         self.table = table
         self.table_loaded_at = now
+        self.table_source = source
         log_event(
             'table.taken',
             version=table.version,
@@ -272,6 +276,7 @@
             routes=len(table.routes),
             source=source.value,
         )
+        self.refusals.log_allowed_by(table, source.value, now)
 
     def _apply_target(
         self, entry: Entry, source: EntrySource, now: float
