The check of leaving targets excuses requests that their path holds

Excused now, past 2.5 s, is only what may have been sent on in time: its caller sent it within the 2.0 s, its own path was disturbed at its arrival, and had been since within the 2.0 s. Still counted: a disturbance that is over, or began later, one of another path, router, or of the store, and a request that came to the router later.

--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -71,6 +71,16 @@
         )
         return not _any_in(paths, begin, end)
 
+    def is_path_disturbed_since(
+        self, router: str, target: str, since: float, at: float
+    ) -> bool:
+        """Whether a path is disturbed, and has been so since before."""
+        return any(
+            path.began_at <= since and path.began_at <= at <= path.at
+            for path in self._paths[target]
+            if path.router in {'', router}
+        )
+
     def soak_late_seconds(self, role: str, begin: float, end: float) -> float:
         """Return how long a process of the soak itself was late in all.
 
