An answer of the store that stops half way is given up after 0.6 s

Cause: the time in which an answer must begin, 2.6 s for a watch, was also that for each later read of it. A watch has to wait for its answer; once the head is there, the store has answered, and the rest comes at once unless the connection has gone silent. A router that got half of an answer waited 2.6 s more for the rest, took itself to be current all the while, and asked nobody else.

Change: within an answer's body, no pause of over 0.6 s. Answers that begin late, or arrive in parts, are read as before. An answer of which not even the head is whole still waits for 2.6 s, and so does a watch that hears nothing at all (tests of silent watches).

--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -11,6 +11,8 @@
 
 __all__ = ('StoreHttpClient', 'decode_response')
 
+# A connection that carries nothing more of a response has gone silent.
+BODY_SILENCE_SECONDS = 0.6
 JSON_TYPE = (('content-type', 'application/json'),)
 
 
@@ -36,9 +38,11 @@
     ) -> httpcore.Response:
         """Send a call and return the response, whatever its status.
 
-        Raises StoreUnavailable if the call was not sent, StoreResponseLost if
-        the store may have executed it. The next call after a lost response
-        opens a new connection: the others may have gone silent as well.
+        It must begin within `timeout_seconds`; then its body must arrive
+        without a pause of over BODY_SILENCE_SECONDS. Raises StoreUnavailable
+        if the call was not sent, StoreResponseLost if the store may have
+        executed it. The next call after a lost response opens a new
+        connection: the others may have gone silent as well.
         """
         timeouts = {
             'connect': self._connect_seconds,
@@ -47,13 +51,17 @@
             'pool': timeout_seconds,
         }
         try:
-            return await self._pool.request(
+            async with self._pool.stream(
                 method,
                 f'{self._url}{path}',
                 headers=JSON_TYPE if content else None,
                 content=content,
                 extensions={'timeout': timeouts},
-            )
+            ) as resp:
+                # Only the begin of an answer may have to be waited for.
+                timeouts['read'] = min(timeout_seconds, BODY_SILENCE_SECONDS)
+                await resp.aread()
+                return resp
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise StoreUnavailable(
                 f'cannot connect to the store: {exc!r}'
