--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -116,6 +116,13 @@
             self._cut.set()
             self._cut = trio.Event()
 
+    def cut_watches(self) -> None:
+        """End the connections of the watches that wait."""
+        self._cut.set()
+        self._changed.set()
+        self._cut = trio.Event()
+        self._changed = trio.Event()
+
     def expire_lease(self, lease: int) -> None:
         self.leases.discard(lease)
         for key in [k for k, i in self.items.items() if i['lease'] == lease]:
@@ -199,7 +206,7 @@
             return 410, {}
         cut = self._cut
         with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while self.revision <= after:
+            while self.revision <= after and not cut.is_set():
                 await self._changed.wait()
         if self.is_mute:
             await cut.wait()
--- a/tests/soak/field_faults.py
+++ b/tests/soak/field_faults.py
@@ -58,6 +58,9 @@
                 router.process.wait()
                 self._cluster.start_router(router)
 
+    async def run_changes(self, injected: list[str]) -> None:
+        """Add nothing to the changes that all runs have after the strike."""
+
     async def _turn_away(self) -> None:
         """Let the store serve some routers only, and the operator."""
         routers = self._cluster.routers
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -18,7 +18,10 @@
 class FaultProxy:
     """Forwards TCP connections to one address and injects faults into them.
 
-    `delay_seconds` delays each chunk of bytes. `refuses_connections` resets new
+    `delay_seconds` delays each chunk of bytes. Responses pass at no more than
+    `bytes_per_second`, if it is not 0. The next chunk of a response that is
+    larger than `stalls_over` bytes, if not 0, is passed on in half, and then
+    nothing more on its connection. `refuses_connections` resets new
     connections. `hold` stops the flow of bytes in one or both directions until
     `release` is called, as a temporary network partition does. Bytes that are
     held are lost if their sender resets the connection.
@@ -28,6 +31,8 @@
         self.target_address = target_address
         self.address = ''
         self.delay_seconds = float(0)
+        self.bytes_per_second = float(0)
+        self.stalls_over = 0
         self.refuses_connections = False
         self._may_pass = {'requests': trio.Event(), 'responses': trio.Event()}
         self._streams: set[trio.SocketStream] = set()
@@ -71,6 +76,8 @@
     def clear_faults(self) -> None:
         """End all faults and forward the bytes that were held."""
         self.delay_seconds = 0
+        self.bytes_per_second = 0
+        self.stalls_over = 0
         self.refuses_connections = False
         self._silences_new = False
         self.release(*self._may_pass)
@@ -116,11 +123,25 @@
                 while source in self._silent:
                     await trio.sleep(RESET_POLL_SECONDS)
                 await self._wait_until_passed(source, direction)
+                if direction == 'responses':
+                    chunk = await self._impair_response(source, chunk)
                 await sink.send_all(chunk)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             nursery.cancel_scope.cancel()
 
+    async def _impair_response(
+        self, source: trio.SocketStream, chunk: bytes
+    ) -> bytes:
+        """Return what passes of a chunk, after the time that it takes."""
+        if self.bytes_per_second:
+            await trio.sleep(len(chunk) / self.bytes_per_second)
+        if self.stalls_over and len(chunk) > self.stalls_over:
+            self.stalls_over = 0
+            self._silent.add(source)
+            return chunk[: len(chunk) // 2]
+        return chunk
+
     async def _wait_until_passed(
         self, source: trio.SocketStream, direction: str
     ) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,13 +22,14 @@
 from tests.soak.cluster import SoakCluster, start_cluster
 from tests.soak.configuration_rule import bound_share
 from tests.soak.control import record_lateness
+from tests.soak.day_faults import DAY_FAULTS, DayFaults
 from tests.soak.faults import FaultInjector
 from tests.soak.field_faults import FieldFaults
 from tests.soak.guarantees import GuaranteeChecker
 from tests.soak.judge import judge
 from tests.soak.records import Late, select
 from tests.soak.replay import replay
-from tests.soak.site import FIELD, Site
+from tests.soak.site import DAY, FIELD, Site
 from tests.soak.start_rule import record_busy
 from tests.soak.unexcused import judge_unexcused
 
@@ -52,6 +53,12 @@
 FIELD_SITE = flags.DEFINE_bool(
     'field', False, 'Run a deployment like those of users, with its faults.'
 )
+DAY_PARTS = flags.DEFINE_list(
+    'day',
+    [],
+    f'Run a day of such a deployment, with some of these faults, or "all": '
+    f'{", ".join(DAY_FAULTS)}.',
+)
 CALLERS = flags.DEFINE_integer(
     'callers', 0, 'Number of callers of each router; 0: that of the deployment.'
 )
@@ -95,12 +102,14 @@
     targets: int = 4,
     without: Collection[str] = (),
     site: Site | None = None,
+    day: Collection[str] = (),
 ) -> Report:
     """Run one seed, and report what it has shown.
 
     Faults are injected for `seconds`, but none of the groups in `without`;
     `routers` and `targets` are numbers. With a `site` other than the small one,
-    faults of the field are added, and the run ends with a strike.
+    faults of the field are added, or those of a `day`, and the run ends with a
+    strike.
     """
     cluster = SoakCluster(folder, site or Site())
     async with trio.open_nursery() as nursery:
@@ -109,7 +118,7 @@
         nursery.start_soon(_interrupt_on_sigterm)
         try:
             injected = await _run_faults(
-                cluster, seed, seconds, routers, targets, without
+                cluster, seed, seconds, routers, targets, without, day
             )
             await cluster.collect_records()
         finally:
@@ -132,13 +141,16 @@
     routers: int,
     targets: int,
     without: Collection[str],
+    day: Collection[str],
 ) -> list[str]:
     """Run the cluster, with faults meanwhile; return what was injected."""
     share = max(1, routers / ROUTERS_AT_ONCE)
     await start_cluster(cluster, routers, targets, seed)
     await cluster.wait_until_all_serve(START_TIMEOUT_SECONDS * share)
     injector = FaultInjector(cluster, seed, without)
-    field = FieldFaults(cluster, seed)
+    field: FieldFaults | DayFaults = FieldFaults(cluster, seed)
+    if day:
+        field = DayFaults(cluster, seed, day)
     has_field = cluster.site != Site() and 'field' not in without
     for callers in cluster.callers:
         await callers.call('run')
@@ -151,7 +163,9 @@
         await cluster.store.call('clear_faults')
         await field.strike()
         with trio.move_on_after(AFTER_STRIKE_SECONDS):
-            await injector.run_changes()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(injector.run_changes)
+                nursery.start_soon(field.run_changes, injector.injected)
     for callers in cluster.callers:
         await callers.call('stop')
     await _end_faults(cluster)
@@ -214,6 +228,8 @@
 
 def _site() -> Site:
     site = FIELD if FIELD_SITE.value else Site()
+    if DAY_PARTS.value:
+        site = DAY
     return replace(site, callers=CALLERS.value or site.callers)
 
 
@@ -230,7 +246,7 @@
         sys.stdout.write(f'    ({line})\n')
     for line in report.violations:
         sys.stdout.write(f'    {line}\n')
-    if report.violations:
+    if report.violations or KEEP.value:
         sys.stdout.write(f'    {report.injected}\n')
 
 
@@ -248,6 +264,7 @@
             TARGETS.value,
             WITHOUT.value,
             _site(),
+            DAY_FAULTS if DAY_PARTS.value == ['all'] else DAY_PARTS.value,
         )
         _print(seed, report)
         failed += bool(report.violations)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -1,8 +1,8 @@
 """What a deployment in a soak run looks like, apart from its faults."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-__all__ = ('FIELD', 'Site')
+__all__ = ('DAY', 'FIELD', 'Site')
 
 STREAMING = 'streaming'
 
@@ -15,6 +15,7 @@
     Each version of the configuration has `idle_routes` that nobody uses. Each
     router has `callers`, who wait for `deadline_seconds` at most. The entries
     of targets are written again every `beat_seconds`; 0: when they change.
+    With `has_brief_names`, some routes and keys come and go with the versions.
     """
 
     data_centres: tuple[str, ...] = ('north', 'south')
@@ -23,6 +24,7 @@
     callers: int = 4
     deadline_seconds: float = 1.5
     beat_seconds: float = 1.0
+    has_brief_names: bool = False
 
     def service_of(self, kind: str) -> str:
         """Return the service of the routes of a kind."""
@@ -39,3 +41,5 @@
     deadline_seconds=8,
     beat_seconds=0,
 )
+# Like it, with routes that exist for a short time, in smaller configurations.
+DAY = replace(FIELD, idle_routes=110, has_brief_names=True)
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -1,5 +1,7 @@
 """The store of a soak run, in a worker process of its own."""
 
+import random
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -11,7 +13,7 @@
 from tests.soak.records import EntryWritten, Record, VersionWritten, now
 from tests.soak.router_paths import RouterView
 from tests.soak.site import Site
-from tests.soak.versions import document
+from tests.soak.versions import Alteration, document
 
 __all__ = ('StoreHost',)
 
@@ -39,6 +41,7 @@
         self._copies: dict[int, StoreCopy] = {}
         self._views: list[RouterView] = []
         self._version = 0
+        self._alteration = Alteration()
         self._site = Site()
         self._entries: dict[str, dict] = {}
         self._objects = objects
@@ -59,7 +62,7 @@
             self._nursery.start_soon(self._run_heartbeats)
         addresses = {}
         for router, targets in paths.items():
-            view = RouterView(self._store, targets)
+            view = RouterView(self._store, targets, random.Random(router))
             address = await self._nursery.start(
                 serve_http, view.handle, '127.0.0.1:0'
             )
@@ -75,9 +78,16 @@
         """Write a version of the configuration."""
         began_at = now()
         self._version = version
+        self._alteration = replace(self._alteration, number=0)
         self._write_configuration()
         self._records.append(VersionWritten(began_at, now(), version))
 
+    def alter(self, changes: dict[str, int]) -> None:
+        """Write the version again with an Alteration that has `changes`."""
+        number = self._alteration.number + 1
+        self._alteration = replace(self._alteration, number=number, **changes)
+        self._write_configuration()
+
     def publish_target(self, name: str, start: int, entry: dict) -> None:
         """Write a target's entry; remove it if its state is 'gone'.
 
@@ -98,6 +108,10 @@
         """Let watches hear nothing until the history is lost."""
         self._store.is_mute = True
 
+    def cut_watches(self) -> None:
+        """End the connections of all watches that wait."""
+        self._store.cut_watches()
+
     def turn_away(self) -> None:
         """Answer the next calls with a failure."""
         self._store.faults.extend([BUSY_STATUS] * BUSY_CALLS)
@@ -107,7 +121,7 @@
         self._proxies.clear_faults()
         self._store.faults.clear()
         for view in self._views:
-            view.refusal = 0
+            view.clear_faults()
         if self._store.is_mute:
             self._store.drop_history()
 
@@ -135,7 +149,9 @@
                 self._write_target(name)
 
     def _write_configuration(self) -> None:
-        content = msgspec.json.encode(document(self._version, self._site))
+        content = msgspec.json.encode(
+            document(self._version, self._site, self._alteration)
+        )
         self._store.put('op/config', content)
 
     def _write_target(self, name: str) -> None:
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -1,9 +1,14 @@
 """What each version of the configuration in a soak run allows.
 
-Each version adds one route and one key, and drops the oldest added ones.
+Each version adds one route and one key. Most are dropped some versions later;
+one of three stays for long, so that it is in force for longer than the bound of
+time even where versions follow each other fast. Brief ones are in some
+versions, and in later ones again. A version may be altered in
+what no request shows: the altered ones have numbers of their own.
 """
 
 import random
+from dataclasses import dataclass
 
 from tests.peridotwell_platform.stand_in import route
 from tests.soak.site import Site
@@ -11,6 +16,7 @@
 __all__ = (
     'ADDED',
     'BASE_KEY',
+    'Alteration',
     'MILLISECONDS',
     'Versions',
     'allows',
@@ -22,10 +28,22 @@
 SMALL_SITE = Site()
 MILLISECONDS = 1000
 MAX_CONNECTIONS = 100
-# Added routes and keys that a version holds.
+# For so many versions, an added route or key is held.
 WINDOW = 5
+# One of three is held for longer.
+LONG_WINDOW = 60
+LONG_STEP = 3
+# The oldest of those that are asked for are so many steps old.
+LONG_STEPS_ASKED = 8
 RECENT = 3
 SLO_MS = 200
+BRIEF = 'brief'
+BRIEF_NAMES = tuple(f'{BRIEF}{number}' for number in range(3))
+# A brief name is in the first of so many versions, and again after all.
+BRIEF_VERSIONS, BRIEF_PERIOD = 2, 5
+BRIEF_SHARE = 0.4
+# The numbers of versions leave room for this many alterations.
+MAX_ALTERATIONS = 100
 BASE_ROUTES = (
     route('read', 'idempotent', slo_ms=SLO_MS),
     route('book', 'non_idempotent', max_attempts=1, slo_ms=SLO_MS),
@@ -35,14 +53,40 @@
 BASE_NAMES = frozenset(each['name'] for each in BASE_ROUTES)
 
 
-def document(version: int, site: Site = SMALL_SITE) -> dict:
+@dataclass(frozen=True)
+class Alteration:
+    """What distinguishes a document from others of the same version.
+
+    It has `more_routes` that nobody uses, and another tenant of this number.
+    """
+
+    number: int = 0
+    more_routes: int = 0
+    tenant: int = 0
+
+
+AS_WRITTEN = Alteration()
+
+
+def document(
+    version: int,
+    site: Site = SMALL_SITE,
+    alteration: Alteration = AS_WRITTEN,
+) -> dict:
     """Return the configuration document of a version."""
-    added = [f'{ADDED}{number}' for number in _window(version)]
-    names = (*added, *(f'idle{each}' for each in range(site.idle_routes)))
-    routes = [route(name, 'idempotent', slo_ms=SLO_MS) for name in names]
+    added = [
+        f'{ADDED}{number}'
+        for number in range(max(version - LONG_WINDOW, 0), version + 1)
+        if _has_number(version, number)
+    ]
+    if site.has_brief_names:
+        added.extend(name for name in BRIEF_NAMES if _has_brief(version, name))
+    idle_routes = site.idle_routes + alteration.more_routes
+    names = (*added, *(f'idle{each}' for each in range(idle_routes)))
+    routes = [_make_route(name) for name in names]
     terms = {'timeout_ms': int(site.deadline_seconds * MILLISECONDS)}
     return {
-        'version': version,
+        'version': version * MAX_ALTERATIONS + alteration.number,
         'routes': [
             {**each, **terms, 'service': site.service_of(each['kind'])}
             for each in (*BASE_ROUTES, *routes)
@@ -51,7 +95,13 @@
             {'name': name, 'max_conns': MAX_CONNECTIONS}
             for name in site.services
         ],
-        'tenants': [{'name': 'tenant-1', 'api_keys': [BASE_KEY, *added]}],
+        'tenants': [
+            {'name': 'tenant-1', 'api_keys': [BASE_KEY, *added]},
+            {
+                'name': f'tenant-{alteration.tenant + 2}',
+                'api_keys': [f'key-{alteration.tenant + 2}'],
+            },
+        ],
     }
 
 
@@ -65,23 +115,45 @@
 class Versions:
     """Draws routes and keys that were just added or dropped, or never were."""
 
-    def __init__(self, seed: str) -> None:
+    def __init__(self, seed: str, *, has_brief_names: bool = False) -> None:
         self._random = random.Random(f'versions {seed}')
+        self._has_brief_names = has_brief_names
 
     def draw(self, version: int) -> tuple[str, str]:
         """Return a route and a key; `version` is the newest one."""
+        if self._has_brief_names and self._random.random() < BRIEF_SHARE:
+            name = self._random.choice(BRIEF_NAMES)
+            return self._random.choice(((name, BASE_KEY), ('read', name)))
         newest = self._random.randint(max(version - RECENT, 1), version)
-        numbers = (newest, newest, newest - WINDOW, version + 1000)
+        old = newest - LONG_STEP * self._random.randint(0, LONG_STEPS_ASKED)
+        long = max(old - old % LONG_STEP, LONG_STEP)
+        numbers = (newest, newest, long, newest - WINDOW, version + 1000)
         name = f'{ADDED}{self._random.choice(numbers)}'
         return self._random.choice(((name, BASE_KEY), ('read', name)))
 
 
+def _make_route(name: str) -> dict:
+    made = route(name, 'idempotent', slo_ms=SLO_MS)
+    if name.startswith(BRIEF):
+        # Names of hosts are the same in capitals.
+        made['host'] = made['host'].upper()
+    return made
+
+
+def _has_brief(version: int, name: str) -> bool:
+    shift = int(name.removeprefix(BRIEF))
+    return (version + shift) % BRIEF_PERIOD < BRIEF_VERSIONS
+
+
 def _has(version: int, name: str, base: frozenset[str] | set[str]) -> bool:
-    number = name.removeprefix(ADDED)
-    return name in base or (
-        number.lstrip('-').isdigit() and int(number) in _window(version)
-    )
+    if name in BRIEF_NAMES:
+        return _has_brief(version, name)
+    if name in base:
+        return True
+    text = name.removeprefix(ADDED)
+    return text.lstrip('-').isdigit() and _has_number(version, int(text))
 
 
-def _window(version: int) -> range:
-    return range(max(version - WINDOW + 1, 1), version + 1)
+def _has_number(version: int, number: int) -> bool:
+    window = WINDOW if number % LONG_STEP else LONG_WINDOW
+    return 0 < number <= version < number + window
