The log names the build: a digest of the source files

Cause: nothing that a router writes tells which code runs, so the record of an incident leaves open of which landing it is.

Ways weighed: the package's version is 0.1.0 for all builds; a revision is known only where there is a repository beside the files; names and sizes of the files take a millisecond but miss a changed constant.

Change: `router.build` has the digest (`sources`) and the id of the process, by which a second process of a router can be told. A process killed in its first second has no such line.

--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -14,10 +14,12 @@
 import pytest
 import trio
 from peridotwell_platform.early_listener import open_callers_port
+from peridotwell_platform.program import BUILD_DELAY_SECONDS
 from peridotwell_platform.settings import load_platform_settings
 
 from peridotwell.errors import SettingsError
 from peridotwell.serving.asgi import serve_http
+from peridotwell.source_digest import source_digest
 from tests.peridotwell_platform import stand_in
 from tests.peridotwell_platform.test_path import CONFIG
 
@@ -281,6 +283,20 @@
     assert names[-1] == 'router.stopped'
 
 
+# Guards against a record of an incident that does not tell which code ran.
+async def test_log_names_the_build_and_the_process(running):
+    await trio.sleep(BUILD_DELAY_SECONDS + 0.5)
+    running.process.send_signal(signal.SIGTERM)
+    output, _ = await trio.to_thread.run_sync(running.process.communicate)
+    builds = [
+        event for event in events(output) if event['event'] == 'router.build'
+    ]
+    assert builds[0]['sources'] == source_digest(
+        [ROOT / 'peridotwell', ROOT / 'platform' / 'peridotwell_platform']
+    )
+    assert builds[0]['process'] == running.process.pid
+
+
 async def test_valid_settings_are_reloaded_and_invalid_ones_refused(running):
     text = running.path.read_text()
     running.path.write_text(text.replace('grace_s = 5', 'grace_s = 4'))
