--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 import trio
 
 from tests.soak.run import soak
-from tests.soak.site import FIELD
+from tests.soak.site import DAY, FIELD
 
 FAULT_SECONDS = 8
 BUSY_SECONDS = 12
@@ -21,6 +21,19 @@
 MIN_BOUND_SHARE = 0.25
 # Callers that use up the processor of each router.
 MANY_CALLERS = 300
+# Of a day: what a store may do at any time, but for watches that it leaves
+# without an answer (issue 62), and series of changes.
+DAY_PARTS = (
+    'storm',
+    'big_table',
+    'alterations',
+    'half_answer',
+    'cut_watches',
+    'slow_link',
+    'turn_away',
+    'forget',
+)
+DAY_SECONDS = 12
 ONLY_CHANGES = ('store', 'routers', 'paths', 'brittle', 'field')
 
 
@@ -56,3 +69,13 @@
     report = trio.run(soak, 5951, FAULT_SECONDS, tmp_path, 5, 9, (), FIELD)
     assert not report.violations, report
     assert report.outcomes['book 200'] > 0
+
+
+# Guards against additions that are in force too late (issue 62).
+def test_guarantees_hold_on_a_day_full_of_changes(tmp_path):
+    report = trio.run(
+        soak, 6262, DAY_SECONDS, tmp_path, 4, 6, CALM[1], DAY, DAY_PARTS
+    )
+    assert not report.violations, report
+    assert report.outcomes['probe 200'] > 0
+    assert report.bound_share >= MIN_BOUND_SHARE, report
