Brittle targets: what answers say, records, notices and services have a module each

A last rejection is a Rejection in place of two fields and a pair, made from and written to the record in one place. Behaviour and the wire are unchanged. Three tests import from the new places; two name the fields of Rejection in place of the positions of a pair, with the same values.

--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -13,7 +13,7 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
-from peridotwell.policy.brittle_notices import BrittleRecord
+from peridotwell.policy.brittle_records import BrittleRecord
 from peridotwell.policy.loss_records import LossRecord
 from peridotwell.policy.quarantine import CrashRecord
 from peridotwell.policy.target_limits import LimitRecord
--- a/peridotwell/policy/brittle_targets.py
+++ b/peridotwell/policy/brittle_targets.py
@@ -22,13 +22,10 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.policy.borrowed_slots import BorrowedSlots
-from peridotwell.policy.brittle_notices import (
-    Brittleness,
-    BrittleNotices,
-    BrittleRecord,
-    Terms,
-    service_id,
-)
+from peridotwell.policy.brittle_notice import Terms
+from peridotwell.policy.brittle_notices import BrittleNotices
+from peridotwell.policy.brittle_records import BrittleRecord, service_id
+from peridotwell.policy.brittleness import Brittleness
 from peridotwell.policy.room_ramp import RoomRamp
 from peridotwell.policy.router_shares import RouterRanks, share
 
@@ -225,7 +222,7 @@
             room = min(room, state.ramp.room(filling, now))
         rejection = self.notices.rejection(target)
         if rejection is not None:
-            ramp = RoomRamp(*rejection)
+            ramp = RoomRamp(rejection.full_requests, rejection.at)
             room = min(room, ramp.room(per_second, now))
         return room
 
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/target_notices.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.brittle_notices import Brittleness
+from peridotwell.policy.brittleness import Brittleness
 from peridotwell.policy.rendezvous import unit_hash
 from peridotwell.policy.soft_state import SoftState
 
--- a/tests/fleet/relays/test_soft_state_sync.py
+++ b/tests/fleet/relays/test_soft_state_sync.py
@@ -14,11 +14,9 @@
     encode_frame,
 )
 from peridotwell.fleet.transport.peers import Peers, make_hello
-from peridotwell.policy.brittle_notices import (
-    Brittleness,
-    BrittleRecord,
-    Terms,
-)
+from peridotwell.policy.brittle_notice import Terms
+from peridotwell.policy.brittle_records import BrittleRecord
+from peridotwell.policy.brittleness import Brittleness
 from peridotwell.policy.crash_blame import CrashBlame
 from peridotwell.policy.loss_records import LossRecord
 from peridotwell.policy.quarantine import CrashRecord
@@ -222,7 +220,7 @@
     run_ticks(fleet, 1, 1.15)
     notices = [each.knowledge.brittle_targets.notices for each in fleet]
     assert {each.max_rejections(engine) for each in notices} == {5}
-    assert {each.rejection(engine)[0] for each in notices} == {3}
+    assert {each.rejection(engine).full_requests for each in notices} == {3}
     started = Router('started', fleet[0].transport.routers)
     meet([*fleet, started], 2)
     run_ticks([*fleet, started], 3, 2 + CONTACT_SECONDS)
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -11,7 +11,7 @@
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import BadRequest, EntryError
 from peridotwell.forwarding.adapters import RoutedRequest, TargetRequest
-from peridotwell.policy.brittle_notices import Brittleness
+from peridotwell.policy.brittleness import Brittleness
 from peridotwell.policy.prompt_cache_index import part_id
 from peridotwell.policy.target_notices import NO_NOTICE
 from peridotwell.serving.asgi import HttpExchange
--- a/tests/policy/brittle_fleet.py
+++ b/tests/policy/brittle_fleet.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field, replace
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.brittle_notices import Brittleness
 from peridotwell.policy.brittle_targets import BrittleTargets, RequestCounts
+from peridotwell.policy.brittleness import Brittleness
 
 STEP_SECONDS = 0.02
 REPORT_SECONDS = 1.0
--- a/tests/policy/test_brittle_targets.py
+++ b/tests/policy/test_brittle_targets.py
@@ -6,13 +6,14 @@
 
 from peridotwell.domain.target import Pool
 from peridotwell.policy.borrowed_slots import KNOWN_AFTER_SECONDS, BorrowedSlots
+from peridotwell.policy.brittle_notice import (
+    DENIAL_SECONDS,
+    TTL_SECONDS,
+    Rejection,
+)
 from peridotwell.policy.brittle_notices import (
     DENIAL_REPEAT_SECONDS,
-    DENIAL_SECONDS,
     END_DELAY_SECONDS,
-    TTL_SECONDS,
-    Brittleness,
-    parse_max_rejections,
 )
 from peridotwell.policy.brittle_targets import (
     FILL_SECONDS,
@@ -20,6 +21,7 @@
     BrittleTargets,
     RequestCounts,
 )
+from peridotwell.policy.brittleness import Brittleness, parse_max_rejections
 from peridotwell.policy.router_shares import RouterRanks, share
 from tests.policy.brittle_fleet import (
     DOWN_SECONDS,
@@ -261,7 +263,7 @@
     record = told.record_answer(target, Brittleness(5, True, 3, 0, 8), 0)
     hearing.record_answer(target, Brittleness(5, False, 3, 0, 8), 0.1)
     hearing.notices.merge([record], 0.1)
-    assert hearing.notices.rejection(target) == (3, 0.1)
+    assert hearing.notices.rejection(target) == Rejection(3, 0.1)
     assert hearing.accepts(target, RequestCounts(2, 2), 0.1)
     assert not hearing.accepts(target, RequestCounts(3, 3), 0.1)
 
