--- a/peridotwell/policy/brittle_notice.py
+++ b/peridotwell/policy/brittle_notice.py
@@ -21,7 +21,7 @@
 # An answer without a number, beside another target that is brittle, counts for
 # this time after its request was sent: less than a target that becomes brittle
 # gives its callers to learn it.
-DENIAL_SECONDS = 2.0
+SOUND_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -110,7 +110,7 @@
     def speaks_for_target(self, now: float) -> bool:
         """Return whether the answer is recent enough for what it says."""
         if self.max_rejections_per_second is None:
-            return now - self.said_at < DENIAL_SECONDS
+            return now - self.said_at < SOUND_SECONDS
         return not self.is_expired(now)
 
     def with_rejection_of(
--- a/peridotwell/policy/brittle_notices.py
+++ b/peridotwell/policy/brittle_notices.py
@@ -32,7 +32,7 @@
 END_DELAY_SECONDS = 1.0
 # While answers without a number arrive beside another target that is brittle,
 # the other routers are told this often.
-DENIAL_REPEAT_SECONDS = 1.0
+SOUND_REPEAT_SECONDS = 1.0
 MAX_NOTICES = 4096
 
 
@@ -87,7 +87,7 @@
                 merged = notice.with_rejection_of(known)
             self._set(record.target, merged)
             if notice.max_rejections_per_second is None:
-                self._services.record_denial(notice.service, notice.said_at)
+                self._services.record_sound(notice.service, notice.said_at)
         return ()
 
     def to_repeat(self, now: float) -> Iterator[BrittleRecord]:
@@ -144,12 +144,12 @@
     ) -> BrittleRecord | None:
         """Record an answer that names no number, said at `said_at` or later."""
         service = service_id(target.pool.name)
-        self._services.record_denial(service, said_at)
+        self._services.record_sound(service, said_at)
         if known is None:
             is_news = self._has_brittle(service, now)
             known = unheard(target)
         elif known.max_rejections_per_second is None:
-            repeat_at = known.said_at + DENIAL_REPEAT_SECONDS
+            repeat_at = known.said_at + SOUND_REPEAT_SECONDS
             is_news = said_at >= repeat_at and self._has_brittle(service, now)
         else:
             named_for = now - known.named_at
--- a/peridotwell/policy/service_terms.py
+++ b/peridotwell/policy/service_terms.py
@@ -24,14 +24,14 @@
 
     def __init__(self) -> None:
         # By service: when a target last named no number.
-        self._denied_at: dict[int, float] = {}
+        self._sound_at: dict[int, float] = {}
         # By service: its terms at a moment.
         self._cached: dict[int, _Cached] = {}
 
-    def record_denial(self, service: int, denied_at: float) -> None:
+    def record_sound(self, service: int, sound_at: float) -> None:
         """Record that a target has named no number."""
-        known_at = self._denied_at.get(service, denied_at)
-        self._denied_at[service] = max(known_at, denied_at)
+        known_at = self._sound_at.get(service, sound_at)
+        self._sound_at[service] = max(known_at, sound_at)
 
     def record_change(self, service: int) -> None:
         """Record that a notice of a service has changed."""
@@ -39,9 +39,9 @@
 
     def expire(self, services: Collection[int]) -> None:
         """Forget all services but those that have notices."""
-        self._denied_at = {
-            service: denied_at
-            for service, denied_at in self._denied_at.items()
+        self._sound_at = {
+            service: sound_at
+            for service, sound_at in self._sound_at.items()
             if service in services
         }
         self._cached.clear()
@@ -53,7 +53,7 @@
         cached = self._cached.get(service)
         if cached is not None and cached.at == now:
             return cached.terms
-        heard_from = self._denied_at.get(service, -math.inf) - SILENCE_SECONDS
+        heard_from = self._sound_at.get(service, -math.inf) - SILENCE_SECONDS
         terms = _strictest(
             notice
             for notice in notices
--- a/tests/policy/brittle_fleet.py
+++ b/tests/policy/brittle_fleet.py
@@ -14,6 +14,7 @@
 from peridotwell.policy.brittleness import Brittleness
 
 STEP_SECONDS = 0.02
+CONTACT_SECONDS = 3.0
 REPORT_SECONDS = 1.0
 NEWS_SECONDS = 0.5
 REPEAT_SECONDS = 2.0
@@ -268,3 +269,10 @@
             total = sum(router.reported.get(name, 0) for router in self.routers)
             for router in in_touch:
                 router.others[name] = total - router.reported.get(name, 0)
+
+
+def burst_fleet(routers, max_rejections=5, **changes):
+    """Return a fleet that has known for 3 s that its targets are brittle."""
+    fleet = BrittleFleet(routers, max_rejections, **changes)
+    fleet.run(CONTACT_SECONDS, 0.5)
+    return fleet
