Path selection: routers that reach given targets are chosen in one place

Two methods of PathSelector ended in the same five lines (found by a search for duplicates). Behaviour is unchanged. Tests run: tests/forwarding: all passed.

--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/path_selection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 
+from peridotwell.domain.target import Target
 from peridotwell.errors import NoReachableTarget, NoRoom, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.crowded_paths import CrowdedPaths
@@ -127,10 +128,7 @@
         targets = self._crowded_paths.unreachable_with_room(
             request.service, now
         )
-        if not targets:
-            return None
-        wanted = [target.wire_id for target in targets]
-        return self._peer_paths.choose(request.request_id, tried, now, wanted)
+        return self._router_to(targets, request, tried, now)
 
     def _router_with_room(
         self,
@@ -141,6 +139,16 @@
     ) -> Choice | None:
         """Return a router that reaches targets with room, if needed."""
         targets = self._crowded_paths.targets_with_room(choice, now)
+        return self._router_to(targets, request, tried, now)
+
+    def _router_to(
+        self,
+        targets: Collection[Target],
+        request: RoutedRequest,
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
+        """Return a router that reaches one of the targets, if there are any."""
         if not targets:
             return None
         wanted = [target.wire_id for target in targets]
