--- a/peridotwell/policy/choice.py
+++ b/peridotwell/policy/choice.py
@@ -8,7 +8,13 @@
 from peridotwell.domain.target import Target
 from peridotwell.policy.stale_counts import fill_level, room_score
 
-__all__ = ('Choice', 'Candidate', 'mean_load', 'choose_least_loaded')
+__all__ = (
+    'Choice',
+    'Candidate',
+    'choose_least_loaded',
+    'mean_load',
+    'total_load',
+)
 
 
 @dataclass(frozen=True)
@@ -45,9 +51,14 @@
     load: float
 
 
+def total_load(candidates: Sequence[Candidate]) -> float:
+    """Return the load of the candidates together."""
+    return sum([each.load for each in candidates])
+
+
 def mean_load(candidates: Sequence[Candidate]) -> float:
     """Return the mean load of the candidates."""
-    return sum([each.load for each in candidates]) / len(candidates)
+    return total_load(candidates) / len(candidates)
 
 
 def choose_least_loaded(
