Numbers that targets name are read in one place

The same five lines read a limit, a pause and a number of rejections from their texts (found by a search for duplicates).

--- a/peridotwell/policy/brittleness.py
+++ b/peridotwell/policy/brittleness.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from peridotwell.decoding import number_below
+
 __all__ = ('Brittleness', 'parse_max_rejections')
 
 # A target that bears more rejections in a second is not brittle.
@@ -29,8 +31,4 @@
 
     Returns None if it is not a number from 0 on, or restricts nothing.
     """
-    try:
-        per_second = float(text)
-    except ValueError:
-        return None
-    return per_second if 0 <= per_second < MAX_REJECTIONS_PER_SECOND else None
+    return number_below(text, MAX_REJECTIONS_PER_SECOND)
--- a/peridotwell/policy/target_limits.py
+++ b/peridotwell/policy/target_limits.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from peridotwell.decoding import number_below
 from peridotwell.domain.target import Target
 from peridotwell.policy.rendezvous import first_by_score
 from peridotwell.policy.soft_state import SoftState
@@ -259,11 +260,7 @@
 
     Returns None if it is not a number from 0 on, or restricts nothing.
     """
-    try:
-        per_second = float(text)
-    except ValueError:
-        return None
-    return per_second if 0 <= per_second < MAX_LIMIT_PER_SECOND else None
+    return number_below(text, MAX_LIMIT_PER_SECOND)
 
 
 def _differ(previous: float | None, per_second: float | None) -> bool:
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/target_notices.py
@@ -5,11 +5,13 @@
 that leaves gets nothing new until it has started again.
 """
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
 
+from peridotwell.decoding import number_below
 from peridotwell.domain.target import Target
 from peridotwell.policy.brittleness import Brittleness
 from peridotwell.policy.rendezvous import unit_hash
@@ -200,8 +202,4 @@
 
     Returns None if it is not a finite number of seconds above 0.
     """
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    return seconds if 0 < seconds < float('inf') else None
+    return number_below(text, math.inf) or None
