Placing: the fair shares of customers have a module

Behaviour is unchanged. New tests of what had none of its own: who is over its share, a pool with room, a full pool, an unlimited one (7 cases).

Tests run: serving/test_fair_shares.py and test_placer.py, fleet/lending, fleet/membership/ test_gossip.py, policy, peridotwell_platform/test_start.py: all passed.

--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -14,12 +14,9 @@
 from peridotwell.fleet.lending.load_tracker import LoadTracker
 from peridotwell.fleet.membership.target_membership import TargetMembership
 from peridotwell.fleet.transport.peers import Peers
-from peridotwell.policy.admission import (
-    AdmissionQueue,
-    QueuedRequest,
-    fair_share,
-)
+from peridotwell.policy.admission import AdmissionQueue, QueuedRequest
 from peridotwell.policy.placement import HintedPlacement, placement_hint
+from peridotwell.serving.fair_shares import FairShares
 from peridotwell.store.configuration import ConfigurationStore
 
 __all__ = ('Placer', 'PlacementRequest')
@@ -27,9 +24,6 @@
 # Targets tried in the order that the placement policy gives for the chat;
 # after them, any target with a free credit is taken.
 MAX_PREFERRED_TARGETS = 3
-# Customers are limited to their fair shares while at least this fraction of
-# a pool's slots is in use.
-FAIR_SHARE_UTILISATION = 0.9
 # Waiting requests of each pool that are woken at a heartbeat, because other
 # routers may have released credits.
 REQUESTS_WOKEN_PER_HEARTBEAT = 2
@@ -72,6 +66,7 @@
         self._loads = loads
         self._credit = credit
         self._placement = HintedPlacement()
+        self._shares = FairShares(self._own_data_centre, membership, loads)
         self._queues: dict[str, AdmissionQueue] = {}
 
     async def place(self, placement_request: PlacementRequest) -> Target:
@@ -104,7 +99,7 @@
             self._check_servable(placement_request, now)
             queued_request = QueuedRequest(
                 priority=cfg.priority,
-                fair_order=self._usage_ratio(request, cfg, now),
+                fair_order=self._shares.usage_ratio(request, cfg, now),
                 arrival=arrival,
                 deadline_at=_wait_deadline(placement_request, cfg, enqueued_at),
             )
@@ -114,7 +109,7 @@
             finally:
                 self._loads.record_wait_end(request.customer)
             now = trio.current_time()
-            must_wait = self._is_over_share(request, cfg, now)
+            must_wait = self._shares.is_over_share(request, cfg, now)
             is_woken = True
 
     def release(
@@ -279,59 +274,9 @@
         It must wait if the pool is nearly full and the customer has used its
         fair share, or if the pool is full and other requests wait for it.
         """
-        if self._is_over_share(request, cfg, now):
+        if self._shares.is_over_share(request, cfg, now):
             return True
-        capacity = self._capacity(request.contract.pool, now)
-        is_full = 0 < capacity <= self._outstanding_requests(request, now)
-        return is_full and len(queue) > 0
-
-    def _is_over_share(
-        self, request: CallerRequest, cfg: Defaults, now: float
-    ) -> bool:
-        """Whether the pool is nearly full and the customer over its share."""
-        capacity = self._capacity(request.contract.pool, now)
-        if not capacity:
-            return False
-        if (
-            self._outstanding_requests(request, now)
-            < capacity * FAIR_SHARE_UTILISATION
-        ):
-            return False
-        self._loads.record_pressure(now)
-        return self._usage_ratio(request, cfg, now) > 1
-
-    def _usage_ratio(
-        self, request: CallerRequest, cfg: Defaults, now: float
-    ) -> float:
-        """Return the ratio of the customer's usage to its fair share.
-
-        The usage includes this request.
-        """
-        usage = self._loads.customer_requests(request.customer, now)
-        demand = self._loads.customer_demand(now)
-        own_demand = max(usage, demand.get(request.customer, 0)) + 1
-        demand[request.customer] = own_demand
-        capacity = self._capacity(request.contract.pool, now)
-        share = fair_share(
-            capacity or sum(demand.values()) + 1,
-            demand,
-            {request.customer: cfg.share},
-            request.customer,
-        )
-        return (usage + 1) / max(share, 1)
-
-    def _capacity(self, pool_name: str, now: float) -> int:
-        """Return the slots of this data centre's targets (0: unlimited)."""
-        pool = Pool(self._own_data_centre, pool_name)
-        slots = [
-            target.slots
-            for target in self._membership.usable_targets(pool, now)
-        ]
-        return sum(slots) if all(slots) else 0
-
-    def _outstanding_requests(self, request: CallerRequest, now: float) -> int:
-        pool = Pool(self._own_data_centre, request.contract.pool)
-        return self._loads.fleet_requests(pool, now)
+        return self._shares.is_full(request, now) and len(queue) > 0
 
     def _check_servable(
         self, placement_request: PlacementRequest, now: float
