Answers without end take a bounded part of the memory, and of the time

Cause: each answer was bounded (8 MB, an event 1 MB), their sum was not. A target that sent without end to 100 requests filled the memory of the router, and a target that sent many small parts (chunks of one byte, interim responses, events of one line) kept the event loop to itself: what one read brings was handled in one turn, for each of the 100 connections.

Change: one budget for all answers that a process collects or holds back, an eighth of the machine's memory (platform: limits.memory_mb; 64 MB if unknown). Whoever needs more ends the largest answer of the target that has most: 502 to its caller, a failure of the target. Complete answers that wait for their callers are a group of their own, whose largest is ended by closing its caller's connection. A response whose parts come faster than 16 in 10 ms waits for a turn after them, and one such response goes on in each turn. More than 16 interim responses before a response are an error.

--- a/peridotwell/attempt_errors.py
+++ b/peridotwell/attempt_errors.py
@@ -12,6 +12,7 @@
     'ResponseLost',
     'ResponseTimeout',
     'ResponseTruncated',
+    'ResponseOverBudget',
     'ResponseMismatch',
     'ResponseUnusable',
 )
@@ -80,6 +81,12 @@
     code = 'answer_cut'
 
 
+class ResponseOverBudget(ResponseTruncated):
+    """The response was ended because the memory for responses was full."""
+
+    code = 'answer_over_budget'
+
+
 class ResponseMismatch(AttemptError):
     """The response belongs to another request."""
 
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -36,6 +36,10 @@
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
+from peridotwell.serving.response_buffers import (
+    BudgetRecorder,
+    ResponseBuffers,
+)
 from peridotwell.store.change_feed import ChangeFeedStore
 
 __all__ = ('RouterComponents', 'build_components')
@@ -83,9 +87,12 @@
     )
     update_exchange = UpdateExchange(peers, transport, state, metrics)
     notice_recorder = NoticeRecorder(update_exchange, metrics)
-    clients = TargetClients(directory, adapters.targets, notice_recorder.record)
+    buffers = ResponseBuffers(settings.memory_bytes, BudgetRecorder(metrics))
+    clients = TargetClients(
+        directory, adapters.targets, notice_recorder.record, buffers
+    )
     forwarding = _make_forwarding(
-        settings, adapters, update_exchange, clients, metrics
+        settings, adapters, update_exchange, clients, metrics, buffers
     )
     return RouterComponents(
         transport=transport,
@@ -131,6 +138,7 @@
     update_exchange: UpdateExchange,
     clients: TargetClients,
     metrics: Metrics,
+    buffers: ResponseBuffers,
 ) -> ForwardingComponents:
     state = update_exchange.state
     tracker = TargetTracker(
@@ -144,7 +152,7 @@
         settings.bounds,
     )
     peer_paths = PeerPaths(update_exchange.peers)
-    handover_client = HandoverClient(update_exchange.peers, peer_paths)
+    handover_client = HandoverClient(update_exchange.peers, peer_paths, buffers)
     return ForwardingComponents(
         Dispatcher(
             clients, tracker, adapters.targets, crash_tracker, handover_client
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -30,6 +30,7 @@
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.logs import log_failure
+from peridotwell.policy.buffer_budget import BufferShare
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.target_response import (
     BodyEnd,
@@ -56,13 +57,17 @@
 
 @dataclass(frozen=True)
 class BufferedResponse:
-    """A complete response of a target, ready for the caller."""
+    """A complete response of a target, ready for the caller.
+
+    `share` is the memory that it takes.
+    """
 
     status: int
     fields: HeaderFields
     body: bytes
     choice: Choice
     origin: ResponseOrigin
+    share: BufferShare | None = None
 
     @property
     def is_failure(self) -> bool:
@@ -208,7 +213,9 @@
                 body,
                 attempt.choice,
                 response.origin,
+                response.share,
             )
+            response.share.keep_with(buffered)
         self._dispatcher.record_completion(attempt, buffered.status)
         self._record_end(attempt.request.service, buffered.origin.body_end)
         return buffered
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -16,6 +16,7 @@
     result_field,
     without_handover_fields,
 )
+from peridotwell.policy.buffer_budget import BufferShare
 from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.error_body import error_body
 
@@ -36,6 +37,11 @@
         """Whether the status line was sent."""
         return bool(self._exchange.status)
 
+    def hold(self, share: BufferShare | None) -> None:
+        """Hold the memory of a response until the caller has taken it."""
+        if share is not None:
+            self._exchange.hold(share)
+
     async def send_whole(
         self, status: int, fields: HeaderFields, body: bytes
     ) -> None:
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -202,6 +202,7 @@
             response = await self._run(caller_response, request, attempts)
             # The deadline does not limit the sending of a complete response.
             if response is not None:
+                caller_response.hold(response.share)
                 await caller_response.send_whole(
                     response.status, response.fields, response.body
                 )
--- a/peridotwell/forwarding/handover_client.py
+++ b/peridotwell/forwarding/handover_client.py
@@ -23,6 +23,7 @@
     without_handover_fields,
 )
 from peridotwell.forwarding.peer_paths import PeerPaths
+from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.target_client import (
     ResponseTimeouts,
     StandardResponseReader,
@@ -50,7 +51,10 @@
 class HandoverClient:
     """The connections from this router to those that take over requests."""
 
-    def __init__(self, peers: Peers, peer_paths: PeerPaths) -> None:
+    def __init__(
+        self, peers: Peers, peer_paths: PeerPaths, buffers: ResponseBuffers
+    ) -> None:
+        self._buffers = buffers
         self._own_name = peers.own.name
         self._peers = peers
         self._peer_paths = peer_paths
@@ -105,7 +109,9 @@
         key = (router.name, router.address)
         client = self._clients.get(key)
         if client is None:
-            client = TargetClient(router, _RouterResponseReader())
+            client = TargetClient(
+                router, _RouterResponseReader(), buffers=self._buffers
+            )
             self._clients[key] = client
         return client
 
--- a/peridotwell/forwarding/settings.py
+++ b/peridotwell/forwarding/settings.py
@@ -18,6 +18,7 @@
 
     `metrics` is the address that serves counters and histograms, or empty.
     `link_bytes_per_second` is the rate of the machine's link, 0 if unknown.
+    `memory_bytes` is the machine's memory, 0 if unknown.
     `handover` is the address that takes requests from other routers, or empty.
     """
 
@@ -30,6 +31,7 @@
     bounds: DeploymentBounds
     link_bytes_per_second: int = 0
     handover: str = ''
+    memory_bytes: int = 0
 
 
 @dataclass(frozen=True)
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -191,9 +191,16 @@
         self.body_bytes = len(body)
         self._dispatcher.record_completion(attempt, response.status)
         fields = self._adapter.caller_fields(response)
-        return BufferedResponse(
-            response.status, fields, body, attempt.choice, response.origin
+        buffered = BufferedResponse(
+            response.status,
+            fields,
+            body,
+            attempt.choice,
+            response.origin,
+            response.share,
         )
+        response.share.keep_with(buffered)
+        return buffered
 
     async def _forward_events(
         self,
--- a/peridotwell/forwarding/target_clients.py
+++ b/peridotwell/forwarding/target_clients.py
@@ -5,6 +5,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import TargetAdapter
+from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.target_client import NoticeListener, TargetClient
 
 __all__ = ('TargetClients',)
@@ -21,7 +22,9 @@
         directory: ServiceDirectory,
         adapter: TargetAdapter,
         on_notice: NoticeListener,
+        buffers: ResponseBuffers | None = None,
     ) -> None:
+        self._buffers = buffers or ResponseBuffers()
         self._on_notice = on_notice
         self._directory = directory
         self._adapter = adapter
@@ -35,7 +38,9 @@
         key = _target_key(target)
         client = self._clients.get(key)
         if client is None:
-            client = TargetClient(target, self._adapter, self._on_notice)
+            client = TargetClient(
+                target, self._adapter, self._on_notice, self._buffers
+            )
             self._clients[key] = client
             # The target may have left since it was chosen.
             self._may_have_gone = True
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -20,6 +20,7 @@
 
 from peridotwell.errors import RequestTooLarge
 from peridotwell.logs import log_event
+from peridotwell.policy.buffer_budget import BufferShare
 from peridotwell.serving.caller_connection import (
     BodyPart,
     CallerConnection,
@@ -107,6 +108,10 @@
             more = message.get('more_body', False)
         return bytes(received)
 
+    def hold(self, share: BufferShare) -> None:
+        """Close the connection if others need the memory of the response."""
+        share.wait_for_caller(self._body_part.abort)
+
     async def wait_for_disconnect(self) -> None:
         """Return when the client has disconnected."""
         message = {'type': ''}
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -48,6 +48,10 @@
     may_close: trio.Event = field(default_factory=trio.Event)
 
 
+def _abort_nothing() -> None:
+    """Do nothing: the connection is none of a CallerConnection."""
+
+
 async def _send_no_chunk(content: bytes) -> bool:
     """Send nothing: the connection is none of a CallerConnection."""
     return False
@@ -60,11 +64,13 @@
     A part is sent as a whole though its handler is cancelled. Most parts are
     sent without waiting, so the connection opens a cancel scope only when it
     waits, in place of one for each part. `send_chunk` sends a part of a body
-    that consists of chunks, and returns whether it could.
+    that consists of chunks, and returns whether it could. `abort` closes the
+    connection at once.
     """
 
     is_next: bool = False
     send_chunk: Callable[[bytes], Awaitable[bool]] = _send_no_chunk
+    abort: Callable[[], None] = _abort_nothing
 
     def take(self) -> bool:
         """Return whether a part comes next, and expect none after it."""
@@ -118,7 +124,9 @@
         stop: ServerStop,
         stream: trio.SocketStream,
     ) -> None:
-        self._body_part = BodyPart(send_chunk=self._send_chunk)
+        self._body_part = BodyPart(
+            send_chunk=self._send_chunk, abort=stream.socket.close
+        )
         # The server names the type of encrypted connections only. The state
         # reaches the scope of each request.
         super().__init__(
@@ -189,7 +197,8 @@
                 return
             if sent == len(event.data):
                 return
-            event = RawData(event.data[sent:])
+            # A copy of the rest of a long body would take as much memory.
+            event = RawData(cast(bytes, memoryview(event.data)[sent:]))
         with trio.CancelScope(shield=is_part):
             await super().protocol_send(event)
 
--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -15,6 +15,7 @@
 
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
+from peridotwell.serving.target_connection import TargetConnection
 
 __all__ = ('BEFORE_SEND', 'ConnectionPool')
 
@@ -169,7 +170,7 @@
             timeout=_timeout(request, 'connect'),
             socket_options=CLIENT_SOCKET_OPTIONS,
         )
-        return httpcore.AsyncHTTP11Connection(
+        return TargetConnection(
             origin, stream, keepalive_expiry=self._idle_seconds
         )
 
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -8,7 +8,7 @@
 import math
 import re
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from contextlib import aclosing
+from contextlib import AsyncExitStack, aclosing
 from dataclasses import dataclass
 
 import trio
@@ -19,11 +19,13 @@
     ResponseTruncated,
 )
 from peridotwell.domain.counts import is_count
+from peridotwell.serving.fair_turns import Pace
 
 __all__ = (
     'NO_LIMIT',
     'EventBuffer',
     'EventLimit',
+    'Hold',
     'MayGiveUp',
     'StreamEvent',
     'always',
@@ -42,6 +44,9 @@
 MIN_EVENT_BYTES_PER_SECOND = 16384
 
 
+# Takes the number of bytes that are held back; raises an AttemptError if that
+# is too much.
+Hold = Callable[[int], None]
 # Returns whether a response may be given up at a time, because the request may
 # go on elsewhere.
 MayGiveUp = Callable[[float], bool]
@@ -52,6 +57,10 @@
     return True
 
 
+def hold_any(held_bytes: int) -> None:
+    """Allow any number of bytes to be held back."""
+
+
 @dataclass(frozen=True)
 class EventLimit:
     """How long each event of a stream may take to arrive.
@@ -97,6 +106,15 @@
         # When the last event was complete, or the first chunk arrived.
         self._last_event_at: float | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that are held back."""
+        return len(self._unfinished)
+
+    def clear(self) -> None:
+        """Drop what is held back."""
+        self._unfinished.clear()
+
     def exclude(self, seconds: float) -> None:
         """Do not count a time in which nothing was read."""
         if self._last_event_at is not None:
@@ -145,37 +163,58 @@
 
 
 async def whole_events(
-    chunks: AsyncGenerator[bytes, None], limit: EventLimit
+    chunks: AsyncGenerator[bytes, None],
+    limit: EventLimit,
+    hold: Hold = hold_any,
 ) -> AsyncGenerator[bytes, None]:
     """Yield a stream in parts that contain whole events only.
 
+    `hold` is told of what is held back, and of events that were, until they
+    are taken.
+
     Raises ResponseTruncated if the stream ends within an event, however the
     end of the response is marked: a target that breaks off may close its
     connection as after a complete response. Raises ResponseTimeout if an event
     exceeds the limit, although some bytes arrive.
     """
     buffer = EventBuffer(limit)
-    async with aclosing(chunks):
+    async with AsyncExitStack() as stack:
+        # The traceback of an error would keep what is held back.
+        stack.callback(buffer.clear)
+        await stack.enter_async_context(aclosing(chunks))
         async for chunk in chunks:
             now = trio.current_time()
+            had_held = buffer.held_bytes
             events = buffer.add(chunk, now)
+            if had_held or buffer.held_bytes:
+                hold(buffer.held_bytes + len(events))
             if events:
                 yield events
                 # The caller may have taken its time to read them.
                 buffer.exclude(trio.current_time() - now)
-    remainder = buffer.finish()
-    if remainder:
-        yield remainder
+                if had_held:
+                    hold(buffer.held_bytes)
+        remainder = buffer.finish()
+        if remainder:
+            yield remainder
 
 
 async def split_events(
-    chunks: AsyncGenerator[bytes, None], limit: EventLimit
+    chunks: AsyncGenerator[bytes, None],
+    limit: EventLimit,
+    hold: Hold = hold_any,
+    pace: Pace | None = None,
 ) -> AsyncGenerator[bytes, None]:
-    """Yield each event with its end. Raises errors like whole_events."""
-    async with aclosing(whole_events(chunks, limit)) as parts:
+    """Yield each event with its end. Raises errors like whole_events.
+
+    `pace` is told of each event.
+    """
+    async with aclosing(whole_events(chunks, limit, hold)) as parts:
         async for part in parts:
             for event in EVENT.findall(part):
                 yield event
+                if pace is not None:
+                    await pace.after_part()
 
 
 async def validated_events(
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -24,6 +24,7 @@
     RequestError,
     TargetFailed,
 )
+from peridotwell.policy.buffer_budget import BufferShare
 from peridotwell.policy.placement import placement_hint
 from peridotwell.policy.retry import RetryBudget, RetryPolicy, RetryStep
 from peridotwell.serving.event_stream import (
@@ -47,13 +48,15 @@
 class BufferedResponse:
     """A complete response of a target.
 
-    `placement_hint` identifies the target in later requests of the chat.
+    `placement_hint` identifies the target in later requests of the chat,
+    `share` is the memory that the response takes.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     placement_hint: str
+    share: BufferShare | None = None
 
 
 class RequestExecutor:
@@ -144,12 +147,15 @@
     async def _read_response(
         self, response: TargetResponse
     ) -> BufferedResponse:
-        return BufferedResponse(
+        buffered = BufferedResponse(
             response.status,
             forwarded_headers(response.fields),
             await response.read_body(),
             self.placement_hint,
+            response.share,
         )
+        response.share.keep_with(buffered)
+        return buffered
 
     async def _validated_events(
         self, response: TargetResponse
--- a/peridotwell/serving/responses.py
+++ b/peridotwell/serving/responses.py
@@ -61,6 +61,8 @@
         (PLACEMENT_HEADER, response.placement_hint),
         (REQUEST_HEADER, request_id),
     )
+    if response.share is not None:
+        exchange.hold(response.share)
     await exchange.respond(response.status, response.body, headers)
 
 
--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -103,6 +103,8 @@
             received = _read_now(self._stream.socket.fileno(), max_bytes)
         # A socket may be reported as readable and have nothing to read.
         while received is None:
+            if self._stream.socket.fileno() < 0:
+                raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self._stream.socket)
             received = _read_now(self._stream.socket.fileno(), max_bytes)
         return received
@@ -118,7 +120,7 @@
             if sent == len(buffer):
                 return
             with trio.move_on_after(seconds):
-                await self._stream.send_all(buffer[sent:])
+                await self._stream.send_all(memoryview(buffer)[sent:])
                 return
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             if not _is_after_end(exc):
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -30,6 +30,7 @@
 from peridotwell.running_time import move_on_after_running
 from peridotwell.serving.connection_pool import BEFORE_SEND, ConnectionPool
 from peridotwell.serving.event_stream import EventLimit
+from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.response_ownership import ResponseOwnership
 from peridotwell.serving.target_presence import check_still_listens
 from peridotwell.serving.target_response import TargetResponse
@@ -132,8 +133,10 @@
         target: Target,
         reader: ResponseReader | None = None,
         on_notice: NoticeListener | None = None,
+        buffers: ResponseBuffers | None = None,
     ) -> None:
         self.target = target
+        self._buffers = buffers or ResponseBuffers()
         self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
         self._ownership = ResponseOwnership()
@@ -194,6 +197,8 @@
                 response_timeouts.event_limit
                 or EventLimit(response_timeouts.silence_seconds),
                 request.method,
+                self._buffers,
+                self.target.name,
             )
             response.check_end = partial(
                 check_still_listens, self.target, CONNECT_TIMEOUT_SECONDS
@@ -210,7 +215,10 @@
             self._handle_notice(response, sent_at)
             self._raise_if_refused(refusal, response)
             timeouts['read'] = _finite(response_timeouts.silence_seconds)
-            yield response
+            try:
+                yield response
+            finally:
+                response.share.release_unless_kept()
 
     def _handle_notice(self, response: TargetResponse, sent_at: float) -> None:
         if self._on_notice is None:
--- /dev/null
+++ b/peridotwell/serving/target_connection.py
@@ -0,0 +1,47 @@
+"""An HTTP/1.1 connection that takes a bounded number of interim responses."""
+
+from typing import Any
+
+import h11
+import httpcore
+
+__all__ = ('TargetConnection',)
+
+# Before each response. Reading them takes time, and nobody waits for them.
+MAX_INTERIM_RESPONSES = 16
+
+
+class _ResponseParser(h11.Connection):
+    """Parses responses; refuses endless interim ones (RFC 9110, 15.2)."""
+
+    _interim_responses = 0
+
+    def next_event(self) -> Any:
+        """Return the next event of the response, as h11 does.
+
+        Raises h11.RemoteProtocolError if too many interim responses come.
+        """
+        event = super().next_event()
+        if isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise h11.RemoteProtocolError('Too many interim responses')
+        elif isinstance(event, h11.Response):
+            self._interim_responses = 0
+        return event
+
+
+class TargetConnection(httpcore.AsyncHTTP11Connection):
+    """A connection whose responses are parsed by _ResponseParser."""
+
+    def __init__(
+        self,
+        origin: httpcore.Origin,
+        stream: httpcore.AsyncNetworkStream,
+        keepalive_expiry: float | None = None,
+    ) -> None:
+        super().__init__(origin, stream, keepalive_expiry)
+        self._h11_state = _ResponseParser(
+            h11.CLIENT,
+            max_incomplete_event_size=self.MAX_INCOMPLETE_EVENT_SIZE,
+        )
--- a/peridotwell/serving/target_monitor.py
+++ b/peridotwell/serving/target_monitor.py
@@ -21,6 +21,10 @@
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.quarantine import Quarantine, request_fingerprint
+from peridotwell.serving.response_buffers import (
+    BudgetRecorder,
+    ResponseBuffers,
+)
 from peridotwell.serving.target_client import TargetClient, TargetHealth
 from peridotwell.store.configuration import ConfigurationStore
 
@@ -51,6 +55,7 @@
         self._metrics = metrics
         self._publish = publish
         self._sender = sender
+        self._buffers = ResponseBuffers(observer=BudgetRecorder(metrics))
         self._clients: dict[tuple[str, str], TargetClient] = {}
 
     def client(self, target: Target) -> TargetClient:
@@ -58,7 +63,7 @@
         client_key = (target.name, target.address)
         client = self._clients.get(client_key)
         if client is None:
-            client = TargetClient(target)
+            client = TargetClient(target, buffers=self._buffers)
             self._clients[client_key] = client
         return client
 
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -7,13 +7,20 @@
 
 import httpcore
 
-from peridotwell.attempt_errors import ResponseTimeout, ResponseTruncated
+from peridotwell.attempt_errors import (
+    ResponseOverBudget,
+    ResponseTimeout,
+    ResponseTruncated,
+)
+from peridotwell.policy.buffer_budget import BufferShare
 from peridotwell.serving.event_stream import (
     NO_LIMIT,
     EventLimit,
     split_events,
     whole_events,
 )
+from peridotwell.serving.fair_turns import Pace
+from peridotwell.serving.response_buffers import ResponseBuffers
 
 __all__ = ('BodyEnd', 'ReadObserver', 'ResponseOrigin', 'TargetResponse')
 
@@ -65,7 +72,9 @@
     the wait for each event of a stream. `observer` is told of reads.
     `earlier_requests` is the number of requests before on the connection.
     `check_end` is awaited after a body that ends with its connection; it raises
-    ResponseTruncated if that was no ordinary end.
+    ResponseTruncated if that was no ordinary end. `share` is the memory that
+    the response takes, among those of its `group`; ResponseOverBudget is raised
+    if there is no more of it.
     """
 
     def __init__(
@@ -73,7 +82,11 @@
         resp: httpcore.Response,
         event_limit: EventLimit = NO_LIMIT,
         method: bytes = b'GET',
+        buffers: ResponseBuffers | None = None,
+        group: str = '',
     ) -> None:
+        buffers = buffers or ResponseBuffers()
+        self.share: BufferShare = buffers.open_share(resp, group)
         self.status: int = resp.status
         self.fields: tuple[tuple[str, str], ...] = tuple(
             (name.decode('latin-1').lower(), text.decode('latin-1'))
@@ -88,6 +101,8 @@
         )
         self._resp = resp
         self._event_limit = event_limit
+        self._pace = Pace(buffers.turns)
+        self._event_pace = Pace(buffers.turns)
 
     @property
     def body_end(self) -> BodyEnd:
@@ -116,12 +131,14 @@
             async for part in self._resp.aiter_stream():
                 self._after_read()
                 yield part
+                await self._pace.after_part()
                 self._before_read()
         except httpcore.ReadTimeout as exc:
             raise ResponseTimeout(
                 'The target stopped sending the response body.'
             ) from exc
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            self._raise_if_ended()
             raise ResponseTruncated(
                 f'The response was truncated: {exc}'
             ) from exc
@@ -130,11 +147,13 @@
 
     def whole_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in parts that contain whole events only."""
-        return whole_events(self.body_chunks(), self._event_limit)
+        return whole_events(self.body_chunks(), self._event_limit, self._hold)
 
     def split_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the events of the body one by one."""
-        return split_events(self.body_chunks(), self._event_limit)
+        return split_events(
+            self.body_chunks(), self._event_limit, self._hold, self._event_pace
+        )
 
     async def read_body(self, *, require_end_marker: bool = True) -> bytes:
         """Return the complete body.
@@ -148,14 +167,37 @@
             raise ResponseTruncated(
                 'The response has no marked end: add Content-Length.'
             )
-        body = bytearray()
+        parts: list[bytes] = []
+        try:
+            await self._read_parts(parts)
+            return b''.join(parts)
+        finally:
+            # The traceback of an error would keep them.
+            parts.clear()
+
+    async def _read_parts(self, parts: list[bytes]) -> None:
+        # One array that grows would leave holes in the memory of the process
+        # where others grow beside it.
+        body_bytes = 0
         async for part in self.body_chunks():
-            body += part
-            if len(body) > MAX_RESPONSE_BYTES:
+            parts.append(part)
+            body_bytes += len(part)
+            if body_bytes > MAX_RESPONSE_BYTES:
                 raise ResponseTruncated(
                     f'The response exceeds {MAX_RESPONSE_BYTES} bytes.'
                 )
-        return bytes(body)
+            self._hold(body_bytes)
+
+    def _hold(self, held_bytes: int) -> None:
+        self.share.resize(held_bytes)
+        self._raise_if_ended()
+
+    def _raise_if_ended(self) -> None:
+        if self.share.is_ended:
+            raise ResponseOverBudget(
+                'The memory for responses is full, and this one was the '
+                'largest of the target that held most.'
+            )
 
     def _before_read(self) -> None:
         if self.observer is not None:
