Bodies of requests take a bounded part of the memory

Cause: each body was bounded (4 MB on the users' platform), their sum was not.

Evidence, before: 100 bodies of 4 MB at once let a router process grow by 450 MB; a machine has 300 MB.

Change: a budget for the bodies of all requests of a process, an eighth of the machine's memory (64 MB if unknown). A body has room for its declared length when it begins to arrive; nothing is allocated for it, and the room of a body of which nothing arrives for 1 s is free for others. Without room the request is refused at once as not run: 503, `bodies_full`, Retry-After. A declared length over the limit of bodies is refused at once, too, in place of after as many bytes.

Sound requests beside them are all answered.

--- a/peridotwell/errors.py
+++ b/peridotwell/errors.py
@@ -19,6 +19,7 @@
     'UnknownCredential',
     'NotConfigured',
     'RequestTooLarge',
+    'RequestBodiesFull',
     'HeadersTooLarge',
     'IdempotencyKeyMissing',
     'IdempotencyKeyExpired',
@@ -159,6 +160,13 @@
     status = 413
 
 
+class RequestBodiesFull(RequestError):
+    """The memory for the bodies of requests is full."""
+
+    code = 'bodies_full'
+    status = 503
+
+
 class HeadersTooLarge(RequestError):
     """The header fields of the request exceed their total size limit."""
 
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -10,6 +10,8 @@
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics, render_metrics
+from peridotwell.policy.body_budget import BodyBudget
+from peridotwell.policy.buffer_budget import buffer_bytes
 from peridotwell.serving.asgi import HttpExchange, HttpServer
 from peridotwell.store.change_feed import ChangeFeedStore
 
@@ -48,8 +50,10 @@
         self.stop_requested = trio.Event()
         self._listener = listener
         self._components = build_components(settings, adapters, store)
-        self._callers = HttpServer(self._components.handler.handle)
-        self._handovers = HttpServer(self._components.handler.handle_handover)
+        bodies = BodyBudget(buffer_bytes(settings.memory_bytes))
+        handler = self._components.handler
+        self._callers = HttpServer(handler.handle, bodies)
+        self._handovers = HttpServer(handler.handle_handover, bodies)
         self._readiness = HttpServer(self._respond_ready)
         self._may_close = trio.Event()
         self._components.directory.on_change(self._apply_changes)
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -18,9 +18,11 @@
 from hypercorn.config import Config
 from hypercorn.trio.worker_context import WorkerContext
 
-from peridotwell.errors import RequestTooLarge
+from peridotwell.domain.counts import is_count
+from peridotwell.errors import RequestBodiesFull, RequestTooLarge
 from peridotwell.logs import log_event
-from peridotwell.policy.buffer_budget import BufferShare
+from peridotwell.policy.body_budget import BodyBudget, BodyShare
+from peridotwell.policy.buffer_budget import BufferShare, buffer_bytes
 from peridotwell.serving.caller_connection import (
     BodyPart,
     CallerConnection,
@@ -36,6 +38,7 @@
 # count towards a limit on header fields.
 REQUEST_LINE_BYTES = 65536
 KEEP_ALIVE_SECONDS = 30
+BODIES_RETRY_AFTER_SECONDS = 0.5
 # Time that sent data may stay unacknowledged before the connection is closed,
 # to detect within seconds that a caller is gone without having closed it.
 UNACKNOWLEDGED_MILLISECONDS = 5000
@@ -65,7 +68,12 @@
     """
 
     def __init__(
-        self, scope: Any, receive: Any, send: Any, stop: ServerStop
+        self,
+        scope: Any,
+        receive: Any,
+        send: Any,
+        stop: ServerStop,
+        bodies: BodyBudget,
     ) -> None:
         self.method: str = scope['method']
         self.path: str = scope['path']
@@ -81,6 +89,8 @@
         self._receive = receive
         self._send = send
         self._stop = stop
+        self._bodies = bodies
+        self._body_share: BodyShare | None = None
         state = scope.get('state', {})
         self._body_part: BodyPart = state.get('body_part') or BodyPart()
 
@@ -91,22 +101,26 @@
     async def body(self, limit: int = DEFAULT_BODY_LIMIT_BYTES) -> bytes:
         """Return the complete request body.
 
-        Raises RequestTooLarge for a body over `limit` bytes, and
+        Raises RequestTooLarge for a body over `limit` bytes, RequestBodiesFull
+        if those of all requests take too much memory, and
         trio.ClosedResourceError when the client disconnects early.
         """
+        declared_bytes = self._declared_bytes()
+        _check_length(declared_bytes, limit)
+        share = self._bodies.open(declared_bytes, trio.current_time())
+        self._body_share = share
         received = bytearray()
-        more = True
-        while more:
-            message = await self._receive()
-            if message['type'] == 'http.disconnect':
-                raise trio.ClosedResourceError('the client disconnected')
-            received += message.get('body', b'')
-            if len(received) > limit:
-                raise RequestTooLarge(
-                    f'The body exceeds {limit} bytes: send a shorter one.',
-                )
-            more = message.get('more_body', False)
-        return bytes(received)
+        try:
+            await self._receive_body(received, share, limit)
+            return bytes(received)
+        finally:
+            # The traceback of an error would keep it.
+            received.clear()
+
+    def release_body(self) -> None:
+        """Let the bodies of other requests have the memory of this one."""
+        if self._body_share is not None:
+            self._body_share.release()
 
     def hold(self, share: BufferShare) -> None:
         """Close the connection if others need the memory of the response."""
@@ -202,6 +216,25 @@
         body = msgspec.json.encode(document)
         await self.respond(status, body, (JSON_TYPE, *headers))
 
+    async def _receive_body(
+        self, received: bytearray, share: BodyShare | None, limit: int
+    ) -> None:
+        more = True
+        while more:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                raise trio.ClosedResourceError('the client disconnected')
+            part = message.get('body', b'')
+            received += part
+            _check_length(len(received), limit)
+            _add_to_share(share, len(part))
+            more = message.get('more_body', False)
+
+    def _declared_bytes(self) -> int:
+        """Return the length of the request body, 0 if it is not told."""
+        length = self.headers.get('content-length', '')
+        return int(length) if is_count(length) else 0
+
     def _consists_of_chunks(
         self, status: int, fields: Iterable[tuple[bytes, bytes]]
     ) -> bool:
@@ -227,6 +260,22 @@
             raise _closed_error(exc) from exc
 
 
+def _check_length(body_bytes: int, limit: int) -> None:
+    if body_bytes > limit:
+        raise RequestTooLarge(
+            f'The body exceeds {limit} bytes: send a shorter one.',
+        )
+
+
+def _add_to_share(share: BodyShare | None, part_bytes: int) -> None:
+    if share is None or not share.add(part_bytes, trio.current_time()):
+        raise RequestBodiesFull(
+            'The bodies of other requests take all memory for them: send the '
+            'request again.',
+            retry_after_seconds=BODIES_RETRY_AFTER_SECONDS,
+        )
+
+
 def _closed_error(exc: h11.LocalProtocolError) -> trio.ClosedResourceError:
     return trio.ClosedResourceError(f'the response cannot be written: {exc}')
 
@@ -234,23 +283,36 @@
 class _Application:
     """An ASGI application that passes each HTTP exchange to a handler."""
 
-    def __init__(self, handler: Handler, stop: ServerStop) -> None:
+    def __init__(
+        self, handler: Handler, stop: ServerStop, bodies: BodyBudget
+    ) -> None:
         self._handler = handler
         self._stop = stop
+        self._bodies = bodies
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one exchange. Raises NotImplementedError for other scopes."""
         if scope['type'] != 'http':
             raise NotImplementedError('only HTTP scopes are supported')
-        await self._handler(HttpExchange(scope, receive, send, self._stop))
+        exchange = HttpExchange(scope, receive, send, self._stop, self._bodies)
+        try:
+            await self._handler(exchange)
+        finally:
+            exchange.release_body()
 
 
 class HttpServer:
-    """Serves a handler; an error on a connection ends only that connection."""
+    """Serves a handler; an error on a connection ends only that connection.
 
-    def __init__(self, handler: Handler) -> None:
+    `bodies` bounds the memory for the bodies of requests.
+    """
+
+    def __init__(
+        self, handler: Handler, bodies: BodyBudget | None = None
+    ) -> None:
         self._stop = ServerStop()
-        self._app = ASGIWrapper(_Application(handler, self._stop))
+        bodies = bodies or BodyBudget(buffer_bytes(0))
+        self._app = ASGIWrapper(_Application(handler, self._stop, bodies))
         self._cfg = _server_config()
         self.set_header_limit(DEFAULT_HEADER_LIMIT_BYTES)
         self._context = WorkerContext(None)
--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -126,6 +126,19 @@
             await trio.sleep_forever()
         await self._read(stream)
 
+    async def send_body(self, path: str, number: int, length: int) -> None:
+        """Send a request with a body as fast as the router takes it."""
+        stream = await trio.open_tcp_stream('127.0.0.1', self._router.port)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send, stream, path, number, length)
+            await self._read(stream)
+            nursery.cancel_scope.cancel()
+
+    async def send_bodies(self, path: str, number: int, length: int) -> None:
+        """Send such requests one after the other."""
+        while True:
+            await self.send_body(path, number, length)
+
     async def send_sound_requests(self) -> None:
         """Send a sound request now and then, and record the answers."""
         async with trio.open_nursery() as nursery:
@@ -135,6 +148,12 @@
                 nursery.start_soon(self._ask, number)
                 await trio.sleep(SOUND_PAUSE_SECONDS)
 
+    async def _send(
+        self, stream: trio.SocketStream, path: str, number: int, length: int
+    ) -> None:
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await stream.send_all(_head(path, number, length) + bytes(length))
+
     async def _read(self, stream: trio.SocketStream) -> None:
         with suppress(trio.BrokenResourceError):
             content = await stream.receive_some()
@@ -234,3 +253,21 @@
         await callers.flood('/told/8000000', number, reads=False)
 
     await _run(router, request)
+
+
+# Guards against bodies of requests that fill the memory.
+async def test_bodies_of_requests_take_a_bounded_part_of_the_memory(router):
+    async def request(callers, number):
+        await callers.send_body(f'/told/{SOUND_BYTES}', number, MAX_BODY_BYTES)
+
+    callers = await _run(router, request)
+    assert set(callers.statuses) <= {200, 503}
+    assert 200 in callers.statuses
+
+
+# Guards against errors whose tracebacks keep the bodies of their requests.
+async def test_bodies_of_failed_requests_are_not_kept(router):
+    async def request(callers, number):
+        await callers.send_bodies('/read/garbage', number, MAX_BODY_BYTES)
+
+    await _run(router, request)
