Answers of the store and frames of routers are bounded in memory

Cause: an answer of the store had no limit, and was read in one turn of the event loop however much came. A frame of any length was received before its length was checked, and 1000 frames of each peer (2 MB each at most) could wait in a process that does not read them.

Evidence, before: a store that sends without end (parts of 64 KB, of 1 B) held the event loop for more than the 10 s after which the tests end it. A frame over 2 MB was received; 400 frames of 100 KB were taken while nothing was read.

Change: an answer of the store ends as lost at 16 MB, where a part counts for 256 bytes at least. The connection of a peer that sends a frame over 2 MB is closed. 100 frames of a peer wait at the receiver; the others wait with their sender, whose queue has 1000 as before and drops what does not fit.

--- a/peridotwell/fleet/transport/peer_transport.py
+++ b/peridotwell/fleet/transport/peer_transport.py
@@ -16,12 +16,18 @@
 import trio
 import zmq
 
-from peridotwell.fleet.transport.frames import Frame, encode_frame
+from peridotwell.fleet.transport.frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    encode_frame,
+)
 from peridotwell.logs import log_failure
 
 __all__ = ('PeerTransport', 'ZmqPeerTransport')
 
 QUEUE_FRAMES = 1000
+# From each peer; more wait with their sender.
+RECEIVED_FRAMES = 100
 # After this many frames, other tasks may run.
 FRAMES_PER_CHECKPOINT = 32
 SENDER_OPTIONS = (
@@ -87,7 +93,9 @@
     def __init__(self, bind: str) -> None:
         self._context = zmq.Context()
         self._receiver = self._context.socket(zmq.PULL)
-        self._receiver.setsockopt(zmq.RCVHWM, QUEUE_FRAMES)
+        self._receiver.setsockopt(zmq.RCVHWM, RECEIVED_FRAMES)
+        # The connection of a peer that sends a longer one is closed.
+        self._receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self._receiver.setsockopt(zmq.IPV6, int(bind.startswith('[')))
         host, _, port = bind.rpartition(':')
         self._receiver.bind(f'tcp://{host}:{port if int(port) else "*"}')
--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -6,7 +6,13 @@
 """
 
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+)
 from functools import partial
 from typing import Protocol, cast
 
@@ -24,6 +30,8 @@
 BEFORE_SEND = 'before_send'
 # Idle connections that have expired are closed this often.
 SWEEP_SECONDS = 1.0
+# What each part of a body counts for at least.
+MIN_COUNTED_BYTES = 256
 
 _Connection = httpcore.AsyncHTTP11Connection
 
@@ -45,14 +53,18 @@
         self,
         resp: httpcore.Response,
         give_back: Callable[[], Awaitable[None]],
+        max_bytes: float,
     ) -> None:
         self._stream = cast(_Stream, resp.stream)
         self._give_back = give_back
+        self._max_bytes = max_bytes
         self._is_closed = False
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
-        return aiter(self._stream)
+        if math.isinf(self._max_bytes):
+            return aiter(self._stream)
+        return _limit(self._stream, self._max_bytes)
 
     async def aclose(self) -> None:
         """End the response; a connection that is not at its end closes."""
@@ -66,12 +78,26 @@
                 await self._give_back()
 
 
+async def _limit(
+    stream: _Stream, max_bytes: float
+) -> AsyncGenerator[bytes, None]:
+    """Yield the parts of a body; raise httpcore.ReadError if it is too long."""
+    body_bytes = 0
+    async for part in stream:
+        # Many small parts take as much time as long ones.
+        body_bytes += max(len(part), MIN_COUNTED_BYTES)
+        if body_bytes > max_bytes:
+            raise httpcore.ReadError(f'The body exceeds {max_bytes} bytes')
+        yield part
+
+
 class ConnectionPool(httpcore.AsyncConnectionPool):
     """Up to `max_connections` connections straight on the sockets of trio.
 
     All requests go to the same address. Idle connections are closed after
     `idle_seconds`, or at once without `keeps_idle`. `reads_at_once` is for a
     peer whose responses are read in as few turns of the event loop as possible.
+    A body over `max_body_bytes` is an error.
     """
 
     def __init__(
@@ -81,11 +107,13 @@
         idle_seconds: float | None = None,
         keeps_idle: bool = True,
         reads_at_once: bool = False,
+        max_body_bytes: float = math.inf,
     ) -> None:
         super().__init__(max_connections=max_connections)
         self._network = SocketNetwork(reads_at_once=reads_at_once)
         self._idle_seconds = idle_seconds
         self._keeps_idle = keeps_idle
+        self._max_body_bytes = max_body_bytes
         self._max_used = max_connections
         self._places = trio.Semaphore(max_connections)
         # The connection that was used last is at the end.
@@ -115,7 +143,9 @@
         return httpcore.Response(
             resp.status,
             headers=resp.headers,
-            content=_Body(resp, partial(self._give_back, conn)),
+            content=_Body(
+                resp, partial(self._give_back, conn), self._max_body_bytes
+            ),
             extensions=resp.extensions,
         )
 
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -11,6 +11,7 @@
 
 __all__ = ('StoreHttpClient', 'decode_response')
 
+MAX_RESPONSE_BYTES = 16_000_000
 JSON_TYPE = (('content-type', 'application/json'),)
 
 
@@ -25,7 +26,11 @@
     ) -> None:
         self._url = url
         self._connect_seconds = connect_seconds
-        self._pool = ConnectionPool(max_connections, reads_at_once=True)
+        self._pool = ConnectionPool(
+            max_connections,
+            reads_at_once=True,
+            max_body_bytes=MAX_RESPONSE_BYTES,
+        )
 
     async def send(
         self,
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -1,6 +1,7 @@
 """The HTTP store against valid and faulty responses of the platform."""
 
 import pytest
+import trio
 
 from peridotwell.errors import (
     StoreConflict,
@@ -9,6 +10,7 @@
 )
 from peridotwell.store.http_store import HttpStore
 from tests.raw_server import raw_server, response
+from tests.raw_target import RawResponse, RawTarget
 
 WRITES = {
     'accepted': (response(200, b'7'), False, 7),
@@ -42,6 +44,18 @@
         await HttpStore('http://127.0.0.1:1', 0.2).grant_lease(1)
 
 
+# Guards against answers of the store that fill the memory, or take all time.
+@pytest.mark.parametrize('part', [b'x' * 65536, b'x'])
+async def test_a_response_without_end_counts_as_lost(nursery, part):
+    chunks = b'%x\r\n%b\r\n' % (len(part), part)
+    head = ('HTTP/1.1 200 OK', 'transfer-encoding: chunked', '', '')
+    endless = chunks * (65536 // len(chunks) + 1)
+    target = RawTarget([RawResponse(head, endless=endless)])
+    address = await target.start(nursery)
+    with trio.fail_after(10), pytest.raises(StoreResponseLost):
+        await HttpStore(f'http://{address}', 5).read('k')
+
+
 READS = {
     'absent': (response(404, b'x'), None),
     'found': (response(200, b'v', 'x-revision: 5'), (b'v', 5)),
