--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -13,6 +13,7 @@
 
 # A connection that carries nothing more of a response has gone silent.
 BODY_SILENCE_SECONDS = 0.6
+MAX_RESPONSE_BYTES = 16_000_000
 JSON_TYPE = (('content-type', 'application/json'),)
 
 
@@ -27,7 +28,11 @@
     ) -> None:
         self._url = url
         self._connect_seconds = connect_seconds
-        self._pool = ConnectionPool(max_connections, reads_at_once=True)
+        self._pool = ConnectionPool(
+            max_connections,
+            reads_at_once=True,
+            max_body_bytes=MAX_RESPONSE_BYTES,
+        )
 
     async def send(
         self,
