--- a/tests/peridotwell_platform/test_program.py
+++ b/tests/peridotwell_platform/test_program.py
@@ -72,6 +72,14 @@
     assert found.handover == f'127.0.0.1:{first + 1}'
 
 
+def test_memory_is_read_in_bytes_and_unknown_if_absent(write_settings):
+    path, _ = write_settings()
+    assert load_platform_settings(str(path)).forwarding.memory_bytes == 0
+    path.write_text(f'{path.read_text()}\n[limits]\nmemory_mb = 300\n')
+    found = load_platform_settings(str(path)).forwarding
+    assert found.memory_bytes == 300_000_000
+
+
 def test_link_rate_is_read_in_bytes_and_unknown_if_absent(write_settings):
     path, _ = write_settings()
     without_rate = load_platform_settings(str(path)).forwarding
--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -36,6 +37,11 @@
 SOUND_BYTES = 800
 ANSWER_SECONDS = 2.8
 MAX_BODY_BYTES = 4_000_000
+LONG_BYTES = 8_000_000
+LONG_PATH = f'/told/{LONG_BYTES}'
+# Many times what the memory for answers holds.
+IDLE_CALLERS = 15
+IDLE_PAUSE_SECONDS = 0.2
 EVENT_KINDS = ('events', 'long_event', 'comments', 'tiny_chunks')
 FLOOD_ROUTE = {'service': 'flood', 'timeout_ms': 10_000, 'max_attempts': 1}
 CONFIG = {
@@ -250,11 +256,35 @@
 # Guards against whole answers that fill the memory while nobody reads them.
 async def test_whole_answers_that_nobody_reads_take_a_bounded_part(router):
     async def request(callers, number):
-        await callers.flood('/told/8000000', number, reads=False)
+        await callers.flood(LONG_PATH, number, reads=False)
 
     await _run(router, request)
 
 
+# Guards against callers that keep others from their answers by not reading.
+async def test_callers_that_do_not_read_leave_memory_to_others(router):
+    callers = Callers(router)
+    async with trio.open_nursery() as nursery:
+        for number in range(IDLE_CALLERS):
+            nursery.start_soon(
+                partial(callers.flood, LONG_PATH, number, reads=False)
+            )
+            await trio.sleep(IDLE_PAUSE_SECONDS)
+        async with httpcore.AsyncConnectionPool() as pool:
+            resp = await router_setup.call(
+                pool,
+                f'127.0.0.1:{router.port}',
+                'GET',
+                LONG_PATH,
+                router_setup.caller_headers(0, x_request_id='reads'),
+                b'',
+            )
+        nursery.cancel_scope.cancel()
+    assert resp.status == 200
+    assert len(resp.content) == LONG_BYTES
+    assert router.peak_mb() < MEMORY_MB / 2
+
+
 # Guards against bodies of requests that fill the memory.
 async def test_bodies_of_requests_take_a_bounded_part_of_the_memory(router):
     async def request(callers, number):
