--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -73,7 +73,7 @@
         receive: Any,
         send: Any,
         stop: ServerStop,
-        bodies: BodyBudget,
+        bodies: BodyBudget | None = None,
     ) -> None:
         self.method: str = scope['method']
         self.path: str = scope['path']
@@ -89,7 +89,7 @@
         self._receive = receive
         self._send = send
         self._stop = stop
-        self._bodies = bodies
+        self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
         state = scope.get('state', {})
         self._body_part: BodyPart = state.get('body_part') or BodyPart()
