The check of leaving targets counts from the end of a long outage of the store

Its entry was written while the store was silent to all routers, for 6.5 s by their logs; the router had the entry 0.16 s after the store had returned, 0.04 s before the request arrived, which it had sent on before. The check's limit of 2.5 s, which no fault excuses, came from outages of 2.5 s at most.

Excused now, if the entry was written during an outage in which the store answered no router, is what arrives within 1.0 s of the end of that outage. For outages of up to 2.5 s the limit is later than before by 1.0 s at most. An outage that begins after the entry, or that answers, excuses nothing.

--- a/tests/soak/leaving_rule.py
+++ b/tests/soak/leaving_rule.py
@@ -17,8 +17,11 @@
 # A target gets no requests later than this after the store's answer.
 DRAIN_SECONDS = 2.0
 # No fault excuses a request that reaches a draining target later than this, but
-# one that holds it on its way, as the network does.
+# one that holds it on its way, as the network does, and an outage of the store
+# that has lasted all the while.
 DRAIN_GRACE_SECONDS = 2.5
+# A router hears a store that has returned within this time.
+RETURN_SECONDS = 1.0
 
 
 def judge_leaving(records: Iterable[Record]) -> Iterator[str]:
@@ -39,6 +42,7 @@
             late_seconds > DRAIN_GRACE_SECONDS
             and arrived.runs
             and not _may_have_been_held(touch, request, arrived, left)
+            and arrived.at > touch.store_returned_at(left.at) + RETURN_SECONDS
         )
         if (left.state == 'draining' and is_past_grace) or not _is_excused(
             touch, request, arrived, left
--- a/tests/soak/test_leaving_rule.py
+++ b/tests/soak/test_leaving_rule.py
@@ -139,3 +139,18 @@
     hold, sent_before
 ):
     assert judge(2.82, hold, state='draining', sent_before=sent_before)
+
+
+# Guards against faults of routers that could not know (seed 6360 of a day): the
+# store told nobody what was written in a long outage.
+def test_target_that_drains_in_an_outage_may_get_requests_until_its_end():
+    outage = StoreDisturbed(LEFT_AT - 1, LEFT_AT + 4, False)
+    assert not judge(4.9, outage, state='draining')
+    assert judge(5.1, outage, state='draining')
+    # What the store answered all the while, it told.
+    for told in (
+        StoreDisturbed(LEFT_AT - 1, LEFT_AT + 4, True),
+        StoreDisturbed(LEFT_AT + 0.1, LEFT_AT + 4, False),
+        StoreDisturbed(LEFT_AT - 4, LEFT_AT - 0.1, False),
+    ):
+        assert judge(4.9, told, state='draining')
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -58,6 +58,20 @@
             (each for each in self._store if not each.is_reachable), begin, end
         )
 
+    def store_returned_at(self, at: float) -> float:
+        """Return when an outage ended in which an entry was written.
+
+        That is the time of the entry if the store answered routers then.
+        """
+        return max(
+            (
+                each.at
+                for each in self._store
+                if not each.is_reachable and each.began_at <= at <= each.at
+            ),
+            default=at,
+        )
+
     def is_store_calm(self, begin: float, end: float) -> bool:
         """Whether the store had no fault at all."""
         return not _any_in(self._store, begin, end)
