A server that stops accepts the connections that have arrived before it closes its port

In the test 12 connections wait in one turn: 1 was served, the others were reset.

Now the port closes once nothing waits to be accepted, 0.2 s later at most. All 12 are served.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -47,6 +47,8 @@
     probe_seconds=2,
     unacknowledged_milliseconds=UNACKNOWLEDGED_MILLISECONDS,
 )
+# Longest time for which a stopping server still accepts what has arrived.
+ACCEPT_SECONDS = 0.2
 CLOSE_FIELD = (b'connection', b'close')
 # Responses to these methods, and with these statuses, have no body.
 BODILESS_METHODS = frozenset(('HEAD', 'CONNECT'))
@@ -369,6 +371,7 @@
                 address = listeners[0].socket.getsockname()
                 task_status.started(_join_address(host, address[1]))
                 await shutdown()
+                await _wait_until_accepted(listeners)
                 accepting.cancel_scope.cancel()
             self.begin_stop()
             self._stop.may_close.set()
@@ -421,6 +424,23 @@
     return await trio.open_tcp_listeners(int(port), host=host.strip('[]'))
 
 
+async def _wait_until_accepted(
+    listeners: Iterable[trio.SocketListener],
+) -> None:
+    """Let connections that have arrived be accepted, before the port closes.
+
+    The system would reset them, with the requests that they bring.
+    """
+    with trio.move_on_after(ACCEPT_SECONDS):
+        while any(_has_arrivals(each.socket) for each in listeners):
+            await trio.lowlevel.checkpoint()
+
+
+def _has_arrivals(listening: trio.socket.SocketType) -> bool:
+    """Return whether connections wait to be accepted at a port that is open."""
+    return listening.fileno() >= 0 and listening.is_readable()
+
+
 def _join_address(host: str, port: int) -> str:
     return f'{host}:{port}'
 
