A router that lags behind asks another peer if one does not answer

Cause: of peers with the same latest revision, always the first one was asked, again and again each 0.5 s, until it counted as gone (2.0 s after its last word). A router whose own watch is silent, beside a peer that stands still or that it cannot reach, went by the older configuration for longer than the bound, though other peers knew the newer one.

--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -40,6 +40,8 @@
         self._relay_protocol = relay_protocol
         self._behind_since: float | None = None
         self._pulled_at = float(0)
+        # The wire id of the peer that was asked last.
+        self._asked: int | None = None
 
     def pull_if_behind(self, now: float) -> None:
         """Request entries if a peer has had a later revision for some time.
@@ -64,8 +66,10 @@
         )
         if is_late and now - self._pulled_at >= PULL_INTERVAL_SECONDS:
             pull = EntriesPull(self._own, own)
+            self._asked = peer_ahead.wire_id
             if not self._transport.send(peer_ahead.hello.peer_address, pull):
-                # The connection is being opened; the next tick sends it.
+                # The connection is being opened; a later tick sends it, unless
+                # another peer can be asked before.
                 return
             self._pulled_at = now
             log_event(
@@ -148,7 +152,8 @@
         """Return a peer with a later revision than `revision`, or None.
 
         This is the peer with the latest revision; in a large fleet, any peer
-        with a later one.
+        with a later one. If there are others, it is not the one that was asked
+        last, which may not answer.
         """
         peers_ahead = [
             peer
@@ -157,4 +162,8 @@
         ]
         if self._relay_protocol.is_enabled():
             return choose_peer(self._own, peers_ahead)
-        return max(peers_ahead, key=lambda peer: peer.version, default=None)
+        return max(
+            peers_ahead,
+            key=lambda peer: (peer.wire_id != self._asked, peer.version),
+            default=None,
+        )
