--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,8 @@
     'big_table',
     'alterations',
     'half_answer',
+    'silent_watches',
+    'slow_wake',
     'cut_watches',
     'slow_link',
     'turn_away',
