A request is not kept in memory with its error

Cause: the error for the caller was a variable of a function that its own traceback names. This cycle kept the request, and its body, until the garbage collector ran. A body that grows in one array beside others left holes in the memory.

Change: the variable is cleared before the error is raised; an error is not named as its own cause. A body is collected in parts.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -291,9 +291,13 @@
     error_response: BufferedResponse | None, error: RequestError
 ) -> BufferedResponse:
     """Return the error response of a target if any, else raise `error`."""
-    if error_response is None:
-        raise error
-    return error_response
+    if error_response is not None:
+        return error_response
+    # A variable with an error whose traceback has its frame would keep the
+    # request until the garbage collector runs.
+    errors = [error]
+    del error
+    raise errors.pop()
 
 
 def _decide(
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -116,7 +116,7 @@
         except (NoTarget, ForwardedRequestQuarantined) as exc:
             if self._attempts.may_return(trio.current_time()):
                 return await self._choose()
-            raise without_target(exc, self._attempts) from exc
+            raise without_target(exc, self._attempts) from None
 
     def _may_leave(self, target: Target, now: float) -> bool:
         if self._is_begun_elsewhere:
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -109,10 +109,10 @@
         _check_length(declared_bytes, limit)
         share = self._bodies.open(declared_bytes, trio.current_time())
         self._body_share = share
-        received = bytearray()
+        received: list[bytes] = []
         try:
             await self._receive_body(received, share, limit)
-            return bytes(received)
+            return b''.join(received)
         finally:
             # The traceback of an error would keep it.
             received.clear()
@@ -217,16 +217,18 @@
         await self.respond(status, body, (JSON_TYPE, *headers))
 
     async def _receive_body(
-        self, received: bytearray, share: BodyShare | None, limit: int
+        self, received: list[bytes], share: BodyShare | None, limit: int
     ) -> None:
+        body_bytes = 0
         more = True
         while more:
             message = await self._receive()
             if message['type'] == 'http.disconnect':
                 raise trio.ClosedResourceError('the client disconnected')
             part = message.get('body', b'')
-            received += part
-            _check_length(len(received), limit)
+            received.append(part)
+            body_bytes += len(part)
+            _check_length(body_bytes, limit)
             _add_to_share(share, len(part))
             more = message.get('more_body', False)
 
