Entries that arrive after a check has failed are taken

Cause: a check of the store is given up after 0.6 s, with its call for all entries, which was sent 0.25 s after the call for changes.

Change: the call for all entries goes on in the background; the next check joins it. The verdict after 0.6 s is as before.

--- a/peridotwell/fleet/replica/store_check.py
+++ b/peridotwell/fleet/replica/store_check.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import suppress
+from dataclasses import dataclass, field
 
 import trio
 
@@ -11,7 +12,7 @@
 from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.metrics import Metrics
 from peridotwell.running_time import move_on_after_running
-from peridotwell.store.change_feed import HistoryGone
+from peridotwell.store.change_feed import HistoryGone, Snapshot
 from peridotwell.store.overlapping_calls import first_outcome
 
 __all__ = ('StoreCheck',)
@@ -27,6 +28,51 @@
 Call = Callable[[], Awaitable[object]]
 
 
+@dataclass
+class _Outcome:
+    """What has come of a call for all entries, once it is known."""
+
+    is_known: trio.Event = field(default_factory=trio.Event)
+    snapshot: Snapshot | None = None
+    error: StoreError | None = None
+
+
+class _SnapshotCall:
+    """A call for all entries, which goes on when a check has failed.
+
+    All entries may take longer to arrive than a check may last.
+    """
+
+    def __init__(self, reader: StoreReader, nursery: trio.Nursery) -> None:
+        self._reader = reader
+        self._nursery = nursery
+        # The call that waits for an answer; None if there is none.
+        self._running: _Outcome | None = None
+
+    async def join(self) -> Snapshot:
+        """Return the answer to the call that waits, or to a new one.
+
+        Raises StoreError.
+        """
+        if self._running is None:
+            self._running = _Outcome()
+            self._nursery.start_soon(self._run, self._running)
+        outcome = self._running
+        await outcome.is_known.wait()
+        if outcome.snapshot is None:
+            raise outcome.error or StoreError('all entries were not read')
+        return outcome.snapshot
+
+    async def _run(self, outcome: _Outcome) -> None:
+        try:
+            outcome.snapshot = await self._reader.read_snapshot()
+        except StoreError as exc:
+            outcome.error = exc
+        finally:
+            self._running = None
+            outcome.is_known.set()
+
+
 class StoreCheck:
     """Makes calls of its own beside the watch while the belief needs one.
 
@@ -45,13 +91,18 @@
         self._directory = directory
         self._metrics = metrics
         self._on_answer = on_answer
+        self._snapshot: _SnapshotCall
 
     async def run(self) -> None:
         """Check whenever it is due, until cancelled."""
-        while True:
-            await self._directory.belief.due.wait()
-            is_answered = self._directory.is_loaded and await self._check()
-            await trio.sleep(INTERVAL_SECONDS if is_answered else RETRY_SECONDS)
+        async with trio.open_nursery() as nursery:
+            self._snapshot = _SnapshotCall(self._reader, nursery)
+            while True:
+                await self._directory.belief.due.wait()
+                is_answered = self._directory.is_loaded and await self._check()
+                await trio.sleep(
+                    INTERVAL_SECONDS if is_answered else RETRY_SECONDS
+                )
 
     async def _check(self) -> bool:
         """Return whether the store has answered."""
@@ -77,9 +128,7 @@
 
         A store may leave all calls unanswered that ask for changes.
         """
-        calls: Iterator[Call] = iter(
-            (self._read_changes, self._reader.read_snapshot)
-        )
+        calls: Iterator[Call] = iter((self._read_changes, self._snapshot.join))
         return lambda: next(calls, trio.sleep_forever)()
 
     async def _read_changes(self) -> object:
@@ -89,4 +138,4 @@
                 self._directory.known_revision, 0, EvidenceSource.check
             )
         except HistoryGone:
-            return await self._reader.read_snapshot()
+            return await self._snapshot.join()
--- a/tests/forwarding/test_late_decisions.py
+++ b/tests/forwarding/test_late_decisions.py
@@ -30,6 +30,7 @@
 # From the change to the time when calls fall silent, in both directions.
 PHASES = tuple(step / 20 for step in range(-44, 1))
 SNAPSHOTS_SECONDS = (0.002, 0.2, 0.3)
+LARGE_SNAPSHOTS_SECONDS = (0.4, 1.0)
 ADDED, DROPPED = '/added/', '/dropped/'
 ROUTES = {1: DROPPED, 2: ADDED}
 
@@ -160,3 +161,20 @@
     assert 'no_target' not in caller.codes_from(DROPPED, late_at)
     assert caller.codes_from(DROPPED, 0)['no_target']
     assert caller.codes_from(ADDED, late_at)['no_target']
+
+
+# Guards against an older configuration that stays in force for as long as a
+# store tells no changes, because each check gives up all entries, which take
+# longer to arrive than a check may last.
+@pytest.mark.parametrize('snapshot_seconds', LARGE_SNAPSHOTS_SECONDS)
+async def test_all_entries_are_taken_that_arrive_after_a_check_has_failed(
+    autojump_clock, nursery, snapshot_seconds
+):
+    never = CHANGED_AT * 10
+    store = SilentChangesStore(never, never, hangs=True)
+    store.silent_at = CHANGED_AT - 1
+    store.snapshot_seconds = snapshot_seconds
+    caller = await ask_around_a_change(nursery, store)
+    taken_by = CHANGED_AT + IN_FORCE_SECONDS + snapshot_seconds
+    assert 'no_target' not in caller.codes_from(DROPPED, taken_by)
+    assert caller.codes_from(ADDED, taken_by)['no_target']
