A store that answers late is away until it answers in time

Cause: a failed check counted as of the time when it was sent, so a late answer to a call that was sent after that ended the outage, by evidence that is too old again soon. Known routes were refused by turns, between the end of the evidence and the next verdict.

Change: the failure counts as of the verdict, unless a call that was sent since the check began has been answered. The table is taken as before, and unknown paths are refused while the belief is current.

The test fails before for 1.3 s.

--- a/peridotwell/fleet/replica/store_check.py
+++ b/peridotwell/fleet/replica/store_check.py
@@ -117,10 +117,13 @@
                     self._reader.renew_connections,
                 )
                 is_answered = True
+        now = trio.current_time()
+        belief = self._directory.belief
         if is_answered:
             self._on_answer(asked_at)
-        else:
-            self._directory.belief.record_failure(asked_at)
+        elif belief.age(now) > now - asked_at:
+            # A later answer to what was sent before now shows a slow store.
+            belief.record_failure(now)
         return is_answered
 
     def _calls(self) -> Call:
--- a/tests/forwarding/test_late_decisions.py
+++ b/tests/forwarding/test_late_decisions.py
@@ -27,6 +27,9 @@
 ASK_SECONDS = 0.05
 OBSERVED_SECONDS = 3.5
 SLOW_RESPONSE_SECONDS = 2.6
+SLOW_ANSWERS_SECONDS = (0.7, 1.3)
+# Time in which a store is known to be slow.
+KNOWN_SLOW_SECONDS = 3.0
 # From the change to the time when calls fall silent, in both directions.
 PHASES = tuple(step / 20 for step in range(-44, 1))
 SNAPSHOTS_SECONDS = (0.002, 0.2, 0.3)
@@ -178,3 +181,34 @@
     taken_by = CHANGED_AT + IN_FORCE_SECONDS + snapshot_seconds
     assert 'no_target' not in caller.codes_from(DROPPED, taken_by)
     assert caller.codes_from(ADDED, taken_by)['no_target']
+
+
+@dataclass
+class SlowStore(OutageStore):
+    """From CHANGED_AT on, answers take `answer_seconds`."""
+
+    answer_seconds: float = 0
+
+    async def call(self, seconds):
+        if trio.current_time() >= CHANGED_AT:
+            await trio.sleep(self.answer_seconds)
+
+
+# Guards against requests on known routes that are refused again and again,
+# because a store that is slow to tell all entries is away only by turns.
+@pytest.mark.parametrize('answer_seconds', SLOW_ANSWERS_SECONDS)
+async def test_known_routes_are_served_while_the_store_is_slow(
+    autojump_clock, nursery, answer_seconds
+):
+    never = CHANGED_AT * 10
+    store = SlowStore(never, never, hangs=True)
+    store.answer_seconds = answer_seconds
+    store.items = {'table': (b'1', 1)}
+    caller = Caller(start_router(nursery, store, RouteDecoder()).handler)
+    known_slow_at = CHANGED_AT + KNOWN_SLOW_SECONDS
+    await trio.sleep_until(known_slow_at)
+    async with trio.open_nursery() as asking:
+        while trio.current_time() < known_slow_at + 2 * OBSERVED_SECONDS:
+            asking.start_soon(caller.ask, DROPPED)
+            await trio.sleep(ASK_SECONDS)
+    assert set(caller.codes_from(DROPPED, 0)) == {'no_target'}
