Bodies of tiny parts count for what they take in memory

Found by reading. Each part counts for 64 bytes at least: a body of 5,000 parts of two bytes in a budget of 100,000 was taken, and is refused as not run now.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -39,6 +39,8 @@
 REQUEST_LINE_BYTES = 65536
 KEEP_ALIVE_SECONDS = 30
 BODIES_RETRY_AFTER_SECONDS = 0.5
+# What each part of a body takes in memory at least.
+MIN_PART_BYTES = 64
 # Time that sent data may stay unacknowledged before the connection is closed,
 # to detect within seconds that a caller is gone without having closed it.
 UNACKNOWLEDGED_MILLISECONDS = 5000
@@ -231,7 +233,7 @@
             received.append(part)
             body_bytes += len(part)
             _check_length(body_bytes, limit)
-            _add_to_share(share, len(part))
+            _add_to_share(share, max(len(part), MIN_PART_BYTES))
             more = message.get('more_body', False)
 
     def _declared_bytes(self) -> int:
--- a/tests/serving/test_request_bodies.py
+++ b/tests/serving/test_request_bodies.py
@@ -96,3 +96,16 @@
 async def test_a_body_that_is_too_long_is_refused_for_its_length(server):
     with trio.fail_after(5):
         assert await post(server, bytes(LIMIT_BYTES + 1)) == 413
+
+
+async def in_tiny_parts():
+    for _ in range(MAX_BYTES // 20):
+        yield b'ab'
+
+
+# Guards against bodies that take many times their length in memory: each of
+# their parts is kept by itself until the last one has come.
+async def test_a_body_of_tiny_parts_counts_for_what_it_takes(server):
+    with trio.fail_after(20):
+        assert await post(server, in_tiny_parts()) == 503
+    assert not server.bodies
