Batches that waited unread show no recent knowledge

Cause: a member takes the delay of a batch from its own updates that returned last. If it stood still while none was on its way, the batches that waited in the meantime count as fresh.

Change: after a late turn (over 0.3 s) batches are no evidence until an own update, sent since, has returned. It comes after all that had waited. The delay by which a late relay is left is as before. Until then the store is asked.

--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -89,6 +89,11 @@
         if self.must_follow_store(now):
             self._following.set()
 
+    def check_turn(self, now: float) -> None:
+        """Measure the delay of batches again after a late turn."""
+        if self._directory.belief.is_turn_late(now):
+            self.topology.update_delay.measure_again(now)
+
     async def wait_until_following(self) -> None:
         """Wait for the next check that finds that this router must follow."""
         self._following = trio.Event()
@@ -161,6 +166,7 @@
 
     def _believe(self, batch: UpdateBatch, now: float) -> None:
         """Record what this router's relay knew when it sent a batch."""
+        self.check_turn(now)
         delay = self.topology.update_delay.measured_seconds(now)
         if self._directory.known_revision < batch.revision or delay is None:
             return
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -191,6 +191,7 @@
     def tick(self, now: float) -> None:
         """Send changes if due; called every few hundredths of a second."""
         self.relay_protocol.check_following(now)
+        self.relay_protocol.check_turn(now)
         self.state.directory.belief.record_turn(now)
         self.state.directory.remove_expired(now)
         self._set_sharing_routers()
--- a/peridotwell/fleet/replica/store_belief.py
+++ b/peridotwell/fleet/replica/store_belief.py
@@ -76,6 +76,12 @@
         self._failed_asked_at = max(self._failed_asked_at, asked_at)
         self._announce()
 
+    def is_turn_late(self, now: float) -> bool:
+        """Return whether the background tasks have taken no turn lately."""
+        return bool(self._turned_at) and (
+            now - self._turned_at > MAX_TURN_SECONDS
+        )
+
     def record_turn(self, now: float) -> None:
         """Record a turn of the background tasks; ask the store if it is due.
 
--- a/peridotwell/policy/update_delay.py
+++ b/peridotwell/policy/update_delay.py
@@ -5,6 +5,7 @@
 from the other members, whether the relay, its links or this router are slow.
 """
 
+import math
 from collections import deque
 
 __all__ = ('UpdateDelay',)
@@ -22,6 +23,8 @@
         )
         self._last_seconds = float(0)
         self._is_measured = False
+        # Updates that were sent before do not count as a measurement.
+        self._measured_from = -math.inf
 
     def record_sent(self, sequence: int, now: float) -> None:
         """Record that the update with this sequence number is sent."""
@@ -39,7 +42,7 @@
             pending, sent_at = self._pending.popleft()
             if pending == sequence:
                 self._last_seconds = now - sent_at
-                self._is_measured = True
+                self._is_measured |= sent_at >= self._measured_from
                 return
 
     def clear(self) -> None:
@@ -48,6 +51,14 @@
         self._last_seconds = 0
         self._is_measured = False
 
+    def measure_again(self, now: float) -> None:
+        """Let only updates that are sent from now on count as a measurement.
+
+        What arrived while this router stood still has waited since.
+        """
+        self._is_measured = False
+        self._measured_from = now
+
     def measured_seconds(self, now: float) -> float | None:
         """Return the delay; None before an update has returned."""
         return self.seconds(now) if self._is_measured else None
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -26,6 +26,8 @@
 ROUTER_COUNT = 60
 LARGE_TABLE_BYTES = 4100
 LATE_TURN_SECONDS = 0.35
+TICK_SECONDS = 0.05
+STOOD_STILL_STEPS = 60
 
 
 @pytest.fixture
@@ -143,6 +145,27 @@
     assert len(routers_following_store(fleet, now)) == ROUTER_COUNT
 
 
+# Guards against a router that goes by an old configuration after it stood
+# still: batches that had waited unread were taken for what its relay knows now.
+@pytest.mark.parametrize('steps', range(20))
+def test_batches_that_waited_unread_show_no_recent_knowledge(fleet, steps):
+    mark_store_answered(fleet, 4)
+    run_ticks(fleet, 4, 5)
+    relays = routers_following_store(fleet, 5)
+    member = next(each for each in fleet if each not in relays)
+    others = [each for each in fleet if each is not member]
+    for step in range(STOOD_STILL_STEPS + steps):
+        now = 5 + step * TICK_SECONDS
+        mark_store_answered(relays, now)
+        running = fleet if step < steps else others
+        run_ticks(running, now, now + TICK_SECONDS * 1.2)
+    known_until = member.directory.belief.evidence.known_until
+    member.sharing.tick(now)
+    assert member.inbox
+    member.receive_frames(now)
+    assert member.directory.belief.evidence.known_until == known_until
+
+
 def test_large_store_change_reaches_all_routers_within_a_second(fleet):
     """The change is too large for an update batch of a relay.
 
