A router that starts beside a silent store knows it sooner

Cause: a check that was due before any entries were known counted as failed, so the next one came a second later.

The test fails before.

--- a/peridotwell/fleet/replica/store_check.py
+++ b/peridotwell/fleet/replica/store_check.py
@@ -99,9 +99,12 @@
             self._snapshot = _SnapshotCall(self._reader, nursery)
             while True:
                 await self._directory.belief.due.wait()
-                is_answered = self._directory.is_loaded and await self._check()
+                # Before, the follower asks for all entries.
+                has_failed = (
+                    self._directory.is_loaded and not await self._check()
+                )
                 await trio.sleep(
-                    INTERVAL_SECONDS if is_answered else RETRY_SECONDS
+                    RETRY_SECONDS if has_failed else INTERVAL_SECONDS
                 )
 
     async def _check(self) -> bool:
--- a/tests/fleet/replica/test_store_check.py
+++ b/tests/fleet/replica/test_store_check.py
@@ -9,6 +9,7 @@
 from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
 from peridotwell.fleet.replica.store_check import StoreCheck
 from peridotwell.fleet.replica.store_reader import StoreReader
+from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.metrics import Metrics
 from peridotwell.store.change_feed import (
     ChangeFeed,
@@ -159,3 +160,20 @@
     assert directory.belief.is_current(trio.current_time())
     await trio.testing.wait_all_tasks_blocked()
     assert answered == [asked_at]
+
+
+# Guards against a router that refuses all requests for a second longer after
+# its start, while the store is silent and its peers have told the entries.
+async def test_a_silent_store_is_known_to_be_away_soon_after_the_start(
+    autojump_clock, nursery
+):
+    directory = ServiceDirectory(Decoder())
+    directory.belief.record_turn(trio.current_time())
+    nursery.start_soon(make_check(SilentFeed(), directory).run)
+    await trio.sleep(0.15)
+    loaded_at = trio.current_time()
+    shared = SharedEntry('table', 1, b'1')
+    directory.apply_peer_snapshot((shared,), 1, loaded_at)
+    while not directory.belief.is_away():
+        await trio.sleep(0.01)
+    assert trio.current_time() - loaded_at == pytest.approx(0.65, abs=0.06)
