--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -23,7 +23,7 @@
 )
 
 # Contact is interrupted by a longer time without an answer: leases may have
-# expired in it. Calls that wait for changes take up to two seconds.
+# expired in it.
 MAX_GAP_SECONDS = 2.4
 # What a router has heard of the store is up to date after this time at most.
 MAX_ANSWER_AGE_SECONDS = 1.5
