--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -82,6 +82,29 @@
         self._write_configuration()
         self._records.append(VersionWritten(began_at, now(), version))
 
+    async def write_documents(
+        self, documents: list[dict], pause_seconds: float = 0
+    ) -> None:
+        """Write documents as the configuration, in this order.
+
+        Without a pause, watches are told all of them in one answer.
+        """
+        for index, written in enumerate(documents):
+            if index and pause_seconds:
+                await trio.sleep(pause_seconds)
+            self._store.put('op/config', msgspec.json.encode(written))
+
+    def write_untold(self, written: dict) -> None:
+        """Write a document which no answer to a watch tells.
+
+        What they tell next is that a target has reported again.
+        """
+        self._store.put('op/config', msgspec.json.encode(written))
+        self._store.events.pop()
+        name, entry = next(iter(self._entries.items()))
+        entry['seq'] += 1
+        self._write_target(name)
+
     def alter(self, changes: dict[str, int]) -> None:
         """Write the version again with an Alteration that has `changes`."""
         number = self._alteration.number + 1
