A second answer behind one without a marked end reaches no caller

Callers saw an answer (2xx, with the receipt) whose body held the whole answer and, behind it, the head and the body of a second one.

Cause: a target may answer without a length, so that the end of the connection marks the end of the body, and a target that stutters sends a second answer on that connection, at once or late. All of it was the body of the first one, on buffered and on streaming routes. Not new: the code before reads the same way (by reading, not by a run).

Change: serving/following_response.py searches bodies that end with their connection for the head of a response with the id of a request, also a cut one; the attempt fails as answer_crossed. The first answer is not taken as complete: nothing in it tells where it ended. On the product's own interface such bodies were refused before, and events need the id and a number; streams pass the same search now.

Not found: second bytes that are no head of a response, and a head without the id of a request. A sound body without a marked end that holds a whole such head is refused.

--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -20,6 +20,7 @@
     whole_events,
 )
 from peridotwell.serving.fair_turns import Pace
+from peridotwell.serving.following_response import FollowingResponse
 from peridotwell.serving.response_buffers import ResponseBuffers
 
 __all__ = ('BodyEnd', 'ReadObserver', 'ResponseOrigin', 'TargetResponse')
@@ -125,11 +126,19 @@
         return ResponseOrigin(self.body_end, self.earlier_requests)
 
     async def body_chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the chunks of the body."""
+        """Yield the chunks of the body.
+
+        Raises ResponseMismatch if another response follows in it.
+        """
+        following: FollowingResponse | None = None
+        if self.body_end is BodyEnd.connection:
+            following = FollowingResponse()
         self._before_read()
         try:
             async for part in self._resp.aiter_stream():
                 self._after_read()
+                if following is not None:
+                    following.add(part)
                 yield part
                 await self._pace.after_part()
                 self._before_read()
@@ -142,7 +151,12 @@
             raise ResponseTruncated(
                 f'The response was truncated: {exc}'
             ) from exc
-        if self.body_end is BodyEnd.connection and self.check_end is not None:
+        if following is not None:
+            await self._check_connection_end(following)
+
+    async def _check_connection_end(self, following: FollowingResponse) -> None:
+        following.finish()
+        if self.check_end is not None:
             await self.check_end()
 
     def whole_events(self) -> AsyncGenerator[bytes, None]:
--- /dev/null
+++ b/tests/processes/test_late_second_answers.py
@@ -0,0 +1,130 @@
+"""Targets that answer twice, the second time late, through router processes."""
+
+from dataclasses import dataclass, field
+
+import httpcore
+import pytest
+import trio
+
+from tests.peridotwell_platform import router_setup, stand_in
+from tests.peridotwell_platform.test_program import SETTINGS
+from tests.ports import find_free_port
+from tests.processes.stuttering_target import (
+    BODY,
+    EVENTS,
+    FRAMINGS,
+    LATE_SECONDS,
+    TIMES,
+)
+from tests.processes.test_broken_answers import (
+    running,
+    wait_for_port,
+    wait_until_ready,
+)
+
+CALLERS = 3
+PAUSE_SECONDS = 0.05
+SECONDS = 4 * LATE_SECONDS
+CONFIG = router_setup.configuration(
+    100,
+    stand_in.route('read', 'idempotent'),
+    stand_in.route('book', 'non_idempotent', max_attempts=1),
+    stand_in.route('draft', 'streaming', max_attempts=1),
+    stand_in.route('ask', 'streaming', resumable=True),
+)
+WHOLE = {
+    'read': BODY,
+    'book': BODY,
+    'draft': b''.join(EVENTS),
+    'ask': b''.join(EVENTS),
+}
+PATHS = [
+    f'/{route}/{framing}/{when}'
+    for route in WHOLE
+    for framing in FRAMINGS
+    for when in TIMES
+    # The connection ends with an answer whose end is not marked.
+    if (framing, when) != ('open', 'during')
+]
+
+
+@pytest.fixture
+async def front(nursery, tmp_path):
+    """The port of a router process with two targets that answer twice."""
+    store, address = await router_setup.start_store(nursery, CONFIG)
+    ports = {name: find_free_port() for name in ('front', 'ready', 'peers')}
+    targets = [find_free_port() for _ in range(2)]
+    for port in targets:
+        store.put(
+            f'servers/i-{port}', router_setup.target_entry(f'127.0.0.1:{port}')
+        )
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS.format(grace=5, store=address, **ports))
+    module = 'tests.processes.stuttering_target'
+    with (
+        running('-m', module, targets[0]),
+        running('-m', module, targets[1]),
+        running('platform/start.py', PERIDOTWELL_SETTINGS=str(path)),
+    ):
+        for port in targets:
+            await wait_for_port(port)
+        await wait_until_ready(ports['ready'])
+        yield ports['front']
+
+
+@dataclass
+class Callers:
+    """Callers that send requests on kept connections, and what they got."""
+
+    front: int
+    path: str
+    wrong: list[tuple[str, int, bytes]] = field(default_factory=list)
+    successes: int = 0
+
+    async def run(self) -> None:
+        """Send requests for a time from several callers at once."""
+        with trio.move_on_after(SECONDS):
+            async with trio.open_nursery() as nursery:
+                for number in range(CALLERS):
+                    nursery.start_soon(self._send, number)
+
+    async def _send(self, caller: int) -> None:
+        number = 0
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                number += 1
+                await self._ask(pool, f'q{caller}.{number}')
+                await trio.sleep(PAUSE_SECONDS)
+
+    async def _ask(self, pool, request_id: str) -> None:
+        headers = router_setup.caller_headers(
+            0, x_request_id=request_id, x_deadline_ms='2000'
+        )
+        address = f'127.0.0.1:{self.front}'
+        try:
+            resp = await router_setup.call(
+                pool, address, 'POST', self.path, headers, b'x'
+            )
+        except (httpcore.RemoteProtocolError, httpcore.ReadError):
+            return
+        if resp.status != 200:
+            return
+        self.successes += 1
+        fields = dict(resp.headers)
+        whole = WHOLE[self.path.split('/')[1]].replace(
+            b'{id}', request_id.encode()
+        )
+        named = fields.get(b'x-request-id', b'').decode()
+        if named != request_id or resp.content != whole:
+            self.wrong.append((request_id, resp.status, resp.content))
+
+
+# Guards against second answers that reach a caller: as the answer to another
+# request, or behind an answer that ends with its connection.
+@pytest.mark.parametrize('path', PATHS)
+async def test_a_second_answer_reaches_no_caller(front, path):
+    callers = Callers(front, path)
+    await callers.run()
+    assert not callers.wrong
+    if '/open/' not in path:
+        assert callers.successes
--- /dev/null
+++ b/tests/serving/test_following_response.py
@@ -0,0 +1,49 @@
+"""Further responses in bodies that end with their connections."""
+
+import pytest
+
+from peridotwell.attempt_errors import ResponseMismatch
+from peridotwell.serving.following_response import FollowingResponse
+
+SECOND = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Id: a\r\n\r\nbody'
+
+
+def search(*parts):
+    following = FollowingResponse()
+    for part in parts:
+        following.add(part)
+    following.finish()
+
+
+# Guards against a second response that is taken for the rest of the first one.
+@pytest.mark.parametrize('body', [b'', b'{"a": 1}', b'data: x\n\n'])
+@pytest.mark.parametrize('end', [25, 45, len(SECOND)])
+def test_a_further_response_is_found(body, end):
+    content = body + SECOND[:end]
+    with pytest.raises(ResponseMismatch):
+        search(content)
+    with pytest.raises(ResponseMismatch):
+        search(*(bytes([each]) for each in content))
+
+
+# Guards against heads that are not found because their first fields are long.
+def test_a_further_response_with_long_fields_is_found():
+    fields = b'a: %b\r\n' % (b'x' * 1000)
+    head = SECOND.replace(b'Content-Length', fields * 3 + b'Content-Length')
+    with pytest.raises(ResponseMismatch):
+        search(b'x' * 9000, head[:1500], head[1500:])
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'spoken over HTTP/1.1 200',
+        b'HTTP/1.1 200 OK\n\nis an example',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nis an example',
+        b'data: HTTP/1.1 200 OK\r\ndata: a\r\n\r\n',
+        b'x-request-id: a\r\n',
+    ],
+)
+def test_a_body_that_speaks_of_responses_is_sound(body):
+    search(body)
+    search(*(bytes([each]) for each in body))
