--- a/tests/processes/stuttering_target.py
+++ b/tests/processes/stuttering_target.py
@@ -5,7 +5,7 @@
 second answer has the id of the request too. It comes `joined` to the first,
 `split` (a part of its head joined, the rest later), `late`, or `during` the
 next request on the connection. With `half`, only its beginning comes then, and
-all first answers are failures.
+all first answers are failures. With `large`, an answer is long and sent once.
 """
 
 import sys
@@ -17,7 +17,16 @@
 
 from tests.raw_target import REQUEST_ID, read_request, request_field
 
-__all__ = ('BODY', 'EVENTS', 'FRAMINGS', 'LATE_SECONDS', 'TIMES')
+__all__ = (
+    'BODY',
+    'EVENTS',
+    'FRAMINGS',
+    'LARGE_BODY',
+    'LARGE_EVENTS',
+    'LATE_SECONDS',
+    'TIMES',
+    'serve',
+)
 
 FRAMINGS = ('length', 'chunks', 'open')
 TIMES = ('joined', 'split', 'late', 'during', 'half')
@@ -34,6 +43,11 @@
     b'id: %d\ndata: first {id}\n\n' % number
     for number in range(1, EVENT_COUNT + 1)
 )
+# 5 MB, and events of 0.5 MB.
+LARGE_BODY = BODY * 12_000
+LARGE_EVENTS = tuple(
+    event.replace(b'first {id}', b'first {id} ' * 45_000) for event in EVENTS
+)
 SECOND_BODY = b'second {id}'
 SECOND_EVENTS = b''.join(EVENTS).replace(b'first', b'second') + (
     b'id: 6\ndata: second {id}\n\n'
@@ -60,12 +74,14 @@
     return answer.replace(b'{chunk}', b'%x\r\n' % length)
 
 
-def _bodies(request: bytes, route: str) -> tuple[bytes, bytes]:
+def _bodies(request: bytes, route: str, when: str) -> tuple[bytes, bytes]:
     """Return the bodies of the first and of the second answer."""
+    is_large = when == 'large'
     if route not in STREAMS:
-        return BODY, SECOND_BODY
+        return LARGE_BODY if is_large else BODY, SECOND_BODY
     received = int(request_field(request, LAST_EVENT_ID) or b'0')
-    return b''.join(EVENTS[received:]), SECOND_EVENTS
+    events = LARGE_EVENTS if is_large else EVENTS
+    return b''.join(events[received:]), SECOND_EVENTS
 
 
 async def _requests(stream: trio.SocketStream) -> AsyncIterator[bytes]:
@@ -75,12 +91,18 @@
 
 
 async def _send_late(stream: trio.SocketStream, content: bytes) -> None:
-    await trio.sleep(LATE_SECONDS)
-    with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+    await trio.sleep(LATE_SECONDS * bool(content))
+    # The next answer may be on its way.
+    with suppress(
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+        trio.BusyResourceError,
+    ):
         await stream.send_all(content)
 
 
-async def _serve(stream: trio.SocketStream) -> None:
+async def serve(stream: trio.SocketStream) -> None:
+    """Answer the requests of one connection."""
     pending = b''
     async with trio.open_nursery() as nursery:
         async for request in _requests(stream):
@@ -96,7 +118,7 @@
             request_id = request_field(request, REQUEST_ID)
             first, second = (
                 _fill(framing, body, request_id)
-                for body in _bodies(request, route)
+                for body in _bodies(request, route, when)
             )
             with suppress(trio.BrokenResourceError, trio.BusyResourceError):
                 joined, rest = _divide(second, when)
@@ -106,6 +128,8 @@
                 await stream.send_all(first + joined)
                 if when in {'during', 'half'}:
                     pending = rest
+                elif when == 'large':
+                    """One answer is enough."""
                 elif framing == 'open':
                     await _send_late(stream, rest)
                 else:
@@ -123,7 +147,7 @@
 
 
 async def _run(port: int) -> None:
-    await trio.serve_tcp(_serve, port, host='127.0.0.1')
+    await trio.serve_tcp(serve, port, host='127.0.0.1')
 
 
 if __name__ == '__main__':
--- a/tests/processes/test_late_second_answers.py
+++ b/tests/processes/test_late_second_answers.py
@@ -13,6 +13,8 @@
     BODY,
     EVENTS,
     FRAMINGS,
+    LARGE_BODY,
+    LARGE_EVENTS,
     LATE_SECONDS,
     TIMES,
 )
@@ -22,15 +24,23 @@
     wait_until_ready,
 )
 
+MEMORY_MB = 128
 CALLERS = 3
+# 10 answers of 5 MB of each kind do not fit.
+LARGE_CALLERS = 10
+LARGE_SECONDS = 8
+TIMEOUT_MS = 7000
+READ_PAUSES = (0, 0.02)
 PAUSE_SECONDS = 0.05
 SECONDS = 4 * LATE_SECONDS
 CONFIG = router_setup.configuration(
     100,
-    stand_in.route('read', 'idempotent'),
-    stand_in.route('book', 'non_idempotent', max_attempts=1),
-    stand_in.route('draft', 'streaming', max_attempts=1),
-    stand_in.route('ask', 'streaming', resumable=True),
+    stand_in.route('read', 'idempotent', timeout_ms=TIMEOUT_MS),
+    stand_in.route(
+        'book', 'non_idempotent', max_attempts=1, timeout_ms=TIMEOUT_MS
+    ),
+    stand_in.route('draft', 'streaming', max_attempts=1, timeout_ms=TIMEOUT_MS),
+    stand_in.route('ask', 'streaming', resumable=True, timeout_ms=TIMEOUT_MS),
 )
 WHOLE = {
     'read': BODY,
@@ -50,7 +60,10 @@
 
 @pytest.fixture
 async def front(nursery, tmp_path):
-    """The port of a router process with two targets that answer twice."""
+    """The port of a router process with two targets that answer twice.
+
+    Its memory for answers is the least there is: 16 MB.
+    """
     store, address = await router_setup.start_store(nursery, CONFIG)
     ports = {name: find_free_port() for name in ('front', 'ready', 'peers')}
     targets = [find_free_port() for _ in range(2)]
@@ -59,7 +72,8 @@
             f'servers/i-{port}', router_setup.target_entry(f'127.0.0.1:{port}')
         )
     path = tmp_path / 'node.toml'
-    path.write_text(SETTINGS.format(grace=5, store=address, **ports))
+    settings = SETTINGS.format(grace=5, store=address, **ports)
+    path.write_text(f'{settings}[limits]\nmemory_mb = {MEMORY_MB}\n')
     module = 'tests.processes.stuttering_target'
     with (
         running('-m', module, targets[0]),
@@ -135,3 +149,73 @@
     assert not callers.wrong
     if '/open/' not in path:
         assert callers.answers
+
+
+@dataclass
+class LargeAnswers:
+    """Requests for large answers, and how these ended."""
+
+    front: int
+    whole: int = 0
+    cut: int = 0
+    wrong: list[tuple[str, int]] = field(default_factory=list)
+
+    async def run(self, framing: str) -> None:
+        """Send requests of each kind at once, half with slow callers."""
+        with trio.move_on_after(LARGE_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for route in WHOLE:
+                    for number in range(LARGE_CALLERS):
+                        nursery.start_soon(
+                            self._ask,
+                            f'/{route}/{framing}/large',
+                            f'{route}-{number}',
+                            READ_PAUSES[number % 2],
+                        )
+
+    async def _ask(self, path: str, request_id: str, pause: float) -> None:
+        headers = router_setup.caller_headers(0, x_request_id=request_id)
+        body = b''
+        try:
+            async with (
+                httpcore.AsyncConnectionPool() as pool,
+                pool.stream(
+                    'GET',
+                    f'http://127.0.0.1:{self.front}{path}',
+                    headers=list(headers.items()),
+                ) as resp,
+            ):
+                async for part in resp.aiter_stream():
+                    body += part
+                    await trio.sleep(pause)
+        except (httpcore.RemoteProtocolError, httpcore.ReadError):
+            self.cut += 1
+            return
+        if resp.status != 200:
+            self.cut += 1
+        elif body == _large(path, request_id):
+            self.whole += 1
+        else:
+            self.wrong.append((path, len(body)))
+
+
+def _large(path: str, request_id: str) -> bytes:
+    is_stream = path.split('/')[1] in {'draft', 'ask'}
+    content = b''.join(LARGE_EVENTS) if is_stream else LARGE_BODY
+    return content.replace(b'{id}', request_id.encode())
+
+
+# Guards against answers that were ended for their memory and look complete.
+@pytest.mark.parametrize('framing', FRAMINGS)
+async def test_answers_that_take_too_much_memory_never_look_whole(
+    front, framing
+):
+    large = LargeAnswers(front)
+    small = Callers(front, f'/read/{framing}/late')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(large.run, framing)
+        await small.run()
+    assert not large.wrong
+    assert not small.wrong
+    assert large.whole
+    assert large.cut
