Soak: a run has a time limit, after which it is a failure without verdict

By reading: _kill_router waited for whatever process the router had when its fault ended; a planned stop in turn (roll) could overlap with it or with another stop and start a new process meanwhile, for whose end the whole soak then waited, in one call that blocks. Restarts no longer overlap, and a restart ends what it waits for.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -81,6 +81,12 @@
             )
         self.is_stopping = False
 
+    def kill(self) -> None:
+        """End the process, which may be paused, and wait for its end."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -134,6 +140,8 @@
     target_workers: dict[str, Worker] = field(default_factory=dict)
     records: list[Record] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    # The names of the faults that were injected, in order.
+    injected: list[str] = field(default_factory=list)
     version: int = 0
 
     @property
@@ -255,13 +263,17 @@
     def stop(self) -> None:
         """End the workers; kill the routers and wait for their end."""
         for router in self.routers:
-            router.signal(signal.SIGCONT)
-            router.signal(signal.SIGKILL)
-            if router.process is not None:
-                router.process.wait()
+            router.kill()
         for worker in self.workers:
             worker.stop()
 
+    def kill(self) -> None:
+        """Kill all processes, without a wait."""
+        for router in self.routers:
+            router.signal(signal.SIGKILL)
+        for worker in self.workers:
+            worker.kill()
+
     async def _wait_for(self, callers: Remote, seconds: float) -> None:
         missing = await callers.call('wait_until_all_serve', seconds)
         self.violations.extend(
--- a/tests/soak/control.py
+++ b/tests/soak/control.py
@@ -59,6 +59,10 @@
         except subprocess.TimeoutExpired:
             self._process.kill()
 
+    def kill(self) -> None:
+        """Kill the process, without a wait."""
+        self._process.kill()
+
     def _exchange(self, line: bytes) -> bytes:
         self._process.stdin.write(line)
         self._process.stdin.flush()
--- a/tests/soak/day_faults.py
+++ b/tests/soak/day_faults.py
@@ -240,14 +240,15 @@
         for router in self._cluster.routers:
             if router is self._lost or router.process.poll() is not None:
                 continue
+            if router.is_stopping:
+                continue
             router.is_stopping = True
             with self._cluster.disturbed(RouterDisturbed, router.name, True):
                 router.signal(signal.SIGTERM)
                 with trio.move_on_after(STOP_TIMEOUT_SECONDS):
                     while router.process.poll() is None:
                         await trio.sleep(0.05)
-                router.signal(signal.SIGKILL)
-                router.process.wait()
+                router.kill()
                 self._cluster.start_router(router)
             await trio.sleep(self._random.uniform(1, 2))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,13 +38,13 @@
 
 
 class FaultInjector:
-    """Injects faults into a cluster; `injected` lists their names in order."""
+    """Injects faults into a cluster, which lists their names in order."""
 
     def __init__(
         self, cluster: SoakCluster, seed: int, without: Collection[str] = ()
     ) -> None:
         """Create an injector; `without` has the groups to leave out."""
-        self.injected: list[str] = []
+        self._injected = cluster.injected
         self._without = without
         self._proxies = Remote(cluster.workers[0], 'proxies')
         self._copy_numbers = itertools.count()
@@ -88,18 +88,18 @@
                 nursery.start_soon(self._run_brittle_times)
             if 'paths' not in self._without:
                 nursery.start_soon(self._run_cuts)
-            nursery.start_soon(self._target_faults.run, self.injected)
+            nursery.start_soon(self._target_faults.run, self._injected)
             while True:
                 fault = self._random.choice(self._faults)
                 name = fault.__name__.strip('_')
-                self.injected.append(name)
+                self._injected.append(name)
                 for _ in range(self._random.randint(1, MAX_REPEATS)):
                     nursery.start_soon(fault)
                     await trio.sleep(self._random_gap())
 
     async def run_changes(self) -> None:
         """Change the configuration, and let targets leave, until cancelled."""
-        await self._target_faults.run_changes(self.injected)
+        await self._target_faults.run_changes(self._injected)
 
     def _random_gap(self) -> float:
         return self._random.uniform(0.05, MAX_GAP_SECONDS)
@@ -130,7 +130,8 @@
 
     async def _kill_router(self) -> None:
         if router := self._choose_router():
-            router.disturbed_at = now()
+            # Nobody else stops it, or starts it again, meanwhile.
+            router.is_stopping = True
             with self._disturbed(RouterDisturbed, router.name):
                 router.signal(signal.SIGKILL)
                 await self._wait_for_duration()
@@ -149,7 +150,6 @@
                 await trio.sleep(0.05)
         if router.process.poll() is None:
             self._cluster.violations.append(f'{router.name} did not stop')
-            router.signal(signal.SIGKILL)
         self._restart(router)
 
     async def _pause_router(self) -> None:
@@ -162,7 +162,7 @@
             router.disturbed_at = now()
 
     def _restart(self, router: Router) -> None:
-        router.process.wait()
+        router.kill()
         router.disturbed_at = now()
         self._cluster.start_router(router)
 
@@ -258,7 +258,7 @@
             paths = tuple(router.paths.items())
             count = self._cut_random.choice((len(paths), len(paths) // 2))
             how = self._cut_random.choice(('held', 'refused'))
-            self.injected.append(f'{router.name} {how} from {count} targets')
+            self._injected.append(f'{router.name} {how} from {count} targets')
             cut = self._cut_random.sample(paths, count)
             with ExitStack() as stack:
                 for name, proxy in cut:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,7 @@
 from tests.soak.replay import replay
 from tests.soak.site import DAY, FIELD, Site
 from tests.soak.start_rule import record_busy
+from tests.soak.time_limit import default_limit, run_within
 from tests.soak.unexcused import judge_unexcused
 
 __all__ = ('Report', 'soak')
@@ -62,6 +63,9 @@
 CALLERS = flags.DEFINE_integer(
     'callers', 0, 'Number of callers of each router; 0: that of the deployment.'
 )
+LIMIT = flags.DEFINE_float(
+    'limit', 0, 'Seconds after which a run is ended; 0: the usual limit.'
+)
 KEEP = flags.DEFINE_bool('keep', False, 'Keep the logs of all seeds.')
 
 START_TIMEOUT_SECONDS = 15
@@ -103,28 +107,37 @@
     without: Collection[str] = (),
     site: Site | None = None,
     day: Collection[str] = (),
+    limit: float = 0,
 ) -> Report:
     """Run one seed, and report what it has shown.
 
     Faults are injected for `seconds`, but none of the groups in `without`;
     `routers` and `targets` are numbers. With a `site` other than the small one,
     faults of the field are added, or those of a `day`, and the run ends with a
-    strike.
+    strike. A run that has not ended after `limit` seconds is ended without a
+    verdict; 0: the usual limit.
     """
     cluster = SoakCluster(folder, site or Site())
+    limit = limit or default_limit(seconds, _share_of(routers))
+
+    async def run() -> None:
+        await _run_faults(
+            cluster, seed, seconds, routers, targets, without, day
+        )
+        await cluster.collect_records()
+
     async with trio.open_nursery() as nursery:
         nursery.start_soon(record_lateness, cluster.records, 'injector')
         nursery.start_soon(record_busy, cluster.records)
         nursery.start_soon(_interrupt_on_sigterm)
         try:
-            injected = await _run_faults(
-                cluster, seed, seconds, routers, targets, without, day
-            )
-            await cluster.collect_records()
+            has_ended = await run_within(limit, cluster, run)
         finally:
             cluster.stop()
         nursery.cancel_scope.cancel()
-    return _judge(cluster, injected)
+    if has_ended:
+        return _judge(cluster)
+    return _report_no_verdict(cluster, limit)
 
 
 async def _interrupt_on_sigterm() -> None:
@@ -142,9 +155,9 @@
     targets: int,
     without: Collection[str],
     day: Collection[str],
-) -> list[str]:
-    """Run the cluster, with faults meanwhile; return what was injected."""
-    share = max(1, routers / ROUTERS_AT_ONCE)
+) -> None:
+    """Run the cluster, with faults meanwhile."""
+    share = _share_of(routers)
     await start_cluster(cluster, routers, targets, seed)
     await cluster.wait_until_all_serve(START_TIMEOUT_SECONDS * share)
     injector = FaultInjector(cluster, seed, without)
@@ -158,22 +171,39 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(injector.run)
             if has_field:
-                nursery.start_soon(field.run, injector.injected)
+                nursery.start_soon(field.run, cluster.injected)
     if has_field:
         await cluster.store.call('clear_faults')
         await field.strike()
         with trio.move_on_after(AFTER_STRIKE_SECONDS):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(injector.run_changes)
-                nursery.start_soon(field.run_changes, injector.injected)
+                nursery.start_soon(field.run_changes, cluster.injected)
     for callers in cluster.callers:
         await callers.call('stop')
     await _end_faults(cluster)
     await cluster.wait_until_all_serve(RECOVERY_TIMEOUT_SECONDS * share)
-    return injector.injected
 
 
-def _judge(cluster: SoakCluster, injected: list[str]) -> Report:
+def _share_of(routers: int) -> float:
+    """Return how much longer all routers take than a few."""
+    return max(1, routers / ROUTERS_AT_ONCE)
+
+
+def _report_no_verdict(cluster: SoakCluster, limit: float) -> Report:
+    why = f'no verdict: the run had not ended after {limit:.0f} s'
+    return Report(
+        (why, *cluster.violations),
+        Counter(),
+        tuple(cluster.injected),
+        {},
+        cluster.longest_loop_delay(),
+        0,
+        (),
+    )
+
+
+def _judge(cluster: SoakCluster) -> Report:
     cluster.record_failed_tasks()
     cluster.record_logs()
     checker = GuaranteeChecker(cluster.site.deadline_seconds)
@@ -185,7 +215,7 @@
     return Report(
         (*cluster.violations, *checker.violations, *judge(cluster.records)),
         checker.outcome_counts,
-        tuple(injected),
+        tuple(cluster.injected),
         late_seconds,
         cluster.longest_loop_delay(),
         round(bound_share(cluster.records), 2),
@@ -265,6 +295,7 @@
             WITHOUT.value,
             _site(),
             DAY_FAULTS if DAY_PARTS.value == ['all'] else DAY_PARTS.value,
+            LIMIT.value,
         )
         _print(seed, report)
         failed += bool(report.violations)
