Soak: versions of all shapes, two at once, executed late, written again

Three changes more: two_at_once (the store executes the lower number last), late_write (1 to 6 s, no answer), repeat; the operator then rests. Faults of the store wait meanwhile until routers have heard; one that forgets its history has the newest written again, since nobody could know it otherwise. The judge goes by numbers, as before; a version without an answer may be in force and need not be.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -65,9 +65,7 @@
         self._max_pause_seconds = pause
         self._name = name
         self._random = random.Random(f'{name} {seed}')
-        self._versions = Versions(
-            f'{name} {seed}', has_brief_names=self._site.has_brief_names
-        )
+        self._versions = Versions(f'{name} {seed}', self._site)
         self._numbers = itertools.count(1)
 
     def run(self) -> None:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -143,6 +143,8 @@
     # The names of the faults that were injected, in order.
     injected: list[str] = field(default_factory=list)
     version: int = 0
+    # Whether the operator writes nothing for a time.
+    _rests: bool = False
 
     @property
     def store(self) -> Remote:
@@ -156,11 +158,30 @@
         return worker
 
     async def configure(self) -> None:
-        """Write the next version of the configuration to the store."""
+        """Write the next version, unless the operator rests."""
+        if not self._rests:
+            await self._configure()
+
+    async def configure_two(self) -> None:
+        """Write the next two versions, of which the older is executed last."""
+        self.version += 2
+        await self.store.call('configure_two', self.version)
+        await self._tell_callers()
+
+    async def configure_late(self, seconds: float) -> None:
+        """Write the next two versions, of which the older is executed late."""
         self.version += 1
-        await self.store.call('configure', self.version)
-        for callers in self.callers:
-            await callers.set(version=self.version)
+        await self.store.call('configure_late', self.version, seconds)
+        await self._configure()
+
+    @contextmanager
+    def rest(self) -> Iterator[None]:
+        """Let the operator rest, so that the newest version stays for long."""
+        self._rests = True
+        try:
+            yield
+        finally:
+            self._rests = False
 
     @contextmanager
     def disturbed(self, kind: type[Record], *details) -> Iterator[None]:
@@ -274,6 +295,15 @@
         for worker in self.workers:
             worker.kill()
 
+    async def _configure(self) -> None:
+        self.version += 1
+        await self.store.call('configure', self.version)
+        await self._tell_callers()
+
+    async def _tell_callers(self) -> None:
+        for callers in self.callers:
+            await callers.set(version=self.version)
+
     async def _wait_for(self, callers: Remote, seconds: float) -> None:
         missing = await callers.call('wait_until_all_serve', seconds)
         self.violations.extend(
--- a/tests/soak/day_faults.py
+++ b/tests/soak/day_faults.py
@@ -22,7 +22,14 @@
 Fault = Callable[[], Awaitable[None]]
 
 # By group: faults of one group do not overlap.
-CHANGES = ('storm', 'big_table', 'alterations')
+CHANGES = (
+    'storm',
+    'big_table',
+    'alterations',
+    'two_at_once',
+    'late_write',
+    'repeat',
+)
 STORES = (
     'slow_wake',
     'slow_link',
@@ -43,6 +50,13 @@
 # Routers turned away, or whose ways to the store are impaired.
 SOME_SHARE = 0.35
 HOWS = (429, 503, 'refuse', 'hold')
+MAX_MORE_ROUTES = 370
+# A write without an answer is executed so much later at most.
+MAX_LATE_SECONDS = 6.0
+# Routers have heard of a version by then, and keep it.
+HEARD_SECONDS = 2.5
+# The operator then rests, for longer than a version may take to be in force.
+REST_SECONDS = 1.0, 4.0
 
 
 class DayFaults:
@@ -56,6 +70,9 @@
         self._random = random.Random(f'day {seed}')
         self._lost: Router | None = None
         self._lost_at = float(0)
+        # Held by faults of the store, and until all routers in touch have heard
+        # of a version that the store does not hold any more.
+        self._store_lock = trio.Lock()
 
     async def run(self, injected: list[str]) -> None:
         """Inject faults of all groups, and add their names to the list."""
@@ -67,6 +84,7 @@
 
     async def strike(self) -> None:
         """Kill all routers right after a change, and start them again."""
+        await self._cluster.store.call('give_up_late_writes')
         await self._cluster.configure()
         with _all_disturbed(self._cluster, self._cluster.routers):
             for router in self._cluster.routers:
@@ -96,7 +114,11 @@
             name = self._random.choice(names)
             injected.append(f'{name} at {now():.1f}')
             fault: Fault = getattr(self, f'_{name}')
-            await fault()
+            if name in STORES:
+                async with self._store_lock:
+                    await fault()
+            else:
+                await fault()
 
     async def _storm(self) -> None:
         """Write one version after the other."""
@@ -108,7 +130,9 @@
 
     async def _big_table(self) -> None:
         """Add many routes in one change, and drop them in a later one."""
-        await self._alter(more_routes=self._random.randint(340, 350))
+        await self._alter(
+            more_routes=self._random.randint(340, MAX_MORE_ROUTES)
+        )
         await self._cluster.configure()
         await trio.sleep(self._random.uniform(0.1, 4))
         await self._alter(more_routes=0)
@@ -128,6 +152,35 @@
                 await self._cluster.configure()
             await trio.sleep(self._random.uniform(0, 0.5))
 
+    async def _two_at_once(self) -> None:
+        """Write versions two at a time, of which the older comes last."""
+        async with self._store_lock:
+            for _ in range(self._random.randint(1, 5)):
+                await self._cluster.configure_two()
+                await self._rest(self._random.uniform(0.08, 0.33))
+            await self._rest(HEARD_SECONDS)
+        await self._rest(self._random.uniform(*REST_SECONDS))
+
+    async def _late_write(self) -> None:
+        """Let a write be executed seconds after that of the next version."""
+        async with self._store_lock:
+            seconds = self._random.uniform(1, MAX_LATE_SECONDS)
+            await self._cluster.configure_late(seconds)
+            await self._rest(HEARD_SECONDS)
+        left = max(seconds - HEARD_SECONDS, 0)
+        await self._rest(left + self._random.uniform(*REST_SECONDS))
+
+    async def _rest(self, seconds: float) -> None:
+        """Let nothing be changed, so that what is in force stays."""
+        with self._cluster.rest():
+            await trio.sleep(seconds)
+
+    async def _repeat(self) -> None:
+        """Write the same version again."""
+        for _ in range(self._random.randint(1, 3)):
+            await self._cluster.store.call('repeat')
+            await trio.sleep(self._random.uniform(0, 0.3))
+
     async def _alter(self, **changes: int) -> None:
         await self._cluster.store.call('alter', changes)
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -110,7 +110,10 @@
 
 
 class VersionWritten(Record, frozen=True):
-    """The store is given a version of the configuration, and has taken it."""
+    """The store is given a version of the configuration, and has taken it.
+
+    Without an answer of the store, `at` is infinite.
+    """
 
     began_at: float
     at: float
--- a/tests/soak/refusals.py
+++ b/tests/soak/refusals.py
@@ -127,12 +127,13 @@
 ) -> VersionWritten | None:
     """Return the version from which on all versions allow a request."""
     since = None
-    for version in reversed(versions):
+    for version in sorted(versions, key=attrgetter('version'), reverse=True):
         if version.began_at > answer.at:
             continue
         if not allows(version.version, sent.route, sent.key):
             break
-        since = version
+        if version.at <= answer.at:
+            since = version
     return since
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -60,6 +60,9 @@
     f'Run a day of such a deployment, with some of these faults, or "all": '
     f'{", ".join(DAY_FAULTS)}.',
 )
+PLAIN = flags.DEFINE_bool(
+    'plain', False, 'All versions of a day have one shape; else it is drawn.'
+)
 CALLERS = flags.DEFINE_integer(
     'callers', 0, 'Number of callers of each router; 0: that of the deployment.'
 )
@@ -256,10 +259,10 @@
     return range(int(first), int(last or first) + 1)
 
 
-def _site() -> Site:
+def _site(seed: int) -> Site:
     site = FIELD if FIELD_SITE.value else Site()
     if DAY_PARTS.value:
-        site = DAY
+        site = replace(DAY, shapes=0 if PLAIN.value else seed)
     return replace(site, callers=CALLERS.value or site.callers)
 
 
@@ -293,7 +296,7 @@
             ROUTERS.value,
             TARGETS.value,
             WITHOUT.value,
-            _site(),
+            _site(seed),
             DAY_FAULTS if DAY_PARTS.value == ['all'] else DAY_PARTS.value,
             LIMIT.value,
         )
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -16,6 +16,7 @@
     router has `callers`, who wait for `deadline_seconds` at most. The entries
     of targets are written again every `beat_seconds`; 0: when they change.
     With `has_brief_names`, some routes and keys come and go with the versions.
+    The versions have `shapes` that are drawn from this seed; 0: all have one.
     """
 
     data_centres: tuple[str, ...] = ('north', 'south')
@@ -25,6 +26,7 @@
     deadline_seconds: float = 1.5
     beat_seconds: float = 1.0
     has_brief_names: bool = False
+    shapes: int = 0
 
     def service_of(self, kind: str) -> str:
         """Return the service of the routes of a kind."""
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -1,5 +1,6 @@
 """The store of a soak run, in a worker process of its own."""
 
+import math
 import random
 from dataclasses import replace
 from typing import Any
@@ -43,6 +44,9 @@
         self._version = 0
         self._alteration = Alteration()
         self._site = Site()
+        # Whether the store holds an older version than the newest one.
+        self._is_behind = False
+        self._late_writes: list[trio.CancelScope] = []
         self._entries: dict[str, dict] = {}
         self._objects = objects
         objects['proxies'] = self._proxies
@@ -77,11 +81,33 @@
     def configure(self, version: int) -> None:
         """Write a version of the configuration."""
         began_at = now()
-        self._version = version
-        self._alteration = replace(self._alteration, number=0)
+        self._begin_version(version)
         self._write_configuration()
         self._records.append(VersionWritten(began_at, now(), version))
 
+    def configure_two(self, version: int) -> None:
+        """Write a version and the one before, which is executed after it."""
+        began_at = now()
+        self._begin_version(version)
+        self._write_configuration()
+        self._write_older(version - 1)
+        for each in (version - 1, version):
+            self._records.append(VersionWritten(began_at, now(), each))
+
+    def configure_late(self, version: int, seconds: float) -> None:
+        """Write a version without an answer, which is executed later."""
+        self._records.append(VersionWritten(now(), math.inf, version))
+        self._nursery.start_soon(self._write_late, version, seconds)
+
+    def repeat(self) -> None:
+        """Write the newest version once more as it is."""
+        self._write_configuration()
+
+    def give_up_late_writes(self) -> None:
+        """Let the writes that are not executed yet never be executed."""
+        for scope in self._late_writes:
+            scope.cancel()
+
     async def write_documents(
         self, documents: list[dict], pause_seconds: float = 0
     ) -> None:
@@ -124,8 +150,13 @@
         self._records.append(written)
 
     def drop_history(self) -> None:
-        """Let the store forget the changes so far."""
+        """Let the store forget the changes so far.
+
+        The operator writes the newest version again if only they tell it.
+        """
         self._store.drop_history()
+        if self._is_behind:
+            self._write_configuration()
 
     def mute_watches(self) -> None:
         """Let watches hear nothing until the history is lost."""
@@ -146,7 +177,7 @@
         for view in self._views:
             view.clear_faults()
         if self._store.is_mute:
-            self._store.drop_history()
+            self.drop_history()
 
     def copy(self, number: int) -> None:
         """Keep a copy of the store."""
@@ -171,12 +202,30 @@
                 entry['seq'] += 1
                 self._write_target(name)
 
+    def _begin_version(self, version: int) -> None:
+        self._version = version
+        self._alteration = replace(self._alteration, number=0)
+
     def _write_configuration(self) -> None:
+        self._write_version(self._version)
+        self._is_behind = False
+
+    def _write_older(self, version: int) -> None:
+        self._write_version(version)
+        self._is_behind = True
+
+    def _write_version(self, version: int) -> None:
         content = msgspec.json.encode(
-            document(self._version, self._site, self._alteration)
+            document(version, self._site, self._alteration)
         )
         self._store.put('op/config', content)
 
+    async def _write_late(self, version: int, seconds: float) -> None:
+        with trio.CancelScope() as scope:
+            self._late_writes.append(scope)
+            await trio.sleep(seconds)
+            self._write_older(version)
+
     def _write_target(self, name: str) -> None:
         key = f'servers/{name}'
         entry = self._entries[name]
--- a/tests/soak/test_configuration_rule.py
+++ b/tests/soak/test_configuration_rule.py
@@ -1,5 +1,7 @@
 """The check of configuration changes reports late, lost and wrong ones."""
 
+import math
+
 import pytest
 
 from tests.soak.configuration_rule import judge_configuration
@@ -127,3 +129,18 @@
     assert not judge(*shown, RouterStarted(ACK + 0.3, 'r0'), *late)
     restored = StoreDisturbed(ACK + 0.3, ACK + 0.4, False, True)
     assert not judge(*shown, restored, *late)
+
+
+# Guards against a judge that goes by the order in which the store executes
+# writes, not by the numbers of versions (issue 65).
+def test_version_counts_though_an_older_one_was_executed_later():
+    older = VersionWritten(ACK, ACK + 1, WINDOW)
+    assert 'in time' in judge(*refuse(ACK + 3.1, 'extra6'), older)[0]
+    assert not judge(*run(ACK + 3.1, 'extra6'), older)
+
+
+def test_version_without_an_answer_may_be_in_force_and_need_not():
+    written = VersionWritten(ACK + 1, math.inf, 7)
+    assert not judge(*refuse(ACK + 9, 'extra7'), written)
+    assert not judge(*run(ACK + 1.1, 'extra7'), written)
+    assert judge(*run(ACK + 0.8, 'extra7'), written)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -36,6 +36,9 @@
     'forget',
 )
 DAY_SECONDS = 12
+# Of a day: versions in all ways in which an operator may write them.
+SHAPES_PARTS = ('two_at_once', 'late_write', 'repeat', 'big_table')
+SHAPES_SECONDS = 8
 ONLY_CHANGES = ('store', 'routers', 'paths', 'brittle', 'field')
 
 
@@ -81,3 +84,15 @@
     assert not report.violations, report
     assert report.outcomes['probe 200'] > 0
     assert report.bound_share >= MIN_BOUND_SHARE, report
+
+
+# Guards against acknowledged versions that no router takes: an older one is
+# executed after them, or one entry has an unusual shape (issue 65).
+def test_guarantees_hold_on_a_day_of_versions_of_all_shapes(tmp_path):
+    site = replace(DAY, shapes=65)
+    report = trio.run(
+        soak, 65, SHAPES_SECONDS, tmp_path, 3, 6, CALM[1], site, SHAPES_PARTS
+    )
+    assert not report.violations, report
+    assert report.outcomes['probe 200'] > 0
+    assert report.bound_share >= MIN_BOUND_SHARE, report
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -1,5 +1,6 @@
 """What versions allow is what their documents have."""
 
+from dataclasses import replace
 from itertools import pairwise
 
 from tests.soak.site import DAY, FIELD, Site
@@ -8,6 +9,8 @@
     BRIEF_NAMES,
     LONG_STEP,
     LONG_WINDOW,
+    OPEN,
+    UNKNOWN_KEY,
     WINDOW,
     Alteration,
     Versions,
@@ -19,16 +22,25 @@
 NAMES = [f'extra{number}' for number in range(-2, 2 * LONG_WINDOW + 2)]
 
 
+SHAPED = replace(DAY, shapes=65)
+
+
 def route_names(config):
     return {each['name'] for each in config['routes']}
 
 
 def keys(config):
-    return {key for each in config['tenants'] for key in each['api_keys']}
+    return {
+        key for each in config['tenants'] for key in each.get('api_keys') or ()
+    }
 
 
 def test_document_has_the_routes_and_keys_that_its_version_allows():
-    for site, names in ((FIELD, NAMES), (DAY, (*NAMES, *BRIEF_NAMES))):
+    for site, names in (
+        (FIELD, NAMES),
+        (DAY, (*NAMES, *BRIEF_NAMES)),
+        (SHAPED, (*NAMES, *BRIEF_NAMES)),
+    ):
         for version in VERSIONS:
             config = document(version, site)
             allowed = {
@@ -86,3 +98,43 @@
 def test_small_site_has_no_brief_names():
     for version in VERSIONS:
         assert not route_names(document(version, Site())) & set(BRIEF_NAMES)
+
+
+def asked_routes(config):
+    """Return what requests show of routes, by name."""
+    return {
+        each['name']: (
+            each['host'].lower(),
+            each['path_prefix'],
+            each['kind'],
+            float(each['timeout_ms']),
+            float(each['max_attempts']),
+            each.get('resumable') or False,
+            {share['service'] for share in each.get('split') or ()}
+            or {each['service']},
+        )
+        for each in config['routes']
+        if not each['name'].startswith('idle')
+    }
+
+
+# Guards against a judge that holds routers to what a version does not say.
+def test_shapes_change_nothing_that_callers_ask_for():
+    are_plain = []
+    for version in VERSIONS:
+        plain, shaped = document(version, DAY), document(version, SHAPED)
+        asked = asked_routes(shaped)
+        asked.pop(OPEN)
+        assert asked == asked_routes(plain)
+        [opened] = (each for each in shaped['routes'] if each['name'] == OPEN)
+        assert allows(version, OPEN, UNKNOWN_KEY) == opened['anonymous']
+        assert allows(version, OPEN, BASE_KEY)
+        are_plain.append(shaped['services'] == plain['services'])
+    assert 0 < sum(are_plain) < len(are_plain)
+
+
+def test_versions_have_uneven_steps_and_stay_in_order():
+    numbers = [int(document(each, SHAPED)['version']) for each in VERSIONS]
+    assert numbers == sorted(set(numbers))
+    steps = {after - before for before, after in pairwise(numbers)}
+    assert len(steps) > len(numbers) / 4
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from tests.peridotwell_platform.stand_in import route
+from tests.soak.shapes import IDLE, number_offset, reshape
 from tests.soak.site import Site
 
 __all__ = (
@@ -42,6 +43,11 @@
 # A brief name is in the first of so many versions, and again after all.
 BRIEF_VERSIONS, BRIEF_PERIOD = 2, 5
 BRIEF_SHARE = 0.4
+# A route that some versions open to callers without a key that counts.
+OPEN = 'open'
+OPEN_VERSIONS, OPEN_PERIOD = 3, 6
+OPEN_SHARE = 0.1
+UNKNOWN_KEY = 'nobody'
 # The numbers of versions leave room for this many alterations.
 MAX_ALTERATIONS = 100
 BASE_ROUTES = (
@@ -82,11 +88,15 @@
     if site.has_brief_names:
         added.extend(name for name in BRIEF_NAMES if _has_brief(version, name))
     idle_routes = site.idle_routes + alteration.more_routes
-    names = (*added, *(f'idle{each}' for each in range(idle_routes)))
+    names = (*added, *(f'{IDLE}{each}' for each in range(idle_routes)))
     routes = [_make_route(name) for name in names]
+    if site.shapes:
+        is_open = _is_open(version, OPEN)
+        routes.append(route(OPEN, 'idempotent', anonymous=is_open))
+    offset = number_offset(site.shapes, version) if site.shapes else 0
     terms = {'timeout_ms': int(site.deadline_seconds * MILLISECONDS)}
-    return {
-        'version': version * MAX_ALTERATIONS + alteration.number,
+    config = {
+        'version': version * MAX_ALTERATIONS + offset + alteration.number,
         'routes': [
             {**each, **terms, 'service': site.service_of(each['kind'])}
             for each in (*BASE_ROUTES, *routes)
@@ -103,10 +113,13 @@
             },
         ],
     }
+    return reshape(config, site.shapes) if site.shapes else config
 
 
 def allows(version: int, route_name: str, key: str) -> bool:
-    """Whether a version has a route and a key."""
+    """Whether a version has a route, and a key unless it needs none."""
+    if route_name == OPEN:
+        return _is_open(version, route_name) or _has(version, key, {BASE_KEY})
     return _has(version, route_name, BASE_NAMES) and _has(
         version, key, {BASE_KEY}
     )
@@ -115,13 +128,16 @@
 class Versions:
     """Draws routes and keys that were just added or dropped, or never were."""
 
-    def __init__(self, seed: str, *, has_brief_names: bool = False) -> None:
+    def __init__(self, seed: str, site: Site = SMALL_SITE) -> None:
         self._random = random.Random(f'versions {seed}')
-        self._has_brief_names = has_brief_names
+        self._site = site
 
     def draw(self, version: int) -> tuple[str, str]:
         """Return a route and a key; `version` is the newest one."""
-        if self._has_brief_names and self._random.random() < BRIEF_SHARE:
+        if self._site.shapes and self._random.random() < OPEN_SHARE:
+            return OPEN, self._random.choice((UNKNOWN_KEY, BASE_KEY))
+        has_brief_names = self._site.has_brief_names
+        if has_brief_names and self._random.random() < BRIEF_SHARE:
             name = self._random.choice(BRIEF_NAMES)
             return self._random.choice(((name, BASE_KEY), ('read', name)))
         newest = self._random.randint(max(version - RECENT, 1), version)
@@ -140,6 +156,10 @@
     return made
 
 
+def _is_open(version: int, name: str) -> bool:
+    return name == OPEN and version % OPEN_PERIOD < OPEN_VERSIONS
+
+
 def _has_brief(version: int, name: str) -> bool:
     shift = int(name.removeprefix(BRIEF))
     return (version + shift) % BRIEF_PERIOD < BRIEF_VERSIONS
