--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -18,7 +18,6 @@
 import trio
 
 from tests.ports import find_free_port
-from tests.soak.brittle import CONTACT_SECONDS
 from tests.soak.control import Remote, Worker
 from tests.soak.records import AnyRecord, Record, RouterStarted, now
 from tests.soak.router_logs import read_log_line
@@ -122,7 +121,7 @@
         await self.remote.set(
             starts=self.starts,
             says_leaving=False,
-            brittle_from=now() + CONTACT_SECONDS,
+            brittle_from=None,
         )
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -242,7 +242,7 @@
         while True:
             target = self._brittle_random.choice(self._cluster.targets)
             await target.remote.set(
-                brittle_from=now() + CONTACT_SECONDS,
+                brittle_from=None,
                 max_rejections=str(MAX_REJECTIONS),
             )
             await trio.sleep(
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -8,6 +8,7 @@
 
 from tests.raw_target import read_request
 from tests.soak.answer_rule import EVENTS_PER_STREAM
+from tests.soak.brittle import CONTACT_SECONDS
 from tests.soak.proxy import FaultProxy
 from tests.soak.raw_answers import Answer, Manner, Request, send_answer
 from tests.soak.records import Arrived, Record, Replied, now
@@ -16,6 +17,7 @@
 
 EXECUTION_SECONDS = 0.03
 BRITTLE_SLOTS = 2
+BRITTLE_FIELD = 'server-brittle'
 MAX_EXTRA_SECONDS = 1.0
 # Shares of the answers of targets with that fault.
 STUTTER_SHARE = 0.5
@@ -37,8 +39,9 @@
     `starts` is the number of its starts. Its answers may say that it leaves,
     ask for a pause, name a limit or say that it is brittle. From `brittle_from`
     on, a brittle target runs so few requests at once that it has to reject
-    some. A target that `stutters` sends answers a second time, one that `cuts`
-    breaks them off.
+    some; if that is None, from a time after the first answer that says so. A
+    target that `stutters` sends answers a second time, one that `cuts` breaks
+    them off.
     """
 
     name: str
@@ -55,7 +58,7 @@
     pause_seconds: float = 0
     limit: str = ''
     max_rejections: str = ''
-    brittle_from: float = 0
+    brittle_from: float | None = 0
     running: int = 0
     starts: int = 1
     runs: int = 0
@@ -99,8 +102,7 @@
             self._record_arrival(request_id, pause=self.pause_seconds)
             pause = ('retry-after', f'{self.pause_seconds}')
             return Answer(503, (*fields, pause), ())
-        is_brittle = self.max_rejections and now() >= self.brittle_from
-        if is_brittle and self.running >= BRITTLE_SLOTS:
+        if self._is_brittle() and self.running >= BRITTLE_SLOTS:
             bearable = float(self.max_rejections)
             self._record_arrival(request_id, max_rejections=bearable)
             return Answer(503, (*fields, *self._brittle_fields()), ())
@@ -123,9 +125,20 @@
         )
         self.records.append(arrived)
 
+    def _is_brittle(self) -> bool:
+        is_known = self.brittle_from is not None and now() >= self.brittle_from
+        return is_known and bool(self.max_rejections)
+
+    def _note_answer(self, answer: Answer, manner: Manner) -> None:
+        """Let routers have time from the first answer on that tells them."""
+        tells = any(name == BRITTLE_FIELD for name, _ in answer.fields)
+        is_passed_on = self.proxy.is_clear and not manner.cut
+        if tells and is_passed_on and self.brittle_from is None:
+            self.brittle_from = now() + CONTACT_SECONDS
+
     def _brittle_fields(self) -> tuple[tuple[str, str], ...]:
         return (
-            ('server-brittle', self.max_rejections),
+            (BRITTLE_FIELD, self.max_rejections),
             ('x-replica-load', f'{self.running},0,{BRITTLE_SLOTS}'),
         )
 
@@ -156,6 +169,7 @@
                 )
             )
             await send_answer(stream, answer, manner)
+        self._note_answer(answer, manner)
         return answer, manner
 
     def _make_answer(
--- a/tests/soak/test_target.py
+++ b/tests/soak/test_target.py
@@ -4,9 +4,11 @@
 
 import pytest
 import trio
+import trio.testing
 
 from tests.raw_target import listen
-from tests.soak.records import Arrived, Replied, select
+from tests.soak.brittle import CONTACT_SECONDS
+from tests.soak.records import Arrived, Replied, now, select
 from tests.soak.target import CUTS, SoakTarget
 
 REQUEST = (
@@ -79,3 +81,34 @@
     assert b'x-not-executed: 1' in received
     (arrived,) = select(target.records, Arrived)
     assert (arrived.runs, arrived.pause_seconds) == (False, 1.5)
+
+
+# Guards against a brittle target that falls over before any router can know
+# that it is brittle: answers come late where callers starve it (issue 56).
+async def test_a_target_is_brittle_from_a_time_after_it_has_said_so(nursery):
+    target = SoakTarget('t0', [], Draws(), max_rejections='3')
+    target.brittle_from = None
+    target.running = 5
+    received = await exchange(nursery, target, answers=1)
+    assert b'server-brittle: 3' in received
+    assert b'200' in received
+    await trio.testing.wait_all_tasks_blocked()
+    left = target.brittle_from - now()
+    assert 0 < left <= CONTACT_SECONDS
+    target.brittle_from -= CONTACT_SECONDS
+    received = await exchange(nursery, target, answers=1)
+    assert b'503' in received
+    assert [
+        each.runs for each in target.records if isinstance(each, Arrived)
+    ] == [
+        True,
+        False,
+    ]
+
+
+async def test_an_answer_that_is_cut_tells_no_router(nursery):
+    target = SoakTarget('t0', [], Draws(), max_rejections='3', cuts=True)
+    target.brittle_from = None
+    await exchange(nursery, target)
+    await trio.testing.wait_all_tasks_blocked()
+    assert target.brittle_from is None
