Refusals name the newest version seen, and the one that dropped a path or key

Cause of the silence, not yet of the fault: table.invalid and table.older were of level INFO, written once, and no refusal told which version was seen, nor whether a version ever had the path or the key.

Gauge table.behind (newest number seen less the one in force), counter table.not_taken; gauges are on the metrics page now. Decoders tell the number of a version without decoding the rest.

--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -140,17 +140,19 @@
     def knowledge_log_fields(self, now: float) -> dict[str, object]:
         """Return the log fields for what this router knows of the store.
 
-        First the configuration in force, the age of the knowledge, where the
-        configuration came from, and the last known revision. Ages are in
+        First the newest configuration seen (version and revision) and the one
+        in force, the age of the knowledge, where the configuration came from,
+        and the last known revision. Ages are in
         seconds: of what is known, of the store's last answer, of the
         configuration, and of this router's updates when they return from its
         relay; None before the first.
         """
         directory = self.state.directory
         table = directory.table
-        source = directory.table_source
-        table_age = now - directory.table_loaded_at
+        source = directory.table_in_force.source
+        table_age = now - directory.table_in_force.loaded_at
         return {
+            'seen': directory.table_in_force.seen_label(),
             'table': table.version if table else None,
             'knowledge_age': directory.belief.logged_age(now),
             'source': source.value if source else None,
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from enum import Enum
 
 import trio
 
@@ -14,13 +13,14 @@
 from peridotwell.errors import EntryError
 from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
-from peridotwell.fleet.replica.recent_refusals import RecentRefusals
+from peridotwell.fleet.replica.entry_source import EntrySource
 from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.fleet.replica.store_contact import (
     StoreContact,
     StoreContactReport,
 )
 from peridotwell.fleet.replica.store_replica import StoreReplica
+from peridotwell.fleet.replica.table_in_force import TableInForce
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
 from peridotwell.fleet.transport.router_registry import (
@@ -33,21 +33,7 @@
 from peridotwell.store.change_feed import Changes, Snapshot
 from peridotwell.store.revisions import era_of, is_of_later_era
 
-__all__ = ('EntrySource', 'ServiceDirectory')
-
-
-class EntrySource(Enum):
-    """From where an entry was taken."""
-
-    store_changes = 'store changes'
-    store_snapshot = 'store snapshot'
-    peer_changes = 'peer changes'
-    peer_snapshot = 'peer snapshot'
-
-    @property
-    def is_peer(self) -> bool:
-        """Whether another router has told the entry."""
-        return self in {EntrySource.peer_changes, EntrySource.peer_snapshot}
+__all__ = ('ServiceDirectory',)
 
 
 class ServiceDirectory:
@@ -57,9 +43,7 @@
     """
 
     def __init__(self, decoder: EntryDecoder) -> None:
-        self.table: RoutingTable | None = None
-        self.table_loaded_at = float(0)
-        self.table_source: EntrySource | None = None
+        self.table_in_force = TableInForce(decoder)
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -67,6 +51,7 @@
         # The last known revision, from the store or from a peer.
         self.known_revision = 0
         self.is_loaded = False
+        self.refusals = self.table_in_force.refusals
         # Number of entries that could not be read.
         self.invalid_entries = 0
         # Set when the routing table and the targets are loaded.
@@ -82,13 +67,17 @@
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
         self.belief = StoreBelief()
-        self.refusals = RecentRefusals()
         self._departed = DepartedTargets()
         # By service: all targets, and those that accept new work.
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._available: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """The routing table in force, None before the first."""
+        return self.table_in_force.table
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of the table or the targets."""
         self._listeners.append(listener)
@@ -236,7 +225,9 @@
             return
         is_table = self._decoder.is_table(entry.key)
         if is_table:
-            self._apply_table(entry, source, now)
+            self.invalid_entries += self.table_in_force.apply(
+                entry, source, now
+            )
         if not self.replica.is_newer(entry):
             return
         if self._decoder.is_target(entry.key):
@@ -249,35 +240,6 @@
         self._has_changed = True
         self.replica.put(entry)
 
-    def _apply_table(
-        self, entry: Entry, source: EntrySource, now: float
-    ) -> None:
-        in_force = self.table.revision if self.table else 0
-        if entry.revision <= in_force or self.replica.has_version(entry):
-            return
-        try:
-            table = self._decoder.decode_table(entry.value, entry.revision)
-        except EntryError as exc:
-            self.invalid_entries += 1
-            log_event('table.invalid', error=str(exc), revision=entry.revision)
-            return
-        if self.table is not None and table.version < self.table.version:
-            # Its write was executed late, or a restored store lists it. The
-            # one in force stays until its operator has written it again.
-            log_event('table.older', version=table.version)
-            return
-        self.table = table
-        self.table_loaded_at = now
-        self.table_source = source
-        log_event(
-            'table.taken',
-            version=table.version,
-            revision=table.revision,
-            routes=len(table.routes),
-            source=source.value,
-        )
-        self.refusals.log_allowed_by(table, source.value, now)
-
     def _apply_target(
         self, entry: Entry, source: EntrySource, now: float
     ) -> None:
--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -180,6 +180,13 @@
     def decode_table(self, content: bytes, revision: int) -> RoutingTable:
         """Decode a configuration. Raises EntryError."""
 
+    @abstractmethod
+    def table_version(self, content: bytes) -> int | None:
+        """Return the version of a configuration; None if it cannot be read.
+
+        The rest of the configuration is not decoded.
+        """
+
     @abstractmethod
     def decode_target(self, key: str, content: bytes) -> Target:
         """Decode a target. Raises EntryError."""
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -149,6 +149,12 @@
             self.components.metrics.count('store.errors')
             log_failure('versions.not_recorded', code=exc.code, error=str(exc))
 
+    def _record_versions_seen(self) -> None:
+        metrics = self.components.metrics
+        in_force = self.components.directory.table_in_force
+        metrics.record_total('table.not_taken', in_force.not_taken.count)
+        metrics.gauge('table.behind', in_force.behind())
+
     async def _remove_gone(self) -> None:
         now = trio.current_time()
         directory = self.components.directory
@@ -156,6 +162,7 @@
         self.components.metrics.record_total(
             'entries.invalid', directory.invalid_entries
         )
+        self._record_versions_seen()
         update_exchange = self.components.update_exchange
         update_exchange.discovery.remove_gone(directory.routers(), now)
         state = update_exchange.state
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -28,6 +28,7 @@
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.planned_stop import PlannedStop
 from peridotwell.forwarding.refusal_log import (
+    drop_log_fields,
     record_refusal,
     refusal_log_fields,
 )
@@ -140,22 +141,32 @@
             )
             self.planned_stop.check(request.deadline_at, trio.current_time())
         except RequestError as exc:
-            error = self._unless_outdated(exc, trio.current_time())
-            record_refusal(
-                error,
-                exchange,
-                self._components.caller_adapter,
-                self._directory,
-                trio.current_time(),
-            )
-            await self._refuse(
-                caller_response, error, self._request_id(exchange), now
-            )
+            await self._refuse_unread(exchange, caller_response, exc, now)
             return
         work = partial(self._serve, caller_response, request)
         if not await run_until_caller_disconnects(exchange, work):
             self._record_caller_left(exchange)
 
+    async def _refuse_unread(
+        self,
+        exchange: HttpExchange,
+        caller_response: CallerResponse,
+        reason: RequestError,
+        arrived_at: float,
+    ) -> None:
+        """Refuse a request before its route and customer are known."""
+        now = trio.current_time()
+        error = self._unless_outdated(reason, now)
+        context = (exchange, self._components.caller_adapter, self._directory)
+        record_refusal(error, *context, now)
+        await self._refuse(
+            caller_response,
+            error,
+            self._request_id(exchange),
+            arrived_at,
+            drop_log_fields(reason, *context, now),
+        )
+
     def _request_id(self, exchange: HttpExchange) -> str:
         return self._components.caller_adapter.request_id(exchange)
 
@@ -317,6 +328,7 @@
         error: RequestError,
         request_id: str,
         arrived_at: float,
+        dropped: dict[str, object] | None = None,
     ) -> None:
         self._metrics.count(f'request.{error.code}')
         now = trio.current_time()
@@ -327,6 +339,7 @@
             **refusal_log_fields(
                 error,
                 self._update_exchange.knowledge_log_fields(now),
+                dropped=dropped,
                 after_seconds=now - arrived_at,
                 has_begun=caller_response.has_begun,
             ),
--- a/peridotwell/forwarding/refusal_log.py
+++ b/peridotwell/forwarding/refusal_log.py
@@ -14,7 +14,10 @@
 from peridotwell.forwarding.adapters import CallerAdapter
 from peridotwell.serving.asgi import HttpExchange
 
-__all__ = ('record_refusal', 'refusal_log_fields')
+__all__ = ('drop_log_fields', 'record_refusal', 'refusal_log_fields')
+
+# By these, readers tell whether a newer version was told but not taken.
+VERSION_FIELDS = ('seen', 'table')
 
 
 def record_refusal(
@@ -42,18 +45,46 @@
     )
 
 
+def drop_log_fields(
+    error: RequestError,
+    exchange: HttpExchange,
+    adapter: CallerAdapter,
+    directory: ServiceDirectory,
+    now: float,
+) -> dict[str, object]:
+    """Return the log fields on the version that dropped a path or a key.
+
+    There are none if no known version ever had it.
+    """
+    dropped = directory.table_in_force.dropped
+    drop = None
+    if isinstance(error, UnknownPath):
+        drop = dropped.find_path(
+            exchange.headers.get('host', ''),
+            exchange.raw_path.decode('latin-1'),
+        )
+    elif isinstance(error, UnknownCredential):
+        drop = dropped.find_key(adapter.read(exchange).api_key)
+    return drop.log_fields(now) if drop else {}
+
+
 def refusal_log_fields(
     error: RequestError,
     knowledge: dict[str, object],
     *,
+    dropped: dict[str, object] | None = None,
     after_seconds: float,
     has_begun: bool,
 ) -> dict[str, object]:
     """Return the log fields of a refusal, those first that explain it.
 
     `knowledge` holds the fields for what the router knows of the store: by it,
-    paths and keys are known or not.
+    paths and keys are known or not. `dropped` holds those on the version that
+    dropped the path or the key.
     """
+    versions = {
+        name: knowledge[name] for name in VERSION_FIELDS if name in knowledge
+    }
     outcome: dict[str, object] = {
         'status': error.status,
         'after_seconds': round(after_seconds, 4),
@@ -62,7 +93,7 @@
     }
     reason = {'reason': str(error)}
     if _is_by_configuration(error) or isinstance(error, NotConfigured):
-        return knowledge | outcome | reason
+        return versions | (dropped or {}) | knowledge | outcome | reason
     return outcome | knowledge | reason
 
 
--- a/peridotwell/metrics.py
+++ b/peridotwell/metrics.py
@@ -45,6 +45,7 @@
 
     def __init__(self, statsd_address: str, prefix: str) -> None:
         self.counters: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
         self._sketches: dict[Series, DDSketch] = {}
         self._statsd = _make_statsd_client(statsd_address, prefix)
 
@@ -61,7 +62,8 @@
             self.count(name, increase)
 
     def gauge(self, name: str, value: float) -> None:
-        """Send the current value of a gauge to statsd."""
+        """Set a gauge to its current value, also at statsd."""
+        self.gauges[name] = value
         if self._statsd is not None:
             self._statsd.gauge(name, value)
 
@@ -84,9 +86,11 @@
 
 
 def render_metrics(metrics: Metrics) -> Iterator[str]:
-    """Yield the lines of the metrics page: counters, then quantiles."""
+    """Yield the lines of the metrics page: counters, gauges, quantiles."""
     for name, count in sorted(metrics.counters.items()):
         yield f'peridotwell_total{{name="{name}"}} {count}'
+    for name, value in sorted(metrics.gauges.items()):
+        yield f'peridotwell_gauge{{name="{name}"}} {value}'
     for series, sketch in metrics.sketches().items():
         labels = f'customer="{series.customer}",class="{series.priority_class}"'
         name = f'peridotwell_{series.measure.value}_seconds'
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -44,6 +44,9 @@
             raise EntryError('table is not a number')
         return RoutingTable(int(content), revision)
 
+    def table_version(self, content):
+        return int(content) if content.isdigit() else None
+
     def decode_target(self, key, content):
         state, incarnation, number, *_ = (*content.decode().split(' '), '', '')
         if state not in {'ready', 'leaving'}:
