The version with the highest number is in force, whatever the store's order

Cause: tables were ordered by the store's revision. If the write of 59 is executed after that of 60, then (a) both in one answer: 59 was taken first and 60 never looked at; (b) a router that starts or lags was told only the latest entry, 59, by a peer in force at 60; (c) one in force at 59 refused 60 of an earlier revision.

Change: versions are ordered by number, then revision (the era is its upper part). TableInForce takes the highest one of an answer that can be read; only the numbers of the others are decoded. Updates tell the number in force (a last field, older routers ignore it): who hears a higher one than it has seen for 0.4 s, from a peer that knows no later revision, asks for all entries, every 2 s at most, and not for one that it has seen and cannot read. After a restore the version in force stays until it or a higher one is written.

--- a/peridotwell/domain/routing_table.py
+++ b/peridotwell/domain/routing_table.py
@@ -131,7 +131,7 @@
 class RoutingTable:
     """One version of the routes, services and customers.
 
-    `revision` is the store's revision, by which tables are ordered.
+    `revision` is the store's revision, which orders tables of one version.
     `customers` maps API keys to customers. `has_customers` tells whether
     the configuration defines customers at all.
     """
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -301,6 +301,7 @@
             unreachable_targets=self.state.own_reach.take(
                 include_unchanged=is_full
             ),
+            table_version=self.entry_sync.told_table_version(),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
--- a/peridotwell/fleet/replica/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -140,7 +140,7 @@
     for each in changed:
         old = previous.get(each.key)
         new = current.get(each.key)
-        if old is None or new is None:
+        if old is None or new is None or each.revision != new.revision:
             continue
         patch = make_patch(old.value, new.value)
         if len(patch) <= MAX_CHANGES_BYTES:
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -2,9 +2,13 @@
 
 Updates tell the store revision that their sender knows. A router that is behind
 another one for some time requests the entries that it lacks, so it stays up to
-date when the store refuses its calls.
+date when the store refuses its calls. Updates also tell the version number of
+the configuration in force: the store may hold a lower one that was executed
+later, and then only the other routers can tell the higher one.
 """
 
+import sys
+
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
 from peridotwell.fleet.replica.change_forwarding import urgent_entries
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
@@ -18,6 +22,9 @@
 # A router that lags behind a peer for this time requests the missing entries.
 BEHIND_SECONDS = 0.4
 PULL_INTERVAL_SECONDS = 0.5
+# All entries are requested for a higher version, and seldom.
+VERSION_PULL_INTERVAL_SECONDS = 2.0
+ALL_REVISIONS = 0
 # A snapshot takes up to this time on a slow link. A peer's answer is as large
 # and would delay it.
 SNAPSHOT_SECONDS = 1.0
@@ -39,6 +46,7 @@
         self._directory = directory
         self._relay_protocol = relay_protocol
         self._behind_since: float | None = None
+        self._lower_since: float | None = None
         self._pulled_at = float(0)
         # The wire id of the peer that was asked last.
         self._asked: int | None = None
@@ -50,6 +58,7 @@
         meanwhile, to reduce the load of the relays, nor while it sends a
         snapshot.
         """
+        self._pull_if_lower(now)
         own = self._directory.known_revision
         peer_ahead = self._peer_ahead(own, now)
         if peer_ahead is None:
@@ -79,6 +88,59 @@
                 ahead=peer_ahead.version,
             )
 
+    def told_table_version(self) -> int:
+        """Return the number of the configuration in force for updates.
+
+        It is 0 without a configuration, or if no message can hold the number.
+        """
+        table = self._directory.table
+        if table is None or not 0 <= table.version <= sys.maxsize:
+            return 0
+        return table.version
+
+    def _pull_if_lower(self, now: float) -> None:
+        """Request all entries if a peer has gone by a higher version for long.
+
+        A peer that also knows a later revision is asked for what has changed.
+        """
+        higher = self._peers_with_higher_version(now)
+        if not higher:
+            self._lower_since = None
+            return
+        if self._lower_since is None:
+            self._lower_since = now
+        known = self._directory.known_revision
+        peer = choose_peer(
+            self._own, [each for each in higher if each.version <= known]
+        )
+        is_due = (
+            now - self._lower_since >= BEHIND_SECONDS
+            and now - self._pulled_at >= VERSION_PULL_INTERVAL_SECONDS
+        )
+        if peer is None or not is_due:
+            return
+        pull = EntriesPull(self._own, ALL_REVISIONS)
+        if self._transport.send(peer.hello.peer_address, pull):
+            self._pulled_at = now
+            log_event(
+                'entries.pulled',
+                router=peer.hello.name,
+                revision=known,
+                ahead=peer.version,
+                version=peer.table_version,
+            )
+
+    def _peers_with_higher_version(self, now: float) -> list[Peer]:
+        """Return the peers that go by a higher version than was seen here."""
+        if not self._directory.is_loaded:
+            return []
+        number = self._directory.table_in_force.highest_number()
+        return [
+            peer
+            for peer in self._peers.known_peers()
+            if peer.table_version > number and self._peers.is_live(peer, now)
+        ]
+
     def push_entries(self, pull: EntriesPull, now: float) -> None:
         """Send a peer the entries that it lacks, the urgent ones first.
 
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -4,7 +4,7 @@
 deleted targets are kept for a short time, because live ones register again.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import trio
 
@@ -35,6 +35,9 @@
 
 __all__ = ('ServiceDirectory',)
 
+# Less than every revision.
+NO_REVISION = -1
+
 
 class ServiceDirectory:
     """The routing table, targets and routers as last read.
@@ -43,7 +46,9 @@
     """
 
     def __init__(self, decoder: EntryDecoder) -> None:
-        self.table_in_force = TableInForce(decoder)
+        self.replica = StoreReplica()
+        self.table: RoutingTable | None = None
+        self.table_in_force = TableInForce(decoder, self.replica)
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -52,7 +57,7 @@
         self.known_revision = 0
         self.is_loaded = False
         self.refusals = self.table_in_force.refusals
-        # Number of entries that could not be read.
+        # Number of entries of targets and routers that could not be read.
         self.invalid_entries = 0
         # Set when the routing table and the targets are loaded.
         self.ready = trio.Event()
@@ -60,7 +65,6 @@
         self.available_names: frozenset[str] = frozenset()
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
-        self.replica = StoreReplica()
         self._routers: dict[str, Hello] = {}
         self._has_changed = False
         self._targets_by_id: dict[int, Target] = {}
@@ -73,11 +77,6 @@
         self._available: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
 
-    @property
-    def table(self) -> RoutingTable | None:
-        """The routing table in force, None before the first."""
-        return self.table_in_force.table
-
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of the table or the targets."""
         self._listeners.append(listener)
@@ -110,13 +109,12 @@
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
         self.store_contact.record_answer(now)
-        # Of several versions of a large configuration, only the last valid
-        # one is decoded.
-        listed = self.replica.listed_entries(
-            reversed(changes.entries), changes.revision, self.known_revision
+        self._apply_entries(
+            tuple(reversed(changes.entries)),
+            changes.revision,
+            EntrySource.store_changes,
+            now,
         )
-        for entry in listed:
-            self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, EntrySource.store_changes, now)
         self.deferred_removals.record_answer(changes.revision)
@@ -134,14 +132,14 @@
         They must include every change after the revision that is known here,
         up to `revision`; if some are missing, `revision` is the known one.
         """
+        source = EntrySource.peer_changes
+        written = []
         for entry in entries:
             if entry.value is None:
-                self._apply_deletion(
-                    entry.key, entry.revision, EntrySource.peer_changes, now
-                )
+                self._apply_deletion(entry.key, entry.revision, source, now)
             else:
-                store_entry = Entry(entry.key, entry.value, entry.revision)
-                self._apply_entry(store_entry, EntrySource.peer_changes, now)
+                written.append(Entry(entry.key, entry.value, entry.revision))
+        self._apply_entries(written, revision, source, now)
         self._finish_changes(revision, now)
 
     def apply_peer_snapshot(
@@ -199,11 +197,7 @@
                 previous_era=era_of(self.known_revision),
                 missing_entries=len(missing),
             )
-        listed = self.replica.listed_entries(
-            snapshot.entries, snapshot.revision, self.known_revision
-        )
-        for entry in listed:
-            self._apply_entry(entry, source, now)
+        self._apply_entries(snapshot.entries, snapshot.revision, source, now)
         for key in missing:
             self._apply_deletion(key, snapshot.revision, source, now)
         self.replica.record_snapshot(snapshot.revision)
@@ -216,18 +210,33 @@
         if self.table is not None:
             self.ready.set()
 
+    def _apply_entries(
+        self,
+        entries: Sequence[Entry],
+        revision: int,
+        source: EntrySource,
+        now: float,
+    ) -> None:
+        """Apply the entries of an answer at `revision`."""
+        versions = [
+            entry for entry in entries if self._decoder.is_table(entry.key)
+        ]
+        if self.table_in_force.apply(versions, source, now):
+            self.table = self.table_in_force.table
+            self._has_changed = True
+        others = (
+            entry for entry in entries if not self._decoder.is_table(entry.key)
+        )
+        # What a peer tells may be older than what it knows.
+        told_revision = NO_REVISION if source.is_peer else revision
+        for entry in self.replica.listed_entries(
+            others, told_revision, self.known_revision
+        ):
+            self._apply_entry(entry, source, now)
+
     def _apply_entry(
         self, entry: Entry, source: EntrySource, now: float
     ) -> None:
-        if source.is_peer and self.replica.is_known_gone(
-            entry, self.known_revision
-        ):
-            return
-        is_table = self._decoder.is_table(entry.key)
-        if is_table:
-            self.invalid_entries += self.table_in_force.apply(
-                entry, source, now
-            )
         if not self.replica.is_newer(entry):
             return
         if self._decoder.is_target(entry.key):
@@ -235,7 +244,7 @@
         elif entry.key.startswith(ROUTERS_PREFIX):
             is_valid = _apply_router(entry, self._routers)
             self.invalid_entries += not is_valid
-        elif not is_table and entry.key != VERSIONS_KEY:
+        elif entry.key != VERSIONS_KEY:
             return
         self._has_changed = True
         self.replica.put(entry)
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -20,6 +20,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
+        # Entries in force that a later one of their key may not replace.
+        self._kept: dict[str, Entry] = {}
         self._deleted: dict[str, int] = {}
         # Deletions up to this revision may be missing from `_deleted`.
         self._complete_since = 0
@@ -74,6 +76,13 @@
         self._entries[entry.key] = entry
         self._deleted.pop(entry.key, None)
 
+    def keep(self, entry: Entry) -> None:
+        """Keep the entry in force of a key, also if it is not the latest.
+
+        Others are told both entries.
+        """
+        self._kept[entry.key] = entry
+
     def is_newer_deletion(self, key: str, revision: int) -> bool:
         """Return whether a deletion is newer than what is known of its key."""
         known = self._entries.get(key)
@@ -120,7 +129,7 @@
         """
         written = (
             SharedEntry(entry.key, entry.revision, entry.value)
-            for entry in self._entries.values()
+            for entry in (*self._entries.values(), *self._kept_earlier())
             if entry.revision > revision and entry.key not in self._deleted
         )
         deleted = (
@@ -129,3 +138,9 @@
             if deleted_at > revision
         )
         return (*written, *deleted)
+
+    def _kept_earlier(self) -> Iterator[Entry]:
+        """Yield the entries in force that are not the latest of their keys."""
+        for entry in self._kept.values():
+            if not self.has_version(entry):
+                yield entry
--- a/peridotwell/fleet/replica/versions_not_taken.py
+++ b/peridotwell/fleet/replica/versions_not_taken.py
@@ -32,6 +32,22 @@
             return self.revision > table.revision
         return (self.version, self.revision) > (table.version, table.revision)
 
+    def is_lower_but_later(self, table: RoutingTable | None) -> bool:
+        """Return whether the store has executed its write after `table`.
+
+        Its number is lower all the same.
+        """
+        return (
+            table is not None
+            and self.revision > table.revision
+            and not self.is_newer_than(table)
+        )
+
+    @property
+    def order(self) -> tuple[bool, int, int]:
+        """Orders versions; those without a number come first."""
+        return self.version is not None, self.version or 0, self.revision
+
     @property
     def label(self) -> str:
         """The version and the store's revision for the log, such as 60@112."""
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -196,7 +196,8 @@
     `request_records` requests that do, `target_limits` the limits that targets
     name, `brittle_targets` those that fall over when they have to reject many
     requests. `unreachable_targets` are those to which the sender can make no
-    connection, None if unchanged.
+    connection, None if unchanged. `table_version` is the number of the
+    configuration in force at the sender, 0 if it is not told.
     """
 
     revision: int
@@ -216,6 +217,7 @@
     brittle_targets: tuple[BrittleRecord, ...] = ()
     request_records: tuple[LossRecord, ...] = ()
     unreachable_targets: tuple[int, ...] | None = None
+    table_version: int = 0
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -23,7 +23,8 @@
     """Another router and the state that it last reported.
 
     `version` is its configuration version or, for a forwarding router, the
-    store revision that it has read.
+    store revision that it has read. `table_version` is the number of the
+    configuration in force at a forwarding router, 0 if it is not known.
     """
 
     hello: Hello
@@ -38,6 +39,7 @@
     pool_requests: dict[int, int] = field(default_factory=dict)
     customer_requests: dict[int, int] = field(default_factory=dict)
     unreachable_targets: frozenset[int] = frozenset()
+    table_version: int = 0
 
     @property
     def wire_id(self) -> int:
@@ -117,6 +119,7 @@
         peer.last_sequence = update.sequence
         self._record_received(peer, now, is_leaving=update.is_leaving)
         peer.version = update.revision
+        peer.table_version = update.table_version
         if update.unreachable_targets is not None:
             peer.unreachable_targets = frozenset(update.unreachable_targets)
         return True
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -160,7 +160,9 @@
         directory = self.components.directory
         directory.remove_expired(now)
         self.components.metrics.record_total(
-            'entries.invalid', directory.invalid_entries
+            'entries.invalid',
+            directory.invalid_entries
+            + directory.table_in_force.invalid_entries,
         )
         self._record_versions_seen()
         update_exchange = self.components.update_exchange
--- a/tests/fleet/replica/test_versions_not_taken.py
+++ b/tests/fleet/replica/test_versions_not_taken.py
@@ -50,7 +50,7 @@
     ]
     assert directory.table_in_force.seen_label() == '?@5'
     assert directory.table_in_force.behind() == 1
-    assert directory.invalid_entries == 1
+    assert directory.table_in_force.invalid_entries == 1
     assert directory.table_in_force.not_taken.count == 1
 
 
