--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -4,8 +4,7 @@
 deleted targets are kept for a short time, because live ones register again.
 """
 
-from collections.abc import Callable, Iterable
-from enum import Enum
+from collections.abc import Callable, Iterable, Sequence
 
 import trio
 
@@ -14,13 +13,14 @@
 from peridotwell.errors import EntryError
 from peridotwell.fleet.replica.deferred_removals import DeferredRemovals
 from peridotwell.fleet.replica.departed_targets import DepartedTargets
-from peridotwell.fleet.replica.recent_refusals import RecentRefusals
+from peridotwell.fleet.replica.entry_source import EntrySource
 from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.fleet.replica.store_contact import (
     StoreContact,
     StoreContactReport,
 )
 from peridotwell.fleet.replica.store_replica import StoreReplica
+from peridotwell.fleet.replica.table_in_force import TableInForce
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
 from peridotwell.fleet.transport.router_registry import (
@@ -33,21 +33,10 @@
 from peridotwell.store.change_feed import Changes, Snapshot
 from peridotwell.store.revisions import era_of, is_of_later_era
 
-__all__ = ('EntrySource', 'ServiceDirectory')
+__all__ = ('ServiceDirectory',)
 
-
-class EntrySource(Enum):
-    """From where an entry was taken."""
-
-    store_changes = 'store changes'
-    store_snapshot = 'store snapshot'
-    peer_changes = 'peer changes'
-    peer_snapshot = 'peer snapshot'
-
-    @property
-    def is_peer(self) -> bool:
-        """Whether another router has told the entry."""
-        return self in {EntrySource.peer_changes, EntrySource.peer_snapshot}
+# Less than every revision.
+NO_REVISION = -1
 
 
 class ServiceDirectory:
@@ -57,9 +46,9 @@
     """
 
     def __init__(self, decoder: EntryDecoder) -> None:
+        self.replica = StoreReplica()
         self.table: RoutingTable | None = None
-        self.table_loaded_at = float(0)
-        self.table_source: EntrySource | None = None
+        self.table_in_force = TableInForce(decoder, self.replica)
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -67,7 +56,8 @@
         # The last known revision, from the store or from a peer.
         self.known_revision = 0
         self.is_loaded = False
-        # Number of entries that could not be read.
+        self.refusals = self.table_in_force.refusals
+        # Number of entries of targets and routers that could not be read.
         self.invalid_entries = 0
         # Set when the routing table and the targets are loaded.
         self.ready = trio.Event()
@@ -75,14 +65,12 @@
         self.available_names: frozenset[str] = frozenset()
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
-        self.replica = StoreReplica()
         self._routers: dict[str, Hello] = {}
         self._has_changed = False
         self._targets_by_id: dict[int, Target] = {}
         self.deferred_removals = DeferredRemovals()
         self.store_contact = StoreContact(self.deferred_removals)
         self.belief = StoreBelief()
-        self.refusals = RecentRefusals()
         self._departed = DepartedTargets()
         # By service: all targets, and those that accept new work.
         self._by_service: dict[str, tuple[Target, ...]] = {}
@@ -121,13 +109,12 @@
     def apply_changes(self, changes: Changes, now: float) -> None:
         """Apply changes from the store's change feed."""
         self.store_contact.record_answer(now)
-        # Of several versions of a large configuration, only the last valid
-        # one is decoded.
-        listed = self.replica.listed_entries(
-            reversed(changes.entries), changes.revision, self.known_revision
+        self._apply_entries(
+            tuple(reversed(changes.entries)),
+            changes.revision,
+            EntrySource.store_changes,
+            now,
         )
-        for entry in listed:
-            self._apply_entry(entry, EntrySource.store_changes, now)
         for key, revision in changes.deleted:
             self._apply_deletion(key, revision, EntrySource.store_changes, now)
         self.deferred_removals.record_answer(changes.revision)
@@ -145,14 +132,14 @@
         They must include every change after the revision that is known here,
         up to `revision`; if some are missing, `revision` is the known one.
         """
+        source = EntrySource.peer_changes
+        written = []
         for entry in entries:
             if entry.value is None:
-                self._apply_deletion(
-                    entry.key, entry.revision, EntrySource.peer_changes, now
-                )
+                self._apply_deletion(entry.key, entry.revision, source, now)
             else:
-                store_entry = Entry(entry.key, entry.value, entry.revision)
-                self._apply_entry(store_entry, EntrySource.peer_changes, now)
+                written.append(Entry(entry.key, entry.value, entry.revision))
+        self._apply_entries(written, revision, source, now)
         self._finish_changes(revision, now)
 
     def apply_peer_snapshot(
@@ -210,11 +197,7 @@
                 previous_era=era_of(self.known_revision),
                 missing_entries=len(missing),
             )
-        listed = self.replica.listed_entries(
-            snapshot.entries, snapshot.revision, self.known_revision
-        )
-        for entry in listed:
-            self._apply_entry(entry, source, now)
+        self._apply_entries(snapshot.entries, snapshot.revision, source, now)
         for key in missing:
             self._apply_deletion(key, snapshot.revision, source, now)
         self.replica.record_snapshot(snapshot.revision)
@@ -227,16 +210,33 @@
         if self.table is not None:
             self.ready.set()
 
+    def _apply_entries(
+        self,
+        entries: Sequence[Entry],
+        revision: int,
+        source: EntrySource,
+        now: float,
+    ) -> None:
+        """Apply the entries of an answer at `revision`."""
+        versions = [
+            entry for entry in entries if self._decoder.is_table(entry.key)
+        ]
+        if self.table_in_force.apply(versions, source, now):
+            self.table = self.table_in_force.table
+            self._has_changed = True
+        others = (
+            entry for entry in entries if not self._decoder.is_table(entry.key)
+        )
+        # What a peer tells may be older than what it knows.
+        told_revision = NO_REVISION if source.is_peer else revision
+        for entry in self.replica.listed_entries(
+            others, told_revision, self.known_revision
+        ):
+            self._apply_entry(entry, source, now)
+
     def _apply_entry(
         self, entry: Entry, source: EntrySource, now: float
     ) -> None:
-        if source.is_peer and self.replica.is_known_gone(
-            entry, self.known_revision
-        ):
-            return
-        is_table = self._decoder.is_table(entry.key)
-        if is_table:
-            self._apply_table(entry, source, now)
         if not self.replica.is_newer(entry):
             return
         if self._decoder.is_target(entry.key):
@@ -244,40 +244,11 @@
         elif entry.key.startswith(ROUTERS_PREFIX):
             is_valid = _apply_router(entry, self._routers)
             self.invalid_entries += not is_valid
-        elif not is_table and entry.key != VERSIONS_KEY:
+        elif entry.key != VERSIONS_KEY:
             return
         self._has_changed = True
         self.replica.put(entry)
 
-    def _apply_table(
-        self, entry: Entry, source: EntrySource, now: float
-    ) -> None:
-        in_force = self.table.revision if self.table else 0
-        if entry.revision <= in_force or self.replica.has_version(entry):
-            return
-        try:
-            table = self._decoder.decode_table(entry.value, entry.revision)
-        except EntryError as exc:
-            self.invalid_entries += 1
-            log_event('table.invalid', error=str(exc), revision=entry.revision)
-            return
-        if self.table is not None and table.version < self.table.version:
-            # Its write was executed late, or a restored store lists it. The
-            # one in force stays until its operator has written it again.
-            log_event('table.older', version=table.version)
-            return
-        self.table = table
-        self.table_loaded_at = now
-        self.table_source = source
-        log_event(
-            'table.taken',
-            version=table.version,
-            revision=table.revision,
-            routes=len(table.routes),
-            source=source.value,
-        )
-        self.refusals.log_allowed_by(table, source.value, now)
-
     def _apply_target(
         self, entry: Entry, source: EntrySource, now: float
     ) -> None:
