--- a/tests/peridotwell_platform/test_entries.py
+++ b/tests/peridotwell_platform/test_entries.py
@@ -182,3 +182,44 @@
 def test_invalid_target_entry_is_rejected(content):
     with pytest.raises(EntryError):
         ENTRIES.decode_target('servers/i-1', content)
+
+
+# Guards against a live target that is removed from use because a number of its
+# entry is written as 64.0, or because an optional field is null.
+@pytest.mark.parametrize('name', ['slots', 'born', 'seq'])
+def test_whole_numbers_of_a_target_may_be_written_with_a_fraction(name):
+    usual = ENTRIES.decode_target('servers/i-1', encode(SERVER))
+    server = {**SERVER, name: float(SERVER[name])}
+    assert ENTRIES.decode_target('servers/i-1', encode(server)) == usual
+
+
+@pytest.mark.parametrize('name', ['slots', 'born', 'seq', 'version', 'other'])
+def test_null_in_the_entry_of_a_target_means_absent(name):
+    absent = {key: SERVER[key] for key in SERVER if key != name}
+    usual = ENTRIES.decode_target('servers/i-1', encode(absent))
+    server = {**SERVER, name: None}
+    assert ENTRIES.decode_target('servers/i-1', encode(server)) == usual
+
+
+def test_versions_of_a_target_are_compared_by_value():
+    for written in (3, 3.0, '3'):
+        content = encode({**SERVER, 'version': written})
+        assert ENTRIES.decode_target('servers/i-1', content).software == '3'
+
+
+# Guards against a target in use by an entry that another writer has written.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'slots': 64.5},
+        {'slots': -1.0},
+        {'slots': '64'},
+        {'seq': True},
+        {'service': None},
+        {'state': None},
+        {'address': 7.0},
+    ],
+)
+def test_fields_of_another_value_name_no_target(changes):
+    with pytest.raises(EntryError):
+        ENTRIES.decode_target('servers/i-1', encode({**SERVER, **changes}))
