A configuration is read entry by entry; what is odd costs itself alone

Cause: the document was decoded as one strict value, and table_faults() refused it as a whole. The store vouches for a version as a whole, so a refusal takes all else of it out of force, without end.

A route that cannot be read gets 503 with Retry-After on its host and prefix; if these cannot be read, paths that have no route do. Keys that no customer has get 503 while a customer cannot be read. RoutingTable.faults is logged as a warning (table.entries_unreadable).

A route without a host is a fault, too (test_table_faults.py).

--- a/peridotwell/domain/counts.py
+++ b/peridotwell/domain/counts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ('Count', 'is_count')
+__all__ = ('MAX_COUNT', 'Count', 'is_count')
 
 # Longer numbers are no counts, and the language refuses to convert some.
 MAX_DIGITS = 18
--- a/peridotwell/domain/routing_table.py
+++ b/peridotwell/domain/routing_table.py
@@ -11,6 +11,8 @@
 
 import xxhash
 
+from peridotwell.domain.route_paths import RoutePath, canonical_host
+
 __all__ = (
     'RequestKind',
     'WeightedService',
@@ -134,6 +136,11 @@
     `revision` is the store's revision, by which tables are ordered.
     `customers` maps API keys to customers. `has_customers` tells whether
     the configuration defines customers at all.
+
+    `faults` are sentences that name the entries that could not be read or
+    used as they were written. `unreadable_paths` are the paths of routes that
+    could not be read; `has_unreadable_customers` tells whether a key that is
+    not in `customers` may belong to one.
     """
 
     version: int
@@ -143,18 +150,27 @@
     limits: CallerLimits = CallerLimits()
     customers: Mapping[str, Customer] = field(default_factory=dict)
     has_customers: bool = False
+    unreadable_paths: tuple[RoutePath, ...] = ()
+    has_unreadable_customers: bool = False
+    faults: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route of `host` with the longest prefix of `path`."""
-        prefixes = self._by_host.get(host.partition(':')[0].lower(), {})
-        end = len(path)
-        while end > 0:
-            end = path.rfind('/', 0, end) + 1
-            found = prefixes.get(path[:end])
-            if found is not None:
-                return found
-            end -= 1
-        return None
+        """Return the route of `host` with the longest prefix of `path`.
+
+        Returns None if there is none, or if it could not be read.
+        """
+        found = self._find(canonical_host(host), path)
+        return found if isinstance(found, Route) else None
+
+    def is_in_doubt(self, host: str, path: str) -> bool:
+        """Return whether the route of a path may be one that is unreadable."""
+        wanted = canonical_host(host)
+        found = self._find(wanted, path)
+        if found is not None:
+            return isinstance(found, RoutePath)
+        return any(
+            each.may_cover(wanted, path) for each in self.unreadable_paths
+        )
 
     def find_customer(self, api_key: str) -> Customer | None:
         """Return the customer to whom an API key belongs."""
@@ -170,11 +186,26 @@
             for service in route.services
         )
 
+    def _find(self, host: str, path: str) -> Route | RoutePath | None:
+        prefixes = self._by_host.get(host, {})
+        end = len(path)
+        while end > 0:
+            end = path.rfind('/', 0, end) + 1
+            found = prefixes.get(path[:end])
+            if found is not None:
+                return found
+            end -= 1
+        return None
+
     @cached_property
-    def _by_host(self) -> dict[str, dict[str, Route]]:
-        hosts: dict[str, dict[str, Route]] = {}
-        for route in self.routes:
-            hosts.setdefault(route.host.lower(), {})[route.prefix] = route
+    def _by_host(self) -> dict[str, dict[str, Route | RoutePath]]:
+        """The paths of all routes; one that can be read goes first."""
+        hosts: dict[str, dict[str, Route | RoutePath]] = {}
+        entries: list[Route | RoutePath] = list(self.unreadable_paths)
+        entries.extend(self.routes)
+        for each in entries:
+            prefixes = hosts.setdefault(canonical_host(each.host), {})
+            prefixes[each.prefix] = each
         return hosts
 
 
--- a/peridotwell/domain/table_faults.py
+++ b/peridotwell/domain/table_faults.py
@@ -1,27 +1,27 @@
-"""What makes a routing table unusable, although its document can be decoded.
+"""What makes an entry of a routing table unusable, although it can be decoded.
 
-Such a table is refused as a whole, and the one in force stays. Refused is only
-what cannot be carried out: a route that no request matches or that no service
-serves, or two entries of which only one can apply.
+Only what cannot be carried out is a fault: a route that no request matches or
+that no service serves, or two entries of which only one can apply.
 """
 
 import math
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
+from peridotwell.domain.route_paths import SEPARATOR, canonical_host
 from peridotwell.domain.routing_table import Route, RoutingTable
 
-__all__ = ('table_faults',)
-
-SEPARATOR = '/'
+__all__ = ('route_faults', 'table_faults')
 
 
 def table_faults(table: RoutingTable) -> Iterator[str]:
     """Yield each fault of a table, as a sentence that names the entry."""
     for route in table.routes:
-        for fault in _route_faults(route):
-            yield f'route {route.name}: {fault}'
-    paths = ((route.host.lower(), route.prefix) for route in table.routes)
+        for fault in route_faults(route):
+            yield f'route {route.name}: {fault}.'
+    paths = (
+        (canonical_host(route.host), route.prefix) for route in table.routes
+    )
     for host, prefix in _repeated(paths):
         yield f'{host}{prefix} has several routes: name one.'
     limits = table.limits
@@ -31,20 +31,23 @@
         yield 'a limit on requests is not above 0.'
 
 
-def _route_faults(route: Route) -> Iterator[str]:
+def route_faults(route: Route) -> Iterator[str]:
+    """Yield what makes a route unusable."""
+    if not route.host:
+        yield 'it has no host'
     if not (
         route.prefix.startswith(SEPARATOR) and route.prefix.endswith(SEPARATOR)
     ):
-        yield f'its prefix {route.prefix!r} lacks a slash at an end.'
+        yield f'its prefix {route.prefix!r} lacks a slash at an end'
     if not _is_positive(route.timeout_seconds):
-        yield 'its time limit is not above 0.'
+        yield 'its time limit is not above 0'
     if route.max_attempts < 1:
-        yield 'it allows no attempt.'
+        yield 'it allows no attempt'
     weights = [service.weight for service in route.services]
     if min(weights) < 0 or not _is_positive(sum(weights)):
-        yield 'the weights of its services are not above 0.'
+        yield 'the weights of its services are not above 0'
     if not all(service.name for service in route.services):
-        yield 'it names no service.'
+        yield 'it names no service'
 
 
 def _is_positive(*numbers: float) -> bool:
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -21,6 +21,7 @@
     StoreContactReport,
 )
 from peridotwell.fleet.replica.store_replica import StoreReplica
+from peridotwell.fleet.replica.table_fault_log import log_table_faults
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
 from peridotwell.fleet.transport.router_registry import (
@@ -276,6 +277,7 @@
             routes=len(table.routes),
             source=source.value,
         )
+        log_table_faults(table)
         self.refusals.log_allowed_by(table, source.value, now)
 
     def _apply_target(
--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -32,6 +32,9 @@
 )
 
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
+# A version that can be read may come soon; most operators write the next one
+# within seconds.
+UNREADABLE_RETRY_AFTER_SECONDS = 1
 NO_CUSTOMER = Customer('')
 
 RequestReader = Callable[
@@ -104,10 +107,11 @@
 
 
 def _find_route(exchange: HttpExchange, table: RoutingTable) -> Route:
-    route = table.find_route(
-        exchange.headers.get('host', ''),
-        exchange.raw_path.decode('latin-1'),
-    )
+    host = exchange.headers.get('host', '')
+    path = exchange.raw_path.decode('latin-1')
+    route = table.find_route(host, path)
+    if route is None and table.is_in_doubt(host, path):
+        raise _unreadable('The route of this host and path', table)
     if route is None:
         raise UnknownPath(
             f'No route of configuration {table.version} has this host and '
@@ -171,9 +175,19 @@
         return found
     if route.anonymous or not table.has_customers:
         return NO_CUSTOMER
+    if metadata.api_key and table.has_unreadable_customers:
+        raise _unreadable('The customer of this API key', table)
     raise UnknownCredential('The API key is not known: ask for a valid one.')
 
 
+def _unreadable(subject: str, table: RoutingTable) -> NotConfigured:
+    return NotConfigured(
+        f'{subject} may be an entry of configuration {table.version} that '
+        'cannot be read: ask its operator.',
+        retry_after_seconds=UNREADABLE_RETRY_AFTER_SECONDS,
+    )
+
+
 def _check_header_size(exchange: HttpExchange, table: RoutingTable) -> None:
     size = sum(len(name) + len(text) for name, text in exchange.fields)
     if size > table.limits.header_bytes:
--- a/tests/domain/test_table_faults.py
+++ b/tests/domain/test_table_faults.py
@@ -45,6 +45,7 @@
         {'prefix': 'read/'},
         {'prefix': '/read'},
         {'prefix': ''},
+        {'host': ''},
         {'timeout_seconds': 0},
         {'timeout_seconds': -1},
         {'timeout_seconds': float('inf')},
