--- a/peridotwell/fleet/replica/table_in_force.py
+++ b/peridotwell/fleet/replica/table_in_force.py
@@ -12,6 +12,7 @@
 from peridotwell.fleet.replica.entry_source import EntrySource
 from peridotwell.fleet.replica.recent_refusals import RecentRefusals
 from peridotwell.fleet.replica.store_replica import StoreReplica
+from peridotwell.fleet.replica.table_fault_log import log_table_faults
 from peridotwell.fleet.replica.versions_not_taken import (
     SeenVersion,
     VersionsNotTaken,
@@ -119,6 +120,7 @@
             routes=len(table.routes),
             source=source.value,
         )
+        log_table_faults(table)
         self.refusals.log_allowed_by(table, source.value, now)
 
     def _log_not_taken(
