A version that the store did not tell is read before a refusal

Cause, of one way: the known revision passes a version that was not told. Two keys that are written in one transaction share a revision; if one is told and the other is not, the next watch begins after both, and nothing ever finds out. That the users' store does this is not shown.

Evidence: new tests/peridotwell_platform/test_untold_versions.py, a real router against the stand-in: 404 and 401 before; after, 200 at once.

Change: before a path or a key counts as unknown, the configuration's own key must have been read by a call sent at most about a second before; else it is read now, and requests wait for that one call for 0.3 s at most. A newer version is applied and the request decided again. `table.not_told` (WARNING) says that the known revision had passed it. If the read fails, the request is decided as before. Without refusals no call is added; a flood of unknown paths at one router for 3.5 s costs 3 or 4 reads (test).

Ruled out: reading at a steady rate (410 routers and 100 KB would be 41 MB/s). The path of serving/ (own interface) has another store and configuration.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -41,6 +41,7 @@
 
     store_changes = 'store changes'
     store_snapshot = 'store snapshot'
+    store_read = 'store read'
     peer_changes = 'peer changes'
     peer_snapshot = 'peer snapshot'
 
@@ -60,6 +61,8 @@
         self.table: RoutingTable | None = None
         self.table_loaded_at = float(0)
         self.table_source: EntrySource | None = None
+        # The store's key of the routing table; '' before one is known.
+        self.table_key = ''
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -139,20 +142,19 @@
         entries: Iterable[SharedEntry],
         revision: int,
         now: float,
+        source: EntrySource = EntrySource.peer_changes,
     ) -> None:
-        """Apply changes received from another router.
+        """Apply changes received from another router, or read one by one.
 
         They must include every change after the revision that is known here,
         up to `revision`; if some are missing, `revision` is the known one.
         """
         for entry in entries:
             if entry.value is None:
-                self._apply_deletion(
-                    entry.key, entry.revision, EntrySource.peer_changes, now
-                )
+                self._apply_deletion(entry.key, entry.revision, source, now)
             else:
                 store_entry = Entry(entry.key, entry.value, entry.revision)
-                self._apply_entry(store_entry, EntrySource.peer_changes, now)
+                self._apply_entry(store_entry, source, now)
         self._finish_changes(revision, now)
 
     def apply_peer_snapshot(
@@ -236,6 +238,7 @@
             return
         is_table = self._decoder.is_table(entry.key)
         if is_table:
+            self.table_key = entry.key
             self._apply_table(entry, source, now)
         if not self.replica.is_newer(entry):
             return
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -9,6 +9,7 @@
 from peridotwell.fleet.replica.store_check import StoreCheck
 from peridotwell.fleet.replica.store_follower import StoreFollower
 from peridotwell.fleet.replica.store_reader import StoreReader
+from peridotwell.fleet.replica.table_check import TableCheck
 from peridotwell.fleet.replica.version_record import VersionRecordWriter
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
@@ -93,7 +94,13 @@
         directory, adapters.targets, notice_recorder.record, buffers
     )
     forwarding = _make_forwarding(
-        settings, adapters, update_exchange, clients, metrics, buffers
+        settings,
+        adapters,
+        update_exchange,
+        clients,
+        metrics,
+        buffers,
+        TableCheck(store, directory, metrics),
     )
     reader = StoreReader(store, directory, metrics)
     follower = StoreFollower(
@@ -144,6 +151,7 @@
     clients: TargetClients,
     metrics: Metrics,
     buffers: ResponseBuffers,
+    table_check: TableCheck,
 ) -> ForwardingComponents:
     state = update_exchange.state
     tracker = TargetTracker(
@@ -176,6 +184,7 @@
         StreamAffinity(state.directory, update_exchange),
         adapters.callers,
         adapters.targets,
+        table_check,
     )
 
 
--- a/peridotwell/forwarding/components.py
+++ b/peridotwell/forwarding/components.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from peridotwell.fleet.replica.table_check import TableCheck
 from peridotwell.forwarding.adapters import CallerAdapter, TargetAdapter
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
@@ -29,3 +30,4 @@
     stream_affinity: StreamAffinity
     caller_adapter: CallerAdapter
     target_adapter: TargetAdapter
+    table_check: TableCheck
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -132,12 +132,7 @@
             await self._directory.ready.wait()
         try:
             await self._require_settled()
-            request = await read(
-                exchange,
-                self._components.caller_adapter,
-                self._directory.table,
-                now,
-            )
+            request = await self._read(exchange, read, now)
             self.planned_stop.check(request.deadline_at, trio.current_time())
         except RequestError as exc:
             error = self._unless_outdated(exc, trio.current_time())
@@ -156,6 +151,23 @@
         if not await run_until_caller_disconnects(exchange, work):
             self._record_caller_left(exchange)
 
+    async def _read(
+        self, exchange: HttpExchange, read: RequestReader, now: float
+    ) -> RoutedRequest:
+        """Read a request, and again if the store has a newer table.
+
+        It is asked for one before a path or a key counts as unknown.
+        """
+        adapter = self._components.caller_adapter
+        table = self._directory.table
+        try:
+            return await read(exchange, adapter, table, now)
+        except (UnknownPath, UnknownCredential):
+            await self._components.table_check.confirm(trio.current_time())
+            if self._directory.table is table:
+                raise
+        return await read(exchange, adapter, self._directory.table, now)
+
     def _request_id(self, exchange: HttpExchange) -> str:
         return self._components.caller_adapter.request_id(exchange)
 
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -58,6 +58,9 @@
         self.faults = deque()
         self.calls = []
         self.page_size = 3
+        # The keys of calls that read one entry, and a fault that each meets.
+        self.keys_read = []
+        self.read_fault = None
         self.era = 1
         # After a number of further calls, the copy to go back to.
         self.restore_after_calls = None
@@ -88,6 +91,15 @@
         self.era += 1
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        self._notify_watches(self._write(key, value, lease))
+        return self.revision
+
+    def put_untold(self, key: str, value: bytes) -> int:
+        """Write an entry that no watch tells."""
+        self._write(key, value, 0)
+        return self.revision
+
+    def _write(self, key: str, value: bytes, lease: int):
         self.revision += 1
         old = self.items.get(key)
         item = {
@@ -98,8 +110,7 @@
             'lease': lease,
         }
         self.items[key] = item
-        self._notify_watches(item)
-        return self.revision
+        return item
 
     def delete(self, key: str) -> None:
         self.revision += 1
@@ -139,6 +150,9 @@
         self.calls.append(name)
         self._restore_if_due()
         fault = self.faults.popleft() if self.faults else None
+        if name == 'kv-key':
+            self.keys_read.append(dict(parse_qsl(exchange.query_string))['key'])
+            fault = fault or self.read_fault
         if fault == 'silent':
             await trio.sleep_forever()
         if isinstance(fault, int):
--- /dev/null
+++ b/tests/peridotwell_platform/test_untold_versions.py
@@ -0,0 +1,130 @@
+"""Versions that the store's key holds and that its changes leave out."""
+
+import logging
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from peridotwell.serving.asgi import serve_http
+from peridotwell.store.revisions import store_revision
+from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform.router_setup import (
+    LOCALHOST,
+    call,
+    caller_headers,
+    configuration,
+    start_router,
+    start_store,
+    target_entry,
+)
+
+CONFIG_KEY = 'op/config'
+READ = stand_in.route('read', 'idempotent')
+CONFIG = configuration(10, READ)
+NEXT_CONFIG = {
+    **CONFIG,
+    'version': 2,
+    'routes': [READ, stand_in.route('new', 'idempotent')],
+    'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1', 'key-2']}],
+}
+ADDED = {
+    'path': ('/new/1', 'key-1', 404),
+    'key': ('/read/1', 'key-2', 401),
+}
+# Time in which the changes after a version are told.
+TOLD_SECONDS = 0.3
+# A refusal waits for the store at most this long, and a little for its turns.
+REFUSED_SECONDS = 0.45
+FLOOD_SECONDS = 3.5
+
+
+class Fleet:
+    """A store, a target and a router, to which requests are sent."""
+
+    def __init__(self, store, router, address) -> None:
+        self.store = store
+        self.directory = router._components.directory
+        self.metrics = router._components.metrics
+        self._address = address
+        self._pool = httpcore.AsyncConnectionPool()
+
+    async def status(self, path, key):
+        headers = caller_headers(1, x_credential=key)
+        resp = await call(self._pool, self._address, 'GET', path, headers, b'')
+        return resp.status
+
+
+@pytest.fixture
+async def fleet(nursery):
+    store, address = await start_store(nursery, CONFIG)
+    target = stand_in.TargetStandIn('i-1')
+    target_address = await nursery.start(
+        serve_http, target.handle, f'{LOCALHOST}:0'
+    )
+    store.put('servers/i-1', target_entry(target_address))
+    started = await start_router(nursery, 'r-1', address)
+    await trio.sleep(TOLD_SECONDS)
+    return Fleet(store, started.router, started.address)
+
+
+def write_in_one_transaction(store):
+    """Write a version and a target, of which only the target is told."""
+    store.put_untold(CONFIG_KEY, msgspec.json.encode(NEXT_CONFIG))
+    store.revision -= 1
+    store.put('servers/i-2', target_entry('127.0.0.1:9'))
+
+
+# Guards against a route or a key that all routers refuse until the next version
+# (issue 65): the known revision passed a version that was not told.
+@pytest.mark.parametrize('added', ADDED)
+async def test_a_version_that_was_not_told_is_read_before_a_refusal(
+    fleet, caplog, added
+):
+    path, key, refused = ADDED[added]
+    assert await fleet.status(path, key) == refused
+    write_in_one_transaction(fleet.store)
+    await trio.sleep(1.2)
+    known = store_revision(fleet.directory.known_revision)
+    assert known == fleet.store.revision
+    assert fleet.directory.table.version == 1
+    caplog.set_level(logging.INFO, 'peridotwell')
+    assert await fleet.status(path, key) == 200
+    lines = [
+        each.msg
+        for each in caplog.records
+        if each.msg['event'] == 'table.not_told'
+    ]
+    assert [
+        (line['version'], line['in_force'], line['known'] - line['revision'])
+        for line in lines
+    ] == [(2, 1, 0)]
+    assert fleet.metrics.counters['table.not_told'] == 1
+
+
+# Guards against calls to the store, and bytes of its answers, that grow with
+# the number of requests for unknown paths.
+async def test_a_flood_of_unknown_paths_costs_one_read_a_second(fleet):
+    refused = 0
+    began = trio.current_time()
+
+    async def send():
+        nonlocal refused
+        while trio.current_time() - began < FLOOD_SECONDS:
+            refused += await fleet.status('/never/1', 'key-1') == 404
+
+    async with trio.open_nursery() as senders:
+        for _ in range(8):
+            senders.start_soon(send)
+    assert refused > 40
+    assert 3 <= fleet.store.keys_read.count(CONFIG_KEY) <= 4
+
+
+@pytest.mark.parametrize('fault', ['silent', 503, 'garbage'])
+async def test_a_refusal_waits_a_short_time_for_a_read_that_fails(fleet, fault):
+    fleet.store.read_fault = fault
+    began = trio.current_time()
+    assert await fleet.status('/never/1', 'key-1') == 404
+    assert trio.current_time() - began < REFUSED_SECONDS
+    assert CONFIG_KEY in fleet.store.keys_read
