An answer older than what was known when it was asked for is no evidence

Callers may see: 404 and 401, at a router with young knowledge, for what an acknowledged version has.

Cause: an answer of the store counted as evidence for all that was acknowledged before its call, whatever revision it tells. One that tells a lower revision than the router knew when it sent the call (from the store, a peer, or a read of the configuration alone) shows an earlier state.

Change: the entries of such an answer are applied, but its call counts as failed (404 and 401 become 503 once the belief is old, known routes are served), and `store.stale_answer` (WARNING) names both revisions. Revisions are compared with those known when the call was sent, so calls that overlap are not affected.

--- a/peridotwell/fleet/replica/store_belief.py
+++ b/peridotwell/fleet/replica/store_belief.py
@@ -54,6 +54,8 @@
 
     def __init__(self) -> None:
         self.evidence: Evidence | None = None
+        # The latest revision that a read of a single entry has shown.
+        self.read_revision = 0
         self.due = trio.Event()
         # Set, and replaced, when evidence comes, or a call gets no answer.
         self._news = trio.Event()
@@ -71,6 +73,10 @@
             self.due = trio.Event()
         self._announce()
 
+    def record_read(self, revision: int) -> None:
+        """Record the revision of an entry that was read by itself."""
+        self.read_revision = max(self.read_revision, revision)
+
     def record_failure(self, asked_at: float) -> None:
         """Record that a call that was sent at a time got no answer."""
         self._failed_asked_at = max(self._failed_asked_at, asked_at)
--- a/peridotwell/fleet/replica/store_reader.py
+++ b/peridotwell/fleet/replica/store_reader.py
@@ -2,9 +2,10 @@
 
 import trio
 
-from peridotwell.errors import StoreError
+from peridotwell.errors import StoreError, StoreResponseLost
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
+from peridotwell.logs import log_failure
 from peridotwell.metrics import Metrics
 from peridotwell.store.change_feed import (
     ChangeFeed,
@@ -20,7 +21,8 @@
 class StoreReader:
     """Makes the calls that tell a router the store's entries.
 
-    Each answer is evidence for what the store held when its call was sent.
+    Each answer is evidence for what the store held when its call was sent,
+    unless it shows the store as it was before what was known by then.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         Raises StoreError.
         """
         asked_at = trio.current_time()
+        shown = self._shown_revision()
         try:
             changes = await self._feed.wait_for_changes(after, wait_seconds)
         except HistoryGone:
@@ -47,14 +50,14 @@
             raise
         now = trio.current_time()
         self._directory.apply_changes(changes, now)
-        self._directory.belief.record(
-            Evidence(asked_at, changes.revision, source), now
-        )
+        evidence = Evidence(asked_at, changes.revision, source)
+        self._record(evidence, shown, now)
         return changes
 
     async def read_snapshot(self) -> Snapshot:
         """Read all entries. Raises StoreError."""
         asked_at = trio.current_time()
+        shown = self._shown_revision()
         self._directory.snapshot_requested_at = asked_at
         try:
             snapshot = await self._feed.read_snapshot()
@@ -66,15 +69,43 @@
         now = trio.current_time()
         self._count_restore(snapshot)
         self._directory.apply_snapshot(snapshot, now)
-        self._directory.belief.record(
-            Evidence(asked_at, snapshot.revision, EvidenceSource.snapshot), now
+        evidence = Evidence(
+            asked_at, snapshot.revision, EvidenceSource.snapshot
         )
+        self._record(evidence, shown, now)
         return snapshot
 
     async def renew_connections(self) -> None:
         """Let the next call open a connection of its own."""
         await self._feed.renew_connections()
 
+    def _shown_revision(self) -> int:
+        """Return the revision that the store has reached for sure."""
+        directory = self._directory
+        return max(directory.known_revision, directory.belief.read_revision)
+
+    def _record(self, evidence: Evidence, shown: int, now: float) -> None:
+        """Record an answer to a call that was sent when `shown` was known.
+
+        Raises StoreResponseLost if it is older: it does not tell what the
+        store held then.
+        """
+        if evidence.revision >= shown:
+            self._directory.belief.record(evidence, now)
+            return
+        self._directory.belief.record_failure(evidence.known_until)
+        self._metrics.count('store.stale_answers')
+        log_failure(
+            'store.stale_answer',
+            revision=evidence.revision,
+            known=shown,
+            source=evidence.source.value,
+        )
+        raise StoreResponseLost(
+            f'the answer is of revision {evidence.revision}, although '
+            f'{shown} was known when it was asked for'
+        )
+
     def _count_restore(self, snapshot: Snapshot) -> None:
         if self._directory.is_loaded and is_of_later_era(
             snapshot.revision, self._directory.known_revision
--- a/peridotwell/fleet/replica/table_check.py
+++ b/peridotwell/fleet/replica/table_check.py
@@ -122,6 +122,7 @@
 
     def _apply(self, entry: Entry, now: float) -> None:
         directory = self._directory
+        directory.belief.record_read(entry.revision)
         known = directory.replica.entry(entry.key)
         if known is not None and entry.revision <= known.revision:
             return
--- /dev/null
+++ b/tests/fleet/replica/test_store_reader.py
@@ -0,0 +1,93 @@
+"""Tests of what counts as evidence for what the store holds."""
+
+import pytest
+import trio
+
+from peridotwell.errors import StoreResponseLost
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.replica.store_belief import EvidenceSource
+from peridotwell.fleet.replica.store_reader import StoreReader
+from peridotwell.fleet.transport.frames import SharedEntry
+from peridotwell.metrics import Metrics
+from peridotwell.store.change_feed import Changes, Snapshot
+from tests.fleet.replica.test_service_directory import (
+    Decoder,
+    ScriptedFeed,
+    entry,
+)
+
+KNOWN = 8
+
+
+@pytest.fixture
+def directory():
+    """Return a directory of revision 8, known from the store and a peer."""
+    loaded = ServiceDirectory(Decoder())
+    listed = (entry('table', b'1', 1), entry('t/x', b'ready', 2))
+    loaded.apply_snapshot(Snapshot(listed, 5), 0)
+    shared = SharedEntry('table', KNOWN, b'2')
+    loaded.apply_peer_changes((shared,), KNOWN, 0)
+    return loaded
+
+
+async def read(directory, answer):
+    reader = StoreReader(ScriptedFeed(answer), directory, Metrics('', ''))
+    if isinstance(answer, Snapshot):
+        return await reader.read_snapshot()
+    after = directory.feed_revision
+    return await reader.read_changes(after, 0, EvidenceSource.watch)
+
+
+OLDER = KNOWN - 1
+STALE = (
+    Changes((), (), 5),
+    Changes((entry('t/x', b'leaving', OLDER),), (), OLDER),
+    Snapshot((entry('table', b'1', 1),), OLDER),
+)
+
+
+# Guards against a young belief by which a route is refused that an acknowledged
+# version has: the answer showed the store as it was before what is known.
+@pytest.mark.parametrize('answer', STALE)
+async def test_an_answer_older_than_what_was_known_is_no_evidence(
+    autojump_clock, directory, answer
+):
+    await trio.sleep(1)
+    with pytest.raises(StoreResponseLost):
+        await read(directory, answer)
+    assert directory.belief.evidence is None
+    assert directory.belief.is_away()
+    assert directory.known_revision == KNOWN
+
+
+async def test_the_entries_of_such_an_answer_are_applied(directory):
+    with pytest.raises(StoreResponseLost):
+        await read(directory, STALE[1])
+    assert not directory.available_names
+
+
+async def test_a_read_of_one_entry_shows_how_old_an_answer_may_be(directory):
+    directory.belief.record_read(KNOWN + 2)
+    with pytest.raises(StoreResponseLost):
+        await read(directory, Changes((), (), KNOWN + 1))
+    await read(directory, Changes((), (), KNOWN + 2))
+    assert directory.belief.evidence.revision == KNOWN + 2
+
+
+class _ProceedingFeed(ScriptedFeed):
+    """Another call tells a later revision while this one waits."""
+
+    def __init__(self, directory, *results) -> None:
+        super().__init__(*results)
+        self._directory = directory
+
+    async def wait_for_changes(self, after, wait_seconds):
+        self._directory.apply_changes(Changes((), (), KNOWN + 3), 0)
+        return await super().wait_for_changes(after, wait_seconds)
+
+
+async def test_what_became_known_while_a_call_waited_does_not_count(directory):
+    feed = _ProceedingFeed(directory, Changes((), (), KNOWN))
+    reader = StoreReader(feed, directory, Metrics('', ''))
+    await reader.read_changes(KNOWN, 0, EvidenceSource.watch)
+    assert directory.belief.evidence.revision == KNOWN
