An answer to a request of before a router's start passes no version

Callers may see: a router that refuses all requests, or goes by an older configuration, and asks neither the store (below a relay) nor its peers for it.

Cause: a router asks a peer for the changes after its revision, and is started again before the answer arrives (messages wait for a connection). The answer holds the changes after the revision of before the start only, but its revision counted as known, and the directory as loaded.

Evidence: two new tests in tests/fleet/replica/test_entry_sync.py; before: the known revision is 9 (told) instead of 2 (known), and an empty directory counts as loaded; after: both pass. Not seen in the users' record.

Change: the message tells the revision that was asked for (`base_revision`; 0 from routers of earlier versions: as before). Above what is known, its entries are applied, but its revision is not; before the first reading it is ignored.

--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -100,6 +100,7 @@
             ),
             is_complete,
             directory.deferred_removals.remaining_seconds(now),
+            pull.revision,
         )
         self._transport.send(peer.hello.peer_address, push)
 
@@ -117,11 +118,16 @@
                 removal_grace_seconds=(
                     self._directory.deferred_removals.remaining_seconds(now)
                 ),
+                base_revision=pull.revision,
             )
             self._transport.send(peer.hello.peer_address, push)
 
     def apply_entries(self, push: EntriesPush, now: float) -> None:
-        """Apply the entries that a peer has sent."""
+        """Apply the entries that a peer has sent.
+
+        The request may be that of this router before its last start: then
+        entries between what is known now and what was known then are missing.
+        """
         self._directory.store_contact.doubt_as_peer(
             push.removal_grace_seconds,
             max((entry.revision for entry in push.entries), default=0),
@@ -131,8 +137,14 @@
             self._directory.apply_peer_snapshot(
                 push.entries, push.revision, now
             )
-        else:
-            self._directory.apply_peer_changes(push.entries, push.revision, now)
+            return
+        known = self._directory.known_revision
+        is_missing_some = push.base_revision > known
+        if is_missing_some and not self._directory.is_loaded:
+            return
+        self._directory.apply_peer_changes(
+            push.entries, known if is_missing_some else push.revision, now
+        )
 
     def _is_reading_snapshot(self, now: float) -> bool:
         requested_at = self._directory.snapshot_requested_at
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -237,13 +237,14 @@
 
     If `is_complete`, these are all entries: any other entry has been deleted.
     For another `removal_grace_seconds`, deleted targets may still register
-    again.
+    again. The requested revision is `base_revision`.
     """
 
     revision: int
     entries: tuple[SharedEntry, ...]
     is_complete: bool = False
     removal_grace_seconds: float = 0
+    base_revision: int = 0
 
 
 class EntryPatch(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/fleet/replica/test_entry_sync.py
+++ b/tests/fleet/replica/test_entry_sync.py
@@ -2,9 +2,13 @@
 
 import pytest
 
+from peridotwell.fleet.replica.entry_sync import EntrySync
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.fleet.transport.frames import EntriesPush, SharedEntry
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
+from tests.fleet.replica.test_service_directory import Decoder
 
 CHANGED_AT = 1.0
 # When all have told that they know the change.
@@ -32,6 +36,38 @@
     assert fleet[0].directory.table.version == 2
 
 
+def push(base_revision):
+    """Return the changes after a revision, up to revision 9."""
+    target = SharedEntry('t/x', 9, b'leaving')
+    return EntriesPush(2, 9, (target,), base_revision=base_revision)
+
+
+# Guards against a router that knows no configuration, or an older one, and asks
+# nobody for it: the answer to its request of before its start came after it.
+def test_the_answer_to_an_earlier_start_does_not_pass_a_version():
+    router = Router('a', {})
+    known = router.directory.known_revision
+    router.sharing.entry_sync.apply_entries(push(known + 1), 0)
+    assert router.directory.known_revision == known
+    assert 'x' not in router.directory.available_names
+    router.sharing.entry_sync.apply_entries(push(known), 0)
+    assert router.directory.known_revision == 9
+
+
+def test_a_router_is_not_loaded_by_the_answer_to_an_earlier_start():
+    router = Router('a', {})
+    directory = ServiceDirectory(Decoder())
+    sync = EntrySync(
+        router.sharing.peers,
+        router.transport,
+        directory,
+        router.sharing.relay_protocol,
+    )
+    sync.apply_entries(push(7), 0)
+    assert not directory.is_loaded
+    assert not directory.known_revision
+
+
 def make_fleet():
     """Return three routers, of which two have told that they know a change."""
     routers = {}
