--- a/tests/peridotwell_platform/test_store.py
+++ b/tests/peridotwell_platform/test_store.py
@@ -188,6 +188,30 @@
     assert len((await store.read_snapshot()).entries) == 4
 
 
+# Guards against revisions of before a restore that count as those of after it:
+# all that is written up to them is never taken (found by reading).
+async def test_an_answer_keeps_its_era_if_another_one_tells_a_later_era(served):
+    stand_in, store = served
+    stand_in.put('op/config', b'{}')
+    known = await store.read_snapshot()
+
+    async def repeat(call):
+        answer = await call()
+        store._calls.era += 1
+        return answer
+
+    store._repeat = repeat
+    entry = await store.read('op/config')
+    assert era_of(entry.revision) == era_of(known.revision)
+    store._calls.era -= 1
+    snapshot = await store.read_snapshot()
+    assert snapshot == known
+    store._calls.era -= 1
+    lease = await store.grant_lease(1)
+    store._calls.era -= 1
+    await store.renew_lease(lease)
+
+
 # Guards against overwriting what was written under a revision given out again.
 async def test_write_that_expects_a_revision_of_before_is_refused(restored):
     stand_in, store, known = restored
