--- a/peridotwell/fleet/replica/entry_source.py
+++ b/peridotwell/fleet/replica/entry_source.py
@@ -10,6 +10,7 @@
 
     store_changes = 'store changes'
     store_snapshot = 'store snapshot'
+    store_read = 'store read'
     peer_changes = 'peer changes'
     peer_snapshot = 'peer snapshot'
 
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -49,6 +49,8 @@
         self.replica = StoreReplica()
         self.table: RoutingTable | None = None
         self.table_in_force = TableInForce(decoder, self.replica)
+        # The store's key of the routing table; '' before one is known.
+        self.table_key = ''
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
@@ -126,8 +128,9 @@
         entries: Iterable[SharedEntry],
         revision: int,
         now: float,
+        source: EntrySource = EntrySource.peer_changes,
     ) -> None:
-        """Apply changes received from another router.
+        """Apply changes received from another router, or read one by one.
 
         They must include every change after the revision that is known here,
         up to `revision`; if some are missing, `revision` is the known one.
@@ -221,6 +224,8 @@
         versions = [
             entry for entry in entries if self._decoder.is_table(entry.key)
         ]
+        if versions:
+            self.table_key = versions[0].key
         if self.table_in_force.apply(versions, source, now):
             self.table = self.table_in_force.table
             self._has_changed = True
