The second request path forwards paths as they were sent

Cause: RequestHandler took the path that hypercorn has decoded. The request path of forwarding/ uses the raw one and was not concerned.

Change: HttpExchange.raw_target is the path with its query as sent; both request paths forward it. The contract is looked up by the decoded path, as before.

--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -129,9 +129,7 @@
     body: bytes,
     now: float,
 ) -> RoutedRequest:
-    target_path = exchange.raw_path
-    if exchange.raw_query:
-        target_path = b'%b?%b' % (target_path, exchange.raw_query)
+    target_path = exchange.raw_target
     timeout_seconds = route.timeout_seconds
     if metadata.deadline_seconds is not None:
         timeout_seconds = min(timeout_seconds, metadata.deadline_seconds)
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -66,7 +66,8 @@
     """One HTTP request and the response to it.
 
     The names in `headers` are lower case; `fields` contains the header fields
-    as bytes, with repeated ones kept separate. `status` is 0 until the
+    as bytes, with repeated ones kept separate. `raw_target` is the path with
+    its query as the client wrote them. `status` is 0 until the
     response starts; `is_complete` tells whether its end was sent. `stop` tells
     whether the connection closes after a response that starts now.
     """
@@ -86,6 +87,7 @@
         self.fields: tuple[tuple[bytes, bytes], ...] = tuple(scope['headers'])
         self.raw_path: bytes = scope['raw_path']
         self.raw_query: bytes = scope['query_string']
+        self.raw_target = _join_target(self.raw_path, self.raw_query)
         self.status = 0
         self.is_complete = False
         self._is_chunked = False
@@ -449,6 +451,10 @@
     return f'{host}:{port}'
 
 
+def _join_target(path: bytes, query: bytes) -> bytes:
+    return b'%b?%b' % (path, query) if query else path
+
+
 def _combine_headers(fields: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return the header fields by name.
 
--- a/peridotwell/serving/request_handler.py
+++ b/peridotwell/serving/request_handler.py
@@ -104,10 +104,9 @@
                 'request again.',
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
-        query = f'?{exchange.query_string}' if exchange.query_string else ''
         return parse_request(
             exchange.method,
-            f'{exchange.path}{query}',
+            exchange.raw_target.decode('latin-1'),
             exchange.headers,
             body,
             self._configuration.current,
--- a/peridotwell/serving/request_parser.py
+++ b/peridotwell/serving/request_parser.py
@@ -5,6 +5,7 @@
 
 import uuid
 from collections.abc import Iterable, Mapping
+from urllib.parse import unquote
 
 import msgspec
 
@@ -66,11 +67,11 @@
 ) -> CallerRequest:
     """Return the validated request. Raises BadRequest or UnknownPath.
 
-    `path_and_query` is the request's path with its query string, `now` the
-    time of the router's own clock in seconds.
+    `path_and_query` is the request's path with its query string as the caller
+    wrote them, `now` the time of the router's own clock in seconds.
     """
     _check_headers(headers)
-    path, _, _ = path_and_query.partition('?')
+    path = unquote(path_and_query.partition('?')[0])
     contract = _find_contract(path, configuration.contracts)
     is_streamed = False
     chat = headers.get(CHAT_HEADER, '')
