The question mark of an empty query is forwarded

Cause: hypercorn splits the target at its question mark, and an empty query looks like none; the URL of an HTTP client leaves it out again in serving/, and a fragment with it.

Change: CallerProtocol puts the target into the state of the request, from where HttpExchange.raw_target takes it; the request to a target is given its target beside its URL.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -28,6 +28,7 @@
     CallerConnection,
     ServerStop,
 )
+from peridotwell.serving.caller_protocol import TARGET
 from peridotwell.serving.socket_options import keepalive_options
 
 __all__ = ('HttpExchange', 'HttpServer', 'serve_http')
@@ -87,7 +88,6 @@
         self.fields: tuple[tuple[bytes, bytes], ...] = tuple(scope['headers'])
         self.raw_path: bytes = scope['raw_path']
         self.raw_query: bytes = scope['query_string']
-        self.raw_target = _join_target(self.raw_path, self.raw_query)
         self.status = 0
         self.is_complete = False
         self._is_chunked = False
@@ -98,6 +98,9 @@
         self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
         state = scope.get('state', {})
+        self.raw_target: bytes = state.get(TARGET) or _join_target(
+            self.raw_path, self.raw_query
+        )
         self._body_part: BodyPart = state.get('body_part') or BodyPart()
 
     def query(self, name: str, default: str = '') -> str:
--- a/peridotwell/serving/caller_protocol.py
+++ b/peridotwell/serving/caller_protocol.py
@@ -28,8 +28,13 @@
 )
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.typing import ConnectionState
 
-__all__ = ('CallerProtocol', 'CallerProtocols')
+__all__ = ('TARGET', 'CallerProtocol', 'CallerProtocols')
+
+# Where the state of a request has its target as it was sent: hypercorn leaves
+# out the question mark of an empty query.
+TARGET = 'target'
 
 # The method of the line that begins an HTTP/2 connection.
 HTTP2_METHOD = b'PRI'
@@ -155,7 +160,9 @@
                 http_version=request.http_version.decode(),
                 method=request.method.decode('ascii').upper(),
                 raw_path=target,
-                state=self.connection_state,
+                state=ConnectionState(
+                    {**self.connection_state, TARGET: target}
+                ),
             )
         )
         self.keep_alive_requests += 1
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -290,4 +290,6 @@
             for name, text in headers.items()
         ],
         content=request.body,
+        # The URL lacks the question mark of an empty query.
+        extensions={'target': request.path.encode('latin-1')},
     )
--- a/tests/peridotwell_platform/test_equal_addresses.py
+++ b/tests/peridotwell_platform/test_equal_addresses.py
@@ -34,6 +34,8 @@
         ('/read/x', 'a.example.', '/read/x'),
         ('/read/x', 'a.example.:8080', '/read/x'),
         ('/r%65ad/x', 'a.example', '/r%65ad/x'),
+        ('/read/x?', 'a.example', '/read/x?'),
+        ('http://a.example/read/x?', 'a', '/read/x?'),
         ('/read/x%2fy%7e?a=%41', 'a.example', '/read/x%2fy%7e?a=%41'),
         ('http://a.example/read/x', 'a.example', '/read/x'),
         ('http://a.example/read/x', 'other.example', '/read/x'),
@@ -47,14 +49,12 @@
     received = []
 
     async def respond(target, exchange):
-        received.append((exchange.method, exchange.raw_path))
-        received.append(exchange.raw_query)
+        received.append((exchange.method, exchange.raw_target))
         await stand_in.respond_ok(target, exchange)
 
     harness.script_responses(respond)
     assert await send(harness, target, host) == 200
-    path, _, query = sent.encode().partition(b'?')
-    assert received == [('GET', path), query]
+    assert received == [('GET', sent.encode())]
 
 
 @pytest.mark.parametrize(
--- a/tests/serving/test_request_executor.py
+++ b/tests/serving/test_request_executor.py
@@ -59,10 +59,15 @@
         """Do not check the target."""
 
 
-async def make_executor(nursery, responses):
+async def make_executor(nursery, responses, path='/ledger/1'):
     targets = []
     for number, response in enumerate(responses):
-        address = await RawTarget([response]).start(nursery)
+        target = (
+            response
+            if isinstance(response, RawTarget)
+            else RawTarget([response])
+        )
+        address = await target.start(nursery)
         pool = Pool('dc1', 'ledger')
         targets.append(Target(f't{number}', address, TargetKind.service, pool))
     request = CallerRequest(
@@ -70,7 +75,7 @@
         'c1',
         'interactive',
         'GET',
-        '/ledger/1',
+        path,
         b'',
         Contract('/ledger', 'ledger'),
         float('inf'),
@@ -118,6 +123,19 @@
     assert (response.status, response.body) == (200, b'ok')
 
 
+# Guards against a target that gets another path or query than was sent.
+@pytest.mark.parametrize(
+    'path', ['/ledger/a%2fb%3F?', '/ledger/1?q=%41?', '/ledger//./x', '/x#y']
+)
+async def test_a_target_gets_path_and_query_unchanged(nursery, path):
+    answer = RawResponse(('HTTP/1.1 200 OK', 'content-length: 2', '', 'ok'))
+    target = RawTarget([answer])
+    executor = await make_executor(nursery, [target], path)
+    await executor.execute()
+    (request,) = target.requests
+    assert request.startswith(f'GET {path} HTTP/1.1\r\n'.encode())
+
+
 STREAM_HEAD = ('HTTP/1.1 200 OK', 'content-type: text/event-stream')
 EVENT = b'id: 1\ndata: {"request": "r1"}\n\n'
 CUT_STREAM = RawResponse((*STREAM_HEAD, 'content-length: 99', '', ''), EVENT)
--- a/tests/serving/test_request_targets.py
+++ b/tests/serving/test_request_targets.py
@@ -1,7 +1,8 @@
 """Paths and queries of requests, as targets get them from the second path.
 
 Guards against a target that gets another path than the caller has sent: the
-path was forwarded with its escapes decoded.
+path was forwarded with its escapes decoded, and without the question mark of
+an empty query.
 """
 
 from types import SimpleNamespace
@@ -58,6 +59,8 @@
         ('/book/a%2Fb%3Fc%20d', '/book/a%2Fb%3Fc%20d'),
         ('/book/%C3%BC?%zz', '/book/%C3%BC?%zz'),
         ('/b%6Fok/x', '/b%6Fok/x'),
+        ('/book/x?', '/book/x?'),
+        ('http://other/book/x?', '/book/x?'),
         ('/book/x??', '/book/x??'),
         ('http://other/book/%78?y=%7a', '/book/%78?y=%7a'),
     ],
