--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -28,6 +28,7 @@
     CallerConnection,
     ServerStop,
 )
+from peridotwell.serving.caller_protocol import TARGET
 from peridotwell.serving.socket_options import keepalive_options
 
 __all__ = ('HttpExchange', 'HttpServer', 'serve_http')
@@ -66,7 +67,8 @@
     """One HTTP request and the response to it.
 
     The names in `headers` are lower case; `fields` contains the header fields
-    as bytes, with repeated ones kept separate. `status` is 0 until the
+    as bytes, with repeated ones kept separate. `raw_target` is the path with
+    its query as the client wrote them. `status` is 0 until the
     response starts; `is_complete` tells whether its end was sent. `stop` tells
     whether the connection closes after a response that starts now.
     """
@@ -96,6 +98,9 @@
         self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
         state = scope.get('state', {})
+        self.raw_target: bytes = state.get(TARGET) or _join_target(
+            self.raw_path, self.raw_query
+        )
         self._body_part: BodyPart = state.get('body_part') or BodyPart()
 
     def query(self, name: str, default: str = '') -> str:
@@ -449,6 +454,10 @@
     return f'{host}:{port}'
 
 
+def _join_target(path: bytes, query: bytes) -> bytes:
+    return b'%b?%b' % (path, query) if query else path
+
+
 def _combine_headers(fields: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return the header fields by name.
 
