Soak: a route moves between services, and runs where its versions have it

A record of a version names the service of the route that moves, one of a target its service; a run elsewhere than in any version that may be in force is CONFIG.

--- a/tests/soak/configuration_rule.py
+++ b/tests/soak/configuration_rule.py
@@ -13,6 +13,7 @@
 from tests.soak.records import (
     Answered,
     Arrived,
+    EntryWritten,
     Record,
     RouterStarted,
     Sent,
@@ -20,7 +21,7 @@
     select,
 )
 from tests.soak.touch import Touch
-from tests.soak.versions import ADDED, allows
+from tests.soak.versions import ADDED, MOVED, allows
 
 __all__ = (
     'IN_FORCE_SECONDS',
@@ -41,11 +42,15 @@
 
 @dataclass(frozen=True)
 class _Handling:
-    """When and how a request was handled: it ran, or it was refused."""
+    """When and how a request was handled: it ran, or it was refused.
+
+    It ran on a target of `service`.
+    """
 
     at: float
     ran: bool
     how: str
+    service: str = ''
 
 
 class _Shown:
@@ -128,11 +133,15 @@
 def collect_handlings(records) -> dict[str, list[_Handling]]:
     """Return how each request was handled, by its id."""
     handlings = defaultdict(list)
+    services = {
+        each.target: each.service for each in select(records, EntryWritten)
+    }
     for record in records:
         match record:
             case Arrived(runs=True):
-                how = f'ran on {record.target}'
-                handling = _Handling(record.at, ran=True, how=how)
+                service = services.get(record.target, '')
+                how = f'ran on {record.target} {service}'.strip()
+                handling = _Handling(record.at, True, how, service)
                 handlings[record.request_id].append(handling)
             case Answered(receipt='') if _is_denial(record.status):
                 how = f'was refused with {record.status}'
@@ -185,7 +194,16 @@
 def is_allowed(versions, sent: Sent, handling: _Handling, floor: int) -> bool:
     """Whether a version handles a request so that is `floor` or newer."""
     return any(
-        allows(each.version, sent.route, sent.key) == handling.ran
+        _is_handling_of(each, sent, handling)
         for each in versions
         if each.version >= floor and each.began_at < handling.at
     )
+
+
+def _is_handling_of(
+    version: VersionWritten, sent: Sent, handling: _Handling
+) -> bool:
+    if allows(version.version, sent.route, sent.key) != handling.ran:
+        return False
+    is_elsewhere = handling.service != version.moved_to
+    return not (handling.ran and sent.route == MOVED and is_elsewhere)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -112,12 +112,14 @@
 class VersionWritten(Record, frozen=True):
     """The store is given a version of the configuration, and has taken it.
 
-    Without an answer of the store, `at` is infinite.
+    Without an answer of the store, `at` is infinite. `moved_to` is the service
+    of the route that moves, if the version has it.
     """
 
     began_at: float
     at: float
     version: int
+    moved_to: str = ''
 
 
 class EntryWritten(Record, frozen=True):
@@ -127,6 +129,7 @@
     target: str
     start: int
     state: str
+    service: str = ''
 
 
 class RouterDisturbed(Record, frozen=True):
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -14,7 +14,7 @@
 from tests.soak.records import EntryWritten, Record, VersionWritten, now
 from tests.soak.router_paths import RouterView
 from tests.soak.site import Site
-from tests.soak.versions import Alteration, document
+from tests.soak.versions import Alteration, document, moved_to
 
 __all__ = ('StoreHost',)
 
@@ -83,7 +83,7 @@
         began_at = now()
         self._begin_version(version)
         self._write_configuration()
-        self._records.append(VersionWritten(began_at, now(), version))
+        self._record_version(began_at, now(), version)
 
     def configure_two(self, version: int) -> None:
         """Write a version and the one before, which is executed after it."""
@@ -92,11 +92,11 @@
         self._write_configuration()
         self._write_older(version - 1)
         for each in (version - 1, version):
-            self._records.append(VersionWritten(began_at, now(), each))
+            self._record_version(began_at, now(), each)
 
     def configure_late(self, version: int, seconds: float) -> None:
         """Write a version without an answer, which is executed later."""
-        self._records.append(VersionWritten(now(), math.inf, version))
+        self._record_version(now(), math.inf, version)
         self._nursery.start_soon(self._write_late, version, seconds)
 
     def repeat(self) -> None:
@@ -146,7 +146,9 @@
         entry['seq'] = old['seq'] + 1 if old['born'] == entry['born'] else 0
         self._entries[name] = entry
         self._write_target(name)
-        written = EntryWritten(now(), name, start, entry['state'])
+        written = EntryWritten(
+            now(), name, start, entry['state'], entry['service']
+        )
         self._records.append(written)
 
     def drop_history(self) -> None:
@@ -206,6 +208,10 @@
         self._version = version
         self._alteration = replace(self._alteration, number=0)
 
+    def _record_version(self, began_at: float, at: float, version: int) -> None:
+        service = moved_to(version, self._site)
+        self._records.append(VersionWritten(began_at, at, version, service))
+
     def _write_configuration(self) -> None:
         self._write_version(self._version)
         self._is_behind = False
--- a/tests/soak/test_configuration_rule.py
+++ b/tests/soak/test_configuration_rule.py
@@ -8,6 +8,7 @@
 from tests.soak.records import (
     Answered,
     Arrived,
+    EntryWritten,
     Late,
     RouterDisturbed,
     RouterStarted,
@@ -15,7 +16,7 @@
     StoreDisturbed,
     VersionWritten,
 )
-from tests.soak.versions import BASE_KEY, WINDOW
+from tests.soak.versions import BASE_KEY, MOVED, WINDOW
 
 VERSIONS = tuple(
     VersionWritten(10.0 * number, 10.0 * number, number)
@@ -144,3 +145,15 @@
     assert not judge(*refuse(ACK + 9, 'extra7'), written)
     assert not judge(*run(ACK + 1.1, 'extra7'), written)
     assert judge(*run(ACK + 0.8, 'extra7'), written)
+
+
+def test_route_that_has_moved_must_not_run_where_it_was():
+    moved = VersionWritten(ACK, ACK, WINDOW + 2, 'model')
+    listed = EntryWritten(1, 't0', 1, 'ready', 'desk')
+    late = run(ACK + 2.1, MOVED)
+    [found] = judge(moved, listed, *late)
+    assert 'ran on t0 desk' in found
+    assert not judge(moved, EntryWritten(1, 't0', 1, 'ready', 'model'), *late)
+    # The versions before have it elsewhere.
+    before = VersionWritten(ACK - 1, ACK - 1, WINDOW + 1, 'desk')
+    assert not judge(before, moved, listed, *run(ACK + 1.9, MOVED))
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -9,6 +9,7 @@
     BRIEF_NAMES,
     LONG_STEP,
     LONG_WINDOW,
+    MOVED,
     OPEN,
     UNKNOWN_KEY,
     WINDOW,
@@ -16,6 +17,7 @@
     Versions,
     allows,
     document,
+    moved_to,
 )
 
 VERSIONS = range(1, 2 * LONG_WINDOW)
@@ -125,6 +127,7 @@
         plain, shaped = document(version, DAY), document(version, SHAPED)
         asked = asked_routes(shaped)
         asked.pop(OPEN)
+        assert asked.pop(MOVED)[-1] == {moved_to(version, SHAPED)}
         assert asked == asked_routes(plain)
         [opened] = (each for each in shaped['routes'] if each['name'] == OPEN)
         assert allows(version, OPEN, UNKNOWN_KEY) == opened['anonymous']
@@ -133,6 +136,12 @@
     assert 0 < sum(are_plain) < len(are_plain)
 
 
+def test_a_route_moves_between_the_services():
+    services = {moved_to(version, SHAPED) for version in VERSIONS}
+    assert services == set(SHAPED.services)
+    assert not moved_to(1, DAY)
+
+
 def test_versions_have_uneven_steps_and_stay_in_order():
     numbers = [int(document(each, SHAPED)['version']) for each in VERSIONS]
     assert numbers == sorted(set(numbers))
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -21,7 +21,9 @@
     'MILLISECONDS',
     'Versions',
     'allows',
+    'MOVED',
     'document',
+    'moved_to',
 )
 
 ADDED = 'extra'
@@ -48,6 +50,9 @@
 OPEN_VERSIONS, OPEN_PERIOD = 3, 6
 OPEN_SHARE = 0.1
 UNKNOWN_KEY = 'nobody'
+# A route that each of so many versions leaves where it is, then moves.
+MOVED = 'moved'
+MOVED_VERSIONS = 3
 # The numbers of versions leave room for this many alterations.
 MAX_ALTERATIONS = 100
 BASE_ROUTES = (
@@ -93,12 +98,13 @@
     if site.shapes:
         is_open = _is_open(version, OPEN)
         routes.append(route(OPEN, 'idempotent', anonymous=is_open))
+        routes.append(route(MOVED, 'idempotent'))
     offset = number_offset(site.shapes, version) if site.shapes else 0
     terms = {'timeout_ms': int(site.deadline_seconds * MILLISECONDS)}
     config = {
         'version': version * MAX_ALTERATIONS + offset + alteration.number,
         'routes': [
-            {**each, **terms, 'service': site.service_of(each['kind'])}
+            {**each, **terms, 'service': _service_of(each, version, site)}
             for each in (*BASE_ROUTES, *routes)
         ],
         'services': [
@@ -116,6 +122,19 @@
     return reshape(config, site.shapes) if site.shapes else config
 
 
+def moved_to(version: int, site: Site) -> str:
+    """Return the service of the route that moves, if a version has it."""
+    if not site.shapes:
+        return ''
+    return site.services[version // MOVED_VERSIONS % len(site.services)]
+
+
+def _service_of(asked: dict, version: int, site: Site) -> str:
+    if asked['name'] == MOVED:
+        return moved_to(version, site)
+    return site.service_of(asked['kind'])
+
+
 def allows(version: int, route_name: str, key: str) -> bool:
     """Whether a version has a route, and a key unless it needs none."""
     if route_name == OPEN:
@@ -135,7 +154,9 @@
     def draw(self, version: int) -> tuple[str, str]:
         """Return a route and a key; `version` is the newest one."""
         if self._site.shapes and self._random.random() < OPEN_SHARE:
-            return OPEN, self._random.choice((UNKNOWN_KEY, BASE_KEY))
+            return self._random.choice(
+                ((OPEN, UNKNOWN_KEY), (OPEN, BASE_KEY), (MOVED, BASE_KEY))
+            )
         has_brief_names = self._site.has_brief_names
         if has_brief_names and self._random.random() < BRIEF_SHARE:
             name = self._random.choice(BRIEF_NAMES)
@@ -168,7 +189,7 @@
 def _has(version: int, name: str, base: frozenset[str] | set[str]) -> bool:
     if name in BRIEF_NAMES:
         return _has_brief(version, name)
-    if name in base:
+    if name in base or name == MOVED:
         return True
     text = name.removeprefix(ADDED)
     return text.lstrip('-').isdigit() and _has_number(version, int(text))
