A cut answer to an HTTP/1.0 request ends with a reset

A caller that speaks HTTP/1.0 took a stream for complete that a planned stop (or any failure after its beginning) had cut: where an answer has neither a length nor chunks, the end of the connection marks its end, and the router ended it in the ordinary way.

Change: an exchange whose response has begun and neither ended nor consists of chunks resets its connection. Both request paths use it.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -130,6 +130,17 @@
         """Close the connection if others need the memory of the response."""
         share.wait_for_caller(self._body_part.abort)
 
+    def end(self) -> None:
+        """End the exchange; call it when nothing more is sent.
+
+        A response that was begun and not completed ends with its connection. If
+        it has neither a length nor chunks, it would look complete: then the
+        connection is reset.
+        """
+        self.release_body()
+        if self.status and not (self.is_complete or self._is_chunked):
+            self._body_part.reset()
+
     async def wait_for_disconnect(self) -> None:
         """Return when the client has disconnected."""
         message = {'type': ''}
@@ -304,7 +315,7 @@
         try:
             await self._handler(exchange)
         finally:
-            exchange.release_body()
+            exchange.end()
 
 
 class HttpServer:
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -1,5 +1,7 @@
 """One connection of a caller, served by hypercorn."""
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -34,6 +36,8 @@
 # How long a caller who still sends may read the answer to its request. A close
 # that leaves received bytes unread resets the connection (RFC 9112, 9.6).
 LINGER_SECONDS = 2.0
+# An active close with this option resets the connection.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 @dataclass
@@ -65,12 +69,13 @@
     sent without waiting, so the connection opens a cancel scope only when it
     waits, in place of one for each part. `send_chunk` sends a part of a body
     that consists of chunks, and returns whether it could. `abort` closes the
-    connection at once.
+    connection at once, `reset` resets it.
     """
 
     is_next: bool = False
     send_chunk: Callable[[bytes], Awaitable[bool]] = _send_no_chunk
     abort: Callable[[], None] = _abort_nothing
+    reset: Callable[[], None] = _abort_nothing
 
     def take(self) -> bool:
         """Return whether a part comes next, and expect none after it."""
@@ -125,7 +130,9 @@
         stream: trio.SocketStream,
     ) -> None:
         self._body_part = BodyPart(
-            send_chunk=self._send_chunk, abort=stream.socket.close
+            send_chunk=self._send_chunk,
+            abort=stream.socket.close,
+            reset=self._reset,
         )
         # The server names the type of encrypted connections only. The state
         # reaches the scope of each request.
@@ -258,6 +265,14 @@
             await self.protocol_send(RawData(chunk[sent:]))
         return True
 
+    def _reset(self) -> None:
+        """Close the connection so that its end looks like no ordinary one."""
+        with suppress(OSError):
+            self._socket_stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self._socket_stream.socket.close()
+
     def _log_refusal(self, content: bytes) -> None:
         """Log an answer that hypercorn gives on its own to what it cannot read.
 
--- a/tests/processes/stuttering_target.py
+++ b/tests/processes/stuttering_target.py
@@ -5,7 +5,8 @@
 second answer has the id of the request too. It comes `joined` to the first,
 `split` (a part of its head joined, the rest later), `late`, or `during` the
 next request on the connection. With `half`, only its beginning comes then, and
-all first answers are failures. With `large`, an answer is long and sent once.
+all first answers are failures. With `large`, an answer is long and sent once,
+with `slow`, its second half comes SLOW_SECONDS after the first.
 """
 
 import sys
@@ -24,6 +25,7 @@
     'LARGE_BODY',
     'LARGE_EVENTS',
     'LATE_SECONDS',
+    'SLOW_SECONDS',
     'TIMES',
     'serve',
 )
@@ -32,6 +34,7 @@
 TIMES = ('joined', 'split', 'late', 'during', 'half')
 STREAMS = ('draft', 'ask')
 LATE_SECONDS = 0.4
+SLOW_SECONDS = 6.0
 WORK_SECONDS = 0.01
 SPLIT_BYTES = 40
 SUCCESS = b'HTTP/1.1 200 OK'
@@ -121,6 +124,11 @@
                 for body in _bodies(request, route, when)
             )
             with suppress(trio.BrokenResourceError, trio.BusyResourceError):
+                if when == 'slow':
+                    half = first.index(b'\r\n\r\n') + len(first) // 3
+                    await stream.send_all(first[:half])
+                    await trio.sleep(SLOW_SECONDS)
+                    first = first[half:]
                 joined, rest = _divide(second, when)
                 if when == 'half':
                     first = first.replace(SUCCESS, FAILURE)
@@ -128,7 +136,7 @@
                 await stream.send_all(first + joined)
                 if when in {'during', 'half'}:
                     pending = rest
-                elif when == 'large':
+                elif when in {'large', 'slow'}:
                     """One answer is enough."""
                 elif framing == 'open':
                     await _send_late(stream, rest)
