A late answer to an earlier request amid a body is found

Callers saw a 200 with their id and the receipt whose body held, in place of its rest, the head of the late second answer to another request.

Cause: a target that stutters sends the second answer when its time has come, also while the next answer on the connection is under way. A body with a length counts these bytes as its own. Between chunks and within events they were an error before: held.

Evidence: tests/processes/test_late_second_answers.py, amid, a router process and two target processes: red for read and book with a length; held for the other six.

Change: the search of following_response.py covers bodies with a length on connections that were used before, for heads with the id of one of the 32 latest requests on that connection: no other content is refused.

After: the eight cases green, all of the file, tests/serving.

Not found: bytes of a second answer without its head, amid a body with a length (its head came before the next answer: then the id tells).

--- a/peridotwell/serving/following_response.py
+++ b/peridotwell/serving/following_response.py
@@ -1,11 +1,13 @@
-"""Finds a further response in a body that ends with its connection.
+"""Finds another response in the body of a response.
 
-A faulty target may send a second response after a complete one. Where nothing
-but the end of the connection marks the end of the body, the second response
-would be a part of the first one's body.
+A faulty target may send a second response after a complete one, at any time.
+Where nothing but the end of the connection marks the end of the body, the
+second response would be a part of the first one's body. Where the body has a
+length, that to an earlier request would be a part of it, in place of its rest.
 """
 
 import re
+from collections.abc import Collection
 
 from peridotwell.attempt_errors import ResponseMismatch
 
@@ -13,10 +15,11 @@
 
 # A head that is longer up to the id of its request is not found.
 MAX_SEARCHED_BYTES = 4096
+PROTOCOL = b'HTTP/1.'
 # A status line and the fields up to the id, which each response has.
 HEAD = re.compile(
     rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[!-9;-~]+:[^\r\n]*\r\n)*?'
-    rb'x-request-id:',
+    rb'x-request-id:[ \t]*([^\r\n]*)',
     re.IGNORECASE,
 )
 # The same, cut off.
@@ -27,28 +30,36 @@
 
 
 class FollowingResponse:
-    """Searches the parts of a body for the head of a response."""
+    """Searches the parts of a body for the head of another response.
 
-    def __init__(self) -> None:
+    With `earlier_ids`, only those of responses to these requests are searched
+    for, else any.
+    """
+
+    def __init__(self, earlier_ids: Collection[str] = ()) -> None:
+        self._earlier_ids = earlier_ids
         self._tail = b''
 
     def add(self, part: bytes) -> None:
         """Search up to the end of a part.
 
-        Raises ResponseMismatch if a response with the id of a request begins
-        in the body.
+        Raises ResponseMismatch if another response begins in the body.
         """
         content = self._tail + part
-        _raise_if_found(HEAD, content)
+        if PROTOCOL in content and self._has_head(content):
+            raise ResponseMismatch('Another response is in the body.')
         self._tail = content[-MAX_SEARCHED_BYTES:]
 
     def finish(self) -> None:
         """Raise ResponseMismatch if the body ends within such a head."""
-        _raise_if_found(CUT_HEAD, self._tail)
-
+        if not self._earlier_ids and CUT_HEAD.search(self._tail):
+            raise ResponseMismatch('The body ends within another response.')
 
-def _raise_if_found(head: re.Pattern[bytes], content: bytes) -> None:
-    if head.search(content):
-        raise ResponseMismatch(
-            'Another response follows in a body that ends with its connection.'
-        )
+    def _has_head(self, content: bytes) -> bool:
+        found = {
+            match[1].strip().decode('latin-1')
+            for match in HEAD.finditer(content)
+        }
+        if self._earlier_ids:
+            return not found.isdisjoint(self._earlier_ids)
+        return bool(found)
--- a/peridotwell/serving/response_ownership.py
+++ b/peridotwell/serving/response_ownership.py
@@ -7,7 +7,10 @@
 So a request whose id was just used goes over a new connection.
 """
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from functools import partial
 from weakref import WeakKeyDictionary, WeakValueDictionary
 
 import httpcore
@@ -16,13 +19,19 @@
 
 __all__ = ('ResponseOwnership',)
 
+# A response to one of so many requests before is known as such.
+MAX_EARLIER_IDS = 32
+
 
 @dataclass
 class _Connection:
-    """The requests on a connection: their number, and the id of the last."""
+    """The requests on a connection: their number, and the ids of the latest."""
 
     requests: int = 0
     last_id: str | None = None
+    earlier_ids: deque[str] = field(
+        default_factory=partial(deque, maxlen=MAX_EARLIER_IDS)
+    )
 
 
 class ResponseOwnership:
@@ -40,6 +49,11 @@
         """Return whether the last request on a connection had this id."""
         return bool(request_id) and request_id in self._by_last_id
 
+    def earlier_ids(self, resp: httpcore.Response) -> Collection[str]:
+        """Return the ids of the latest requests before on the connection."""
+        connection = self._connections.get(resp.extensions['network_stream'])
+        return tuple(connection.earlier_ids) if connection else ()
+
     def check(
         self,
         resp: httpcore.Response,
@@ -81,6 +95,8 @@
         if connection.last_id is not None:
             self._by_last_id.pop(connection.last_id, None)
         connection.last_id = request_id
+        if request_id:
+            connection.earlier_ids.append(request_id)
         # The first one: later requests with the id get new connections.
         self._by_last_id.setdefault(request_id, connection)
         return before
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -203,6 +203,7 @@
             response.check_end = partial(
                 check_still_listens, self.target, CONNECT_TIMEOUT_SECONDS
             )
+            response.earlier_ids = self._ownership.earlier_ids(resp)
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
                 resp,
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -1,7 +1,13 @@
 """A target's response, and how the end of its body is marked."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    Awaitable,
+    Callable,
+    Collection,
+    Mapping,
+)
 from dataclasses import dataclass
 from enum import Enum
 
@@ -71,7 +77,8 @@
     yields the body as it arrives, and raises ResponseTruncated or
     ResponseTimeout if it does not arrive completely. `event_limit` limits
     the wait for each event of a stream. `observer` is told of reads.
-    `earlier_requests` is the number of requests before on the connection.
+    `earlier_requests` is the number of requests before on the connection,
+    `earlier_ids` the ids of the latest of them.
     `check_end` is awaited after a body that ends with its connection; it raises
     ResponseTruncated if that was no ordinary end. `share` is the memory that
     the response takes, among those of its `group`; ResponseOverBudget is raised
@@ -96,6 +103,7 @@
         self.headers: Mapping[str, str] = dict(self.fields)
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
+        self.earlier_ids: Collection[str] = ()
         self.check_end: Callable[[], Awaitable[None]] | None = None
         self._has_no_body = (
             method == NO_BODY_METHOD or resp.status in NO_BODY_STATUSES
@@ -128,11 +136,9 @@
     async def body_chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the chunks of the body.
 
-        Raises ResponseMismatch if another response follows in it.
+        Raises ResponseMismatch if another response is in it.
         """
-        following: FollowingResponse | None = None
-        if self.body_end is BodyEnd.connection:
-            following = FollowingResponse()
+        following = self._search_following()
         self._before_read()
         try:
             async for part in self._resp.aiter_stream():
@@ -152,13 +158,21 @@
                 f'The response was truncated: {exc}'
             ) from exc
         if following is not None:
-            await self._check_connection_end(following)
-
-    async def _check_connection_end(self, following: FollowingResponse) -> None:
-        following.finish()
-        if self.check_end is not None:
+            following.finish()
+        if self.body_end is BodyEnd.connection and self.check_end is not None:
             await self.check_end()
 
+    def _search_following(self) -> FollowingResponse | None:
+        """Return a search for another response, if that may be in the body.
+
+        Between chunks, it would be an error.
+        """
+        if self.body_end is BodyEnd.connection:
+            return FollowingResponse()
+        if self.body_end is BodyEnd.length and self.earlier_ids:
+            return FollowingResponse(self.earlier_ids)
+        return None
+
     def whole_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in parts that contain whole events only."""
         return whole_events(self.body_chunks(), self._event_limit, self._hold)
--- a/tests/processes/stuttering_target.py
+++ b/tests/processes/stuttering_target.py
@@ -3,10 +3,11 @@
 `/ROUTE/FRAMING/WHEN` is answered with BODY or EVENTS, whose end is marked as
 `FRAMING` says: by a `length`, by `chunks`, or `open` by the connection. The
 second answer has the id of the request too. It comes `joined` to the first,
-`split` (a part of its head joined, the rest later), `late`, or `during` the
-next request on the connection. With `half`, only its beginning comes then, and
-all first answers are failures. With `large`, an answer is long and sent once,
-with `slow`, its second half comes SLOW_SECONDS after the first.
+`split` (a part of its head joined, the rest later), `late`, `during` the next
+request on the connection, or `amid` the answer to that. With `half`, only its
+beginning comes then, and all first answers are failures. With `large`, an
+answer is long and sent once, with `slow`, its second half comes SLOW_SECONDS
+after the first.
 """
 
 import sys
@@ -31,12 +32,14 @@
 )
 
 FRAMINGS = ('length', 'chunks', 'open')
-TIMES = ('joined', 'split', 'late', 'during', 'half')
+TIMES = ('joined', 'split', 'late', 'during', 'half', 'amid')
 STREAMS = ('draft', 'ask')
 LATE_SECONDS = 0.4
 SLOW_SECONDS = 6.0
 WORK_SECONDS = 0.01
 SPLIT_BYTES = 40
+# Of an answer, after a second one that comes amid it.
+AMID_BYTES = 60
 SUCCESS = b'HTTP/1.1 200 OK'
 FAILURE = b'HTTP/1.1 500 OK'
 LAST_EVENT_ID = b'last-event-id: '
@@ -109,9 +112,12 @@
     pending = b''
     async with trio.open_nursery() as nursery:
         async for request in _requests(stream):
-            if pending:
+            amid = (
+                pending if request.split(b' ', 2)[1].endswith(b'/amid') else b''
+            )
+            if pending and not amid:
                 await stream.send_all(pending)
-                pending = b''
+            pending = b''
             await trio.sleep(WORK_SECONDS)
             path = request.split(b' ', 2)[1].decode()
             if path.count('/') < 3:
@@ -133,8 +139,12 @@
                 if when == 'half':
                     first = first.replace(SUCCESS, FAILURE)
                     rest = SUCCESS
+                if amid:
+                    await stream.send_all(first[:-AMID_BYTES] + amid)
+                    await trio.sleep(WORK_SECONDS)
+                    first = first[-AMID_BYTES:]
                 await stream.send_all(first + joined)
-                if when in {'during', 'half'}:
+                if when in {'during', 'half', 'amid'}:
                     pending = rest
                 elif when in {'large', 'slow'}:
                     """One answer is enough."""
--- a/tests/processes/test_late_second_answers.py
+++ b/tests/processes/test_late_second_answers.py
@@ -54,7 +54,7 @@
     for framing in FRAMINGS
     for when in TIMES
     # The connection ends with an answer whose end is not marked.
-    if framing != 'open' or when not in {'during', 'half'}
+    if framing != 'open' or when not in {'during', 'half', 'amid'}
 ]
 
 
--- a/tests/serving/test_following_response.py
+++ b/tests/serving/test_following_response.py
@@ -8,8 +8,8 @@
 SECOND = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Id: a\r\n\r\nbody'
 
 
-def search(*parts):
-    following = FollowingResponse()
+def search(*parts, earlier_ids=()):
+    following = FollowingResponse(earlier_ids)
     for part in parts:
         following.add(part)
     following.finish()
@@ -47,3 +47,17 @@
 def test_a_body_that_speaks_of_responses_is_sound(body):
     search(body)
     search(*(bytes([each]) for each in body))
+
+
+# Guards against a late response to an earlier request that comes amid a body.
+def test_the_response_to_an_earlier_request_is_found_in_a_body():
+    content = b'first half' + SECOND + b'second half'
+    with pytest.raises(ResponseMismatch):
+        search(content, earlier_ids=('z', 'a'))
+    with pytest.raises(ResponseMismatch):
+        search(*(bytes([each]) for each in content), earlier_ids=('z', 'a'))
+
+
+def test_another_response_is_the_content_of_a_body_with_a_length():
+    search(SECOND, earlier_ids=('b',))
+    search(SECOND[:30], earlier_ids=('z', 'a'))
