404 and 401 only while the newest version seen is the one in force

Callers saw 404 and 401 for routes and keys of a version that had arrived and could not be taken, or that other routers went by. Cause: the gate asked only whether the knowledge is young, not whether all that is known is in force.

Change: while a newer version was seen and is not in force, or a live peer tells a higher number than was seen here, unknown paths and keys get 503 with Retry-After, as with old knowledge. One gate serves both paths, of callers and of requests that other routers hand over. A lower number that was executed later is not newer. Known routes are served as before. The own interface in serving/ has no such versions in the store, its 404 is for paths of no service.

Remains: a version whose number is wrong and far too high, and that cannot be read, keeps 503 in place of 404 until a higher one comes.

--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -98,6 +98,10 @@
             return 0
         return table.version
 
+    def hears_higher_version(self, now: float) -> bool:
+        """Return whether a peer goes by a higher version than was seen here."""
+        return bool(self._peers_with_higher_version(now))
+
     def _pull_if_lower(self, now: float) -> None:
         """Request all entries if a peer has gone by a higher version for long.
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -199,10 +199,16 @@
         """Return an error, or one that lets the caller try another router.
 
         A path or a key may be unknown only because this router does not have
-        the configuration in force.
+        the configuration in force: it has not heard of the latest one, or that
+        one could not be taken, or only another router goes by it.
         """
         may_be_outdated = isinstance(error, UnknownPath | UnknownCredential)
-        if not may_be_outdated or self._directory.belief.is_current(now):
+        is_latest = (
+            self._directory.belief.is_current(now)
+            and not self._directory.table_in_force.behind()
+            and not self._update_exchange.entry_sync.hears_higher_version(now)
+        )
+        if is_latest or not may_be_outdated:
             return error
         return NotConfigured(
             f'{error} This instance may lack the latest configuration: send '
--- a/tests/fleet/replica/test_version_order.py
+++ b/tests/fleet/replica/test_version_order.py
@@ -197,6 +197,21 @@
     assert [each.directory.table.version for each in fleet] == [60] * 3
 
 
+# Guards against refusals for good by a lower version than others go by.
+def test_higher_version_of_a_live_peer_is_heard_until_it_is_taken():
+    fleet = connected_fleet(
+        Snapshot((LOWER,), EXECUTED_LAST), Snapshot((HIGHER,), EXECUTED_LAST)
+    )
+    sync = fleet[0].sharing.entry_sync
+    run_ticks(fleet, 0, 0.3)
+    assert sync.hears_higher_version(0.3)
+    assert not fleet[1].sharing.entry_sync.hears_higher_version(0.3)
+    assert not sync.hears_higher_version(10)
+    run_ticks(fleet, 0.3, 3)
+    assert fleet[0].directory.table.version == 60
+    assert not sync.hears_higher_version(3)
+
+
 # Guards against requests for all entries without end, for a version that the
 # others go by and this router cannot read.
 def test_version_that_cannot_be_read_here_is_asked_for_once(caplog):
