A call beside the watch does not let the watch begin after what peers have told

Callers may see: an older configuration in force at one router until the next version, although the gap in which the store left a version out was to be read.

Cause: a check asks for the changes after the known revision, which may come from a peer; its answer moved the revision that the watch goes on from. If the watch was given up meanwhile, the store was never asked for the changes that only a peer had told, and a peer does not tell what it was not told.

Change: an answer moves the watch's revision only if it continues from it.

--- a/peridotwell/fleet/replica/store_reader.py
+++ b/peridotwell/fleet/replica/store_reader.py
@@ -60,7 +60,7 @@
             self._directory.belief.record_failure(asked_at)
             raise
         now = trio.current_time()
-        self._directory.apply_changes(changes, now)
+        self._apply_changes(changes, after, now)
         if changes.has_gap(after):
             self._report_gap()
         evidence = Evidence(asked_at, changes.revision, source)
@@ -92,6 +92,17 @@
         """Let the next call open a connection of its own."""
         await self._feed.renew_connections()
 
+    def _apply_changes(self, changes: Changes, after: int, now: float) -> None:
+        """Apply the changes after a revision.
+
+        If only peers have told the changes up to it, the store is still asked
+        for them: peers do not know what it has left out.
+        """
+        followed = self._directory.feed_revision
+        self._directory.apply_changes(changes, now)
+        if after > followed:
+            self._directory.feed_revision = followed
+
     def _shown_revision(self) -> int:
         """Return the revision that the store has reached for sure."""
         directory = self._directory
--- a/tests/fleet/replica/test_store_reader.py
+++ b/tests/fleet/replica/test_store_reader.py
@@ -91,3 +91,15 @@
     reader = StoreReader(feed, directory, Metrics('', ''))
     await reader.read_changes(KNOWN, 0, EvidenceSource.watch)
     assert directory.belief.evidence.revision == KNOWN
+
+
+# Guards against a version that is never looked for: a call beside the watch,
+# after changes that only a peer has told, let the watch begin after them.
+async def test_changes_that_only_a_peer_has_told_are_asked_for(directory):
+    reader = StoreReader(
+        ScriptedFeed(Changes((), (), KNOWN + 1)), directory, Metrics('', '')
+    )
+    followed = directory.feed_revision
+    await reader.read_changes(KNOWN, 0, EvidenceSource.check)
+    assert directory.known_revision == KNOWN + 1
+    assert directory.feed_revision == followed
