--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -102,8 +102,8 @@
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Apply a snapshot of the store."""
         self.store_contact.record_answer(now)
-        self.feed_revision = max(self.feed_revision, snapshot.revision)
         self._apply_all_entries(snapshot, EntrySource.store_snapshot, now)
+        self.feed_revision = max(self.feed_revision, snapshot.revision)
         self.deferred_removals.record_answer(snapshot.revision)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
--- a/peridotwell/fleet/replica/table_in_force.py
+++ b/peridotwell/fleet/replica/table_in_force.py
@@ -85,7 +85,10 @@
         return self.not_taken.is_known(revision)
 
     def _see(self, entry: Entry) -> SeenVersion:
-        number = self._decoder.table_version(entry.value)
+        try:
+            number = self._decoder.table_version(entry.value)
+        except Exception:
+            number = None
         return SeenVersion(number, entry.revision)
 
     def _apply_newer(
@@ -93,9 +96,12 @@
     ) -> None:
         try:
             table = self._decoder.decode_table(entry.value, entry.revision)
-        except EntryError as exc:
+        except Exception as exc:
+            # An unexpected error must not end the answer's other entries.
             self.invalid_entries += 1
-            self._log_not_taken('table.invalid', seen, error=str(exc))
+            is_expected = isinstance(exc, EntryError)
+            error = str(exc) if is_expected else repr(exc)
+            self._log_not_taken('table.invalid', seen, error=error)
             return
         read = SeenVersion(table.version, table.revision)
         if read.is_newer_than(self.table):
--- a/tests/fleet/replica/test_version_order.py
+++ b/tests/fleet/replica/test_version_order.py
@@ -138,6 +138,55 @@
     ] == [('table.invalid', '60@2')]
 
 
+class FailingDecoder(Decoder):
+    """Fails in an unexpected way at some versions and targets."""
+
+    def table_version(self, content):
+        if content == b'fail':
+            raise RuntimeError('unexpected')
+        return super().table_version(content)
+
+    def decode_table(self, content, revision):
+        if content == b'fail':
+            raise RuntimeError('unexpected')
+        return super().decode_table(content, revision)
+
+    def decode_target(self, key, content):
+        if content == b'fail':
+            raise RuntimeError('unexpected')
+        return super().decode_target(key, content)
+
+
+# Guards against a router that takes no change any more, of targets neither,
+# because the decoding of one version fails in an unexpected way.
+@pytest.mark.parametrize('is_snapshot', [True, False])
+def test_unexpected_error_costs_its_version_alone(is_snapshot, caplog):
+    caplog.set_level(logging.INFO, 'peridotwell')
+    directory = ServiceDirectory(FailingDecoder())
+    directory.apply_snapshot(Snapshot((BEFORE,), 1), 0)
+    told = (Entry('table', b'fail', 2), Entry('t/x', b'ready', 3))
+    if is_snapshot:
+        directory.apply_snapshot(Snapshot(told, 3), 1)
+    else:
+        change(directory, *told)
+    assert directory.table.version == 58
+    assert directory.available_names == {'x'}
+    assert directory.known_revision == directory.feed_revision == 3
+    assert directory.table_in_force.seen_label() == '?@2'
+    assert "RuntimeError('unexpected')" in caplog.text
+
+
+# Guards against changes that are never read: the feed went on from a snapshot
+# that was not applied.
+def test_feed_does_not_go_on_from_a_snapshot_that_was_not_applied():
+    directory = ServiceDirectory(FailingDecoder())
+    directory.apply_snapshot(Snapshot((BEFORE,), 1), 0)
+    failing = Snapshot((Entry('t/x', b'fail', 2), HIGHER), 3)
+    with pytest.raises(RuntimeError):
+        directory.apply_snapshot(failing, 1)
+    assert directory.feed_revision == directory.known_revision == 1
+
+
 def test_one_version_of_an_answer_is_decoded():
     decoded = []
 
