--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -28,6 +28,7 @@
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.planned_stop import PlannedStop
 from peridotwell.forwarding.refusal_log import (
+    drop_log_fields,
     record_refusal,
     refusal_log_fields,
 )
@@ -132,30 +133,52 @@
             await self._directory.ready.wait()
         try:
             await self._require_settled()
-            request = await read(
-                exchange,
-                self._components.caller_adapter,
-                self._directory.table,
-                now,
-            )
+            request = await self._read(exchange, read, now)
             self.planned_stop.check(request.deadline_at, trio.current_time())
         except RequestError as exc:
-            error = self._unless_outdated(exc, trio.current_time())
-            record_refusal(
-                error,
-                exchange,
-                self._components.caller_adapter,
-                self._directory,
-                trio.current_time(),
-            )
-            await self._refuse(
-                caller_response, error, self._request_id(exchange), now
-            )
+            await self._refuse_unread(exchange, caller_response, exc, now)
             return
         work = partial(self._serve, caller_response, request)
         if not await run_until_caller_disconnects(exchange, work):
             self._record_caller_left(exchange)
 
+    async def _refuse_unread(
+        self,
+        exchange: HttpExchange,
+        caller_response: CallerResponse,
+        reason: RequestError,
+        arrived_at: float,
+    ) -> None:
+        """Refuse a request before its route and customer are known."""
+        now = trio.current_time()
+        error = self._unless_outdated(reason, now)
+        context = (exchange, self._components.caller_adapter, self._directory)
+        record_refusal(error, *context, now)
+        await self._refuse(
+            caller_response,
+            error,
+            self._request_id(exchange),
+            arrived_at,
+            drop_log_fields(reason, *context, now),
+        )
+
+    async def _read(
+        self, exchange: HttpExchange, read: RequestReader, now: float
+    ) -> RoutedRequest:
+        """Read a request, and again if the store has a newer table.
+
+        It is asked for one before a path or a key counts as unknown.
+        """
+        adapter = self._components.caller_adapter
+        table = self._directory.table
+        try:
+            return await read(exchange, adapter, table, now)
+        except (UnknownPath, UnknownCredential):
+            await self._components.table_check.confirm(trio.current_time())
+            if self._directory.table is table:
+                raise
+        return await read(exchange, adapter, self._directory.table, now)
+
     def _request_id(self, exchange: HttpExchange) -> str:
         return self._components.caller_adapter.request_id(exchange)
 
@@ -188,10 +211,16 @@
         """Return an error, or one that lets the caller try another router.
 
         A path or a key may be unknown only because this router does not have
-        the configuration in force.
+        the configuration in force: it has not heard of the latest one, or that
+        one could not be taken, or only another router goes by it.
         """
         may_be_outdated = isinstance(error, UnknownPath | UnknownCredential)
-        if not may_be_outdated or self._directory.belief.is_current(now):
+        is_latest = (
+            self._directory.belief.is_current(now)
+            and not self._directory.table_in_force.behind()
+            and not self._update_exchange.entry_sync.hears_higher_version(now)
+        )
+        if is_latest or not may_be_outdated:
             return error
         return NotConfigured(
             f'{error} This instance may lack the latest configuration: send '
@@ -317,6 +346,7 @@
         error: RequestError,
         request_id: str,
         arrived_at: float,
+        dropped: dict[str, object] | None = None,
     ) -> None:
         self._metrics.count(f'request.{error.code}')
         now = trio.current_time()
@@ -327,6 +357,7 @@
             **refusal_log_fields(
                 error,
                 self._update_exchange.knowledge_log_fields(now),
+                dropped=dropped,
                 after_seconds=now - arrived_at,
                 has_begun=caller_response.has_begun,
             ),
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -28,6 +28,7 @@
     CallerConnection,
     ServerStop,
 )
+from peridotwell.serving.caller_protocol import TARGET
 from peridotwell.serving.socket_options import keepalive_options
 
 __all__ = ('HttpExchange', 'HttpServer', 'serve_http')
@@ -66,7 +67,8 @@
     """One HTTP request and the response to it.
 
     The names in `headers` are lower case; `fields` contains the header fields
-    as bytes, with repeated ones kept separate. `status` is 0 until the
+    as bytes, with repeated ones kept separate. `raw_target` is the path with
+    its query as the client wrote them. `status` is 0 until the
     response starts; `is_complete` tells whether its end was sent. `stop` tells
     whether the connection closes after a response that starts now.
     """
@@ -96,6 +98,9 @@
         self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
         state = scope.get('state', {})
+        self.raw_target: bytes = state.get(TARGET) or _join_target(
+            self.raw_path, self.raw_query
+        )
         self._body_part: BodyPart = state.get('body_part') or BodyPart()
 
     def query(self, name: str, default: str = '') -> str:
@@ -130,6 +135,17 @@
         """Close the connection if others need the memory of the response."""
         share.wait_for_caller(self._body_part.abort)
 
+    def end(self) -> None:
+        """End the exchange; call it when nothing more is sent.
+
+        A response that was begun and not completed ends with its connection. If
+        it has neither a length nor chunks, it would look complete: then the
+        connection is reset.
+        """
+        self.release_body()
+        if self.status and not (self.is_complete or self._is_chunked):
+            self._body_part.reset()
+
     async def wait_for_disconnect(self) -> None:
         """Return when the client has disconnected."""
         message = {'type': ''}
@@ -304,7 +320,7 @@
         try:
             await self._handler(exchange)
         finally:
-            exchange.release_body()
+            exchange.end()
 
 
 class HttpServer:
@@ -449,6 +465,10 @@
     return f'{host}:{port}'
 
 
+def _join_target(path: bytes, query: bytes) -> bytes:
+    return b'%b?%b' % (path, query) if query else path
+
+
 def _combine_headers(fields: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return the header fields by name.
 
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -1,7 +1,13 @@
 """A target's response, and how the end of its body is marked."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    Awaitable,
+    Callable,
+    Collection,
+    Mapping,
+)
 from dataclasses import dataclass
 from enum import Enum
 
@@ -20,6 +26,7 @@
     whole_events,
 )
 from peridotwell.serving.fair_turns import Pace
+from peridotwell.serving.following_response import FollowingResponse
 from peridotwell.serving.response_buffers import ResponseBuffers
 
 __all__ = ('BodyEnd', 'ReadObserver', 'ResponseOrigin', 'TargetResponse')
@@ -70,7 +77,8 @@
     yields the body as it arrives, and raises ResponseTruncated or
     ResponseTimeout if it does not arrive completely. `event_limit` limits
     the wait for each event of a stream. `observer` is told of reads.
-    `earlier_requests` is the number of requests before on the connection.
+    `earlier_requests` is the number of requests before on the connection,
+    `earlier_ids` the ids of the latest of them.
     `check_end` is awaited after a body that ends with its connection; it raises
     ResponseTruncated if that was no ordinary end. `share` is the memory that
     the response takes, among those of its `group`; ResponseOverBudget is raised
@@ -95,6 +103,7 @@
         self.headers: Mapping[str, str] = dict(self.fields)
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
+        self.earlier_ids: Collection[str] = ()
         self.check_end: Callable[[], Awaitable[None]] | None = None
         self._has_no_body = (
             method == NO_BODY_METHOD or resp.status in NO_BODY_STATUSES
@@ -125,11 +134,17 @@
         return ResponseOrigin(self.body_end, self.earlier_requests)
 
     async def body_chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the chunks of the body."""
+        """Yield the chunks of the body.
+
+        Raises ResponseMismatch if another response is in it.
+        """
+        following = self._search_following()
         self._before_read()
         try:
             async for part in self._resp.aiter_stream():
                 self._after_read()
+                if following is not None:
+                    following.add(part)
                 yield part
                 await self._pace.after_part()
                 self._before_read()
@@ -142,9 +157,22 @@
             raise ResponseTruncated(
                 f'The response was truncated: {exc}'
             ) from exc
+        if following is not None:
+            following.finish()
         if self.body_end is BodyEnd.connection and self.check_end is not None:
             await self.check_end()
 
+    def _search_following(self) -> FollowingResponse | None:
+        """Return a search for another response, if that may be in the body.
+
+        Between chunks, it would be an error.
+        """
+        if self.body_end is BodyEnd.connection:
+            return FollowingResponse()
+        if self.body_end is BodyEnd.length and self.earlier_ids:
+            return FollowingResponse(self.earlier_ids)
+        return None
+
     def whole_events(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in parts that contain whole events only."""
         return whole_events(self.body_chunks(), self._event_limit, self._hold)
