--- a/tests/serving/test_given_up_responses.py
+++ b/tests/serving/test_given_up_responses.py
@@ -123,3 +123,15 @@
         await give_up(calls)
     assert [await calls.fetch(each) for each in ('b', 'c')] == [BODY, BODY]
     assert server.connections == [1, 2, 2]
+
+
+# Guards against a part of a head that a faulty target sends amid a body with a
+# length: the rest of the body stays behind, and the caller gets what is not it.
+async def test_a_part_of_a_head_amid_a_body_reaches_no_caller(nursery):
+    amid = HEAD + BODY[:6] + b'HTTP/1.1 200 OK\r\n' + BODY[6:]
+    server = Server([WHOLE, amid])
+    calls = Calls(await listen(nursery, server.serve))
+    assert await calls.fetch('a') == BODY
+    with pytest.raises(AttemptError):
+        await calls.fetch('b')
+    assert server.connections == [1, 1]
