Bodies of status lines are searched in linear time

Callers of a router see all their requests stand still for seconds while a target sends a body of status lines, if its end is not marked or its connection was used before.

Cause: the search for another response followed each status line to the end of its fields, or of its line, before it looked at the next one: the square of the part of the body. It runs in the event loop.

Change: a status line and the fields after it match without the id as well, with quantifiers that do not go back, so the search goes on behind them. A later status line among them would have ended with the same id.

--- a/peridotwell/serving/following_response.py
+++ b/peridotwell/serving/following_response.py
@@ -16,13 +16,15 @@
 # A head that is longer up to the id of its request is not found.
 MAX_SEARCHED_BYTES = 4096
 PROTOCOL = b'HTTP/1.'
-# A status line and the fields up to the id, which each response has.
+# A status line and the fields up to the id, which each response has. Without
+# the id it matches as well, so no part of a body is searched twice.
 HEAD = re.compile(
-    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[!-9;-~]+:[^\r\n]*\r\n)*?'
-    rb'x-request-id:[ \t]*([^\r\n]*)',
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*+'
+    rb'(?:\r\n(?!x-request-id:)[!-9;-~]++:[^\r\n]*+)*+'
+    rb'(?:\r\nx-request-id:([^\r\n]*+))?',
     re.IGNORECASE,
 )
-# The same, cut off.
+# Such a head, cut off.
 CUT_HEAD = re.compile(
     rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[!-9;-~]+:[^\r\n]*\r\n)*?'
     rb'[^\r\n]*\r?\Z'
@@ -59,6 +61,7 @@
         found = {
             match[1].strip().decode('latin-1')
             for match in HEAD.finditer(content)
+            if match[1] is not None
         }
         if self._earlier_ids:
             return not found.isdisjoint(self._earlier_ids)
--- a/tests/serving/test_following_response.py
+++ b/tests/serving/test_following_response.py
@@ -1,11 +1,16 @@
 """Further responses in bodies that end with their connections."""
 
+import time
+
 import pytest
 
 from peridotwell.attempt_errors import ResponseMismatch
 from peridotwell.serving.following_response import FollowingResponse
 
 SECOND = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Id: a\r\n\r\nbody'
+PART_BYTES = 65_536
+# Of a search that does not grow with the square of the part: about 0.01 s.
+MAX_SEARCH_SECONDS = 0.5
 
 
 def search(*parts, earlier_ids=()):
@@ -61,3 +66,31 @@
 def test_another_response_is_the_content_of_a_body_with_a_length():
     search(SECOND, earlier_ids=('b',))
     search(SECOND[:30], earlier_ids=('z', 'a'))
+
+
+# Guards against a body that keeps a router from all its other requests: each
+# status line in it was followed to the end of the part.
+@pytest.mark.parametrize('earlier_ids', [(), ('z',)])
+@pytest.mark.parametrize('line', [b'HTTP/1.1 200 ', b'a:HTTP/1.1 200 \r\n'])
+def test_a_body_of_status_lines_is_searched_fast(line, earlier_ids):
+    part = (line * PART_BYTES)[:PART_BYTES]
+    following = FollowingResponse(earlier_ids)
+    started_at = time.process_time()
+    following.add(part)
+    assert time.process_time() - started_at < MAX_SEARCH_SECONDS
+
+
+# Guards against a response that is not found since what is like a status line
+# comes right before it, or the response to another request.
+@pytest.mark.parametrize(
+    'before',
+    [
+        b'HTTP/1.1 200 ',
+        b'HTTP/1.1 200 OK\r\nb: c\r\n',
+        b'HTTP/1.1 200 OK\r\nb: c\n',
+        SECOND.replace(b'Id: a', b'Id: b'),
+    ],
+)
+def test_a_response_behind_what_is_like_one_is_found(before):
+    with pytest.raises(ResponseMismatch):
+        search(before + SECOND, earlier_ids=('z', 'a'))
