A version that was read by itself is logged as such

Operators see `source: peer changes` in the lines of a version, and of refusals by it, that this router has read from the store's key: as if another router had told it.

Cause: a line that is left over from before the function had a parameter for the source sets it again.

Change: the line is gone.

--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -135,7 +135,6 @@
         They must include every change after the revision that is known here,
         up to `revision`; if some are missing, `revision` is the known one.
         """
-        source = EntrySource.peer_changes
         written = []
         for entry in entries:
             if entry.value is None:
--- a/tests/fleet/replica/test_service_directory.py
+++ b/tests/fleet/replica/test_service_directory.py
@@ -9,6 +9,7 @@
 from peridotwell.domain.target import Pool, ReportNumber, Target, TargetKind
 from peridotwell.errors import EntryError, StoreResponseLost
 from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
+from peridotwell.fleet.replica.entry_source import EntrySource
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_contact import MIN_OUTAGE_SECONDS
 from peridotwell.fleet.replica.store_follower import StoreFollower
@@ -130,6 +131,19 @@
     ] == ['store snapshot', 'store changes', 'peer changes', 'peer snapshot']
 
 
+# Guards against lines that name other routers as the source of a version that
+# this one has read from the store.
+def test_log_tells_that_a_table_was_read_by_itself(caplog):
+    caplog.set_level(logging.INFO, 'peridotwell')
+    directory = loaded_directory()
+    directory.apply_peer_changes(
+        [SharedEntry('table', 6, b'3')], 6, 2, EntrySource.store_read
+    )
+    taken = caplog.records[-1].msg
+    assert (taken['event'], taken['source']) == ('table.taken', 'store read')
+    assert directory.table_in_force.source is EntrySource.store_read
+
+
 def test_stale_snapshot_does_not_restore_a_deleted_target():
     directory = loaded_directory()
     apply_changes(directory, deleted=(('t/x', 6),))
