--- a/tests/peridotwell_platform/test_entries.py
+++ b/tests/peridotwell_platform/test_entries.py
@@ -12,6 +12,9 @@
 )
 from peridotwell.domain.target import ReportNumber
 from peridotwell.errors import EntryError
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
+from peridotwell.store.base import Entry
+from peridotwell.store.change_feed import Changes
 
 ENTRIES = PlatformEntryDecoder()
 ROUTE = {
@@ -333,6 +336,29 @@
     assert (table.version, table.faults) == (7, ())
 
 
+# Guards against the highest version that is not looked at, since its number is
+# a text and a lower version in the same answer was executed later.
+@pytest.mark.parametrize('version', [60.0, '60', '6e1', msgspec.Raw(b'60')])
+def test_number_of_a_version_orders_it_however_it_is_written(version):
+    content = encode({**CONFIG, 'version': version})
+    assert ENTRIES.table_version(content) == 60
+    lower = encode({**CONFIG, 'version': 59})
+    directory = ServiceDirectory(ENTRIES)
+    told = (Entry('op/config', content, 2), Entry('op/config', lower, 3))
+    directory.apply_changes(Changes(told, (), 3), 1)
+    assert directory.table.version == 60
+
+
+# Guards against refusals of unknown paths with 503 for good, since no version
+# that can be read is higher than one that was written by mistake.
+@pytest.mark.parametrize(
+    'version', ['a', '7.5', 7.5, '1e400', True, None, [7], -1, 10**18]
+)
+def test_what_is_no_number_of_a_version_orders_none(version):
+    content = encode({**CONFIG, 'version': version})
+    assert ENTRIES.table_version(content) is None
+
+
 @pytest.mark.parametrize(
     ('engine', 'found'),
     [
