A version whose entry was damaged on its way is taken when it is read

Callers get 503 (404 on, by reading) for what a version adds, and are served by the one before, until the next version, if the answer that told the version first was damaged: a value that is no base64 or no JSON. The store's key holds it whole, and the read before each refusal shows it.

Cause: an entry that could not be read was known by its revision alone, so what the store told of that revision later was never looked at.

Evidence: red before: '?@5' seen in place of '3@5', and a refusal in place of 200 with a router and a store. Not shown that any answer of the users' store was damaged like this.

Change: an entry of a known revision with another value is looked at, and replaces the known one, unless the version in force is of that revision.

What remains: no call is made for such a version before a request is to be refused, or a gap is told.

--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -59,6 +59,18 @@
         known = self._entries.get(entry.key)
         return known is not None and known.revision == entry.revision
 
+    def is_told_otherwise(self, entry: Entry) -> bool:
+        """Return whether the known value at the entry's revision is another.
+
+        An answer may have been damaged on its way.
+        """
+        known = self._entries.get(entry.key)
+        return self.has_version(entry) and known != entry
+
+    def is_news(self, entry: Entry) -> bool:
+        """Return whether an entry is newer, or the known one is another."""
+        return self.is_newer(entry) or self.is_told_otherwise(entry)
+
     def entry(self, key: str) -> Entry | None:
         """Return an entry as it is known."""
         return self._entries.get(key)
--- a/peridotwell/fleet/replica/table_check.py
+++ b/peridotwell/fleet/replica/table_check.py
@@ -127,8 +127,7 @@
     def _apply(self, entry: Entry, now: float) -> None:
         directory = self._directory
         directory.belief.record_read(entry.revision)
-        known = directory.replica.entry(entry.key)
-        if known is not None and entry.revision <= known.revision:
+        if not directory.replica.is_news(entry):
             return
         in_force = directory.table.version if directory.table else 0
         directory.apply_peer_changes(
--- a/peridotwell/fleet/replica/table_in_force.py
+++ b/peridotwell/fleet/replica/table_in_force.py
@@ -68,11 +68,11 @@
         numbered = [
             (self._see(entry), entry)
             for entry in entries
-            if not self._is_known(entry.revision)
+            if not self._is_known(entry)
         ]
         numbered.sort(key=lambda pair: pair[0].order, reverse=True)
         for seen, entry in numbered:
-            if self._replica.is_newer(entry):
+            if self._replica.is_news(entry):
                 self._replica.put(entry)
             if seen.is_newer_than(self.table):
                 self._apply_newer(seen, entry, source, now)
@@ -80,10 +80,11 @@
                 self._log_not_taken('table.older', seen)
         return self.table is not previous
 
-    def _is_known(self, revision: int) -> bool:
-        if self.table is not None and self.table.revision == revision:
+    def _is_known(self, entry: Entry) -> bool:
+        if self.table is not None and self.table.revision == entry.revision:
             return True
-        return self.not_taken.is_known(revision)
+        is_not_taken = self.not_taken.is_known(entry.revision)
+        return is_not_taken and not self._replica.is_told_otherwise(entry)
 
     def _see(self, entry: Entry) -> SeenVersion:
         number = self._decoder.table_version(entry.value)
--- a/tests/fleet/replica/test_versions_not_taken.py
+++ b/tests/fleet/replica/test_versions_not_taken.py
@@ -10,6 +10,7 @@
     SeenVersion,
     VersionsNotTaken,
 )
+from peridotwell.store.change_feed import Snapshot
 from tests.fleet.replica.test_service_directory import (
     apply_changes,
     entry,
@@ -73,6 +74,20 @@
     assert directory.table_in_force.behind() == 0
 
 
+# Guards against a version that is never taken, since its entry was damaged on
+# its way when it was told first.
+def test_version_that_can_be_read_later_is_taken():
+    directory = loaded_directory()
+    apply_changes(directory, entry('table', b'', 5))
+    assert directory.table.version == 1
+    directory.apply_snapshot(Snapshot((entry('table', b'3', 5),), 9), 2)
+    assert directory.table_in_force.seen_label() == '3@5'
+    assert directory.replica.entry('table').value == b'3'
+    assert directory.table_in_force.behind() == 0
+    apply_changes(directory, entry('table', b'', 5), revision=10)
+    assert directory.replica.entry('table').value == b'3'
+
+
 @pytest.mark.parametrize(
     ('version', 'revision', 'behind'),
     [
--- a/tests/peridotwell_platform/test_untold_versions.py
+++ b/tests/peridotwell_platform/test_untold_versions.py
@@ -166,3 +166,15 @@
     with trio.fail_after(GAP_SECONDS + 1):
         while fleet.directory.table.version < 2:
             await trio.sleep(0.02)
+
+
+# Guards against a version that the store's key holds and that is never taken,
+# since the answer that told it first was damaged.
+async def test_a_version_that_was_told_damaged_is_read_before_a_refusal(fleet):
+    content = msgspec.json.encode(NEXT_CONFIG)
+    fleet.store.put(CONFIG_KEY, content[:-1])
+    await trio.sleep(TOLD_SECONDS)
+    assert fleet.directory.table_in_force.behind()
+    fleet.store.revision -= 1
+    fleet.store.put_untold(CONFIG_KEY, content)
+    assert await fleet.status('/new/1', 'key-1') == 200
