--- a/tests/forwarding/test_refusal_log.py
+++ b/tests/forwarding/test_refusal_log.py
@@ -75,6 +75,7 @@
     assert '"request":"b742a1f0c3d4e5f6"' in shown
     assert f'"code":"{kind.code}","seen":"130@1046","table":128,' in shown
     assert '"knowledge_age":0.412' in shown
+    assert '"knowledge_age":0.412,"source":"store changes",' in line
 
 
 # Guards against refusals of which no line tells whether a version known here
