Part of a head amid a body with a length is found by what stays behind

Cause: only heads with the id of an earlier request were searched for; a status line alone matched nothing. Change: the connection tells what has arrived behind a response. If a status line begins in the body and the bytes behind it are no response of their own, the attempt fails. Remains: a rest that arrives later than the end of the body.

--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -21,7 +21,10 @@
 
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
-from peridotwell.serving.target_connection import TargetConnection
+from peridotwell.serving.target_connection import (
+    FOLLOWING_BYTES,
+    TargetConnection,
+)
 
 __all__ = ('BEFORE_SEND', 'ConnectionPool')
 
@@ -144,7 +147,10 @@
             content=_Body(
                 resp, partial(self._give_back, conn), self._max_body_bytes
             ),
-            extensions=resp.extensions,
+            extensions={
+                **resp.extensions,
+                FOLLOWING_BYTES: conn.following_bytes,
+            },
         )
 
     async def close_idle(self) -> None:
