--- a/peridotwell/attempt_errors.py
+++ b/peridotwell/attempt_errors.py
@@ -7,6 +7,7 @@
     'ConnectionFailed',
     'RouterUnable',
     'TargetLeft',
+    'RequestTakenBack',
     'RefusedByTarget',
     'TargetReplaced',
     'ResponseLost',
@@ -50,6 +51,16 @@
     may_have_run = False
 
 
+class RequestTakenBack(TargetLeft):
+    """The target left after the request was sent, and was silent since.
+
+    The connection has been reset.
+    """
+
+    code = 'request_taken_back'
+    may_have_run = True
+
+
 class RefusedByTarget(AttemptError):
     """The target responded that it will not execute the request."""
 
--- a/peridotwell/fleet/replica/deferred_removals.py
+++ b/peridotwell/fleet/replica/deferred_removals.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Collection
 
 __all__ = (
     'LATER_REMOVAL_SECONDS',
@@ -30,6 +31,8 @@
         # Removals up to this revision may have fallen into the outage.
         self._outage_revision: float = -math.inf
         self._keys: dict[str, float] = {}
+        # Names of targets, by key.
+        self._names: dict[str, str] = {}
 
     def start_grace_period(
         self, seconds: float, now: float, revision: float = math.inf
@@ -63,7 +66,9 @@
         """Return the rest of the grace period, in seconds."""
         return max(0, self._grace_ends_at - now)
 
-    def defer(self, key: str, revision: int, now: float) -> float:
+    def defer(
+        self, key: str, revision: int, now: float, name: str = ''
+    ) -> float:
         """Defer the removal of a key that was deleted at a revision.
 
         Returns for how many seconds, until the grace period ends at most.
@@ -71,11 +76,18 @@
         until = self._grace_ends_at
         if revision > self._outage_revision:
             until = min(until, now + LATER_REMOVAL_SECONDS)
+        self._names[key] = name
         return self._keys.setdefault(key, until) - now
 
     def cancel(self, key: str) -> None:
         """Cancel the removal of a key that is registered again."""
         self._keys.pop(key, None)
+        self._names.pop(key, None)
+
+    @property
+    def names(self) -> Collection[str]:
+        """The names of the targets whose removal is deferred."""
+        return self._names.values()
 
     def pop_expired(self, now: float) -> list[str]:
         """Remove and return the keys whose grace period has ended."""
@@ -83,5 +95,5 @@
             key for key, deadline in self._keys.items() if deadline <= now
         ]
         for key in expired:
-            self._keys.pop(key)
+            self.cancel(key)
         return expired
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -298,7 +298,8 @@
             return
         is_doubted = self.deferred_removals.remaining_seconds(now) > 0
         if is_doubted and key in self._targets:
-            seconds = self.deferred_removals.defer(key, revision, now)
+            name = self._targets[key].name
+            seconds = self.deferred_removals.defer(key, revision, now, name)
             log_event(
                 'target.doubted',
                 entry=key,
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -29,6 +29,7 @@
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_selection import TargetSelector
+from peridotwell.forwarding.target_standings import ForwardingTargetStandings
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.metrics import Metrics
@@ -38,6 +39,8 @@
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
+from peridotwell.serving.outstanding_requests import OutstandingRequests
+from peridotwell.serving.request_recall import RequestRecall
 from peridotwell.serving.response_buffers import (
     BudgetRecorder,
     ResponseBuffers,
@@ -168,9 +171,15 @@
     )
     peer_paths = PeerPaths(update_exchange.peers)
     handover_client = HandoverClient(update_exchange.peers, peer_paths, buffers)
+    outstanding = OutstandingRequests()
     return ForwardingComponents(
         Dispatcher(
-            clients, tracker, adapters.targets, crash_tracker, handover_client
+            clients,
+            tracker,
+            adapters.targets,
+            crash_tracker,
+            handover_client,
+            outstanding,
         ),
         selector,
         WaitingRoom(
@@ -187,6 +196,13 @@
         adapters.callers,
         adapters.targets,
         table_check,
+        RequestRecall(
+            outstanding,
+            ForwardingTargetStandings(
+                state.directory, state.target_notices, adapters.targets
+            ),
+            metrics,
+        ),
     )
 
 
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -47,6 +47,7 @@
             (0, components.forwarding.crash_tracker.run),
             (0, components.forwarding.silence_limits.run),
             (0, components.forwarding.prober.run),
+            (0, components.forwarding.request_recall.run),
             (0, components.forwarding.waiting_room.run),
             (0, self._receive),
             (0, self._update),
--- a/peridotwell/forwarding/components.py
+++ b/peridotwell/forwarding/components.py
@@ -12,6 +12,7 @@
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.serving.request_recall import RequestRecall
 
 __all__ = ('ForwardingComponents',)
 
@@ -31,3 +32,4 @@
     caller_adapter: CallerAdapter
     target_adapter: TargetAdapter
     table_check: TableCheck
+    request_recall: RequestRecall
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -38,9 +38,14 @@
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
 from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.target_clients import TargetClients
+from peridotwell.forwarding.target_standings import has_left
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.end_marks import EndMarks
+from peridotwell.serving.outstanding_requests import (
+    OutstandingRequest,
+    OutstandingRequests,
+)
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'is_target_error')
@@ -63,8 +68,10 @@
         adapter: TargetAdapter,
         crash_tracker: CrashTracker,
         handover_client: HandoverClient,
+        outstanding: OutstandingRequests,
     ) -> None:
         self.end_marks = EndMarks()
+        self._outstanding = outstanding
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
         self._clients = clients
@@ -124,7 +131,7 @@
         self._tracker.record_start(request, choice, started_at)
         is_prefilled = False
         try:
-            async with self._open_response(attempt) as response:
+            async with self._track_response(attempt) as response:
                 is_prefilled = True
                 self._tracker.record_prefill_end(request, choice)
                 self.record_activity(attempt)
@@ -155,7 +162,9 @@
 
     def record_activity(self, attempt: Attempt) -> None:
         """Record that a part of the response has arrived."""
-        self._tracker.record_activity(attempt.target, trio.current_time())
+        now = trio.current_time()
+        self._tracker.record_activity(attempt.target, now)
+        self._outstanding.record_sign(attempt.target, now)
 
     def record_completion(self, attempt: Attempt, status: int) -> None:
         """Record a complete response as a success or error of the target."""
@@ -173,8 +182,23 @@
             log_event('target.set_aside', target=name, code=f'status_{status}')
 
     @asynccontextmanager
-    async def _open_response(
+    async def _track_response(
         self, attempt: Attempt
+    ) -> AsyncIterator[TargetResponse]:
+        """Yield the response, unless the request is taken back before."""
+        request = attempt.request
+        with self._outstanding.track(
+            attempt.target,
+            request.request_id,
+            _kind(request),
+            attempt.number,
+        ) as outstanding:
+            async with self._open_response(attempt, outstanding) as response:
+                yield response
+
+    @asynccontextmanager
+    async def _open_response(
+        self, attempt: Attempt, outstanding: OutstandingRequest
     ) -> AsyncIterator[TargetResponse]:
         request = attempt.request
         target = attempt.target
@@ -208,12 +232,14 @@
                 request, target, now
             ),
             require_request_id=True,
-            before_send=partial(_check_present, self._tracker, target),
+            before_send=partial(
+                _begin_sending, self._tracker, target, outstanding
+            ),
         )
         max_seconds = max_silence_seconds(request, now)
         source = source_before_response(attempt)
         async with self._limit_silence(
-            attempt, response_context, source, max_seconds
+            attempt, outstanding.open(response_context), source, max_seconds
         ) as response:
             self._record_report(target, response)
             yield response
@@ -260,6 +286,8 @@
             return
         name = attempt.target.name
         now = trio.current_time()
+        if isinstance(exc, RefusedByTarget):
+            self._outstanding.record_sign(attempt.target, now)
         self._crash_tracker.schedule_check(
             BrokenAttempt(
                 attempt.request, attempt.target, attempt in self._begun
@@ -300,11 +328,13 @@
             )
 
 
-def _check_present(tracker: TargetTracker, target: Target) -> None:
+def _begin_sending(
+    tracker: TargetTracker, target: Target, outstanding: OutstandingRequest
+) -> None:
     """Raise TargetLeft if a target has left since it was chosen."""
-    has_left = target.name not in tracker.directory.available_names
-    if has_left or tracker.notices.is_leaving(target):
+    if has_left(target, tracker.directory, tracker.notices):
         raise TargetLeft(f'{target.name} has left: choose another target.')
+    outstanding.record_sent(trio.current_time())
 
 
 def _log_failure(attempt: Attempt, exc: AttemptError) -> None:
@@ -337,6 +367,12 @@
     return status >= FIRST_SERVER_ERROR and status != GATEWAY_TIMEOUT
 
 
+def _kind(request: RoutedRequest) -> str:
+    """Return the kind of a request for the logs."""
+    kind = request.route.kind.value
+    return f'{kind}_resumable' if request.route.resumable else kind
+
+
 def _length_field(request: RoutedRequest) -> HeaderFields:
     if not request.body and request.method in BODILESS_METHODS:
         return ()
