--- a/peridotwell/domain/routing_table.py
+++ b/peridotwell/domain/routing_table.py
@@ -110,10 +110,14 @@
 
 @dataclass(frozen=True)
 class ServiceProperties:
-    """One service; `engine` is None for a plain service."""
+    """One service; `engine` is None for a plain service.
+
+    `health_path` is the path of its targets' health checks, '' if unknown.
+    """
 
     name: str
     engine: EngineProperties | None = None
+    health_path: str = ''
 
 
 @dataclass(frozen=True)
--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -8,7 +8,11 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.prompt import Prompt
-from peridotwell.domain.routing_table import Route, RoutingTable
+from peridotwell.domain.routing_table import (
+    Route,
+    RoutingTable,
+    ServiceProperties,
+)
 from peridotwell.domain.target import Target, wire_id
 from peridotwell.policy.prompt_cache_index import CachedPart
 from peridotwell.serving.asgi import HttpExchange
@@ -144,6 +148,14 @@
     def reported_load(self, response: TargetResponse) -> ReportedLoad | None:
         """Return the load that the response reports, or None."""
 
+    @abstractmethod
+    def status_path(self, service: ServiceProperties | None) -> str:
+        """Return the path at which targets of a service tell their status.
+
+        A request there is no request of a caller. `service` is None if the
+        table in force lacks it.
+        """
+
     @abstractmethod
     def cache_path(self) -> str:
         """Return the path at which an engine lists its cached parts."""
--- a/peridotwell/forwarding/target_standings.py
+++ b/peridotwell/forwarding/target_standings.py
@@ -42,6 +42,12 @@
             and not target.leaving
         )
 
+    def status_path(self, target: Target) -> str:
+        """Return the path of the status checks of a target."""
+        table = self._directory.table
+        service = table.services.get(target.pool.name) if table else None
+        return self._adapter.status_path(service)
+
 
 def has_left(
     target: Target, directory: ServiceDirectory, notices: TargetNotices
--- a/peridotwell/serving/request_recall.py
+++ b/peridotwell/serving/request_recall.py
@@ -1,4 +1,10 @@
-"""Finds targets that have left while requests are outstanding there."""
+"""Takes back requests that may lie unread at targets that have left.
+
+A target that stands still, or whose path is held, would run them when it goes
+on, long after it has left, and mostly for nobody. A target that has left may
+also be sound and work on a request without sending a byte, so it is asked
+first. A request that it has read, or begun to answer, is left to it.
+"""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -13,10 +19,16 @@
     OutstandingRequests,
     TargetRequests,
 )
+from peridotwell.serving.sign_of_life import gives_sign_of_life
 
 __all__ = ('RequestRecall', 'TargetStanding', 'TargetStandings')
 
 POLL_SECONDS = 0.05
+# A target that has left must get no request 2 s later. Routers know of it after
+# 0.3 s, and a sound one may be silent for a second.
+SILENT_SECONDS = 1.2
+# Most requests at a sound target end within this time: it is not asked then.
+ASK_AFTER_SECONDS = 0.2
 # A report of a target takes this long to arrive here.
 REPORT_SECONDS = 0.5
 
@@ -36,7 +48,7 @@
 
 
 class TargetStandings(ABC):
-    """Tells what is known of targets."""
+    """Tells what is known of targets, and where to ask for their status."""
 
     @abstractmethod
     def standing(self, target: Target) -> TargetStanding:
@@ -46,6 +58,10 @@
         """Return whether a process has itself told that it leaves."""
         return False
 
+    @abstractmethod
+    def status_path(self, target: Target) -> str:
+        """Return the path of the status checks of a target."""
+
 
 class RequestRecall:
     """Finds targets that have left while requests are outstanding there."""
@@ -61,12 +77,14 @@
         self._metrics = metrics
 
     async def run(self) -> None:
-        """Look for such targets until cancelled."""
-        while True:
-            await self._outstanding.wait_for_any()
-            await trio.sleep(POLL_SECONDS)
-            for requests in self._outstanding.all_targets():
-                self.has_just_left(requests, trio.current_time())
+        """Take requests back until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._outstanding.wait_for_any()
+                await trio.sleep(POLL_SECONDS)
+                for requests in self._outstanding.all_targets():
+                    if self.has_just_left(requests, trio.current_time()):
+                        nursery.start_soon(self._recall, requests)
 
     def has_just_left(self, requests: TargetRequests, now: float) -> bool:
         """Return whether a target is found to have left, which is logged."""
@@ -82,6 +100,43 @@
         _log_leaving(requests, standing, now)
         return True
 
+    async def _recall(self, requests: TargetRequests) -> None:
+        """Take back what the target may not have read."""
+        if not self._is_replaced(requests):
+            await trio.sleep(ASK_AFTER_SECONDS)
+            if not any(requests.unread()):
+                return
+            if await self._gives_sign(requests, trio.current_time()):
+                return
+        self._take_back(requests)
+
+    def _is_replaced(self, requests: TargetRequests) -> bool:
+        standing = self._standings.standing(requests.target)
+        return standing is TargetStanding.replaced
+
+    async def _gives_sign(
+        self, requests: TargetRequests, asked_at: float
+    ) -> bool:
+        """Return whether a target shows that it runs, on any connection."""
+        target = requests.target
+        self._metrics.count('target.status_asked')
+        path = self._standings.status_path(target)
+        if await gives_sign_of_life(target, path, SILENT_SECONDS):
+            self._outstanding.record_sign(target, trio.current_time())
+            return True
+        last_sign_at = requests.last_sign_at
+        return last_sign_at is not None and last_sign_at > asked_at
+
+    def _take_back(self, requests: TargetRequests) -> None:
+        if requests.left_at is None:
+            # It has been listed again.
+            return
+        unread = tuple(requests.unread())
+        requests.taken_back += len(unread)
+        for request in unread:
+            self._metrics.count('request.taken_back')
+            request.take_back()
+
 
 def _log_leaving(
     requests: TargetRequests, standing: TargetStanding, now: float
--- /dev/null
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -0,0 +1,256 @@
+"""Requests at targets that have left, and may stand still.
+
+A request that lies unread at a stopped target must not run when it goes on: the
+router resets its connection. This kernel gives a receiver the bytes that were
+queued before a reset, and the error after them; the targets here look for the
+error before they run a request, as real servers notice it on their next read
+or write.
+"""
+
+import signal
+import subprocess
+import sys
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform.halted_target import STATUS_PATH
+from tests.peridotwell_platform.router_setup import (
+    LOCALHOST,
+    call,
+    caller_headers,
+    configuration,
+    start_router,
+    start_store,
+    target_entry,
+)
+from tests.ports import find_free_port
+from tests.soak.proxy import start_proxy
+
+KINDS = ('read', 'book', 'draft', 'ask')
+TIMEOUT_MS = 9000
+CONFIG = configuration(
+    100,
+    stand_in.route('read', 'idempotent', timeout_ms=TIMEOUT_MS),
+    stand_in.route('book', 'non_idempotent', timeout_ms=TIMEOUT_MS),
+    stand_in.route('draft', 'streaming', timeout_ms=TIMEOUT_MS),
+    stand_in.route('ask', 'streaming', resumable=True, timeout_ms=TIMEOUT_MS),
+)
+CONFIG['services'][0]['health_path'] = STATUS_PATH
+# From the change in the store until no request may reach the target.
+BOUND_SECONDS = 2.0
+SETTLE_SECONDS = 0.3
+# A target that goes on has read all by then.
+READ_SECONDS = 0.5
+WORK_SECONDS = 4
+MAY_HAVE_RUN = 502
+
+
+class HaltedTarget:
+    """A target in a process of its own, which can be stopped."""
+
+    def __init__(self):
+        self.port = find_free_port()
+        self.address = f'{LOCALHOST}:{self.port}'
+        self.process = subprocess.Popen(
+            (
+                sys.executable,
+                '-m',
+                'tests.peridotwell_platform.halted_target',
+                str(self.port),
+            ),
+            stdout=subprocess.PIPE,
+        )
+        self.ran = None
+
+    async def wait_until_it_listens(self):
+        with trio.fail_after(10):
+            while True:
+                try:
+                    stream = await trio.open_tcp_stream(LOCALHOST, self.port)
+                except OSError:
+                    await trio.sleep(0.02)
+                else:
+                    await stream.aclose()
+                    return
+
+    def stop(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+    def go_on(self):
+        self.process.send_signal(signal.SIGCONT)
+
+    def end(self):
+        """End the process; return the ids of the requests that it has run."""
+        self.process.kill()
+        if self.ran is None:
+            self.ran = self.process.communicate()[0].decode().split()
+        return self.ran
+
+
+class Setup:
+    """A router, the store, and callers whose answers are kept."""
+
+    def __init__(self, nursery, store, address):
+        self.nursery = nursery
+        self.store = store
+        self.address = address
+        self.router = None
+        self.answers = {}
+
+    def list_target(self, address, name='i-1', **changes):
+        entry = {**msgspec.json.decode(target_entry(address)), **changes}
+        self.store.put(f'servers/{name}', msgspec.json.encode(entry))
+
+    def send(self, kind, seconds=0):
+        """Send a request; its id is the kind."""
+        self.nursery.start_soon(self._send, kind, seconds)
+
+    async def _send(self, kind, seconds):
+        headers = caller_headers(
+            1, x_request_id=kind, x_deadline_ms=str(TIMEOUT_MS)
+        )
+        async with httpcore.AsyncConnectionPool() as pool:
+            resp = await call(
+                pool, self.address, 'POST', f'/{kind}/{seconds}', headers, b''
+            )
+        self.answers[kind] = resp.status
+
+    async def wait_for_answers(self, seconds, count):
+        with trio.move_on_after(seconds):
+            while len(self.answers) < count:
+                await trio.sleep(0.01)
+
+
+@pytest.fixture
+async def setup(nursery):
+    store, store_address = await start_store(nursery, CONFIG)
+    started = await start_router(nursery, 'r-1', store_address)
+    made = Setup(nursery, store, started.address)
+    made.router = started.router
+    return made
+
+
+@pytest.fixture
+async def halted():
+    target = HaltedTarget()
+    await target.wait_until_it_listens()
+    yield target
+    target.end()
+
+
+def remove(setup, address):
+    setup.store.delete('servers/i-1')
+
+
+def drain(setup, address):
+    setup.list_target(address, born=1, seq=9, state='draining')
+
+
+def start_again(setup, address):
+    new_address = f'{LOCALHOST}:{find_free_port()}'
+    setup.list_target(new_address, born=2, seq=1)
+
+
+def reuse_address(setup, address):
+    remove(setup, address)
+    setup.list_target(address, 'i-2', born=2, seq=1)
+
+
+LEAVING = {
+    'removed': remove,
+    'draining': drain,
+    'started again': start_again,
+}
+
+
+# Guards against requests that lie at a stopped target which has left, and run
+# when it goes on (issue 68).
+@pytest.mark.parametrize('how', LEAVING)
+async def test_a_stopped_target_that_left_runs_nothing_when_it_goes_on(
+    setup, halted, how
+):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    halted.stop()
+    for kind in KINDS:
+        setup.send(kind)
+    await trio.sleep(SETTLE_SECONDS)
+    LEAVING[how](setup, halted.address)
+    await setup.wait_for_answers(BOUND_SECONDS, len(KINDS))
+    answers = dict(setup.answers)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert (halted.end(), answers) == ([], dict.fromkeys(KINDS, MAY_HAVE_RUN))
+
+
+# Guards against the same once another target has the address of a stopped one.
+async def test_requests_are_taken_back_where_another_target_has_the_address(
+    setup, halted
+):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    halted.stop()
+    for kind in ('book', 'draft'):
+        setup.send(kind)
+    await trio.sleep(SETTLE_SECONDS)
+    reuse_address(setup, halted.address)
+    await setup.wait_for_answers(BOUND_SECONDS, 2)
+    answers = dict(setup.answers)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert halted.end() == []
+    assert answers == {'book': MAY_HAVE_RUN, 'draft': MAY_HAVE_RUN}
+
+
+# Guards against the same on a path that is held, of a target that is sound.
+@pytest.mark.parametrize('how', ['removed', 'draining'])
+async def test_a_target_that_left_gets_nothing_when_its_path_opens(
+    setup, halted, nursery, how
+):
+    proxy = await start_proxy(nursery, halted.address)
+    setup.list_target(proxy.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    proxy.hold('requests', 'responses')
+    for kind in KINDS:
+        setup.send(kind)
+    await trio.sleep(SETTLE_SECONDS)
+    LEAVING[how](setup, proxy.address)
+    await setup.wait_for_answers(BOUND_SECONDS, len(KINDS))
+    answers = dict(setup.answers)
+    proxy.release('requests', 'responses')
+    await trio.sleep(READ_SECONDS)
+    assert (halted.end(), answers) == ([], dict.fromkeys(KINDS, MAY_HAVE_RUN))
+
+
+# Guards against requests that are cut at a sound target which has left and
+# works without sending a byte.
+@pytest.mark.parametrize('how', ['removed', 'draining'])
+async def test_a_sound_target_that_left_ends_its_work(setup, halted, how):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    for kind in ('book', 'draft'):
+        setup.send(kind, WORK_SECONDS)
+    await trio.sleep(SETTLE_SECONDS)
+    LEAVING[how](setup, halted.address)
+    await setup.wait_for_answers(WORK_SECONDS + 2, 2)
+    assert setup.answers == {'book': 200, 'draft': 200}
+
+
+# Guards against a sound target that is cut because it was silent for a second.
+async def test_a_target_that_is_silent_for_a_moment_ends_its_work(
+    setup, halted
+):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    setup.send('book', WORK_SECONDS)
+    await trio.sleep(SETTLE_SECONDS)
+    remove(setup, halted.address)
+    halted.stop()
+    await trio.sleep(1)
+    halted.go_on()
+    await setup.wait_for_answers(WORK_SECONDS + 2, 1)
+    assert setup.answers == {'book': 200}
--- a/tests/serving/test_outstanding_requests.py
+++ b/tests/serving/test_outstanding_requests.py
@@ -24,6 +24,9 @@
     def standing(self, target):
         return self.now
 
+    def status_path(self, target):
+        return '/'
+
 
 @pytest.fixture
 def lines(monkeypatch):
