--- a/peridotwell/assembly.py
+++ b/peridotwell/assembly.py
@@ -18,9 +18,11 @@
 from peridotwell.operators.status import StatusReader
 from peridotwell.policy.quarantine import Quarantine
 from peridotwell.serving.at_most_once import AtMostOnceExecutor
+from peridotwell.serving.membership_standings import MembershipStandings
 from peridotwell.serving.placer import Placer
 from peridotwell.serving.readiness import Readiness
 from peridotwell.serving.request_handler import RequestHandler
+from peridotwell.serving.request_recall import RequestRecall
 from peridotwell.serving.target_monitor import TargetMonitor
 from peridotwell.settings import Settings
 from peridotwell.store.base import KeyValueStore
@@ -118,6 +120,11 @@
             store,
             RouterRegistry(store, own, settings.platform.lease_seconds),
             target_monitor,
+            RequestRecall(
+                target_monitor.outstanding,
+                MembershipStandings(state.membership),
+                metrics,
+            ),
             placer,
             claims,
             status_reader,
--- a/peridotwell/background_tasks.py
+++ b/peridotwell/background_tasks.py
@@ -21,6 +21,7 @@
 from peridotwell.metrics import Metrics
 from peridotwell.operators.status import StatusReader
 from peridotwell.serving.placer import Placer
+from peridotwell.serving.request_recall import RequestRecall
 from peridotwell.serving.target_monitor import TargetMonitor
 from peridotwell.settings import Settings
 from peridotwell.store.claims import ClaimStore
@@ -53,6 +54,7 @@
     store: HttpStore
     registry: RouterRegistry
     target_monitor: TargetMonitor
+    request_recall: RequestRecall
     placer: Placer
     claims: ClaimStore
     status_reader: StatusReader
@@ -64,6 +66,7 @@
         nursery.start_soon(self._receive_messages)
         nursery.start_soon(self._send_heartbeats)
         nursery.start_soon(self._probe_targets)
+        nursery.start_soon(self.request_recall.run)
         nursery.start_soon(self._follow_configuration)
         renewal_period = platform.lease_seconds / RENEWALS_PER_LEASE
         for period, action in (
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -140,10 +140,15 @@
                 return
             async with aclosing(self._validated_events(response)) as events:
                 async for event in events:
+                    self._record_sign()
                     self._position = event.position or self._position
                     self._head = self._head or StreamHead.of(response)
                     yield event
 
+    def _record_sign(self) -> None:
+        if self._target is not None:
+            self._monitor.record_sign(self._target)
+
     async def _read_response(
         self, response: TargetResponse
     ) -> BufferedResponse:
@@ -182,22 +187,37 @@
         http_request = _build_http_request(
             self._request, target, received, self._priority
         )
-        client = self._monitor.client(target)
-        response_context = client.send(
-            http_request,
-            self._timeouts,
-            new_connection=not self._request.is_idempotent,
-            require_request_id=self._request.contract.echoes_request_id,
-            before_send=partial(self._monitor.check_present, target),
-        )
         self.was_dispatched = True
         try:
-            async with response_context as response:
+            async with self._open_response(target, http_request) as response:
+                self._monitor.record_sign(target)
                 yield response
         finally:
             self._placer.release(placement_request, target)
         self._monitor.record_response(target, self._request)
 
+    @asynccontextmanager
+    async def _open_response(
+        self, target: Target, http_request: httpcore.Request
+    ) -> AsyncIterator[TargetResponse]:
+        """Yield the response, unless the request is taken back before."""
+        with self._monitor.outstanding.track(
+            target,
+            self._request.request_id,
+            _kind(self._request),
+        ) as outstanding:
+            response_context = self._monitor.client(target).send(
+                http_request,
+                self._timeouts,
+                new_connection=not self._request.is_idempotent,
+                require_request_id=self._request.contract.echoes_request_id,
+                before_send=partial(
+                    self._monitor.begin_sending, target, outstanding
+                ),
+            )
+            async with outstanding.open(response_context) as response:
+                yield response
+
     async def _place(self, placement_request: PlacementRequest) -> Target:
         """Return a target. Raises RequestError.
 
@@ -269,6 +289,11 @@
         )
 
 
+def _kind(request: CallerRequest) -> str:
+    """Return the kind of a request for the logs."""
+    return 'idempotent' if request.is_idempotent else 'non_idempotent'
+
+
 def _build_http_request(
     request: CallerRequest,
     target: Target,
--- a/peridotwell/serving/target_monitor.py
+++ b/peridotwell/serving/target_monitor.py
@@ -21,6 +21,10 @@
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.quarantine import Quarantine, request_fingerprint
+from peridotwell.serving.outstanding_requests import (
+    OutstandingRequest,
+    OutstandingRequests,
+)
 from peridotwell.serving.response_buffers import (
     BudgetRecorder,
     ResponseBuffers,
@@ -37,7 +41,8 @@
 class TargetMonitor:
     """Keeps the clients of all targets and records what they observe.
 
-    `publish` sends observations to the other routers.
+    `publish` sends observations to the other routers. `outstanding` has the
+    requests that are outstanding at each target.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         sender: int,
         configuration: ConfigurationStore,
     ) -> None:
+        self.outstanding = OutstandingRequests()
         self._configuration = configuration
         self._membership = membership
         self._quarantine = quarantine
@@ -67,11 +73,18 @@
             self._clients[client_key] = client
         return client
 
-    def check_present(self, target: Target) -> None:
+    def begin_sending(
+        self, target: Target, outstanding: OutstandingRequest
+    ) -> None:
         """Raise TargetLeft if a target has left since it was chosen."""
         known = self._membership.target(target.name)
         if known is None or known.leaving:
             raise TargetLeft(f'{target.name} has left: choose another target.')
+        outstanding.record_sent(trio.current_time())
+
+    def record_sign(self, target: Target) -> None:
+        """Record that data arrived from a target."""
+        self.outstanding.record_sign(target, trio.current_time())
 
     async def close_unused_clients(self) -> None:
         """Close the clients of targets that are no longer known."""
@@ -107,6 +120,7 @@
     def record_refusal(self, target: Target, reason: str) -> None:
         """Record a refusal; reason 'leaving' marks the target as leaving."""
         self._metrics.count('target.refused')
+        self.record_sign(target)
         if reason == 'leaving':
             self._record_observation(target, target.incarnation, leaving=True)
 
@@ -148,6 +162,7 @@
             self._metrics.count('target.probe_failed')
         else:
             self._membership.record_connection_success(target.name)
+            self.record_sign(target)
             self._record_health(target, health)
 
     def _record_health(self, target: Target, health: TargetHealth) -> None:
--- a/tests/peridotwell_platform/test_requests_left_behind.py
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -7,17 +7,14 @@
 or write.
 """
 
-import signal
-import subprocess
-import sys
-
 import httpcore
 import msgspec
 import pytest
 import trio
 
+from tests.halted_process import HaltedTarget
+from tests.halted_target import STATUS_PATH
 from tests.peridotwell_platform import stand_in
-from tests.peridotwell_platform.halted_target import STATUS_PATH
 from tests.peridotwell_platform.router_setup import (
     LOCALHOST,
     call,
@@ -49,48 +46,6 @@
 MAY_HAVE_RUN = 502
 
 
-class HaltedTarget:
-    """A target in a process of its own, which can be stopped."""
-
-    def __init__(self):
-        self.port = find_free_port()
-        self.address = f'{LOCALHOST}:{self.port}'
-        self.process = subprocess.Popen(
-            (
-                sys.executable,
-                '-m',
-                'tests.peridotwell_platform.halted_target',
-                str(self.port),
-            ),
-            stdout=subprocess.PIPE,
-        )
-        self.ran = None
-
-    async def wait_until_it_listens(self):
-        with trio.fail_after(10):
-            while True:
-                try:
-                    stream = await trio.open_tcp_stream(LOCALHOST, self.port)
-                except OSError:
-                    await trio.sleep(0.02)
-                else:
-                    await stream.aclose()
-                    return
-
-    def stop(self):
-        self.process.send_signal(signal.SIGSTOP)
-
-    def go_on(self):
-        self.process.send_signal(signal.SIGCONT)
-
-    def end(self):
-        """End the process; return the ids of the requests that it has run."""
-        self.process.kill()
-        if self.ran is None:
-            self.ran = self.process.communicate()[0].decode().split()
-        return self.ran
-
-
 class Setup:
     """A router, the store, and callers whose answers are kept."""
 
@@ -135,8 +90,14 @@
 
 
 @pytest.fixture
-async def halted():
-    target = HaltedTarget()
+def arguments():
+    """Further arguments of the target."""
+    return ()
+
+
+@pytest.fixture
+async def halted(arguments):
+    target = HaltedTarget(*arguments)
     await target.wait_until_it_listens()
     yield target
     target.end()
--- a/tests/serving/test_request_executor.py
+++ b/tests/serving/test_request_executor.py
@@ -1,6 +1,7 @@
 """What the executor reports when targets fail one after the other."""
 
 import pytest
+import trio
 
 from peridotwell.attempt_errors import TargetLeft
 from peridotwell.domain.caller_request import CallerRequest
@@ -9,6 +10,7 @@
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import NoTarget, RunState, TargetFailed
 from peridotwell.policy.retry import RetryBudget
+from peridotwell.serving.outstanding_requests import OutstandingRequests
 from peridotwell.serving.request_executor import RequestExecutor
 from peridotwell.serving.target_client import TargetClient
 from tests.raw_target import RawResponse, RawTarget
@@ -39,9 +41,16 @@
 
     left: frozenset[str] = frozenset()
 
-    def check_present(self, target):
+    def __init__(self):
+        self.outstanding = OutstandingRequests()
+
+    def begin_sending(self, target, outstanding):
         if target.name in self.left:
             raise TargetLeft(target.name)
+        outstanding.record_sent(trio.current_time())
+
+    def record_sign(self, target):
+        self.outstanding.record_sign(target, trio.current_time())
 
     def client(self, target):
         return TargetClient(target)
