--- a/tests/peridotwell_platform/test_requests_left_behind.py
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -14,7 +14,7 @@
 
 from tests.halted_process import HaltedTarget
 from tests.halted_target import STATUS_PATH
-from tests.peridotwell_platform import stand_in
+from tests.peridotwell_platform import cut_fleet, stand_in
 from tests.peridotwell_platform.router_setup import (
     LOCALHOST,
     call,
@@ -215,3 +215,106 @@
     halted.go_on()
     await setup.wait_for_answers(WORK_SECONDS + 2, 1)
     assert setup.answers == {'book': 200}
+
+
+# Guards against a sound target that is cut because its status checks wait for
+# a slot, while it answers other requests.
+@pytest.mark.parametrize('arguments', [('busy',)])
+async def test_a_busy_target_that_answers_others_ends_its_work(setup, halted):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    setup.send('book', WORK_SECONDS)
+    setup.send('draft', 1.2)
+    await trio.sleep(SETTLE_SECONDS)
+    remove(setup, halted.address)
+    await setup.wait_for_answers(WORK_SECONDS + 2, 2)
+    assert setup.answers == {'book': 200, 'draft': 200}
+
+
+# Guards against the same at a target that has told that it leaves, well after
+# it was sent the request.
+@pytest.mark.parametrize('arguments', [('busy',)])
+async def test_a_busy_target_that_says_that_it_leaves_ends_its_work(
+    setup, halted
+):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    setup.send('book', WORK_SECONDS)
+    await trio.sleep(1.5)
+    drain(setup, halted.address)
+    await setup.wait_for_answers(WORK_SECONDS + 2, 1)
+    assert setup.answers == {'book': 200}
+
+
+# Guards against requests that run although their callers have left.
+async def test_a_stopped_target_runs_nothing_for_callers_that_left(
+    setup, halted, nursery
+):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    halted.stop()
+    setup.nursery = await nursery.start(open_nursery)
+    for kind in KINDS:
+        setup.send(kind)
+    await trio.sleep(SETTLE_SECONDS)
+    setup.nursery.cancel_scope.cancel()
+    await trio.sleep(SETTLE_SECONDS)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert halted.end() == []
+
+
+async def open_nursery(task_status):
+    async with trio.open_nursery() as nursery:
+        task_status.started(nursery)
+        await trio.sleep_forever()
+
+
+@pytest.fixture
+async def handing_over(nursery, halted):
+    """Return two routers of which the first hands over to the second."""
+    fleet = await cut_fleet.start_raw_fleet(nursery, [halted])
+    config = {**cut_fleet.CONFIG, 'version': 2, 'routes': CONFIG['routes']}
+    fleet.store.put('op/config', msgspec.json.encode(config))
+    await fleet.cut(0, 'refused')
+    for _ in range(3):
+        await fleet.send(0, '/read/0')
+    resp = await fleet.send(0, '/book/0')
+    assert resp.status == 200
+    return fleet
+
+
+# Guards against requests that were handed over to another router, and lie at a
+# target when it has left, or when their callers have.
+async def test_a_target_that_left_runs_nothing_that_was_handed_over(
+    handing_over, halted, nursery
+):
+    halted.stop()
+    statuses = []
+
+    async def send():
+        resp = await handing_over.send(
+            0, '/book/0', x_request_id='left', x_deadline_ms=str(TIMEOUT_MS)
+        )
+        statuses.append(resp.status)
+
+    nursery.start_soon(send)
+    await trio.sleep(SETTLE_SECONDS)
+    handing_over.store.delete('servers/i-0')
+    await trio.sleep(BOUND_SECONDS)
+    answers = list(statuses)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert ('left' in halted.end(), answers) == (False, [MAY_HAVE_RUN])
+
+
+async def test_a_target_runs_nothing_handed_over_whose_caller_left(
+    handing_over, halted
+):
+    halted.stop()
+    with trio.move_on_after(SETTLE_SECONDS):
+        await handing_over.send(0, '/book/0', x_request_id='left')
+    await trio.sleep(SETTLE_SECONDS)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert 'left' not in halted.end()
