--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -60,6 +60,11 @@
     f'Run a day of such a deployment, with some of these faults, or "all": '
     f'{", ".join(DAY_FAULTS)}.',
 )
+flags.register_validator(
+    'day',
+    lambda names: names == ['all'] or set(names) <= set(DAY_FAULTS),
+    f'A fault of a day is "all" or one of: {", ".join(DAY_FAULTS)}.',
+)
 PLAIN = flags.DEFINE_bool(
     'plain', False, 'All versions of a day have one shape; else it is drawn.'
 )
