Soak: targets stand still, leave and go on

Evidence that the targets record: when the router sent a request on, as the router's own connection saw it (Arrived.sent_on_at), and a request whose connection the router has reset when the target reads it. Such a request does not run (TakenBack): bytes stay readable after a reset, so a target polls the whole way back to the router, which the soak's own delays do not change. An ordinary close takes nothing back. Targets that stand still ask for no pause and reject nothing that counts: what lay there comes at once.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -150,6 +150,15 @@
         """The store, in the first worker."""
         return Remote(self.workers[0], 'host')
 
+    @property
+    def ready_targets(self) -> list[Target]:
+        """The targets that are ready, and have not said that they leave."""
+        return [
+            target
+            for target in self.targets
+            if target.state == 'ready' and not target.says_leaving
+        ]
+
     def start_worker(self, role: str) -> Worker:
         """Start a worker process."""
         worker = Worker(f'{role} {len(self.workers)}', role)
--- a/tests/soak/day_faults.py
+++ b/tests/soak/day_faults.py
@@ -15,6 +15,7 @@
 from tests.soak.cluster import Router, SoakCluster
 from tests.soak.control import Remote
 from tests.soak.faults import STOP_TIMEOUT_SECONDS
+from tests.soak.leaving_faults import LEAVING_FAULTS, LeavingFaults
 from tests.soak.records import RouterDisturbed, StoreDisturbed, now
 
 __all__ = ('DAY_FAULTS', 'DayFaults')
@@ -47,7 +48,7 @@
     'silent_connections',
 )
 RESTARTS = ('roll', 'lose')
-DAY_FAULTS = (*CHANGES, *STORES, *RESTARTS)
+DAY_FAULTS = (*CHANGES, *STORES, *RESTARTS, *LEAVING_FAULTS)
 MIN_GAP_SECONDS, MAX_GAP_SECONDS = 0.5, 3.0
 # Routers turned away, or whose ways to the store are impaired.
 SOME_SHARE = 0.35
@@ -70,6 +71,7 @@
         self._cluster = cluster
         self._names = names
         self._random = random.Random(f'day {seed}')
+        self._leaving = LeavingFaults(cluster, seed, names)
         self._lost: Router | None = None
         self._lost_at = float(0)
         # Held by faults of the store, and until all routers in touch have heard
@@ -79,6 +81,7 @@
     async def run(self, injected: list[str]) -> None:
         """Inject faults of all groups, and add their names to the list."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._leaving.run, injected)
             for group in (CHANGES, STORES, RESTARTS):
                 chosen = [name for name in group if name in self._names]
                 if chosen:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -169,7 +169,7 @@
     async def _delay_target(self) -> None:
         target = self._choose_target()
         seconds = self._random.uniform(0.02, 0.4)
-        with self._disturbed(PathDisturbed, target.name):
+        with self._disturbed(PathDisturbed, target.name, '', True):
             await target.proxy.set_for(
                 self._duration(), 'delay_seconds', seconds, 0
             )
@@ -182,7 +182,8 @@
 
     async def _hold_target(self, direction: str) -> None:
         target = self._choose_target()
-        with self._disturbed(PathDisturbed, target.name):
+        passes_answers = direction == 'requests'
+        with self._disturbed(PathDisturbed, target.name, '', passes_answers):
             await target.proxy.call('hold', direction)
             await self._wait_for_duration()
             await target.proxy.call('release', direction)
@@ -228,11 +229,7 @@
             await self._cluster.restart_target(target)
 
     def _choose_leaving_target(self) -> Target | None:
-        ready_targets = [
-            target
-            for target in self._cluster.targets
-            if target.state == 'ready' and not target.says_leaving
-        ]
+        ready_targets = self._cluster.ready_targets
         if len(ready_targets) <= MIN_TARGETS:
             return None
         return self._random.choice(ready_targets)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,6 +7,8 @@
 import trio
 
 from tests.accepting import serve_connections
+from tests.soak.origins import Passage, Passages, port_of
+from tests.soak.records import now
 
 __all__ = ('FaultProxy', 'ProxyGroup', 'start_proxy')
 
@@ -36,6 +38,7 @@
         self.refuses_connections = False
         self._may_pass = {'requests': trio.Event(), 'responses': trio.Event()}
         self._streams: set[trio.SocketStream] = set()
+        self.passages: Passages = {}
         # Streams that pass nothing on for good, and whether new ones do.
         self._silent: set[trio.SocketStream] = set()
         self._silences_new = False
@@ -99,6 +102,9 @@
             _reset_connection(caller)
             return
         self._streams |= {caller, target_stream}
+        port = target_stream.socket.getsockname()[1]
+        passage = Passage(caller, port_of(caller))
+        self.passages[port] = passage
         if self._silences_new:
             self._silent |= {caller, target_stream}
         try:
@@ -108,23 +114,27 @@
                     (target_stream, caller, 'responses'),
                 ):
                     nursery.start_soon(
-                        self._forward, source, sink, direction, nursery
+                        self._forward, source, sink, direction, nursery, passage
                     )
         finally:
+            self.passages.pop(port)
             self._streams -= {caller, target_stream}
             self._silent -= {caller, target_stream}
             _reset_connection(caller)
             _reset_connection(target_stream)
 
-    async def _forward(self, source, sink, direction, nursery) -> None:
+    async def _forward(self, source, sink, direction, nursery, passage) -> None:
         try:
             while chunk := await source.receive_some(CHUNK_BYTES):
+                if direction == 'requests':
+                    passage.note_request(now())
                 await trio.sleep(self.delay_seconds)
                 while source in self._silent:
                     await trio.sleep(RESET_POLL_SECONDS)
                 await self._wait_until_passed(source, direction)
                 if direction == 'responses':
                     chunk = await self._impair_response(source, chunk)
+                    passage.note_response()
                 await sink.send_all(chunk)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/tests/soak/raw_answers.py
+++ b/tests/soak/raw_answers.py
@@ -6,6 +6,7 @@
 import trio
 
 from tests.raw_target import HEAD_END, RESET_ON_CLOSE
+from tests.soak.standstill import StillStream
 
 __all__ = ('Answer', 'Manner', 'Request', 'send_answer')
 
@@ -62,7 +63,7 @@
 
 
 async def send_answer(
-    stream: trio.SocketStream, answer: Answer, manner: Manner
+    stream: trio.SocketStream | StillStream, answer: Answer, manner: Manner
 ) -> None:
     """Send an answer; end the connection if the manner says so."""
     await stream.send_all(_head(answer, manner))
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -17,6 +17,7 @@
     'Answered',
     'Handled',
     'Arrived',
+    'TakenBack',
     'Replied',
     'VersionWritten',
     'EntryWritten',
@@ -83,7 +84,9 @@
 
     A rejection may ask for a pause, or come of a brittle target that bears so
     many a second. Both are 0 if a fault held up the request or its answer.
-    `process` is the name of the target's process, or how it begins.
+    `process` is the name of the target's process, or how it begins. A router
+    sent the request on at `sent_on_at`, 0 if that is not known: since then it
+    lay on its way or at the target.
     """
 
     at: float
@@ -94,6 +97,20 @@
     pause_seconds: float = 0
     max_rejections: float = 0
     process: str = 'targets'
+    sent_on_at: float = 0
+
+
+class TakenBack(Record, frozen=True):
+    """A target reads a request whose connection has been reset.
+
+    It runs nothing, and answers nothing.
+    """
+
+    at: float
+    request_id: str
+    target: str
+    start: int
+    sent_on_at: float
 
 
 class Replied(Record, frozen=True):
@@ -107,6 +124,7 @@
     is_whole: bool
     # The target, with its start, if the answer says that it leaves.
     leaves: str = ''
+    target: str = ''
 
 
 class VersionWritten(Record, frozen=True):
@@ -175,13 +193,15 @@
 class PathDisturbed(Record, frozen=True):
     """Bytes were held, delayed or lost on the way to a target.
 
-    An empty `router` stands for all routers.
+    An empty `router` stands for all routers. With `passes_answers`, the target
+    could still be heard.
     """
 
     began_at: float
     at: float
     target: str
     router: str = ''
+    passes_answers: bool = False
 
 
 class Late(Record, frozen=True):
@@ -201,6 +221,7 @@
     | Answered
     | Handled
     | Arrived
+    | TakenBack
     | Replied
     | VersionWritten
     | EntryWritten
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -235,6 +235,7 @@
     await cluster.store.call('clear_faults')
     for target in cluster.targets:
         await target.proxy.call('clear_faults')
+        await target.remote.call('go_on')
         await target.remote.set(
             is_failing=False,
             failing_share=0,
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -2,16 +2,18 @@
 
 import random
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
 from tests.raw_target import read_request
 from tests.soak.answer_rule import EVENTS_PER_STREAM
 from tests.soak.brittle import CONTACT_SECONDS
+from tests.soak.origins import Origin
 from tests.soak.proxy import FaultProxy
 from tests.soak.raw_answers import Answer, Manner, Request, send_answer
-from tests.soak.records import Arrived, Record, Replied, now
+from tests.soak.records import Arrived, Record, Replied, TakenBack, now
+from tests.soak.standstill import Standstill, StillStream
 
 __all__ = ('EXECUTION_SECONDS', 'SoakTarget')
 
@@ -41,7 +43,8 @@
     on, a brittle target runs so few requests at once that it has to reject
     some; if that is None, from a time after the first answer that says so. A
     target that `stutters` sends answers a second time, one that `cuts` breaks
-    them off.
+    them off. While it stands still, it neither reads nor sends. Its `ways` are
+    the routers' proxies.
     """
 
     name: str
@@ -49,6 +52,8 @@
     draws: random.Random
     process: str = 'targets'
     proxy: FaultProxy | None = None
+    ways: list[FaultProxy] = field(default_factory=list)
+    standstill: Standstill = field(default_factory=Standstill)
     is_failing: bool = False
     failing_share: float = 0
     slow_seconds: float = 0
@@ -68,23 +73,43 @@
         """Its name with the number of its start."""
         return f'{self.name} start {self.starts}'
 
-    async def serve(self, stream: trio.SocketStream) -> None:
+    def stand_still(self) -> None:
+        """Neither read nor send until `go_on`."""
+        self.standstill.begin()
+
+    def go_on(self) -> None:
+        """Read what has come meanwhile, and go on."""
+        self.standstill.end()
+
+    async def serve(self, conn: trio.SocketStream) -> None:
         """Answer the requests of one connection, one after the other."""
         lock = trio.Lock()
+        ways = [way.passages for way in self.ways]
+        origin = Origin(conn, ([self.proxy.passages], ways))
+        stream = StillStream(conn, self.standstill)
         async with trio.open_nursery() as nursery:
             with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 while content := await read_request(stream):
                     request = Request.parse(content)
-                    answer, manner = await self._answer(request, stream, lock)
+                    if origin.is_reset():
+                        self._record_taken_back(request, origin)
+                        break
+                    answer, manner = await self._answer(
+                        request, stream, lock, origin.request_at
+                    )
                     if manner.closes:
                         break
                     self._stutter(nursery, stream, lock, answer)
             nursery.cancel_scope.cancel()
 
     async def _answer(
-        self, request: Request, stream: trio.SocketStream, lock: trio.Lock
+        self,
+        request: Request,
+        stream: StillStream,
+        lock: trio.Lock,
+        sent_on_at: float,
     ) -> tuple[Answer, Manner]:
-        rejection = self._reject(request.headers['x-request-id'])
+        rejection = self._reject(request.headers['x-request-id'], sent_on_at)
         if rejection:
             async with lock:
                 await send_answer(stream, rejection, Manner('length'))
@@ -95,24 +120,40 @@
         finally:
             self.running -= 1
 
-    def _reject(self, request_id: str) -> Answer | None:
+    def _reject(self, request_id: str, sent_on_at: float) -> Answer | None:
         """Return the answer to a request that does not run."""
         fields = (('x-request-id', request_id), ('x-not-executed', '1'))
         if self.pause_seconds:
-            self._record_arrival(request_id, pause=self.pause_seconds)
+            self._record_arrival(
+                request_id, sent_on_at, pause=self.pause_seconds
+            )
             pause = ('retry-after', f'{self.pause_seconds}')
             return Answer(503, (*fields, pause), ())
         if self._is_brittle() and self.running >= BRITTLE_SLOTS:
             bearable = float(self.max_rejections)
-            self._record_arrival(request_id, max_rejections=bearable)
+            self._record_arrival(
+                request_id, sent_on_at, max_rejections=bearable
+            )
             return Answer(503, (*fields, *self._brittle_fields()), ())
-        self._record_arrival(request_id)
+        self._record_arrival(request_id, sent_on_at)
         return None
 
+    def _record_taken_back(self, request: Request, origin: Origin) -> None:
+        request_id = request.headers['x-request-id']
+        self.records.append(
+            TakenBack(
+                now(), request_id, self.name, self.starts, origin.request_at
+            )
+        )
+
     def _record_arrival(
-        self, request_id: str, pause: float = 0, max_rejections: float = 0
+        self,
+        request_id: str,
+        sent_on_at: float,
+        pause: float = 0,
+        max_rejections: float = 0,
     ) -> None:
-        is_clear = self.proxy.is_clear
+        is_clear = self._is_clear()
         arrived = Arrived(
             now(),
             request_id,
@@ -122,9 +163,14 @@
             pause * is_clear,
             max_rejections * is_clear,
             self.process,
+            sent_on_at,
         )
         self.records.append(arrived)
 
+    def _is_clear(self) -> bool:
+        """Whether no fault holds up requests or answers."""
+        return self.proxy.is_clear and self.standstill.is_over
+
     def _is_brittle(self) -> bool:
         is_known = self.brittle_from is not None and now() >= self.brittle_from
         return is_known and bool(self.max_rejections)
@@ -132,7 +178,7 @@
     def _note_answer(self, answer: Answer, manner: Manner) -> None:
         """Let routers have time from the first answer on that tells them."""
         tells = any(name == BRITTLE_FIELD for name, _ in answer.fields)
-        is_passed_on = self.proxy.is_clear and not manner.cut
+        is_passed_on = self._is_clear() and not manner.cut
         if tells and is_passed_on and self.brittle_from is None:
             self.brittle_from = now() + CONTACT_SECONDS
 
@@ -143,7 +189,7 @@
         )
 
     async def _run(
-        self, request: Request, stream: trio.SocketStream, lock: trio.Lock
+        self, request: Request, stream: StillStream, lock: trio.Lock
     ) -> tuple[Answer, Manner]:
         request_id = request.headers['x-request-id']
         self.runs += 1
@@ -166,6 +212,7 @@
                     answer.body,
                     not manner.cut,
                     self.incarnation * self.says_leaving,
+                    self.name,
                 )
             )
             await send_answer(stream, answer, manner)
@@ -202,7 +249,7 @@
     def _stutter(
         self,
         nursery: trio.Nursery,
-        stream: trio.SocketStream,
+        stream: StillStream,
         lock: trio.Lock,
         answer: Answer,
     ) -> None:
@@ -218,7 +265,7 @@
 
 async def _send_later(
     delay_seconds: float,
-    stream: trio.SocketStream,
+    stream: StillStream,
     lock: trio.Lock,
     answer: Answer,
     manner: Manner,
--- a/tests/soak/target_faults.py
+++ b/tests/soak/target_faults.py
@@ -100,11 +100,7 @@
             await self._cluster.restart_target(target)
 
     def _choose_ready(self) -> Target | None:
-        ready = [
-            target
-            for target in self._cluster.targets
-            if target.state == 'ready' and not target.says_leaving
-        ]
+        ready = self._cluster.ready_targets
         if len(ready) <= self._min_ready:
             return None
         return self._random.choice(ready)
--- a/tests/soak/target_host.py
+++ b/tests/soak/target_host.py
@@ -47,6 +47,7 @@
             addresses[''][name] = target.proxy.address
             for router in routers:
                 path = await start_proxy(self._nursery, target.proxy.address)
+                target.ways.append(path)
                 self._objects[f'{router} {name}'] = path
                 addresses[router][name] = path.address
         return addresses
--- a/tests/soak/test_target.py
+++ b/tests/soak/test_target.py
@@ -37,7 +37,7 @@
 
 async def exchange(nursery, target, kind='read', *, answers=9):
     """Send a request; return the bytes of some answers, or until the end."""
-    target.proxy = SimpleNamespace(is_clear=True)
+    target.proxy = SimpleNamespace(is_clear=True, passages={})
     address = await listen(nursery, target.serve)
     stream = await trio.open_tcp_stream('127.0.0.1', int(address[10:]))
     await stream.send_all(REQUEST.format(kind=kind).encode())
