Soak: what lay at a silent target is judged when it is read

A request that lay at a target which stood still counted less what the soak's targets were late by, so that a target's own standstill would have excused it; one that lay on a held path was excused whatever the router knew; and any disturbance of the path in the last 3 s excused a target that is gone.

Change, all by the time at which the router sent the request on, as its own connection saw it: - Waits of the soak's targets count only for a request that lay under 1 s, only those of its own process, and 1 s at most. - A path excuses only while it holds requests and passes answers, and only a router that heard the target since it had sent the request: nothing told it to take the request back. In silence it can: a reset drops what is held here. - A stop of the router after the bound (2 s after the leaving) excuses nothing. - New, and needed by the new faults: beyond the grace of a draining target, a router that was stopped between sending and the bound is excused, if its process has ended or it went on less than 2 s before. It was not excused; before these faults, no request lay there for so long.

Tests that changed: a disturbed path no longer excuses a target that is gone (two cases of test_faults_excuse_until_contact are now asserted to be violations), and test_request_that_its_path_holds_is_excused asks for a sign of life.

--- a/tests/soak/test_leaving_rule.py
+++ b/tests/soak/test_leaving_rule.py
@@ -8,7 +8,9 @@
     EntryWritten,
     Late,
     PathDisturbed,
+    Replied,
     RouterDisturbed,
+    RouterStarted,
     Sent,
     StoreDisturbed,
 )
@@ -17,7 +19,18 @@
 LEFT_AT = 10
 
 
-def judge(after_seconds, *records, state='gone', start=1, sent_before=0.5):
+def judge(
+    after_seconds,
+    *records,
+    state='gone',
+    start=1,
+    sent_before=0.5,
+    lay_seconds=None,
+):
+    """Judge a request that is read so long after its target has left.
+
+    It was sent on `lay_seconds` before; None: that was not recorded.
+    """
     at = LEFT_AT + after_seconds
     return list(
         judge_leaving(
@@ -26,7 +39,14 @@
                     READY,
                     EntryWritten(LEFT_AT, 't0', 1, state),
                     Sent(at - sent_before, 'q1', 'r0', 'read', 'key-1'),
-                    Arrived(at, 'q1', 't0', start, True),
+                    Arrived(
+                        at,
+                        'q1',
+                        't0',
+                        start,
+                        True,
+                        sent_on_at=at - lay_seconds if lay_seconds else 0,
+                    ),
                     *records,
                 ),
                 key=lambda record: record.at,
@@ -67,8 +87,6 @@
     [
         RouterDisturbed(LEFT_AT, LEFT_AT + 0.6, 'r0'),
         StoreDisturbed(LEFT_AT - 4, LEFT_AT - 2.9, False),
-        PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't0'),
-        PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't0', 'r0'),
     ],
 )
 def test_faults_excuse_until_contact(fault):
@@ -110,35 +128,151 @@
     assert judge(3.5, *waits)
 
 
-# Guards against requests that the network holds (seed 6202 of the field).
+# Guards against an excuse of paths that were disturbed, and hold nothing.
 @pytest.mark.parametrize('router', ['', 'r0'])
-def test_request_that_its_path_holds_is_excused(router):
-    hold = PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't0', router)
-    assert not judge(2.82, hold, state='draining', sent_before=2)
+def test_disturbed_paths_excuse_no_request_that_was_sent_late(router):
+    fault = PathDisturbed(LEFT_AT, LEFT_AT + 0.6, 't0', router)
+    assert judge(3, fault)
+    assert judge(3, fault, state='draining')
+
+
+# Guards against requests that are left at a target which stands still: they run
+# when it goes on, after it has left (issue 68).
+@pytest.mark.parametrize('state', ['draining', 'gone'])
+@pytest.mark.parametrize('lay_seconds', [1.0, 2.9, 6])
+def test_request_that_lay_at_a_target_is_late_when_it_is_read(
+    state, lay_seconds
+):
+    assert judge(
+        2.9, state=state, sent_before=lay_seconds + 0.1, lay_seconds=lay_seconds
+    )
+
+
+# Guards against waits of the soak that excuse what a router could take back.
+def test_waits_of_a_target_do_not_count_for_what_lay_there():
+    wait = Late(LEFT_AT + 2.9, 'targets 1', 3)
+    assert judge(2.9, wait, sent_before=3, lay_seconds=2.9)
+    assert judge(3.1, wait, sent_before=3, lay_seconds=0.5)
+    assert not judge(2.9, wait, sent_before=3, lay_seconds=0.5)
+    # The wait of another process is none of this target.
+    assert judge(2.9, Late(LEFT_AT + 2.9, 'callers 1', 3), lay_seconds=0.4)
+
+
+# What a killed or stopped router has sent, it cannot take back.
+@pytest.mark.parametrize('state', ['draining', 'gone'])
+@pytest.mark.parametrize(
+    'fault',
+    [
+        RouterDisturbed(LEFT_AT - 1, LEFT_AT + 1, 'r0'),
+        RouterDisturbed(LEFT_AT - 3, LEFT_AT + 3, 'r0'),
+        RouterStarted(LEFT_AT + 1, 'r0'),
+    ],
+)
+def test_what_lay_while_its_router_was_stopped_is_excused(fault, state):
+    assert not judge(2.9, fault, state=state, sent_before=5, lay_seconds=4.9)
 
 
 @pytest.mark.parametrize(
-    ('hold', 'sent_before'),
+    'fault',
+    [
+        # The router has run for long enough since.
+        RouterDisturbed(LEFT_AT - 1, LEFT_AT + 0.8, 'r0'),
+        # It was over before the request was sent on.
+        RouterDisturbed(LEFT_AT - 3, LEFT_AT - 2.1, 'r0'),
+        RouterDisturbed(LEFT_AT - 1, LEFT_AT - 0.5, 'r1'),
+        # It began when the request should have been taken back.
+        RouterDisturbed(LEFT_AT + 2.1, LEFT_AT + 3.5, 'r0'),
+        RouterStarted(LEFT_AT + 2.1, 'r0'),
+        Late(LEFT_AT + 2.9, 'targets 1', 3),
+    ],
+)
+def test_what_a_running_router_left_at_a_target_is_not_excused(fault):
+    assert judge(2.9, fault, state='draining', sent_before=5, lay_seconds=4.9)
+
+
+# Guards against an excuse of routers that ran while they could take it back.
+def test_a_stop_after_the_bound_excuses_nothing():
+    fault = RouterDisturbed(LEFT_AT + 2.1, LEFT_AT + 3, 'r0')
+    assert judge(2.9, fault, sent_before=5, lay_seconds=4.9)
+    assert not judge(2.9, fault, sent_before=0.5, lay_seconds=0.4)
+
+
+# A router that was stopped may not send to a target that drains later on.
+def test_stopped_router_sends_nothing_after_the_bound():
+    fault = RouterDisturbed(LEFT_AT - 3, LEFT_AT + 2.6, 'r0')
+    assert judge(2.9, fault, state='draining', sent_before=0.5, lay_seconds=0.4)
+
+
+def hold(router='', *, passes_answers=True):
+    return PathDisturbed(
+        LEFT_AT + 0.8, LEFT_AT + 2.83, 't0', router, passes_answers
+    )
+
+
+def sign_of_life(after_seconds, router='r0', target='t0'):
+    sent = Sent(LEFT_AT - 1, f'q9{router}', router, 'read', 'key-1')
+    at = LEFT_AT + after_seconds
+    reply = Replied(at, sent.request_id, 's9', 200, b'', True, target=target)
+    return sent, reply
+
+
+# Guards against requests that the network holds (seed 6202 of the field), at a
+# router that hears the target all the while.
+@pytest.mark.parametrize('router', ['', 'r0'])
+def test_request_that_its_path_holds_is_excused_if_its_target_is_heard(router):
+    assert not judge(
+        2.82,
+        hold(router),
+        *sign_of_life(0.9),
+        state='draining',
+        sent_before=2,
+    )
+
+
+# Guards against requests that are left on a held path: what is heard of the
+# target tells that nobody has read them (issue 68).
+@pytest.mark.parametrize('state', ['draining', 'gone'])
+def test_request_that_its_path_holds_is_not_excused_in_silence(state):
+    for records in (
+        (hold(),),
+        (hold(passes_answers=False), *sign_of_life(0.9)),
+        (hold(), hold(passes_answers=False), *sign_of_life(0.9)),
+        # Heard before it was sent on, by another router, or of another target.
+        (hold(), *sign_of_life(0.8)),
+        (hold(), *sign_of_life(0.9, router='r1')),
+        (hold(), *sign_of_life(0.9, target='t1')),
+    ):
+        assert judge(2.82, *records, state=state, sent_before=2)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'sent_before'),
     [
         # It was over when the request arrived.
-        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.81, 't0'), 2),
+        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.81, 't0', '', True), 2),
         # It began when no request was to be sent on any more.
-        (PathDisturbed(LEFT_AT + 2.1, LEFT_AT + 2.83, 't0'), 2),
-        (PathDisturbed(LEFT_AT + 2.9, LEFT_AT + 3.5, 't0'), 2),
+        (PathDisturbed(LEFT_AT + 2.1, LEFT_AT + 2.83, 't0', '', True), 2),
+        (PathDisturbed(LEFT_AT + 2.9, LEFT_AT + 3.5, 't0', '', True), 2),
         # The caller sent the request later than that.
-        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't0'), 0.5),
+        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't0', '', True), 0.5),
         # Another path was disturbed.
-        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't0', 'r1'), 2),
-        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't1'), 2),
+        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't0', 'r1', True), 2),
+        (PathDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 't1', '', True), 2),
         # What is no path of the request holds nothing.
         (RouterDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, 'r0'), 2),
         (StoreDisturbed(LEFT_AT + 0.8, LEFT_AT + 2.83, False), 2),
     ],
 )
 def test_request_that_its_path_may_not_have_held_is_not_excused(
-    hold, sent_before
+    fault, sent_before
 ):
-    assert judge(2.82, hold, state='draining', sent_before=sent_before)
+    assert judge(
+        2.82,
+        fault,
+        *sign_of_life(0.9),
+        state='draining',
+        sent_before=sent_before,
+    )
 
 
 # Guards against faults of routers that could not know (seed 6360 of a day): the
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -1,5 +1,6 @@
 """Which routers are in touch: they ran undisturbed, and so did the store."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 
@@ -41,9 +42,11 @@
         self._routers: dict[str, list[RouterDisturbed]] = defaultdict(list)
         for fault in select(records, RouterDisturbed):
             self._routers[fault.router].append(fault)
+        self._starts: dict[str, list[float]] = defaultdict(list)
         for start in select(records, RouterStarted):
             fault = RouterDisturbed(start.at, start.at, start.router)
             self._routers[start.router].append(fault)
+            self._starts[start.router].append(start.at)
         self._paths: dict[str, list[PathDisturbed]] = defaultdict(list)
         for path in select(records, PathDisturbed):
             self._paths[path.target].append(path)
@@ -85,14 +88,35 @@
         )
         return not _any_in(paths, begin, end)
 
-    def is_path_disturbed_since(
+    def disturbed_until(
+        self, router: str, begin: float, end: float
+    ) -> float | None:
+        """Return until when a router was disturbed that was so in a time.
+
+        It is None for one that ran as usual, and infinite for one whose process
+        has ended since.
+        """
+        ends = [
+            fault.at
+            for fault in self._routers[router]
+            if fault.began_at <= end and begin <= fault.at
+        ]
+        if not ends:
+            return None
+        is_ended = any(at >= begin for at in self._starts[router])
+        return math.inf if is_ended else max(ends)
+
+    def is_heard_while_held(
         self, router: str, target: str, since: float, at: float
     ) -> bool:
-        """Whether a path is disturbed, and has been so since before."""
-        return any(
-            path.began_at <= since and path.began_at <= at <= path.at
+        """Whether requests are held, since before, while answers pass."""
+        paths = [
+            path
             for path in self._paths[target]
-            if path.router in {'', router}
+            if path.router in {'', router} and path.began_at <= at <= path.at
+        ]
+        return any(path.began_at <= since for path in paths) and all(
+            path.passes_answers for path in paths
         )
 
     def soak_late_seconds(self, role: str, begin: float, end: float) -> float:
