Soak: streams whose end was not marked, and events out of order

The soak could not show it: its streams had chunks in nearly all cases, its broken ones reset, and its callers recorded neither how an answer ended nor what came of a broken one.

Whole answers end early the same way.

--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -32,6 +32,8 @@
     status: int
     body: bytes = b''
     error: str = ''
+    # Whether the body's end is marked; else another check judges the body.
+    is_marked: bool = True
 
 
 @dataclass
@@ -124,6 +126,8 @@
     def _check_body(self, outcome: Outcome) -> None:
         if not FIRST_SUCCESS_STATUS <= outcome.status < FIRST_REDIRECT_STATUS:
             return
+        if not outcome.is_marked:
+            return
         if not outcome.body.endswith(_end_of_response(outcome)):
             self.violations.append(
                 f'{outcome} is not the response to this request'
--- a/tests/soak/replay.py
+++ b/tests/soak/replay.py
@@ -146,6 +146,7 @@
             answer.status,
             answer.body,
             answer.error,
+            answer.ended != 'open',
         )
         is_disturbed = _is_disturbed(router, sent.at)
         self._checker.record_outcome(outcome, is_disturbed=is_disturbed)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -242,6 +242,7 @@
             slow_seconds=0,
             stutters=False,
             cuts=False,
+            odd_answers=False,
             pause_seconds=0,
             limit='',
             max_rejections='',
--- a/tests/soak/target_host.py
+++ b/tests/soak/target_host.py
@@ -40,6 +40,7 @@
         for name in names:
             draws = random.Random(f'{name} {seed}')
             target = SoakTarget(name, self._records, draws, process)
+            target.odd_draws = random.Random(f'odd {name} {seed}')
             address = await self._nursery.start(serve_connections, target.serve)
             target.proxy = await start_proxy(self._nursery, address)
             self._objects[name] = target
--- a/tests/soak/test_target.py
+++ b/tests/soak/test_target.py
@@ -8,6 +8,8 @@
 
 from tests.raw_target import listen
 from tests.soak.brittle import CONTACT_SECONDS
+from tests.soak.events import numbered_events
+from tests.soak.odd_answers import FRAMINGS, ODDITIES
 from tests.soak.records import Arrived, Replied, now, select
 from tests.soak.target import CUTS, SoakTarget
 
@@ -31,6 +33,12 @@
     def uniform(self, low, high):
         return low
 
+    def randint(self, low, high):
+        return low
+
+    def randrange(self, low, high=None):
+        return 0 if high is None else low
+
     def choice(self, choices):
         return choices[self._number % len(choices)]
 
@@ -74,6 +82,25 @@
     assert reply.is_whole is not bool(manner.cut)
 
 
+# Guards against streams that look whole though their target ended them early,
+# or whose events come twice (issue 68).
+@pytest.mark.parametrize('number', range(len(ODDITIES)))
+@pytest.mark.parametrize('kind', ['read', 'draft', 'ask'])
+async def test_an_odd_answer_ends_in_the_ordinary_way(nursery, kind, number):
+    target = SoakTarget('t0', [], Draws(), odd_answers=True)
+    target.odd_draws = Draws(number)
+    received = await exchange(nursery, target, kind, answers=2)
+    (reply,) = select(target.records, Replied)
+    is_open = FRAMINGS[number % len(FRAMINGS)] == 'open'
+    assert received.endswith(b'END') is (is_open or not reply.is_whole)
+    if is_open:
+        assert received.endswith(reply.body + b'END')
+    numbers = [each for each, _ in numbered_events(reply.body)]
+    if kind != 'read':
+        assert numbers != [1, 2, 3, 4]
+        assert reply.is_whole is (ODDITIES[number] is not None)
+
+
 async def test_a_target_in_a_pause_runs_nothing(nursery):
     target = SoakTarget('t0', [], Draws(), pause_seconds=1.5)
     received = await exchange(nursery, target, answers=1)
