--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -60,6 +60,11 @@
     f'Run a day of such a deployment, with some of these faults, or "all": '
     f'{", ".join(DAY_FAULTS)}.',
 )
+flags.register_validator(
+    'day',
+    lambda names: names == ['all'] or set(names) <= set(DAY_FAULTS),
+    f'A fault of a day is "all" or one of: {", ".join(DAY_FAULTS)}.',
+)
 PLAIN = flags.DEFINE_bool(
     'plain', False, 'All versions of a day have one shape; else it is drawn.'
 )
@@ -230,12 +235,14 @@
     await cluster.store.call('clear_faults')
     for target in cluster.targets:
         await target.proxy.call('clear_faults')
+        await target.remote.call('go_on')
         await target.remote.set(
             is_failing=False,
             failing_share=0,
             slow_seconds=0,
             stutters=False,
             cuts=False,
+            odd_answers=False,
             pause_seconds=0,
             limit='',
             max_rejections='',
