--- a/peridotwell/fleet/replica/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -6,7 +6,8 @@
 store. So the news that a target leaves never waits for a large configuration.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from functools import partial
 
 from peridotwell.fleet.replica.entry_patches import (
     PatchError,
@@ -50,7 +51,7 @@
         self._sent_revision = revision
         self._sent_large = replica.entries_over(LARGE_ENTRY_BYTES)
         changed = replica.changes_since(base)
-        entries = tuple(urgent_entries(changed))
+        entries = tuple(urgent_entries(changed, self._directory.leaving_keys))
         patches = tuple(_make_patches(changed, previous, self._sent_large))
         if not entries and not patches:
             return None
@@ -107,10 +108,15 @@
         return SharedEntry(patch.key, patch.revision, content)
 
 
-def urgent_entries(changed: Iterable[SharedEntry]) -> Iterator[SharedEntry]:
-    """Yield the small entries that fit in a batch, the urgent ones first."""
+def urgent_entries(
+    changed: Iterable[SharedEntry], leaving_keys: Collection[str]
+) -> Iterator[SharedEntry]:
+    """Yield the small entries that fit in a batch, the urgent ones first.
+
+    `leaving_keys` are the keys of the targets that leave.
+    """
     left_bytes = MAX_CHANGES_BYTES
-    for each in sorted(changed, key=_urgency):
+    for each in sorted(changed, key=partial(_urgency, leaving_keys)):
         left_bytes -= _size(each)
         if _is_large(each) or left_bytes < 0:
             return
@@ -121,10 +127,16 @@
     return len(entry.value or b'') > LARGE_ENTRY_BYTES
 
 
-def _urgency(entry: SharedEntry) -> tuple[bool, bool, int]:
-    """Targets come before routers, deletions before other changes."""
+def _urgency(
+    leaving_keys: Collection[str], entry: SharedEntry
+) -> tuple[bool, bool, bool, int]:
+    """Targets come before routers, those that leave or are gone first.
+
+    A report of a target that leaves is longer than one of a target at work.
+    """
     is_router = entry.key.startswith(ROUTERS_PREFIX)
-    return _is_large(entry), is_router, _size(entry)
+    is_in_use = entry.value is not None and entry.key not in leaving_keys
+    return _is_large(entry), is_router, is_in_use, _size(entry)
 
 
 def _size(entry: SharedEntry) -> int:
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -175,7 +175,7 @@
     ) -> None:
         """Send some entries ahead; the peer stays behind the others."""
         changed = self._directory.replica.changes_since(pull.revision)
-        urgent = tuple(urgent_entries(changed))
+        urgent = tuple(urgent_entries(changed, self._directory.leaving_keys))
         if 0 < len(urgent) < len(changed):
             push = EntriesPush(
                 self._own,
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -65,6 +65,8 @@
         self.ready = trio.Event()
         # The names of the targets that accept new work.
         self.available_names: frozenset[str] = frozenset()
+        # The store's keys of the targets that leave.
+        self.leaving_keys: frozenset[str] = frozenset()
         self._decoder = decoder
         self._targets: dict[str, Target] = {}
         self._routers: dict[str, Hello] = {}
@@ -337,6 +339,9 @@
             for target in self._targets.values()
             if not target.leaving
         )
+        self.leaving_keys = frozenset(
+            key for key, target in self._targets.items() if target.leaving
+        )
         for listener in self._listeners:
             listener()
 
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -28,6 +28,10 @@
 LATE_TURN_SECONDS = 0.35
 TICK_SECONDS = 0.05
 STOOD_STILL_STEPS = 60
+REPORTING_TARGETS = 94
+REPORT_BYTES = 250
+LISTED_REVISION = 10
+STORM_REVISION = 200
 
 
 @pytest.fixture
@@ -274,6 +278,42 @@
     assert len(followers) == ROUTER_COUNT
 
 
+def reports(revision, leaving=-1):
+    """Return reports of all targets, as long as those of a deployment."""
+    states = ['ready'] * REPORTING_TARGETS
+    if leaving >= 0:
+        states[leaving] = 'leaving'
+    entries = tuple(
+        Entry(
+            f't/i-{number}',
+            f'{state} 1 {revision} '.encode().ljust(REPORT_BYTES, b'.')
+            + state.encode(),
+            revision + number,
+        )
+        for number, state in enumerate(states)
+    )
+    return Changes(entries, (), revision + REPORTING_TARGETS - 1)
+
+
+# Guards against requests at targets that leave: among many reports at once, the
+# one that says "leaving" is the longest, and was left out of the batch.
+@pytest.mark.parametrize('leaving', [0, REPORTING_TARGETS - 1])
+def test_news_of_a_leaving_target_does_not_wait_for_many_reports(
+    fleet, leaving
+):
+    mark_store_answered(fleet, 4)
+    for router in fleet:
+        router.directory.apply_changes(reports(LISTED_REVISION), 4)
+    run_ticks(fleet, 4, 5)
+    for router in routers_following_store(fleet, 5):
+        router.directory.apply_changes(reports(STORM_REVISION, leaving), 5)
+    run_ticks(fleet, 5, 5.4)
+    name = f'i-{leaving}'
+    assert not [
+        each for each in fleet if name in each.directory.available_names
+    ]
+
+
 # Guards against the same for a router that has missed a batch of its relay.
 def test_router_that_missed_a_change_learns_that_a_target_leaves(
     fleet_with_large_table,
