Streams: an event whose id does not increase is not passed on, on any route

Only resumable routes checked ids. A caller who resumed a stream got events again from a target that did not go on where it was asked to.

Cause: ids were believed on routes that are not resumable, and a router did not count the id with which a caller resumes as one that the caller has.

Change: EventOrder drops such events on all routes, from the caller's own last event on.

--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -35,10 +35,12 @@
     """A stream that a caller has received in part and wants to go on.
 
     `first_request` is the id of the request that brought its first event, ''
-    if the caller does not tell.
+    if the caller does not tell; `last_event_id` that of the last event that
+    the caller has.
     """
 
     first_request: str
+    last_event_id: str = ''
 
 
 @dataclass(frozen=True)
--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -15,18 +15,17 @@
 
 
 class EventOrder:
-    """Knows which events have come, and keeps them in order if asked to.
+    """Keeps events in order, and knows which have come.
 
-    `first_id` and `last_id` are the ids of the first and of the last event
-    that the caller has got from here.
+    `last_id` is the id of the last event that the caller has, at first
+    `resumed_after`; `first_id` that of the first one that it got from here.
     `repeated` and `missing` are numbers of events: those that came again, and
     those that were left out if ids go up by one.
     """
 
-    def __init__(self, *, drops_repeated: bool) -> None:
-        self._drops_repeated = drops_repeated
+    def __init__(self, resumed_after: str = '') -> None:
         self.first_id = ''
-        self.last_id = ''
+        self.last_id = resumed_after
         self.events = 0
         self.repeated = 0
         self.missing = 0
@@ -44,7 +43,7 @@
         """Return whether the next event is a new one."""
         if event_id and not _is_after(event_id, self.last_id):
             self.repeated += 1
-            return not self._drops_repeated
+            return False
         self.events += 1
         if event_id:
             self.missing += _count_missing(event_id, self.last_id)
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -78,7 +78,7 @@
         self._waiting_room = waiting_room
         self._adapter = adapter
         self._affinity = affinity
-        self._order = EventOrder(drops_repeated=request.route.resumable)
+        self._order = EventOrder(_resumed_after(request))
         # What marked the end of what the last target sent.
         self._target_end = CUT
         # Number of targets that sent events.
@@ -258,3 +258,9 @@
             self._affinity.record_start(
                 self._request, attempt.target, self.first_part_at
             )
+
+
+def _resumed_after(request: RoutedRequest) -> str:
+    """Return the id of the last event that the caller has, or ''."""
+    stream = request.resumed_stream
+    return stream.last_event_id if stream else ''
--- a/tests/peridotwell_platform/stream_ends.py
+++ b/tests/peridotwell_platform/stream_ends.py
@@ -65,8 +65,8 @@
 
 async def use_raw_targets(harness, nursery, *targets: RawTarget) -> None:
     """Let raw targets take the place of the harness's own."""
-    for target in harness.targets:
-        harness.store.delete(f'servers/{target.name}')
+    for key in [key for key in harness.store.items if 'servers/' in key]:
+        harness.store.delete(key)
     for number, target in enumerate(targets):
         entry = {
             'service': 'svc',
