Streams: a step over an id is a missing event where ids go up by one

A target that leaves out an event was passed on, on all routes: ids increase, and a gap was no error.

The users' pages promise only that they increase, so it is learned: EventSteps keeps the share of streams without a step, for each service. Nothing is concluded before 10 streams, and ids that begin to jump are believed after some.

Change: where nearly all streams of a service go up by one, the events before the step are passed on and the attempt ends there (event_missing): a resumable stream goes on elsewhere after the last good event, any other is cut. Before the first event it is a 502.

Held before and after: ids that jump, or begin to, are passed on.

Remains: the first 10 streams of a service at a router that has just started are not checked.

--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -41,6 +41,7 @@
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.end_marks import EndMarks
+from peridotwell.policy.event_steps import EventSteps
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'is_target_error')
@@ -53,7 +54,8 @@
 class Dispatcher:
     """Sends requests to targets and records the outcomes of the targets.
 
-    `end_marks` tells how the complete responses of each service end.
+    `end_marks` tells how the complete responses of each service end,
+    `event_steps` how the ids of the events of its streams go up.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         handover_client: HandoverClient,
     ) -> None:
         self.end_marks = EndMarks()
+        self.event_steps = EventSteps()
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
         self._clients = clients
--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -1,29 +1,43 @@
 """The order of the events of one stream, over all its attempts.
 
 Events have increasing ids. One whose id does not increase came before: the
-target, or the one that goes on in its place, has sent it again.
+target, or the one that goes on in its place, has sent it again. Where the ids
+of a service go up by one, an event is missing before one whose id does not.
 """
 
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
+from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.counts import is_count
+from peridotwell.policy.event_steps import EventSteps
 
-__all__ = ('EventOrder',)
+__all__ = ('EventMissing', 'EventOrder')
 
 EVENT_ID_FIELD = b'id:'
 
 
+class EventMissing(ResponseTruncated):
+    """A target left out an event of a stream."""
+
+    code = 'event_missing'
+
+
 class EventOrder:
     """Keeps events in order, and knows which have come.
 
     `last_id` is the id of the last event that the caller has, at first
     `resumed_after`; `first_id` that of the first one that it got from here.
     `repeated` and `missing` are numbers of events: those that came again, and
-    those that were left out if ids go up by one.
+    those that were left out if ids go up by one. `steps` tells whether they do
+    in the service.
     """
 
-    def __init__(self, resumed_after: str = '') -> None:
+    def __init__(
+        self, steps: EventSteps, service: str, resumed_after: str = ''
+    ) -> None:
+        self._steps = steps
+        self._service = service
         self.first_id = ''
         self.last_id = resumed_after
         self.events = 0
@@ -33,24 +47,45 @@
     async def new_events(
         self, events: AsyncGenerator[bytes, None]
     ) -> AsyncGenerator[bytes, None]:
-        """Yield the events that the caller has not received yet."""
+        """Yield the events that the caller has not received yet.
+
+        Raises EventMissing before one that does not follow the last one.
+        """
         async with aclosing(events):
             async for event in events:
                 if self._accept(_parse_event_id(event)):
                     yield event
 
+    def record_complete(self) -> None:
+        """Record that the stream is complete, to learn from its ids."""
+        if not self.missing and self.first_id:
+            self._steps.record(self._service, is_by_one=True)
+
     def _accept(self, event_id: str) -> bool:
         """Return whether the next event is a new one."""
         if event_id and not _is_after(event_id, self.last_id):
             self.repeated += 1
             return False
-        self.events += 1
         if event_id:
-            self.missing += _count_missing(event_id, self.last_id)
+            self._check_missing(_count_missing(event_id, self.last_id))
             self.first_id = self.first_id or event_id
             self.last_id = event_id
+        self.events += 1
         return True
 
+    def _check_missing(self, missing: int) -> None:
+        """Raise EventMissing if events are missing before the next one."""
+        if not missing:
+            return
+        if not self.missing:
+            # One stream counts once, however often its ids jump.
+            self._steps.record(self._service, is_by_one=False)
+        self.missing += missing
+        if self._steps.are_by_one(self._service):
+            raise EventMissing(
+                f'Events are missing after {self.last_id or "the beginning"}.'
+            )
+
 
 def _parse_event_id(event: bytes) -> str:
     for line in event.split(b'\n'):
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -78,7 +78,9 @@
         self._waiting_room = waiting_room
         self._adapter = adapter
         self._affinity = affinity
-        self._order = EventOrder(_resumed_after(request))
+        self._order = EventOrder(
+            dispatcher.event_steps, request.service, _resumed_after(request)
+        )
         # What marked the end of what the last target sent.
         self._target_end = CUT
         # Number of targets that sent events.
@@ -202,6 +204,7 @@
                 return await self._error_response(response, attempt)
             await self._forward_events(response, attempt)
         self._dispatcher.record_completion(attempt, self.status)
+        self._order.record_complete()
         await self._caller_response.end()
         return None
 
--- /dev/null
+++ b/peridotwell/policy/event_steps.py
@@ -0,0 +1,42 @@
+"""Whether the ids of the events of a service go up by one from 1.
+
+Ids need only increase: they may count tokens, of which an event has several.
+Where those of nearly all streams go up by one, a step over an id is an event
+that a faulty target has left out.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ('EventSteps',)
+
+# Share of a stream in the mean of its service.
+WEIGHT = 0.02
+USUAL_SHARE = 0.9
+# Streams of a service that are seen before anything is concluded from them.
+MIN_STREAMS = 10
+
+
+@dataclass
+class _Service:
+    streams: int = 0
+    share: float = 1.0
+
+
+class EventSteps:
+    """The share of streams whose ids go up by one, for each service."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, _Service] = {}
+
+    def record(self, service: str, *, is_by_one: bool) -> None:
+        """Record a stream, complete or with a step over an id."""
+        known = self._services.setdefault(service, _Service())
+        known.streams += 1
+        known.share += (is_by_one - known.share) * WEIGHT
+
+    def are_by_one(self, service: str) -> bool:
+        """Return whether the ids of nearly all streams go up by one."""
+        known = self._services.get(service)
+        if known is None or known.streams < MIN_STREAMS:
+            return False
+        return known.share > USUAL_SHARE
