An end that its target did not mark is passed on without a mark

A target sends a response without a length or chunks, and may break off between two events by closing its connection in the ordinary way, and live. The router sent the last chunk to its caller (for whole answers a length), which marks what it got as complete. The same came of hand-overs, and of streams that began in chunks and went on elsewhere without a mark.

Class: an end was made stronger than it was.

Change, for streams and whole answers alike: - Without a mark, the caller gets neither a length nor chunks; its connection ends with the body. A break found later resets that connection, as before for such answers. - A resumable stream whose end has no mark, unlike others of its service, is asked for its rest at another target of its version, within the retry budget.

Held before and after: marked ends stay marked; breaks behind another router are no ends. Also green: test_broken_answers.py (both), continuations, second answers, path, asgi, caller protocol, early answers, late second answers, cut answers, whole answers.

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -26,12 +26,14 @@
 )
 from peridotwell.forwarding.attempt import Attempt
 from peridotwell.forwarding.dispatch import FIRST_SERVER_ERROR, Dispatcher
+from peridotwell.forwarding.handover_protocol import origin_of
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.logs import log_failure
 from peridotwell.policy.buffer_budget import BufferShare
 from peridotwell.policy.choice import Choice
+from peridotwell.policy.end_marks import EndMarks
 from peridotwell.serving.target_response import (
     BodyEnd,
     ResponseOrigin,
@@ -39,12 +41,14 @@
 )
 
 __all__ = (
+    'ANSWER_SECONDS',
     'SUCCESSES',
     'BufferedResponse',
     'BufferedResponseForwarder',
     'check_response',
     'final_error',
     'may_leave_target',
+    'record_end',
     'without_target',
 )
 
@@ -69,6 +73,16 @@
     origin: ResponseOrigin
     share: BufferShare | None = None
 
+    @property
+    def is_end_marked(self) -> bool:
+        """Whether the target marked the end of the response."""
+        return self.origin.body_end is not BodyEnd.connection
+
+    @property
+    def has_doubtful_end(self) -> bool:
+        """Whether no router has found out if the response is complete."""
+        return not (self.is_end_marked or self.choice.is_handover)
+
     @property
     def is_failure(self) -> bool:
         """Whether the status reports an error of the target."""
@@ -135,12 +149,13 @@
     ) -> bool:
         """Whether a success has no marked end, unlike others of its service.
 
-        Only a request that may be repeated can be asked again.
+        Only a request that may be repeated can be asked again. Another router
+        has done so itself.
         """
         return (
             request.route.may_repeat
             and not response.is_failure
-            and response.origin.body_end is BodyEnd.connection
+            and response.has_doubtful_end
             and self._dispatcher.end_marks.are_usual(request.service)
         )
 
@@ -212,7 +227,7 @@
                 self._adapter.caller_fields(response),
                 body,
                 attempt.choice,
-                response.origin,
+                origin_of(response, is_handover=attempt.choice.is_handover),
                 response.share,
             )
             response.share.keep_with(buffered)
@@ -221,11 +236,13 @@
         return buffered
 
     def _record_end(self, service: str, body_end: BodyEnd) -> None:
-        """Record whether the end of a body was marked, if there was one."""
-        if body_end is not BodyEnd.none:
-            self._dispatcher.end_marks.record(
-                service, is_marked=body_end is not BodyEnd.connection
-            )
+        record_end(self._dispatcher.end_marks, service, body_end)
+
+
+def record_end(end_marks: EndMarks, service: str, body_end: BodyEnd) -> None:
+    """Record whether the end of a body was marked, if there was one."""
+    if body_end is not BodyEnd.none:
+        end_marks.record(service, is_marked=body_end is not BodyEnd.connection)
 
 
 def check_response(response: TargetResponse, adapter: TargetAdapter) -> None:
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -14,6 +14,7 @@
 from peridotwell.forwarding.handover_protocol import (
     HandoverResult,
     result_field,
+    unmarked_end_field,
     without_handover_fields,
 )
 from peridotwell.forwarding.stream_log import CUT
@@ -44,9 +45,7 @@
         """What marks the end of a body that was begun, CUT if nothing does."""
         if not self._exchange.is_complete:
             return CUT
-        end = (
-            BodyEnd.chunks if self._exchange.is_chunked else BodyEnd.connection
-        )
+        end = BodyEnd.chunks if self.is_end_marked else BodyEnd.connection
         return end.value
 
     def hold(self, share: BufferShare | None) -> None:
@@ -54,11 +53,32 @@
         if share is not None:
             self._exchange.hold(share)
 
+    @property
+    def is_end_marked(self) -> bool:
+        """Whether the end of a body that was begun will be marked."""
+        return self._exchange.is_chunked
+
     async def send_whole(
-        self, status: int, fields: HeaderFields, body: bytes
+        self,
+        status: int,
+        fields: HeaderFields,
+        body: bytes,
+        *,
+        is_end_marked: bool,
     ) -> None:
-        """Send the complete response of a target."""
-        await self._send(status, fields, body)
+        """Send the response of a target.
+
+        If the target did not mark its end, nor does this router: a part of a
+        response would look complete.
+        """
+        own_fields = without_handover_fields(fields)
+        if is_end_marked:
+            await self._send(status, own_fields, body)
+            return
+        await self._exchange.start_raw_response(
+            status, own_fields, ends_with_connection=True
+        )
+        await self._exchange.finish(body)
 
     async def _send(
         self, status: int, fields: HeaderFields, body: bytes
@@ -70,9 +90,18 @@
         )
         await self._exchange.finish(body)
 
-    async def begin(self, status: int, fields: HeaderFields) -> None:
-        """Start a response whose length is not known."""
-        await self._exchange.start_raw_response(status, fields)
+    async def begin(
+        self, status: int, fields: HeaderFields, *, is_end_marked: bool
+    ) -> None:
+        """Start a response whose length is not known.
+
+        Only if the target marks its end, it is sent in chunks.
+        """
+        await self._exchange.start_raw_response(
+            status,
+            without_handover_fields(fields),
+            ends_with_connection=not is_end_marked,
+        )
 
     async def send_part(self, chunk: bytes) -> None:
         """Send a part of the body."""
@@ -103,22 +132,47 @@
 
     Its errors tell that router whether the request may have run. Fields of a
     target cannot: those of the handover protocol are dropped.
+
+    Its end is marked though the target's was not, as that router must tell an
+    end from a break. A field tells it what to pass on.
     """
 
+    _is_end_marked = True
+
+    @property
+    def is_end_marked(self) -> bool:
+        """Whether the other router will mark the end of a begun body."""
+        return self._is_end_marked
+
     async def send_whole(
-        self, status: int, fields: HeaderFields, body: bytes
+        self,
+        status: int,
+        fields: HeaderFields,
+        body: bytes,
+        *,
+        is_end_marked: bool,
     ) -> None:
-        """Send the complete response of a target."""
-        await super().send_whole(status, without_handover_fields(fields), body)
+        """Send the response of a target."""
+        await self._send(status, _handover_fields(fields, is_end_marked), body)
 
-    async def begin(self, status: int, fields: HeaderFields) -> None:
+    async def begin(
+        self, status: int, fields: HeaderFields, *, is_end_marked: bool
+    ) -> None:
         """Start a response whose length is not known."""
-        await super().begin(status, without_handover_fields(fields))
+        self._is_end_marked = is_end_marked
+        await self._exchange.start_raw_response(
+            status, _handover_fields(fields, is_end_marked)
+        )
 
     def _error_fields(self, error: RequestError) -> HeaderFields:
         return (JSON_FIELD, *result_field(_result(error)))
 
 
+def _handover_fields(fields: HeaderFields, is_end_marked: bool) -> HeaderFields:
+    own_fields = () if is_end_marked else unmarked_end_field()
+    return (*without_handover_fields(fields), *own_fields)
+
+
 def _result(error: RequestError) -> HandoverResult:
     if error.run_state is not RunState.not_run:
         return HandoverResult.unknown
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -244,7 +244,10 @@
             if response is not None:
                 caller_response.hold(response.share)
                 await caller_response.send_whole(
-                    response.status, response.fields, response.body
+                    response.status,
+                    response.fields,
+                    response.body,
+                    is_end_marked=response.is_end_marked,
                 )
         except trio.TooSlowError:
             error = _deadline_error(attempts)
--- a/peridotwell/forwarding/handover_protocol.py
+++ b/peridotwell/forwarding/handover_protocol.py
@@ -3,10 +3,12 @@
 The request goes over HTTP to the address at which the other router takes
 requests, with the fields that a target would get and one field of its own. The
 response is that of the target, or an error with a field that tells whether the
-request may have run.
+request may have run. Another field says that the target did not mark the end of
+its response: the router marks its own, as a break must not look like that end.
 """
 
 import base64
+from dataclasses import replace
 from enum import Enum
 
 import msgspec
@@ -14,7 +16,11 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import BadRequest
 from peridotwell.forwarding.adapters import HeaderFields
-from peridotwell.serving.target_response import TargetResponse
+from peridotwell.serving.target_response import (
+    BodyEnd,
+    ResponseOrigin,
+    TargetResponse,
+)
 
 __all__ = (
     'INFO_FIELD',
@@ -22,8 +28,10 @@
     'HandoverResult',
     'decode_info',
     'encode_info',
+    'origin_of',
     'read_result',
     'result_field',
+    'unmarked_end_field',
     'without_handover_fields',
 )
 
@@ -31,7 +39,11 @@
 RESULT_FIELD = 'peridotwell-handover-result'
 # Of the content of the field, which is base64.
 INFO_ERRORS = (ValueError, *DECODING_ERRORS)
-OWN_FIELDS = frozenset((INFO_FIELD.encode(), RESULT_FIELD.encode()))
+END_FIELD = 'peridotwell-handover-end'
+UNMARKED_END = 'unmarked'
+OWN_FIELDS = frozenset(
+    name.encode() for name in (INFO_FIELD, RESULT_FIELD, END_FIELD)
+)
 
 
 class HandoverInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -93,6 +105,21 @@
         return HandoverResult.unknown
 
 
+def unmarked_end_field() -> HeaderFields:
+    """Return the field of a response whose end its target did not mark."""
+    return ((END_FIELD.encode(), UNMARKED_END.encode()),)
+
+
+def origin_of(response: TargetResponse, *, is_handover: bool) -> ResponseOrigin:
+    """Return how a response came, with the mark that its target gave its end.
+
+    In the response of another router, a field tells that there was none.
+    """
+    if is_handover and END_FIELD in response.headers:
+        return replace(response.origin, body_end=BodyEnd.connection)
+    return response.origin
+
+
 def without_handover_fields(fields: HeaderFields) -> HeaderFields:
     """Return the fields without those of this protocol."""
     return tuple(
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -1,5 +1,6 @@
 """Forwarding of event streams, with resumption on another target."""
 
+import math
 from contextlib import aclosing
 from functools import partial
 
@@ -16,16 +17,19 @@
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
 from peridotwell.forwarding.attempt import Attempt
 from peridotwell.forwarding.buffered_responses import (
+    ANSWER_SECONDS,
     SUCCESSES,
     BufferedResponse,
     check_response,
     final_error,
     may_leave_target,
+    record_end,
     without_target,
 )
 from peridotwell.forwarding.caller_response import CallerResponse
 from peridotwell.forwarding.dispatch import Dispatcher
 from peridotwell.forwarding.event_order import EventOrder
+from peridotwell.forwarding.handover_protocol import origin_of
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.stream_log import (
@@ -34,12 +38,21 @@
     log_unusual_end,
 )
 from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.logs import log_failure
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.stream_head import StreamHead
-from peridotwell.serving.target_response import ResponseOrigin, TargetResponse
+from peridotwell.serving.target_response import (
+    BodyEnd,
+    ResponseOrigin,
+    TargetResponse,
+)
 
 __all__ = ('StreamBroken', 'StreamForwarder')
 
+# How long the caller of a stream that may be complete waits for the next event
+# or the end. Callers leave after two seconds without an event, or later.
+REST_SECONDS = 1.0
+
 
 class StreamBroken(RequestError):
     """A stream broke off after the caller had received its beginning.
@@ -85,6 +98,8 @@
         self._target_end = CUT
         # Number of targets that sent events.
         self._parts = 0
+        # Ends the wait for the first event of the rest of a stream.
+        self._wait_for_rest = trio.CancelScope()
         # Set when the caller has received the beginning.
         self._head: StreamHead | None = None
 
@@ -113,6 +128,81 @@
 
     async def _run(self) -> BufferedResponse | None:
         await self._affinity.learn_version(self._request)
+        error_response = await self._forward()
+        if error_response is None:
+            while self._may_be_cut():
+                if not await self._go_on():
+                    self._check_may_end()
+                    break
+            self._order.record_complete()
+            await self._caller_response.end()
+        return error_response
+
+    def _may_be_cut(self) -> bool:
+        """Whether the end that came last may be a cut one, to be asked about.
+
+        It has no mark, unlike others of its service, or unlike what the caller
+        has received. Only a resumable stream can be asked for again. Another
+        router has done so itself.
+        """
+        has_mark = (
+            self.origin is None
+            or self.origin.body_end is not BodyEnd.connection
+        )
+        if has_mark or self._is_begun_elsewhere:
+            return False
+        return self._caller_response.is_end_marked or (
+            self._request.route.resumable
+            and self._dispatcher.end_marks.are_usual(self._request.service)
+        )
+
+    async def _go_on(self) -> bool:
+        """Let another target send the rest, and return whether it did.
+
+        A complete stream has no rest. Raises StreamBroken if more events came
+        and they broke off.
+        """
+        events = self._order.events
+        log_failure(
+            'stream.doubted',
+            request=self._request.request_id,
+            target=self.choice.target.name if self.choice else '',
+            last=self._order.last_id,
+            events=events,
+        )
+        now = trio.current_time()
+        if (
+            not self._order.last_id
+            or self._attempts.after_run(now) is RetryDecision.give_up
+        ):
+            return False
+        wait_until = min(
+            now + REST_SECONDS, self._request.deadline_at - ANSWER_SECONDS
+        )
+        with trio.CancelScope(deadline=wait_until) as wait:
+            self._wait_for_rest = wait
+            return await self._has_rest(events)
+        return False
+
+    async def _has_rest(self, events: int) -> bool:
+        """Forward the rest after a number of events; return whether it came."""
+        try:
+            await self._forward()
+        except RequestError:
+            if self._order.events > events:
+                raise
+            return False
+        return True
+
+    def _check_may_end(self) -> None:
+        """Raise StreamBroken if the end would be marked without a reason."""
+        if self._caller_response.is_end_marked:
+            raise StreamBroken(
+                'The stream ended without a mark, and may go on.'
+            )
+
+    async def _forward(self) -> BufferedResponse | None:
+        """Forward what targets send, to the end of a response."""
         while True:
             choice = await self._choose()
             number = self._attempts.begin(choice.target.name)
@@ -199,13 +289,18 @@
                 self._head.check_continuation(response)
             check_response(response, self._adapter)
             self.status = response.status
-            self.origin = response.origin
+            self.origin = origin_of(
+                response, is_handover=attempt.choice.is_handover
+            )
             if response.status not in SUCCESSES:
                 return await self._error_response(response, attempt)
-            await self._forward_events(response, attempt)
+            await self._forward_events(response, attempt, self.origin)
         self._dispatcher.record_completion(attempt, self.status)
-        self._order.record_complete()
-        await self._caller_response.end()
+        record_end(
+            self._dispatcher.end_marks,
+            self._request.service,
+            self.origin.body_end,
+        )
         return None
 
     async def _error_response(
@@ -223,7 +318,7 @@
             fields,
             body,
             attempt.choice,
-            response.origin,
+            self.origin or response.origin,
             response.share,
         )
         response.share.keep_with(buffered)
@@ -233,6 +328,7 @@
         self,
         response: TargetResponse,
         attempt: Attempt,
+        origin: ResponseOrigin,
     ) -> None:
         self._target_end = CUT
         parts = self._order.new_events(response.split_events())
@@ -241,6 +337,7 @@
             async for part in parts:
                 if self._order.events == had_events + 1:
                     self._parts += 1
+                    self._wait_for_rest.deadline = math.inf
                 if not self._caller_response.has_begun:
                     self.first_part_at = trio.current_time()
                     self._record_start(attempt)
@@ -248,13 +345,14 @@
                     await self._caller_response.begin(
                         response.status,
                         self._adapter.caller_fields(response),
+                        is_end_marked=origin.body_end is not BodyEnd.connection,
                     )
                 self._dispatcher.record_event(attempt)
                 self.body_bytes += len(part)
                 await self._caller_response.send_part(part)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
-        self._target_end = response.body_end.value
+        self._target_end = origin.body_end.value
 
     def _record_start(self, attempt: Attempt) -> None:
         if not attempt.choice.is_handover:
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -167,13 +167,20 @@
         self,
         status: int,
         fields: Sequence[tuple[bytes, bytes]],
+        *,
+        ends_with_connection: bool = False,
     ) -> None:
         """Send the status line and header fields unchanged.
 
         While the server stops, a field that closes the connection is added.
+        With `ends_with_connection`, the body has neither a length nor chunks.
         """
         self.status = status
-        self.is_chunked = self._consists_of_chunks(status, fields)
+        if ends_with_connection:
+            self._body_part.end_with_connection()
+        self.is_chunked = not ends_with_connection and (
+            self._consists_of_chunks(status, fields)
+        )
         closing = (CLOSE_FIELD,) if self._stop.has_begun else ()
         await self._send_message(
             {
--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -69,13 +69,15 @@
     sent without waiting, so the connection opens a cancel scope only when it
     waits, in place of one for each part. `send_chunk` sends a part of a body
     that consists of chunks, and returns whether it could. `abort` closes the
-    connection at once, `reset` resets it.
+    connection at once, `reset` resets it. `end_with_connection` lets the end of
+    the connection be the only mark of that of the response that starts next.
     """
 
     is_next: bool = False
     send_chunk: Callable[[bytes], Awaitable[bool]] = _send_no_chunk
     abort: Callable[[], None] = _abort_nothing
     reset: Callable[[], None] = _abort_nothing
+    end_with_connection: Callable[[], None] = _abort_nothing
 
     def take(self) -> bool:
         """Return whether a part comes next, and expect none after it."""
@@ -133,6 +135,7 @@
             send_chunk=self._send_chunk,
             abort=stream.socket.close,
             reset=self._reset,
+            end_with_connection=self._end_with_connection,
         )
         # The server names the type of encrypted connections only. The state
         # reaches the scope of each request.
@@ -265,6 +268,11 @@
             await self.protocol_send(RawData(chunk[sent:]))
         return True
 
+    def _end_with_connection(self) -> None:
+        """Let the end of the connection mark that of the next response."""
+        connection = cast(Any, self.protocol.protocol.connection)
+        connection.ends_with_connection = True
+
     def _reset(self) -> None:
         """Close the connection so that its end looks like no ordinary one."""
         with suppress(OSError):
--- a/peridotwell/serving/caller_protocol.py
+++ b/peridotwell/serving/caller_protocol.py
@@ -53,7 +53,13 @@
 
 
 class _RequestParser(h11.Connection):
-    """Parses requests; ignores empty lines before them."""
+    """Parses requests; ignores empty lines before them.
+
+    With `ends_with_connection`, the body of the response gets no mark of its
+    end but that of the connection, though the caller could read chunks.
+    """
+
+    ends_with_connection = False
 
     def next_event(self) -> Any:
         """Return the next event of the request, as h11 does."""
@@ -61,6 +67,18 @@
             return h11.NEED_DATA
         return super().next_event()
 
+    def _clean_up_response_headers_for_sending(
+        self, response: h11.Response
+    ) -> h11.Response:
+        version = self.their_http_version
+        if self.ends_with_connection:
+            # The first version of HTTP that h11 knows has no chunks.
+            self.their_http_version = b'1.0'
+        try:
+            return super()._clean_up_response_headers_for_sending(response)
+        finally:
+            self.their_http_version = version
+
     def _skip_empty_lines(self) -> bool:
         """Return False if another empty line may have begun."""
         content, _ = self.trailing_data
