An answer without a mark that is ended for its memory ends with a reset

When its memory is needed by others, the connection of a caller that reads slowly was closed in the ordinary way: the part that it had looked complete.

Cause: the end for memory relied on the length of the answer.

Change: such a connection is reset. Answers with a length or chunks end as before.

Evidence: tests/serving/test_unmarked_responses.py, real sockets, 20 MB: the case of the memory was red before (a part, then an ordinary end), green after; the cases of a whole and of a cut body held.

--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -98,6 +98,7 @@
         self._stop = stop
         self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
+        self._ends_with_connection = False
         state = scope.get('state', {})
         self.raw_target: bytes = state.get(TARGET) or _join_target(
             self.raw_path, self.raw_query
@@ -133,8 +134,8 @@
             self._body_share.release()
 
     def hold(self, share: BufferShare) -> None:
-        """Close the connection if others need the memory of the response."""
-        share.wait_for_caller(self._body_part.abort)
+        """End the connection if others need the memory of the response."""
+        share.wait_for_caller(self._abort)
 
     def end(self) -> None:
         """End the exchange; call it when nothing more is sent.
@@ -176,6 +177,7 @@
         With `ends_with_connection`, the body has neither a length nor chunks.
         """
         self.status = status
+        self._ends_with_connection = ends_with_connection
         if ends_with_connection:
             self._body_part.end_with_connection()
         self.is_chunked = not ends_with_connection and (
@@ -244,6 +246,13 @@
         body = msgspec.json.encode(document)
         await self.respond(status, body, (JSON_TYPE, *headers))
 
+    def _abort(self) -> None:
+        """End the connection at once, so that a part looks like no whole."""
+        if self._ends_with_connection:
+            self._body_part.reset()
+        else:
+            self._body_part.abort()
+
     async def _receive_body(
         self, received: list[bytes], share: BodyShare | None, limit: int
     ) -> None:
