A stream without ids is not joined with another run; rests stay at their version

Cause: the rest was asked for after "the last id", which was empty, or older than content without an id.

Change: after content without an id, no other target is asked; the stream is cut. Comments do not count.

Evidence: tests/peridotwell_platform/test_unmarked_ends.py: test_a_stream_without_ids... red before (both runs, in chunks), green after. test_the_rest_is_asked_for_at_the_same_version_only held at once.

--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -15,6 +15,7 @@
 __all__ = ('EventMissing', 'EventOrder')
 
 EVENT_ID_FIELD = b'id:'
+CONTENT_FIELD = b'data'
 
 
 class EventMissing(ResponseTruncated):
@@ -30,7 +31,8 @@
     `resumed_after`; `first_id` that of the first one that it got from here.
     `repeated` and `missing` are numbers of events: those that came again, and
     those that were left out if ids go up by one. `steps` tells whether they do
-    in the service.
+    in the service. `may_go_on` tells whether another target can be asked for
+    the rest: not after content without an id, which would come again.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self.events = 0
         self.repeated = 0
         self.missing = 0
+        self.may_go_on = True
 
     async def new_events(
         self, events: AsyncGenerator[bytes, None]
@@ -53,7 +56,7 @@
         """
         async with aclosing(events):
             async for event in events:
-                if self._accept(_parse_event_id(event)):
+                if self._accept(event):
                     yield event
 
     def record_complete(self) -> None:
@@ -61,8 +64,9 @@
         if not self.missing and self.first_id:
             self._steps.record(self._service, is_by_one=True)
 
-    def _accept(self, event_id: str) -> bool:
+    def _accept(self, event: bytes) -> bool:
         """Return whether the next event is a new one."""
+        event_id = _parse_event_id(event)
         if event_id and not _is_after(event_id, self.last_id):
             self.repeated += 1
             return False
@@ -70,6 +74,9 @@
             self._check_missing(_count_missing(event_id, self.last_id))
             self.first_id = self.first_id or event_id
             self.last_id = event_id
+            self.may_go_on = True
+        elif _has_content(event):
+            self.may_go_on = False
         self.events += 1
         return True
 
@@ -94,6 +101,10 @@
     return ''
 
 
+def _has_content(event: bytes) -> bool:
+    return any(line.startswith(CONTENT_FIELD) for line in event.split(b'\n'))
+
+
 def _is_after(event_id: str, last_event_id: str) -> bool:
     """Return whether an event is newer; True if an id is not a number."""
     if is_count(event_id) and is_count(last_event_id):
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -172,7 +172,7 @@
         )
         now = trio.current_time()
         if (
-            not self._order.last_id
+            not self._order.may_go_on
             or self._attempts.after_run(now) is RetryDecision.give_up
         ):
             return False
@@ -235,7 +235,7 @@
             raise without_target(exc, self._attempts) from None
 
     def _may_leave(self, target: Target, now: float) -> bool:
-        if self._is_begun_elsewhere:
+        if self._is_begun_elsewhere or not self._order.may_go_on:
             return False
         try:
             self._dispatcher.check(self._request)
@@ -274,10 +274,8 @@
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
         decision = self._attempts.after_failure(failure, now)
-        if (
-            decision is RetryDecision.other_target
-            and not self._is_begun_elsewhere
-        ):
+        may_go_on = self._order.may_go_on and not self._is_begun_elsewhere
+        if decision is RetryDecision.other_target and may_go_on:
             return
         if self._caller_response.has_begun:
             raise StreamBroken(f'The stream was cut: {failure}') from failure
--- a/tests/peridotwell_platform/test_unmarked_ends.py
+++ b/tests/peridotwell_platform/test_unmarked_ends.py
@@ -1,5 +1,8 @@
 """Responses whose ends nothing marks but the ends of their connections."""
 
+import base64
+
+import msgspec
 import pytest
 import trio
 
@@ -240,3 +243,33 @@
     await use_raw_targets(harness, nursery, target)
     got = await request_until_asked(caller_of(harness, '/read/x'), target)
     assert got == Got(200, b'x', 'length')
+
+
+# Guards against a rest of another software version behind an unmarked end.
+async def test_the_rest_is_asked_for_at_the_same_version_only(harness, nursery):
+    first = RawTarget([unmarked(events(1, 2))])
+    other = RawTarget([chunked(events(3, 4))])
+    await use_raw_targets(harness, nursery, first, other)
+    for number, version in enumerate(('v1', 'v1.1')):
+        key = f'servers/raw-{number}'
+        entry = msgspec.json.decode(
+            base64.b64decode(harness.store.items[key]['value'])
+        )
+        content = msgspec.json.encode({**entry, 'version': version})
+        harness.store.put(key, content)
+    await trio.sleep(0.3)
+    got = await request_until_asked(caller_of(harness, '/ask/x'), first)
+    assert got == Got(200, events(1, 2), 'connection')
+    assert b'last-event-id' not in b''.join(other.requests).lower()
+
+
+# Guards against streams of which nothing tells where another target goes on.
+async def test_a_stream_without_ids_is_not_joined_with_another_run(
+    harness, nursery
+):
+    begun = chunked(b'data: x\n\n', is_whole=False)
+    got, asked = await get_begun(
+        harness, nursery, begun, [chunked(b'data: y\n\n')]
+    )
+    assert (got.content, got.end) == (b'data: x\n\n', 'cut')
+    assert not asked
