--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -42,6 +42,7 @@
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.end_marks import EndMarks
+from peridotwell.policy.event_steps import EventSteps
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequest,
     OutstandingRequests,
@@ -58,7 +59,8 @@
 class Dispatcher:
     """Sends requests to targets and records the outcomes of the targets.
 
-    `end_marks` tells how the complete responses of each service end.
+    `end_marks` tells how the complete responses of each service end,
+    `event_steps` how the ids of the events of its streams go up.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         outstanding: OutstandingRequests,
     ) -> None:
         self.end_marks = EndMarks()
+        self.event_steps = EventSteps()
         self._outstanding = outstanding
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -69,7 +69,8 @@
     The names in `headers` are lower case; `fields` contains the header fields
     as bytes, with repeated ones kept separate. `raw_target` is the path with
     its query as the client wrote them. `status` is 0 until the
-    response starts; `is_complete` tells whether its end was sent. `stop` tells
+    response starts; `is_complete` tells whether its end was sent, `is_chunked`
+    whether its body is sent in chunks. `stop` tells
     whether the connection closes after a response that starts now.
     """
 
@@ -90,13 +91,14 @@
         self.raw_query: bytes = scope['query_string']
         self.status = 0
         self.is_complete = False
-        self._is_chunked = False
+        self.is_chunked = False
         self._http_version: str = scope.get('http_version', '')
         self._receive = receive
         self._send = send
         self._stop = stop
         self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
+        self._ends_with_connection = False
         state = scope.get('state', {})
         self.raw_target: bytes = state.get(TARGET) or _join_target(
             self.raw_path, self.raw_query
@@ -132,8 +134,8 @@
             self._body_share.release()
 
     def hold(self, share: BufferShare) -> None:
-        """Close the connection if others need the memory of the response."""
-        share.wait_for_caller(self._body_part.abort)
+        """End the connection if others need the memory of the response."""
+        share.wait_for_caller(self._abort)
 
     def end(self) -> None:
         """End the exchange; call it when nothing more is sent.
@@ -143,7 +145,7 @@
         connection is reset.
         """
         self.release_body()
-        if self.status and not (self.is_complete or self._is_chunked):
+        if self.status and not (self.is_complete or self.is_chunked):
             self._body_part.reset()
 
     async def wait_for_disconnect(self) -> None:
@@ -166,13 +168,21 @@
         self,
         status: int,
         fields: Sequence[tuple[bytes, bytes]],
+        *,
+        ends_with_connection: bool = False,
     ) -> None:
         """Send the status line and header fields unchanged.
 
         While the server stops, a field that closes the connection is added.
+        With `ends_with_connection`, the body has neither a length nor chunks.
         """
         self.status = status
-        self._is_chunked = self._consists_of_chunks(status, fields)
+        self._ends_with_connection = ends_with_connection
+        if ends_with_connection:
+            self._body_part.end_with_connection()
+        self.is_chunked = not ends_with_connection and (
+            self._consists_of_chunks(status, fields)
+        )
         closing = (CLOSE_FIELD,) if self._stop.has_begun else ()
         await self._send_message(
             {
@@ -187,7 +197,7 @@
 
         It is sent as a whole though the handler is cancelled: see BodyPart.
         """
-        may_send_chunk = self._is_chunked and chunk
+        may_send_chunk = self.is_chunked and chunk
         if may_send_chunk and await self._body_part.send_chunk(chunk):
             return
         self._body_part.is_next = True
@@ -236,6 +246,13 @@
         body = msgspec.json.encode(document)
         await self.respond(status, body, (JSON_TYPE, *headers))
 
+    def _abort(self) -> None:
+        """End the connection at once, so that a part looks like no whole."""
+        if self._ends_with_connection:
+            self._body_part.reset()
+        else:
+            self._body_part.abort()
+
     async def _receive_body(
         self, received: list[bytes], share: BodyShare | None, limit: int
     ) -> None:
