--- a/tests/peridotwell_platform/test_requests_left_behind.py
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -12,6 +12,7 @@
 import pytest
 import trio
 
+from peridotwell.fleet.replica.deferred_removals import REREGISTRATION_SECONDS
 from tests.halted_process import HaltedTarget
 from tests.halted_target import STATUS_PATH
 from tests.peridotwell_platform import cut_fleet, stand_in
@@ -318,3 +319,50 @@
     halted.go_on()
     await trio.sleep(READ_SECONDS)
     assert 'left' not in halted.end()
+
+
+def doubt_removals(setup):
+    """Let removals be deferred, as after an outage of the store."""
+    directory = setup.router._components.directory
+    directory.deferred_removals.start_grace_period(
+        REREGISTRATION_SECONDS, trio.current_time()
+    )
+
+
+# Guards against requests that lie at a stopped target while its removal is
+# deferred, for longer than it may get requests.
+async def test_a_stopped_target_whose_removal_is_doubted_runs_nothing(
+    setup, halted
+):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    halted.stop()
+    for kind in KINDS:
+        setup.send(kind)
+    await trio.sleep(SETTLE_SECONDS)
+    doubt_removals(setup)
+    remove(setup, halted.address)
+    await setup.wait_for_answers(BOUND_SECONDS, len(KINDS))
+    answers = dict(setup.answers)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert (halted.end(), answers) == ([], dict.fromkeys(KINDS, MAY_HAVE_RUN))
+
+
+# Guards against requests that are cut at a silent target whose entry comes
+# back.
+async def test_a_target_that_registers_again_keeps_its_requests(setup, halted):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    halted.stop()
+    setup.send('book')
+    await trio.sleep(SETTLE_SECONDS)
+    doubt_removals(setup)
+    remove(setup, halted.address)
+    await trio.sleep(0.5)
+    setup.list_target(halted.address, born=1, seq=2)
+    await trio.sleep(BOUND_SECONDS)
+    assert not setup.answers
+    halted.go_on()
+    await setup.wait_for_answers(READ_SECONDS, 1)
+    assert setup.answers == {'book': 200}
