--- a/peridotwell/serving/request_recall.py
+++ b/peridotwell/serving/request_recall.py
@@ -29,8 +29,6 @@
 SILENT_SECONDS = 1.2
 # Most requests at a sound target end within this time: it is not asked then.
 ASK_AFTER_SECONDS = 0.2
-# A report of a target takes this long to arrive here.
-REPORT_SECONDS = 0.5
 
 
 class TargetStanding(Enum):
@@ -54,10 +52,6 @@
     def standing(self, target: Target) -> TargetStanding:
         """Return what is known of a process of a target."""
 
-    def has_reported(self, target: Target) -> bool:
-        """Return whether a process has itself told that it leaves."""
-        return False
-
     @abstractmethod
     def status_path(self, target: Target) -> str:
         """Return the path of the status checks of a target."""
@@ -95,8 +89,6 @@
         if requests.left_at is not None:
             return False
         requests.left_at = now
-        if self._standings.has_reported(requests.target):
-            self._outstanding.record_sign(requests.target, now - REPORT_SECONDS)
         _log_leaving(requests, standing, now)
         return True
 
