--- a/peridotwell/serving/request_recall.py
+++ b/peridotwell/serving/request_recall.py
@@ -36,7 +36,8 @@
 
     `doubted`: its entry was removed, but it may register again. `left`: it gets
     no new requests, and may be at work on others. `replaced`: another process
-    has taken its name or its address, so that nothing of it can arrive.
+    has its name or its address. At the same address, that one may be at work on
+    requests that were sent before its entry was known here.
     """
 
     listed = 'listed'
@@ -94,17 +95,11 @@
 
     async def _recall(self, requests: TargetRequests) -> None:
         """Take back what the target may not have read."""
-        if not self._is_replaced(requests):
-            await trio.sleep(ASK_AFTER_SECONDS)
-            if not any(requests.unread()):
-                return
-            if await self._gives_sign(requests, trio.current_time()):
-                return
-        self._take_back(requests)
-
-    def _is_replaced(self, requests: TargetRequests) -> bool:
-        standing = self._standings.standing(requests.target)
-        return standing is TargetStanding.replaced
+        await trio.sleep(ASK_AFTER_SECONDS)
+        if not any(requests.unread()):
+            return
+        if not await self._gives_sign(requests, trio.current_time()):
+            self._take_back(requests)
 
     async def _gives_sign(
         self, requests: TargetRequests, asked_at: float
--- a/tests/peridotwell_platform/test_requests_left_behind.py
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -222,6 +222,22 @@
     assert setup.answers == {'book': 200, 'draft': 200}
 
 
+# Guards against requests that are cut at the next incarnation of a target,
+# which has read them before its entry was known.
+@pytest.mark.parametrize('name', ['i-1', 'i-2'])
+async def test_a_process_at_the_same_address_ends_its_work(setup, halted, name):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    for kind in ('book', 'draft'):
+        setup.send(kind, WORK_SECONDS)
+    await trio.sleep(SETTLE_SECONDS)
+    if name != 'i-1':
+        remove(setup, halted.address)
+    setup.list_target(halted.address, name, born=2, seq=1)
+    await setup.wait_for_answers(WORK_SECONDS + 2, 2)
+    assert setup.answers == {'book': 200, 'draft': 200}
+
+
 # Guards against a sound target that is cut because it was silent for a second.
 async def test_a_target_that_is_silent_for_a_moment_ends_its_work(
     setup, halted
