--- a/peridotwell/serving/request_recall.py
+++ b/peridotwell/serving/request_recall.py
@@ -29,8 +29,6 @@
 SILENT_SECONDS = 1.2
 # Most requests at a sound target end within this time: it is not asked then.
 ASK_AFTER_SECONDS = 0.2
-# A report of a target takes this long to arrive here.
-REPORT_SECONDS = 0.5
 
 
 class TargetStanding(Enum):
@@ -38,7 +36,8 @@
 
     `doubted`: its entry was removed, but it may register again. `left`: it gets
     no new requests, and may be at work on others. `replaced`: another process
-    has taken its name or its address, so that nothing of it can arrive.
+    has its name or its address. At the same address, that one may be at work on
+    requests that were sent before its entry was known here.
     """
 
     listed = 'listed'
@@ -54,10 +53,6 @@
     def standing(self, target: Target) -> TargetStanding:
         """Return what is known of a process of a target."""
 
-    def has_reported(self, target: Target) -> bool:
-        """Return whether a process has itself told that it leaves."""
-        return False
-
     @abstractmethod
     def status_path(self, target: Target) -> str:
         """Return the path of the status checks of a target."""
@@ -95,24 +90,16 @@
         if requests.left_at is not None:
             return False
         requests.left_at = now
-        if self._standings.has_reported(requests.target):
-            self._outstanding.record_sign(requests.target, now - REPORT_SECONDS)
         _log_leaving(requests, standing, now)
         return True
 
     async def _recall(self, requests: TargetRequests) -> None:
         """Take back what the target may not have read."""
-        if not self._is_replaced(requests):
-            await trio.sleep(ASK_AFTER_SECONDS)
-            if not any(requests.unread()):
-                return
-            if await self._gives_sign(requests, trio.current_time()):
-                return
-        self._take_back(requests)
-
-    def _is_replaced(self, requests: TargetRequests) -> bool:
-        standing = self._standings.standing(requests.target)
-        return standing is TargetStanding.replaced
+        await trio.sleep(ASK_AFTER_SECONDS)
+        if not any(requests.unread()):
+            return
+        if not await self._gives_sign(requests, trio.current_time()):
+            self._take_back(requests)
 
     async def _gives_sign(
         self, requests: TargetRequests, asked_at: float
