--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -25,6 +25,9 @@
 __all__ = ('EXECUTION_SECONDS', 'SoakTarget')
 
 EXECUTION_SECONDS = 0.03
+# Status checks are no requests of callers, and need no slot.
+STATUS_PATH = '/peridotwell/report'
+STATUS = Answer(200, (), (b'{}',))
 BRITTLE_SLOTS = 2
 BRITTLE_FIELD = 'server-brittle'
 MAX_EXTRA_SECONDS = 1.0
@@ -103,6 +106,10 @@
             with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 while content := await read_request(stream):
                     request = Request.parse(content)
+                    if request.path == STATUS_PATH:
+                        async with lock:
+                            await send_answer(stream, STATUS, Manner('length'))
+                        continue
                     if origin.is_reset():
                         self._record_taken_back(request, origin)
                         break
--- a/tests/soak/test_target.py
+++ b/tests/soak/test_target.py
@@ -17,6 +17,7 @@
     'POST /{kind}/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: q1-{kind}\r\n'
     'Content-Length: 8\r\n\r\nquestion'
 )
+STATUS_REQUEST = b'GET /peridotwell/report HTTP/1.1\r\nHost: a\r\n\r\n'
 # A cut answer without its connection's end takes longer than this.
 WAIT_SECONDS = 2
 
@@ -139,3 +140,16 @@
     await exchange(nursery, target)
     await trio.testing.wait_all_tasks_blocked()
     assert target.brittle_from is None
+
+
+# Guards against a target that ends by a status check, which has no id.
+async def test_a_status_check_is_answered_and_is_no_request(nursery):
+    target = SoakTarget('t0', [], Draws())
+    target.proxy = SimpleNamespace(is_clear=True, passages=[])
+    address = await listen(nursery, target.serve)
+    stream = await trio.open_tcp_stream('127.0.0.1', int(address[10:]))
+    await stream.send_all(STATUS_REQUEST)
+    with trio.fail_after(WAIT_SECONDS):
+        received = await stream.receive_some()
+    assert received.startswith(b'HTTP/1.1 200')
+    assert not target.records
