--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -21,10 +21,7 @@
 
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
-from peridotwell.serving.target_connection import (
-    FOLLOWING_BYTES,
-    TargetConnection,
-)
+from peridotwell.serving.target_connection import TargetConnection
 
 __all__ = ('BEFORE_SEND', 'ConnectionPool')
 
@@ -147,10 +144,7 @@
             content=_Body(
                 resp, partial(self._give_back, conn), self._max_body_bytes
             ),
-            extensions={
-                **resp.extensions,
-                FOLLOWING_BYTES: conn.following_bytes,
-            },
+            extensions=resp.extensions,
         )
 
     async def close_idle(self) -> None:
--- a/peridotwell/serving/following_response.py
+++ b/peridotwell/serving/following_response.py
@@ -16,10 +16,6 @@
 # A head that is longer up to the id of its request is not found.
 MAX_SEARCHED_BYTES = 4096
 PROTOCOL = b'HTTP/1.'
-PROTOCOL_BEGINNINGS = frozenset(
-    PROTOCOL[:length] for length in range(1, len(PROTOCOL) + 1)
-)
-STATUS_LINE_START = re.compile(rb'HTTP/1\.[01] [1-5]\d\d')
 # A status line and the fields up to the id, which each response has. Without
 # the id it matches as well, so no part of a body is searched twice.
 HEAD = re.compile(
@@ -56,27 +52,10 @@
             raise ResponseMismatch('Another response is in the body.')
         self._tail = content[-MAX_SEARCHED_BYTES:]
 
-    def finish(self, behind: bytes = b'') -> None:
-        """Check the end of the body, and what has arrived `behind` it.
-
-        Raises ResponseMismatch if the body ends within another response, or if
-        a part of one is in it, and the rest of the body behind it.
-        """
-        if not self._earlier_ids:
-            if CUT_HEAD.search(self._tail):
-                raise ResponseMismatch('The body ends within another response.')
-        elif self._has_rest(behind):
-            raise ResponseMismatch('A part of another response is in the body.')
-
-    def _has_rest(self, behind: bytes) -> bool:
-        """Return whether the rest of the body stands behind it.
-
-        A response that begins there is none.
-        """
-        if not behind or behind[: len(PROTOCOL)] in PROTOCOL_BEGINNINGS:
-            return False
-        start = STATUS_LINE_START.search(self._tail + behind)
-        return start is not None and start.start() < len(self._tail)
+    def finish(self) -> None:
+        """Raise ResponseMismatch if the body ends within such a head."""
+        if not self._earlier_ids and CUT_HEAD.search(self._tail):
+            raise ResponseMismatch('The body ends within another response.')
 
     def _has_head(self, content: bytes) -> bool:
         found = {
--- a/peridotwell/serving/target_connection.py
+++ b/peridotwell/serving/target_connection.py
@@ -12,11 +12,7 @@
 import h11
 import httpcore
 
-__all__ = ('FOLLOWING_BYTES', 'TargetConnection')
-
-# The extension of a response with a function that returns what has arrived
-# behind its end.
-FOLLOWING_BYTES = 'following_bytes'
+__all__ = ('TargetConnection',)
 
 # Before each response. Reading them takes time, and nobody waits for them.
 MAX_INTERIM_RESPONSES = 16
@@ -76,9 +72,5 @@
         No bytes may have arrived after the response: they would be the
         beginning of the next one.
         """
-        return self.is_idle() and not self.following_bytes()
-
-    def following_bytes(self) -> bytes:
-        """Return what has arrived behind the response."""
         following, _ = self._h11_state.trailing_data
-        return bytes(following)
+        return self.is_idle() and not following
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -28,7 +28,6 @@
 from peridotwell.serving.fair_turns import Pace
 from peridotwell.serving.following_response import FollowingResponse
 from peridotwell.serving.response_buffers import ResponseBuffers
-from peridotwell.serving.target_connection import FOLLOWING_BYTES
 
 __all__ = ('BodyEnd', 'ReadObserver', 'ResponseOrigin', 'TargetResponse')
 
@@ -159,15 +158,10 @@
                 f'The response was truncated: {exc}'
             ) from exc
         if following is not None:
-            following.finish(self._bytes_behind())
+            following.finish()
         if self.body_end is BodyEnd.connection and self.check_end is not None:
             await self.check_end()
 
-    def _bytes_behind(self) -> bytes:
-        """Return what has arrived on the connection behind the response."""
-        bytes_behind = self._resp.extensions.get(FOLLOWING_BYTES)
-        return b'' if bytes_behind is None else bytes_behind()
-
     def _search_following(self) -> FollowingResponse | None:
         """Return a search for another response, if that may be in the body.
 
--- a/tests/serving/test_following_response.py
+++ b/tests/serving/test_following_response.py
@@ -94,29 +94,3 @@
 def test_a_response_behind_what_is_like_one_is_found(before):
     with pytest.raises(ResponseMismatch):
         search(before + SECOND, earlier_ids=('z', 'a'))
-
-
-# Guards against a part of a head amid a body with a length, wherever the length
-# of the body ends: in the part, or behind it.
-@pytest.mark.parametrize('end', [7, 12, 16, 25])
-def test_a_part_of_a_head_with_the_rest_of_the_body_behind_is_found(end):
-    content = b'first half' + SECOND[:17] + b'second half'
-    following = FollowingResponse(('a',))
-    following.add(content[: 10 + end])
-    with pytest.raises(ResponseMismatch):
-        following.finish(content[10 + end :])
-
-
-# Guards against whole responses that are refused for what merely follows them.
-@pytest.mark.parametrize('behind', [b'', SECOND, SECOND[:3], b'further bytes'])
-def test_bytes_that_follow_a_whole_response_do_not_cost_it(behind):
-    following = FollowingResponse(('a',))
-    following.add(b'twelve bytes')
-    following.finish(behind)
-
-
-@pytest.mark.parametrize('behind', [b'', SECOND, SECOND[:3]])
-def test_a_body_that_speaks_of_a_status_is_sound_before_a_response(behind):
-    following = FollowingResponse(('a',))
-    following.add(b'spoken over HTTP/1.1 200 OK')
-    following.finish(behind)
