--- a/tests/serving/test_given_up_responses.py
+++ b/tests/serving/test_given_up_responses.py
@@ -135,3 +135,36 @@
     with pytest.raises(AttemptError):
         await calls.fetch('b')
     assert server.connections == [1, 1]
+
+
+LONG_BODY = b'a body of some length ' * 4
+LONG = HEAD.replace(b': 12', b': %d' % len(LONG_BODY)) + LONG_BODY
+
+
+# Guards against the same where the whole status line lies in the body.
+async def test_a_status_line_amid_a_body_reaches_no_caller(nursery):
+    line = b'HTTP/1.1 200 OK\r\n'
+    amid = LONG[:-40] + line + LONG[-40:]
+    calls = Calls(await listen(nursery, Server([WHOLE, amid]).serve))
+    assert await calls.fetch('a') == BODY
+    with pytest.raises(AttemptError):
+        await calls.fetch('b')
+
+
+# Guards against sound responses that are refused: one that quotes a status
+# line, one that is followed by other bytes, and the first on its connection.
+@pytest.mark.parametrize(
+    ('answers', 'number'),
+    [
+        ([WHOLE, LONG.replace(b'of some length ', b'HTTP/1.1 200 OK')], 2),
+        ([WHOLE, LONG + b'further bytes'], 2),
+        ([WHOLE, LONG + WHOLE], 2),
+        ([LONG.replace(b'of some length ', b'HTTP/1.1 200 OK') + b'x'], 1),
+    ],
+)
+async def test_a_sound_body_is_no_moved_one(nursery, answers, number):
+    calls = Calls(await listen(nursery, Server([*answers]).serve))
+    for _ in range(number - 1):
+        await calls.fetch('a')
+    expected = answers[-1].partition(b'\r\n\r\n')[2][: len(LONG_BODY)]
+    assert await calls.fetch('b') == expected
