--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from tests.soak.leaving_faults import LEAVING_FAULTS
 from tests.soak.run import soak
 from tests.soak.site import DAY, FIELD
 
@@ -39,6 +40,9 @@
 # Of a day: versions in all ways in which an operator may write them.
 SHAPES_PARTS = ('two_at_once', 'late_write', 'repeat', 'big_table')
 SHAPES_SECONDS = 8
+# Faults of targets alone.
+ONLY_TARGETS = ('store', 'routers', 'paths', 'brittle')
+TARGETS_SECONDS = 8
 ONLY_CHANGES = ('store', 'routers', 'paths', 'brittle', 'field')
 
 
@@ -96,3 +100,22 @@
     assert not report.violations, report
     assert report.outcomes['probe 200'] > 0
     assert report.bound_share >= MIN_BOUND_SHARE, report
+
+
+# Guards against requests that are left at targets which stand still and leave:
+# they run when the target goes on (issue 68).
+def test_guarantees_hold_when_targets_stand_still_and_leave(tmp_path):
+    site = replace(DAY, callers=4)
+    report = trio.run(
+        soak,
+        6805,
+        TARGETS_SECONDS,
+        tmp_path,
+        3,
+        8,
+        ONLY_TARGETS,
+        site,
+        LEAVING_FAULTS,
+    )
+    assert not report.violations, report
+    assert report.outcomes['book 200'] > 0
