--- a/peridotwell/fleet/replica/departed_targets.py
+++ b/peridotwell/fleet/replica/departed_targets.py
@@ -76,11 +76,13 @@
     def check(self, entry: Entry, target: Target, now: float) -> Target:
         """Return a listed target, as leaving if it has left before."""
         departure = self._departures.pop(entry.key, None)
+        if departure is not None and target.is_reported_before(
+            departure.report
+        ):
+            return self._keep_out_late(entry, target, departure, now)
         self._held.pop(entry.key, None)
         if departure is None:
             return target
-        if target.is_reported_before(departure.report):
-            return self._keep_out_late(entry, target, departure, now)
         era = era_of(entry.revision)
         if departure.incarnation != target.incarnation or departure.era >= era:
             return target
@@ -100,7 +102,7 @@
         if not target.is_reported_before(known.report):
             return False
         if target.incarnation != known.incarnation:
-            self._hold(entry.key, target, now + EARLIER_START_SECONDS)
+            self._hold_earlier_start(entry.key, target, now)
         _log_late(entry, target, known.report)
         return True
 
@@ -123,13 +125,27 @@
         self._departures[entry.key] = replace(
             departure, era=era_of(entry.revision)
         )
-        if departure.incarnation != target.incarnation:
-            self._hold(entry.key, target, now + EARLIER_START_SECONDS)
-        elif not departure.is_final:
+        is_same_start = departure.incarnation == target.incarnation
+        if is_same_start and departure.is_final:
+            self._held.pop(entry.key, None)
+        elif is_same_start:
             self._hold(entry.key, target, now + EXPIRY_SECONDS)
+        else:
+            self._hold_earlier_start(entry.key, target, now)
         _log_late(entry, target, departure.report)
         return replace(target, leaving=True)
 
+    def _hold_earlier_start(self, key: str, target: Target, now: float) -> None:
+        """Keep a target out for some time after the first report of its start.
+
+        A live target goes on reporting: that must not delay its release.
+        """
+        until = now + EARLIER_START_SECONDS
+        held = self._held.get(key)
+        if held is not None and held.target.incarnation == target.incarnation:
+            until = min(until, held.until)
+        self._hold(key, target, until)
+
     def _hold(self, key: str, target: Target, until: float) -> None:
         self._held[key] = _Held(target, until)
 
--- a/tests/fleet/replica/test_late_reports.py
+++ b/tests/fleet/replica/test_late_reports.py
@@ -102,6 +102,25 @@
     assert feed.available == [str(START)]
 
 
+# Guards against the same, and against requests at a target whose leaving is not
+# heard of: each further report began the wait anew, so it never ended.
+@pytest.mark.parametrize('is_removed', [False, True])
+@pytest.mark.parametrize('state', ['ready', 'leaving'])
+def test_an_earlier_start_that_goes_on_reporting_is_a_new_one(
+    state, is_removed
+):
+    feed = Feed()
+    feed.report('ready', RESTART, 5)
+    if is_removed:
+        feed.delete()
+    for number in range(1, 10):
+        feed.report('ready', START, number, now=number)
+    feed.report(state, START, 10, now=10)
+    feed.directory.remove_expired(1 + EARLIER_START_SECONDS)
+    expected = [str(START)] if state == 'ready' else []
+    assert feed.available == expected
+
+
 # Guards against requests at a target that was kept out for some time, and whose
 # entry became unreadable or was removed in that time.
 @pytest.mark.parametrize('is_removed', [False, True])
