--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -1,13 +1,12 @@
 """Forwarding of event streams, with resumption on another target."""
 
-from collections.abc import AsyncGenerator
+import math
 from contextlib import aclosing
 from functools import partial
 
 import trio
 
 from peridotwell.attempt_errors import AttemptError, ResponseTruncated
-from peridotwell.domain.counts import is_count
 from peridotwell.domain.target import Target
 from peridotwell.errors import (
     ForwardedRequestQuarantined,
@@ -18,25 +17,41 @@
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
 from peridotwell.forwarding.attempt import Attempt
 from peridotwell.forwarding.buffered_responses import (
+    ANSWER_SECONDS,
     SUCCESSES,
     BufferedResponse,
     check_response,
     final_error,
     may_leave_target,
+    record_end,
     without_target,
 )
 from peridotwell.forwarding.caller_response import CallerResponse
 from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.forwarding.event_order import EventOrder
+from peridotwell.forwarding.handover_protocol import origin_of
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.stream_affinity import StreamAffinity
+from peridotwell.forwarding.stream_log import (
+    CUT,
+    StreamEnd,
+    log_unusual_end,
+)
 from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.logs import log_failure
 from peridotwell.policy.choice import Choice
 from peridotwell.serving.stream_head import StreamHead
-from peridotwell.serving.target_response import ResponseOrigin, TargetResponse
+from peridotwell.serving.target_response import (
+    BodyEnd,
+    ResponseOrigin,
+    TargetResponse,
+)
 
 __all__ = ('StreamBroken', 'StreamForwarder')
 
-EVENT_ID_FIELD = b'id:'
+# How long the caller of a stream that may be complete waits for the next event
+# or the end. Callers leave after two seconds without an event, or later.
+REST_SECONDS = 1.0
 
 
 class StreamBroken(RequestError):
@@ -76,17 +91,118 @@
         self._waiting_room = waiting_room
         self._adapter = adapter
         self._affinity = affinity
-        self._last_event_id = ''
+        self._order = EventOrder(
+            dispatcher.event_steps, request.service, _resumed_after(request)
+        )
+        # What marked the end of what the last target sent.
+        self._target_end = CUT
+        # Number of targets that sent events.
+        self._parts = 0
+        # Ends the wait for the first event of the rest of a stream.
+        self._wait_for_rest = trio.CancelScope()
         # Set when the caller has received the beginning.
         self._head: StreamHead | None = None
 
+    @property
+    def end(self) -> StreamEnd:
+        """How the stream ended."""
+        is_handed_over = self.choice is not None and self.choice.is_handover
+        return StreamEnd(
+            self._target_end,
+            self._caller_response.passed_end,
+            self._order,
+            self._parts,
+            is_handed_over,
+        )
+
     async def run(self) -> BufferedResponse | None:
         """Forward the stream to its end.
 
         Returns the response of the target if it is an error and no stream;
         it is not sent to the caller yet. Raises RequestError.
         """
+        try:
+            return await self._run()
+        finally:
+            log_unusual_end(self._request.request_id, self.end)
+
+    async def _run(self) -> BufferedResponse | None:
         await self._affinity.learn_version(self._request)
+        error_response = await self._forward()
+        if error_response is None:
+            while self._may_be_cut():
+                if not await self._go_on():
+                    self._check_may_end()
+                    break
+            self._order.record_complete()
+            await self._caller_response.end()
+        return error_response
+
+    def _may_be_cut(self) -> bool:
+        """Whether the end that came last may be a cut one, to be asked about.
+
+        It has no mark, unlike others of its service, or unlike what the caller
+        has received. Only a resumable stream can be asked for again. Another
+        router has done so itself.
+        """
+        has_mark = (
+            self.origin is None
+            or self.origin.body_end is not BodyEnd.connection
+        )
+        if has_mark or self._is_begun_elsewhere:
+            return False
+        return self._caller_response.is_end_marked or (
+            self._request.route.resumable
+            and self._dispatcher.end_marks.are_usual(self._request.service)
+        )
+
+    async def _go_on(self) -> bool:
+        """Let another target send the rest, and return whether it did.
+
+        A complete stream has no rest. Raises StreamBroken if more events came
+        and they broke off.
+        """
+        events = self._order.events
+        log_failure(
+            'stream.doubted',
+            request=self._request.request_id,
+            target=self.choice.target.name if self.choice else '',
+            last=self._order.last_id,
+            events=events,
+        )
+        now = trio.current_time()
+        if (
+            not self._order.may_go_on
+            or self._attempts.after_run(now) is RetryDecision.give_up
+        ):
+            return False
+        wait_until = min(
+            now + REST_SECONDS, self._request.deadline_at - ANSWER_SECONDS
+        )
+        with trio.CancelScope(deadline=wait_until) as wait:
+            self._wait_for_rest = wait
+            return await self._has_rest(events)
+        return False
+
+    async def _has_rest(self, events: int) -> bool:
+        """Forward the rest after a number of events; return whether it came."""
+        try:
+            await self._forward()
+        except RequestError:
+            if self._order.events > events:
+                raise
+            return False
+        return True
+
+    def _check_may_end(self) -> None:
+        """Raise StreamBroken if the end would be marked without a reason."""
+        if self._caller_response.is_end_marked:
+            raise StreamBroken(
+                'The stream ended without a mark, and may go on.'
+            )
+
+    async def _forward(self) -> BufferedResponse | None:
+        """Forward what targets send, to the end of a response."""
         while True:
             choice = await self._choose()
             number = self._attempts.begin(choice.target.name)
@@ -96,7 +212,7 @@
                 choice,
                 number,
                 partial(self._may_leave, choice.target),
-                self._last_event_id,
+                self._order.last_id,
                 self._attempts.runs_left,
             )
             try:
@@ -119,7 +235,7 @@
             raise without_target(exc, self._attempts) from None
 
     def _may_leave(self, target: Target, now: float) -> bool:
-        if self._is_begun_elsewhere:
+        if self._is_begun_elsewhere or not self._order.may_go_on:
             return False
         try:
             self._dispatcher.check(self._request)
@@ -158,10 +274,8 @@
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
         decision = self._attempts.after_failure(failure, now)
-        if (
-            decision is RetryDecision.other_target
-            and not self._is_begun_elsewhere
-        ):
+        may_go_on = self._order.may_go_on and not self._is_begun_elsewhere
+        if decision is RetryDecision.other_target and may_go_on:
             return
         if self._caller_response.has_begun:
             raise StreamBroken(f'The stream was cut: {failure}') from failure
@@ -173,12 +287,18 @@
                 self._head.check_continuation(response)
             check_response(response, self._adapter)
             self.status = response.status
-            self.origin = response.origin
+            self.origin = origin_of(
+                response, is_handover=attempt.choice.is_handover
+            )
             if response.status not in SUCCESSES:
                 return await self._error_response(response, attempt)
-            await self._forward_events(response, attempt)
+            await self._forward_events(response, attempt, self.origin)
         self._dispatcher.record_completion(attempt, self.status)
-        await self._caller_response.end()
+        record_end(
+            self._dispatcher.end_marks,
+            self._request.service,
+            self.origin.body_end,
+        )
         return None
 
     async def _error_response(
@@ -196,7 +316,7 @@
             fields,
             body,
             attempt.choice,
-            response.origin,
+            self.origin or response.origin,
             response.share,
         )
         response.share.keep_with(buffered)
@@ -206,13 +326,16 @@
         self,
         response: TargetResponse,
         attempt: Attempt,
+        origin: ResponseOrigin,
     ) -> None:
-        if self._request.route.resumable:
-            parts = self._new_events(response.split_events())
-        else:
-            parts = response.whole_events()
+        self._target_end = CUT
+        parts = self._order.new_events(response.split_events())
+        had_events = self._order.events
         async with aclosing(parts):
             async for part in parts:
+                if self._order.events == had_events + 1:
+                    self._parts += 1
+                    self._wait_for_rest.deadline = math.inf
                 if not self._caller_response.has_begun:
                     self.first_part_at = trio.current_time()
                     self._record_start(attempt)
@@ -220,12 +343,14 @@
                     await self._caller_response.begin(
                         response.status,
                         self._adapter.caller_fields(response),
+                        is_end_marked=origin.body_end is not BodyEnd.connection,
                     )
                 self._dispatcher.record_event(attempt)
                 self.body_bytes += len(part)
                 await self._caller_response.send_part(part)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
+        self._target_end = origin.body_end.value
 
     def _record_start(self, attempt: Attempt) -> None:
         if not attempt.choice.is_handover:
@@ -233,30 +358,8 @@
                 self._request, attempt.target, self.first_part_at
             )
 
-    async def _new_events(
-        self,
-        events: AsyncGenerator[bytes, None],
-    ) -> AsyncGenerator[bytes, None]:
-        """Yield the events that the caller has not received yet."""
-        async with aclosing(events):
-            async for event in events:
-                event_id = _parse_event_id(event)
-                if event_id and not _is_after(event_id, self._last_event_id):
-                    continue
-                if event_id:
-                    self._last_event_id = event_id
-                yield event
-
-
-def _parse_event_id(event: bytes) -> str:
-    for line in event.split(b'\n'):
-        if line.startswith(EVENT_ID_FIELD):
-            return line[len(EVENT_ID_FIELD) :].strip().decode('latin-1')
-    return ''
-
-
-def _is_after(event_id: str, last_event_id: str) -> bool:
-    """Return whether an event is newer; True if an id is not a number."""
-    if is_count(event_id) and is_count(last_event_id):
-        return int(event_id) > int(last_event_id)
-    return True
+
+def _resumed_after(request: RoutedRequest) -> str:
+    """Return the id of the last event that the caller has, or ''."""
+    stream = request.resumed_stream
+    return stream.last_event_id if stream else ''
--- a/tests/soak/test_target.py
+++ b/tests/soak/test_target.py
@@ -8,6 +8,8 @@
 
 from tests.raw_target import listen
 from tests.soak.brittle import CONTACT_SECONDS
+from tests.soak.events import numbered_events
+from tests.soak.odd_answers import FRAMINGS, ODDITIES
 from tests.soak.records import Arrived, Replied, now, select
 from tests.soak.target import CUTS, SoakTarget
 
@@ -15,6 +17,7 @@
     'POST /{kind}/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: q1-{kind}\r\n'
     'Content-Length: 8\r\n\r\nquestion'
 )
+STATUS_REQUEST = b'GET /peridotwell/report HTTP/1.1\r\nHost: a\r\n\r\n'
 # A cut answer without its connection's end takes longer than this.
 WAIT_SECONDS = 2
 
@@ -31,13 +34,19 @@
     def uniform(self, low, high):
         return low
 
+    def randint(self, low, high):
+        return low
+
+    def randrange(self, low, high=None):
+        return 0 if high is None else low
+
     def choice(self, choices):
         return choices[self._number % len(choices)]
 
 
 async def exchange(nursery, target, kind='read', *, answers=9):
     """Send a request; return the bytes of some answers, or until the end."""
-    target.proxy = SimpleNamespace(is_clear=True)
+    target.proxy = SimpleNamespace(is_clear=True, passages={})
     address = await listen(nursery, target.serve)
     stream = await trio.open_tcp_stream('127.0.0.1', int(address[10:]))
     await stream.send_all(REQUEST.format(kind=kind).encode())
@@ -74,6 +83,25 @@
     assert reply.is_whole is not bool(manner.cut)
 
 
+# Guards against streams that look whole though their target ended them early,
+# or whose events come twice (issue 68).
+@pytest.mark.parametrize('number', range(len(ODDITIES)))
+@pytest.mark.parametrize('kind', ['read', 'draft', 'ask'])
+async def test_an_odd_answer_ends_in_the_ordinary_way(nursery, kind, number):
+    target = SoakTarget('t0', [], Draws(), odd_answers=True)
+    target.odd_draws = Draws(number)
+    received = await exchange(nursery, target, kind, answers=2)
+    (reply,) = select(target.records, Replied)
+    is_open = FRAMINGS[number % len(FRAMINGS)] == 'open'
+    assert received.endswith(b'END') is (is_open or not reply.is_whole)
+    if is_open:
+        assert received.endswith(reply.body + b'END')
+    numbers = [each for each, _ in numbered_events(reply.body)]
+    if kind != 'read':
+        assert numbers != [1, 2, 3, 4]
+        assert reply.is_whole is (ODDITIES[number] is not None)
+
+
 async def test_a_target_in_a_pause_runs_nothing(nursery):
     target = SoakTarget('t0', [], Draws(), pause_seconds=1.5)
     received = await exchange(nursery, target, answers=1)
@@ -112,3 +140,16 @@
     await exchange(nursery, target)
     await trio.testing.wait_all_tasks_blocked()
     assert target.brittle_from is None
+
+
+# Guards against a target that ends by a status check, which has no id.
+async def test_a_status_check_is_answered_and_is_no_request(nursery):
+    target = SoakTarget('t0', [], Draws())
+    target.proxy = SimpleNamespace(is_clear=True, passages=[])
+    address = await listen(nursery, target.serve)
+    stream = await trio.open_tcp_stream('127.0.0.1', int(address[10:]))
+    await stream.send_all(STATUS_REQUEST)
+    with trio.fail_after(WAIT_SECONDS):
+        received = await stream.receive_some()
+    assert received.startswith(b'HTTP/1.1 200')
+    assert not target.records
