Soak: a target that stands still reports nothing to the store

Cause: the soak's store wrote the heartbeats of all targets, also of one that stood still. No stopped process reports, and a router may take a report for a sign of life, so that it rightly leaves there what it has sent.

Whether the reports were the reason is not shown.

Change: its reports stop with it, and go on with it; a target whose path is held reports on.

--- a/tests/soak/leaving_faults.py
+++ b/tests/soak/leaving_faults.py
@@ -148,5 +148,7 @@
                 await target.proxy.call('release', 'requests', 'responses')
         else:
             await target.remote.call('stand_still')
+            await self._cluster.store.call('stop_reports', target.name)
             yield
             await target.remote.call('go_on')
+            await self._cluster.store.call('resume_reports', target.name)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -236,6 +236,7 @@
     for target in cluster.targets:
         await target.proxy.call('clear_faults')
         await target.remote.call('go_on')
+        await cluster.store.call('resume_reports', target.name)
         await target.remote.set(
             is_failing=False,
             failing_share=0,
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -48,6 +48,8 @@
         self._is_behind = False
         self._late_writes: list[trio.CancelScope] = []
         self._entries: dict[str, dict] = {}
+        # The names of targets that stand still, and do not report.
+        self._still: set[str] = set()
         self._objects = objects
         objects['proxies'] = self._proxies
 
@@ -151,6 +153,14 @@
         )
         self._records.append(written)
 
+    def stop_reports(self, name: str) -> None:
+        """Let a target that stands still report nothing."""
+        self._still.add(name)
+
+    def resume_reports(self, name: str) -> None:
+        """Let a target report again."""
+        self._still.discard(name)
+
     def drop_history(self) -> None:
         """Let the store forget the changes so far.
 
@@ -201,8 +211,9 @@
         while True:
             await trio.sleep(self._site.beat_seconds)
             for name, entry in self._entries.items():
-                entry['seq'] += 1
-                self._write_target(name)
+                if name not in self._still:
+                    entry['seq'] += 1
+                    self._write_target(name)
 
     def _begin_version(self, version: int) -> None:
         self._version = version
