--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -119,3 +119,22 @@
     )
     assert not report.violations, report
     assert report.outcomes['book 200'] > 0
+
+
+# Guards against streams that look whole though their target ended them early,
+# and against events that come twice (issue 68).
+def test_guarantees_hold_when_targets_end_streams_early(tmp_path):
+    site = replace(DAY, callers=4)
+    report = trio.run(
+        soak,
+        6811,
+        TARGETS_SECONDS,
+        tmp_path,
+        3,
+        6,
+        ONLY_TARGETS,
+        site,
+        ('odd_answers',),
+    )
+    assert not report.violations, report
+    assert report.outcomes['draft 200'] > 0
