--- a/peridotwell/serving/outstanding_requests.py
+++ b/peridotwell/serving/outstanding_requests.py
@@ -99,13 +99,15 @@
 class TargetRequests:
     """The outstanding requests of one process.
 
-    `left_at` is when it was found to have left, None while it is listed.
+    `left_at` is when it was found to have left, None while it is listed;
+    `is_doubted` tells whether its removal was deferred when it was looked at.
     """
 
     target: Target
     requests: set[OutstandingRequest] = field(default_factory=set)
     last_sign_at: float | None = None
     left_at: float | None = None
+    is_doubted: bool = False
     taken_back: int = 0
 
     def unread(self) -> Iterable[OutstandingRequest]:
--- a/peridotwell/serving/request_recall.py
+++ b/peridotwell/serving/request_recall.py
@@ -82,14 +82,20 @@
                         nursery.start_soon(self._recall, requests)
 
     def has_just_left(self, requests: TargetRequests, now: float) -> bool:
-        """Return whether a target is found to have left, which is logged."""
+        """Return whether a target is found to have left, which is logged.
+
+        It is found twice if it was doubted: meanwhile it still gets requests.
+        """
         standing = self._standings.standing(requests.target)
         if standing is TargetStanding.listed:
             requests.left_at = None
             return False
-        if requests.left_at is not None:
+        was_doubted = requests.is_doubted
+        requests.is_doubted = standing is TargetStanding.doubted
+        if requests.left_at is None:
+            requests.left_at = now
+        elif requests.is_doubted or not was_doubted:
             return False
-        requests.left_at = now
         _log_leaving(requests, standing, now)
         return True
 
--- a/tests/peridotwell_platform/test_requests_left_behind.py
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -387,3 +387,23 @@
     halted.go_on()
     await setup.wait_for_answers(READ_SECONDS, 1)
     assert setup.answers == {'book': 200}
+
+
+# Guards against requests that are sent to a target while its removal is
+# deferred, after it has shown a sign of life, and lie there once it has left.
+async def test_requests_sent_during_the_doubt_are_taken_back(setup, halted):
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    setup.send('book', WORK_SECONDS)
+    await trio.sleep(READ_SECONDS)
+    doubt_removals(setup)
+    remove(setup, halted.address)
+    await trio.sleep(2 * READ_SECONDS)
+    halted.stop()
+    setup.send('draft')
+    await trio.sleep(REREGISTRATION_SECONDS - 2 * READ_SECONDS)
+    await setup.wait_for_answers(BOUND_SECONDS, 1)
+    answers = dict(setup.answers)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert (halted.end(), answers) == (['book'], {'draft': MAY_HAVE_RUN})
