--- a/tests/soak/test_leaving_rule.py
+++ b/tests/soak/test_leaving_rule.py
@@ -197,6 +197,16 @@
     assert not judge(2.9, fault, sent_before=0.5, lay_seconds=0.4)
 
 
+# Guards against an excuse of any length for a router that stood still for a
+# moment, and started again for another reason long after.
+def test_a_start_after_the_standstill_does_not_lengthen_it():
+    stop = RouterDisturbed(LEFT_AT + 0.5, LEFT_AT + 0.6, 'r0')
+    start = RouterStarted(LEFT_AT + 30, 'r0')
+    lay = {'state': 'draining', 'sent_before': 9.1, 'lay_seconds': 9}
+    assert judge(9, stop, **lay)
+    assert judge(9, stop, start, **lay)
+
+
 # Guards against an excuse of routers that had heard of the leaving: a fault of
 # the store while the request lay there (seed 6801 of a day).
 @pytest.mark.parametrize(
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -94,7 +94,7 @@
         """Return until when a router was disturbed that was so in a time.
 
         It is None for one that ran as usual, and infinite for one whose process
-        has ended since.
+        has ended in that disturbance.
         """
         ends = [
             fault.at
@@ -103,8 +103,10 @@
         ]
         if not ends:
             return None
-        is_ended = any(at >= begin for at in self._starts[router])
-        return math.inf if is_ended else max(ends)
+        ended_at = max(ends)
+        starts = self._starts[router]
+        is_ended = any(begin <= at <= ended_at for at in starts)
+        return math.inf if is_ended else ended_at
 
     def is_heard_while_held(
         self, router: str, target: str, since: float, at: float
