--- a/tests/peridotwell_platform/test_missing_events.py
+++ b/tests/peridotwell_platform/test_missing_events.py
@@ -88,3 +88,22 @@
     send = caller_of(harness, '/draft/x')
     answers = [await send(number) for number in range(SOUND_STREAMS)]
     assert answers[-1] == Got(200, events(4, 9, 11), 'chunks')
+
+
+# Guards against sound streams that are cut where a few of a service's events
+# hold several tokens, and ids count tokens: those of most go up by one.
+async def test_an_engine_whose_events_hold_several_tokens_now_and_then(
+    harness, nursery
+):
+    target = RawTarget(
+        followed_by(chunked(events(1, 2, 4)), chunked(events(1, 2, 3)))
+    )
+    await use_raw_targets(harness, nursery, target)
+    await learn_ids(harness, 1, 2, 3)
+    prompt = {
+        'x_model': 'm',
+        'x_token_counts': '9,4',
+        'x_prompt_prefix': 'a:9',
+    }
+    got = await caller_of(harness, '/draft/x', **prompt)(0)
+    assert got == Got(200, events(1, 2, 4), 'chunks')
