--- a/peridotwell/serving/sign_of_life.py
+++ b/peridotwell/serving/sign_of_life.py
@@ -53,8 +53,8 @@
     except httpcore.ConnectTimeout:
         return False
     except OSError:
-        # This router has no descriptor left for a connection: it cannot ask, and
-        # the target may be sound.
+        # This router has no descriptor left for a connection: it cannot ask,
+        # and the target may be sound.
         return True
     try:
         await connection.write(_status_request(target, path))
