--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -47,6 +47,12 @@
         self.missing = 0
         self.may_go_on = True
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether no event came again or, as far as is known, is missing."""
+        is_missing = self.missing and self._steps.are_by_one(self._service)
+        return not (self.repeated or is_missing)
+
     async def new_events(
         self, events: AsyncGenerator[bytes, None]
     ) -> AsyncGenerator[bytes, None]:
@@ -82,7 +88,7 @@
 
     def _check_missing(self, missing: int) -> None:
         """Raise EventMissing if events are missing before the next one."""
-        if not missing:
+        if missing <= 0:
             return
         if not self.missing:
             # One stream counts once, however often its ids jump.
--- a/peridotwell/forwarding/stream_log.py
+++ b/peridotwell/forwarding/stream_log.py
@@ -33,7 +33,7 @@
         return (
             {self.target_end, self.passed_end} <= SOUND_ENDS
             and self.parts <= 1
-            and not (self.order.repeated or self.order.missing)
+            and self.order.is_kept
         )
 
     def log_fields(self) -> dict[str, object]:
--- /dev/null
+++ b/tests/forwarding/test_event_order.py
@@ -0,0 +1,36 @@
+"""Which streams are in order, as far as a router can tell."""
+
+import pytest
+
+from peridotwell.forwarding.event_order import EventOrder
+from peridotwell.forwarding.stream_log import StreamEnd
+from peridotwell.policy.event_steps import EventSteps
+
+STREAMS = 20
+
+
+async def events_of(*numbers):
+    for number in numbers:
+        yield b'id: %d\ndata: x\n\n' % number
+
+
+async def end_of_stream(steps, *numbers):
+    order = EventOrder(steps, 's')
+    async for _ in order.new_events(events_of(*numbers)):
+        continue
+    order.record_complete()
+    return StreamEnd('chunks', 'chunks', order, 1, False)
+
+
+# Guards against a line of the log for each sound stream of a service whose ids
+# do not go up by one from 1.
+@pytest.mark.parametrize('numbers', [(0, 1, 2), (4, 9, 11)])
+async def test_sound_streams_with_other_ids_are_usual(numbers):
+    steps = EventSteps()
+    ends = [await end_of_stream(steps, *numbers) for _ in range(STREAMS)]
+    assert ends[-1].is_usual
+
+
+async def test_streams_with_repeated_events_are_unusual():
+    end = await end_of_stream(EventSteps(), 1, 2, 2)
+    assert not end.is_usual
