Fewer sound streams are cut for a step over an id

Cause: a step counted as an event left out wherever nine in ten streams of the service go up by one; a faulty target spoils far fewer than one in ten. Change: 0.95 in place of 0.9, so that at most a twentieth of the streams can be cut. The known red test stays: one stream cannot tell. Measured: tests of event_steps and missing_events but that one pass.

--- a/peridotwell/policy/event_steps.py
+++ b/peridotwell/policy/event_steps.py
@@ -11,7 +11,8 @@
 
 # Share of a stream in the mean of its service.
 WEIGHT = 0.02
-USUAL_SHARE = 0.9
+# A faulty target leaves out events of few of its streams.
+USUAL_SHARE = 0.95
 # Streams of a service that are seen before anything is concluded from them.
 MIN_STREAMS = 10
 
