--- a/measure/passthrough.py
+++ b/measure/passthrough.py
@@ -7,7 +7,7 @@
 import httpcore
 from absl import app, flags
 
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 from standins.server import run_server
 
 __all__ = ('PassThrough',)
--- a/measure/process_costs.py
+++ b/measure/process_costs.py
@@ -23,7 +23,8 @@
 import msgspec
 import trio
 
-from peridotwell.serving.asgi import HttpExchange, serve_http
+from peridotwell.serving.asgi import serve_http
+from peridotwell.serving.http_exchange import HttpExchange
 from tests.peridotwell_platform.stand_in import StoreStandIn, route
 from tests.ports import find_free_port
 
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -19,8 +19,8 @@
 )
 from peridotwell.forwarding.stream_log import CUT
 from peridotwell.policy.buffer_budget import BufferShare
-from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.error_body import error_body
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.target_response import BodyEnd
 
 __all__ = ('CallerResponse', 'HandoverResponse')
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -47,8 +47,8 @@
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics
 from peridotwell.policy.retry_window import RetryWindow
-from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.caller_disconnect import run_until_caller_disconnects
+from peridotwell.serving.http_exchange import HttpExchange
 
 __all__ = ('ForwardingHandler',)
 
--- a/peridotwell/forwarding/refusal_log.py
+++ b/peridotwell/forwarding/refusal_log.py
@@ -12,7 +12,7 @@
 from peridotwell.fleet.replica.recent_refusals import Refusal
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import CallerAdapter
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 
 __all__ = ('drop_log_fields', 'record_refusal', 'refusal_log_fields')
 
--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -22,7 +22,7 @@
 )
 from peridotwell.logs import log_event
 from peridotwell.policy.quarantine import request_fingerprint
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 
 __all__ = (
     'RequestReader',
--- a/peridotwell/operators/api.py
+++ b/peridotwell/operators/api.py
@@ -19,7 +19,7 @@
     QuarantineEntry,
 )
 from peridotwell.operators.status import StatusReader
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.store.configuration import apply_change
 
 __all__ = ('OperatorsApi',)
--- a/peridotwell/router.py
+++ b/peridotwell/router.py
@@ -6,7 +6,8 @@
 from peridotwell.assembly import RouterComponents, build_components
 from peridotwell.logs import log_event
 from peridotwell.operators.api import OperatorsApi
-from peridotwell.serving.asgi import HttpExchange, HttpServer, serve_http
+from peridotwell.serving.asgi import HttpServer, serve_http
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.settings import Settings
 
 __all__ = ('Router', 'RouterAddresses')
--- a/peridotwell/serving/caller_disconnect.py
+++ b/peridotwell/serving/caller_disconnect.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 
 __all__ = ('run_until_caller_disconnects',)
 
--- a/peridotwell/serving/idempotent_requests.py
+++ b/peridotwell/serving/idempotent_requests.py
@@ -6,8 +6,8 @@
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.errors import RequestError
 from peridotwell.metrics import Measure, Metrics, Series
-from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.event_stream import StreamEvent
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.request_executor import (
     BufferedResponse,
     RequestExecutor,
--- a/peridotwell/serving/request_handler.py
+++ b/peridotwell/serving/request_handler.py
@@ -17,12 +17,12 @@
 from peridotwell.metrics import Measure, Metrics, Series
 from peridotwell.policy.quarantine import Quarantine, request_fingerprint
 from peridotwell.policy.retry import RetryBudget
-from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.at_most_once import (
     AtMostOnceExecutor,
     require_idempotency_key,
 )
 from peridotwell.serving.caller_disconnect import run_until_caller_disconnects
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.idempotent_requests import serve_response, serve_stream
 from peridotwell.serving.placer import Placer
 from peridotwell.serving.readiness import Readiness
--- a/peridotwell/serving/responses.py
+++ b/peridotwell/serving/responses.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from peridotwell.errors import RequestError
-from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.error_body import error_body
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.request_executor import BufferedResponse
 
 __all__ = (
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,7 +22,7 @@
 import trio
 from absl import app, flags
 
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 from standins import exit_statuses
 from standins.batch_slots import BatchSlots
 from standins.server import run_server
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,7 +11,7 @@
 from absl import app, flags
 
 from peridotwell.errors import StoreConflict
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.store.base import Entry
 from standins.memory_store import MemoryStore
 from standins.server import run_server
--- a/standins/server.py
+++ b/standins/server.py
@@ -6,7 +6,8 @@
 import msgspec
 import trio
 
-from peridotwell.serving.asgi import HttpExchange, serve_http
+from peridotwell.serving.asgi import serve_http
+from peridotwell.serving.http_exchange import HttpExchange
 
 __all__ = ('run_server',)
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -13,7 +13,7 @@
 import trio
 from absl import app, flags
 
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 from standins import exit_statuses
 from standins.server import run_server
 
--- a/tests/forwarding/test_late_decisions.py
+++ b/tests/forwarding/test_late_decisions.py
@@ -13,8 +13,8 @@
 
 from peridotwell.domain.routing_table import RequestKind, Route, WeightedService
 from peridotwell.errors import StoreResponseLost
-from peridotwell.serving.asgi import HttpExchange
 from peridotwell.serving.caller_connection import ServerStop
+from peridotwell.serving.http_exchange import HttpExchange
 from tests.fleet.replica.test_service_directory import Decoder
 from tests.forwarding.test_returned_store import (
     IN_FORCE_SECONDS,
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from peridotwell.serving.asgi import HttpExchange
+from peridotwell.serving.http_exchange import HttpExchange
 
 SETTLE_SECONDS = 0.01
 
--- a/tests/serving/test_unmarked_responses.py
+++ b/tests/serving/test_unmarked_responses.py
@@ -4,7 +4,8 @@
 import trio
 
 from peridotwell.policy.buffer_budget import BufferBudget
-from peridotwell.serving.asgi import HttpExchange, serve_http
+from peridotwell.serving.asgi import serve_http
+from peridotwell.serving.http_exchange import HttpExchange
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 # More than the sockets of both sides hold.
