A router that is killed ends no unmarked answer in the ordinary way

Cause: since the end of the connection is the mark, and a kill made that end. Change: while such a body is under way, its connection is set to be reset however it ends; that is lifted when the last byte has been written.

--- a/peridotwell/serving/caller_connection.py
+++ b/peridotwell/serving/caller_connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, cast
 
 import h11
@@ -38,6 +39,7 @@
 LINGER_SECONDS = 2.0
 # An active close with this option resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+ORDINARY_CLOSE = struct.pack('ii', 0, 0)
 
 
 @dataclass
@@ -70,7 +72,8 @@
     waits, in place of one for each part. `send_chunk` sends a part of a body
     that consists of chunks, and returns whether it could. `abort` closes the
     connection at once, `reset` resets it. `end_with_connection` lets the end of
-    the connection be the only mark of that of the response that starts next.
+    the connection be the only mark of that of the response that starts next:
+    until `allow_end`, the connection is reset however it ends.
     """
 
     is_next: bool = False
@@ -78,6 +81,7 @@
     abort: Callable[[], None] = _abort_nothing
     reset: Callable[[], None] = _abort_nothing
     end_with_connection: Callable[[], None] = _abort_nothing
+    allow_end: Callable[[], None] = _abort_nothing
 
     def take(self) -> bool:
         """Return whether a part comes next, and expect none after it."""
@@ -136,6 +140,7 @@
             abort=stream.socket.close,
             reset=self._reset,
             end_with_connection=self._end_with_connection,
+            allow_end=partial(self._set_linger, ORDINARY_CLOSE),
         )
         # The server names the type of encrypted connections only. The state
         # reaches the scope of each request.
@@ -272,14 +277,19 @@
         """Let the end of the connection mark that of the next response."""
         connection = cast(Any, self.protocol.protocol.connection)
         connection.ends_with_connection = True
+        # Also if this process is killed.
+        self._set_linger(RESET_ON_CLOSE)
 
     def _reset(self) -> None:
         """Close the connection so that its end looks like no ordinary one."""
+        self._set_linger(RESET_ON_CLOSE)
+        self._socket_stream.socket.close()
+
+    def _set_linger(self, option: bytes) -> None:
         with suppress(OSError):
             self._socket_stream.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                socket.SOL_SOCKET, socket.SO_LINGER, option
             )
-        self._socket_stream.socket.close()
 
     def _log_refusal(self, content: bytes) -> None:
         """Log an answer that hypercorn gives on its own to what it cannot read.
--- a/peridotwell/serving/http_exchange.py
+++ b/peridotwell/serving/http_exchange.py
@@ -64,6 +64,7 @@
         self.status = 0
         self.is_complete = False
         self.is_chunked = False
+        self._ends_with_connection = False
         self._http_version: str = scope.get('http_version', '')
         self._receive = receive
         self._send = send
@@ -150,6 +151,7 @@
         """
         self.status = status
         self._ends_with_connection = ends_with_connection
+        self._ends_with_connection = ends_with_connection
         if ends_with_connection:
             self._body_part.end_with_connection()
         self.is_chunked = not ends_with_connection and (
@@ -188,6 +190,9 @@
 
     async def finish(self, chunk: bytes = b'') -> None:
         """Send the last part of the response body and end the response."""
+        if self._ends_with_connection:
+            await self._write_before_end(chunk)
+            chunk = b''
         self.is_complete = True
         await self._send_message(
             {
@@ -218,6 +223,15 @@
         body = msgspec.json.encode(document)
         await self.respond(status, body, (JSON_TYPE, *headers))
 
+    async def _write_before_end(self, chunk: bytes) -> None:
+        """Send the last part of a body whose end has no mark of its own.
+
+        Its connection may end in the ordinary way from then on.
+        """
+        with trio.CancelScope(shield=True):
+            await self.write(chunk)
+        self._body_part.allow_end()
+
     def _abort(self) -> None:
         """End the connection at once, so that a part looks like no whole."""
         if self._ends_with_connection:
