Events that arrive together are passed on together

Callers would see nothing; a router would: since each event of one read is a write of its own to the caller, on all routes (before: one write for a read on routes that are not resumable). Cause: the check of the order of events took events one by one. Change: it takes parts of whole events, and yields what is new of a part in one piece; before an event that is missing, the events that came before it.

--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -329,11 +329,12 @@
         origin: ResponseOrigin,
     ) -> None:
         self._target_end = CUT
-        parts = self._order.new_events(response.split_events())
-        had_events = self._order.events
+        parts = self._order.new_events(response.whole_events())
+        has_begun = False
         async with aclosing(parts):
             async for part in parts:
-                if self._order.events == had_events + 1:
+                if not has_begun:
+                    has_begun = True
                     self._parts += 1
                     self._wait_for_rest.deadline = math.inf
                 if not self._caller_response.has_begun:
