Revert "Events that arrive together are passed on together"

Callers saw: while targets flood routers with events or comments without end, sound requests got no answer for 5 s. Cause: checked all events of a read in one turn of the event loop: events had been paced one by one, so that other requests get their turns. Change: is taken back.

--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -11,7 +11,6 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.counts import is_count
 from peridotwell.policy.event_steps import EventSteps
-from peridotwell.serving.event_stream import EVENT
 
 __all__ = ('EventMissing', 'EventOrder')
 
@@ -55,27 +54,16 @@
         return not (self.repeated or is_missing)
 
     async def new_events(
-        self, parts: AsyncGenerator[bytes, None]
+        self, events: AsyncGenerator[bytes, None]
     ) -> AsyncGenerator[bytes, None]:
-        """Yield what the caller has not received yet of parts of whole events.
+        """Yield the events that the caller has not received yet.
 
-        Raises EventMissing before an event that does not follow the last one.
+        Raises EventMissing before one that does not follow the last one.
         """
-        async with aclosing(parts):
-            async for part in parts:
-                accepted: list[bytes] = []
-                try:
-                    self._accept_each(part, accepted)
-                except EventMissing:
-                    if accepted:
-                        yield b''.join(accepted)
-                    raise
-                if accepted:
-                    yield b''.join(accepted)
-
-    def _accept_each(self, part: bytes, accepted: list[bytes]) -> None:
-        """Add the new events of a part, up to one before which some miss."""
-        accepted.extend(filter(self._accept, EVENT.findall(part)))
+        async with aclosing(events):
+            async for event in events:
+                if self._accept(event):
+                    yield event
 
     def record_complete(self) -> None:
         """Record that the stream is complete, to learn from its ids."""
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -329,12 +329,11 @@
         origin: ResponseOrigin,
     ) -> None:
         self._target_end = CUT
-        parts = self._order.new_events(response.whole_events())
-        has_begun = False
+        parts = self._order.new_events(response.split_events())
+        had_events = self._order.events
         async with aclosing(parts):
             async for part in parts:
-                if not has_begun:
-                    has_begun = True
+                if self._order.events == had_events + 1:
                     self._parts += 1
                     self._wait_for_rest.deadline = math.inf
                 if not self._caller_response.has_begun:
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -22,7 +22,6 @@
 from peridotwell.serving.fair_turns import Pace
 
 __all__ = (
-    'EVENT',
     'NO_LIMIT',
     'EventBuffer',
     'EventLimit',
@@ -37,7 +36,6 @@
 
 EVENT_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
 MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
-# One event with its end, in a part that contains whole events.
 EVENT = re.compile(rb'.+?(?:\n\n|\r\n\r\n|\r\r|\Z)', re.DOTALL)
 END_OF_STREAM = b'data: [DONE]'
 ID_FIELD = b'id: '
