No target is chosen by a belief that the store has not confirmed

Callers saw: a request that went on at another target could reach one that had left more than 2 s before (DRAIN). Cause: the waiting room waited 0.3 s for the store's answer and went on without it, whatever came: a retry, or a request that had waited for room, was sent by a list of up to 2.1 s and more. Only the handler looked at the result, once, as the request arrived. Change: without an answer, and without the knowledge that the store is away, a request gets no target: 503 if nothing was sent, else the error of its last attempt. While the store is known to be away it is served as before (test). Price, by reading: for at most the time between 1.9 s of silence of the store and the failure of the call that asks it, retries fail that could have been served.

--- a/peridotwell/forwarding/waiting_room.py
+++ b/peridotwell/forwarding/waiting_room.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from peridotwell.errors import NoRoom, Overloaded
+from peridotwell.errors import NoRoom, NoTarget, Overloaded
 from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.path_selection import PathSelector
@@ -43,6 +43,8 @@
 LOOK_SECONDS = 0.02
 # A service has room again if none of its requests lacked it for this time.
 CALM_SECONDS = 1.0
+# The store answers again, or is known to be away, in less.
+RETRY_AFTER_SECONDS = 0.3
 
 
 @dataclass
@@ -102,7 +104,8 @@
     """Chooses targets for requests, and lets those wait that find no room.
 
     `selector` chooses the targets. If the router may lack that targets leave,
-    as its `belief` tells, it asks the store first.
+    as its `belief` tells, it asks the store first, and chooses none without an
+    answer.
     """
 
     def __init__(
@@ -131,7 +134,7 @@
 
         The choice must be used before the next checkpoint.
         """
-        await self._belief.settle(trio.current_time())
+        await self._require_settled()
         if tried or software is not None:
             return self.selector.choose(
                 request,
@@ -172,10 +175,19 @@
                 line.waited += 1
                 self._metrics.count('request.waited')
             await self._wait(line, request, place, now)
-            await self._belief.settle(trio.current_time())
+            await self._require_settled()
             now = trio.current_time()
         raise AssertionError('The loop ends only with a choice or an error.')
 
+    async def _require_settled(self) -> None:
+        """Raise NoTarget if targets may have left unknown to this router."""
+        if not await self._belief.settle(trio.current_time()):
+            raise NoTarget(
+                'This instance may lack that targets have left: send the '
+                'request again.',
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
+
     def _take(self, line: _Line, request: RoutedRequest, now: float) -> Choice:
         """Return a choice, and let the next waiting request look for room."""
         choice = self.selector.choose(request, (), now)
--- a/tests/forwarding/test_waiting_room.py
+++ b/tests/forwarding/test_waiting_room.py
@@ -9,7 +9,7 @@
 import trio
 import trio.testing
 
-from peridotwell.errors import NoRoom, RunState
+from peridotwell.errors import NoRoom, NoTarget, RunState
 from peridotwell.fleet.replica.store_belief import (
     Evidence,
     EvidenceSource,
@@ -272,3 +272,29 @@
     room.belief.record(new, trio.current_time())
     await trio.testing.wait_all_tasks_blocked()
     assert len(selector.sent) == 1
+
+
+# Guards against requests that are sent to targets of which the router may lack
+# that they have left, once it has asked the store in vain.
+@pytest.mark.parametrize('tried', [(), ('other',)])
+async def test_no_target_is_chosen_by_an_old_belief(autojump_clock, tried):
+    selector = Selector(1)
+    room = Room(selector)
+    now = trio.current_time()
+    room.belief.evidence = Evidence(now - 2.1, 1, EvidenceSource.watch)
+    with pytest.raises(NoTarget, match='may lack'):
+        await room.choose(request_of(), tried)
+    assert not selector.sent
+    assert trio.current_time() - now <= 0.3
+
+
+async def test_a_target_is_chosen_while_the_store_is_known_to_be_away(
+    autojump_clock,
+):
+    selector = Selector(1)
+    room = Room(selector)
+    now = trio.current_time()
+    room.belief.evidence = Evidence(now - 2.1, 1, EvidenceSource.watch)
+    room.belief.record_failure(now)
+    await room.choose(request_of(), ('other',))
+    assert selector.sent
