The log tells on which evidence a stream is taken up

Change: one line, stream.taken_up, for each stream that a caller takes up: the basis (the version that began it; one version alone; or why it is refused), the version, from where that is known (own record, the name of a router, the record in the store, followed as long as streams last) and how long ago it was learned. Refusals are lines of failures. No decision changes. Tested in tests/forwarding/test_stream_affinity.py; it and the tests of versions, the lookup, the record and new routers: all pass.

--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -107,9 +107,12 @@
 
     def apply(self, push: StreamPush, now: float) -> None:
         """Record what another router knows of a stream."""
-        self._versions.record_answer(push.service, push.mixed_seconds, now)
+        name = self._peers.name(push.sender)
+        self._versions.record_answer(
+            push.service, push.mixed_seconds, now, name
+        )
         if push.version is not None:
-            self._versions.record(push.stream, push.version, now)
+            self._versions.record(push.stream, push.version, now, name)
         search = self._searches.get(push.stream)
         if search is not None:
             search.record_answer(
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -374,7 +374,9 @@
         if update.brittle_targets:
             self.brittle_sync.apply(update.brittle_targets, now)
         for stream, version in update.stream_versions:
-            self.state.stream_versions.record(stream, version, now)
+            self.state.stream_versions.record(
+                stream, version, now, self.peers.name(update.sender)
+            )
 
     def _apply_departures(
         self, departures: Collection[Departure], now: float
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -128,6 +128,11 @@
         """Return a known router."""
         return self._peers.get(sender)
 
+    def name(self, sender: int) -> str:
+        """Return the name of a known router, else its wire id as text."""
+        peer = self.peer(sender)
+        return peer.hello.name if peer else str(sender)
+
     def known_count(self) -> int:
         """Return the number of known routers, this one included."""
         return len(self._peers) + 1
--- /dev/null
+++ b/peridotwell/forwarding/resumption_log.py
@@ -0,0 +1,49 @@
+"""What the log tells of the streams that callers take up again."""
+
+from enum import Enum
+
+from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.logs import log_event, log_failure
+from peridotwell.policy.stream_versions import Evidence
+
+__all__ = ('Basis', 'log_taken_up')
+
+
+class Basis(Enum):
+    """On what a stream goes on, or why it does not."""
+
+    # The version that began it is known.
+    stream = 'stream'
+    # It is not, but only one version has served lately.
+    one_version = 'one_version'
+    several_versions = 'several_versions'
+    # This router does not know which versions have served lately.
+    not_confirmed = 'not_confirmed'
+    # Nor is it told, as it hears neither the store nor another router.
+    isolated = 'isolated'
+
+
+GOES_ON = frozenset((Basis.stream, Basis.one_version))
+
+
+def log_taken_up(
+    request: RoutedRequest,
+    version: int | None,
+    basis: Basis,
+    evidence: Evidence | None,
+    now: float,
+) -> None:
+    """Log a stream that is taken up; `version` must serve, None: any may."""
+    stream = request.resumed_stream
+    log = log_event if basis in GOES_ON else log_failure
+    log(
+        'stream.taken_up',
+        request=request.request_id,
+        stream=stream.first_request if stream else '',
+        basis=basis.value,
+        version=version,
+        evidence=evidence.source if evidence else None,
+        age_seconds=evidence.age_seconds(now) if evidence else None,
+        after=stream.last_event_id if stream else '',
+        service=request.service,
+    )
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -17,6 +17,7 @@
     decode_versions,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.resumption_log import Basis, log_taken_up
 from peridotwell.logs import log_event
 
 __all__ = ('StreamAffinity',)
@@ -68,11 +69,11 @@
         now = trio.current_time()
         is_known = self._versions.version(request.stream_id, now) is not None
         may_lack = self._versions.may_lack(request.service, now)
-        if is_known or not (may_lack or self._is_isolated(now)):
-            return
-        await self._update_exchange.stream_lookup.find(
-            request.stream_id, request.service
-        )
+        if not is_known and (may_lack or self._is_isolated(now)):
+            await self._update_exchange.stream_lookup.find(
+                request.stream_id, request.service
+            )
+        self._log_taken_up(request, trio.current_time())
 
     def required_software(
         self, request: RoutedRequest, now: float
@@ -115,9 +116,7 @@
 
     def _may_be_mixed(self, service: str, now: float) -> bool:
         return (
-            self._versions.is_mixed(service, now)
-            or not self._is_confirmed(service, now)
-            or self._is_isolated(now)
+            self._basis_without_version(service, now) is not Basis.one_version
         )
 
     def _is_isolated(self, now: float) -> bool:
@@ -128,11 +127,31 @@
         peers = self._update_exchange.peers
         return peers.known_count() > 1 and not peers.live_ids(now)
 
+    def _log_taken_up(self, request: RoutedRequest, now: float) -> None:
+        service = request.service
+        version = self._versions.version(request.stream_id, now)
+        if version is None:
+            basis = self._basis_without_version(service, now)
+            evidence = self._versions.confirmation(service, now)
+        else:
+            basis = Basis.stream
+            evidence = self._versions.evidence(request.stream_id, now)
+        log_taken_up(request, version, basis, evidence, now)
+
+    def _basis_without_version(self, service: str, now: float) -> Basis:
+        if self._versions.is_mixed(service, now):
+            return Basis.several_versions
+        if not self._is_confirmed(service, now):
+            return Basis.not_confirmed
+        if self._is_isolated(now):
+            return Basis.isolated
+        return Basis.one_version
+
     def _read_record(self) -> None:
         """Read which versions have served before this router started."""
         entry = self._directory.replica.entry(VERSIONS_KEY)
         recorded = decode_versions(entry.value) if entry else None
-        self._versions.record_earlier(recorded or {})
+        self._versions.record_earlier(recorded or {}, trio.current_time())
         log_event('versions.read', services=len(recorded or {}))
 
     def _record_serving(self) -> None:
--- a/peridotwell/policy/stream_versions.py
+++ b/peridotwell/policy/stream_versions.py
@@ -7,8 +7,9 @@
 
 import math
 from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
 
-__all__ = ('StreamVersions',)
+__all__ = ('Evidence', 'StreamVersions')
 
 # Longer than a stream and its caller's attempts to resume it last.
 MEMORY_SECONDS = 30.0
@@ -17,6 +18,35 @@
 # Wire ids of a stream and of the software version that began it.
 StreamVersion = tuple[int, int]
 
+# Sources of evidence besides other routers, which are named.
+OWN = 'own'
+STORE_RECORD = 'store_record'
+FOLLOWED = 'followed'
+
+
+@dataclass(frozen=True)
+class Evidence:
+    """From where, and when, this router has learned a fact."""
+
+    source: str
+    learned_at: float
+
+    def age_seconds(self, now: float) -> float:
+        """Return how long ago it has learned the fact."""
+        return round(max(now - self.learned_at, 0), 3)
+
+
+@dataclass(frozen=True)
+class _KnownVersion:
+    """The version that began a stream."""
+
+    version: int
+    evidence: Evidence
+
+    @property
+    def expires_at(self) -> float:
+        return self.evidence.learned_at + MEMORY_SECONDS
+
 
 class StreamVersions:
     """Remembers the versions of recent streams, own ones and those of peers.
@@ -28,21 +58,24 @@
     """
 
     def __init__(self) -> None:
-        self._versions: dict[int, tuple[int, float]] = {}
+        self._versions: dict[int, _KnownVersion] = {}
         self._serving: dict[str, frozenset[int]] = {}
         # All versions of mixed services, also those that have left.
         self._mixed: dict[str, frozenset[int]] = {}
         self._mixed_until: dict[str, float] = {}
         # Until then, versions that only other routers know may matter.
         self._unknown_until: dict[str, float] = {}
-        self._confirmed: set[str] = set()
+        self._confirmed: dict[str, Evidence] = {}
         # From then on this router has learned of all streams.
         self._complete_at = math.inf
 
-    def record_earlier(self, versions: Mapping[str, frozenset[int]]) -> None:
+    def record_earlier(
+        self, versions: Mapping[str, frozenset[int]], now: float = 0
+    ) -> None:
         """Record, by service, the versions that served before the start."""
         self._serving.update(versions)
-        self._confirmed.update(versions)
+        for service in versions:
+            self._confirmed[service] = Evidence(STORE_RECORD, now)
 
     def set_serving(
         self, versions: Mapping[str, frozenset[int]], now: float
@@ -95,13 +128,17 @@
         return max(self._mixed_until.get(service, 0) - now, 0)
 
     def record_answer(
-        self, service: str, mixed_seconds: float, now: float
+        self,
+        service: str,
+        mixed_seconds: float,
+        now: float,
+        router: str = '',
     ) -> None:
         """Record what another router knows of the versions of a service.
 
         Streams of several versions may be resumed for `mixed_seconds`.
         """
-        self._confirmed.add(service)
+        self._confirmed[service] = Evidence(router, now)
         if not mixed_seconds > 0:
             return
         until = now + min(mixed_seconds, MEMORY_SECONDS)
@@ -114,36 +151,51 @@
         """Return whether all versions that have served lately are known."""
         return now >= self._complete_at or service in self._confirmed
 
+    def confirmation(self, service: str, now: float) -> Evidence | None:
+        """Return what shows that all recent versions are known, or None."""
+        if service in self._confirmed:
+            return self._confirmed[service]
+        if now >= self._complete_at:
+            return Evidence(FOLLOWED, self._complete_at)
+        return None
+
     def may_lack(self, service: str, now: float) -> bool:
         """Return whether a version that matters may be known elsewhere."""
         return not self.is_confirmed(service, now) or self.is_mixed(
             service, now
         )
 
-    def record(self, stream: int, version: int, now: float) -> None:
+    def record(
+        self, stream: int, version: int, now: float, source: str = OWN
+    ) -> None:
         """Record which version began a stream, unless that is known."""
         if stream in self._versions:
             return
         self._remove_expired(now)
         if len(self._versions) >= MAX_STREAMS:
             self._versions.pop(next(iter(self._versions)))
-        self._versions[stream] = (version, now + MEMORY_SECONDS)
+        self._versions[stream] = _KnownVersion(version, Evidence(source, now))
 
     def version(self, stream: int, now: float) -> int | None:
         """Return the version that began a stream, or None if unknown."""
-        version, expires_at = self._versions.get(stream, (None, now))
-        return version if now < expires_at else None
+        known = self._versions.get(stream)
+        return known.version if known and now < known.expires_at else None
+
+    def evidence(self, stream: int, now: float) -> Evidence | None:
+        """Return what the version of a stream is known from, or None."""
+        known = self._versions.get(stream)
+        return known.evidence if known and now < known.expires_at else None
 
     def recent(self, now: float) -> Iterator[StreamVersion]:
         """Yield the streams that are remembered."""
-        for stream, (version, expires_at) in self._versions.items():
-            if now < expires_at:
-                yield stream, version
+        for stream, known in self._versions.items():
+            if now < known.expires_at:
+                yield stream, known.version
 
     def _remove_expired(self, now: float) -> None:
         """Remove expired streams; the oldest ones come first."""
         while self._versions:
             stream = next(iter(self._versions))
-            if now < self._versions[stream][1]:
+            if now < self._versions[stream].expires_at:
                 return
             self._versions.pop(stream)
--- a/tests/forwarding/test_stream_affinity.py
+++ b/tests/forwarding/test_stream_affinity.py
@@ -7,13 +7,17 @@
 
 from peridotwell.domain.target import wire_id
 from peridotwell.errors import NoTarget
+from peridotwell.forwarding.adapters import ResumedStream
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.policy.stream_versions import MEMORY_SECONDS
 from tests.fleet.relays.test_update_exchange import Router
 
 SERVICE = 's'
 STREAM = SimpleNamespace(
-    resumed_stream='first', service=SERVICE, stream_id=wire_id('first')
+    request_id='second',
+    resumed_stream=ResumedStream('first', '3'),
+    service=SERVICE,
+    stream_id=wire_id('first'),
 )
 
 
@@ -105,3 +109,60 @@
     now = trio.current_time()
     first.knowledge.stream_versions.record(STREAM.stream_id, 1, now)
     assert await first.required() == 1
+
+
+def told(caplog, *fields):
+    """Return these fields of the lines about streams that are taken up."""
+    lines = (record.msg for record in caplog.records)
+    return [
+        tuple(line[field] for field in fields)
+        for line in lines
+        if line['event'] == 'stream.taken_up'
+    ]
+
+
+async def test_the_log_tells_on_what_a_stream_goes_on(
+    autojump_clock, nursery, routers, caplog
+):
+    caplog.set_level('INFO', 'peridotwell')
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    first, second = routers
+    await first.required()
+    second.knowledge.stream_versions.record(
+        STREAM.stream_id, 1, trio.current_time()
+    )
+    first.knowledge.stream_versions.set_serving(
+        {SERVICE: frozenset((1, 2))}, trio.current_time()
+    )
+    await first.required()
+    await trio.sleep(1)
+    await first.required()
+    second.knowledge.stream_versions.record(
+        STREAM.stream_id, 1, trio.current_time()
+    )
+    await second.required()
+    assert told(caplog, 'basis', 'version', 'evidence') == [
+        ('one_version', None, 'r1'),
+        ('stream', 1, 'r1'),
+        ('stream', 1, 'r1'),
+        ('stream', 1, 'own'),
+    ]
+    ages = [age for (age,) in told(caplog, 'age_seconds')]
+    assert ages[2] >= 1 > ages[1]
+
+
+async def test_the_log_tells_why_a_stream_is_refused(
+    autojump_clock, routers, caplog
+):
+    first, second = routers
+    first.sharing.discovery.add_peers([second.hello])
+    first.hear_store()
+    with pytest.raises(NoTarget):
+        await first.required()
+    versions = first.knowledge.stream_versions
+    versions.set_serving({SERVICE: frozenset((1, 2))}, trio.current_time())
+    with pytest.raises(NoTarget):
+        await first.required()
+    refused = [('not_confirmed', None), ('several_versions', None)]
+    assert told(caplog, 'basis', 'evidence') == refused
