Routers that know of no versions confirm none to each other

Callers saw: a stream that one software version had begun went on at another. Cause: a router that has just started asks others which software versions have served, and took any answer for news, also that of a router which had just started itself and knew as little. If all routers start at once and the record in the store is gone (a store restored from a copy without it), the first answer confirmed that one version had served alone, for both. Evidence: test_new_routers_without_a_record_mix_no_versions, on the code before: a stream of the version that has left went on at the new one (200, 503 due), right after the start and 1.5 s later; without a network, test_routers_that_have_all_started_confirm_nothing: no refusal. Change: an answer says whether its sender knows the versions (a new last field; earlier builds do not read it, and theirs count as before). Routers of a new fleet still confirm each other: there was never a record, and the store was never restored (its era). Else a router knows after 30 s, as long as streams last. Changes to tests: cut_fleet passes the store's era on, as the store does; in test_stream_affinity the router that answers has read a record (two routers that had just started confirmed each other there, which is the fault); record_answer is called by its new names. What remains: a record that ended with its lease (store away for 40 s or more) at a store that was never restored still looks like a new fleet.

--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -102,15 +102,16 @@
             pull.service,
             self._versions.version(pull.stream, now),
             self._versions.mixed_seconds(pull.service, now),
+            self._versions.may_confirm(pull.service, now),
         )
         self._transport.send(peer.hello.peer_address, push)
 
     def apply(self, push: StreamPush, now: float) -> None:
         """Record what another router knows of a stream."""
         name = self._peers.name(push.sender)
-        self._versions.record_answer(
-            push.service, push.mixed_seconds, now, name
-        )
+        self._versions.record_mixed(push.service, push.mixed_seconds, now)
+        if push.is_confirmed:
+            self._versions.record_confirmation(push.service, now, name)
         if push.version is not None:
             self._versions.record(push.stream, push.version, now, name)
         search = self._searches.get(push.stream)
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -325,12 +325,15 @@
 
     `version` is None if it does not know the version. Streams of several
     versions of the service may be resumed for another `mixed_seconds`.
+    `is_confirmed` is false if the sender does not know which versions have
+    served lately; routers of earlier builds do not tell.
     """
 
     stream: int
     service: str
     version: int | None
     mixed_seconds: float
+    is_confirmed: bool = True
 
 
 _Any = (
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -1,7 +1,8 @@
 """Keeps each resumable stream at the software version that began it.
 
 That a router does not know of several versions is no evidence that there is
-only one: it may have started since, or have lost its connections.
+only one: it may have started since, or have lost its connections. Nor is the
+answer of another router of which the same holds.
 """
 
 from collections.abc import Iterable
@@ -19,6 +20,7 @@
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.resumption_log import Basis, log_taken_up
 from peridotwell.logs import log_event
+from peridotwell.store.revisions import was_restored
 
 __all__ = ('StreamAffinity',)
 
@@ -151,6 +153,8 @@
         """Read which versions have served before this router started."""
         entry = self._directory.replica.entry(VERSIONS_KEY)
         recorded = decode_versions(entry.value) if entry else None
+        if entry is None and not was_restored(self._directory.known_revision):
+            self._versions.record_nothing_earlier()
         self._versions.record_earlier(recorded or {}, trio.current_time())
         log_event('versions.read', services=len(recorded or {}))
 
--- a/peridotwell/policy/stream_versions.py
+++ b/peridotwell/policy/stream_versions.py
@@ -66,6 +66,7 @@
         # Until then, versions that only other routers know may matter.
         self._unknown_until: dict[str, float] = {}
         self._confirmed: dict[str, Evidence] = {}
+        self._nothing_served = False
         # From then on this router has learned of all streams.
         self._complete_at = math.inf
 
@@ -77,6 +78,10 @@
         for service in versions:
             self._confirmed[service] = Evidence(STORE_RECORD, now)
 
+    def record_nothing_earlier(self) -> None:
+        """Record that nothing has served before all routers started."""
+        self._nothing_served = True
+
     def set_serving(
         self, versions: Mapping[str, frozenset[int]], now: float
     ) -> bool:
@@ -127,18 +132,16 @@
             return MEMORY_SECONDS
         return max(self._mixed_until.get(service, 0) - now, 0)
 
-    def record_answer(
-        self,
-        service: str,
-        mixed_seconds: float,
-        now: float,
-        router: str = '',
+    def record_confirmation(
+        self, service: str, now: float, router: str
     ) -> None:
-        """Record what another router knows of the versions of a service.
-
-        Streams of several versions may be resumed for `mixed_seconds`.
-        """
+        """Record that another router has told all versions of a service."""
         self._confirmed[service] = Evidence(router, now)
+
+    def record_mixed(
+        self, service: str, mixed_seconds: float, now: float
+    ) -> None:
+        """Record for how long streams of several versions may be resumed."""
         if not mixed_seconds > 0:
             return
         until = now + min(mixed_seconds, MEMORY_SECONDS)
@@ -151,6 +154,13 @@
         """Return whether all versions that have served lately are known."""
         return now >= self._complete_at or service in self._confirmed
 
+    def may_confirm(self, service: str, now: float) -> bool:
+        """Return whether this router may tell others all versions.
+
+        It may after the first start of all routers: it knows all since then.
+        """
+        return self._nothing_served or self.is_confirmed(service, now)
+
     def confirmation(self, service: str, now: float) -> Evidence | None:
         """Return what shows that all recent versions are known, or None."""
         if service in self._confirmed:
--- a/peridotwell/store/revisions.py
+++ b/peridotwell/store/revisions.py
@@ -10,11 +10,14 @@
     'is_of_later_era',
     'ordered_revision',
     'store_revision',
+    'was_restored',
 )
 
 # Enough for a million changes a second in half a year.
 REVISION_BITS = 44
 REVISION_MASK = (1 << REVISION_BITS) - 1
+# That of a store that was never restored; without eras, it is 0.
+FIRST_ERA = 1
 
 
 def ordered_revision(era: int, revision: int) -> int:
@@ -35,3 +38,8 @@
 def is_of_later_era(ordered: int, other: int) -> bool:
     """Return whether the store was restored after the revision `other`."""
     return era_of(ordered) > era_of(other)
+
+
+def was_restored(ordered: int) -> bool:
+    """Return whether the store was ever restored, as of a revision."""
+    return era_of(ordered) > FIRST_ERA
--- a/tests/fleet/relays/test_stream_lookup.py
+++ b/tests/fleet/relays/test_stream_lookup.py
@@ -72,7 +72,7 @@
     autojump_clock, fleet
 ):
     now = trio.current_time()
-    fleet[1].knowledge.stream_versions.record_answer(SERVICE, 20, now)
+    fleet[1].knowledge.stream_versions.record_mixed(SERVICE, 20, now)
     await find(fleet)
     learned = fleet[0].knowledge.stream_versions
     assert 19 < learned.mixed_seconds(SERVICE, trio.current_time()) <= 20
--- a/tests/fleet/replica/test_version_record.py
+++ b/tests/fleet/replica/test_version_record.py
@@ -129,7 +129,7 @@
 async def test_versions_that_only_others_know_leave_a_service_out(store):
     writer = Writer('r1', store)
     writer.serve(NEW, now=0)
-    writer.versions.record_answer(MODEL, 20, 0)
+    writer.versions.record_mixed(MODEL, 20, 0)
     await writer.update(0)
     await writer.update(START_SECONDS)
     assert writer.recorded(START_SECONDS) is None
--- a/tests/forwarding/test_stream_affinity.py
+++ b/tests/forwarding/test_stream_affinity.py
@@ -31,6 +31,12 @@
             {SERVICE: frozenset((1,))}, trio.current_time()
         )
 
+    def know_versions(self):
+        """Read a record of the versions that served before the start."""
+        self.knowledge.stream_versions.record_earlier(
+            {SERVICE: frozenset((1,))}
+        )
+
     def hear_store(self):
         self.directory.store_contact.record_answer(trio.current_time())
 
@@ -83,9 +89,35 @@
 
 async def test_a_new_router_resumes_after_an_answer(
     autojump_clock, nursery, routers
+):
+    routers[1].know_versions()
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    assert await routers[0].required() is None
+
+
+# Guards against streams with events of two versions after a start of all
+# routers, which take each other's ignorance for news.
+async def test_routers_that_have_all_started_confirm_nothing(
+    autojump_clock, nursery, routers
+):
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    for router in routers:
+        router.hear_store()
+        with pytest.raises(NoTarget):
+            await router.required()
+    await trio.sleep(MEMORY_SECONDS)
+    routers[0].hear_store()
+    assert await routers[0].required() is None
+
+
+async def test_routers_of_a_new_fleet_confirm_each_other(
+    autojump_clock, nursery, routers
 ):
     await meet(routers)
     nursery.start_soon(answer_questions, routers)
+    routers[1].knowledge.stream_versions.record_nothing_earlier()
     assert await routers[0].required() is None
 
 
@@ -125,6 +157,7 @@
     autojump_clock, nursery, routers, caplog
 ):
     caplog.set_level('INFO', 'peridotwell')
+    routers[1].know_versions()
     await meet(routers)
     nursery.start_soon(answer_questions, routers)
     first, second = routers
--- a/tests/peridotwell_platform/cut_fleet.py
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -107,7 +107,8 @@
         status, document = await self.store._run(exchange, name, body)
         for item in (*document.get('items', ()), *document.get('events', ())):
             self._rewrite(item)
-        await exchange.respond_json(document, status)
+        era = ('store-era', str(self.store.era))
+        await exchange.respond_json(document, status, (era,))
 
     def _rewrite(self, item) -> None:
         path = self.paths.get(item['key'].removeprefix('servers/'))
--- a/tests/peridotwell_platform/test_streams_at_new_routers.py
+++ b/tests/peridotwell_platform/test_streams_at_new_routers.py
@@ -199,6 +199,24 @@
         assert await take_up(fleet, number, request_id) == (503, [])
 
 
+# Guards against routers that have all just started, and take each other's
+# ignorance for news that one version has served alone: the store was restored
+# from a copy without the record.
+@pytest.mark.parametrize('seconds', [0, START_SECONDS])
+async def test_new_routers_without_a_record_mix_no_versions(fleet, seconds):
+    request_id = await release(fleet)
+    await wait_for_record(fleet, 2)
+    copy = fleet.store.copy()
+    copy.items.pop(VERSIONS_KEY)
+    fleet.store.restore(copy)
+    routers = await restart_all(fleet)
+    await trio.sleep(seconds)
+    for number in routers:
+        for each in fleet.targets:
+            each.requests.clear()
+        assert await take_up(fleet, number, request_id) == (503, [])
+
+
 # Guards against routers that refuse streams only because they have started
 # since these began.
 @pytest.mark.parametrize('restarts_all', [False, True])
--- a/tests/policy/test_stream_versions.py
+++ b/tests/policy/test_stream_versions.py
@@ -54,7 +54,7 @@
     serve(versions, NEW, now=0)
     assert not versions.is_confirmed(MODEL, 1)
     assert versions.may_lack(MODEL, 1)
-    versions.record_answer(MODEL, 0, 1)
+    versions.record_confirmation(MODEL, 1, 'r1')
     assert versions.is_confirmed(MODEL, 1)
     assert not versions.may_lack(MODEL, 1)
 
