Streams that are taken up without a name are not known by each other

Callers saw: a caller that takes up a stream without Resumes got events of the version that began another caller's stream. Cause: the id of such a stream is that of an empty name, the same for all. What served the first one was recorded as the version that began all others. Evidence: test_a_stream_without_a_name_is_not_known_by_another_one, on the code before: no refusal while two versions serve. Change: nothing is recorded or known of a stream without a name. It goes on as before while one version serves, and is refused while several may.

--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -53,7 +53,7 @@
         self, request: RoutedRequest, target: Target, now: float
     ) -> None:
         """Record that a target has sent the first event of a stream."""
-        if not request.route.resumable:
+        if not request.route.resumable or _is_unnamed(request):
             return
         stream = request.stream_id
         if self._versions.version(stream, now) is not None:
@@ -69,7 +69,7 @@
         if request.resumed_stream is None:
             return
         now = trio.current_time()
-        is_known = self._versions.version(request.stream_id, now) is not None
+        is_known = self._known_version(request, now) is not None
         may_lack = self._versions.may_lack(request.service, now)
         if not is_known and (may_lack or self._is_isolated(now)):
             await self._update_exchange.stream_lookup.find(
@@ -86,7 +86,7 @@
         """
         if request.resumed_stream is None:
             return None
-        software = self._versions.version(request.stream_id, now)
+        software = self._known_version(request, now)
         if software is None and self._may_be_mixed(request.service, now):
             self._update_exchange.stream_lookup.count_unknown()
             raise NoTarget(
@@ -129,9 +129,14 @@
         peers = self._update_exchange.peers
         return peers.known_count() > 1 and not peers.live_ids(now)
 
+    def _known_version(self, request: RoutedRequest, now: float) -> int | None:
+        if _is_unnamed(request):
+            return None
+        return self._versions.version(request.stream_id, now)
+
     def _log_taken_up(self, request: RoutedRequest, now: float) -> None:
         service = request.service
-        version = self._versions.version(request.stream_id, now)
+        version = self._known_version(request, now)
         if version is None:
             basis = self._basis_without_version(service, now)
             evidence = self._versions.confirmation(service, now)
@@ -173,3 +178,12 @@
             streams = tuple(self._versions.recent(now))
             self._update_exchange.share_stream_versions(streams)
             log_event('streams.shared', streams=len(streams))
+
+
+def _is_unnamed(request: RoutedRequest) -> bool:
+    """Return whether a stream is taken up without telling what began it.
+
+    All such streams have the same id.
+    """
+    stream = request.resumed_stream
+    return stream is not None and not stream.first_request
--- a/tests/forwarding/test_stream_affinity.py
+++ b/tests/forwarding/test_stream_affinity.py
@@ -143,6 +143,28 @@
     assert await first.required() == 1
 
 
+# Guards against streams that go on at the version of another stream, as their
+# callers do not tell which request began them.
+async def test_a_stream_without_a_name_is_not_known_by_another_one(
+    autojump_clock, routers
+):
+    unnamed = SimpleNamespace(
+        request_id='third',
+        route=SimpleNamespace(resumable=True),
+        resumed_stream=ResumedStream('', '3'),
+        service=SERVICE,
+        stream_id=wire_id(''),
+    )
+    affinity = routers[0].affinity
+    now = trio.current_time()
+    affinity.record_start(unnamed, SimpleNamespace(software_id=1), now)
+    routers[0].knowledge.stream_versions.set_serving(
+        {SERVICE: frozenset((1, 2))}, now
+    )
+    with pytest.raises(NoTarget):
+        affinity.required_software(unnamed, now)
+
+
 def told(caplog, *fields):
     """Return these fields of the lines about streams that are taken up."""
     lines = (record.msg for record in caplog.records)
