Blame for crashes is not lost under many requests of each target

Cause: a record keeps the first 32 losses, sorted by incarnation, and each request that waits at a lost target counts as one. Three targets that had 32 such requests each filled the record with those of one incarnation; three incarnations are needed for the blame. The worse the fault, the less was learned. Evidence: test_part_under_many_requests_of_each_lost_target_is_blamed, on the code before: no blame after three targets with 32 requests each. Change: a record keeps two requests of each incarnation, which is all that the blame asks for. Records still merge alike in any order (the test by drawn records); those of earlier builds are read as before.

--- a/peridotwell/policy/loss_records.py
+++ b/peridotwell/policy/loss_records.py
@@ -4,6 +4,8 @@
 of routers are merged in any order. They carry their age and expire.
 """
 
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -11,6 +13,9 @@
 __all__ = ('KnownLosses', 'Loss', 'LossRecord', 'merge_known')
 
 MAX_LOSSES = 32
+# Requests lost with one incarnation of which a record is kept. More would tell
+# no more, and leave no place for the losses of other incarnations.
+MAX_CONTENTS = 2
 CONTENT_MASK = 0xFFFFFFFF
 
 
@@ -48,11 +53,11 @@
 
         The operation is commutative, associative and idempotent.
         """
-        losses = sorted({*self.losses, *other.losses})
+        losses = _without_similar({*self.losses, *other.losses})
         cleared = sorted({*self.cleared, *other.cleared})
         return LossRecord(
             self.cause,
-            tuple(losses[:MAX_LOSSES]),
+            losses[:MAX_LOSSES],
             tuple(cleared[:MAX_LOSSES]),
             min(self.age_seconds, other.age_seconds),
         )
@@ -103,3 +108,14 @@
             return known
         changed_at = max(changed_at, known.changed_at)
     return KnownLosses(merged, changed_at, merged.open_losses())
+
+
+def _without_similar(losses: Iterable[Loss]) -> tuple[Loss, ...]:
+    """Return sorted losses, with a few requests of each incarnation."""
+    kept = []
+    contents: Counter[int] = Counter()
+    for loss in sorted(losses):
+        contents[loss.incarnation] += 1
+        if contents[loss.incarnation] <= MAX_CONTENTS:
+            kept.append(loss)
+    return tuple(kept)
--- a/tests/policy/test_crash_blame.py
+++ b/tests/policy/test_crash_blame.py
@@ -159,3 +159,15 @@
     assert merged == one.merge(other.merge(third))
     assert merged.merge(merged) == merged
     assert merged.merge(one) == merged
+
+
+# Guards against a part that is never blamed, as each target that it crashes
+# has many requests with it: their losses filled the record.
+def test_part_under_many_requests_of_each_lost_target_is_blamed():
+    blame = CrashBlame()
+    for incarnation in range(3):
+        for content in range(MAX_LOSSES):
+            fingerprint = incarnation * MAX_LOSSES + content
+            parts = (BAD, OTHER + fingerprint)
+            blame.record_loss(100 + incarnation, fingerprint, parts, 0)
+    assert blame.blamed_group((BAD,)) == {BAD}
