The first duration of a router's requests weighs like those after it

Callers saw: at a router that has just started, refusals for want of room. Cause: the mean duration of a service's requests began with the first one, which then weighed for fifty (weight 0.02). One that a faulty target held for 10 s made the router expect that a full engine serves 2.2 requests in a time in which it serves 10 (nine more of 1 s had ended since). Evidence: test_first_request_weighs_like_those_after_it, on the code before. Change: the first fifty durations weigh alike; the mean is the same after that.

--- a/peridotwell/policy/stale_counts.py
+++ b/peridotwell/policy/stale_counts.py
@@ -16,7 +16,7 @@
 __all__ = ('fill_level', 'room_score', 'RequestDuration')
 
 HASH_BITS = 64
-# Weight of the latest duration in the moving average.
+# Weight of the latest duration in the moving average; the first weigh alike.
 DURATION_WEIGHT = 0.02
 # Without this much room, equally loaded targets would have none.
 MIN_UNSEEN_REQUESTS = 0.5
@@ -59,14 +59,14 @@
 
     def __init__(self) -> None:
         self.mean_seconds: float | None = None
+        self._recorded = 0
 
     def record(self, seconds: float) -> None:
         """Record the duration of a request that has ended."""
-        mean = self.mean_seconds
-        if mean is None:
-            self.mean_seconds = seconds
-        else:
-            self.mean_seconds = mean + (seconds - mean) * DURATION_WEIGHT
+        self._recorded += 1
+        weight = max(DURATION_WEIGHT, 1 / self._recorded)
+        mean = self.mean_seconds or 0
+        self.mean_seconds = mean + (seconds - mean) * weight
 
     def arrivals(self, outstanding: float, seconds: float) -> float:
         """Return the number of requests that arrive within a time.
--- a/tests/policy/test_request_lengths.py
+++ b/tests/policy/test_request_lengths.py
@@ -1,5 +1,7 @@
 """Durations of requests by route, and ranks of priorities."""
 
+import pytest
+
 from peridotwell.policy.request_lengths import RequestLengths
 from peridotwell.policy.urgency_ranks import MEMORY_SECONDS, UrgencyRanks
 
@@ -39,3 +41,13 @@
     assert ranks.rank('s', 7, 1) == 2
     assert ranks.rank('other', 7, 1) == 0
     assert ranks.rank('s', 7, MEMORY_SECONDS) == 1
+
+
+# Guards against estimates that go by the first request alone, which a faulty
+# target may have held for long.
+def test_first_request_weighs_like_those_after_it():
+    lengths = RequestLengths()
+    lengths.record('s', 'r', 10)
+    for _ in range(9):
+        lengths.record('s', 'r', 1)
+    assert lengths.served('s', 19, 1) == pytest.approx(10)
