An error of a target clears no request that has lost targets

Callers saw: nobody yet; a request that crashes targets may be sent to three more of them. Cause: each complete answer cleared the losses of its request, also a 500: a faulty target's error counted as a sign that the request harms none. Evidence: test_an_error_of_a_target_clears_no_request[500], on the code before: not refused after three losses and one 500. Change: only answers below 500 clear a request.

--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -173,10 +173,11 @@
         """Record a complete response as a success or error of the target."""
         if attempt.choice.is_handover:
             return
-        self._crash_tracker.clear(attempt.request)
         name = attempt.target.name
         if status >= FIRST_SERVER_ERROR:
             _log_error_response(attempt, status)
+        else:
+            self._crash_tracker.clear(attempt.request)
         if not is_target_error(status):
             self._tracker.ejection.record_success(name)
         elif self._tracker.ejection.record_error_response(
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -1,5 +1,7 @@
 """Tests of the detection of requests that crash targets."""
 
+from types import SimpleNamespace
+
 import pytest
 import trio
 
@@ -11,6 +13,8 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.policy.outlier_ejection import OutlierEjection
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.serving.asgi import serve_http
@@ -126,3 +130,25 @@
     crash_tracker.clear(make_request())
     await crash(crash_tracker, port, 2)
     crash_tracker.check(make_request())
+
+
+# Guards against a request that crashes targets and is sent to more of them, as
+# a faulty one has answered it with an error.
+@pytest.mark.parametrize(('status', 'is_refused'), [(500, True), (200, False)])
+async def test_an_error_of_a_target_clears_no_request(
+    crash_tracker, free_port, status, is_refused
+):
+    port = free_port()
+    await crash(crash_tracker, port, 3)
+    attempt = SimpleNamespace(
+        request=make_request(),
+        target=target('t9', f'127.0.0.1:{port}'),
+        choice=SimpleNamespace(is_handover=False),
+        number=1,
+    )
+    health = SimpleNamespace(ejection=OutlierEjection())
+    dispatcher = Dispatcher(None, health, None, crash_tracker, None, None)
+    dispatcher.record_completion(attempt, status)
+    lost = crash_tracker._update_exchange.state.crashed_requests
+    now = trio.current_time()
+    assert lost.is_refused(5, 3, now) is is_refused
