Known red: streams of a killed router when a release begins

Callers saw: streams of routers that were killed just before a second software version began to serve are refused everywhere. Cause: routers tell each other the versions of streams only while several versions serve. What a killed router had begun before is known to nobody, and the others cannot tell it from a stream of the new version. Not mended: to tell all streams at all times costs control traffic with each stream; that a router was dead before the release is not known for sure while it may only be cut off.

--- a/tests/peridotwell_platform/test_streams_at_new_routers.py
+++ b/tests/peridotwell_platform/test_streams_at_new_routers.py
@@ -245,3 +245,20 @@
         await begin_stream(fleet, number % 3, request_id)
     await fleet.start_router()
     assert await resumed(fleet, (3,), streams) == [200] * STREAMS
+
+
+# Guards against streams of a killed router that no other one takes up, as a
+# second version began to serve before their callers came back.
+async def test_streams_of_a_killed_router_go_on_when_a_release_begins(
+    one_version,
+):
+    fleet = one_version
+    streams = [f's-{number}' for number in range(STREAMS)]
+    for request_id in streams:
+        await begin_stream(fleet, 0, request_id)
+    fleet.routers[0].scope.cancel()
+    await trio.sleep(SETTLE_SECONDS)
+    set_version(fleet, fleet.targets[-1], NEW)
+    await trio.sleep(SETTLE_SECONDS)
+    statuses = await resumed(fleet, (1, 2), streams)
+    assert statuses.count(200) >= STREAMS / 2
