--- a/tests/forwarding/test_stream_affinity.py
+++ b/tests/forwarding/test_stream_affinity.py
@@ -7,13 +7,17 @@
 
 from peridotwell.domain.target import wire_id
 from peridotwell.errors import NoTarget
+from peridotwell.forwarding.adapters import ResumedStream
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.policy.stream_versions import MEMORY_SECONDS
 from tests.fleet.relays.test_update_exchange import Router
 
 SERVICE = 's'
 STREAM = SimpleNamespace(
-    resumed_stream='first', service=SERVICE, stream_id=wire_id('first')
+    request_id='second',
+    resumed_stream=ResumedStream('first', '3'),
+    service=SERVICE,
+    stream_id=wire_id('first'),
 )
 
 
@@ -27,6 +31,12 @@
             {SERVICE: frozenset((1,))}, trio.current_time()
         )
 
+    def know_versions(self):
+        """Read a record of the versions that served before the start."""
+        self.knowledge.stream_versions.record_earlier(
+            {SERVICE: frozenset((1,))}
+        )
+
     def hear_store(self):
         self.directory.store_contact.record_answer(trio.current_time())
 
@@ -79,9 +89,35 @@
 
 async def test_a_new_router_resumes_after_an_answer(
     autojump_clock, nursery, routers
+):
+    routers[1].know_versions()
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    assert await routers[0].required() is None
+
+
+# Guards against streams with events of two versions after a start of all
+# routers, which take each other's ignorance for news.
+async def test_routers_that_have_all_started_confirm_nothing(
+    autojump_clock, nursery, routers
+):
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    for router in routers:
+        router.hear_store()
+        with pytest.raises(NoTarget):
+            await router.required()
+    await trio.sleep(MEMORY_SECONDS)
+    routers[0].hear_store()
+    assert await routers[0].required() is None
+
+
+async def test_routers_of_a_new_fleet_confirm_each_other(
+    autojump_clock, nursery, routers
 ):
     await meet(routers)
     nursery.start_soon(answer_questions, routers)
+    routers[1].knowledge.stream_versions.record_nothing_earlier()
     assert await routers[0].required() is None
 
 
@@ -105,3 +141,83 @@
     now = trio.current_time()
     first.knowledge.stream_versions.record(STREAM.stream_id, 1, now)
     assert await first.required() == 1
+
+
+# Guards against streams that go on at the version of another stream, as their
+# callers do not tell which request began them.
+async def test_a_stream_without_a_name_is_not_known_by_another_one(
+    autojump_clock, routers
+):
+    unnamed = SimpleNamespace(
+        request_id='third',
+        route=SimpleNamespace(resumable=True),
+        resumed_stream=ResumedStream('', '3'),
+        service=SERVICE,
+        stream_id=wire_id(''),
+    )
+    affinity = routers[0].affinity
+    now = trio.current_time()
+    affinity.record_start(unnamed, SimpleNamespace(software_id=1), now)
+    routers[0].knowledge.stream_versions.set_serving(
+        {SERVICE: frozenset((1, 2))}, now
+    )
+    with pytest.raises(NoTarget):
+        affinity.required_software(unnamed, now)
+
+
+def told(caplog, *fields):
+    """Return these fields of the lines about streams that are taken up."""
+    lines = (record.msg for record in caplog.records)
+    return [
+        tuple(line[field] for field in fields)
+        for line in lines
+        if line['event'] == 'stream.taken_up'
+    ]
+
+
+async def test_the_log_tells_on_what_a_stream_goes_on(
+    autojump_clock, nursery, routers, caplog
+):
+    caplog.set_level('INFO', 'peridotwell')
+    routers[1].know_versions()
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    first, second = routers
+    await first.required()
+    second.knowledge.stream_versions.record(
+        STREAM.stream_id, 1, trio.current_time()
+    )
+    first.knowledge.stream_versions.set_serving(
+        {SERVICE: frozenset((1, 2))}, trio.current_time()
+    )
+    await first.required()
+    await trio.sleep(1)
+    await first.required()
+    second.knowledge.stream_versions.record(
+        STREAM.stream_id, 1, trio.current_time()
+    )
+    await second.required()
+    assert told(caplog, 'basis', 'version', 'evidence') == [
+        ('one_version', None, 'r1'),
+        ('stream', 1, 'r1'),
+        ('stream', 1, 'r1'),
+        ('stream', 1, 'own'),
+    ]
+    ages = [age for (age,) in told(caplog, 'age_seconds')]
+    assert ages[2] >= 1 > ages[1]
+
+
+async def test_the_log_tells_why_a_stream_is_refused(
+    autojump_clock, routers, caplog
+):
+    first, second = routers
+    first.sharing.discovery.add_peers([second.hello])
+    first.hear_store()
+    with pytest.raises(NoTarget):
+        await first.required()
+    versions = first.knowledge.stream_versions
+    versions.set_serving({SERVICE: frozenset((1, 2))}, trio.current_time())
+    with pytest.raises(NoTarget):
+        await first.required()
+    refused = [('not_confirmed', None), ('several_versions', None)]
+    assert told(caplog, 'basis', 'evidence') == refused
--- a/tests/peridotwell_platform/test_streams_at_new_routers.py
+++ b/tests/peridotwell_platform/test_streams_at_new_routers.py
@@ -199,6 +199,24 @@
         assert await take_up(fleet, number, request_id) == (503, [])
 
 
+# Guards against routers that have all just started, and take each other's
+# ignorance for news that one version has served alone: the store was restored
+# from a copy without the record.
+@pytest.mark.parametrize('seconds', [0, START_SECONDS])
+async def test_new_routers_without_a_record_mix_no_versions(fleet, seconds):
+    request_id = await release(fleet)
+    await wait_for_record(fleet, 2)
+    copy = fleet.store.copy()
+    copy.items.pop(VERSIONS_KEY)
+    fleet.store.restore(copy)
+    routers = await restart_all(fleet)
+    await trio.sleep(seconds)
+    for number in routers:
+        for each in fleet.targets:
+            each.requests.clear()
+        assert await take_up(fleet, number, request_id) == (503, [])
+
+
 # Guards against routers that refuse streams only because they have started
 # since these began.
 @pytest.mark.parametrize('restarts_all', [False, True])
@@ -227,3 +245,20 @@
         await begin_stream(fleet, number % 3, request_id)
     await fleet.start_router()
     assert await resumed(fleet, (3,), streams) == [200] * STREAMS
+
+
+# Guards against streams of a killed router that no other one takes up, as a
+# second version began to serve before their callers came back.
+async def test_streams_of_a_killed_router_go_on_when_a_release_begins(
+    one_version,
+):
+    fleet = one_version
+    streams = [f's-{number}' for number in range(STREAMS)]
+    for request_id in streams:
+        await begin_stream(fleet, 0, request_id)
+    fleet.routers[0].scope.cancel()
+    await trio.sleep(SETTLE_SECONDS)
+    set_version(fleet, fleet.targets[-1], NEW)
+    await trio.sleep(SETTLE_SECONDS)
+    statuses = await resumed(fleet, (1, 2), streams)
+    assert statuses.count(200) >= STREAMS / 2
