Log the verdicts on the ids of events, with their evidence

Nothing told when a router begins or ends to take a step over an id for an event that a target has left out, nor what it went by: a burst of such streams that reached callers as whole left no line at all.

event_ids.learned: the verdict on a service has changed at this router, by a stream of which target and software version. event.step: a step over an id, with request, target, last and next id, whether an event is taken to be missing, and the streams of each target (up to 16) that go up by one, or do not. Where ids jump, one line a stream. The rule itself is unchanged.

Streams go through EventVerdicts now, so test_event_order.py makes its orders with one and with a target; what it asserts is unchanged.

--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -36,6 +36,7 @@
     source_before_response,
 )
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_standings import has_left
@@ -60,7 +61,7 @@
     """Sends requests to targets and records the outcomes of the targets.
 
     `end_marks` tells how the complete responses of each service end,
-    `event_steps` how the ids of the events of its streams go up.
+    `event_verdicts` how the ids of the events of its streams go up.
     """
 
     def __init__(
@@ -73,7 +74,7 @@
         outstanding: OutstandingRequests,
     ) -> None:
         self.end_marks = EndMarks()
-        self.event_steps = EventSteps()
+        self.event_verdicts = EventVerdicts(EventSteps())
         self._outstanding = outstanding
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -10,7 +10,8 @@
 
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.counts import is_count
-from peridotwell.policy.event_steps import EventSteps
+from peridotwell.domain.target import Target
+from peridotwell.forwarding.event_verdicts import EventStep, EventVerdicts
 
 __all__ = ('EventMissing', 'EventOrder')
 
@@ -30,16 +31,23 @@
     `last_id` is the id of the last event that the caller has, at first
     `resumed_after`; `first_id` that of the first one that it got from here.
     `repeated` and `missing` are numbers of events: those that came again, and
-    those that were left out if ids go up by one. `steps` tells whether they do
-    in the service. `may_go_on` tells whether another target can be asked for
+    those that were left out if ids go up by one. `verdicts` tells whether they
+    do in the service. `may_go_on` tells whether another target can be asked for
     the rest: not after content without an id, which would come again.
     """
 
     def __init__(
-        self, steps: EventSteps, service: str, resumed_after: str = ''
+        self,
+        verdicts: EventVerdicts,
+        request_id: str,
+        service: str,
+        resumed_after: str = '',
     ) -> None:
-        self._steps = steps
+        self._verdicts = verdicts
+        self._request_id = request_id
         self._service = service
+        # The target that sends events, once there is one.
+        self._target: Target | None = None
         self.first_id = ''
         self.last_id = resumed_after
         self.events = 0
@@ -50,16 +58,17 @@
     @property
     def is_kept(self) -> bool:
         """Whether no event came again or, as far as is known, is missing."""
-        is_missing = self.missing and self._steps.are_by_one(self._service)
+        is_missing = self.missing and self._verdicts.are_by_one(self._service)
         return not (self.repeated or is_missing)
 
     async def new_events(
-        self, events: AsyncGenerator[bytes, None]
+        self, events: AsyncGenerator[bytes, None], target: Target
     ) -> AsyncGenerator[bytes, None]:
-        """Yield the events that the caller has not received yet.
+        """Yield the events of a target that the caller has not received yet.
 
         Raises EventMissing before one that does not follow the last one.
         """
+        self._target = target
         async with aclosing(events):
             async for event in events:
                 if self._accept(event):
@@ -67,8 +76,8 @@
 
     def record_complete(self) -> None:
         """Record that the stream is complete, to learn from its ids."""
-        if not self.missing and self.first_id:
-            self._steps.record(self._service, is_by_one=True)
+        if not self.missing and self.first_id and self._target:
+            self._verdicts.record(self._service, self._target, is_by_one=True)
 
     def _accept(self, event: bytes) -> bool:
         """Return whether the next event is a new one."""
@@ -77,7 +86,7 @@
             self.repeated += 1
             return False
         if event_id:
-            self._check_missing(_count_missing(event_id, self.last_id))
+            self._check_missing(event_id)
             self.first_id = self.first_id or event_id
             self.last_id = event_id
             self.may_go_on = True
@@ -86,15 +95,24 @@
         self.events += 1
         return True
 
-    def _check_missing(self, missing: int) -> None:
+    def _check_missing(self, event_id: str) -> None:
         """Raise EventMissing if events are missing before the next one."""
-        if missing <= 0:
+        missing = _count_missing(event_id, self.last_id)
+        if missing <= 0 or self._target is None:
             return
-        if not self.missing:
-            # One stream counts once, however often its ids jump.
-            self._steps.record(self._service, is_by_one=False)
+        is_first = not self.missing
         self.missing += missing
-        if self._steps.are_by_one(self._service):
+        if is_first:
+            # One stream counts once, however often its ids jump.
+            self._verdicts.record(self._service, self._target, is_by_one=False)
+        step = EventStep(
+            self._request_id,
+            self._service,
+            self._target,
+            self.last_id,
+            event_id,
+        )
+        if self._verdicts.is_missing(step, may_log=is_first):
             raise EventMissing(
                 f'Events are missing after {self.last_id or "the beginning"}.'
             )
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -92,7 +92,10 @@
         self._adapter = adapter
         self._affinity = affinity
         self._order = EventOrder(
-            dispatcher.event_steps, request.service, _resumed_after(request)
+            dispatcher.event_verdicts,
+            request.request_id,
+            request.service,
+            _resumed_after(request),
         )
         # What marked the end of what the last target sent.
         self._target_end = CUT
@@ -329,7 +332,7 @@
         origin: ResponseOrigin,
     ) -> None:
         self._target_end = CUT
-        parts = self._order.new_events(response.split_events())
+        parts = self._order.new_events(response.split_events(), attempt.target)
         had_events = self._order.events
         async with aclosing(parts):
             async for part in parts:
--- a/peridotwell/policy/event_steps.py
+++ b/peridotwell/policy/event_steps.py
@@ -5,7 +5,7 @@
 that a faulty target has left out.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ('EventSteps',)
 
@@ -15,12 +15,22 @@
 USUAL_SHARE = 0.95
 # Streams of a service that are seen before anything is concluded from them.
 MIN_STREAMS = 10
+# Targets of a service that are counted apart, for the log.
+MAX_TARGETS = 16
 
 
 @dataclass
 class _Service:
     streams: int = 0
     share: float = 1.0
+    # By target: its streams that go up by one, and those with a step.
+    targets: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+    def count(self, target: str, *, is_by_one: bool) -> None:
+        if target not in self.targets and len(self.targets) >= MAX_TARGETS:
+            return
+        by_one, with_step = self.targets.get(target, (0, 0))
+        self.targets[target] = (by_one + is_by_one, with_step + (not is_by_one))
 
 
 class EventSteps:
@@ -29,9 +39,12 @@
     def __init__(self) -> None:
         self._services: dict[str, _Service] = {}
 
-    def record(self, service: str, *, is_by_one: bool) -> None:
+    def record(
+        self, service: str, *, is_by_one: bool, target: str = ''
+    ) -> None:
         """Record a stream, complete or with a step over an id."""
         known = self._services.setdefault(service, _Service())
+        known.count(target, is_by_one=is_by_one)
         known.streams += 1
         known.share += (is_by_one - known.share) * WEIGHT
 
@@ -41,3 +54,20 @@
         if known is None or known.streams < MIN_STREAMS:
             return False
         return known.share > USUAL_SHARE
+
+    def evidence(self, service: str) -> dict[str, object]:
+        """Return the log fields for what is known of a service.
+
+        For each target the streams that go up by one and those with a step.
+        """
+        known = self._services.get(service, _Service())
+        targets = sorted(known.targets.items())
+        counts = ' '.join(
+            f'{name}:{by_one}/{with_step}'
+            for name, (by_one, with_step) in targets
+        )
+        return {
+            'streams': known.streams,
+            'share': round(known.share, 3),
+            'by_target': counts,
+        }
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -2,11 +2,14 @@
 
 import pytest
 
+from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.forwarding.event_order import EventOrder
+from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.stream_log import StreamEnd
 from peridotwell.policy.event_steps import EventSteps
 
 STREAMS = 20
+TARGET = Target('t', 'a:1', TargetKind.service, Pool('north', 's'))
 
 
 async def events_of(*numbers):
@@ -15,8 +18,8 @@
 
 
 async def end_of_stream(steps, *numbers):
-    order = EventOrder(steps, 's')
-    async for _ in order.new_events(events_of(*numbers)):
+    order = EventOrder(EventVerdicts(steps), 'r', 's')
+    async for _ in order.new_events(events_of(*numbers), TARGET):
         continue
     order.record_complete()
     return StreamEnd('chunks', 'chunks', order, 1, False)
