A burst of streams with missing events is not taken for usual

Callers: streams that lack an event and look whole, once a target leaves out events of some of its streams. Cause: one mean over all streams of a service, sound and faulty, at all targets, decided whether ids go up by one. The third faulty stream in a row ended the check for the whole service, and each router began without it. Evidence that a target is faulty was taken for evidence that ids jump.

Now a step over an id is a missing event unless something that is no fault tells that ids jump. Evidence is kept by software version and target incarnation; streams with a step never weigh against those without. A resumable stream goes on at another target, whose first event settles it: the same later id (ids jump; the stream goes on) or the one left out. Otherwise: nearly all streams of several targets, or from their first event on. Where nothing is known, the stream decides: two events by one and then a step are a missing event. Verdicts under dispute are soft state (RouterUpdate.event_steps, last field: older routers skip it; 1 byte while there is none, 8 to 10 a record), so a router that starts has them.

So ids count events until evidence says otherwise. Price: a sound stream that may not be resumed is cut at its first step before that, and always in a service without resumable routes, unless nearly all streams of all its targets have steps (docs/design/soft-state.md).

Chosen against: passing on steps until ids are known to go up by one (whole bursts at routers that have just started); asking another target about every step (a run each where ids jump); a higher weight or bound (only a longer burst). A stream that another router has taken over is judged there alone.

Remains: two targets that leave out the same event and are asked about one another look like ids that jump, for an hour at most.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -6,6 +6,7 @@
 from peridotwell.policy.brittle_targets import BrittleTargets
 from peridotwell.policy.crash_blame import CrashBlame
 from peridotwell.policy.crashed_requests import CrashedRequests
+from peridotwell.policy.event_steps import EventSteps
 from peridotwell.policy.own_reach import OwnReach
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
@@ -34,4 +35,5 @@
     crashed_requests: CrashedRequests = field(default_factory=CrashedRequests)
     target_limits: TargetLimits = field(default_factory=TargetLimits)
     brittle_targets: BrittleTargets = field(default_factory=BrittleTargets)
+    event_steps: EventSteps = field(default_factory=EventSteps)
     own_reach: OwnReach = field(default_factory=OwnReach)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -99,6 +99,7 @@
         self.departure_sync = SoftStateSync(
             peers, state.target_notices, self.wake
         )
+        self.step_sync = SoftStateSync(peers, state.event_steps, self.wake)
         self.stream_lookup = StreamLookup(
             peers,
             transport,
@@ -112,6 +113,7 @@
             self.limit_sync,
             self.brittle_sync,
             self.departure_sync,
+            self.step_sync,
         )
         self._transport = transport
         self._metrics = metrics
@@ -302,6 +304,7 @@
                 include_unchanged=is_full
             ),
             table_version=self.entry_sync.told_table_version(),
+            event_steps=self.step_sync.take(now, repeat=is_full),
         )
         self._sent_revision = update.revision
         self.has_updates = trio.Event()
@@ -373,6 +376,8 @@
             self.limit_sync.apply(update.target_limits, now)
         if update.brittle_targets:
             self.brittle_sync.apply(update.brittle_targets, now)
+        if update.event_steps:
+            self.step_sync.apply(update.event_steps, now)
         for stream, version in update.stream_versions:
             self.state.stream_versions.record(stream, version, now)
 
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -16,6 +16,7 @@
 from peridotwell.policy.brittle_records import BrittleRecord
 from peridotwell.policy.loss_records import LossRecord
 from peridotwell.policy.quarantine import CrashRecord
+from peridotwell.policy.step_records import StepRecord
 from peridotwell.policy.target_limits import LimitRecord
 from peridotwell.policy.target_notices import Departure
 
@@ -197,7 +198,8 @@
     name, `brittle_targets` those that fall over when they have to reject many
     requests. `unreachable_targets` are those to which the sender can make no
     connection, None if unchanged. `table_version` is the number of the
-    configuration in force at the sender, 0 if it is not told.
+    configuration in force at the sender, 0 if it is not told. `event_steps` are
+    software versions of services, and whether ids of their events jump.
     """
 
     revision: int
@@ -218,6 +220,7 @@
     request_records: tuple[LossRecord, ...] = ()
     unreachable_targets: tuple[int, ...] | None = None
     table_version: int = 0
+    event_steps: tuple[StepRecord, ...] = ()
 
 
 class SharedEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -18,6 +18,7 @@
 from peridotwell.forwarding.components import ForwardingComponents
 from peridotwell.forwarding.crash_tracker import CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
+from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.handler import ForwardingHandler
 from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.notice_recorder import NoticeRecorder
@@ -180,6 +181,7 @@
             crash_tracker,
             handover_client,
             outstanding,
+            EventVerdicts(state.event_steps, update_exchange.step_sync.share),
         ),
         selector,
         WaitingRoom(
--- a/peridotwell/forwarding/background_tasks.py
+++ b/peridotwell/forwarding/background_tasks.py
@@ -176,6 +176,7 @@
             state.target_limits,
             state.brittle_targets,
             state.target_notices,
+            state.event_steps,
         ):
             soft_state.expire(now)
         self.components.forwarding.crash_tracker.log_changes()
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -43,7 +43,6 @@
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.end_marks import EndMarks
-from peridotwell.policy.event_steps import EventSteps
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequest,
     OutstandingRequests,
@@ -72,9 +71,10 @@
         crash_tracker: CrashTracker,
         handover_client: HandoverClient,
         outstanding: OutstandingRequests,
+        event_verdicts: EventVerdicts,
     ) -> None:
         self.end_marks = EndMarks()
-        self.event_verdicts = EventVerdicts(EventSteps())
+        self.event_verdicts = event_verdicts
         self._outstanding = outstanding
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -3,15 +3,19 @@
 Events have increasing ids. One whose id does not increase came before: the
 target, or the one that goes on in its place, has sent it again. Where the ids
 of a service go up by one, an event is missing before one whose id does not.
+Another target that is asked for the rest shows whether that is so.
 """
 
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
+import trio
+
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.counts import is_count
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.event_verdicts import EventStep, EventVerdicts
+from peridotwell.policy.step_records import Evidence
 
 __all__ = ('EventMissing', 'EventOrder')
 
@@ -25,6 +29,25 @@
     code = 'event_missing'
 
 
+class _Part:
+    """What one target has sent of a stream.
+
+    `target` is None if another router sends it: that one judges it. `by_one`
+    counts its events with a number that follows the last one.
+    """
+
+    def __init__(self, target: Target | None) -> None:
+        self.target = target
+        self.events = 0
+        self.by_one = 0
+        self.has_step = False
+
+    @property
+    def shows_by_one(self) -> bool:
+        """Whether its ids tell that those of the service go up by one."""
+        return not self.has_step and self.by_one > 1
+
+
 class EventOrder:
     """Keeps events in order, and knows which have come.
 
@@ -46,8 +69,13 @@
         self._verdicts = verdicts
         self._request_id = request_id
         self._service = service
-        # The target that sends events, once there is one.
-        self._target: Target | None = None
+        self._part = _Part(None)
+        # Events of the stream that went up by one, before the first step.
+        self._by_one = 0
+        # Whether a step over an id was passed on, as ids may jump.
+        self._has_jumped = False
+        # The last step that was taken for a missing event.
+        self._refused: EventStep | None = None
         self.first_id = ''
         self.last_id = resumed_after
         self.events = 0
@@ -58,17 +86,17 @@
     @property
     def is_kept(self) -> bool:
         """Whether no event came again or, as far as is known, is missing."""
-        is_missing = self.missing and self._verdicts.are_by_one(self._service)
-        return not (self.repeated or is_missing)
+        return not (self.repeated or self._refused)
 
     async def new_events(
-        self, events: AsyncGenerator[bytes, None], target: Target
+        self, events: AsyncGenerator[bytes, None], target: Target | None
     ) -> AsyncGenerator[bytes, None]:
         """Yield the events of a target that the caller has not received yet.
 
-        Raises EventMissing before one that does not follow the last one.
+        Without a target, another router sends them. Raises EventMissing before
+        one that does not follow the last one.
         """
-        self._target = target
+        self._part = _Part(target)
         async with aclosing(events):
             async for event in events:
                 if self._accept(event):
@@ -76,8 +104,11 @@
 
     def record_complete(self) -> None:
         """Record that the stream is complete, to learn from its ids."""
-        if not self.missing and self.first_id and self._target:
-            self._verdicts.record(self._service, self._target, is_by_one=True)
+        part = self._part
+        if part.target is not None and part.shows_by_one:
+            self._verdicts.record_by_one(
+                self._service, part.target, trio.current_time()
+            )
 
     def _accept(self, event: bytes) -> bool:
         """Return whether the next event is a new one."""
@@ -86,7 +117,7 @@
             self.repeated += 1
             return False
         if event_id:
-            self._check_missing(event_id)
+            self._check_step(event_id)
             self.first_id = self.first_id or event_id
             self.last_id = event_id
             self.may_go_on = True
@@ -95,27 +126,63 @@
         self.events += 1
         return True
 
-    def _check_missing(self, event_id: str) -> None:
+    def _check_step(self, event_id: str) -> None:
         """Raise EventMissing if events are missing before the next one."""
         missing = _count_missing(event_id, self.last_id)
-        if missing <= 0 or self._target is None:
+        part = self._part
+        part.events += 1
+        if part.events == 1 and self._refused:
+            self._compare(self._refused, event_id, missing)
+        if missing > 0:
+            self.missing += missing
+            if part.target is not None:
+                self._check_missing(self._step(part.target, event_id))
+        elif is_count(event_id):
+            part.by_one += 1
+            self._by_one += not self._has_jumped
+
+    def _compare(self, refused: EventStep, event_id: str, missing: int) -> None:
+        """Learn from the first event of the rest after a refused step."""
+        target = self._part.target
+        if (
+            target is None
+            or target.name == refused.target.name
+            or target.software_id != refused.target.software_id
+            or self.last_id != refused.last_id
+        ):
             return
-        is_first = not self.missing
-        self.missing += missing
-        if is_first:
-            # One stream counts once, however often its ids jump.
-            self._verdicts.record(self._service, self._target, is_by_one=False)
-        step = EventStep(
+        step = self._step(target, event_id)
+        if event_id == refused.next_id:
+            self._verdicts.learn(step, Evidence.same_step, trio.current_time())
+        elif not missing:
+            self._verdicts.learn(step, Evidence.had_event, trio.current_time())
+
+    def _step(self, target: Target, event_id: str) -> EventStep:
+        return EventStep(
             self._request_id,
             self._service,
-            self._target,
+            target,
             self.last_id,
             event_id,
+            self._by_one,
+        )
+
+    def _check_missing(self, step: EventStep) -> None:
+        """Raise EventMissing if the step is taken for a missing event."""
+        now = trio.current_time()
+        is_missing = self._verdicts.is_missing(
+            step, now, has_jumped=self._has_jumped
         )
-        if self._verdicts.is_missing(step, may_log=is_first):
+        if not self._part.has_step:
+            # A stream counts once, however often its ids jump.
+            self._part.has_step = True
+            self._verdicts.record_step(step, now)
+        if is_missing:
+            self._refused = step
             raise EventMissing(
                 f'Events are missing after {self.last_id or "the beginning"}.'
             )
+        self._has_jumped = True
 
 
 def _parse_event_id(event: bytes) -> str:
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -332,7 +332,10 @@
         origin: ResponseOrigin,
     ) -> None:
         self._target_end = CUT
-        parts = self._order.new_events(response.split_events(), attempt.target)
+        parts = self._order.new_events(
+            response.split_events(),
+            None if attempt.choice.is_handover else attempt.target,
+        )
         had_events = self._order.events
         async with aclosing(parts):
             async for part in parts:
--- a/peridotwell/policy/event_steps.py
+++ b/peridotwell/policy/event_steps.py
@@ -1,73 +1,160 @@
-"""Whether the ids of the events of a service go up by one from 1.
+"""Whether the ids of the events of a service go up by one.
 
-Ids need only increase: they may count tokens, of which an event has several.
-Where those of nearly all streams go up by one, a step over an id is an event
-that a faulty target has left out.
+Ids need only increase, but they count events unless something tells that they
+jump: a step over an id is an event that a target has left out. A fault may not
+be taken for usual because there is much of it, so streams with a step never
+weigh against streams that go up by one, and what is known is kept apart by
+software version and incarnation of the target. Ids jump if another target of
+the version, asked for the rest of a stream, begins at the same later id, or if
+nearly all streams of all its targets have steps.
+
+What was learned under dispute is soft state: a router that has just started
+has it from the others. Nothing is told while no stream has a step.
 """
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
+from enum import Enum
+
+from peridotwell.domain.target import Target
+from peridotwell.policy.soft_state import SoftState
+from peridotwell.policy.step_records import (
+    Evidence,
+    Known,
+    StepRecord,
+    version_id,
+)
+from peridotwell.policy.target_steps import VersionSteps
 
-__all__ = ('EventSteps',)
+__all__ = ('EventSteps', 'Finding')
 
-# Share of a stream in the mean of its service.
-WEIGHT = 0.02
-# A faulty target leaves out events of few of its streams.
-USUAL_SHARE = 0.95
-# Streams of a service that are seen before anything is concluded from them.
-MIN_STREAMS = 10
-# Targets of a service that are counted apart, for the log.
-MAX_TARGETS = 16
+MAX_VERSIONS = 1024
+# What streams show is told again after this time, if it still matters.
+RETELL_SECONDS = 60.0
 
 
-@dataclass
-class _Service:
-    streams: int = 0
-    share: float = 1.0
-    # By target: its streams that go up by one, and those with a step.
-    targets: dict[str, tuple[int, int]] = field(default_factory=dict)
+class Finding(Enum):
+    """How the ids of a software version go up."""
 
-    def count(self, target: str, *, is_by_one: bool) -> None:
-        if target not in self.targets and len(self.targets) >= MAX_TARGETS:
-            return
-        by_one, with_step = self.targets.get(target, (0, 0))
-        self.targets[target] = (by_one + is_by_one, with_step + (not is_by_one))
+    unknown = 'unknown'
+    by_one = 'by_one'
+    jumping = 'jumping'
 
 
-class EventSteps:
-    """The share of streams whose ids go up by one, for each service."""
+class EventSteps(SoftState[StepRecord]):
+    """How the ids of events go up, by service and software version."""
 
     def __init__(self) -> None:
-        self._services: dict[str, _Service] = {}
-
-    def record(
-        self, service: str, *, is_by_one: bool, target: str = ''
-    ) -> None:
-        """Record a stream, complete or with a step over an id."""
-        known = self._services.setdefault(service, _Service())
-        known.count(target, is_by_one=is_by_one)
-        known.streams += 1
-        known.share += (is_by_one - known.share) * WEIGHT
-
-    def are_by_one(self, service: str) -> bool:
-        """Return whether the ids of nearly all streams go up by one."""
-        known = self._services.get(service)
-        if known is None or known.streams < MIN_STREAMS:
-            return False
-        return known.share > USUAL_SHARE
-
-    def evidence(self, service: str) -> dict[str, object]:
-        """Return the log fields for what is known of a service.
-
-        For each target the streams that go up by one and those with a step.
+        self._versions: dict[int, VersionSteps] = {}
+        self._known: dict[int, Known] = {}
+
+    def finding(self, service: str, target: Target, now: float) -> Finding:
+        """Return how the ids of the software version of a target go up."""
+        version = version_id(service, target)
+        known = self._in_force(version, now)
+        if known is not None:
+            is_step = known.evidence is Evidence.same_step
+            return Finding.jumping if is_step else Finding.by_one
+        steps = self._versions.get(version)
+        if steps is None:
+            return Finding.unknown
+        steps.forget_earlier(target)
+        if steps.are_by_one:
+            return Finding.by_one
+        return Finding.jumping if steps.are_jumping else Finding.unknown
+
+    def record_by_one(self, service: str, target: Target) -> None:
+        """Record a complete stream whose ids went up by one."""
+        self._steps(service, target).record_by_one(target)
+
+    def record_step(
+        self, service: str, target: Target, now: float, *, from_start: bool
+    ) -> tuple[StepRecord, ...]:
+        """Record a stream with a step over an id, once.
+
+        Returns records that other routers should have now.
+        """
+        steps = self._steps(service, target)
+        steps.record_step(target, from_start=from_start)
+        if not steps.are_by_one:
+            return ()
+        version = version_id(service, target)
+        known = self._in_force(version, now)
+        if known is not None and known.is_certain:
+            return ()
+        shown = Known(Evidence.streams, now)
+        if known is not None and now - known.seen_at < RETELL_SECONDS:
+            return ()
+        self._set(version, shown)
+        return (shown.record(version, now),)
+
+    def learn(
+        self, service: str, target: Target, evidence: Evidence, now: float
+    ) -> tuple[StepRecord, ...]:
+        """Take in what another target has shown; return records to tell."""
+        version = version_id(service, target)
+        known = Known(evidence, now)
+        self._set(version, known)
+        return (known.record(version, now),)
+
+    def merge(
+        self, records: Iterable[StepRecord], now: float
+    ) -> Iterable[StepRecord]:
+        """Merge records of another router; this one changes none in turn."""
+        for record in records:
+            known = record.known(now)
+            if known is None or known.is_expired(now):
+                continue
+            if known.outweighs(self._in_force(record.version, now)):
+                self._set(record.version, known)
+        return ()
+
+    def to_repeat(self, now: float) -> Iterator[StepRecord]:
+        """Yield the records in force that other routers may lack."""
+        for version, known in self._known.items():
+            if not known.is_expired(now):
+                yield known.record(version, now)
+
+    def expire(self, now: float) -> None:
+        """Remove what has expired."""
+        for version in list(self._known):
+            self._in_force(version, now)
+
+    def log_fields(
+        self, service: str, target: Target, now: float
+    ) -> dict[str, object]:
+        """Return the log fields for what the finding on a version goes by.
+
+        `told_by` is evidence that routers tell each other, None if there is
+        none. For each target, the streams whose ids go up by one and those
+        with a step.
         """
-        known = self._services.get(service, _Service())
-        targets = sorted(known.targets.items())
-        counts = ' '.join(
-            f'{name}:{by_one}/{with_step}'
-            for name, (by_one, with_step) in targets
-        )
+        version = version_id(service, target)
+        known = self._in_force(version, now)
+        steps = self._versions.get(version)
         return {
-            'streams': known.streams,
-            'share': round(known.share, 3),
-            'by_target': counts,
+            'told_by': known.evidence.name if known else None,
+            'by_target': steps.counts() if steps else '',
         }
+
+    def _in_force(self, version: int, now: float) -> Known | None:
+        known = self._known.get(version)
+        if known is not None and known.is_expired(now):
+            self._known.pop(version)
+            return None
+        return known
+
+    def _set(self, version: int, known: Known) -> None:
+        self._known.pop(version, None)
+        while len(self._known) >= MAX_VERSIONS:
+            self._known.pop(next(iter(self._known)))
+        self._known[version] = known
+
+    def _steps(self, service: str, target: Target) -> VersionSteps:
+        version = version_id(service, target)
+        steps = self._versions.get(version)
+        if steps is None:
+            while len(self._versions) >= MAX_VERSIONS:
+                self._versions.pop(next(iter(self._versions)))
+            steps = VersionSteps()
+            self._versions[version] = steps
+        return steps
--- a/tests/peridotwell_platform/stream_ends.py
+++ b/tests/peridotwell_platform/stream_ends.py
@@ -11,6 +11,7 @@
 
 __all__ = (
     'CHUNKED',
+    'SETTLE_SECONDS',
     'UNMARKED',
     'Got',
     'caller_of',
