The record of software versions outlasts an outage of the store

A fleet that starts again at a store without the record looks like a new one, whose routers confirm each other. Cause: the record ended with its lease of 60 s, which is renewed each 20 s: a store that is away for 40 s, and whose leases run on, loses it. Change: the lease lasts 300 s (stores give ten minutes at most). An old record names versions that may have left: then streams that nobody knows are refused for 30 s after a start, as before for one of up to 60 s. What remains: an outage of 280 s.

--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -3,7 +3,7 @@
 A stream is resumed only at the version that began it. A router that starts asks
 the others which versions have served. If all of them start at once, none knows:
 then it goes by this record. One router writes it under a lease that outlasts
-all streams.
+all streams, and outages of the store in which it cannot be renewed.
 """
 
 import math
@@ -27,7 +27,9 @@
 )
 
 VERSIONS_KEY = 'software-versions'
-LEASE_SECONDS = 60.0
+# Without the record, a fleet that starts again looks like a new one. Stores
+# give leases of ten minutes at most.
+LEASE_SECONDS = 300.0
 RENEWAL_SECONDS = 20.0
 # After a common start, routers know each other within this time, so that one of
 # them writes the record, and not each.
--- a/tests/fleet/replica/test_version_record.py
+++ b/tests/fleet/replica/test_version_record.py
@@ -19,6 +19,8 @@
 from tests.store.fakes import Fault, FaultyStore
 
 MODEL = 'model'
+# Longer than a store that keeps its entries is away.
+OUTAGE_SECONDS = 240
 OLD, NEW = 1, 2
 
 
@@ -76,6 +78,14 @@
     assert writer.recorded(START_SECONDS + LEASE_SECONDS + 1) is None
 
 
+# Guards against streams with events of two versions when all routers start
+# after an outage of the store in which nobody could renew the lease.
+async def test_record_outlasts_an_outage_of_the_store(writer):
+    renewed_at = RENEWAL_SECONDS + START_SECONDS
+    await writer.update(renewed_at)
+    assert writer.recorded(renewed_at + OUTAGE_SECONDS) == {OLD}
+
+
 async def test_a_record_that_is_up_to_date_costs_one_renewal_at_a_time(writer):
     before = writer.store.calls
     for tenths in range(30, 30 + 20 * int(RENEWAL_SECONDS)):
