A stream that can't be resumed is sent from its beginning

Callers: one who names an event (Last-Event-Id) on a streaming route without `resumable` got a stream without its beginning: events up to that id were dropped as repeated, and the end was sound. Cause: the id was taken on all routes.

The id counts only where streams may be resumed, and targets don't get it elsewhere: one that goes by it would begin behind it. Ruled out: leaving the field to the target and checking its ids from there on, since what the caller then has is no whole run either.

Test on real sockets: red before with a target that goes by the field and one that ignores it (2 of 2; events 4 to 12 of 12, the second with 3 dropped as repeated), green after. A resumable route goes on behind the id, before and after.

--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -159,7 +159,8 @@
             body,
         ),
         table_version=table.version,
-        resumed_stream=metadata.resumed_stream,
+        # A stream that can't be resumed is a new run, from its beginning.
+        resumed_stream=metadata.resumed_stream if route.resumable else None,
     )
 
 
--- a/tests/peridotwell_platform/counted_events.py
+++ b/tests/peridotwell_platform/counted_events.py
@@ -18,7 +18,7 @@
 )
 from tests.raw_target import RawTarget, read_request, request_field, send
 
-__all__ = ('Burst', 'CountingTarget', 'LEFT_OUT', 'WHOLE', 'send_burst')
+__all__ = ('NUMBERS', 'WHOLE', 'Burst', 'CountingTarget', 'send_burst')
 
 EVENTS = 12
 LEFT_OUT = 7
--- a/tests/peridotwell_platform/test_stream_order.py
+++ b/tests/peridotwell_platform/test_stream_order.py
@@ -2,6 +2,11 @@
 
 import pytest
 
+from tests.peridotwell_platform.counted_events import (
+    NUMBERS,
+    WHOLE,
+    CountingTarget,
+)
 from tests.peridotwell_platform.stream_ends import (
     Got,
     caller_of,
@@ -49,3 +54,25 @@
     response = chunked(events(1, 2, 3, 4))
     got = await get(harness, nursery, '/ask/x', response, last_event_id='2')
     assert got == Got(200, events(3, 4), 'chunks')
+
+
+# Guards against streams without their beginning, for callers who name an event
+# on a route whose streams can't be resumed: each request there is a new run.
+@pytest.mark.parametrize(
+    'target', [CountingTarget(), RawTarget([chunked(events(*NUMBERS))])]
+)
+async def test_a_stream_that_cannot_be_resumed_is_sent_from_its_beginning(
+    harness, nursery, target
+):
+    await use_raw_targets(harness, nursery, target)
+    send = caller_of(harness, '/draft/x', last_event_id='3', resumes='earlier')
+    assert await send(0) == WHOLE
+    assert b'last-event-id' not in target.requests[0].lower()
+
+
+async def test_a_stream_that_can_be_resumed_goes_on_after_the_last_event(
+    harness, nursery
+):
+    await use_raw_targets(harness, nursery, CountingTarget())
+    send = caller_of(harness, '/ask/x', last_event_id='3', resumes='earlier')
+    assert (await send(0)).content == events(*NUMBERS[3:])
