Soak: an event left out in the midst of a stream is a violation

The judge of ORDER excused each event that a target had left out, as one that no router can tell: the soak could not see the fault of this issue. Ids go up by one, so from the third event on a router can tell, unless another target goes on behind it. Such streams that reach a caller are violations now; the first two events stay excused (a router that knows nothing of the service passes on ids that jump from the start).

--- a/tests/soak/order_rule.py
+++ b/tests/soak/order_rule.py
@@ -1,8 +1,10 @@
 """Judges whether streams are in order, and no end is stronger than it was.
 
-What targets have sent is the reference. A target may leave out an event by
-itself, which no router can tell; but ids increase, so that an event that comes
-twice can be told. A broken answer is judged as far as it came.
+What targets have sent is the reference. A target may leave out one of the
+first events by itself, which a router can't tell where it knows nothing of the
+service; but ids increase, so that an event that comes twice can be told, and go
+up by one, so that one that is left out later can, unless another target goes on
+behind it. A broken answer is judged as far as it came.
 """
 
 from collections import defaultdict
@@ -14,6 +16,8 @@
 __all__ = ('judge_order',)
 
 STREAM_KINDS = ('-draft', '-ask')
+# Events that go up by one before a router can tell that one is left out.
+UNTOLD_EVENTS = 2
 MARKED = frozenset(('chunks', 'length'))
 
 
@@ -59,6 +63,21 @@
         yield 'has events out of order'
     left_out = numbers_left_out(run.body for run in runs)
     due = range(1, max(numbers, default=0) + 1)
-    missing = [each for each in due if each not in {*numbers, *left_out}]
+    excused = {
+        each for each in left_out if not _can_be_told(each, dict(events))
+    }
+    missing = [each for each in due if each not in {*numbers, *excused}]
     if missing:
         yield f'lacks the events {missing}'
+
+
+def _can_be_told(left_out: int, receipts: dict[int, bytes]) -> bool:
+    """Whether one run has passed over an event in the midst of a stream.
+
+    `receipts` are those of the events of the answer.
+    """
+    if left_out <= UNTOLD_EVENTS:
+        return False
+    before = max((each for each in receipts if each < left_out), default=0)
+    after = min((each for each in receipts if each > left_out), default=0)
+    return bool(after) and receipts.get(before) == receipts[after]
--- a/tests/soak/test_order_rule.py
+++ b/tests/soak/test_order_rule.py
@@ -138,8 +138,8 @@
     assert why in judge(sent(*WHOLE, kind=kind), answer)[0]
 
 
-# An event that the target repeats can be told by its id; one that it leaves out
-# cannot, as ids need not be consecutive.
+# An event that the target repeats can be told by its id; one of the first that
+# it leaves out cannot, as ids need not be consecutive.
 def test_what_the_target_sent_is_the_reference():
     twice = sent(1, 2, 2, 3, 4, kind='draft')
     end = END % b'draft'
@@ -152,6 +152,18 @@
     assert judge_all(without, got(('s1', (1, 4)), kind='draft', end=end))
 
 
+# Guards against a judge that excuses each event that a target leaves out (issue
+# 71): ids go up by one, so a router can tell one in the midst of a stream.
+@pytest.mark.parametrize('kind', ['draft', 'ask'])
+def test_an_event_left_out_in_the_midst_may_not_be_passed_over(kind):
+    run = sent(1, 2, 4, kind=kind)
+    end = END % kind.encode()
+    passed_on = got(('s1', (1, 2, 4)), kind=kind, end=end)
+    assert 'lacks the events [3]' in judge(run, passed_on)[0]
+    assert 'lacks the events [3]' in judge(run, broken(passed_on))[0]
+    assert not judge(run, broken(got(('s1', (1, 2)), kind=kind)))
+
+
 def test_events_behind_the_end_may_not_be_passed_on():
     run = sent(*WHOLE, kind='draft')
     behind = joined([(3, b's1'), (4, b's1')])
