--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -147,7 +147,7 @@
         number=1,
     )
     health = SimpleNamespace(ejection=OutlierEjection())
-    dispatcher = Dispatcher(None, health, None, crash_tracker, None, None)
+    dispatcher = Dispatcher(None, health, None, crash_tracker, None, None, None)
     dispatcher.record_completion(attempt, status)
     lost = crash_tracker._update_exchange.state.crashed_requests
     now = trio.current_time()
