Log what was asked after an end without a mark, and what came of it

After such a run the log did not tell whether the target had been asked, what it answered, and why the rest was not asked for.

No decision changes.

Tests: test_stream_ends.py, test_end_marks.py (new cases; they need the new lines, so they fail before).

--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -241,8 +241,17 @@
 
 def record_end(end_marks: EndMarks, service: str, body_end: BodyEnd) -> None:
     """Record whether the end of a body was marked, if there was one."""
-    if body_end is not BodyEnd.none:
-        end_marks.record(service, is_marked=body_end is not BodyEnd.connection)
+    if body_end is BodyEnd.none:
+        return
+    is_marked = body_end is not BodyEnd.connection
+    counts = end_marks.record(service, is_marked=is_marked)
+    if counts is not None:
+        log_failure(
+            'ends.marks_usual' if is_marked else 'ends.marks_unusual',
+            service=service,
+            marked=counts.marked,
+            unmarked=counts.unmarked,
+        )
 
 
 def check_response(response: TargetResponse, adapter: TargetAdapter) -> None:
--- a/peridotwell/forwarding/stream_log.py
+++ b/peridotwell/forwarding/stream_log.py
@@ -1,24 +1,43 @@
 """What the log tells of the end of a stream, and of the order of its events."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from peridotwell.forwarding.event_order import EventOrder
 from peridotwell.logs import log_failure
 from peridotwell.serving.target_response import BodyEnd
 
-__all__ = ('CUT', 'StreamEnd', 'log_unusual_end')
+__all__ = ('CUT', 'RestAsked', 'StreamEnd', 'log_unusual_end')
 
 # In place of a mark: the body, or what the caller got of it, was not complete.
 CUT = 'cut'
 SOUND_ENDS = frozenset((BodyEnd.chunks.value, BodyEnd.length.value))
 
 
+class RestAsked(Enum):
+    """Whether the rest behind an end without a mark was asked for.
+
+    And why it was not, or what came of it.
+    """
+
+    no_doubt = ''
+    not_resumable = 'not_resumable'
+    marks_unusual = 'marks_unusual'
+    handed_over = 'handed_over'
+    no_ids = 'no_ids'
+    no_attempts = 'no_attempts'
+    no_answer = 'no_answer'
+    no_rest = 'no_rest'
+    came = 'came'
+
+
 @dataclass(frozen=True)
 class StreamEnd:
     """How a stream ended.
 
     `target_end` and `passed_end` are what marked its end, as the target sent it
-    and as the caller got it. `parts` is the number of targets that sent events.
+    and as the caller got it. `parts` is the number of targets that sent events,
+    `rest` what came of the doubt about an end without a mark.
     """
 
     target_end: str
@@ -26,6 +45,7 @@
     order: EventOrder
     parts: int
     is_handed_over: bool
+    rest: RestAsked = RestAsked.no_doubt
 
     @property
     def is_usual(self) -> bool:
@@ -48,6 +68,7 @@
             'repeated': self.order.repeated,
             'parts': self.parts,
             'handed_over': self.is_handed_over,
+            'rest': self.rest.value,
         }
 
 
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -34,6 +34,7 @@
 from peridotwell.forwarding.stream_affinity import StreamAffinity
 from peridotwell.forwarding.stream_log import (
     CUT,
+    RestAsked,
     StreamEnd,
     log_unusual_end,
 )
@@ -96,6 +97,7 @@
         )
         # What marked the end of what the last target sent.
         self._target_end = CUT
+        self._rest = RestAsked.no_doubt
         # Number of targets that sent events.
         self._parts = 0
         # Ends the wait for the first event of the rest of a stream.
@@ -113,6 +115,7 @@
             self._order,
             self._parts,
             is_handed_over,
+            self._rest,
         )
 
     async def run(self) -> BufferedResponse | None:
@@ -149,12 +152,20 @@
             self.origin is None
             or self.origin.body_end is not BodyEnd.connection
         )
-        if has_mark or self._is_begun_elsewhere:
+        if has_mark:
             return False
-        return self._caller_response.is_end_marked or (
-            self._request.route.resumable
-            and self._dispatcher.end_marks.are_usual(self._request.service)
-        )
+        if self._is_begun_elsewhere:
+            self._rest = RestAsked.handed_over
+            return False
+        if self._caller_response.is_end_marked:
+            return True
+        if not self._request.route.resumable:
+            self._rest = RestAsked.not_resumable
+            return False
+        if not self._dispatcher.end_marks.are_usual(self._request.service):
+            self._rest = RestAsked.marks_unusual
+            return False
+        return True
 
     async def _go_on(self) -> bool:
         """Let another target send the rest, and return whether it did.
@@ -171,11 +182,13 @@
             events=events,
         )
         now = trio.current_time()
-        if (
-            not self._order.may_go_on
-            or self._attempts.after_run(now) is RetryDecision.give_up
-        ):
+        if not self._order.may_go_on:
+            self._rest = RestAsked.no_ids
+            return False
+        if self._attempts.after_run(now) is RetryDecision.give_up:
+            self._rest = RestAsked.no_attempts
             return False
+        self._rest = RestAsked.no_answer
         wait_until = min(
             now + REST_SECONDS, self._request.deadline_at - ANSWER_SECONDS
         )
@@ -192,6 +205,9 @@
             if self._order.events > events:
                 raise
             return False
+        self._rest = RestAsked.no_rest
+        if self._order.events > events:
+            self._rest = RestAsked.came
         return True
 
     def _check_may_end(self) -> None:
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -201,7 +201,10 @@
                 self.target.name,
             )
             response.check_end = partial(
-                check_still_listens, self.target, CONNECT_TIMEOUT_SECONDS
+                check_still_listens,
+                self.target,
+                CONNECT_TIMEOUT_SECONDS,
+                request_id,
             )
             response.earlier_ids = self._ownership.earlier_ids(resp)
             refusal = self._reader.refusal_reason(response)
--- a/tests/peridotwell_platform/test_stream_ends.py
+++ b/tests/peridotwell_platform/test_stream_ends.py
@@ -3,6 +3,7 @@
 import pytest
 
 from peridotwell.forwarding import response_recorder, stream_log
+from peridotwell.serving import target_presence
 from tests.peridotwell_platform.stream_ends import (
     caller_of,
     chunked,
@@ -73,3 +74,29 @@
             'last',
             'events',
         ]
+
+
+# Guards against ends without a mark of which the log does not tell what was
+# asked about them.
+@pytest.mark.parametrize(
+    ('path', 'expected'),
+    [('/draft/x', 'not_resumable'), ('/ask/x', 'no_answer')],
+)
+async def test_the_log_tells_what_was_asked_about_an_end_without_a_mark(
+    harness, nursery, log_lines, monkeypatch, path, expected
+):
+    checks = []
+    monkeypatch.setattr(
+        target_presence,
+        'log_failure',
+        lambda event, **fields: checks.append((event, fields)),
+    )
+    target = RawTarget([unmarked(events(1, 2))])
+    await use_raw_targets(harness, nursery, target)
+    await request_until_asked(caller_of(harness, path), target)
+    told = [fields for _, fields in log_lines if 'passed_end' in fields]
+    assert {fields['rest'] for fields in told} == {expected}
+    ((event, fields),) = checks
+    assert event == 'end.checked'
+    assert fields['target'] == 'raw-0'
+    assert fields['answer'] in {'kept_open', 'answered'}
--- a/tests/policy/test_end_marks.py
+++ b/tests/policy/test_end_marks.py
@@ -29,3 +29,12 @@
 def test_what_is_usual_changes_with_the_responses():
     unmarked = [False] * RESPONSES
     assert recorded(*unmarked, *[True] * RESPONSES * 5).are_usual('ledger')
+
+
+def test_a_change_of_what_is_usual_is_told_with_its_counts():
+    end_marks = recorded(True, True)
+    changes = [
+        end_marks.record('ledger', is_marked=False) for _ in range(RESPONSES)
+    ]
+    (change,) = [each for each in changes if each is not None]
+    assert (change.marked, change.unmarked) == (2, changes.index(change) + 1)
