An end without a mark counts as whole only if the target's process serves on

What callers saw: a target dies with streams in flight that have neither a length nor chunks, and something accepts connections at its address at once: the next process, or a proxy that closes them or stays silent.

Cause: `check_still_listens` took an accepted connection for a sign of life, and two that were closed at once as well.

Change: after such an end, 50 ms are waited as before. A connection from before that is still open shows the same process. If none is, and four or more responses have ended within 20 ms, the process has ended. Otherwise a status check is sent, one for all responses of a moment: connections that are closed without a byte are no sign.

Not found: fewer than four responses of a process that has started again at once, or behind something silent.

Tests: test_target_presence.py is replaced. A target that closes every connection was "there"; it is now only if an older connection is open, since a proxy closes them for a target that has gone. One that accepts and closes after a request was "listening"; it has to answer. Raw targets answer status checks apart from their scripted responses.

--- a/peridotwell/forwarding/target_clients.py
+++ b/peridotwell/forwarding/target_clients.py
@@ -39,7 +39,11 @@
         client = self._clients.get(key)
         if client is None:
             client = TargetClient(
-                target, self._adapter, self._on_notice, self._buffers
+                target,
+                self._adapter,
+                self._on_notice,
+                self._buffers,
+                self._status_path,
             )
             self._clients[key] = client
             # The target may have left since it was chosen.
@@ -67,6 +71,11 @@
             with trio.move_on_after(CLOSE_TIMEOUT_SECONDS):
                 await client.aclose()
 
+    def _status_path(self, target: Target) -> str:
+        table = self._directory.table
+        service = table.services.get(target.pool.name) if table else None
+        return self._adapter.status_path(service)
+
     def _record_change(self) -> None:
         self._may_have_gone = True
 
--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -12,6 +12,7 @@
     Awaitable,
     Callable,
     Iterable,
+    Sequence,
 )
 from functools import partial
 from typing import Protocol, cast
@@ -114,6 +115,7 @@
         self._max_body_bytes = max_body_bytes
         self._max_used = max_connections
         self._places = trio.Semaphore(max_connections)
+        self._used: set[TargetConnection] = set()
         # The connection that was used last is at the end.
         self._idle: list[TargetConnection] = []
         self._swept_at = -math.inf
@@ -123,6 +125,16 @@
         """Whether a request uses one of the connections."""
         return self._places.value < self._max_used
 
+    @property
+    def idle(self) -> Sequence[TargetConnection]:
+        """The connections that no request uses; some may have ended."""
+        return tuple(self._idle)
+
+    @property
+    def used(self) -> Sequence[TargetConnection]:
+        """The connections on which a response has begun and not ended."""
+        return tuple(self._used)
+
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
@@ -138,6 +150,7 @@
         except BaseException:
             self._places.release()
             raise
+        self._used.add(conn)
         return httpcore.Response(
             resp.status,
             headers=resp.headers,
@@ -205,6 +218,7 @@
     async def _give_back(self, conn: TargetConnection) -> None:
         """Let other requests use a connection whose response has ended."""
         self._places.release()
+        self._used.discard(conn)
         if self._keeps_idle and conn.is_reusable():
             self._idle.append(conn)
         elif not conn.is_closed():
@@ -219,6 +233,7 @@
         check = request.extensions.get(BEFORE_SEND)
         if check is not None:
             check()
+        conn.used_at = trio.current_time()
         return await conn.handle_async_request(request)
     except BaseException:
         await _close((conn,))
--- a/peridotwell/serving/sign_of_life.py
+++ b/peridotwell/serving/sign_of_life.py
@@ -13,7 +13,7 @@
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.socket_options import CLIENT_SOCKET_OPTIONS
 
-__all__ = ('gives_sign_of_life',)
+__all__ = ('gives_sign_of_life', 'status_request')
 
 # A check whose packets are lost on a path that is whole again is not waited
 # for: the next one arrives sooner.
@@ -57,7 +57,7 @@
         # and the target may be sound.
         return True
     try:
-        await connection.write(_status_request(target, path))
+        await connection.write(status_request(target, path))
         await connection.read(1)
     except (httpcore.ReadError, httpcore.WriteError) as exc:
         return _is_from_target(exc)
@@ -76,7 +76,8 @@
     return isinstance(exc.__cause__, ConnectionError)
 
 
-def _status_request(target: Target, path: str) -> bytes:
+def status_request(target: Target, path: str) -> bytes:
+    """Return the bytes of a status check."""
     return (
         f'GET {path} HTTP/1.1\r\nHost: {target.address}\r\n'
         'Connection: close\r\n\r\n'
--- a/peridotwell/serving/socket_network.py
+++ b/peridotwell/serving/socket_network.py
@@ -10,6 +10,7 @@
 import ipaddress
 import math
 import os
+import select
 import socket
 import ssl
 from collections.abc import Iterable
@@ -148,6 +149,8 @@
                 return self._stream.socket
             case 'is_readable':
                 return _is_readable(self._stream.socket)
+            case 'peer_has_ended':
+                return _has_peer_ended(self._stream.socket)
             case 'client_addr':
                 return self._stream.socket.getsockname()
             case 'server_addr':
@@ -204,6 +207,19 @@
     return connected.fileno() < 0 or connected.is_readable()
 
 
+def _has_peer_ended(connected: trio.socket.SocketType) -> bool:
+    """Return whether the peer has ended or broken the connection.
+
+    Also if bytes that it sent before have not been read.
+    """
+    descriptor = connected.fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _is_after_end(exc: Exception) -> bool:
     """Return whether the peer ended its side before it refused the bytes."""
     return isinstance(exc.__cause__, BrokenPipeError)
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -32,7 +32,11 @@
 from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.response_ownership import ResponseOwnership
-from peridotwell.serving.target_presence import check_still_listens
+from peridotwell.serving.target_presence import (
+    Connections,
+    ConnectionSource,
+    EndCheck,
+)
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = (
@@ -54,6 +58,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 POOL_TIMEOUT_SECONDS = 1
 HEALTH_TIMEOUT_SECONDS = 0.8
+HEALTH_PATH = '/health'
 REFUSED_STATUS = 503
 REQUEST_ID_HEADER = 'x-request-id'
 
@@ -119,7 +124,7 @@
         return response.headers.get(REQUEST_ID_HEADER, '')
 
 
-class TargetClient:
+class TargetClient(ConnectionSource):
     """The connections from this router to one target.
 
     A request that must not run twice is sent on a new connection: after a
@@ -134,11 +139,14 @@
         reader: ResponseReader | None = None,
         on_notice: NoticeListener | None = None,
         buffers: ResponseBuffers | None = None,
+        find_status_path: Callable[[Target], str] | None = None,
     ) -> None:
         self.target = target
         self._buffers = buffers or ResponseBuffers()
         self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
+        self._find_status_path = find_status_path
+        self._end_check = EndCheck(target, self, CONNECT_TIMEOUT_SECONDS)
         self._ownership = ResponseOwnership()
         self._pool = ConnectionPool(
             MAX_CONNECTIONS, idle_seconds=IDLE_CONNECTION_SECONDS
@@ -151,6 +159,18 @@
         """Whether a request still uses one of the connections."""
         return self._pool.is_busy or self._single_use_pool.is_busy
 
+    def connections(self) -> Connections:
+        """Return the connections that are not closed on this side."""
+        return Connections(
+            (*self._pool.used, *self._single_use_pool.used), self._pool.idle
+        )
+
+    def status_path(self) -> str:
+        """Return the path of status checks."""
+        if self._find_status_path is None:
+            return HEALTH_PATH
+        return self._find_status_path(self.target)
+
     async def aclose(self) -> None:
         """Close idle connections; running requests keep theirs open."""
         await self._single_use_pool.aclose()
@@ -200,12 +220,7 @@
                 self._buffers,
                 self.target.name,
             )
-            response.check_end = partial(
-                check_still_listens,
-                self.target,
-                CONNECT_TIMEOUT_SECONDS,
-                request_id,
-            )
+            response.check_end = partial(self._end_check.check, request_id)
             response.earlier_ids = self._ownership.earlier_ids(resp)
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
@@ -265,7 +280,7 @@
     async def _fetch_health(self) -> bytes:
         request = httpcore.Request(
             'GET',
-            f'http://{self.target.address}/health',
+            f'http://{self.target.address}{HEALTH_PATH}',
             headers=((b'host', self.target.address.encode()),),
         )
         unlimited = ResponseTimeouts(math.inf, math.inf)
--- a/peridotwell/serving/target_connection.py
+++ b/peridotwell/serving/target_connection.py
@@ -12,6 +12,7 @@
 
 import h11
 import httpcore
+import trio
 
 __all__ = ('TargetConnection',)
 
@@ -96,7 +97,10 @@
 
 
 class TargetConnection(httpcore.AsyncHTTP11Connection):
-    """A connection whose responses are parsed by _ResponseParser."""
+    """A connection whose responses are parsed by _ResponseParser.
+
+    `used_at` is when its last request was sent.
+    """
 
     def __init__(
         self,
@@ -105,6 +109,9 @@
         keepalive_expiry: float | None = None,
     ) -> None:
         super().__init__(origin, stream, keepalive_expiry)
+        self.opened_at = trio.current_time()
+        self.used_at = self.opened_at
+        self._stream = stream
         self._h11_state = _ResponseParser(
             h11.CLIENT,
             max_incomplete_event_size=self.MAX_INCOMPLETE_EVENT_SIZE,
@@ -118,3 +125,10 @@
         """
         following, _ = self._h11_state.trailing_data
         return self.is_idle() and not following
+
+    def has_peer_ended(self) -> bool:
+        """Whether the target has ended or broken the connection.
+
+        False if that is not known, for an address that is a host name.
+        """
+        return bool(self._stream.get_extra_info('peer_has_ended'))
--- /dev/null
+++ b/tests/peridotwell_platform/test_ends_of_dead_targets.py
@@ -0,0 +1,127 @@
+"""Ends without a mark of targets that end, and of sound ones."""
+
+import sys
+from collections import Counter
+
+import pytest
+import trio
+
+from tests.mortal_target import MortalTarget, Successor, whole_events
+from tests.peridotwell_platform.router_setup import caller_headers
+from tests.peridotwell_platform.stream_ends import read_answer, use_raw_targets
+from tests.peridotwell_platform.test_path import harness
+
+__all__ = ('harness',)
+
+STREAMS = 40
+EARLIER = 60
+HABITS = {
+    'always': ('chunks',),
+    'mostly': ('chunks',) * 19 + ('open',),
+    'never': ('open',),
+    'nothing known': (),
+}
+DEAD = (Successor.restarted, Successor.closes, Successor.silent)
+# Short enough that no target is left for its silence.
+BEGIN_SECONDS = 0.3
+
+
+class Callers:
+    """Callers of one router, and how their answers ended."""
+
+    def __init__(self, harness) -> None:
+        self._address = harness.address
+        self._number = 0
+        self.seen: Counter[str] = Counter()
+
+    async def learn(self, route, habit) -> None:
+        """Let the router see how whole answers of the service end."""
+        if not HABITS[habit]:
+            return
+        for number in range(EARLIER):
+            framing = HABITS[habit][number % len(HABITS[habit])]
+            await self._send(f'/{route}/{framing}')
+        self.seen.clear()
+
+    async def send_at_once(self, path, count, nursery) -> None:
+        """Send requests, whose answers go on."""
+        for _ in range(count):
+            nursery.start_soon(self._send, path)
+
+    async def _send(self, path) -> None:
+        self._number += 1
+        headers = caller_headers(self._number, x_deadline_ms='1400')
+        got = await read_answer(self._address, path, headers)
+        self.seen[_seen(got)] += 1
+
+
+def note(case, route, successor, habit, ended, callers) -> None:
+    """Print what callers saw, for the table of the incident."""
+    sys.stdout.write(
+        f'TABLE {case} {route} {successor} {habit}: {ended} broken off, '
+        f'{dict(sorted(callers.seen.items()))}\n'
+    )
+
+
+def _seen(got) -> str:
+    """Return what a caller sees: a whole answer, a cut one, or a wrong one."""
+    if got.status != 200:
+        return 'failure'
+    if got.end == 'cut':
+        return 'cut'
+    return 'whole' if got.content == whole_events() else 'looks whole'
+
+
+async def start(harness, nursery, count=3):
+    """Start targets of which the first one will end."""
+    targets = [MortalTarget() for _ in range(count)]
+    await use_raw_targets(harness, nursery, *targets)
+    return targets
+
+
+async def end_amid(callers, path, targets, others, successor) -> int:
+    """End targets amid their answers; return how many answers it ended."""
+    async with trio.open_nursery() as calling:
+        await callers.send_at_once(path, STREAMS, calling)
+        await trio.sleep(BEGIN_SECONDS)
+        held = sum(target.held for target in targets)
+        for target in targets:
+            target.end(successor)
+        for other in others:
+            other.finish()
+        return held
+
+
+# Guards against the streams of a process that has ended and that look complete
+# since something accepts connections at its address.
+@pytest.mark.parametrize('habit', ['always', 'never'])
+@pytest.mark.parametrize('successor', DEAD)
+@pytest.mark.parametrize('route', ['draft', 'ask', 'read', 'book'])
+async def test_answers_that_a_dead_target_cut_never_look_whole(
+    harness, nursery, route, successor, habit
+):
+    targets = await start(harness, nursery)
+    callers = Callers(harness)
+    await callers.learn(route, habit)
+    ended = await end_amid(
+        callers, f'/{route}/held', targets[:1], targets[1:], successor
+    )
+    assert ended > STREAMS // 6
+    note('dead', route, successor.value, habit, ended, callers)
+    assert not callers.seen['looks whole']
+
+
+# Guards against sound streams without a mark that are cut, together or not.
+@pytest.mark.parametrize('habit', ['always', 'never'])
+@pytest.mark.parametrize('route', ['draft', 'ask', 'book'])
+async def test_whole_answers_without_a_mark_that_end_together(
+    harness, nursery, route, habit
+):
+    targets = await start(harness, nursery)
+    callers = Callers(harness)
+    await callers.learn(route, habit)
+    ended = await end_amid(
+        callers, f'/{route}/held', (), targets, Successor.itself
+    )
+    note('sound', route, 'itself', habit, ended, callers)
+    assert set(callers.seen) == {'whole'}
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -10,6 +10,9 @@
 
 HEAD_END = b'\r\n\r\n'
 REQUEST_ID = b'x-request-id: '
+# A router asks a target for its status; that is no request of a caller.
+STATUS_CHECK = b'GET /peridotwell/report '
+STATUS = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
 # An active close with this option resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -32,7 +35,10 @@
 
 @dataclass
 class RawTarget:
-    """Serves the responses in turn, the last one for all further requests."""
+    """Serves the responses in turn, the last one for all further requests.
+
+    Status checks have an answer of their own.
+    """
 
     responses: list[RawResponse]
     requests: list[bytes] = field(default_factory=list)
@@ -46,6 +52,9 @@
             request = await read_request(stream)
             if not request:
                 return
+            if request.startswith(STATUS_CHECK):
+                await stream.send_all(STATUS)
+                return
             self.requests.append(request)
             number = min(len(self.requests), len(self.responses)) - 1
             request_id = request_field(request, REQUEST_ID)
--- a/tests/serving/test_target_presence.py
+++ b/tests/serving/test_target_presence.py
@@ -1,4 +1,4 @@
-"""Tests of the check whether a target that ended a connection is there."""
+"""Tests of the check whether a target that ended a response still serves."""
 
 import httpcore
 import pytest
@@ -7,10 +7,46 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.serving import target_presence
-from peridotwell.serving.target_presence import check_still_listens
+from peridotwell.serving.target_presence import (
+    MIN_ENDED_TOGETHER,
+    MOMENT_SECONDS,
+    Connections,
+    ConnectionSource,
+    EndCheck,
+    TargetSign,
+    ask_for_status,
+)
 from tests.ports import find_free_port
 
 TIMEOUT_SECONDS = 0.2
+# Sound streams wait for the check; so long at most while a target is silent.
+LIMIT_SECONDS = 0.4
+LONG_AGO = 10
+
+
+class Connection:
+    """A connection from before the check."""
+
+    def __init__(self, *, has_ended, opened_ago=LONG_AGO):
+        self.opened_at = trio.current_time() - opened_ago
+        self.used_at = self.opened_at
+        self.has_ended = has_ended
+
+    def has_peer_ended(self):
+        return self.has_ended
+
+
+class Source(ConnectionSource):
+    """Has these connections."""
+
+    def __init__(self, used=(), idle=()):
+        self._connections = Connections(used, idle)
+
+    def connections(self):
+        return self._connections
+
+    def status_path(self):
+        return '/status'
 
 
 def target(port):
@@ -18,18 +54,53 @@
     return Target('t', address, TargetKind.service, Pool('a', 's'))
 
 
+async def listen(nursery, serve):
+    listeners = await nursery.start(trio.serve_tcp, serve, 0)
+    return listeners[0].socket.getsockname()[1]
+
+
+async def check_end(port, source=None):
+    check = EndCheck(target(port), source or Source(), TIMEOUT_SECONDS)
+    await check.check('r')
+
+
+async def answer(stream):
+    await stream.receive_some()
+    await stream.send_all(b'HTTP/1.1 503 x\r\n\r\n')
+
+
+async def close(stream):
+    await trio.aclose_forcefully(stream)
+
+
+async def stay_silent(stream):
+    await trio.sleep_forever()
+
+
 async def test_a_target_that_refuses_connections_may_have_cut_its_response():
     with pytest.raises(ResponseTruncated):
-        await check_still_listens(target(find_free_port()), TIMEOUT_SECONDS)
+        await check_end(find_free_port())
 
 
-async def test_a_target_that_listens_has_ended_its_response(nursery):
+async def test_a_target_that_answers_has_ended_its_response(nursery):
+    asked = []
+
     async def serve(stream):
-        await stream.receive_some()
+        asked.append(await stream.receive_some())
+        await stream.send_all(b'HTTP/1.1 503 x\r\n\r\n')
 
-    listeners = await nursery.start(trio.serve_tcp, serve, 0)
-    port = listeners[0].socket.getsockname()[1]
-    await check_still_listens(target(port), TIMEOUT_SECONDS)
+    await check_end(await listen(nursery, serve))
+    (request,) = asked
+    assert request.startswith(b'GET /status HTTP/1.1\r\n')
+
+
+# Guards against whole responses that count as cut because their target, which
+# is busy, answers no status check in time; and against a long wait for it.
+async def test_a_target_that_is_silent_may_be_sound(nursery):
+    port = await listen(nursery, stay_silent)
+    started_at = trio.current_time()
+    await check_end(port)
+    assert trio.current_time() - started_at < LIMIT_SECONDS
 
 
 # Guards against cut responses of a process that ends and closes the port at
@@ -44,25 +115,128 @@
 
     nursery.start_soon(stop_listening)
     with pytest.raises(ResponseTruncated):
-        await check_still_listens(target(port), TIMEOUT_SECONDS)
+        await check_end(port)
+
+
+# Guards against cut responses that look whole since something accepts
+# connections for a target that has gone, and closes them.
+async def test_connections_that_end_at_once_are_no_sign_of_a_target(nursery):
+    port = await listen(nursery, close)
+    with pytest.raises(ResponseTruncated):
+        await check_end(port)
 
 
 # Guards against whole responses that count as cut because their target takes no
 # more connections.
-async def test_a_target_that_ends_each_connection_is_there(nursery):
-    async def refuse(stream):
-        await trio.aclose_forcefully(stream)
+async def test_a_target_that_ends_each_connection_but_older_ones_is_there(
+    nursery,
+):
+    port = await listen(nursery, close)
+    await check_end(port, Source(used=(Connection(has_ended=False),)))
+    await check_end(port, Source(idle=(Connection(has_ended=False),)))
 
-    listeners = await nursery.start(trio.serve_tcp, refuse, 0)
-    port = listeners[0].socket.getsockname()[1]
-    await check_still_listens(target(port), TIMEOUT_SECONDS)
+
+# Guards against whole responses that count as cut because the first connection
+# after them is one too many.
+async def test_a_target_that_closes_one_connection_is_asked_again(nursery):
+    seen = []
+
+    async def serve(stream):
+        seen.append(stream)
+        await (close if len(seen) == 1 else answer)(stream)
+
+    await check_end(await listen(nursery, serve))
+    assert len(seen) == 2
+
+
+# Guards against cut responses that look whole since another process has the
+# address of the one that ended.
+async def test_a_process_whose_responses_all_end_at_once_has_ended(nursery):
+    port = await listen(nursery, answer)
+    ended = [Connection(has_ended=True) for _ in range(MIN_ENDED_TOGETHER)]
+    with pytest.raises(ResponseTruncated):
+        await check_end(port, Source(used=ended))
+
+
+# Guards against the last responses of a batch, which end one after the other
+# and count as cut.
+async def test_responses_that_end_one_after_the_other_are_whole(nursery):
+    port = await listen(nursery, answer)
+    used = [Connection(has_ended=False) for _ in range(MIN_ENDED_TOGETHER)]
+    check = EndCheck(target(port), Source(used=used), TIMEOUT_SECONDS)
+    async with trio.open_nursery() as asking:
+        for connection in used:
+            connection.has_ended = True
+            asking.start_soon(check.check, 'r')
+            await trio.sleep(MOMENT_SECONDS * 1.5)
+
+
+# Guards against cut responses that look whole since a sound one ended right
+# before the process did.
+async def test_a_process_that_ends_after_a_sound_response_has_ended(nursery):
+    port = await listen(nursery, answer)
+    used = [Connection(has_ended=False) for _ in range(MIN_ENDED_TOGETHER + 1)]
+    check = EndCheck(target(port), Source(used=used), TIMEOUT_SECONDS)
+    used[0].has_ended = True
+    nursery.start_soon(check.check, 'sound')
+    await trio.sleep(MOMENT_SECONDS * 1.5)
+    for connection in used:
+        connection.has_ended = True
+    with pytest.raises(ResponseTruncated):
+        await check.check('cut')
+
+
+# Guards against whole responses that count as cut because a few end together,
+# many short ones do, or idle connections have been closed at some time.
+async def test_ends_that_chance_brings_together_say_nothing(nursery):
+    port = await listen(nursery, answer)
+    ended = [Connection(has_ended=True) for _ in range(MIN_ENDED_TOGETHER)]
+    short = [Connection(has_ended=True, opened_ago=0.1) for _ in range(9)]
+    await check_end(port, Source(used=ended[1:]))
+    await check_end(port, Source(used=short))
+    await check_end(port, Source(idle=ended))
+
+
+# Guards against the connections of the process that follows, taken for those of
+# the one that has ended.
+async def test_a_connection_made_after_the_end_is_no_sign(nursery):
+    port = await listen(nursery, close)
+    later = Connection(has_ended=False, opened_ago=-0.01)
+    with pytest.raises(ResponseTruncated):
+        await check_end(port, Source(used=(later,)))
+
+
+# Guards against a status check for each of many responses that end together.
+async def test_one_question_is_asked_for_all_ends_of_a_moment(nursery):
+    seen = []
+
+    async def serve(stream):
+        seen.append(stream)
+        await answer(stream)
+
+    port = await listen(nursery, serve)
+    check = EndCheck(target(port), Source(), TIMEOUT_SECONDS)
+    with trio.CancelScope() as first_one_left:
+        async with trio.open_nursery() as asking:
+            asking.start_soon(check.check, 'r')
+            await trio.sleep(0.01)
+            nursery.start_soon(check.check, 'r')
+            first_one_left.cancel()
+    async with trio.open_nursery() as asking:
+        for _ in range(20):
+            asking.start_soon(check.check, 'r')
+    assert len(seen) == 1
 
 
 # Guards against whole responses that count as cut because the way to their
 # target is cut right after them.
 @pytest.mark.parametrize(
     'error',
-    [httpcore.ConnectTimeout(), httpcore.ConnectError('no route to host')],
+    [
+        httpcore.ConnectTimeout(),
+        httpcore.ConnectError('no route to host'),
+        OSError('too many open files'),
+    ],
 )
 async def test_a_target_that_cannot_be_reached_may_be_sound(monkeypatch, error):
     class Unreachable:
@@ -70,4 +244,6 @@
             raise error
 
     monkeypatch.setattr(target_presence, 'SocketNetwork', Unreachable)
-    await check_still_listens(target(1), TIMEOUT_SECONDS)
+    await check_end(1)
+    sign = await ask_for_status(target(1), '/', TIMEOUT_SECONDS)
+    assert sign is TargetSign.unreachable
