Crash tracking: connections that are closed at once are no sign of a target

What callers saw (by reading; the same cause as for ends without a mark): a request that crashes its targets behind something that accepts connections for them and closes them was not counted against, and went on to further targets.

Cause: `can_connect` takes any accepted connection for a sign of life.

Evidence: test_a_target_whose_connections_are_closed_at_once_is_lost, red before (no refusal after three such crashes), green now. test_crash_tracker.py and test_crashing_parts.py pass.

Change: the check is that of ends without a mark: an older connection that is still open, else a status check. A target that cannot be reached counts as lost, as before.

Open: a target that has started again before the check answers it, and is not counted as lost, unless four or more responses without a mark ended with it.

--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -162,7 +162,7 @@
     tracker = TargetTracker(
         state.directory, OutlierEjection(), update_exchange, state
     )
-    crash_tracker = CrashTracker(update_exchange)
+    crash_tracker = CrashTracker(update_exchange, clients)
     selector = TargetSelector(
         tracker,
         state.cache_index,
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -1,12 +1,12 @@
 """Detection of requests that crash the targets that run them.
 
-When a connection breaks during a request, a new connection to the target
-shows whether the target is gone or only the response. Requests that were in
-flight on a target that is gone are recorded on every router, and so are the
-parts of their prompts if the target had not begun to answer. A request that
-has lost several targets is refused until its record expires, and so is one
-with a part that has; a request that completes is cleared, a part on which an
-answer begins.
+When a connection breaks during a request, older connections to the target, or
+a status check, show whether the target is gone or only the response. Requests
+that were in flight on a target that is gone are recorded on every router, and
+so are the parts of their prompts if the target had not begun to answer. A
+request that has lost several targets is refused until its record expires, and
+so is one with a part that has; a request that completes is cleared, a part on
+which an answer begins.
 """
 
 from dataclasses import dataclass
@@ -22,15 +22,16 @@
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.connection_check import can_connect
+from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.crash_blame import format_parts, shared_part_ids
 from peridotwell.policy.crashed_requests import RECORD_TTL_SECONDS
+from peridotwell.serving.target_presence import HAS_ENDED, TargetSign
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
 
 CRASH_LIMIT = 3
-CONNECT_TIMEOUT_SECONDS = 0.5
+IS_LOST = HAS_ENDED | {TargetSign.unreachable}
 # Largest number of requests of one target that wait for its check.
 MAX_BROKEN_PER_TARGET = 256
 
@@ -50,7 +51,10 @@
 class CrashTracker:
     """Records crashes of targets and refuses requests that cause them."""
 
-    def __init__(self, update_exchange: UpdateExchange) -> None:
+    def __init__(
+        self, update_exchange: UpdateExchange, clients: TargetClients
+    ) -> None:
+        self._clients = clients
         self._crashed = update_exchange.state.crashed_requests
         self._blame = update_exchange.state.crash_blame
         self._update_exchange = update_exchange
@@ -123,7 +127,8 @@
     async def _check_target(
         self, target: Target, attempts: list[BrokenAttempt]
     ) -> None:
-        if await can_connect(target, CONNECT_TIMEOUT_SECONDS):
+        sign = await self._clients.client(target).process_sign()
+        if sign not in IS_LOST:
             return
         for broken in attempts:
             self._record_loss(broken)
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -36,6 +36,7 @@
     Connections,
     ConnectionSource,
     EndCheck,
+    TargetSign,
 )
 from peridotwell.serving.target_response import TargetResponse
 
@@ -171,6 +172,10 @@
             return HEALTH_PATH
         return self._find_status_path(self.target)
 
+    async def process_sign(self) -> TargetSign:
+        """Return what shows whether the target's process still serves."""
+        return await self._end_check.sign()
+
     async def aclose(self) -> None:
         """Close idle connections; running requests keep theirs open."""
         await self._single_use_pool.aclose()
--- a/peridotwell/serving/target_presence.py
+++ b/peridotwell/serving/target_presence.py
@@ -24,6 +24,7 @@
 from peridotwell.serving.target_connection import TargetConnection
 
 __all__ = (
+    'HAS_ENDED',
     'Connections',
     'ConnectionSource',
     'EndCheck',
@@ -113,7 +114,7 @@
 
         A target that cannot be reached or does not answer may be a sound one.
         """
-        sign = await self._sign()
+        sign = await self.sign()
         log_failure(
             'end.checked',
             request=request_id,
@@ -127,7 +128,7 @@
                 f'of its end and may be cut ({sign.value}).'
             )
 
-    async def _sign(self) -> TargetSign:
+    async def sign(self) -> TargetSign:
         """Return what is found out, for one or several responses.
 
         Who asks may be cancelled: then the next one asks.
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from peridotwell_platform.headers import PlatformTargetAdapter
 
 from peridotwell.attempt_errors import ResponseLost, ResponseTimeout
 from peridotwell.domain.routing_table import RequestKind, Route, WeightedService
@@ -11,14 +12,18 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
 from peridotwell.serving.asgi import serve_http
 from tests.fleet.replica.test_service_directory import Decoder
+from tests.raw_target import listen
 
 ROUTE = Route(
     'r', 'h', '/', RequestKind.idempotent, (WeightedService('s'),), 15, 0.5
 )
+# More than a check takes.
+CHECK_SECONDS = 0.15
 
 
 class RecordList:
@@ -70,7 +75,10 @@
 
 @pytest.fixture
 async def crash_tracker(nursery):
-    tracker = CrashTracker(UpdateRecorder())
+    updates = UpdateRecorder()
+    adapter = PlatformTargetAdapter()
+    clients = TargetClients(updates.state.directory, adapter, None)
+    tracker = CrashTracker(updates, clients)
     nursery.start_soon(tracker.run)
     return tracker
 
@@ -80,7 +88,7 @@
         gone = target(f't{number}', f'127.0.0.1:{port}')
         broken = BrokenAttempt(make_request(), gone, has_begun=False)
         crash_tracker.schedule_check(broken, failure('broken'))
-        await trio.sleep(0.05)
+        await trio.sleep(CHECK_SECONDS)
 
 
 async def test_the_third_crash_quarantines_a_request_on_all_routers(
@@ -112,6 +120,20 @@
     crash_tracker.check(make_request())
 
 
+# Guards against requests that crash targets one after the other, behind a proxy
+# that accepts connections for them and closes them.
+async def test_a_target_whose_connections_are_closed_at_once_is_lost(
+    crash_tracker, nursery
+):
+    async def close(stream):
+        await trio.aclose_forcefully(stream)
+
+    address = await listen(nursery, close)
+    await crash(crash_tracker, address.rpartition(':')[2], 3)
+    with pytest.raises(ForwardedRequestQuarantined):
+        crash_tracker.check(make_request())
+
+
 async def test_a_response_timeout_is_no_crash(crash_tracker, free_port):
     await crash(crash_tracker, free_port(), 4, ResponseTimeout)
     crash_tracker.check(make_request())
