--- a/peridotwell/serving/http_exchange.py
+++ b/peridotwell/serving/http_exchange.py
@@ -71,7 +71,6 @@
         self._stop = stop
         self._bodies = bodies or BodyBudget(buffer_bytes(0))
         self._body_share: BodyShare | None = None
-        self._ends_with_connection = False
         state = scope.get('state', {})
         self.raw_target: bytes = state.get(TARGET) or _join_target(
             self.raw_path, self.raw_query
@@ -151,7 +150,6 @@
         """
         self.status = status
         self._ends_with_connection = ends_with_connection
-        self._ends_with_connection = ends_with_connection
         if ends_with_connection:
             self._body_part.end_with_connection()
         self.is_chunked = not ends_with_connection and (
