--- a/tests/mortal_target.py
+++ b/tests/mortal_target.py
@@ -66,7 +66,7 @@
 
     async def start(self, nursery: trio.Nursery) -> str:
         """Listen, and return the address."""
-        return await listen(nursery, self._serve)
+        return await listen(nursery, self.serve)
 
     def end(self, successor: Successor) -> None:
         """Break off all responses that are held; let another one follow."""
@@ -78,7 +78,8 @@
         """Send the rest of all responses that are held, not all at once."""
         self._ended.set()
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Answer the requests of one connection."""
         if self._successor is Successor.silent:
             await trio.sleep_forever()
         if self._successor is not Successor.closes:
