--- a/tests/peridotwell_platform/counted_events.py
+++ b/tests/peridotwell_platform/counted_events.py
@@ -16,7 +16,7 @@
     chunked,
     events,
 )
-from tests.raw_target import RawTarget, read_request, request_field, send
+from tests.raw_target import RawResponse, RawTarget, request_field
 
 __all__ = ('NUMBERS', 'WHOLE', 'Burst', 'CountingTarget', 'send_burst')
 
@@ -25,7 +25,6 @@
 NUMBERS = tuple(range(1, EVENTS + 1))
 WHOLE = Got(200, events(*NUMBERS), 'chunks')
 LAST_EVENT_ID = b'last-event-id: '
-REQUEST_ID = b'x-request-id: '
 
 
 @dataclass
@@ -41,14 +40,10 @@
     left_out: int = 0
     chance: Random = field(default_factory=partial(Random, 71))
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        request = await read_request(stream)
-        if request:
-            self.requests.append(request)
-            request_id = request_field(request, REQUEST_ID)
-            after = int(request_field(request, LAST_EVENT_ID) or b'0')
-            response = chunked(events(*self._numbers_after(after)))
-            await send(stream, response, request_id)
+    def response_to(self, request: bytes) -> RawResponse:
+        """Return the events that a request asks for."""
+        after = int(request_field(request, LAST_EVENT_ID) or b'0')
+        return chunked(events(*self._numbers_after(after)))
 
     def _numbers_after(self, after: int) -> list[int]:
         numbers = [number for number in self.numbers if number > after]
