--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -36,13 +36,13 @@
     source_before_response,
 )
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
+from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.forwarding.target_standings import has_left
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.end_marks import EndMarks
-from peridotwell.policy.event_steps import EventSteps
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequest,
     OutstandingRequests,
@@ -60,7 +60,7 @@
     """Sends requests to targets and records the outcomes of the targets.
 
     `end_marks` tells how the complete responses of each service end,
-    `event_steps` how the ids of the events of its streams go up.
+    `event_verdicts` how the ids of the events of its streams go up.
     """
 
     def __init__(
@@ -71,9 +71,10 @@
         crash_tracker: CrashTracker,
         handover_client: HandoverClient,
         outstanding: OutstandingRequests,
+        event_verdicts: EventVerdicts,
     ) -> None:
         self.end_marks = EndMarks()
-        self.event_steps = EventSteps()
+        self.event_verdicts = event_verdicts
         self._outstanding = outstanding
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
@@ -173,10 +174,11 @@
         """Record a complete response as a success or error of the target."""
         if attempt.choice.is_handover:
             return
-        self._crash_tracker.clear(attempt.request)
         name = attempt.target.name
         if status >= FIRST_SERVER_ERROR:
             _log_error_response(attempt, status)
+        else:
+            self._crash_tracker.clear(attempt.request)
         if not is_target_error(status):
             self._tracker.ejection.record_success(name)
         elif self._tracker.ejection.record_error_response(
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -1,7 +1,8 @@
 """Keeps each resumable stream at the software version that began it.
 
 That a router does not know of several versions is no evidence that there is
-only one: it may have started since, or have lost its connections.
+only one: it may have started since, or have lost its connections. Nor is the
+answer of another router of which the same holds.
 """
 
 from collections.abc import Iterable
@@ -17,7 +18,9 @@
     decode_versions,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.resumption_log import Basis, log_taken_up
 from peridotwell.logs import log_event
+from peridotwell.store.revisions import was_restored
 
 __all__ = ('StreamAffinity',)
 
@@ -50,7 +53,7 @@
         self, request: RoutedRequest, target: Target, now: float
     ) -> None:
         """Record that a target has sent the first event of a stream."""
-        if not request.route.resumable:
+        if not request.route.resumable or _is_unnamed(request):
             return
         stream = request.stream_id
         if self._versions.version(stream, now) is not None:
@@ -66,13 +69,13 @@
         if request.resumed_stream is None:
             return
         now = trio.current_time()
-        is_known = self._versions.version(request.stream_id, now) is not None
+        is_known = self._known_version(request, now) is not None
         may_lack = self._versions.may_lack(request.service, now)
-        if is_known or not (may_lack or self._is_isolated(now)):
-            return
-        await self._update_exchange.stream_lookup.find(
-            request.stream_id, request.service
-        )
+        if not is_known and (may_lack or self._is_isolated(now)):
+            await self._update_exchange.stream_lookup.find(
+                request.stream_id, request.service
+            )
+        self._log_taken_up(request, trio.current_time())
 
     def required_software(
         self, request: RoutedRequest, now: float
@@ -83,7 +86,7 @@
         """
         if request.resumed_stream is None:
             return None
-        software = self._versions.version(request.stream_id, now)
+        software = self._known_version(request, now)
         if software is None and self._may_be_mixed(request.service, now):
             self._update_exchange.stream_lookup.count_unknown()
             raise NoTarget(
@@ -115,9 +118,7 @@
 
     def _may_be_mixed(self, service: str, now: float) -> bool:
         return (
-            self._versions.is_mixed(service, now)
-            or not self._is_confirmed(service, now)
-            or self._is_isolated(now)
+            self._basis_without_version(service, now) is not Basis.one_version
         )
 
     def _is_isolated(self, now: float) -> bool:
@@ -128,11 +129,38 @@
         peers = self._update_exchange.peers
         return peers.known_count() > 1 and not peers.live_ids(now)
 
+    def _known_version(self, request: RoutedRequest, now: float) -> int | None:
+        if _is_unnamed(request):
+            return None
+        return self._versions.version(request.stream_id, now)
+
+    def _log_taken_up(self, request: RoutedRequest, now: float) -> None:
+        service = request.service
+        version = self._known_version(request, now)
+        if version is None:
+            basis = self._basis_without_version(service, now)
+            evidence = self._versions.confirmation(service, now)
+        else:
+            basis = Basis.stream
+            evidence = self._versions.evidence(request.stream_id, now)
+        log_taken_up(request, version, basis, evidence, now)
+
+    def _basis_without_version(self, service: str, now: float) -> Basis:
+        if self._versions.is_mixed(service, now):
+            return Basis.several_versions
+        if not self._is_confirmed(service, now):
+            return Basis.not_confirmed
+        if self._is_isolated(now):
+            return Basis.isolated
+        return Basis.one_version
+
     def _read_record(self) -> None:
         """Read which versions have served before this router started."""
         entry = self._directory.replica.entry(VERSIONS_KEY)
         recorded = decode_versions(entry.value) if entry else None
-        self._versions.record_earlier(recorded or {})
+        if entry is None and not was_restored(self._directory.known_revision):
+            self._versions.record_nothing_earlier()
+        self._versions.record_earlier(recorded or {}, trio.current_time())
         log_event('versions.read', services=len(recorded or {}))
 
     def _record_serving(self) -> None:
@@ -150,3 +178,12 @@
             streams = tuple(self._versions.recent(now))
             self._update_exchange.share_stream_versions(streams)
             log_event('streams.shared', streams=len(streams))
+
+
+def _is_unnamed(request: RoutedRequest) -> bool:
+    """Return whether a stream is taken up without telling what began it.
+
+    All such streams have the same id.
+    """
+    stream = request.resumed_stream
+    return stream is not None and not stream.first_request
