--- a/peridotwell/forwarding/end_recorder.py
+++ b/peridotwell/forwarding/end_recorder.py
@@ -22,7 +22,7 @@
         return self._end_marks.are_usual(self._group)
 
     def may_be_cut(self, origin: ResponseOrigin | None) -> bool:
-        """Whether a response may be cut: its end has no mark, most others do."""
+        """Whether a response has no marked end, unlike most others."""
         if origin is None or origin.body_end is not BodyEnd.connection:
             return False
         return self._end_marks.are_marked(self._group)
