Crash tracking keeps no request while it checks a target

Callers saw: nothing yet. The memory of a router that many requests fail at grew: a request waited with its body until the status check of its target had an answer, longer than the connection that was made before. Change: what the check needs is kept: id, fingerprint, prompt. The stand-in target answers status checks apart from its script, as the raw target does: they took the scripted responses of three more tests (test_software_versions.py, two; test_streams_at_new_routers.py), which are green again, unchanged.

--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -18,6 +18,7 @@
     ResponseLost,
     ResponseTruncated,
 )
+from peridotwell.domain.prompt import Prompt
 from peridotwell.domain.target import Target, wire_id
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
@@ -48,6 +49,16 @@
     has_begun: bool
 
 
+@dataclass(frozen=True)
+class _Suspect:
+    """What is kept of a request while its target is checked: not its body."""
+
+    request_id: str
+    fingerprint: int
+    prompt: Prompt | None
+    has_begun: bool
+
+
 class CrashTracker:
     """Records crashes of targets and refuses requests that cause them."""
 
@@ -60,7 +71,7 @@
         self._update_exchange = update_exchange
         self._logged_groups: tuple[frozenset[int], ...] = ()
         # By target: one connection shows whether all its requests lost it.
-        self._to_check: dict[Target, list[BrokenAttempt]] = {}
+        self._to_check: dict[Target, list[_Suspect]] = {}
         self._has_checks = trio.Event()
 
     def check(self, request: RoutedRequest) -> None:
@@ -99,7 +110,15 @@
             return
         waiting = self._to_check.setdefault(broken.target, [])
         if len(waiting) < MAX_BROKEN_PER_TARGET:
-            waiting.append(broken)
+            request = broken.request
+            waiting.append(
+                _Suspect(
+                    request.request_id,
+                    request.fingerprint,
+                    request.prompt,
+                    broken.has_begun,
+                )
+            )
             self._has_checks.set()
 
     def log_changes(self) -> None:
@@ -121,53 +140,51 @@
             to_check = self._to_check
             self._to_check = {}
             async with trio.open_nursery() as nursery:
-                for target, attempts in to_check.items():
-                    nursery.start_soon(self._check_target, target, attempts)
+                for target, suspects in to_check.items():
+                    nursery.start_soon(self._check_target, target, suspects)
 
     async def _check_target(
-        self, target: Target, attempts: list[BrokenAttempt]
+        self, target: Target, suspects: list[_Suspect]
     ) -> None:
         sign = await self._clients.client(target).process_sign()
         if sign not in IS_LOST:
             return
-        for broken in attempts:
-            self._record_loss(broken)
+        for suspect in suspects:
+            self._record_loss(target, suspect)
 
-    def _record_loss(self, broken: BrokenAttempt) -> None:
-        request = broken.request
-        target = broken.target
+    def _record_loss(self, target: Target, suspect: _Suspect) -> None:
         incarnation_id = wire_id(f'{target.name}|{target.incarnation}')
         now = trio.current_time()
         record = self._crashed.record_loss(
-            request.fingerprint, incarnation_id, now
+            suspect.fingerprint, incarnation_id, now
         )
         log_failure(
             'request.lost_target',
-            request=request.request_id,
-            mark=f'{request.fingerprint:016x}',
+            request=suspect.request_id,
+            mark=f'{suspect.fingerprint:016x}',
             target=target.name,
             lost=len(record.open_losses()),
-            has_begun=broken.has_begun,
-            parts=_part_names(request),
+            has_begun=suspect.has_begun,
+            parts=_part_names(suspect.prompt),
         )
         self._update_exchange.crashed_request_sync.share((record,))
-        if not broken.has_begun:
-            self._record_part_losses(request, incarnation_id, now)
+        if not suspect.has_begun:
+            self._record_part_losses(suspect, incarnation_id, now)
 
     def _record_part_losses(
-        self, request: RoutedRequest, incarnation_id: int, now: float
+        self, suspect: _Suspect, incarnation_id: int, now: float
     ) -> None:
         changed = self._blame.record_loss(
             incarnation_id,
-            request.fingerprint,
-            shared_part_ids(request.prompt),
+            suspect.fingerprint,
+            shared_part_ids(suspect.prompt),
             now,
         )
         self._update_exchange.crash_blame_sync.share(changed)
 
 
-def _part_names(request: RoutedRequest) -> str:
-    """Return the shared parts of a request's prompt for the logs."""
-    if request.prompt is None:
+def _part_names(prompt: Prompt | None) -> str:
+    """Return the shared parts of a prompt for the logs."""
+    if prompt is None:
         return ''
-    return ','.join(part.name for part in request.prompt.shared_parts)
+    return ','.join(part.name for part in prompt.shared_parts)
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -246,7 +246,7 @@
     """A target that responds as scripted and records its requests.
 
     `script` holds coroutine functions, one for each request. Without one, the
-    target returns 200 with its receipt.
+    target returns 200 with its receipt. Status checks are answered apart.
     """
 
     def __init__(self, name: str) -> None:
@@ -256,6 +256,9 @@
 
     async def handle(self, exchange: HttpExchange) -> None:
         body = await exchange.body()
+        if exchange.path == STATUS_PATH:
+            await exchange.respond_json({})
+            return
         headers = dict(exchange.headers)
         self.requests.append(
             (exchange.method, exchange.raw_path, headers, body)
@@ -273,6 +276,7 @@
 
 
 STREAM_PATHS = ('/draft/', '/ask/')
+STATUS_PATH = '/peridotwell/report'
 
 
 async def respond_ok(target, exchange) -> None:
