What another router tells of ids does not outweigh sound streams here

Callers saw: streams that lack an event look whole at all routers, for up to an hour. Cause: a router that has just started takes two targets that leave out the same event for ids that jump, since it has recorded no other target, and tells it; it outweighed the streams that the others had seen. Evidence: test_sound_streams_outweigh_what_another_router_tells, red before. Change: a router whose own streams go up by one does not take it in, and what two targets have shown holds for 600 s in place of 3,600 s. The stand-in for endless answers knows the path of status checks; it failed on it beside the test.

--- a/peridotwell/policy/event_steps.py
+++ b/peridotwell/policy/event_steps.py
@@ -117,6 +117,8 @@
             known = record.known(now)
             if known is None or known.is_expired(now):
                 continue
+            if self._contradicts(record.version, known):
+                continue
             if known.outweighs(self._in_force(record.version, now)):
                 self._set(record.version, known)
         return ()
@@ -149,6 +151,15 @@
             'by_target': steps.counts() if steps else '',
         }
 
+    def _contradicts(self, version: int, known: Known) -> bool:
+        """Whether streams at this router show that ids do not jump.
+
+        The router that tells so may know two faulty targets only.
+        """
+        steps = self._versions.get(version)
+        is_sound = steps is not None and steps.are_by_one
+        return is_sound and known.evidence is Evidence.same_step
+
     def _in_force(self, version: int, now: float) -> Known | None:
         known = self._known.get(version)
         if known is not None and known.is_expired(now):
--- a/peridotwell/policy/step_records.py
+++ b/peridotwell/policy/step_records.py
@@ -12,10 +12,10 @@
 
 MAX_VERSION_IDS = 4096
 DECISECONDS_PER_SECOND = 10
-# What streams show is told again while there are steps; what another target
-# has shown is seldom seen again, since it is not asked once it is known.
+# What streams show is told again while there are steps. What another target
+# has shown is asked for again after its time: two may share one fault.
 STREAMS_TTL_SECONDS = 600.0
-CERTAIN_TTL_SECONDS = 3600.0
+CERTAIN_TTL_SECONDS = 600.0
 
 
 class Evidence(IntEnum):
--- a/tests/policy/test_event_steps.py
+++ b/tests/policy/test_event_steps.py
@@ -195,3 +195,14 @@
     update = RouterUpdate(1, 2, 3)
     more = RouterUpdate(1, 2, 3, event_steps=(told,))
     assert len(encode_frame(more)) - len(encode_frame(update)) <= 10
+
+
+# Guards against two faulty targets that a router which has just started takes
+# for jumping ids, and which end the check at all other routers.
+def test_sound_streams_outweigh_what_another_router_tells(steps):
+    record(steps, True, *TARGETS)
+    started = EventSteps()
+    learn(started, Evidence.same_step, 0)
+    assert finding(started) is Finding.jumping
+    steps.merge(started.to_repeat(0), 0)
+    assert finding(steps) is Finding.by_one
--- a/tests/processes/endless_target.py
+++ b/tests/processes/endless_target.py
@@ -17,6 +17,8 @@
 
 PART = b'x' * 65536
 HEALTH = b'{}'
+# The last parts of the paths of status checks.
+STATUS_KINDS = frozenset(('health', 'report'))
 TINY_PARTS = 4096
 EVENT = b'data: %b\n\n' % (b'x' * 500)
 FIELDS = 'x-request-id: {id}\r\nx-server-seal: s\r\n'
@@ -73,7 +75,7 @@
 async def _send_sound_answer(
     stream: trio.SocketStream, request_id: str, kind: str
 ) -> None:
-    is_health = kind == 'health'
+    is_health = kind in STATUS_KINDS
     size = len(HEALTH) if is_health else int(kind)
     fields = FIELDS.replace('{id}', request_id)
     length = f'content-length: {size}\r\n'
