Ends of streams: a plain loop, and names that tell what is recorded

Read as a newcomer: a loop whose body was a comment, a query that wrote, and a header that left out the habit of one target. No behaviour changes.

--- a/peridotwell/forwarding/end_recorder.py
+++ b/peridotwell/forwarding/end_recorder.py
@@ -44,8 +44,11 @@
         )
         self._log_change('ends.marks_unusual', counts)
 
-    def believe(self, target: str) -> bool:
-        """Record an end without a mark; return whether it is believed."""
+    def record_unchecked(self, target: str) -> bool:
+        """Record an end without a mark that nobody checks.
+
+        Returns whether it is believed, by what was known before.
+        """
         is_believed = self._end_marks.is_believed(self._group, target)
         self._end_marks.record_unmarked(self._group, target)
         return is_believed
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -136,8 +136,10 @@
         await self._affinity.learn_version(self._request)
         error_response = await self._forward()
         if error_response is None:
-            while self._may_be_cut() and await self._go_on():
-                """Another target has sent more, or tells that it is whole."""
+            # Until no other target has sent more, or told that it is whole.
+            while self._may_be_cut():
+                if not await self._go_on():
+                    break
             self._check_end()
             self._order.record_complete()
             await self._caller_response.end()
@@ -231,7 +233,7 @@
         is_checked = self._rest is RestAsked.no_rest
         if is_checked or self.choice is None or self._is_begun_elsewhere:
             return
-        if not self._ends.believe(self.choice.target.name):
+        if not self._ends.record_unchecked(self.choice.target.name):
             raise StreamBroken(
                 'The stream ended without a mark, unlike others of the '
                 'target, and may go on.'
--- a/peridotwell/policy/end_marks.py
+++ b/peridotwell/policy/end_marks.py
@@ -4,6 +4,9 @@
 has checked shows nothing of the service: a fault that breaks off many would
 look like what is usual. It has been checked if another target was asked for the
 rest, or for the same response.
+
+The habit of one target does follow from its unchecked ends, in time: a target
+that sends no marks is believed after some of them, if checks tell nothing else.
 """
 
 from dataclasses import dataclass
