Streams that are taken up: the log tells when the source heard the store

Missing: stream.taken_up told on whose word a stream goes on and how old the word is, not whether that router could know: two routers that are cut off together have young words of each other. Change: the line tells when the store last answered the source (source_heard_seconds) and this router (store_heard_seconds); routers tell the age of the store's last answer with each answer about a stream (one new field at the end, which earlier builds skip). Measured: a test reads both from the line; no behaviour changes.

--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -11,12 +11,20 @@
 import trio
 
 from peridotwell.fleet.relays.relay_topology import RelayTopology
-from peridotwell.fleet.transport.frames import StreamPull, StreamPush
+from peridotwell.fleet.replica.store_contact import (
+    StoreContact,
+    decode_seconds,
+)
+from peridotwell.fleet.transport.frames import (
+    RouterUpdate,
+    StreamPull,
+    StreamPush,
+)
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers
 from peridotwell.metrics import Metrics
 from peridotwell.policy.rendezvous import first_by_score
-from peridotwell.policy.stream_versions import StreamVersions
+from peridotwell.policy.stream_versions import Evidence, StreamVersions
 
 __all__ = ('StreamLookup',)
 
@@ -61,12 +69,14 @@
         transport: PeerTransport,
         topology: RelayTopology,
         versions: StreamVersions,
+        contact: StoreContact,
         metrics: Metrics,
     ) -> None:
         self._peers = peers
         self._transport = transport
         self._topology = topology
         self._versions = versions
+        self._contact = contact
         self._metrics = metrics
         self._searches: dict[int, _Search] = {}
 
@@ -103,23 +113,35 @@
             self._versions.version(pull.stream, now),
             self._versions.mixed_seconds(pull.service, now),
             self._versions.may_confirm(pull.service, now),
+            self._contact.answer_age(now),
         )
         self._transport.send(peer.hello.peer_address, push)
 
     def apply(self, push: StreamPush, now: float) -> None:
         """Record what another router knows of a stream."""
-        name = self._peers.name(push.sender)
+        evidence = Evidence(
+            self._peers.name(push.sender), now, _heard_at(push, now)
+        )
         self._versions.record_mixed(push.service, push.mixed_seconds, now)
         if push.is_confirmed:
-            self._versions.record_confirmation(push.service, now, name)
+            self._versions.record_confirmation(push.service, evidence)
         if push.version is not None:
-            self._versions.record(push.stream, push.version, now, name)
+            self._versions.record(push.stream, push.version, evidence)
         search = self._searches.get(push.stream)
         if search is not None:
             search.record_answer(
                 push.sender, is_version_known=push.version is not None
             )
 
+    def apply_told(self, update: RouterUpdate, now: float) -> None:
+        """Record the versions of streams that another router tells unasked."""
+        heard_seconds = decode_seconds(update.store_answer_age_deciseconds)
+        evidence = Evidence(
+            self._peers.name(update.sender), now, now - heard_seconds
+        )
+        for stream, version in update.stream_versions:
+            self._versions.record(stream, version, evidence)
+
     async def _ask_until_ended(
         self, search: _Search, stream: int, service: str
     ) -> None:
@@ -154,3 +176,10 @@
             yield routers.pop(relay)
         for router in first_by_score(str(stream), routers, MAX_ROUTERS_ASKED):
             yield routers[router]
+
+
+def _heard_at(push: StreamPush, now: float) -> float | None:
+    """Return when the store last answered the sender, if it tells."""
+    if push.store_heard_seconds is None:
+        return None
+    return now - push.store_heard_seconds
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -107,6 +107,7 @@
             transport,
             self.relay_protocol.topology,
             state.stream_versions,
+            state.directory.store_contact,
             metrics,
         )
         self._soft_state_syncs: tuple[SoftStateSync[Any], ...] = (
@@ -392,10 +393,8 @@
             self.step_sync.apply(update.event_steps, now)
         if update.target_paces:
             self.pace_sync.apply(update.target_paces, now)
-        for stream, version in update.stream_versions:
-            self.state.stream_versions.record(
-                stream, version, now, self.peers.name(update.sender)
-            )
+        if update.stream_versions:
+            self.stream_lookup.apply_told(update, now)
 
     def _apply_departures(
         self, departures: Collection[Departure], now: float
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -350,7 +350,9 @@
     `version` is None if it does not know the version. Streams of several
     versions of the service may be resumed for another `mixed_seconds`.
     `is_confirmed` is false if the sender does not know which versions have
-    served lately; routers of earlier builds do not tell.
+    served lately; routers of earlier builds do not tell. `store_heard_seconds`
+    is the time since the store last answered the sender, None if it never has
+    or the sender does not tell.
     """
 
     stream: int
@@ -358,6 +360,7 @@
     version: int | None
     mixed_seconds: float
     is_confirmed: bool = True
+    store_heard_seconds: float | None = None
 
 
 _Any = (
--- a/peridotwell/forwarding/resumption_log.py
+++ b/peridotwell/forwarding/resumption_log.py
@@ -31,9 +31,15 @@
     version: int | None,
     basis: Basis,
     evidence: Evidence | None,
+    store_heard_seconds: float | None,
     now: float,
 ) -> None:
-    """Log a stream that is taken up; `version` must serve, None: any may."""
+    """Log a stream that is taken up; `version` must serve, None: any may.
+
+    `store_heard_seconds` is the time since the store last answered this
+    router, None before. The line tells the same of the router that the
+    evidence comes from.
+    """
     stream = request.resumed_stream
     log = log_event if basis in GOES_ON else log_failure
     log(
@@ -44,6 +50,10 @@
         version=version,
         evidence=evidence.source if evidence else None,
         age_seconds=evidence.age_seconds(now) if evidence else None,
+        source_heard_seconds=(
+            evidence.source_heard_seconds(now) if evidence else None
+        ),
+        store_heard_seconds=store_heard_seconds,
         after=stream.last_event_id if stream else '',
         service=request.service,
     )
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -58,7 +58,7 @@
         stream = request.stream_id
         if self._versions.version(stream, now) is not None:
             return
-        self._versions.record(stream, target.software_id, now)
+        self._versions.record_own(stream, target.software_id, now)
         if self._versions.is_mixed(request.service, now):
             self._update_exchange.share_stream_versions(
                 [(stream, target.software_id)]
@@ -143,7 +143,8 @@
         else:
             basis = Basis.stream
             evidence = self._versions.evidence(request.stream_id, now)
-        log_taken_up(request, version, basis, evidence, now)
+        heard_seconds = self._directory.store_contact.answer_age(now)
+        log_taken_up(request, version, basis, evidence, heard_seconds, now)
 
     def _basis_without_version(self, service: str, now: float) -> Basis:
         if self._versions.is_mixed(service, now):
--- a/peridotwell/policy/stream_versions.py
+++ b/peridotwell/policy/stream_versions.py
@@ -26,15 +26,26 @@
 
 @dataclass(frozen=True)
 class Evidence:
-    """From where, and when, this router has learned a fact."""
+    """From where, and when, this router has learned a fact.
+
+    `source_heard_at` is when the store last answered the source, by this
+    router's clock, None if it does not tell.
+    """
 
     source: str
     learned_at: float
+    source_heard_at: float | None = None
 
     def age_seconds(self, now: float) -> float:
         """Return how long ago it has learned the fact."""
         return round(max(now - self.learned_at, 0), 3)
 
+    def source_heard_seconds(self, now: float) -> float | None:
+        """Return how long ago the store answered its source, if it tells."""
+        if self.source_heard_at is None:
+            return None
+        return round(max(now - self.source_heard_at, 0), 3)
+
 
 @dataclass(frozen=True)
 class _KnownVersion:
@@ -132,11 +143,9 @@
             return MEMORY_SECONDS
         return max(self._mixed_until.get(service, 0) - now, 0)
 
-    def record_confirmation(
-        self, service: str, now: float, router: str
-    ) -> None:
+    def record_confirmation(self, service: str, evidence: Evidence) -> None:
         """Record that another router has told all versions of a service."""
-        self._confirmed[service] = Evidence(router, now)
+        self._confirmed[service] = evidence
 
     def record_mixed(
         self, service: str, mixed_seconds: float, now: float
@@ -175,16 +184,18 @@
             service, now
         )
 
-    def record(
-        self, stream: int, version: int, now: float, source: str = OWN
-    ) -> None:
+    def record_own(self, stream: int, version: int, now: float) -> None:
+        """Record which version began a stream at this router."""
+        self.record(stream, version, Evidence(OWN, now))
+
+    def record(self, stream: int, version: int, evidence: Evidence) -> None:
         """Record which version began a stream, unless that is known."""
         if stream in self._versions:
             return
-        self._remove_expired(now)
+        self._remove_expired(evidence.learned_at)
         if len(self._versions) >= MAX_STREAMS:
             self._versions.pop(next(iter(self._versions)))
-        self._versions[stream] = _KnownVersion(version, Evidence(source, now))
+        self._versions[stream] = _KnownVersion(version, evidence)
 
     def version(self, stream: int, now: float) -> int | None:
         """Return the version that began a stream, or None if unknown."""
--- a/tests/fleet/relays/test_stream_lookup.py
+++ b/tests/fleet/relays/test_stream_lookup.py
@@ -44,7 +44,7 @@
 
 async def test_a_router_learns_the_version_of_a_stream(autojump_clock, fleet):
     for router in fleet[1:]:
-        router.knowledge.stream_versions.record(
+        router.knowledge.stream_versions.record_own(
             STREAM, VERSION, trio.current_time()
         )
     assert await find(fleet) < 0.05
@@ -115,7 +115,7 @@
     first, second = (Router(f'r{number}', routers) for number in range(2))
     for router in (first, second):
         router.sharing.discovery.add_peers([first.hello, second.hello])
-    second.knowledge.stream_versions.record(STREAM, VERSION, 0)
+    second.knowledge.stream_versions.record_own(STREAM, VERSION, 0)
     first.transport.is_cut = True
     nursery.start_soon(first.sharing.stream_lookup.find, STREAM, SERVICE)
     await trio.sleep(0.07)
@@ -131,7 +131,7 @@
     autojump_clock, fleet, nursery
 ):
     for router in fleet[1:]:
-        router.knowledge.stream_versions.record(STREAM, VERSION, 0)
+        router.knowledge.stream_versions.record_own(STREAM, VERSION, 0)
     nursery.start_soon(fleet[0].sharing.stream_lookup.find, STREAM, SERVICE)
     await trio.sleep(0.01)
     for router in fleet[1:]:
--- a/tests/forwarding/test_stream_affinity.py
+++ b/tests/forwarding/test_stream_affinity.py
@@ -139,7 +139,7 @@
     with pytest.raises(NoTarget):
         await first.required()
     now = trio.current_time()
-    first.knowledge.stream_versions.record(STREAM.stream_id, 1, now)
+    first.knowledge.stream_versions.record_own(STREAM.stream_id, 1, now)
     assert await first.required() == 1
 
 
@@ -184,7 +184,7 @@
     nursery.start_soon(answer_questions, routers)
     first, second = routers
     await first.required()
-    second.knowledge.stream_versions.record(
+    second.knowledge.stream_versions.record_own(
         STREAM.stream_id, 1, trio.current_time()
     )
     first.knowledge.stream_versions.set_serving(
@@ -193,7 +193,7 @@
     await first.required()
     await trio.sleep(1)
     await first.required()
-    second.knowledge.stream_versions.record(
+    second.knowledge.stream_versions.record_own(
         STREAM.stream_id, 1, trio.current_time()
     )
     await second.required()
@@ -221,3 +221,23 @@
         await first.required()
     refused = [('not_confirmed', None), ('several_versions', None)]
     assert told(caplog, 'basis', 'evidence') == refused
+
+
+# Guards against records of an incident that do not show which router had not
+# heard the store: the one that took a stream up, or the one that it went by.
+async def test_the_log_tells_when_the_source_heard_the_store(
+    autojump_clock, nursery, routers, caplog
+):
+    caplog.set_level('INFO', 'peridotwell')
+    first, second = routers
+    second.know_versions()
+    second.hear_store()
+    await meet(routers)
+    nursery.start_soon(answer_questions, routers)
+    await trio.sleep(1)
+    first.hear_store()
+    await first.required()
+    ((source, own),) = told(
+        caplog, 'source_heard_seconds', 'store_heard_seconds'
+    )
+    assert source >= 2 > 1 > own
--- a/tests/policy/test_stream_versions.py
+++ b/tests/policy/test_stream_versions.py
@@ -1,7 +1,11 @@
 """Version affinity of streams during a rolling upgrade."""
 
 from peridotwell.policy import stream_versions
-from peridotwell.policy.stream_versions import MEMORY_SECONDS, StreamVersions
+from peridotwell.policy.stream_versions import (
+    MEMORY_SECONDS,
+    Evidence,
+    StreamVersions,
+)
 
 OLD, NEW = 1, 2
 MODEL = 'model'
@@ -31,8 +35,8 @@
 
 def test_first_version_of_a_stream_counts_until_it_is_forgotten():
     versions = StreamVersions()
-    versions.record(7, OLD, 0)
-    versions.record(7, NEW, 1)
+    versions.record_own(7, OLD, 0)
+    versions.record_own(7, NEW, 1)
     assert versions.version(7, 1) == OLD
     assert list(versions.recent(1)) == [(7, OLD)]
     assert versions.version(7, MEMORY_SECONDS) is None
@@ -43,7 +47,7 @@
     monkeypatch.setattr(stream_versions, 'MAX_STREAMS', 3)
     versions = StreamVersions()
     for stream in range(10):
-        versions.record(stream, OLD, 0)
+        versions.record_own(stream, OLD, 0)
     assert [stream for stream, _ in versions.recent(0)] == [7, 8, 9]
 
 
@@ -54,7 +58,7 @@
     serve(versions, NEW, now=0)
     assert not versions.is_confirmed(MODEL, 1)
     assert versions.may_lack(MODEL, 1)
-    versions.record_confirmation(MODEL, 1, 'r1')
+    versions.record_confirmation(MODEL, Evidence('r1', 1))
     assert versions.is_confirmed(MODEL, 1)
     assert not versions.may_lack(MODEL, 1)
 
