Routers out of step: tests that fail on streams of two versions

Reproduced with four routers, three targets of one version and one of a new version that registers while a router is cut off alone, together with another one, or hears all news a second late: all streams of the new version go on at another one (8 of 8, 8 of 8, 1 of 1).

--- a/tests/peridotwell_platform/cut_fleet.py
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -15,6 +15,7 @@
 import msgspec
 import trio
 
+from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import router_setup, stand_in
 from tests.peridotwell_platform.router_setup import (
@@ -99,17 +100,28 @@
 
     store: stand_in.StoreStandIn
     paths: dict[str, Path]
+    is_cut: bool = False
+    # How much later than it was made an answer arrives.
+    delay_seconds: float = 0
 
     async def handle(self, exchange) -> None:
         """Answer a call, with the addresses of the paths."""
         body = await exchange.body()
+        await self._pass()
         name = exchange.path.removeprefix('/peridotwell/')
         status, document = await self.store._run(exchange, name, body)
+        await trio.sleep(self.delay_seconds)
+        await self._pass()
         for item in (*document.get('items', ()), *document.get('events', ())):
             self._rewrite(item)
         era = ('store-era', str(self.store.era))
         await exchange.respond_json(document, status, (era,))
 
+    async def _pass(self) -> None:
+        """Wait while no packet passes."""
+        while self.is_cut:
+            await trio.sleep(0.005)
+
     def _rewrite(self, item) -> None:
         path = self.paths.get(item['key'].removeprefix('servers/'))
         if path is None or 'value' not in item:
@@ -134,6 +146,31 @@
     callers: str
     paths: dict[str, Path]
     scope: trio.CancelScope
+    view: StoreView
+    transport: PeerTransport
+    nursery: trio.Nursery
+    # The other routers that it does not reach.
+    cut_from: set[str] = field(default_factory=set)
+    # By address, how much later its messages arrive there.
+    delays: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Send as far as other routers are reached, and as late."""
+        self._transmit = self.transport.transmit
+        self.transport.transmit = self._transmit_if_reached
+
+    def _transmit_if_reached(self, address: str, content: bytes) -> bool:
+        # A cut looks like a connection over which nothing comes.
+        if address in self.cut_from:
+            return True
+        if address in self.delays:
+            self.nursery.start_soon(self._transmit_later, address, content)
+            return True
+        return self._transmit(address, content)
+
+    async def _transmit_later(self, address: str, content: bytes) -> None:
+        await trio.sleep(self.delays[address])
+        self._transmit(address, content)
 
 
 @dataclass
@@ -168,7 +205,16 @@
             f'{LOCALHOST}:{find_free_port()}',
             f'{LOCALHOST}:{find_free_port()}' if takes_over else '',
         )
-        self.routers.append(FleetRouter(router.address, paths, scope))
+        self.routers.append(
+            FleetRouter(
+                router.address,
+                paths,
+                scope,
+                view,
+                router.router._components.transport,
+                nursery,
+            )
+        )
 
     async def cut(self, number: int, how: str, *targets: str) -> None:
         """Cut a router from these targets, by default from all."""
@@ -176,6 +222,40 @@
         for name in targets or paths:
             await paths[name].cut(how)
 
+    def cut_off(self, *numbers: int) -> None:
+        """Cut routers off, together, from the store and all other routers."""
+        self.cut_from_store(*numbers)
+        self.cut_from_others(*numbers)
+
+    def cut_from_store(self, *numbers: int) -> None:
+        """Cut routers off from the store; other routers tell them of it."""
+        for number in numbers:
+            self.routers[number].view.is_cut = True
+
+    def cut_from_others(self, *numbers: int) -> None:
+        """Cut routers off, together, from all other routers."""
+        for number, router in enumerate(self.routers):
+            router.cut_from.update(
+                other.transport.address
+                for index, other in enumerate(self.routers)
+                if (index in numbers) != (number in numbers)
+            )
+
+    def delay_news(self, seconds: float, *numbers: int) -> None:
+        """Let all that the store and others tell routers arrive later."""
+        for number in numbers:
+            self.routers[number].view.delay_seconds = seconds
+            address = self.routers[number].transport.address
+            for index, router in enumerate(self.routers):
+                if index not in numbers:
+                    router.delays[address] = seconds
+
+    def join(self) -> None:
+        """End all cuts between routers, and between them and the store."""
+        for router in self.routers:
+            router.view.is_cut = False
+            router.cut_from.clear()
+
     async def heal(self, number: int) -> None:
         """Open all paths of a router."""
         for path in self.routers[number].paths.values():
