--- a/measure/forwarding_costs.py
+++ b/measure/forwarding_costs.py
@@ -18,14 +18,17 @@
     encode_frame,
 )
 from peridotwell.logs import configure_logging, log_event
-from peridotwell.policy.engine_choice import (
+from peridotwell.policy.load.peer_counts import PeerCounts
+from peridotwell.policy.placement.engine_choice import (
     CacheSource,
     EngineCandidate,
     PromptNeeds,
     choose_engine,
 )
-from peridotwell.policy.peer_counts import PeerCounts
-from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
+from peridotwell.policy.placement.prompt_cache_index import (
+    CachedPart,
+    PromptCacheIndex,
+)
 
 __all__ = (
     'measure_choice',
--- a/measure/policies.py
+++ b/measure/policies.py
@@ -16,7 +16,10 @@
 from peridotwell.domain.contract import Contract
 from peridotwell.domain.target import Target
 from peridotwell.errors import RequestError
-from peridotwell.policy.placement import RendezvousPlacement, placement_hint
+from peridotwell.policy.placement.placement import (
+    RendezvousPlacement,
+    placement_hint,
+)
 from peridotwell.serving.placer import PlacementRequest
 
 __all__ = (
--- a/measure/router_costs.py
+++ b/measure/router_costs.py
@@ -10,12 +10,12 @@
 import msgspec
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.credits import load_caps
-from peridotwell.policy.placement import (
+from peridotwell.policy.placement.placement import (
     HintedPlacement,
     RendezvousPlacement,
     placement_hint,
 )
+from peridotwell.policy.room.credits import load_caps
 from standins.cluster import LocalCluster, Process
 
 __all__ = ('PATH_HEADER', 'decision_rows', 'path_rows')
--- a/measure/simulated_fleet.py
+++ b/measure/simulated_fleet.py
@@ -18,7 +18,7 @@
 from peridotwell.fleet.membership.target_membership import TargetMembership
 from peridotwell.fleet.transport.peers import Peers, make_hello
 from peridotwell.metrics import Metrics
-from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.crashes.quarantine import Quarantine
 from peridotwell.serving.placer import Placer
 from peridotwell.store.configuration import ConfigurationStore
 from standins.memory_store import MemoryStore
--- a/peridotwell/assembly.py
+++ b/peridotwell/assembly.py
@@ -16,7 +16,7 @@
 from peridotwell.metrics import Metrics
 from peridotwell.operators.api import OperatorsApi
 from peridotwell.operators.status import StatusReader
-from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.crashes.quarantine import Quarantine
 from peridotwell.serving.at_most_once import AtMostOnceExecutor
 from peridotwell.serving.membership_standings import MembershipStandings
 from peridotwell.serving.placer import Placer
--- a/peridotwell/fleet/caches/cache_answers.py
+++ b/peridotwell/fleet/caches/cache_answers.py
@@ -17,8 +17,8 @@
     Frame,
 )
 from peridotwell.fleet.transport.peer_transport import PeerTransport
-from peridotwell.policy.bulk_pacing import BulkPacer
-from peridotwell.policy.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.updates.bulk_pacing import BulkPacer
 
 __all__ = ('CacheAnswers',)
 
--- a/peridotwell/fleet/caches/cache_lists.py
+++ b/peridotwell/fleet/caches/cache_lists.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Iterator
 
 from peridotwell.fleet.transport.frames import CachedPrompt, Pairs
-from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 
 __all__ = ('PART_BYTES', 'chunk_lists', 'encode_parts', 'list_portions')
 
--- a/peridotwell/fleet/caches/cache_sync.py
+++ b/peridotwell/fleet/caches/cache_sync.py
@@ -19,7 +19,10 @@
 )
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers, choose_peer
-from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
+from peridotwell.policy.placement.prompt_cache_index import (
+    CachedPart,
+    PromptCacheIndex,
+)
 
 __all__ = ('CacheSync',)
 
--- a/peridotwell/fleet/caches/listed_caches.py
+++ b/peridotwell/fleet/caches/listed_caches.py
@@ -11,7 +11,7 @@
 
 from peridotwell.fleet.caches.cache_lists import PART_BYTES
 from peridotwell.fleet.transport.frames import CachedPrompt
-from peridotwell.policy.bulk_pacing import BulkPacer
+from peridotwell.policy.updates.bulk_pacing import BulkPacer
 
 __all__ = ('ListedCaches',)
 
--- a/peridotwell/fleet/lending/borrower_client.py
+++ b/peridotwell/fleet/lending/borrower_client.py
@@ -19,7 +19,7 @@
 )
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers
-from peridotwell.policy.credits import Borrower
+from peridotwell.policy.room.credits import Borrower
 
 __all__ = ('BorrowerClient', 'CreditRequestCounters')
 
--- a/peridotwell/fleet/lending/lender_service.py
+++ b/peridotwell/fleet/lending/lender_service.py
@@ -16,7 +16,7 @@
 )
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peers
-from peridotwell.policy.credits import Holdings, Lender
+from peridotwell.policy.room.credits import Holdings, Lender
 
 __all__ = ('LenderService',)
 
--- a/peridotwell/fleet/lending/load_tracker.py
+++ b/peridotwell/fleet/lending/load_tracker.py
@@ -8,7 +8,7 @@
 from peridotwell.domain.target import Pool, Target, wire_id
 from peridotwell.fleet.membership.target_membership import TargetMembership
 from peridotwell.fleet.transport.peers import Peer, Peers
-from peridotwell.policy.credits import load_caps
+from peridotwell.policy.room.credits import load_caps
 from peridotwell.store.configuration import ConfigurationStore
 
 __all__ = ('LoadTracker',)
--- a/peridotwell/fleet/membership/gossip.py
+++ b/peridotwell/fleet/membership/gossip.py
@@ -30,7 +30,7 @@
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.quarantine import Quarantine
+from peridotwell.policy.crashes.quarantine import Quarantine
 from peridotwell.store.configuration import ConfigurationStore
 
 __all__ = ('SharedState', 'Gossip')
--- a/peridotwell/fleet/relays/delay_monitor.py
+++ b/peridotwell/fleet/relays/delay_monitor.py
@@ -6,7 +6,7 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.logs import log_failure
 from peridotwell.metrics import Metrics
-from peridotwell.policy.update_delay import UpdateDelay
+from peridotwell.policy.updates.update_delay import UpdateDelay
 
 __all__ = ('DelayMonitor',)
 
--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -3,18 +3,18 @@
 from dataclasses import dataclass, field
 
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
-from peridotwell.policy.brittle_targets import BrittleTargets
-from peridotwell.policy.cold_targets import ColdTargets
-from peridotwell.policy.crash_blame import CrashBlame
-from peridotwell.policy.crashed_requests import CrashedRequests
-from peridotwell.policy.event_steps import EventSteps
-from peridotwell.policy.own_reach import OwnReach
-from peridotwell.policy.peer_counts import PeerCounts
-from peridotwell.policy.prompt_cache_index import PromptCacheIndex
-from peridotwell.policy.stream_versions import StreamVersions
-from peridotwell.policy.target_limits import TargetLimits
-from peridotwell.policy.target_notices import TargetNotices
-from peridotwell.policy.target_paces import TargetPaces
+from peridotwell.policy.brittle.brittle_targets import BrittleTargets
+from peridotwell.policy.crashes.crash_blame import CrashBlame
+from peridotwell.policy.crashes.crashed_requests import CrashedRequests
+from peridotwell.policy.evidence.event_steps import EventSteps
+from peridotwell.policy.health.own_reach import OwnReach
+from peridotwell.policy.health.target_notices import TargetNotices
+from peridotwell.policy.limits.cold_targets import ColdTargets
+from peridotwell.policy.limits.target_limits import TargetLimits
+from peridotwell.policy.load.peer_counts import PeerCounts
+from peridotwell.policy.load.target_paces import TargetPaces
+from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.versions.stream_versions import StreamVersions
 
 __all__ = ('ForwardingState',)
 
--- a/peridotwell/fleet/relays/relay_protocol.py
+++ b/peridotwell/fleet/relays/relay_protocol.py
@@ -32,8 +32,8 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_failure
-from peridotwell.policy.change_distribution import SEND_SECONDS
-from peridotwell.policy.relays import needs_relays
+from peridotwell.policy.updates.change_distribution import SEND_SECONDS
+from peridotwell.policy.updates.relays import needs_relays
 
 __all__ = ('RelayProtocol',)
 
--- a/peridotwell/fleet/relays/relay_topology.py
+++ b/peridotwell/fleet/relays/relay_topology.py
@@ -11,12 +11,12 @@
 from peridotwell.fleet.transport.frames import Hello, UpdateBatch
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
-from peridotwell.policy.relays import (
+from peridotwell.policy.updates.relays import (
     GroupMember,
     RelayMonitor,
     make_relay_groups,
 )
-from peridotwell.policy.update_delay import UpdateDelay
+from peridotwell.policy.updates.update_delay import UpdateDelay
 
 __all__ = ('BatchSource', 'RelayTopology')
 
--- a/peridotwell/fleet/relays/soft_state_sync.py
+++ b/peridotwell/fleet/relays/soft_state_sync.py
@@ -10,8 +10,8 @@
 from typing import Generic
 
 from peridotwell.fleet.transport.peers import Peers
-from peridotwell.policy.rendezvous import first_by_score
-from peridotwell.policy.soft_state import RecordT, SoftState
+from peridotwell.policy.placement.rendezvous import first_by_score
+from peridotwell.policy.updates.soft_state import RecordT, SoftState
 
 __all__ = ('SoftStateSync',)
 
--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -23,8 +23,8 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers
 from peridotwell.metrics import Metrics
-from peridotwell.policy.rendezvous import first_by_score
-from peridotwell.policy.stream_versions import Evidence, StreamVersions
+from peridotwell.policy.placement.rendezvous import first_by_score
+from peridotwell.policy.versions.stream_versions import Evidence, StreamVersions
 
 __all__ = ('StreamLookup',)
 
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -46,9 +46,9 @@
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.own_counts import OwnCounts
-from peridotwell.policy.prompt_cache_index import CachedPart
-from peridotwell.policy.target_notices import Departure
+from peridotwell.policy.health.target_notices import Departure
+from peridotwell.policy.load.own_counts import OwnCounts
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 
 __all__ = ('UpdateExchange',)
 
--- a/peridotwell/fleet/replica/large_changes.py
+++ b/peridotwell/fleet/replica/large_changes.py
@@ -16,8 +16,8 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers
 from peridotwell.logs import log_event
-from peridotwell.policy.bulk_pacing import BulkPacer
-from peridotwell.policy.change_distribution import (
+from peridotwell.policy.updates.bulk_pacing import BulkPacer
+from peridotwell.policy.updates.change_distribution import (
     ChangeReceiver,
     choose_receivers,
 )
--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -15,8 +15,8 @@
 from peridotwell.domain.counts import Count
 from peridotwell.errors import StoreConflict
 from peridotwell.fleet.transport.peers import Peers
-from peridotwell.policy.rendezvous import first_by_score
-from peridotwell.policy.stream_versions import StreamVersions
+from peridotwell.policy.placement.rendezvous import first_by_score
+from peridotwell.policy.versions.stream_versions import StreamVersions
 from peridotwell.store.base import Entry, EntryStore
 
 __all__ = (
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -13,13 +13,13 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
-from peridotwell.policy.brittle_records import BrittleRecord
-from peridotwell.policy.loss_records import LossRecord
-from peridotwell.policy.quarantine import CrashRecord
-from peridotwell.policy.step_records import StepRecord
-from peridotwell.policy.target_limits import LimitRecord
-from peridotwell.policy.target_notices import Departure
-from peridotwell.policy.target_paces import PaceRecord
+from peridotwell.policy.brittle.brittle_records import BrittleRecord
+from peridotwell.policy.crashes.loss_records import LossRecord
+from peridotwell.policy.crashes.quarantine import CrashRecord
+from peridotwell.policy.evidence.step_records import StepRecord
+from peridotwell.policy.health.target_notices import Departure
+from peridotwell.policy.limits.target_limits import LimitRecord
+from peridotwell.policy.load.target_paces import PaceRecord
 
 __all__ = (
     'Frame',
--- a/peridotwell/fleet/transport/peer_discovery.py
+++ b/peridotwell/fleet/transport/peer_discovery.py
@@ -8,7 +8,7 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
-from peridotwell.policy.relays import needs_relays
+from peridotwell.policy.updates.relays import needs_relays
 
 __all__ = ('PeerDiscovery',)
 
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -9,7 +9,7 @@
 
 from peridotwell.domain.target import Pool, Target, wire_id
 from peridotwell.fleet.transport.frames import Heartbeat, Hello, RouterUpdate
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 
 __all__ = ('Peer', 'Peers', 'choose_lender', 'choose_peer', 'make_hello')
 
--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -15,7 +15,7 @@
     ServiceProperties,
 )
 from peridotwell.domain.target import Target, wire_id
-from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.target_client import ResponseReader
 from peridotwell.serving.target_response import TargetResponse
--- a/peridotwell/forwarding/attempt.py
+++ b/peridotwell/forwarding/attempt.py
@@ -4,7 +4,7 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.policy.choice import Choice
+from peridotwell.policy.placement.choice import Choice
 from peridotwell.serving.event_stream import MayGiveUp
 
 __all__ = ('Attempt',)
--- a/peridotwell/forwarding/brittle_room.py
+++ b/peridotwell/forwarding/brittle_room.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.brittle_targets import BrittleTargets, RequestCounts
-from peridotwell.policy.own_counts import OwnCounts
+from peridotwell.policy.brittle.brittle_targets import (
+    BrittleTargets,
+    RequestCounts,
+)
+from peridotwell.policy.load.own_counts import OwnCounts
 
 __all__ = ('BrittleRoom',)
 
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/buffered_responses.py
@@ -32,8 +32,8 @@
 from peridotwell.forwarding.retries import Attempts, RetryDecision
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.logs import log_failure
-from peridotwell.policy.buffer_budget import BufferShare
-from peridotwell.policy.choice import Choice
+from peridotwell.policy.placement.choice import Choice
+from peridotwell.policy.room.buffer_budget import BufferShare
 from peridotwell.serving.target_response import (
     BodyEnd,
     ResponseOrigin,
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/caller_response.py
@@ -18,7 +18,7 @@
     without_handover_fields,
 )
 from peridotwell.forwarding.stream_log import CUT
-from peridotwell.policy.buffer_budget import BufferShare
+from peridotwell.policy.room.buffer_budget import BufferShare
 from peridotwell.serving.error_body import error_body
 from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.target_response import BodyEnd
--- a/peridotwell/forwarding/cold_watch.py
+++ b/peridotwell/forwarding/cold_watch.py
@@ -7,7 +7,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics
-from peridotwell.policy.cold_targets import ColdTargets
+from peridotwell.policy.limits.cold_targets import ColdTargets
 
 __all__ = ('ColdWatch',)
 
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -25,8 +25,8 @@
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.crash_blame import format_parts, shared_part_ids
-from peridotwell.policy.crashed_requests import RECORD_TTL_SECONDS
+from peridotwell.policy.crashes.crash_blame import format_parts, shared_part_ids
+from peridotwell.policy.crashes.crashed_requests import RECORD_TTL_SECONDS
 from peridotwell.serving.target_presence import HAS_ENDED, TargetSign
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
--- a/peridotwell/forwarding/crowded_paths.py
+++ b/peridotwell/forwarding/crowded_paths.py
@@ -8,7 +8,7 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.choice import Choice
+from peridotwell.policy.placement.choice import Choice
 
 __all__ = ('CrowdedPaths',)
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -43,7 +43,7 @@
 from peridotwell.forwarding.target_standings import has_left
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.end_marks import EndMarks
+from peridotwell.policy.evidence.end_marks import EndMarks
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequest,
     OutstandingRequests,
--- a/peridotwell/forwarding/end_recorder.py
+++ b/peridotwell/forwarding/end_recorder.py
@@ -1,7 +1,7 @@
 """Records how responses of one kind end, and logs what that changes."""
 
 from peridotwell.logs import log_failure
-from peridotwell.policy.end_marks import EndCounts, EndGroup, EndMarks
+from peridotwell.policy.evidence.end_marks import EndCounts, EndGroup, EndMarks
 from peridotwell.serving.target_response import BodyEnd, ResponseOrigin
 
 __all__ = ('EndRecorder',)
--- a/peridotwell/forwarding/engine_room.py
+++ b/peridotwell/forwarding/engine_room.py
@@ -11,7 +11,7 @@
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.first_attempt_room import FirstAttemptRoom
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.engine_choice import EngineCandidate
+from peridotwell.policy.placement.engine_choice import EngineCandidate
 
 __all__ = ('EngineRoom',)
 
--- a/peridotwell/forwarding/engine_selection.py
+++ b/peridotwell/forwarding/engine_selection.py
@@ -9,14 +9,14 @@
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.engine_room import EngineRoom
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.choice import Choice, total_load
-from peridotwell.policy.engine_choice import (
+from peridotwell.policy.placement.choice import Choice, total_load
+from peridotwell.policy.placement.engine_choice import (
     CacheSource,
     EngineCandidate,
     PromptNeeds,
     choose_engine,
 )
-from peridotwell.policy.prompt_cache_index import (
+from peridotwell.policy.placement.prompt_cache_index import (
     CachedPart,
     PromptCacheIndex,
     cacheable_parts,
--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/event_order.py
@@ -15,7 +15,7 @@
 from peridotwell.domain.counts import is_count
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.event_verdicts import EventStep, EventVerdicts
-from peridotwell.policy.step_records import Evidence
+from peridotwell.policy.evidence.step_records import Evidence
 
 __all__ = ('EventMissing', 'EventOrder')
 
--- a/peridotwell/forwarding/event_verdicts.py
+++ b/peridotwell/forwarding/event_verdicts.py
@@ -5,8 +5,8 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.event_steps import EventSteps, Finding
-from peridotwell.policy.step_records import Evidence, StepRecord
+from peridotwell.policy.evidence.event_steps import EventSteps, Finding
+from peridotwell.policy.evidence.step_records import Evidence, StepRecord
 
 __all__ = ('EventStep', 'EventVerdicts')
 
--- a/peridotwell/forwarding/first_attempt_room.py
+++ b/peridotwell/forwarding/first_attempt_room.py
@@ -10,8 +10,8 @@
 from peridotwell.errors import NoRoom
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.choice import Candidate
-from peridotwell.policy.urgency_ranks import UrgencyRanks
+from peridotwell.policy.placement.choice import Candidate
+from peridotwell.policy.room.urgency_ranks import UrgencyRanks
 
 __all__ = ('FirstAttemptRoom',)
 
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -46,7 +46,7 @@
 from peridotwell.forwarding.streams import StreamBroken, StreamForwarder
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics
-from peridotwell.policy.retry_window import RetryWindow
+from peridotwell.policy.retries.retry_window import RetryWindow
 from peridotwell.serving.caller_disconnect import run_until_caller_disconnects
 from peridotwell.serving.http_exchange import HttpExchange
 
--- a/peridotwell/forwarding/notice_recorder.py
+++ b/peridotwell/forwarding/notice_recorder.py
@@ -6,8 +6,12 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.brittleness import Brittleness
-from peridotwell.policy.target_notices import NO_NOTICE, Departure, TargetNotice
+from peridotwell.policy.brittle.brittleness import Brittleness
+from peridotwell.policy.health.target_notices import (
+    NO_NOTICE,
+    Departure,
+    TargetNotice,
+)
 
 __all__ = ('NoticeRecorder',)
 
--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/path_selection.py
@@ -10,7 +10,7 @@
 from peridotwell.forwarding.peer_paths import PeerPaths
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.choice import Choice
+from peridotwell.policy.placement.choice import Choice
 
 __all__ = ('PathSelector',)
 
--- a/peridotwell/forwarding/peer_paths.py
+++ b/peridotwell/forwarding/peer_paths.py
@@ -4,8 +4,8 @@
 
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.fleet.transport.peers import Peer, Peers
-from peridotwell.policy.choice import Choice
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.placement.choice import Choice
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 
 __all__ = ('PeerPaths',)
 
--- a/peridotwell/forwarding/reachability_prober.py
+++ b/peridotwell/forwarding/reachability_prober.py
@@ -14,8 +14,8 @@
 from peridotwell.forwarding.connection_check import can_connect
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event
-from peridotwell.policy.own_reach import OwnReach
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.health.own_reach import OwnReach
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 
 __all__ = ('ReachabilityProber',)
 
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/recovery.py
@@ -24,8 +24,8 @@
 from peridotwell.forwarding.adapters import TargetAdapter
 from peridotwell.forwarding.target_clients import TargetClients
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.prompt_cache_index import PromptCacheIndex
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 from peridotwell.serving.target_client import ResponseTimeouts
 
 __all__ = ('CacheRecovery',)
--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/request_reader.py
@@ -21,8 +21,8 @@
     without_handover_fields,
 )
 from peridotwell.logs import log_event
-from peridotwell.policy.quarantine import request_fingerprint
-from peridotwell.policy.region_restriction import combined_regions
+from peridotwell.policy.crashes.quarantine import request_fingerprint
+from peridotwell.policy.placement.region_restriction import combined_regions
 from peridotwell.serving.http_exchange import HttpExchange
 
 __all__ = (
--- a/peridotwell/forwarding/response_recorder.py
+++ b/peridotwell/forwarding/response_recorder.py
@@ -9,8 +9,8 @@
 from peridotwell.forwarding.stream_log import StreamEnd
 from peridotwell.logs import log_event
 from peridotwell.metrics import Measure, Metrics, Series
-from peridotwell.policy.choice import Choice
-from peridotwell.policy.update_delay import UpdateDelay
+from peridotwell.policy.placement.choice import Choice
+from peridotwell.policy.updates.update_delay import UpdateDelay
 from peridotwell.serving.target_response import ResponseOrigin
 
 __all__ = ('ResponseRecorder', 'ResponseSummary')
--- a/peridotwell/forwarding/resumption_log.py
+++ b/peridotwell/forwarding/resumption_log.py
@@ -4,7 +4,7 @@
 
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.stream_versions import Evidence
+from peridotwell.policy.versions.stream_versions import Evidence
 
 __all__ = ('Basis', 'log_taken_up')
 
--- a/peridotwell/forwarding/retries.py
+++ b/peridotwell/forwarding/retries.py
@@ -10,7 +10,7 @@
     TargetLeft,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.policy.retry_window import RetryWindow
+from peridotwell.policy.retries.retry_window import RetryWindow
 
 __all__ = ('RetryDecision', 'Attempts')
 
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -10,8 +10,8 @@
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics, render_metrics
-from peridotwell.policy.body_budget import BodyBudget
-from peridotwell.policy.buffer_budget import buffer_bytes
+from peridotwell.policy.room.body_budget import BodyBudget
+from peridotwell.policy.room.buffer_budget import buffer_bytes
 from peridotwell.serving.asgi import HttpServer
 from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.store.change_feed import ChangeFeedStore
--- a/peridotwell/forwarding/settings.py
+++ b/peridotwell/forwarding/settings.py
@@ -8,7 +8,7 @@
     EntryDecoder,
     TargetAdapter,
 )
-from peridotwell.policy.region_restriction import RegionTable
+from peridotwell.policy.placement.region_restriction import RegionTable
 
 __all__ = ('ForwardingSettings', 'Adapters')
 
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -39,7 +39,7 @@
 )
 from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.logs import log_failure
-from peridotwell.policy.choice import Choice
+from peridotwell.policy.placement.choice import Choice
 from peridotwell.serving.stream_head import StreamHead
 from peridotwell.serving.target_response import (
     BodyEnd,
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/target_selection.py
@@ -11,15 +11,15 @@
 from peridotwell.forwarding.path_check import PathCheck
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.forwarding.usable_targets import UsableTargets
-from peridotwell.policy.choice import (
+from peridotwell.policy.placement.choice import (
     Candidate,
     Choice,
     choose_least_loaded,
     total_load,
 )
-from peridotwell.policy.gradual_return import admitted_targets
-from peridotwell.policy.prompt_cache_index import PromptCacheIndex
-from peridotwell.policy.return_spread import return_seconds
+from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.retries.gradual_return import admitted_targets
+from peridotwell.policy.retries.return_spread import return_seconds
 
 __all__ = ('TargetSelector',)
 
--- a/peridotwell/forwarding/target_standings.py
+++ b/peridotwell/forwarding/target_standings.py
@@ -3,7 +3,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import TargetAdapter
-from peridotwell.policy.target_notices import TargetNotices
+from peridotwell.policy.health.target_notices import TargetNotices
 from peridotwell.serving.request_recall import TargetStanding, TargetStandings
 
 __all__ = ('ForwardingTargetStandings', 'has_left')
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/target_tracker.py
@@ -11,18 +11,18 @@
 from peridotwell.forwarding.brittle_room import BrittleRoom
 from peridotwell.forwarding.silence_limits import SilenceLimits
 from peridotwell.logs import log_event
-from peridotwell.policy.choice import Choice
-from peridotwell.policy.contact_times import ContactTimes
-from peridotwell.policy.data_centres import DataCentreMonitor
-from peridotwell.policy.full_reports import FullReports
-from peridotwell.policy.outlier_ejection import OutlierEjection
-from peridotwell.policy.prompt_cache_index import cacheable_parts
-from peridotwell.policy.region_restriction import RegionTable
-from peridotwell.policy.request_lengths import RequestLengths
-from peridotwell.policy.return_spread import ReturnSpread
-from peridotwell.policy.service_times import ServiceTimes
-from peridotwell.policy.silence import SilenceDetector
-from peridotwell.policy.target_load import LoadReport, TargetLoad
+from peridotwell.policy.health.contact_times import ContactTimes
+from peridotwell.policy.health.data_centres import DataCentreMonitor
+from peridotwell.policy.health.outlier_ejection import OutlierEjection
+from peridotwell.policy.health.silence import SilenceDetector
+from peridotwell.policy.load.request_lengths import RequestLengths
+from peridotwell.policy.load.service_times import ServiceTimes
+from peridotwell.policy.load.target_load import LoadReport, TargetLoad
+from peridotwell.policy.placement.choice import Choice
+from peridotwell.policy.placement.prompt_cache_index import cacheable_parts
+from peridotwell.policy.placement.region_restriction import RegionTable
+from peridotwell.policy.retries.return_spread import ReturnSpread
+from peridotwell.policy.room.full_reports import FullReports
 
 __all__ = ('TargetTracker', 'tokens_to_prefill')
 
--- a/peridotwell/forwarding/unknown_regions.py
+++ b/peridotwell/forwarding/unknown_regions.py
@@ -6,7 +6,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.logs import log_failure
 from peridotwell.metrics import Metrics
-from peridotwell.policy.region_restriction import RegionTable
+from peridotwell.policy.placement.region_restriction import RegionTable
 
 __all__ = ('UnknownRegions',)
 
--- a/peridotwell/forwarding/waiting_room.py
+++ b/peridotwell/forwarding/waiting_room.py
@@ -21,14 +21,14 @@
 from peridotwell.forwarding.path_selection import PathSelector
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.admission import AdmissionQueue, QueuedRequest
-from peridotwell.policy.choice import Choice
-from peridotwell.policy.fair_queueing import FairOrder
-from peridotwell.policy.return_spread import (
+from peridotwell.policy.placement.choice import Choice
+from peridotwell.policy.retries.return_spread import (
     MIN_SPREAD_SECONDS,
     ReturnSpread,
     return_seconds,
 )
+from peridotwell.policy.room.admission import AdmissionQueue, QueuedRequest
+from peridotwell.policy.room.fair_queueing import FairOrder
 
 __all__ = ('WaitingRoom',)
 
--- /dev/null
+++ b/peridotwell/policy/brittle/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that fall over when they have to reject too many requests."""
--- a/peridotwell/policy/brittle_notice.py
+++ b/peridotwell/policy/brittle/brittle_notice.py
@@ -5,14 +5,14 @@
 from functools import cached_property
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.brittle_records import (
+from peridotwell.policy.brittle.brittle_records import (
     NO_REJECTION,
     BrittleRecord,
     age_of,
     service_id,
     time_of,
 )
-from peridotwell.policy.brittleness import Brittleness
+from peridotwell.policy.brittle.brittleness import Brittleness
 
 __all__ = ('BrittleNotice', 'Rejection', 'Terms', 'make_notice', 'unheard')
 
--- a/peridotwell/policy/brittle_notices.py
+++ b/peridotwell/policy/brittle/brittle_notices.py
@@ -12,17 +12,17 @@
 from dataclasses import replace
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.brittle_notice import (
+from peridotwell.policy.brittle.brittle_notice import (
     BrittleNotice,
     Rejection,
     Terms,
     make_notice,
     unheard,
 )
-from peridotwell.policy.brittle_records import BrittleRecord, service_id
-from peridotwell.policy.brittleness import Brittleness
-from peridotwell.policy.service_terms import ServiceTerms
-from peridotwell.policy.soft_state import SoftState
+from peridotwell.policy.brittle.brittle_records import BrittleRecord, service_id
+from peridotwell.policy.brittle.brittleness import Brittleness
+from peridotwell.policy.brittle.service_terms import ServiceTerms
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = ('BrittleNotices',)
 
--- a/peridotwell/policy/brittle_targets.py
+++ b/peridotwell/policy/brittle/brittle_targets.py
@@ -21,13 +21,13 @@
 from dataclasses import dataclass, field
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.borrowed_slots import BorrowedSlots
-from peridotwell.policy.brittle_notice import Terms
-from peridotwell.policy.brittle_notices import BrittleNotices
-from peridotwell.policy.brittle_records import BrittleRecord, service_id
-from peridotwell.policy.brittleness import Brittleness
-from peridotwell.policy.room_ramp import RoomRamp
-from peridotwell.policy.router_shares import RouterRanks, share
+from peridotwell.policy.brittle.borrowed_slots import BorrowedSlots
+from peridotwell.policy.brittle.brittle_notice import Terms
+from peridotwell.policy.brittle.brittle_notices import BrittleNotices
+from peridotwell.policy.brittle.brittle_records import BrittleRecord, service_id
+from peridotwell.policy.brittle.brittleness import Brittleness
+from peridotwell.policy.limits.router_shares import RouterRanks, share
+from peridotwell.policy.room.room_ramp import RoomRamp
 
 __all__ = ('BrittleTargets', 'RequestCounts')
 
--- a/peridotwell/policy/service_terms.py
+++ b/peridotwell/policy/brittle/service_terms.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
-from peridotwell.policy.brittle_notice import BrittleNotice, Terms
+from peridotwell.policy.brittle.brittle_notice import BrittleNotice, Terms
 
 __all__ = ('ServiceTerms',)
 
--- /dev/null
+++ b/peridotwell/policy/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and parts of prompts that crash their targets."""
--- a/peridotwell/policy/crash_blame.py
+++ b/peridotwell/policy/crashes/crash_blame.py
@@ -20,14 +20,14 @@
 import xxhash
 
 from peridotwell.domain.prompt import Prompt
-from peridotwell.policy.loss_records import (
+from peridotwell.policy.crashes.loss_records import (
     CONTENT_MASK,
     KnownLosses,
     Loss,
     LossRecord,
     merge_known,
 )
-from peridotwell.policy.soft_state import SoftState
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = ('CrashBlame', 'format_parts', 'shared_part_ids')
 
--- a/peridotwell/policy/crashed_requests.py
+++ b/peridotwell/policy/crashes/crashed_requests.py
@@ -9,14 +9,14 @@
 
 from collections.abc import Iterable, Iterator
 
-from peridotwell.policy.loss_records import (
+from peridotwell.policy.crashes.loss_records import (
     CONTENT_MASK,
     KnownLosses,
     Loss,
     LossRecord,
     merge_known,
 )
-from peridotwell.policy.soft_state import SoftState
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = ('CrashedRequests', 'RECORD_TTL_SECONDS')
 
--- /dev/null
+++ b/peridotwell/policy/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a response is complete, from how it and others ended."""
--- a/peridotwell/policy/event_steps.py
+++ b/peridotwell/policy/evidence/event_steps.py
@@ -16,14 +16,14 @@
 from enum import Enum
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.soft_state import SoftState
-from peridotwell.policy.step_records import (
+from peridotwell.policy.evidence.step_records import (
     Evidence,
     Known,
     StepRecord,
     version_id,
 )
-from peridotwell.policy.target_steps import VersionSteps
+from peridotwell.policy.evidence.target_steps import VersionSteps
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = ('EventSteps', 'Finding')
 
--- /dev/null
+++ b/peridotwell/policy/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets fail, are silent or unreachable, or are about to leave."""
--- a/peridotwell/policy/target_notices.py
+++ b/peridotwell/policy/health/target_notices.py
@@ -13,9 +13,9 @@
 
 from peridotwell.decoding import number_below
 from peridotwell.domain.target import Target
-from peridotwell.policy.brittleness import Brittleness
-from peridotwell.policy.rendezvous import unit_hash
-from peridotwell.policy.soft_state import SoftState
+from peridotwell.policy.brittle.brittleness import Brittleness
+from peridotwell.policy.placement.rendezvous import unit_hash
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = (
     'NO_NOTICE',
--- /dev/null
+++ b/peridotwell/policy/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on requests per second, divided among routers, and cold targets."""
--- a/peridotwell/policy/cold_shares.py
+++ b/peridotwell/policy/limits/cold_shares.py
@@ -19,7 +19,7 @@
 from functools import lru_cache
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.token_buckets import ChosenRouters, TokenBuckets
+from peridotwell.policy.limits.token_buckets import ChosenRouters, TokenBuckets
 
 __all__ = ('ColdBound', 'ColdShares', 'RateSplit', 'split_rate')
 
--- a/peridotwell/policy/cold_targets.py
+++ b/peridotwell/policy/limits/cold_targets.py
@@ -15,7 +15,7 @@
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.domain.routing_table import ServiceProperties
 from peridotwell.domain.target import Target
-from peridotwell.policy.cold_shares import ColdBound, ColdShares
+from peridotwell.policy.limits.cold_shares import ColdBound, ColdShares
 
 __all__ = ('ColdChange', 'ColdTargets')
 
--- a/peridotwell/policy/router_shares.py
+++ b/peridotwell/policy/limits/router_shares.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Collection
 
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 
 __all__ = ('RouterRanks', 'share')
 
--- a/peridotwell/policy/target_limits.py
+++ b/peridotwell/policy/limits/target_limits.py
@@ -18,8 +18,8 @@
 
 from peridotwell.decoding import number_below
 from peridotwell.domain.target import Target
-from peridotwell.policy.soft_state import SoftState
-from peridotwell.policy.token_buckets import ChosenRouters, TokenBuckets
+from peridotwell.policy.limits.token_buckets import ChosenRouters, TokenBuckets
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = ('LimitRecord', 'TargetLimits', 'parse_limit')
 
--- a/peridotwell/policy/token_buckets.py
+++ b/peridotwell/policy/limits/token_buckets.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.rendezvous import first_by_score
+from peridotwell.policy.placement.rendezvous import first_by_score
 
 __all__ = ('ChosenRouters', 'TokenBucket', 'TokenBuckets')
 
--- /dev/null
+++ b/peridotwell/policy/load/__init__.py
@@ -0,0 +1,1 @@
+"""How loaded targets are, from counts and reports, and how long work takes."""
--- a/peridotwell/policy/request_lengths.py
+++ b/peridotwell/policy/load/request_lengths.py
@@ -1,6 +1,6 @@
 """How long the requests of a service take, by route."""
 
-from peridotwell.policy.stale_counts import RequestDuration
+from peridotwell.policy.load.stale_counts import RequestDuration
 
 __all__ = ('RequestLengths',)
 
--- a/peridotwell/policy/service_times.py
+++ b/peridotwell/policy/load/service_times.py
@@ -1,7 +1,7 @@
 """How long the requests and prefills of each service take."""
 
-from peridotwell.policy.prefill_speed import PrefillSpeed
-from peridotwell.policy.stale_counts import RequestDuration
+from peridotwell.policy.load.prefill_speed import PrefillSpeed
+from peridotwell.policy.load.stale_counts import RequestDuration
 
 __all__ = ('ServiceTimes',)
 
--- a/peridotwell/policy/stale_counts.py
+++ b/peridotwell/policy/load/stale_counts.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Sequence
 
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 
 __all__ = (
     'fill_level',
--- a/peridotwell/policy/target_paces.py
+++ b/peridotwell/policy/load/target_paces.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.soft_state import SoftState
+from peridotwell.policy.updates.soft_state import SoftState
 
 __all__ = ('NO_PACES', 'PaceRecord', 'TargetPaces', 'relative_speeds')
 
--- /dev/null
+++ b/peridotwell/policy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests go: the order of targets, caches and regions."""
--- a/peridotwell/policy/choice.py
+++ b/peridotwell/policy/placement/choice.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.stale_counts import (
+from peridotwell.policy.load.stale_counts import (
     fill_level,
     room_score,
     weighted_fill_level,
     weighted_room,
 )
-from peridotwell.policy.target_paces import NO_PACES, relative_speeds
+from peridotwell.policy.load.target_paces import NO_PACES, relative_speeds
 
 __all__ = (
     'Choice',
--- a/peridotwell/policy/engine_choice.py
+++ b/peridotwell/policy/placement/engine_choice.py
@@ -20,14 +20,14 @@
 from operator import attrgetter
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.choice import Candidate, Choice, mean_load
-from peridotwell.policy.stale_counts import (
+from peridotwell.policy.load.stale_counts import (
     fill_level,
     room_score,
     weighted_fill_level,
     weighted_room,
 )
-from peridotwell.policy.target_paces import NO_PACES, relative_speeds
+from peridotwell.policy.load.target_paces import NO_PACES, relative_speeds
+from peridotwell.policy.placement.choice import Candidate, Choice, mean_load
 
 __all__ = ('EngineCandidate', 'PromptNeeds', 'CacheSource', 'choose_engine')
 
--- a/peridotwell/policy/placement.py
+++ b/peridotwell/policy/placement/placement.py
@@ -3,7 +3,7 @@
 A returning chat should go to the target that still has its context cached.
 Weighted rendezvous hashing gives every router the same order without any
 messages. A target that joins or leaves moves only its own chats
-(Thaler and Ravishankar, 1998). The load bound, in policy/credits.py, then
+(Thaler and Ravishankar, 1998). The load bound, in policy/room/credits.py, then
 decides how far down this order a request goes.
 """
 
--- /dev/null
+++ b/peridotwell/policy/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Whether and when failed and refused requests come back."""
--- a/peridotwell/policy/gradual_return.py
+++ b/peridotwell/policy/retries/gradual_return.py
@@ -8,8 +8,8 @@
 from collections.abc import Mapping, Sequence
 
 from peridotwell.domain.target import Target
-from peridotwell.policy.rendezvous import unit_hash
-from peridotwell.policy.room_ramp import RoomRamp
+from peridotwell.policy.placement.rendezvous import unit_hash
+from peridotwell.policy.room.room_ramp import RoomRamp
 
 __all__ = ('RAMP_SECONDS', 'admitted_targets')
 
--- a/peridotwell/policy/return_spread.py
+++ b/peridotwell/policy/retries/return_spread.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from peridotwell.policy.rendezvous import unit_hash
+from peridotwell.policy.placement.rendezvous import unit_hash
 
 __all__ = (
     'MAX_SPREAD_SECONDS',
--- /dev/null
+++ b/peridotwell/policy/room/__init__.py
@@ -0,0 +1,1 @@
+"""Room for requests at targets, in queues and in memory."""
--- a/peridotwell/policy/full_reports.py
+++ b/peridotwell/policy/room/full_reports.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from peridotwell.policy.target_load import LoadReport
+from peridotwell.policy.load.target_load import LoadReport
 
 __all__ = ('FullReports',)
 
--- /dev/null
+++ b/peridotwell/policy/updates/__init__.py
@@ -0,0 +1,1 @@
+"""What routers tell each other, when, and through which relays."""
--- a/peridotwell/policy/change_distribution.py
+++ b/peridotwell/policy/updates/change_distribution.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from peridotwell.policy.bulk_pacing import BULK_LINK_SHARE
+from peridotwell.policy.updates.bulk_pacing import BULK_LINK_SHARE
 
 __all__ = ('SEND_SECONDS', 'ChangeReceiver', 'choose_receivers')
 
--- a/peridotwell/policy/relays.py
+++ b/peridotwell/policy/updates/relays.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from peridotwell.policy.rendezvous import rendezvous_score
+from peridotwell.policy.placement.rendezvous import rendezvous_score
 
 __all__ = ('GroupMember', 'RelayMonitor', 'needs_relays', 'make_relay_groups')
 
--- /dev/null
+++ b/peridotwell/policy/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began each stream, and what is known of that."""
--- a/peridotwell/serving/asgi.py
+++ b/peridotwell/serving/asgi.py
@@ -15,8 +15,8 @@
 from hypercorn.trio.worker_context import WorkerContext
 
 from peridotwell.logs import log_event
-from peridotwell.policy.body_budget import BodyBudget
-from peridotwell.policy.buffer_budget import buffer_bytes
+from peridotwell.policy.room.body_budget import BodyBudget
+from peridotwell.policy.room.buffer_budget import buffer_bytes
 from peridotwell.serving.caller_connection import (
     CallerConnection,
     ServerStop,
--- a/peridotwell/serving/fair_shares.py
+++ b/peridotwell/serving/fair_shares.py
@@ -5,7 +5,7 @@
 from peridotwell.domain.target import Pool
 from peridotwell.fleet.lending.load_tracker import LoadTracker
 from peridotwell.fleet.membership.target_membership import TargetMembership
-from peridotwell.policy.admission import fair_share
+from peridotwell.policy.room.admission import fair_share
 
 __all__ = ('FairShares',)
 
--- a/peridotwell/serving/http_exchange.py
+++ b/peridotwell/serving/http_exchange.py
@@ -14,8 +14,8 @@
 
 from peridotwell.domain.counts import is_count
 from peridotwell.errors import RequestBodiesFull, RequestTooLarge
-from peridotwell.policy.body_budget import BodyBudget, BodyShare
-from peridotwell.policy.buffer_budget import BufferShare, buffer_bytes
+from peridotwell.policy.room.body_budget import BodyBudget, BodyShare
+from peridotwell.policy.room.buffer_budget import BufferShare, buffer_bytes
 from peridotwell.serving.caller_connection import BodyPart, ServerStop
 from peridotwell.serving.caller_protocol import TARGET
 
--- a/peridotwell/serving/outstanding_requests.py
+++ b/peridotwell/serving/outstanding_requests.py
@@ -19,7 +19,7 @@
 from peridotwell.attempt_errors import RequestTakenBack
 from peridotwell.domain.target import Target
 from peridotwell.logs import log_event
-from peridotwell.policy.unread_requests import (
+from peridotwell.policy.health.unread_requests import (
     RequestProgress,
     is_read,
     seconds_between,
--- a/peridotwell/serving/placer.py
+++ b/peridotwell/serving/placer.py
@@ -14,8 +14,11 @@
 from peridotwell.fleet.lending.load_tracker import LoadTracker
 from peridotwell.fleet.membership.target_membership import TargetMembership
 from peridotwell.fleet.transport.peers import Peers
-from peridotwell.policy.admission import AdmissionQueue, QueuedRequest
-from peridotwell.policy.placement import HintedPlacement, placement_hint
+from peridotwell.policy.placement.placement import (
+    HintedPlacement,
+    placement_hint,
+)
+from peridotwell.policy.room.admission import AdmissionQueue, QueuedRequest
 from peridotwell.serving.fair_shares import FairShares
 from peridotwell.store.configuration import ConfigurationStore
 
--- a/peridotwell/serving/request_executor.py
+++ b/peridotwell/serving/request_executor.py
@@ -24,9 +24,9 @@
     RequestError,
     TargetFailed,
 )
-from peridotwell.policy.buffer_budget import BufferShare
-from peridotwell.policy.placement import placement_hint
-from peridotwell.policy.retry import RetryBudget, RetryPolicy, RetryStep
+from peridotwell.policy.placement.placement import placement_hint
+from peridotwell.policy.retries.retry import RetryBudget, RetryPolicy, RetryStep
+from peridotwell.policy.room.buffer_budget import BufferShare
 from peridotwell.serving.event_stream import (
     StreamEvent,
     validated_events,
--- a/peridotwell/serving/request_handler.py
+++ b/peridotwell/serving/request_handler.py
@@ -15,8 +15,11 @@
     RunState,
 )
 from peridotwell.metrics import Measure, Metrics, Series
-from peridotwell.policy.quarantine import Quarantine, request_fingerprint
-from peridotwell.policy.retry import RetryBudget
+from peridotwell.policy.crashes.quarantine import (
+    Quarantine,
+    request_fingerprint,
+)
+from peridotwell.policy.retries.retry import RetryBudget
 from peridotwell.serving.at_most_once import (
     AtMostOnceExecutor,
     require_idempotency_key,
--- a/peridotwell/serving/request_recall.py
+++ b/peridotwell/serving/request_recall.py
@@ -14,7 +14,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.unread_requests import seconds_between
+from peridotwell.policy.health.unread_requests import seconds_between
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequests,
     TargetRequests,
--- a/peridotwell/serving/response_buffers.py
+++ b/peridotwell/serving/response_buffers.py
@@ -6,7 +6,7 @@
 
 from peridotwell.logs import log_failure
 from peridotwell.metrics import Metrics
-from peridotwell.policy.buffer_budget import (
+from peridotwell.policy.room.buffer_budget import (
     BudgetObserver,
     BufferBudget,
     BufferShare,
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -26,7 +26,7 @@
 )
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
-from peridotwell.policy.target_notices import NO_NOTICE, TargetNotice
+from peridotwell.policy.health.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.running_time import move_on_after_running
 from peridotwell.serving.connection_pool import BEFORE_SEND, ConnectionPool
 from peridotwell.serving.event_stream import EventLimit
--- a/peridotwell/serving/target_monitor.py
+++ b/peridotwell/serving/target_monitor.py
@@ -20,7 +20,10 @@
 from peridotwell.fleet.transport.frames import Observations
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.policy.quarantine import Quarantine, request_fingerprint
+from peridotwell.policy.crashes.quarantine import (
+    Quarantine,
+    request_fingerprint,
+)
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequest,
     OutstandingRequests,
--- a/peridotwell/serving/target_presence.py
+++ b/peridotwell/serving/target_presence.py
@@ -19,7 +19,7 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Target
 from peridotwell.logs import log_failure
-from peridotwell.policy.simultaneous_ends import count_telling_ends
+from peridotwell.policy.evidence.simultaneous_ends import count_telling_ends
 from peridotwell.serving.sign_of_life import status_request
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.target_connection import TargetConnection
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -19,7 +19,7 @@
     ResponseTimeout,
     ResponseTruncated,
 )
-from peridotwell.policy.buffer_budget import BufferShare
+from peridotwell.policy.room.buffer_budget import BufferShare
 from peridotwell.serving.event_stream import (
     NO_LIMIT,
     EventLimit,
--- a/tests/fleet/caches/test_cache_answers.py
+++ b/tests/fleet/caches/test_cache_answers.py
@@ -6,7 +6,10 @@
     CachesRefusal,
     decode_frame,
 )
-from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
+from peridotwell.policy.placement.prompt_cache_index import (
+    CachedPart,
+    PromptCacheIndex,
+)
 from tests.fleet.relays.test_update_exchange import InMemoryTransport
 
 LINK_BYTES_PER_SECOND = 625_000
--- a/tests/fleet/caches/test_cache_lists.py
+++ b/tests/fleet/caches/test_cache_lists.py
@@ -8,7 +8,7 @@
     chunk_lists,
     list_portions,
 )
-from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 
 PARTS = st.lists(
     st.builds(CachedPart, st.integers(0, 2**64 - 1), st.integers(0, 30_000)),
--- a/tests/fleet/relays/test_delay_monitor.py
+++ b/tests/fleet/relays/test_delay_monitor.py
@@ -5,7 +5,7 @@
 from peridotwell.fleet.relays import delay_monitor
 from peridotwell.fleet.relays.delay_monitor import DelayMonitor
 from peridotwell.metrics import Metrics
-from peridotwell.policy.update_delay import UpdateDelay
+from peridotwell.policy.updates.update_delay import UpdateDelay
 from tests.fleet.relays.test_update_exchange import InMemoryTransport
 
 
--- a/tests/fleet/relays/test_event_steps_sync.py
+++ b/tests/fleet/relays/test_event_steps_sync.py
@@ -9,8 +9,8 @@
     decode_frame,
     encode_frame,
 )
-from peridotwell.policy.event_steps import Finding
-from peridotwell.policy.step_records import Evidence, StepRecord
+from peridotwell.policy.evidence.event_steps import Finding
+from peridotwell.policy.evidence.step_records import Evidence, StepRecord
 from tests.fleet.relays.test_soft_state_sync import CONTACT_SECONDS, meet
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
--- a/tests/fleet/relays/test_relay_links.py
+++ b/tests/fleet/relays/test_relay_links.py
@@ -11,7 +11,7 @@
 import pytest
 
 from peridotwell.domain.target import wire_id
-from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
 from tests.fleet.relays.test_update_exchange import InMemoryTransport, Router
--- a/tests/fleet/relays/test_relay_protocol.py
+++ b/tests/fleet/relays/test_relay_protocol.py
@@ -16,7 +16,7 @@
 from peridotwell.domain.target import wire_id
 from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
 from peridotwell.fleet.transport.frames import RouterUpdate, StoreChanges
-from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
--- a/tests/fleet/relays/test_soft_state_sync.py
+++ b/tests/fleet/relays/test_soft_state_sync.py
@@ -14,14 +14,14 @@
     encode_frame,
 )
 from peridotwell.fleet.transport.peers import Peers, make_hello
-from peridotwell.policy.brittle_notice import Terms
-from peridotwell.policy.brittle_records import BrittleRecord
-from peridotwell.policy.brittleness import Brittleness
-from peridotwell.policy.crash_blame import CrashBlame
-from peridotwell.policy.loss_records import LossRecord
-from peridotwell.policy.quarantine import CrashRecord
-from peridotwell.policy.target_limits import LimitRecord, TargetLimits
-from peridotwell.policy.target_notices import Departure, TargetNotices
+from peridotwell.policy.brittle.brittle_notice import Terms
+from peridotwell.policy.brittle.brittle_records import BrittleRecord
+from peridotwell.policy.brittle.brittleness import Brittleness
+from peridotwell.policy.crashes.crash_blame import CrashBlame
+from peridotwell.policy.crashes.loss_records import LossRecord
+from peridotwell.policy.crashes.quarantine import CrashRecord
+from peridotwell.policy.health.target_notices import Departure, TargetNotices
+from peridotwell.policy.limits.target_limits import LimitRecord, TargetLimits
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
 BAD = 7
--- a/tests/fleet/relays/test_update_exchange.py
+++ b/tests/fleet/relays/test_update_exchange.py
@@ -17,9 +17,12 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peers, make_hello
 from peridotwell.metrics import Metrics
-from peridotwell.policy.peer_counts import PeerCounts
-from peridotwell.policy.prompt_cache_index import CachedPart, PromptCacheIndex
-from peridotwell.policy.target_notices import Departure
+from peridotwell.policy.health.target_notices import Departure
+from peridotwell.policy.load.peer_counts import PeerCounts
+from peridotwell.policy.placement.prompt_cache_index import (
+    CachedPart,
+    PromptCacheIndex,
+)
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
 from tests.fleet.replica.test_service_directory import Decoder
--- a/tests/fleet/replica/test_version_record.py
+++ b/tests/fleet/replica/test_version_record.py
@@ -14,7 +14,10 @@
     decode_versions,
 )
 from peridotwell.fleet.transport.peers import Peers, make_hello
-from peridotwell.policy.stream_versions import MEMORY_SECONDS, StreamVersions
+from peridotwell.policy.versions.stream_versions import (
+    MEMORY_SECONDS,
+    StreamVersions,
+)
 from standins.memory_store import MemoryStore
 from tests.store.fakes import Fault, FaultyStore
 
--- a/tests/forwarding/simulated_targets.py
+++ b/tests/forwarding/simulated_targets.py
@@ -23,7 +23,7 @@
 from peridotwell.forwarding.adapters import ReportedLoad
 from peridotwell.forwarding.target_selection import TargetSelector
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.outlier_ejection import OutlierEjection
+from peridotwell.policy.health.outlier_ejection import OutlierEjection
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.relays.test_update_exchange import Router
--- a/tests/forwarding/test_background_tasks.py
+++ b/tests/forwarding/test_background_tasks.py
@@ -12,7 +12,7 @@
 from peridotwell.forwarding.assembly import build_components
 from peridotwell.forwarding.background_tasks import ForwardingBackgroundTasks
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
-from peridotwell.policy.crashed_requests import RECORD_TTL_SECONDS
+from peridotwell.policy.crashes.crashed_requests import RECORD_TTL_SECONDS
 
 ANY_PORT = '127.0.0.1:0'
 # Nothing listens there.
--- a/tests/forwarding/test_buffered_responses.py
+++ b/tests/forwarding/test_buffered_responses.py
@@ -10,7 +10,7 @@
     BufferedResponseForwarder,
 )
 from peridotwell.forwarding.retries import RetryDecision
-from peridotwell.policy.end_marks import EndGroup, EndMarks
+from peridotwell.policy.evidence.end_marks import EndGroup, EndMarks
 from peridotwell.serving.target_response import BodyEnd, ResponseOrigin
 
 CHOICE = SimpleNamespace(target=SimpleNamespace(name='t'), is_handover=False)
--- a/tests/forwarding/test_cold_watch.py
+++ b/tests/forwarding/test_cold_watch.py
@@ -10,7 +10,7 @@
 from peridotwell.errors import NoRoom, NoTarget
 from peridotwell.forwarding.cold_watch import ColdWatch
 from peridotwell.metrics import Metrics
-from peridotwell.policy.cold_shares import SETTLE_SECONDS
+from peridotwell.policy.limits.cold_shares import SETTLE_SECONDS
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
 from tests.forwarding.simulated_targets import (
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/test_crash_tracker.py
@@ -16,9 +16,9 @@
 from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
 from peridotwell.forwarding.dispatch import Dispatcher
 from peridotwell.forwarding.target_clients import TargetClients
-from peridotwell.policy.outlier_ejection import OutlierEjection
-from peridotwell.policy.peer_counts import PeerCounts
-from peridotwell.policy.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.health.outlier_ejection import OutlierEjection
+from peridotwell.policy.load.peer_counts import PeerCounts
+from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
 from peridotwell.serving.asgi import serve_http
 from tests.fleet.replica.test_service_directory import (
     Decoder,
--- a/tests/forwarding/test_crowded_paths.py
+++ b/tests/forwarding/test_crowded_paths.py
@@ -3,7 +3,7 @@
 import pytest
 
 from peridotwell.forwarding.crowded_paths import CrowdedPaths
-from peridotwell.policy.choice import Choice
+from peridotwell.policy.placement.choice import Choice
 from tests.forwarding.test_crash_tracker import target
 
 REACHED, LOST, ANOTHER = (target(f't{n}', f'10.0.0.{n}:80') for n in range(3))
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -6,7 +6,7 @@
 from peridotwell.forwarding.event_order import EventMissing, EventOrder
 from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.stream_log import StreamEnd
-from peridotwell.policy.event_steps import EventSteps
+from peridotwell.policy.evidence.event_steps import EventSteps
 
 STREAMS = 20
 TARGET = Target('t', 'a:1', TargetKind.service, Pool('north', 's'))
--- a/tests/forwarding/test_event_verdicts.py
+++ b/tests/forwarding/test_event_verdicts.py
@@ -7,7 +7,7 @@
 from peridotwell.forwarding import event_verdicts
 from peridotwell.forwarding.event_order import EventOrder
 from peridotwell.forwarding.event_verdicts import EventVerdicts
-from peridotwell.policy.event_steps import EventSteps
+from peridotwell.policy.evidence.event_steps import EventSteps
 
 STREAMS = 12
 TARGET = Target('t', 'a:1', TargetKind.service, Pool('north', 's'))
--- a/tests/forwarding/test_reachability_prober.py
+++ b/tests/forwarding/test_reachability_prober.py
@@ -5,7 +5,7 @@
 
 from peridotwell.forwarding import reachability_prober
 from peridotwell.forwarding.reachability_prober import ReachabilityProber
-from peridotwell.policy.own_reach import OwnReach
+from peridotwell.policy.health.own_reach import OwnReach
 from tests.fleet.replica.test_evacuations import evacuate
 from tests.forwarding.test_target_tracker import NEAR, tracker
 
--- a/tests/forwarding/test_recovery.py
+++ b/tests/forwarding/test_recovery.py
@@ -13,7 +13,7 @@
 
 from peridotwell.fleet.transport.router_registry import ROUTERS_PREFIX
 from peridotwell.forwarding.recovery import CacheRecovery
-from peridotwell.policy.prompt_cache_index import CachedPart
+from peridotwell.policy.placement.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
 from tests.fleet.relays.test_relay_links import TICK_SECONDS, Network
--- a/tests/forwarding/test_retries.py
+++ b/tests/forwarding/test_retries.py
@@ -15,7 +15,7 @@
     RetryDecision,
     TriedTargets,
 )
-from peridotwell.policy.retry_window import RetryWindow
+from peridotwell.policy.retries.retry_window import RetryWindow
 from tests.forwarding.test_crash_tracker import make_request
 
 REQUEST = replace(
--- a/tests/forwarding/test_target_selection.py
+++ b/tests/forwarding/test_target_selection.py
@@ -7,13 +7,13 @@
 
 from peridotwell.domain.prompt import Prompt, PromptPart
 from peridotwell.forwarding.adapters import ReportedLoad
-from peridotwell.policy.engine_choice import (
+from peridotwell.policy.placement.engine_choice import (
     CacheSource,
     EngineCandidate,
     PromptNeeds,
     choose_engine,
 )
-from peridotwell.policy.prompt_cache_index import cacheable_parts
+from peridotwell.policy.placement.prompt_cache_index import cacheable_parts
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.replica.test_evacuations import evacuate
--- a/tests/forwarding/test_target_tracker.py
+++ b/tests/forwarding/test_target_tracker.py
@@ -6,7 +6,7 @@
 
 from peridotwell.domain.routing_table import RequestKind
 from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.policy.outlier_ejection import OutlierEjection
+from peridotwell.policy.health.outlier_ejection import OutlierEjection
 from tests.fleet.relays.test_update_exchange import Router
 from tests.forwarding.test_crash_tracker import make_request, target
 
--- a/tests/forwarding/test_unknown_regions.py
+++ b/tests/forwarding/test_unknown_regions.py
@@ -7,7 +7,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.unknown_regions import UnknownRegions
 from peridotwell.metrics import Metrics
-from peridotwell.policy.region_restriction import RegionTable
+from peridotwell.policy.placement.region_restriction import RegionTable
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.replica.test_service_directory import Decoder
--- a/tests/forwarding/test_waiting_room.py
+++ b/tests/forwarding/test_waiting_room.py
@@ -20,8 +20,8 @@
     WaitingRoom,
 )
 from peridotwell.metrics import Metrics
-from peridotwell.policy.choice import Choice
-from peridotwell.policy.return_spread import ReturnSpread
+from peridotwell.policy.placement.choice import Choice
+from peridotwell.policy.retries.return_spread import ReturnSpread
 from tests.forwarding.test_crash_tracker import ROUTE, make_request, target
 
 TARGET = target('t', '10.0.0.1:80')
--- a/tests/peridotwell_platform/router_setup.py
+++ b/tests/peridotwell_platform/router_setup.py
@@ -19,7 +19,7 @@
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.forwarding.router import ForwardingRouter
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
-from peridotwell.policy.region_restriction import RegionTable
+from peridotwell.policy.placement.region_restriction import RegionTable
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
 from tests.ports import find_free_port
--- a/tests/peridotwell_platform/test_evacuations.py
+++ b/tests/peridotwell_platform/test_evacuations.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from peridotwell.policy.gradual_return import RAMP_SECONDS
+from peridotwell.policy.retries.gradual_return import RAMP_SECONDS
 from peridotwell.serving.asgi import serve_http
 from peridotwell.serving.socket_network import SocketNetwork
 from tests.peridotwell_platform import stand_in
--- a/tests/peridotwell_platform/test_headers.py
+++ b/tests/peridotwell_platform/test_headers.py
@@ -15,9 +15,9 @@
     RoutedRequest,
     TargetRequest,
 )
-from peridotwell.policy.brittleness import Brittleness
-from peridotwell.policy.prompt_cache_index import part_id
-from peridotwell.policy.target_notices import NO_NOTICE
+from peridotwell.policy.brittle.brittleness import Brittleness
+from peridotwell.policy.health.target_notices import NO_NOTICE
+from peridotwell.policy.placement.prompt_cache_index import part_id
 from peridotwell.serving.caller_connection import ServerStop
 from peridotwell.serving.http_exchange import HttpExchange
 from peridotwell.serving.target_response import TargetResponse
--- a/tests/peridotwell_platform/test_region_restrictions.py
+++ b/tests/peridotwell_platform/test_region_restrictions.py
@@ -11,7 +11,7 @@
     decode_info,
     encode_info,
 )
-from peridotwell.policy.region_restriction import RegionTable
+from peridotwell.policy.placement.region_restriction import RegionTable
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
 from tests.peridotwell_platform.router_setup import (
--- a/tests/policy/brittle_fleet.py
+++ b/tests/policy/brittle/brittle_fleet.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass, field, replace
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.brittle_targets import BrittleTargets, RequestCounts
-from peridotwell.policy.brittleness import Brittleness
+from peridotwell.policy.brittle.brittle_targets import (
+    BrittleTargets,
+    RequestCounts,
+)
+from peridotwell.policy.brittle.brittleness import Brittleness
 
 STEP_SECONDS = 0.02
 CONTACT_SECONDS = 3.0
--- a/tests/policy/test_borrowed_slots.py
+++ b/tests/policy/brittle/test_borrowed_slots.py
@@ -1,6 +1,9 @@
 """Slots of a brittle target that a router borrows."""
 
-from peridotwell.policy.borrowed_slots import KNOWN_AFTER_SECONDS, BorrowedSlots
+from peridotwell.policy.brittle.borrowed_slots import (
+    KNOWN_AFTER_SECONDS,
+    BorrowedSlots,
+)
 
 
 def test_borrowed_slots_count_until_they_are_free_or_known():
--- a/tests/policy/test_brittle_notices.py
+++ b/tests/policy/brittle/test_brittle_notices.py
@@ -2,18 +2,21 @@
 
 from dataclasses import replace
 
-from peridotwell.policy.brittle_notice import (
+from peridotwell.policy.brittle.brittle_notice import (
     SOUND_SECONDS,
     TTL_SECONDS,
     Rejection,
 )
-from peridotwell.policy.brittle_notices import (
+from peridotwell.policy.brittle.brittle_notices import (
     END_DELAY_SECONDS,
     SOUND_REPEAT_SECONDS,
 )
-from peridotwell.policy.brittle_targets import BrittleTargets, RequestCounts
-from peridotwell.policy.brittleness import Brittleness
-from tests.policy.brittle_fleet import (
+from peridotwell.policy.brittle.brittle_targets import (
+    BrittleTargets,
+    RequestCounts,
+)
+from peridotwell.policy.brittle.brittleness import Brittleness
+from tests.policy.brittle.brittle_fleet import (
     CONTACT_SECONDS,
     BrittleFleet,
     burst_fleet,
--- a/tests/policy/test_brittle_targets.py
+++ b/tests/policy/brittle/test_brittle_targets.py
@@ -5,14 +5,14 @@
 import pytest
 
 from peridotwell.domain.target import Pool
-from peridotwell.policy.brittle_targets import (
+from peridotwell.policy.brittle.brittle_targets import (
     FILL_SECONDS,
     QUEUE_HOLD_SECONDS,
     BrittleTargets,
     RequestCounts,
 )
-from peridotwell.policy.brittleness import Brittleness
-from tests.policy.brittle_fleet import (
+from peridotwell.policy.brittle.brittleness import Brittleness
+from tests.policy.brittle.brittle_fleet import (
     CONTACT_SECONDS,
     DOWN_SECONDS,
     MEAN_WORK_SECONDS,
--- a/tests/policy/test_brittleness.py
+++ b/tests/policy/brittle/test_brittleness.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from peridotwell.policy.brittleness import parse_max_rejections
+from peridotwell.policy.brittle.brittleness import parse_max_rejections
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_crash_blame.py
+++ b/tests/policy/crashes/test_crash_blame.py
@@ -3,8 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.policy.crash_blame import RECORD_TTL_SECONDS, CrashBlame
-from peridotwell.policy.loss_records import MAX_LOSSES, Loss, LossRecord
+from peridotwell.policy.crashes.crash_blame import (
+    RECORD_TTL_SECONDS,
+    CrashBlame,
+)
+from peridotwell.policy.crashes.loss_records import MAX_LOSSES, Loss, LossRecord
 
 BAD, HEAD, DOCUMENT, OTHER = range(4)
 CONTACT_SECONDS = 3.0
--- a/tests/policy/test_crashed_requests.py
+++ b/tests/policy/crashes/test_crashed_requests.py
@@ -4,12 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.policy import crashed_requests
-from peridotwell.policy.crashed_requests import (
+from peridotwell.policy.crashes import crashed_requests
+from peridotwell.policy.crashes.crashed_requests import (
     RECORD_TTL_SECONDS,
     CrashedRequests,
 )
-from peridotwell.policy.loss_records import Loss, LossRecord
+from peridotwell.policy.crashes.loss_records import Loss, LossRecord
 
 LIMIT = 3
 FINGERPRINT = 2**63 + 9
--- a/tests/policy/test_end_marks.py
+++ b/tests/policy/evidence/test_end_marks.py
@@ -1,6 +1,6 @@
 """Tests of what is known of ends without a mark."""
 
-from peridotwell.policy.end_marks import EndGroup, EndMarks
+from peridotwell.policy.evidence.end_marks import EndGroup, EndMarks
 
 RESPONSES = 30
 # As many as a target may have in flight when it begins to break them off.
--- a/tests/policy/test_event_steps.py
+++ b/tests/policy/evidence/test_event_steps.py
@@ -4,8 +4,8 @@
 
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.fleet.transport.frames import RouterUpdate, encode_frame
-from peridotwell.policy.event_steps import EventSteps, Finding
-from peridotwell.policy.step_records import (
+from peridotwell.policy.evidence.event_steps import EventSteps, Finding
+from peridotwell.policy.evidence.step_records import (
     CERTAIN_TTL_SECONDS,
     STREAMS_TTL_SECONDS,
     Evidence,
--- a/tests/policy/test_simultaneous_ends.py
+++ b/tests/policy/evidence/test_simultaneous_ends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from peridotwell.policy.simultaneous_ends import (
+from peridotwell.policy.evidence.simultaneous_ends import (
     TellingEnds,
     count_telling_ends,
 )
--- a/tests/policy/test_contact_times.py
+++ b/tests/policy/health/test_contact_times.py
@@ -1,6 +1,6 @@
 """Tests of the times of the last data from targets."""
 
-from peridotwell.policy.contact_times import RECENT_SECONDS, ContactTimes
+from peridotwell.policy.health.contact_times import RECENT_SECONDS, ContactTimes
 
 
 def test_contact_is_recent_for_a_moment():
--- a/tests/policy/test_data_centres.py
+++ b/tests/policy/health/test_data_centres.py
@@ -1,6 +1,6 @@
 """Tests of the detection of unreachable data centres."""
 
-from peridotwell.policy.data_centres import (
+from peridotwell.policy.health.data_centres import (
     AVOIDANCE_SECONDS,
     RECENT_FAILURE_SECONDS,
     DataCentreMonitor,
--- a/tests/policy/test_own_reach.py
+++ b/tests/policy/health/test_own_reach.py
@@ -1,6 +1,6 @@
 """Tests of what a router tells of the targets that it cannot reach."""
 
-from peridotwell.policy.own_reach import MAX_TOLD_TARGETS, OwnReach
+from peridotwell.policy.health.own_reach import MAX_TOLD_TARGETS, OwnReach
 
 
 def test_reach_is_told_when_it_changes_and_when_all_is_told():
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/health/test_target_health.py
@@ -3,9 +3,9 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.outlier_ejection import OutlierEjection
-from peridotwell.policy.silence import SilenceDetector
-from peridotwell.policy.target_load import LoadReport, TargetLoad
+from peridotwell.policy.health.outlier_ejection import OutlierEjection
+from peridotwell.policy.health.silence import SilenceDetector
+from peridotwell.policy.load.target_load import LoadReport, TargetLoad
 
 TARGETS = [
     Target(f't{number}', '10.0.0.1:80', TargetKind.service, Pool('a', 's'))
--- a/tests/policy/test_target_notices.py
+++ b/tests/policy/health/test_target_notices.py
@@ -3,8 +3,8 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy import target_notices
-from peridotwell.policy.target_notices import (
+from peridotwell.policy.health import target_notices
+from peridotwell.policy.health.target_notices import (
     MAX_PAUSE_SECONDS,
     MAX_RETURN_OFFSET_SECONDS,
     REPEAT_SECONDS,
--- a/tests/policy/test_unread_requests.py
+++ b/tests/policy/health/test_unread_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from peridotwell.policy.unread_requests import RequestProgress, is_read
+from peridotwell.policy.health.unread_requests import RequestProgress, is_read
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_cold_shares.py
+++ b/tests/policy/limits/test_cold_shares.py
@@ -12,7 +12,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.cold_shares import (
+from peridotwell.policy.limits.cold_shares import (
     RETENTION_SECONDS,
     SETTLE_SECONDS,
     ColdBound,
--- a/tests/policy/test_cold_targets.py
+++ b/tests/policy/limits/test_cold_targets.py
@@ -6,7 +6,7 @@
 
 from peridotwell.domain.routing_table import ServiceProperties
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.cold_targets import ColdTargets
+from peridotwell.policy.limits.cold_targets import ColdTargets
 
 SERVICES = {
     's': ServiceProperties('s', cold_seconds=30, cold_per_second=4),
--- a/tests/policy/test_router_shares.py
+++ b/tests/policy/limits/test_router_shares.py
@@ -1,6 +1,6 @@
 """Shares of the routers in the slots of a target."""
 
-from peridotwell.policy.router_shares import RouterRanks, share
+from peridotwell.policy.limits.router_shares import RouterRanks, share
 
 
 def test_shares_of_all_routers_add_up_to_the_whole():
--- a/tests/policy/test_target_limits.py
+++ b/tests/policy/limits/test_target_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.target_limits import (
+from peridotwell.policy.limits.target_limits import (
     END_DELAY_SECONDS,
     MIN_LIMIT_PER_SECOND,
     TTL_SECONDS,
--- a/tests/policy/test_token_buckets.py
+++ b/tests/policy/limits/test_token_buckets.py
@@ -1,7 +1,7 @@
 """Token buckets of static shares."""
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.token_buckets import ChosenRouters, TokenBuckets
+from peridotwell.policy.limits.token_buckets import ChosenRouters, TokenBuckets
 
 PER_SECOND = 2
 BURST = 1.5
--- a/tests/policy/test_request_lengths.py
+++ b/tests/policy/load/test_request_lengths.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from peridotwell.policy.request_lengths import RequestLengths
-from peridotwell.policy.urgency_ranks import MEMORY_SECONDS, UrgencyRanks
+from peridotwell.policy.load.request_lengths import RequestLengths
+from peridotwell.policy.room.urgency_ranks import MEMORY_SECONDS, UrgencyRanks
 
 
 def test_short_routes_are_those_below_the_mean_of_the_service():
--- a/tests/policy/test_shared_counts.py
+++ b/tests/policy/load/test_shared_counts.py
@@ -1,8 +1,8 @@
 """Tests of the counts that routers exchange and of the prefill speed."""
 
-from peridotwell.policy.own_counts import OwnCounts
-from peridotwell.policy.peer_counts import PeerCounts
-from peridotwell.policy.prefill_speed import PrefillSpeed
+from peridotwell.policy.load.own_counts import OwnCounts
+from peridotwell.policy.load.peer_counts import PeerCounts
+from peridotwell.policy.load.prefill_speed import PrefillSpeed
 
 
 def test_only_changed_counts_are_taken_unless_all_are_asked_for():
--- a/tests/policy/test_stale_counts.py
+++ b/tests/policy/load/test_stale_counts.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.choice import Candidate, choose_least_loaded
-from peridotwell.policy.stale_counts import RequestDuration, fill_level
+from peridotwell.policy.load.stale_counts import RequestDuration, fill_level
+from peridotwell.policy.placement.choice import Candidate, choose_least_loaded
 
 LOADS = st.lists(st.floats(0, 100), min_size=1, max_size=20)
 
--- a/tests/policy/test_target_paces.py
+++ b/tests/policy/load/test_target_paces.py
@@ -5,7 +5,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.target_paces import (
+from peridotwell.policy.load.target_paces import (
     NO_PACES,
     PaceRecord,
     TargetPaces,
--- a/tests/policy/test_engine_choice.py
+++ b/tests/policy/placement/test_engine_choice.py
@@ -5,7 +5,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.engine_choice import (
+from peridotwell.policy.placement.engine_choice import (
     CacheSource,
     EngineCandidate,
     PromptNeeds,
--- a/tests/policy/test_prompt_cache_index.py
+++ b/tests/policy/placement/test_prompt_cache_index.py
@@ -1,7 +1,7 @@
 """Tests of the index of the prompt parts that engines have cached."""
 
 from peridotwell.domain.prompt import Prompt, PromptPart
-from peridotwell.policy.prompt_cache_index import (
+from peridotwell.policy.placement.prompt_cache_index import (
     CachedPart,
     PromptCacheIndex,
     cacheable_parts,
--- a/tests/policy/test_region_restriction.py
+++ b/tests/policy/placement/test_region_restriction.py
@@ -3,7 +3,10 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.region_restriction import RegionTable, combined_regions
+from peridotwell.policy.placement.region_restriction import (
+    RegionTable,
+    combined_regions,
+)
 
 EU = frozenset(('eu',))
 BOTH = frozenset(('eu', 'us'))
--- a/tests/policy/test_gradual_return.py
+++ b/tests/policy/retries/test_gradual_return.py
@@ -3,7 +3,10 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.gradual_return import RAMP_SECONDS, admitted_targets
+from peridotwell.policy.retries.gradual_return import (
+    RAMP_SECONDS,
+    admitted_targets,
+)
 
 REQUESTS = 2000
 
--- a/tests/policy/test_retry_window.py
+++ b/tests/policy/retries/test_retry_window.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.policy.retry_window import RetryWindow
+from peridotwell.policy.retries.retry_window import RetryWindow
 
 RATIO, SLACK, SECONDS = 0.2, 50.0, 10.0
 
--- a/tests/policy/test_return_spread.py
+++ b/tests/policy/retries/test_return_spread.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from peridotwell.policy.return_spread import (
+from peridotwell.policy.retries.return_spread import (
     MAX_SPREAD_SECONDS,
     MEMORY_SECONDS,
     MIN_SPREAD_SECONDS,
--- a/tests/policy/test_body_budget.py
+++ b/tests/policy/room/test_body_budget.py
@@ -1,6 +1,6 @@
 """Which bodies of requests have room."""
 
-from peridotwell.policy.body_budget import ROOM_SECONDS, BodyBudget
+from peridotwell.policy.room.body_budget import ROOM_SECONDS, BodyBudget
 
 
 def test_a_body_has_room_for_its_declared_length():
--- a/tests/policy/test_buffer_budget.py
+++ b/tests/policy/room/test_buffer_budget.py
@@ -1,6 +1,6 @@
 """Whose response ends when the memory for responses is full."""
 
-from peridotwell.policy.buffer_budget import (
+from peridotwell.policy.room.buffer_budget import (
     DEFAULT_BUFFER_BYTES,
     MIN_BUFFER_BYTES,
     BudgetObserver,
--- a/tests/policy/test_credits.py
+++ b/tests/policy/room/test_credits.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.credits import Borrower, Lender, load_caps
+from peridotwell.policy.room.credits import Borrower, Lender, load_caps
 
 POOL = Pool('dc1', 'ink')
 TARGET_ID = 1
--- a/tests/policy/test_fair_queueing.py
+++ b/tests/policy/room/test_fair_queueing.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from peridotwell.policy.fair_queueing import MAX_CUSTOMERS, FairOrder
+from peridotwell.policy.room.fair_queueing import MAX_CUSTOMERS, FairOrder
 
 
 class Backlog:
--- a/tests/policy/test_full_reports.py
+++ b/tests/policy/room/test_full_reports.py
@@ -1,7 +1,7 @@
 """Targets that are full by their reports, with fewer requests than slots."""
 
-from peridotwell.policy.full_reports import FullReports
-from peridotwell.policy.target_load import LoadReport
+from peridotwell.policy.load.target_load import LoadReport
+from peridotwell.policy.room.full_reports import FullReports
 
 
 def record(reports, now, running, counted=1, slots=6):
--- a/tests/policy/test_policies.py
+++ b/tests/policy/test_policies.py
@@ -14,22 +14,22 @@
 )
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import Overloaded
-from peridotwell.policy.admission import (
-    AdmissionQueue,
-    QueuedRequest,
-    fair_share,
+from peridotwell.policy.crashes.quarantine import (
+    CrashRecord,
+    Quarantine,
+    request_fingerprint,
 )
-from peridotwell.policy.placement import (
+from peridotwell.policy.placement.placement import (
     HintedPlacement,
     RendezvousPlacement,
     placement_hint,
 )
-from peridotwell.policy.quarantine import (
-    CrashRecord,
-    Quarantine,
-    request_fingerprint,
+from peridotwell.policy.retries.retry import RetryBudget, RetryPolicy, RetryStep
+from peridotwell.policy.room.admission import (
+    AdmissionQueue,
+    QueuedRequest,
+    fair_share,
 )
-from peridotwell.policy.retry import RetryBudget, RetryPolicy, RetryStep
 
 POOL = Pool('dc1', 'ink')
 TARGETS = [
--- a/tests/policy/test_bulk_pacing.py
+++ b/tests/policy/updates/test_bulk_pacing.py
@@ -1,6 +1,6 @@
 """Tests of the pacing of large messages."""
 
-from peridotwell.policy.bulk_pacing import BulkPacer
+from peridotwell.policy.updates.bulk_pacing import BulkPacer
 
 
 def sent_bytes(pacer, size, seconds):
--- a/tests/policy/test_change_distribution.py
+++ b/tests/policy/updates/test_change_distribution.py
@@ -1,6 +1,6 @@
 """Tests of the choice of the routers that get a large change from a relay."""
 
-from peridotwell.policy.change_distribution import (
+from peridotwell.policy.updates.change_distribution import (
     ChangeReceiver,
     choose_receivers,
 )
--- a/tests/policy/test_relays.py
+++ b/tests/policy/updates/test_relays.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotwell.policy.relays import (
+from peridotwell.policy.updates.relays import (
     GROUP_ROUTERS,
     RETRY_RELAY_SECONDS,
     GroupMember,
--- a/tests/policy/test_update_delay.py
+++ b/tests/policy/updates/test_update_delay.py
@@ -1,6 +1,6 @@
 """Tests of the measured delay of updates."""
 
-from peridotwell.policy.update_delay import UpdateDelay
+from peridotwell.policy.updates.update_delay import UpdateDelay
 
 
 def test_the_delay_is_the_time_until_an_update_returns():
--- a/tests/policy/test_stream_versions.py
+++ b/tests/policy/versions/test_stream_versions.py
@@ -1,7 +1,7 @@
 """Version affinity of streams during a rolling upgrade."""
 
-from peridotwell.policy import stream_versions
-from peridotwell.policy.stream_versions import (
+from peridotwell.policy.versions import stream_versions
+from peridotwell.policy.versions.stream_versions import (
     MEMORY_SECONDS,
     Evidence,
     StreamVersions,
--- a/tests/serving/test_placer.py
+++ b/tests/serving/test_placer.py
@@ -6,7 +6,7 @@
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.configuration import Defaults
 from peridotwell.domain.contract import Contract
-from peridotwell.policy.placement import placement_hint
+from peridotwell.policy.placement.placement import placement_hint
 from peridotwell.serving.placer import PlacementRequest
 
 CHATS = 30
--- a/tests/serving/test_premature_responses.py
+++ b/tests/serving/test_premature_responses.py
@@ -10,7 +10,7 @@
 from peridotwell.domain.contract import Contract
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import OutcomeUnknown
-from peridotwell.policy.retry import RetryBudget
+from peridotwell.policy.retries.retry import RetryBudget
 from peridotwell.serving.request_executor import RequestExecutor
 from peridotwell.serving.target_client import ResponseTimeouts, TargetClient
 from tests.early_target import EarlyTarget
--- a/tests/serving/test_request_bodies.py
+++ b/tests/serving/test_request_bodies.py
@@ -5,7 +5,7 @@
 import trio
 
 from peridotwell.errors import RequestBodiesFull, RequestTooLarge
-from peridotwell.policy.body_budget import BodyBudget
+from peridotwell.policy.room.body_budget import BodyBudget
 from peridotwell.serving.asgi import HttpServer
 from tests.ports import find_free_port
 
--- a/tests/serving/test_request_executor.py
+++ b/tests/serving/test_request_executor.py
@@ -9,7 +9,7 @@
 from peridotwell.domain.contract import Contract
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import NoTarget, RunState, TargetFailed
-from peridotwell.policy.retry import RetryBudget
+from peridotwell.policy.retries.retry import RetryBudget
 from peridotwell.serving.outstanding_requests import OutstandingRequests
 from peridotwell.serving.request_executor import RequestExecutor
 from peridotwell.serving.target_client import TargetClient
--- a/tests/serving/test_target_presence.py
+++ b/tests/serving/test_target_presence.py
@@ -6,7 +6,7 @@
 
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.policy.simultaneous_ends import MIN_ENDED_TOGETHER
+from peridotwell.policy.evidence.simultaneous_ends import MIN_ENDED_TOGETHER
 from peridotwell.serving import target_presence
 from peridotwell.serving.target_presence import (
     MOMENT_SECONDS,
--- a/tests/serving/test_unmarked_responses.py
+++ b/tests/serving/test_unmarked_responses.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from peridotwell.policy.buffer_budget import BufferBudget
+from peridotwell.policy.room.buffer_budget import BufferBudget
 from peridotwell.serving.asgi import serve_http
 from peridotwell.serving.http_exchange import HttpExchange
 
