Forwarding: modules in folders by stage of a request

Cause: peridotwell/forwarding had 51 modules in one folder. Change: moves only, into reading, choosing, sending, streams, answering, handover, targets (what is known of each) and lifecycle (what runs beside requests); adapters, assembly, components, handler, router and settings stay. Tests that mirror one module move likewise, the others stay.

--- /dev/null
+++ b/peridotwell/forwarding/answering/__init__.py
@@ -0,0 +1,1 @@
+"""Responses to callers: those of targets, refusals, and their records."""
--- a/peridotwell/forwarding/buffered_responses.py
+++ b/peridotwell/forwarding/answering/buffered_responses.py
@@ -24,13 +24,16 @@
     RoutedRequest,
     TargetAdapter,
 )
-from peridotwell.forwarding.attempt import Attempt
-from peridotwell.forwarding.dispatch import FIRST_SERVER_ERROR, Dispatcher
-from peridotwell.forwarding.end_recorder import EndRecorder
-from peridotwell.forwarding.handover_protocol import origin_of
-from peridotwell.forwarding.path_selection import PathSelector
-from peridotwell.forwarding.retries import Attempts, RetryDecision
-from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.forwarding.choosing.waiting_room import WaitingRoom
+from peridotwell.forwarding.handover.handover_protocol import origin_of
+from peridotwell.forwarding.handover.path_selection import PathSelector
+from peridotwell.forwarding.sending.attempt import Attempt
+from peridotwell.forwarding.sending.dispatch import (
+    FIRST_SERVER_ERROR,
+    Dispatcher,
+)
+from peridotwell.forwarding.sending.retries import Attempts, RetryDecision
+from peridotwell.forwarding.streams.end_recorder import EndRecorder
 from peridotwell.logs import log_failure
 from peridotwell.policy.placement.choice import Choice
 from peridotwell.policy.room.buffer_budget import BufferShare
--- a/peridotwell/forwarding/caller_response.py
+++ b/peridotwell/forwarding/answering/caller_response.py
@@ -11,13 +11,13 @@
     RunState,
 )
 from peridotwell.forwarding.adapters import HeaderFields
-from peridotwell.forwarding.handover_protocol import (
+from peridotwell.forwarding.handover.handover_protocol import (
     HandoverResult,
     result_field,
     unmarked_end_field,
     without_handover_fields,
 )
-from peridotwell.forwarding.stream_log import CUT
+from peridotwell.forwarding.streams.stream_log import CUT
 from peridotwell.policy.room.buffer_budget import BufferShare
 from peridotwell.serving.error_body import error_body
 from peridotwell.serving.http_exchange import HttpExchange
--- a/peridotwell/forwarding/response_recorder.py
+++ b/peridotwell/forwarding/answering/response_recorder.py
@@ -5,8 +5,8 @@
 import trio
 
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.buffered_responses import SUCCESSES
-from peridotwell.forwarding.stream_log import StreamEnd
+from peridotwell.forwarding.answering.buffered_responses import SUCCESSES
+from peridotwell.forwarding.streams.stream_log import StreamEnd
 from peridotwell.logs import log_event
 from peridotwell.metrics import Measure, Metrics, Series
 from peridotwell.policy.placement.choice import Choice
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -18,27 +18,31 @@
 from peridotwell.fleet.transport.peer_transport import ZmqPeerTransport
 from peridotwell.fleet.transport.peers import Peers, make_hello
 from peridotwell.fleet.transport.router_registry import RouterRegistration
-from peridotwell.forwarding.cold_watch import ColdWatch
+from peridotwell.forwarding.choosing.target_selection import TargetSelector
+from peridotwell.forwarding.choosing.waiting_room import WaitingRoom
 from peridotwell.forwarding.components import ForwardingComponents
-from peridotwell.forwarding.crash_tracker import CrashTracker
-from peridotwell.forwarding.dispatch import Dispatcher
-from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.handler import ForwardingHandler
-from peridotwell.forwarding.handover_client import HandoverClient
-from peridotwell.forwarding.load_reports import LoadReports
-from peridotwell.forwarding.notice_recorder import NoticeRecorder
-from peridotwell.forwarding.path_selection import PathSelector
-from peridotwell.forwarding.peer_paths import PeerPaths
-from peridotwell.forwarding.reachability_prober import ReachabilityProber
-from peridotwell.forwarding.recovery import CacheRecovery
+from peridotwell.forwarding.handover.handover_client import HandoverClient
+from peridotwell.forwarding.handover.path_selection import PathSelector
+from peridotwell.forwarding.handover.peer_paths import PeerPaths
+from peridotwell.forwarding.lifecycle.recovery import CacheRecovery
+from peridotwell.forwarding.lifecycle.unknown_regions import UnknownRegions
+from peridotwell.forwarding.sending.dispatch import Dispatcher
+from peridotwell.forwarding.sending.target_clients import TargetClients
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
-from peridotwell.forwarding.stream_affinity import StreamAffinity
-from peridotwell.forwarding.target_clients import TargetClients
-from peridotwell.forwarding.target_selection import TargetSelector
-from peridotwell.forwarding.target_standings import ForwardingTargetStandings
-from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.forwarding.unknown_regions import UnknownRegions
-from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.forwarding.streams.event_verdicts import EventVerdicts
+from peridotwell.forwarding.streams.stream_affinity import StreamAffinity
+from peridotwell.forwarding.targets.cold_watch import ColdWatch
+from peridotwell.forwarding.targets.crash_tracker import CrashTracker
+from peridotwell.forwarding.targets.load_reports import LoadReports
+from peridotwell.forwarding.targets.notice_recorder import NoticeRecorder
+from peridotwell.forwarding.targets.reachability_prober import (
+    ReachabilityProber,
+)
+from peridotwell.forwarding.targets.target_standings import (
+    ForwardingTargetStandings,
+)
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.metrics import Metrics
 from peridotwell.policy.brittle.brittle_targets import BrittleTargets
 from peridotwell.policy.health.outlier_ejection import OutlierEjection
--- /dev/null
+++ b/peridotwell/forwarding/choosing/__init__.py
@@ -0,0 +1,1 @@
+"""Selection of the target of a request, and the wait for one with room."""
--- a/peridotwell/forwarding/engine_room.py
+++ b/peridotwell/forwarding/choosing/engine_room.py
@@ -9,8 +9,8 @@
 from peridotwell.domain.routing_table import engine_properties
 from peridotwell.errors import NoRoom
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.first_attempt_room import FirstAttemptRoom
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.choosing.first_attempt_room import FirstAttemptRoom
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.placement.engine_choice import EngineCandidate
 
 __all__ = ('EngineRoom',)
--- a/peridotwell/forwarding/engine_selection.py
+++ b/peridotwell/forwarding/choosing/engine_selection.py
@@ -7,8 +7,8 @@
 from peridotwell.domain.routing_table import Regions, engine_properties
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.engine_room import EngineRoom
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.choosing.engine_room import EngineRoom
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.placement.choice import Choice, total_load
 from peridotwell.policy.placement.engine_choice import (
     CacheSource,
--- a/peridotwell/forwarding/first_attempt_room.py
+++ b/peridotwell/forwarding/choosing/first_attempt_room.py
@@ -9,7 +9,7 @@
 
 from peridotwell.errors import NoRoom
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.placement.choice import Candidate
 from peridotwell.policy.room.urgency_ranks import UrgencyRanks
 
--- a/peridotwell/forwarding/target_selection.py
+++ b/peridotwell/forwarding/choosing/target_selection.py
@@ -6,11 +6,11 @@
 from peridotwell.domain.target import Target
 from peridotwell.errors import NoRoom, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.engine_selection import EngineSelector
-from peridotwell.forwarding.first_attempt_room import FirstAttemptRoom
-from peridotwell.forwarding.path_check import PathCheck
-from peridotwell.forwarding.target_tracker import TargetTracker
-from peridotwell.forwarding.usable_targets import UsableTargets
+from peridotwell.forwarding.choosing.engine_selection import EngineSelector
+from peridotwell.forwarding.choosing.first_attempt_room import FirstAttemptRoom
+from peridotwell.forwarding.choosing.usable_targets import UsableTargets
+from peridotwell.forwarding.handover.path_check import PathCheck
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.placement.choice import (
     Candidate,
     Choice,
--- a/peridotwell/forwarding/usable_targets.py
+++ b/peridotwell/forwarding/choosing/usable_targets.py
@@ -4,7 +4,7 @@
 
 from peridotwell.domain.routing_table import Regions
 from peridotwell.domain.target import Target
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 
 __all__ = ('UsableTargets',)
 
--- a/peridotwell/forwarding/waiting_room.py
+++ b/peridotwell/forwarding/choosing/waiting_room.py
@@ -18,7 +18,7 @@
 from peridotwell.errors import NoRoom, NoTarget, Overloaded
 from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.path_selection import PathSelector
+from peridotwell.forwarding.handover.path_selection import PathSelector
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.policy.placement.choice import Choice
--- a/peridotwell/forwarding/components.py
+++ b/peridotwell/forwarding/components.py
@@ -4,14 +4,16 @@
 
 from peridotwell.fleet.replica.table_check import TableCheck
 from peridotwell.forwarding.adapters import CallerAdapter, TargetAdapter
-from peridotwell.forwarding.crash_tracker import CrashTracker
-from peridotwell.forwarding.dispatch import Dispatcher
-from peridotwell.forwarding.handover_client import HandoverClient
-from peridotwell.forwarding.reachability_prober import ReachabilityProber
-from peridotwell.forwarding.silence_limits import SilenceLimits
-from peridotwell.forwarding.stream_affinity import StreamAffinity
-from peridotwell.forwarding.target_selection import TargetSelector
-from peridotwell.forwarding.waiting_room import WaitingRoom
+from peridotwell.forwarding.choosing.target_selection import TargetSelector
+from peridotwell.forwarding.choosing.waiting_room import WaitingRoom
+from peridotwell.forwarding.handover.handover_client import HandoverClient
+from peridotwell.forwarding.sending.dispatch import Dispatcher
+from peridotwell.forwarding.sending.silence_limits import SilenceLimits
+from peridotwell.forwarding.streams.stream_affinity import StreamAffinity
+from peridotwell.forwarding.targets.crash_tracker import CrashTracker
+from peridotwell.forwarding.targets.reachability_prober import (
+    ReachabilityProber,
+)
 from peridotwell.serving.request_recall import RequestRecall
 
 __all__ = ('ForwardingComponents',)
--- a/peridotwell/forwarding/handler.py
+++ b/peridotwell/forwarding/handler.py
@@ -17,33 +17,33 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.buffered_responses import (
+from peridotwell.forwarding.answering.buffered_responses import (
     BufferedResponse,
     BufferedResponseForwarder,
 )
-from peridotwell.forwarding.caller_response import (
+from peridotwell.forwarding.answering.caller_response import (
     CallerResponse,
     HandoverResponse,
 )
-from peridotwell.forwarding.components import ForwardingComponents
-from peridotwell.forwarding.planned_stop import PlannedStop
-from peridotwell.forwarding.refusal_log import (
+from peridotwell.forwarding.answering.refusal_log import (
     drop_log_fields,
     record_refusal,
     refusal_log_fields,
 )
-from peridotwell.forwarding.request_reader import (
+from peridotwell.forwarding.answering.response_recorder import (
+    ResponseRecorder,
+    ResponseSummary,
+)
+from peridotwell.forwarding.components import ForwardingComponents
+from peridotwell.forwarding.lifecycle.planned_stop import PlannedStop
+from peridotwell.forwarding.reading.request_reader import (
     NOT_READY_RETRY_AFTER_SECONDS,
     RequestReader,
     read_handed_over_request,
     read_request,
 )
-from peridotwell.forwarding.response_recorder import (
-    ResponseRecorder,
-    ResponseSummary,
-)
-from peridotwell.forwarding.retries import Attempts
-from peridotwell.forwarding.streams import StreamBroken, StreamForwarder
+from peridotwell.forwarding.sending.retries import Attempts
+from peridotwell.forwarding.streams.streams import StreamBroken, StreamForwarder
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics
 from peridotwell.policy.retries.retry_window import RetryWindow
--- a/peridotwell/forwarding/crowded_paths.py
+++ b/peridotwell/forwarding/handover/crowded_paths.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from peridotwell.domain.target import Target
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.placement.choice import Choice
 
 __all__ = ('CrowdedPaths',)
--- a/peridotwell/forwarding/handover_client.py
+++ b/peridotwell/forwarding/handover/handover_client.py
@@ -15,14 +15,14 @@
 from peridotwell.domain.target import Target
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.forwarding.adapters import HeaderFields, RoutedRequest
-from peridotwell.forwarding.handover_protocol import (
+from peridotwell.forwarding.handover.handover_protocol import (
     HandoverInfo,
     HandoverResult,
     encode_info,
     read_result,
     without_handover_fields,
 )
-from peridotwell.forwarding.peer_paths import PeerPaths
+from peridotwell.forwarding.handover.peer_paths import PeerPaths
 from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.target_client import (
     ResponseTimeouts,
--- a/peridotwell/forwarding/path_check.py
+++ b/peridotwell/forwarding/handover/path_check.py
@@ -5,7 +5,7 @@
 from peridotwell.domain.target import Target
 from peridotwell.errors import NoReachableTarget
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 
 __all__ = ('PathCheck',)
 
--- a/peridotwell/forwarding/path_selection.py
+++ b/peridotwell/forwarding/handover/path_selection.py
@@ -6,10 +6,10 @@
 from peridotwell.domain.target import Target
 from peridotwell.errors import NoReachableTarget, NoRoom, NoTarget
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.crowded_paths import CrowdedPaths
-from peridotwell.forwarding.peer_paths import PeerPaths
-from peridotwell.forwarding.target_selection import TargetSelector
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.choosing.target_selection import TargetSelector
+from peridotwell.forwarding.handover.crowded_paths import CrowdedPaths
+from peridotwell.forwarding.handover.peer_paths import PeerPaths
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.placement.choice import Choice
 
 __all__ = ('PathSelector',)
--- /dev/null
+++ b/peridotwell/forwarding/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""What a router does from its start to its planned stop, beside requests."""
--- a/peridotwell/forwarding/recovery.py
+++ b/peridotwell/forwarding/lifecycle/recovery.py
@@ -22,7 +22,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.transport.peers import choose_lender
 from peridotwell.forwarding.adapters import TargetAdapter
-from peridotwell.forwarding.target_clients import TargetClients
+from peridotwell.forwarding.sending.target_clients import TargetClients
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
 from peridotwell.policy.placement.rendezvous import rendezvous_score
--- /dev/null
+++ b/peridotwell/forwarding/reading/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of callers' requests and their header fields."""
--- a/peridotwell/forwarding/request_reader.py
+++ b/peridotwell/forwarding/reading/request_reader.py
@@ -15,7 +15,7 @@
     CallerMetadata,
     RoutedRequest,
 )
-from peridotwell.forwarding.handover_protocol import (
+from peridotwell.forwarding.handover.handover_protocol import (
     INFO_FIELD,
     decode_info,
     without_handover_fields,
--- a/peridotwell/forwarding/router.py
+++ b/peridotwell/forwarding/router.py
@@ -6,7 +6,9 @@
 import trio
 
 from peridotwell.forwarding.assembly import build_components
-from peridotwell.forwarding.background_tasks import ForwardingBackgroundTasks
+from peridotwell.forwarding.lifecycle.background_tasks import (
+    ForwardingBackgroundTasks,
+)
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.logs import log_event, log_failure
 from peridotwell.metrics import Metrics, render_metrics
--- /dev/null
+++ b/peridotwell/forwarding/sending/__init__.py
@@ -0,0 +1,1 @@
+"""Sending of requests to targets: attempts, their limits and retries."""
--- a/peridotwell/forwarding/attempt_limits.py
+++ b/peridotwell/forwarding/sending/attempt_limits.py
@@ -5,7 +5,7 @@
 
 from peridotwell.domain.routing_table import RequestKind
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.attempt import Attempt
+from peridotwell.forwarding.sending.attempt import Attempt
 from peridotwell.serving.event_stream import EventLimit
 from peridotwell.serving.target_client import ResponseTimeouts
 
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/sending/dispatch.py
@@ -27,21 +27,24 @@
     RoutedRequest,
     TargetRequest,
 )
-from peridotwell.forwarding.attempt import Attempt
-from peridotwell.forwarding.attempt_limits import (
+from peridotwell.forwarding.handover.handover_client import HandoverClient
+from peridotwell.forwarding.sending.attempt import Attempt
+from peridotwell.forwarding.sending.attempt_limits import (
     max_router_silence_seconds,
     max_silence_seconds,
     response_timeouts,
     source_before_response,
 )
-from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
-from peridotwell.forwarding.end_recorder import EndRecorder
-from peridotwell.forwarding.event_verdicts import EventVerdicts
-from peridotwell.forwarding.handover_client import HandoverClient
-from peridotwell.forwarding.load_reports import LoadReports
-from peridotwell.forwarding.target_clients import TargetClients
-from peridotwell.forwarding.target_standings import has_left
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.sending.target_clients import TargetClients
+from peridotwell.forwarding.streams.end_recorder import EndRecorder
+from peridotwell.forwarding.streams.event_verdicts import EventVerdicts
+from peridotwell.forwarding.targets.crash_tracker import (
+    BrokenAttempt,
+    CrashTracker,
+)
+from peridotwell.forwarding.targets.load_reports import LoadReports
+from peridotwell.forwarding.targets.target_standings import has_left
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.evidence.end_marks import EndMarks
 from peridotwell.serving.outstanding_requests import (
--- /dev/null
+++ b/peridotwell/forwarding/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of event streams: their order, ends and resumption."""
--- a/peridotwell/forwarding/event_order.py
+++ b/peridotwell/forwarding/streams/event_order.py
@@ -14,7 +14,10 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.counts import is_count
 from peridotwell.domain.target import Target
-from peridotwell.forwarding.event_verdicts import EventStep, EventVerdicts
+from peridotwell.forwarding.streams.event_verdicts import (
+    EventStep,
+    EventVerdicts,
+)
 from peridotwell.policy.evidence.step_records import Evidence
 
 __all__ = ('EventMissing', 'EventOrder')
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/streams/stream_affinity.py
@@ -18,7 +18,7 @@
     decode_versions,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.resumption_log import Basis, log_taken_up
+from peridotwell.forwarding.streams.resumption_log import Basis, log_taken_up
 from peridotwell.logs import log_event
 from peridotwell.store.revisions import was_restored
 
--- a/peridotwell/forwarding/stream_log.py
+++ b/peridotwell/forwarding/streams/stream_log.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from peridotwell.forwarding.event_order import EventOrder
+from peridotwell.forwarding.streams.event_order import EventOrder
 from peridotwell.logs import log_failure
 from peridotwell.serving.target_response import BodyEnd
 
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams/streams.py
@@ -15,8 +15,7 @@
     RunState,
 )
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
-from peridotwell.forwarding.attempt import Attempt
-from peridotwell.forwarding.buffered_responses import (
+from peridotwell.forwarding.answering.buffered_responses import (
     ANSWER_SECONDS,
     SUCCESSES,
     BufferedResponse,
@@ -25,19 +24,20 @@
     may_leave_target,
     without_target,
 )
-from peridotwell.forwarding.caller_response import CallerResponse
-from peridotwell.forwarding.dispatch import Dispatcher
-from peridotwell.forwarding.event_order import EventOrder
-from peridotwell.forwarding.handover_protocol import origin_of
-from peridotwell.forwarding.retries import Attempts, RetryDecision
-from peridotwell.forwarding.stream_affinity import StreamAffinity
-from peridotwell.forwarding.stream_log import (
+from peridotwell.forwarding.answering.caller_response import CallerResponse
+from peridotwell.forwarding.choosing.waiting_room import WaitingRoom
+from peridotwell.forwarding.handover.handover_protocol import origin_of
+from peridotwell.forwarding.sending.attempt import Attempt
+from peridotwell.forwarding.sending.dispatch import Dispatcher
+from peridotwell.forwarding.sending.retries import Attempts, RetryDecision
+from peridotwell.forwarding.streams.event_order import EventOrder
+from peridotwell.forwarding.streams.stream_affinity import StreamAffinity
+from peridotwell.forwarding.streams.stream_log import (
     CUT,
     RestAsked,
     StreamEnd,
     log_unusual_end,
 )
-from peridotwell.forwarding.waiting_room import WaitingRoom
 from peridotwell.logs import log_failure
 from peridotwell.policy.placement.choice import Choice
 from peridotwell.serving.stream_head import StreamHead
--- /dev/null
+++ b/peridotwell/forwarding/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What this router knows of each target, and how it learns it."""
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/targets/crash_tracker.py
@@ -23,7 +23,7 @@
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.target_clients import TargetClients
+from peridotwell.forwarding.sending.target_clients import TargetClients
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.crashes.crash_blame import format_parts, shared_part_ids
 from peridotwell.policy.crashes.crashed_requests import RECORD_TTL_SECONDS
--- a/peridotwell/forwarding/load_reports.py
+++ b/peridotwell/forwarding/targets/load_reports.py
@@ -4,7 +4,7 @@
 
 from peridotwell.domain.target import Target
 from peridotwell.forwarding.adapters import TargetAdapter
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
 from peridotwell.serving.target_response import TargetResponse
--- a/peridotwell/forwarding/reachability_prober.py
+++ b/peridotwell/forwarding/targets/reachability_prober.py
@@ -11,8 +11,8 @@
 import trio
 
 from peridotwell.domain.target import Target, wire_id
-from peridotwell.forwarding.connection_check import can_connect
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.sending.connection_check import can_connect
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.logs import log_event
 from peridotwell.policy.health.own_reach import OwnReach
 from peridotwell.policy.placement.rendezvous import rendezvous_score
--- a/peridotwell/forwarding/target_tracker.py
+++ b/peridotwell/forwarding/targets/target_tracker.py
@@ -8,8 +8,8 @@
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import ReportedLoad, RoutedRequest
-from peridotwell.forwarding.brittle_room import BrittleRoom
-from peridotwell.forwarding.silence_limits import SilenceLimits
+from peridotwell.forwarding.choosing.brittle_room import BrittleRoom
+from peridotwell.forwarding.sending.silence_limits import SilenceLimits
 from peridotwell.logs import log_event
 from peridotwell.policy.health.contact_times import ContactTimes
 from peridotwell.policy.health.data_centres import DataCentreMonitor
--- a/tests/forwarding/test_buffered_responses.py
+++ b/tests/forwarding/answering/test_buffered_responses.py
@@ -5,11 +5,11 @@
 import pytest
 import trio
 
-from peridotwell.forwarding.buffered_responses import (
+from peridotwell.forwarding.answering.buffered_responses import (
     BufferedResponse,
     BufferedResponseForwarder,
 )
-from peridotwell.forwarding.retries import RetryDecision
+from peridotwell.forwarding.sending.retries import RetryDecision
 from peridotwell.policy.evidence.end_marks import EndGroup, EndMarks
 from peridotwell.serving.target_response import BodyEnd, ResponseOrigin
 
--- a/tests/forwarding/test_refusal_log.py
+++ b/tests/forwarding/answering/test_refusal_log.py
@@ -15,7 +15,7 @@
     UnknownPath,
 )
 from peridotwell.fleet.replica.dropped_names import Drop
-from peridotwell.forwarding.refusal_log import refusal_log_fields
+from peridotwell.forwarding.answering.refusal_log import refusal_log_fields
 from peridotwell.logs import configure_logging, log_failure
 
 # Operators see only so many characters of a line.
--- a/tests/forwarding/test_engine_room.py
+++ b/tests/forwarding/choosing/test_engine_room.py
@@ -16,7 +16,7 @@
     SLOTS,
     PlacingRouter,
 )
-from tests.forwarding.test_crash_tracker import ROUTE, make_request
+from tests.forwarding.targets.test_crash_tracker import ROUTE, make_request
 
 LONG_ROUTE = replace(
     ROUTE, name='long', kind=RequestKind.streaming, objective_seconds=0.3
--- a/tests/forwarding/test_target_selection.py
+++ b/tests/forwarding/choosing/test_target_selection.py
@@ -18,13 +18,13 @@
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.replica.test_evacuations import evacuate
 from tests.fleet.replica.test_service_directory import apply_changes
+from tests.forwarding.choosing.test_engine_room import LONG_ROUTE
 from tests.forwarding.simulated_targets import (
     ENGINES,
     LOAD_FACTOR,
     PlacingRouter,
 )
-from tests.forwarding.test_crash_tracker import make_request
-from tests.forwarding.test_engine_room import LONG_ROUTE
+from tests.forwarding.targets.test_crash_tracker import make_request
 
 ENGINE_COUNT = 24
 OTHER_ROUTERS = 5
--- a/tests/forwarding/test_waiting_room.py
+++ b/tests/forwarding/choosing/test_waiting_room.py
@@ -15,14 +15,18 @@
     EvidenceSource,
     StoreBelief,
 )
-from peridotwell.forwarding.waiting_room import (
+from peridotwell.forwarding.choosing.waiting_room import (
     MAX_WAITING_BYTES,
     WaitingRoom,
 )
 from peridotwell.metrics import Metrics
 from peridotwell.policy.placement.choice import Choice
 from peridotwell.policy.retries.return_spread import ReturnSpread
-from tests.forwarding.test_crash_tracker import ROUTE, make_request, target
+from tests.forwarding.targets.test_crash_tracker import (
+    ROUTE,
+    make_request,
+    target,
+)
 
 TARGET = target('t', '10.0.0.1:80')
 # Requests that are sent a second while there is room.
--- a/tests/forwarding/test_crowded_paths.py
+++ b/tests/forwarding/handover/test_crowded_paths.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from peridotwell.forwarding.crowded_paths import CrowdedPaths
+from peridotwell.forwarding.handover.crowded_paths import CrowdedPaths
 from peridotwell.policy.placement.choice import Choice
-from tests.forwarding.test_crash_tracker import target
+from tests.forwarding.targets.test_crash_tracker import target
 
 REACHED, LOST, ANOTHER = (target(f't{n}', f'10.0.0.{n}:80') for n in range(3))
 
--- a/tests/forwarding/test_peer_paths.py
+++ b/tests/forwarding/handover/test_peer_paths.py
@@ -7,7 +7,7 @@
 
 from peridotwell.fleet.transport.frames import Hello, RouterUpdate
 from peridotwell.fleet.transport.peers import Peers, make_hello
-from peridotwell.forwarding.peer_paths import (
+from peridotwell.forwarding.handover.peer_paths import (
     MAX_ROUTERS_ASKED,
     UNABLE_SECONDS,
     PeerPaths,
--- a/tests/forwarding/test_background_tasks.py
+++ b/tests/forwarding/lifecycle/test_background_tasks.py
@@ -10,7 +10,9 @@
 
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.forwarding.assembly import build_components
-from peridotwell.forwarding.background_tasks import ForwardingBackgroundTasks
+from peridotwell.forwarding.lifecycle.background_tasks import (
+    ForwardingBackgroundTasks,
+)
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.policy.crashes.crashed_requests import RECORD_TTL_SECONDS
 
--- a/tests/forwarding/test_recovery.py
+++ b/tests/forwarding/lifecycle/test_recovery.py
@@ -12,7 +12,7 @@
 import trio
 
 from peridotwell.fleet.transport.router_registry import ROUTERS_PREFIX
-from peridotwell.forwarding.recovery import CacheRecovery
+from peridotwell.forwarding.lifecycle.recovery import CacheRecovery
 from peridotwell.policy.placement.prompt_cache_index import CachedPart
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
--- a/tests/forwarding/test_unknown_regions.py
+++ b/tests/forwarding/lifecycle/test_unknown_regions.py
@@ -5,13 +5,13 @@
 
 from peridotwell.domain.routing_table import Customer, RoutingTable
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
-from peridotwell.forwarding.unknown_regions import UnknownRegions
+from peridotwell.forwarding.lifecycle.unknown_regions import UnknownRegions
 from peridotwell.metrics import Metrics
 from peridotwell.policy.placement.region_restriction import RegionTable
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.replica.test_service_directory import Decoder
-from tests.forwarding.test_crash_tracker import ROUTE
+from tests.forwarding.targets.test_crash_tracker import ROUTE
 
 
 class RestrictingDecoder(Decoder):
--- a/tests/forwarding/test_attempt_limits.py
+++ b/tests/forwarding/sending/test_attempt_limits.py
@@ -6,9 +6,9 @@
 import pytest
 
 from peridotwell.domain.routing_table import RequestKind
-from peridotwell.forwarding.attempt_limits import max_silence_seconds
+from peridotwell.forwarding.sending.attempt_limits import max_silence_seconds
 from peridotwell.serving.target_client import CONNECT_TIMEOUT_SECONDS
-from tests.forwarding.test_crash_tracker import make_request
+from tests.forwarding.targets.test_crash_tracker import make_request
 
 # A sound engine may send nothing for a second or so.
 SOUND_PAUSE_SECONDS = 1.2
--- a/tests/forwarding/test_connection_check.py
+++ b/tests/forwarding/sending/test_connection_check.py
@@ -6,7 +6,7 @@
 import trio
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.forwarding.connection_check import can_connect
+from peridotwell.forwarding.sending.connection_check import can_connect
 from tests.ports import find_free_port
 
 TIMEOUT_SECONDS = 0.2
--- a/tests/forwarding/test_retries.py
+++ b/tests/forwarding/sending/test_retries.py
@@ -10,13 +10,13 @@
     ResponseTimeout,
     RouterUnable,
 )
-from peridotwell.forwarding.retries import (
+from peridotwell.forwarding.sending.retries import (
     Attempts,
     RetryDecision,
     TriedTargets,
 )
 from peridotwell.policy.retries.retry_window import RetryWindow
-from tests.forwarding.test_crash_tracker import make_request
+from tests.forwarding.targets.test_crash_tracker import make_request
 
 REQUEST = replace(
     make_request(), route=replace(make_request().route, max_attempts=2)
--- a/tests/forwarding/test_silence_limits.py
+++ b/tests/forwarding/sending/test_silence_limits.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from peridotwell.forwarding.silence_limits import SilenceLimits
+from peridotwell.forwarding.sending.silence_limits import SilenceLimits
 
 
 @pytest.fixture
--- a/tests/forwarding/test_target_clients.py
+++ b/tests/forwarding/sending/test_target_clients.py
@@ -3,7 +3,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.forwarding.target_clients import TargetClients
+from peridotwell.forwarding.sending.target_clients import TargetClients
 
 
 class Directory:
--- a/tests/forwarding/simulated_targets.py
+++ b/tests/forwarding/simulated_targets.py
@@ -21,14 +21,14 @@
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.errors import NoRoom
 from peridotwell.forwarding.adapters import ReportedLoad
-from peridotwell.forwarding.target_selection import TargetSelector
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.choosing.target_selection import TargetSelector
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.health.outlier_ejection import OutlierEjection
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
 from tests.fleet.relays.test_update_exchange import Router
 from tests.fleet.replica.test_service_directory import Decoder
-from tests.forwarding.test_crash_tracker import make_request
+from tests.forwarding.targets.test_crash_tracker import make_request
 
 ENGINES = 'engines'
 PLAIN = 'plain'
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/streams/test_event_order.py
@@ -3,9 +3,9 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.forwarding.event_order import EventMissing, EventOrder
-from peridotwell.forwarding.event_verdicts import EventVerdicts
-from peridotwell.forwarding.stream_log import StreamEnd
+from peridotwell.forwarding.streams.event_order import EventMissing, EventOrder
+from peridotwell.forwarding.streams.event_verdicts import EventVerdicts
+from peridotwell.forwarding.streams.stream_log import StreamEnd
 from peridotwell.policy.evidence.event_steps import EventSteps
 
 STREAMS = 20
--- a/tests/forwarding/test_event_verdicts.py
+++ b/tests/forwarding/streams/test_event_verdicts.py
@@ -4,9 +4,9 @@
 
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Pool, Target, TargetKind
-from peridotwell.forwarding import event_verdicts
-from peridotwell.forwarding.event_order import EventOrder
-from peridotwell.forwarding.event_verdicts import EventVerdicts
+from peridotwell.forwarding.streams import event_verdicts
+from peridotwell.forwarding.streams.event_order import EventOrder
+from peridotwell.forwarding.streams.event_verdicts import EventVerdicts
 from peridotwell.policy.evidence.event_steps import EventSteps
 
 STREAMS = 12
--- a/tests/forwarding/test_stream_affinity.py
+++ b/tests/forwarding/streams/test_stream_affinity.py
@@ -8,7 +8,7 @@
 from peridotwell.domain.target import wire_id
 from peridotwell.errors import NoTarget
 from peridotwell.forwarding.adapters import ResumedStream
-from peridotwell.forwarding.stream_affinity import StreamAffinity
+from peridotwell.forwarding.streams.stream_affinity import StreamAffinity
 from peridotwell.policy.versions.stream_versions import MEMORY_SECONDS
 from tests.fleet.relays.test_update_exchange import Router
 
--- a/tests/forwarding/test_cold_watch.py
+++ b/tests/forwarding/targets/test_cold_watch.py
@@ -8,7 +8,7 @@
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.domain.routing_table import ServiceProperties
 from peridotwell.errors import NoRoom, NoTarget
-from peridotwell.forwarding.cold_watch import ColdWatch
+from peridotwell.forwarding.targets.cold_watch import ColdWatch
 from peridotwell.metrics import Metrics
 from peridotwell.policy.limits.cold_shares import SETTLE_SECONDS
 from peridotwell.store.base import Entry
@@ -18,7 +18,7 @@
     PlacingRouter,
     TargetDecoder,
 )
-from tests.forwarding.test_crash_tracker import make_request
+from tests.forwarding.targets.test_crash_tracker import make_request
 
 COLD_SECONDS = 30
 PER_SECOND = 4
--- a/tests/forwarding/test_crash_tracker.py
+++ b/tests/forwarding/targets/test_crash_tracker.py
@@ -13,9 +13,12 @@
 from peridotwell.fleet.relays.forwarding_state import ForwardingState
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.crash_tracker import BrokenAttempt, CrashTracker
-from peridotwell.forwarding.dispatch import Dispatcher
-from peridotwell.forwarding.target_clients import TargetClients
+from peridotwell.forwarding.sending.dispatch import Dispatcher
+from peridotwell.forwarding.sending.target_clients import TargetClients
+from peridotwell.forwarding.targets.crash_tracker import (
+    BrokenAttempt,
+    CrashTracker,
+)
 from peridotwell.policy.health.outlier_ejection import OutlierEjection
 from peridotwell.policy.load.peer_counts import PeerCounts
 from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
--- a/tests/forwarding/test_load_reports.py
+++ b/tests/forwarding/targets/test_load_reports.py
@@ -5,8 +5,8 @@
 import httpcore
 from peridotwell_platform.headers import PlatformTargetAdapter
 
-from peridotwell.forwarding import load_reports
-from peridotwell.forwarding.load_reports import LoadReports
+from peridotwell.forwarding.targets import load_reports
+from peridotwell.forwarding.targets.load_reports import LoadReports
 from peridotwell.metrics import Metrics
 from peridotwell.serving.target_response import TargetResponse
 
--- a/tests/forwarding/test_reachability_prober.py
+++ b/tests/forwarding/targets/test_reachability_prober.py
@@ -3,11 +3,13 @@
 import pytest
 import trio
 
-from peridotwell.forwarding import reachability_prober
-from peridotwell.forwarding.reachability_prober import ReachabilityProber
+from peridotwell.forwarding.targets import reachability_prober
+from peridotwell.forwarding.targets.reachability_prober import (
+    ReachabilityProber,
+)
 from peridotwell.policy.health.own_reach import OwnReach
 from tests.fleet.replica.test_evacuations import evacuate
-from tests.forwarding.test_target_tracker import NEAR, tracker
+from tests.forwarding.targets.test_target_tracker import NEAR, tracker
 
 __all__ = ('tracker',)
 
--- a/tests/forwarding/test_target_tracker.py
+++ b/tests/forwarding/targets/test_target_tracker.py
@@ -5,10 +5,10 @@
 import pytest
 
 from peridotwell.domain.routing_table import RequestKind
-from peridotwell.forwarding.target_tracker import TargetTracker
+from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.policy.health.outlier_ejection import OutlierEjection
 from tests.fleet.relays.test_update_exchange import Router
-from tests.forwarding.test_crash_tracker import make_request, target
+from tests.forwarding.targets.test_crash_tracker import make_request, target
 
 NEAR = target('near', '10.0.0.1:80')
 BOOKING = replace(
--- a/tests/forwarding/test_news_during_restarts.py
+++ b/tests/forwarding/test_news_during_restarts.py
@@ -11,7 +11,10 @@
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
 from tests.fleet.relays.test_relay_links import TICK_SECONDS
-from tests.forwarding.test_recovery import ROUTER_COUNT, RestartedFleet
+from tests.forwarding.lifecycle.test_recovery import (
+    ROUTER_COUNT,
+    RestartedFleet,
+)
 
 RESTARTED_COUNT = ROUTER_COUNT // 2
 ANSWER_BYTES = 200_000
--- a/tests/forwarding/test_returned_store.py
+++ b/tests/forwarding/test_returned_store.py
@@ -22,7 +22,9 @@
     StoreUnavailable,
 )
 from peridotwell.forwarding.assembly import build_components
-from peridotwell.forwarding.background_tasks import ForwardingBackgroundTasks
+from peridotwell.forwarding.lifecycle.background_tasks import (
+    ForwardingBackgroundTasks,
+)
 from peridotwell.forwarding.settings import Adapters, ForwardingSettings
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import (
--- a/tests/peridotwell_platform/test_cut_routers.py
+++ b/tests/peridotwell_platform/test_cut_routers.py
@@ -6,7 +6,9 @@
 import pytest
 import trio
 
-from peridotwell.forwarding.attempt_limits import MIN_SILENCE_TIMEOUT_SECONDS
+from peridotwell.forwarding.sending.attempt_limits import (
+    MIN_SILENCE_TIMEOUT_SECONDS,
+)
 from tests.peridotwell_platform import cut_fleet, stand_in
 
 PATHS = ('/read/x', '/book/x', '/draft/x', '/ask/x')
--- a/tests/peridotwell_platform/test_missing_events.py
+++ b/tests/peridotwell_platform/test_missing_events.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from peridotwell.forwarding import event_verdicts
+from peridotwell.forwarding.streams import event_verdicts
 from tests.peridotwell_platform.counted_events import (
     WHOLE,
     CountingTarget,
--- a/tests/peridotwell_platform/test_path.py
+++ b/tests/peridotwell_platform/test_path.py
@@ -9,7 +9,9 @@
 import trio
 from peridotwell_platform.headers import PlatformTargetAdapter
 
-from peridotwell.forwarding import dispatch, handler, response_recorder
+from peridotwell.forwarding import handler
+from peridotwell.forwarding.answering import response_recorder
+from peridotwell.forwarding.sending import dispatch
 from peridotwell.metrics import Measure, Series
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import stand_in
--- a/tests/peridotwell_platform/test_region_restrictions.py
+++ b/tests/peridotwell_platform/test_region_restrictions.py
@@ -6,7 +6,7 @@
 import trio
 from peridotwell_platform.entries import PlatformEntryDecoder
 
-from peridotwell.forwarding.handover_protocol import (
+from peridotwell.forwarding.handover.handover_protocol import (
     HandoverInfo,
     decode_info,
     encode_info,
--- a/tests/peridotwell_platform/test_stream_ends.py
+++ b/tests/peridotwell_platform/test_stream_ends.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from peridotwell.forwarding import response_recorder, stream_log
+from peridotwell.forwarding.answering import response_recorder
+from peridotwell.forwarding.streams import stream_log
 from peridotwell.serving import target_presence
 from tests.peridotwell_platform.stream_ends import (
     caller_of,
--- a/tests/peridotwell_platform/test_unreadable_documents.py
+++ b/tests/peridotwell_platform/test_unreadable_documents.py
@@ -12,7 +12,7 @@
 from peridotwell.fleet.replica.version_record import decode_versions
 from peridotwell.fleet.transport.frames import FrameError, decode_frame
 from peridotwell.fleet.transport.router_registry import decode_router
-from peridotwell.forwarding.handover_protocol import decode_info
+from peridotwell.forwarding.handover.handover_protocol import decode_info
 from peridotwell.store.http_client import decode_response
 from tests.peridotwell_platform import cut_fleet, stand_in
 from tests.peridotwell_platform.router_setup import start_router, start_store
--- a/tests/peridotwell_platform/test_versions_not_in_force.py
+++ b/tests/peridotwell_platform/test_versions_not_in_force.py
@@ -5,7 +5,10 @@
 import pytest
 import trio
 
-from peridotwell.forwarding.handover_protocol import HandoverInfo, encode_info
+from peridotwell.forwarding.handover.handover_protocol import (
+    HandoverInfo,
+    encode_info,
+)
 from tests.peridotwell_platform import stand_in
 from tests.peridotwell_platform.router_setup import (
     LOCALHOST,
