Tests: the same steps stand once

Cause: four runs of the same lines stood twice or more (duplicates): calls of a target that breaks off, the follower of a slow store, requests to a stopped target, and the check that they are taken back. Change: call_while_it_breaks, follow, send_to_stopped and check_taken_back. What is asserted stays the same.

--- a/tests/peridotwell_platform/test_requests_left_behind.py
+++ b/tests/peridotwell_platform/test_requests_left_behind.py
@@ -123,6 +123,24 @@
     setup.list_target(address, 'i-2', born=2, seq=1)
 
 
+async def send_to_stopped(setup, halted, kinds):
+    """Send requests to a target that stands still."""
+    setup.list_target(halted.address, born=1, seq=1)
+    await trio.sleep(SETTLE_SECONDS)
+    halted.stop()
+    for kind in kinds:
+        setup.send(kind)
+
+
+async def check_taken_back(setup, halted, kinds):
+    """Assert that requests are answered in time, and never run."""
+    await setup.wait_for_answers(BOUND_SECONDS, len(kinds))
+    answers = dict(setup.answers)
+    halted.go_on()
+    await trio.sleep(READ_SECONDS)
+    assert (halted.end(), answers) == ([], dict.fromkeys(kinds, MAY_HAVE_RUN))
+
+
 LEAVING = {
     'removed': remove,
     'draining': drain,
@@ -136,18 +154,10 @@
 async def test_a_stopped_target_that_left_runs_nothing_when_it_goes_on(
     setup, halted, how
 ):
-    setup.list_target(halted.address, born=1, seq=1)
-    await trio.sleep(SETTLE_SECONDS)
-    halted.stop()
-    for kind in KINDS:
-        setup.send(kind)
+    await send_to_stopped(setup, halted, KINDS)
     await trio.sleep(SETTLE_SECONDS)
     LEAVING[how](setup, halted.address)
-    await setup.wait_for_answers(BOUND_SECONDS, len(KINDS))
-    answers = dict(setup.answers)
-    halted.go_on()
-    await trio.sleep(READ_SECONDS)
-    assert (halted.end(), answers) == ([], dict.fromkeys(KINDS, MAY_HAVE_RUN))
+    await check_taken_back(setup, halted, KINDS)
 
 
 # Guards against the same for a report that was written before the target
@@ -155,37 +165,20 @@
 async def test_a_late_report_does_not_show_that_requests_were_read(
     setup, halted
 ):
-    setup.list_target(halted.address, born=1, seq=1)
-    await trio.sleep(SETTLE_SECONDS)
-    halted.stop()
-    for kind in KINDS:
-        setup.send(kind)
+    await send_to_stopped(setup, halted, KINDS)
     await trio.sleep(LATE_SECONDS)
     drain(setup, halted.address)
-    await setup.wait_for_answers(BOUND_SECONDS, len(KINDS))
-    answers = dict(setup.answers)
-    halted.go_on()
-    await trio.sleep(READ_SECONDS)
-    assert (halted.end(), answers) == ([], dict.fromkeys(KINDS, MAY_HAVE_RUN))
+    await check_taken_back(setup, halted, KINDS)
 
 
 # Guards against the same once another target has the address of a stopped one.
 async def test_requests_are_taken_back_where_another_target_has_the_address(
     setup, halted
 ):
-    setup.list_target(halted.address, born=1, seq=1)
-    await trio.sleep(SETTLE_SECONDS)
-    halted.stop()
-    for kind in ('book', 'draft'):
-        setup.send(kind)
+    await send_to_stopped(setup, halted, ('book', 'draft'))
     await trio.sleep(SETTLE_SECONDS)
     reuse_address(setup, halted.address)
-    await setup.wait_for_answers(BOUND_SECONDS, 2)
-    answers = dict(setup.answers)
-    halted.go_on()
-    await trio.sleep(READ_SECONDS)
-    assert halted.end() == []
-    assert answers == {'book': MAY_HAVE_RUN, 'draft': MAY_HAVE_RUN}
+    await check_taken_back(setup, halted, ('book', 'draft'))
 
 
 # Guards against the same on a path that is held, of a target that is sound.
@@ -355,19 +348,11 @@
 async def test_a_stopped_target_whose_removal_is_doubted_runs_nothing(
     setup, halted
 ):
-    setup.list_target(halted.address, born=1, seq=1)
-    await trio.sleep(SETTLE_SECONDS)
-    halted.stop()
-    for kind in KINDS:
-        setup.send(kind)
+    await send_to_stopped(setup, halted, KINDS)
     await trio.sleep(SETTLE_SECONDS)
     doubt_removals(setup)
     remove(setup, halted.address)
-    await setup.wait_for_answers(BOUND_SECONDS, len(KINDS))
-    answers = dict(setup.answers)
-    halted.go_on()
-    await trio.sleep(READ_SECONDS)
-    assert (halted.end(), answers) == ([], dict.fromkeys(KINDS, MAY_HAVE_RUN))
+    await check_taken_back(setup, halted, KINDS)
 
 
 # Guards against requests that are cut at a silent target whose entry comes
--- a/tests/peridotwell_platform/test_slow_store.py
+++ b/tests/peridotwell_platform/test_slow_store.py
@@ -41,11 +41,8 @@
         self.store.put('op/config', msgspec.json.encode(document))
 
 
-# Guards against a router that never hears the store again, and serves by an old
-# configuration, because it gives up each call before a slow store answers.
-async def test_a_slow_store_is_heard_again_after_it_was_lost(nursery):
-    slow = SlowStore()
-    slow.configure(1)
+async def follow(nursery, slow):
+    """Follow a slow store; return the directory and its follower."""
     address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
     directory = ServiceDirectory(PlatformEntryDecoder())
     reader = StoreReader(PlatformStore(address), directory, Metrics('', ''))
@@ -57,6 +54,15 @@
         trio.sleep_forever,
     )
     nursery.start_soon(follower.run)
+    return directory, follower
+
+
+# Guards against a router that never hears the store again, and serves by an old
+# configuration, because it gives up each call before a slow store answers.
+async def test_a_slow_store_is_heard_again_after_it_was_lost(nursery):
+    slow = SlowStore()
+    slow.configure(1)
+    directory, follower = await follow(nursery, slow)
     with trio.fail_after(LATE_SECONDS):
         await directory.ready.wait()
         slow.seconds = ANSWER_SECONDS
@@ -77,17 +83,7 @@
     slow = SlowStore()
     slow.seconds = ANSWER_SECONDS
     slow.configure(1)
-    address = await nursery.start(serve_http, slow.handle, '127.0.0.1:0')
-    directory = ServiceDirectory(PlatformEntryDecoder())
-    reader = StoreReader(PlatformStore(address), directory, Metrics('', ''))
-    follower = StoreFollower(
-        reader,
-        directory,
-        Metrics('', ''),
-        lambda now: True,
-        trio.sleep_forever,
-    )
-    nursery.start_soon(follower.run)
+    directory, _follower = await follow(nursery, slow)
     with trio.fail_after(LATE_SECONDS):
         await directory.ready.wait()
     assert directory.table.version == 1
--- a/tests/processes/test_broken_answers.py
+++ b/tests/processes/test_broken_answers.py
@@ -90,28 +90,35 @@
         yield ports
 
 
-# Guards against cut responses that reach their callers as complete: of a target
-# that was killed, and of one whose reset came while the request was sent.
-@pytest.mark.parametrize('path', ['/read/x', '/book/x', '/draft/x', '/ask/x'])
-@pytest.mark.parametrize('how', BODIES)
-async def test_a_response_that_breaks_off_never_looks_complete(
-    router, how, path
-):
+async def call_while_it_breaks(ports, how, path):
+    """Return the status of a response that its target breaks off.
+
+    None if the body lacks its end, or the connection is reset.
+    """
     headers = router_setup.caller_headers(1, **{'x-deadline-ms': '2000'})
     headers['content-length'] = str(len(BODIES[how]))
-    with running(TARGET, router['target'], how):
-        await wait_for_port(router['target'])
+    with running(TARGET, ports['target'], how):
+        await wait_for_port(ports['target'])
         async with httpcore.AsyncConnectionPool() as pool:
             try:
                 resp = await router_setup.call(
                     pool,
-                    f'127.0.0.1:{router["front"]}',
+                    f'127.0.0.1:{ports["front"]}',
                     'POST',
                     path,
                     headers,
                     BODIES[how],
                 )
             except (httpcore.RemoteProtocolError, httpcore.ReadError):
-                # The body lacks its end, or the connection is reset.
-                return
-    assert resp.status == 502
+                return None
+    return resp.status
+
+
+# Guards against cut responses that reach their callers as complete: of a target
+# that was killed, and of one whose reset came while the request was sent.
+@pytest.mark.parametrize('path', ['/read/x', '/book/x', '/draft/x', '/ask/x'])
+@pytest.mark.parametrize('how', BODIES)
+async def test_a_response_that_breaks_off_never_looks_complete(
+    router, how, path
+):
+    assert await call_while_it_breaks(router, how, path) in {None, 502}
--- a/tests/processes/test_broken_handovers.py
+++ b/tests/processes/test_broken_handovers.py
@@ -5,7 +5,6 @@
 
 from typing import NamedTuple
 
-import httpcore
 import msgspec
 import pytest
 import trio
@@ -18,9 +17,8 @@
 from tests.processes.test_broken_answers import (
     BODIES,
     CONFIG,
-    TARGET,
+    call_while_it_breaks,
     running,
-    wait_for_port,
     wait_until_ready,
 )
 
@@ -87,21 +85,5 @@
 async def test_a_response_that_breaks_off_never_looks_complete(
     cut_router, how, path
 ):
-    headers = router_setup.caller_headers(1, **{'x-deadline-ms': '2000'})
-    headers['content-length'] = str(len(BODIES[how]))
-    with running(TARGET, cut_router['target'], how):
-        await wait_for_port(cut_router['target'])
-        async with httpcore.AsyncConnectionPool() as pool:
-            try:
-                resp = await router_setup.call(
-                    pool,
-                    f'127.0.0.1:{cut_router["front"]}',
-                    'POST',
-                    path,
-                    headers,
-                    BODIES[how],
-                )
-            except (httpcore.RemoteProtocolError, httpcore.ReadError):
-                # The body lacks its end, or the connection is reset.
-                return
-    assert resp.status == 502
+    status = await call_while_it_breaks(cut_router, how, path)
+    assert status in {None, 502}
