Streams go on at the only version if that is known up to when they came back

What callers saw: streams begun at a new version went on at the old one, through a router that was cut off, alone or with another one, or that was behind. Cause: that no news had come was taken for news that nothing had changed. A service once confirmed stayed so for good, a live neighbour ended the check of isolation whatever it knew, and nobody was asked while one version was known. Change: one decision (policy/version_belief.py): a stream whose version is unknown goes on only if its service has had one version up to the moment at which the caller came, shown by the store, by a router that the store has answered since, or by all routers without the store. Else it is refused at once as not run. The version so found is kept with the stream, so that a target that registers before one is chosen is none of its. After a listing that may leave out what has come and gone, earlier versions are unknown again; versions that register and leave within one answer count. Questions are numbered: a late answer shows nothing new. ServiceVersions is apart from StreamVersions, which had grown large.

--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -11,6 +11,7 @@
 from peridotwell.policy.own_reach import OwnReach
 from peridotwell.policy.peer_counts import PeerCounts
 from peridotwell.policy.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.service_versions import ServiceVersions
 from peridotwell.policy.stream_versions import StreamVersions
 from peridotwell.policy.target_limits import TargetLimits
 from peridotwell.policy.target_notices import TargetNotices
@@ -31,6 +32,7 @@
     cache_index: PromptCacheIndex
     peer_requests: PeerCounts
     peer_prefill_tokens: PeerCounts
+    service_versions: ServiceVersions = field(default_factory=ServiceVersions)
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
     target_notices: TargetNotices = field(default_factory=TargetNotices)
     crash_blame: CrashBlame = field(default_factory=CrashBlame)
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -107,7 +107,8 @@
             transport,
             self.relay_protocol.topology,
             state.stream_versions,
-            state.directory.store_contact,
+            state.service_versions,
+            state.directory,
             metrics,
         )
         self._soft_state_syncs: tuple[SoftStateSync[Any], ...] = (
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -22,6 +22,7 @@
 )
 from peridotwell.fleet.replica.store_replica import StoreReplica
 from peridotwell.fleet.replica.table_in_force import TableInForce
+from peridotwell.fleet.replica.target_sightings import TargetSightings
 from peridotwell.fleet.replica.version_record import VERSIONS_KEY
 from peridotwell.fleet.transport.frames import Hello, SharedEntry
 from peridotwell.fleet.transport.router_registry import (
@@ -84,6 +85,7 @@
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._available: dict[str, tuple[Target, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
+        self.sightings = TargetSightings()
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of the table or the targets."""
@@ -109,6 +111,8 @@
 
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Apply a snapshot of the store."""
+        if self.is_loaded:
+            self.sightings.record_listing(self.belief.age(now))
         self.store_contact.record_answer(now)
         self._apply_all_entries(snapshot, EntrySource.store_snapshot, now)
         self.feed_revision = max(self.feed_revision, snapshot.revision)
@@ -141,6 +145,8 @@
         They must include every change after the revision that is known here,
         up to `revision`; if some are missing, `revision` is the known one.
         """
+        if self.is_loaded and source.is_peer:
+            self.sightings.record_listing(self.belief.age(now))
         written = []
         for entry in entries:
             if entry.value is None:
@@ -157,6 +163,8 @@
         now: float,
     ) -> None:
         """Apply all entries that another router knows."""
+        if self.is_loaded:
+            self.sightings.record_listing(self.belief.age(now))
         store_entries = tuple(
             Entry(entry.key, entry.value, entry.revision)
             for entry in entries
@@ -284,6 +292,7 @@
         else:
             target = self._departed.check(entry, target, now)
         self._targets[entry.key] = target
+        self.sightings.record(target)
         log_event(
             'target.leaving' if target.leaving else 'target.listed',
             target=target.name,
--- a/peridotwell/fleet/replica/store_belief.py
+++ b/peridotwell/fleet/replica/store_belief.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -54,6 +55,8 @@
 
     def __init__(self) -> None:
         self.evidence: Evidence | None = None
+        # Up to when answers of the store itself tell all changes.
+        self.answered_until = -math.inf
         # The latest revision that a read of a single entry has shown.
         self.read_revision = 0
         self.due = trio.Event()
@@ -63,15 +66,30 @@
         self._turned_at = float(0)
         # When the last call was sent that got no answer.
         self._failed_asked_at = -math.inf
+        # The store is to be asked until its answers tell what it held then.
+        self._required_until = -math.inf
+        self._listeners: list[Callable[[float], None]] = []
+
+    def on_evidence(self, listener: Callable[[float], None]) -> None:
+        """Call `listener` with the time when evidence has come."""
+        self._listeners.append(listener)
+
+    def require(self, until: float) -> None:
+        """Have the store asked for what it holds at a time, now or earlier."""
+        if until > self.answered_until:
+            self._required_until = max(self._required_until, until)
+            self.due.set()
 
     def record(self, evidence: Evidence, now: float) -> None:
         """Record an answer whose entries have been applied."""
-        if evidence.known_until <= self._known_until:
-            return
-        self.evidence = evidence
-        if self.age(now) <= DUE_AGE_SECONDS and self.due.is_set():
-            self.due = trio.Event()
+        if evidence.source is not EvidenceSource.relay:
+            self.answered_until = max(self.answered_until, evidence.known_until)
+        if evidence.known_until > self._known_until:
+            self.evidence = evidence
+        self._end_due(now)
         self._announce()
+        for listener in self._listeners:
+            listener(now)
 
     def record_read(self, revision: int) -> None:
         """Record the revision of an entry that was read by itself."""
@@ -148,6 +166,14 @@
     def _known_until(self) -> float:
         return self.evidence.known_until if self.evidence else -math.inf
 
+    def _end_due(self, now: float) -> None:
+        is_needed = (
+            self.age(now) > DUE_AGE_SECONDS
+            or self.answered_until < self._required_until
+        )
+        if self.due.is_set() and not is_needed:
+            self.due = trio.Event()
+
     def _announce(self) -> None:
         self._news.set()
         self._news = trio.Event()
--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -16,12 +16,12 @@
 from peridotwell.errors import StoreConflict
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.rendezvous import first_by_score
-from peridotwell.policy.stream_versions import StreamVersions
+from peridotwell.policy.service_versions import ServiceVersions
 from peridotwell.store.base import Entry, EntryStore
 
 __all__ = (
     'VERSIONS_KEY',
-    'ServiceVersions',
+    'RecordedVersions',
     'VersionRecordWriter',
     'decode_versions',
 )
@@ -36,12 +36,12 @@
 START_SECONDS = 2.0
 
 # Wire ids of software versions, by service.
-ServiceVersions = Mapping[str, frozenset[int]]
+RecordedVersions = Mapping[str, frozenset[int]]
 
 _decoder = msgspec.json.Decoder(dict[str, frozenset[Count]])
 
 
-def decode_versions(content: bytes) -> ServiceVersions | None:
+def decode_versions(content: bytes) -> RecordedVersions | None:
     """Return the recorded versions; None if they cannot be decoded."""
     try:
         return _decoder.decode(content)
@@ -49,7 +49,7 @@
         return None
 
 
-def _encode_versions(versions: ServiceVersions) -> bytes:
+def _encode_versions(versions: RecordedVersions) -> bytes:
     document = {
         service: sorted(versions[service]) for service in sorted(versions)
     }
@@ -60,7 +60,7 @@
     """Keeps the record up to date while this router is the one to do so."""
 
     def __init__(
-        self, store: EntryStore, peers: Peers, versions: StreamVersions
+        self, store: EntryStore, peers: Peers, versions: ServiceVersions
     ) -> None:
         self._store = store
         self._peers = peers
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -338,10 +338,16 @@
 
 
 class StreamPull(Frame, frozen=True, array_like=True, tag=18):
-    """Asks which software version began a stream of a service, by wire id."""
+    """Asks which software version began a stream of a service, by wire id.
+
+    The answer repeats the number of the `question`. If `wants_current`, another
+    answer follows once the receiver knows what the store holds now.
+    """
 
     stream: int
     service: str
+    question: int = 0
+    wants_current: bool = False
 
 
 class StreamPush(Frame, frozen=True, array_like=True, tag=19):
@@ -352,7 +358,11 @@
     `is_confirmed` is false if the sender does not know which versions have
     served lately; routers of earlier builds do not tell. `store_heard_seconds`
     is the time since the store last answered the sender, None if it never has
-    or the sender does not tell.
+    or the sender does not tell. Builds before `question` tell none of what
+    follows: `only_version` is the only version of the service that the sender
+    has seen lately, None if it has seen several, or none. It has seen all since
+    the oldest streams began if it `remembers`. `knowledge_age_seconds` is the
+    age of what the store has told it, None without an answer.
     """
 
     stream: int
@@ -361,6 +371,10 @@
     mixed_seconds: float
     is_confirmed: bool = True
     store_heard_seconds: float | None = None
+    question: int = 0
+    only_version: int | None = None
+    remembers: bool = False
+    knowledge_age_seconds: float | None = None
 
 
 _Any = (
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -148,7 +148,9 @@
             peers.own,
             settings.bounds.lease_seconds,
         ),
-        version_record=VersionRecordWriter(store, peers, state.stream_versions),
+        version_record=VersionRecordWriter(
+            store, peers, state.service_versions
+        ),
         clients=clients,
         recovery=CacheRecovery(
             directory,
--- a/peridotwell/forwarding/resumption_log.py
+++ b/peridotwell/forwarding/resumption_log.py
@@ -1,29 +1,11 @@
 """What the log tells of the streams that callers take up again."""
 
-from enum import Enum
-
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.stream_versions import Evidence
+from peridotwell.policy.version_belief import Basis
 
-__all__ = ('Basis', 'log_taken_up')
-
-
-class Basis(Enum):
-    """On what a stream goes on, or why it does not."""
-
-    # The version that began it is known.
-    stream = 'stream'
-    # It is not, but only one version has served lately.
-    one_version = 'one_version'
-    several_versions = 'several_versions'
-    # This router does not know which versions have served lately.
-    not_confirmed = 'not_confirmed'
-    # Nor is it told, as it hears neither the store nor another router.
-    isolated = 'isolated'
-
-
-GOES_ON = frozenset((Basis.stream, Basis.one_version))
+__all__ = ('log_taken_up',)
 
 
 def log_taken_up(
@@ -41,7 +23,7 @@
     evidence comes from.
     """
     stream = request.resumed_stream
-    log = log_event if basis in GOES_ON else log_failure
+    log = log_event if basis.goes_on else log_failure
     log(
         'stream.taken_up',
         request=request.request_id,
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -5,7 +5,9 @@
 answer of another router of which the same holds.
 """
 
+import math
 from collections.abc import Iterable
+from dataclasses import replace
 
 import trio
 
@@ -18,17 +20,20 @@
     decode_versions,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
-from peridotwell.forwarding.resumption_log import Basis, log_taken_up
+from peridotwell.forwarding.resumption_log import log_taken_up
 from peridotwell.logs import log_event
+from peridotwell.policy.stream_versions import (
+    MEMORY_SECONDS,
+    STORE,
+    Evidence,
+)
+from peridotwell.policy.version_belief import Basis, KnownVersions, decide
 from peridotwell.store.revisions import was_restored
 
 __all__ = ('StreamAffinity',)
 
 # News of a stream reaches the other routers in less.
 RETRY_AFTER_SECONDS = 0.3
-# A router that has heard neither the store nor another router for longer may
-# lack a version that serves.
-MAX_ISOLATION_SECONDS = 3.0
 # The id in a question that is only about the versions of a service.
 NO_STREAM = 0
 
@@ -46,8 +51,13 @@
         self._directory = directory
         self._update_exchange = update_exchange
         self._versions = update_exchange.state.stream_versions
+        self._services = update_exchange.state.service_versions
+        self._lookup = update_exchange.stream_lookup
         self._has_read_record = False
+        # When another router was last known.
+        self._had_others_at = -math.inf
         directory.on_change(self._record_serving)
+        directory.sightings.on_gap(self._record_gap)
 
     def record_start(
         self, request: RoutedRequest, target: Target, now: float
@@ -59,42 +69,39 @@
         if self._versions.version(stream, now) is not None:
             return
         self._versions.record_own(stream, target.software_id, now)
-        if self._versions.is_mixed(request.service, now):
+        if self._services.is_mixed(request.service, now):
             self._update_exchange.share_stream_versions(
                 [(stream, target.software_id)]
             )
 
-    async def learn_version(self, request: RoutedRequest) -> None:
-        """Ask other routers for the version of a stream if it is unknown."""
-        if request.resumed_stream is None:
-            return
-        now = trio.current_time()
-        is_known = self._known_version(request, now) is not None
-        may_lack = self._versions.may_lack(request.service, now)
-        if not is_known and (may_lack or self._is_isolated(now)):
-            await self._update_exchange.stream_lookup.find(
-                request.stream_id, request.service
-            )
-        self._log_taken_up(request, trio.current_time())
-
-    def required_software(
-        self, request: RoutedRequest, now: float
-    ) -> int | None:
-        """Return the id of the version that must serve; None if any may.
+    async def version_of(self, request: RoutedRequest) -> int | None:
+        """Return the id of the version at which a stream goes on.
 
-        Raises NoTarget if it is unknown and several versions may have served.
+        It is None for a stream that begins. Other routers and the store are
+        asked first if need be. Raises NoTarget if it is not known.
         """
         if request.resumed_stream is None:
             return None
-        software = self._known_version(request, now)
-        if software is None and self._may_be_mixed(request.service, now):
-            self._update_exchange.stream_lookup.count_unknown()
+        now = trio.current_time()
+        if not self._basis(request, now).goes_on:
+            await self._lookup.find(
+                request.stream_id, request.service, request.arrived_at
+            )
+            now = trio.current_time()
+        basis = self._basis(request, now)
+        version = self._known_version(request, now)
+        self._log_taken_up(request, basis, version, now)
+        if not basis.goes_on:
+            self._lookup.count_unknown()
             raise NoTarget(
                 'It is not known which software version began this stream, and '
                 'several may serve: resume it again later, or start anew.',
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
-        return software
+        if version is None:
+            version = self._services.only_version(request.service, now)
+            self._keep(request, version, now)
+        return version
 
     async def confirm(self, services: Iterable[str]) -> tuple[str, ...]:
         """Return those of `services` whose recent versions are all known.
@@ -104,82 +111,115 @@
         now = trio.current_time()
         for service in services:
             if not self._is_confirmed(service, now):
-                await self._update_exchange.stream_lookup.find(
-                    NO_STREAM, service
-                )
+                await self._lookup.find(NO_STREAM, service)
         now = trio.current_time()
         return tuple(
             service for service in services if self._is_confirmed(service, now)
         )
 
     def _is_confirmed(self, service: str, now: float) -> bool:
-        is_alone = self._update_exchange.peers.known_count() == 1
-        return is_alone or self._versions.is_confirmed(service, now)
+        return self._is_alone(now) or self._services.is_confirmed(service, now)
 
-    def _may_be_mixed(self, service: str, now: float) -> bool:
-        return (
-            self._basis_without_version(service, now) is not Basis.one_version
-        )
+    def _is_alone(self, now: float) -> bool:
+        """Return whether no other router can have begun a recent stream.
 
-    def _is_isolated(self, now: float) -> bool:
-        """Return whether neither the store nor another router is heard."""
-        answered_at = self._directory.store_contact.answered_at
-        if now - answered_at <= MAX_ISOLATION_SECONDS:
-            return False
-        peers = self._update_exchange.peers
-        return peers.known_count() > 1 and not peers.live_ids(now)
+        Entries of others lapse in an outage of the store.
+        """
+        if self._update_exchange.peers.known_count() > 1:
+            self._had_others_at = now
+        return now - self._had_others_at > MEMORY_SECONDS
 
     def _known_version(self, request: RoutedRequest, now: float) -> int | None:
         if _is_unnamed(request):
             return None
         return self._versions.version(request.stream_id, now)
 
-    def _log_taken_up(self, request: RoutedRequest, now: float) -> None:
+    def _basis(self, request: RoutedRequest, now: float) -> Basis:
         service = request.service
-        version = self._known_version(request, now)
-        if version is None:
-            basis = self._basis_without_version(service, now)
-            evidence = self._versions.confirmation(service, now)
-        else:
-            basis = Basis.stream
-            evidence = self._versions.evidence(request.stream_id, now)
+        known = KnownVersions(
+            self._known_version(request, now),
+            self._services.only_version(service, now),
+            self._lookup.belief.told_until(service),
+            self._directory.belief.answered_until,
+            self._services.is_confirmed(service, now),
+        )
+        if self._is_alone(now) and known.only is not None:
+            # No other router can have begun the stream.
+            known = replace(known, told_until=now)
+        return decide(known, request.arrived_at)
+
+    def _keep(
+        self, request: RoutedRequest, version: int | None, now: float
+    ) -> None:
+        """Keep a version that is now known, before another one serves."""
+        evidence = self._evidence(request, now)
+        if version is not None and evidence and not _is_unnamed(request):
+            self._versions.record(
+                request.stream_id, version, replace(evidence, learned_at=now)
+            )
+
+    def _evidence(self, request: RoutedRequest, now: float) -> Evidence | None:
+        """Return what shows the version of a stream, or of its service."""
+        if self._known_version(request, now) is not None:
+            return self._versions.evidence(request.stream_id, now)
+        answered_until = self._directory.belief.answered_until
+        told = self._lookup.belief.evidence(request.service)
+        if told is not None and told.learned_at >= answered_until:
+            return told
+        if math.isinf(answered_until):
+            return told
+        contact = self._directory.store_contact
+        return Evidence(STORE, answered_until, contact.answered_at)
+
+    def _log_taken_up(
+        self,
+        request: RoutedRequest,
+        basis: Basis,
+        version: int | None,
+        now: float,
+    ) -> None:
         heard_seconds = self._directory.store_contact.answer_age(now)
+        evidence = self._evidence(request, now)
         log_taken_up(request, version, basis, evidence, heard_seconds, now)
 
-    def _basis_without_version(self, service: str, now: float) -> Basis:
-        if self._versions.is_mixed(service, now):
-            return Basis.several_versions
-        if not self._is_confirmed(service, now):
-            return Basis.not_confirmed
-        if self._is_isolated(now):
-            return Basis.isolated
-        return Basis.one_version
-
     def _read_record(self) -> None:
         """Read which versions have served before this router started."""
         entry = self._directory.replica.entry(VERSIONS_KEY)
         recorded = decode_versions(entry.value) if entry else None
         if entry is None and not was_restored(self._directory.known_revision):
-            self._versions.record_nothing_earlier()
-        self._versions.record_earlier(recorded or {}, trio.current_time())
+            self._services.record_nothing_earlier()
+        self._services.record_earlier(recorded or {}, trio.current_time())
         log_event('versions.read', services=len(recorded or {}))
 
     def _record_serving(self) -> None:
         now = trio.current_time()
-        serving: dict[str, set[int]] = {}
-        for target in self._directory.all_targets():
-            serving.setdefault(target.pool.name, set()).add(target.software_id)
+        self._is_alone(now)
         if not self._has_read_record:
             self._has_read_record = True
             self._read_record()
-        has_become_mixed = self._versions.set_serving(
-            {name: frozenset(ids) for name, ids in serving.items()}, now
-        )
+        serving = _versions_by_service(self._directory.all_targets())
+        seen = _versions_by_service(self._directory.sightings.take())
+        has_become_mixed = self._services.set_serving(serving, now)
+        # A target may have registered and left in what came at once.
+        has_become_mixed |= self._services.record_seen(seen, now)
         if has_become_mixed:
             streams = tuple(self._versions.recent(now))
             self._update_exchange.share_stream_versions(streams)
             log_event('streams.shared', streams=len(streams))
 
+    def _record_gap(self) -> None:
+        """Record that versions may have come and gone unseen."""
+        self._services.record_gap(trio.current_time())
+
+
+def _versions_by_service(
+    targets: Iterable[Target],
+) -> dict[str, frozenset[int]]:
+    versions: dict[str, set[int]] = {}
+    for target in targets:
+        versions.setdefault(target.pool.name, set()).add(target.software_id)
+    return {name: frozenset(ids) for name, ids in versions.items()}
+
 
 def _is_unnamed(request: RoutedRequest) -> bool:
     """Return whether a stream is taken up without telling what began it.
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -101,6 +101,8 @@
         # What marked the end of what the last target sent.
         self._target_end = CUT
         self._rest = RestAsked.no_doubt
+        # The version that began a stream that the caller has taken up.
+        self._begun_version: int | None = None
         # Number of targets that sent events.
         self._parts = 0
         # Ends the wait for the first event of the rest of a stream.
@@ -133,7 +135,7 @@
             log_unusual_end(self._request.request_id, self.end)
 
     async def _run(self) -> BufferedResponse | None:
-        await self._affinity.learn_version(self._request)
+        self._begun_version = await self._affinity.version_of(self._request)
         error_response = await self._forward()
         if error_response is None:
             # Until no other target has sent more, or told that it is whole.
@@ -272,7 +274,7 @@
             return await self._waiting_room.choose(
                 self._request,
                 self._attempts.tried,
-                self._required_software(trio.current_time()),
+                self._required_software,
                 may_hand_over=self._may_hand_over,
             )
         except (NoTarget, ForwardedRequestQuarantined) as exc:
@@ -285,8 +287,7 @@
             return False
         try:
             self._dispatcher.check(self._request)
-            software = self._required_software(now)
-        except (NoTarget, ForwardedRequestQuarantined):
+        except ForwardedRequestQuarantined:
             return False
         return may_leave_target(
             self._attempts,
@@ -294,7 +295,7 @@
             self._request,
             target,
             now,
-            software,
+            self._required_software,
             may_hand_over=self._may_hand_over,
         )
 
@@ -312,10 +313,12 @@
         """Whether another router may serve the whole of the stream."""
         return not self._caller_response.has_begun
 
-    def _required_software(self, now: float) -> int | None:
+    @property
+    def _required_software(self) -> int | None:
+        """The version that must go on with the stream; None if any may."""
         if self._caller_response.has_begun and self.choice is not None:
             return self.choice.target.software_id
-        return self._affinity.required_software(self._request, now)
+        return self._begun_version
 
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
--- a/peridotwell/policy/stream_versions.py
+++ b/peridotwell/policy/stream_versions.py
@@ -1,15 +1,13 @@
-"""Which software version began each stream, while several versions serve.
+"""Which software version began each stream that may be resumed.
 
-Pattern: version affinity during a rolling upgrade. What two versions of a
-target's software write does not fit together, so a stream is resumed only at
-the version that began it.
+What two versions of a target's software write does not fit together, so a
+stream is resumed only at the version that began it.
 """
 
-import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ('Evidence', 'StreamVersions')
+__all__ = ('MEMORY_SECONDS', 'STORE', 'Evidence', 'StreamVersions')
 
 # Longer than a stream and its caller's attempts to resume it last.
 MEMORY_SECONDS = 30.0
@@ -20,8 +18,7 @@
 
 # Sources of evidence besides other routers, which are named.
 OWN = 'own'
-STORE_RECORD = 'store_record'
-FOLLOWED = 'followed'
+STORE = 'store'
 
 
 @dataclass(frozen=True)
@@ -62,127 +59,11 @@
 class StreamVersions:
     """Remembers the versions of recent streams, own ones and those of peers.
 
-    Streams and versions are identified by their wire ids. Shortly after the
-    start, the versions that have left before are unknown. A service counts as
-    confirmed when this router has learned them from a record or from a peer, or
-    has followed the service for as long as streams last.
+    Streams and versions are identified by their wire ids.
     """
 
     def __init__(self) -> None:
         self._versions: dict[int, _KnownVersion] = {}
-        self._serving: dict[str, frozenset[int]] = {}
-        # All versions of mixed services, also those that have left.
-        self._mixed: dict[str, frozenset[int]] = {}
-        self._mixed_until: dict[str, float] = {}
-        # Until then, versions that only other routers know may matter.
-        self._unknown_until: dict[str, float] = {}
-        self._confirmed: dict[str, Evidence] = {}
-        self._nothing_served = False
-        # From then on this router has learned of all streams.
-        self._complete_at = math.inf
-
-    def record_earlier(
-        self, versions: Mapping[str, frozenset[int]], now: float = 0
-    ) -> None:
-        """Record, by service, the versions that served before the start."""
-        self._serving.update(versions)
-        for service in versions:
-            self._confirmed[service] = Evidence(STORE_RECORD, now)
-
-    def record_nothing_earlier(self) -> None:
-        """Record that nothing has served before all routers started."""
-        self._nothing_served = True
-
-    def set_serving(
-        self, versions: Mapping[str, frozenset[int]], now: float
-    ) -> bool:
-        """Set the versions that serve, by service.
-
-        Returns whether a service has just got several versions.
-        """
-        if self._complete_at == math.inf:
-            self._complete_at = now + MEMORY_SECONDS
-        has_become_mixed = False
-        for service, serving in versions.items():
-            served = self._serving.get(service, serving) | serving
-            if len(served) > 1:
-                was_mixed = self.is_mixed(service, now)
-                has_become_mixed |= not was_mixed
-                earlier = self._mixed.get(service) if was_mixed else None
-                self._mixed[service] = served | (earlier or frozenset())
-                self._mixed_until[service] = now + MEMORY_SECONDS
-        # A service without targets keeps its last versions.
-        self._serving.update(versions)
-        return has_become_mixed
-
-    def recent_versions(
-        self, services: Iterable[str], now: float
-    ) -> dict[str, frozenset[int]]:
-        """Return the versions whose streams may be resumed, by service.
-
-        Services of which not all are known are left out.
-        """
-        recent = {}
-        for service in services:
-            if self._unknown_until.get(service, now) > now:
-                continue
-            versions = self._serving.get(service, frozenset())
-            if self.is_mixed(service, now):
-                versions |= self._mixed.get(service, frozenset())
-            if versions:
-                recent[service] = versions
-        return recent
-
-    def is_mixed(self, service: str, now: float) -> bool:
-        """Return whether streams of several versions may be resumed."""
-        return self.mixed_seconds(service, now) > 0
-
-    def mixed_seconds(self, service: str, now: float) -> float:
-        """Return for how long streams of several versions may be resumed."""
-        if len(self._serving.get(service, ())) > 1:
-            return MEMORY_SECONDS
-        return max(self._mixed_until.get(service, 0) - now, 0)
-
-    def record_confirmation(self, service: str, evidence: Evidence) -> None:
-        """Record that another router has told all versions of a service."""
-        self._confirmed[service] = evidence
-
-    def record_mixed(
-        self, service: str, mixed_seconds: float, now: float
-    ) -> None:
-        """Record for how long streams of several versions may be resumed."""
-        if not mixed_seconds > 0:
-            return
-        until = now + min(mixed_seconds, MEMORY_SECONDS)
-        if not self.is_mixed(service, now):
-            self._unknown_until[service] = until
-        known = self._mixed_until.get(service, until)
-        self._mixed_until[service] = max(until, known)
-
-    def is_confirmed(self, service: str, now: float) -> bool:
-        """Return whether all versions that have served lately are known."""
-        return now >= self._complete_at or service in self._confirmed
-
-    def may_confirm(self, service: str, now: float) -> bool:
-        """Return whether this router may tell others all versions.
-
-        It may after the first start of all routers: it knows all since then.
-        """
-        return self._nothing_served or self.is_confirmed(service, now)
-
-    def confirmation(self, service: str, now: float) -> Evidence | None:
-        """Return what shows that all recent versions are known, or None."""
-        if service in self._confirmed:
-            return self._confirmed[service]
-        if now >= self._complete_at:
-            return Evidence(FOLLOWED, self._complete_at)
-        return None
-
-    def may_lack(self, service: str, now: float) -> bool:
-        """Return whether a version that matters may be known elsewhere."""
-        return not self.is_confirmed(service, now) or self.is_mixed(
-            service, now
-        )
 
     def record_own(self, stream: int, version: int, now: float) -> None:
         """Record which version began a stream at this router."""
@@ -190,9 +71,10 @@
 
     def record(self, stream: int, version: int, evidence: Evidence) -> None:
         """Record which version began a stream, unless that is known."""
-        if stream in self._versions:
-            return
         self._remove_expired(evidence.learned_at)
+        if self.version(stream, evidence.learned_at) is not None:
+            return
+        self._versions.pop(stream, None)
         if len(self._versions) >= MAX_STREAMS:
             self._versions.pop(next(iter(self._versions)))
         self._versions[stream] = _KnownVersion(version, evidence)
