--- a/peridotwell/fleet/relays/forwarding_state.py
+++ b/peridotwell/fleet/relays/forwarding_state.py
@@ -14,6 +14,7 @@
 from peridotwell.policy.load.peer_counts import PeerCounts
 from peridotwell.policy.load.target_paces import TargetPaces
 from peridotwell.policy.placement.prompt_cache_index import PromptCacheIndex
+from peridotwell.policy.versions.service_versions import ServiceVersions
 from peridotwell.policy.versions.stream_versions import StreamVersions
 
 __all__ = ('ForwardingState',)
@@ -31,6 +32,7 @@
     cache_index: PromptCacheIndex
     peer_requests: PeerCounts
     peer_prefill_tokens: PeerCounts
+    service_versions: ServiceVersions = field(default_factory=ServiceVersions)
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
     target_notices: TargetNotices = field(default_factory=TargetNotices)
     crash_blame: CrashBlame = field(default_factory=CrashBlame)
--- a/tests/fleet/replica/test_version_record.py
+++ b/tests/fleet/replica/test_version_record.py
@@ -14,9 +14,9 @@
     decode_versions,
 )
 from peridotwell.fleet.transport.peers import Peers, make_hello
-from peridotwell.policy.versions.stream_versions import (
+from peridotwell.policy.versions.service_versions import (
     MEMORY_SECONDS,
-    StreamVersions,
+    ServiceVersions,
 )
 from standins.memory_store import MemoryStore
 from tests.store.fakes import Fault, FaultyStore
@@ -33,7 +33,7 @@
     def __init__(self, name, store):
         self.store = store
         self.peers = Peers(make_hello(name, 'a', name, '', 1), 2)
-        self.versions = StreamVersions()
+        self.versions = ServiceVersions()
         self.writer = VersionRecordWriter(store, self.peers, self.versions)
 
     def serve(self, *versions, now):
