Dispatch: sending to a target stands in a module of its own

Cause: forwarding/sending/dispatch.py had 397 lines with two jobs: it built and sent the HTTP request, and recorded the outcome of the target. Change: TargetSender (target_sender.py) opens the response of a target, limit_silence (limited_responses.py) bounds the wait at targets and at routers that take requests over; Dispatcher records. 265 lines are left. No change of behaviour.

--- a/peridotwell/forwarding/sending/dispatch.py
+++ b/peridotwell/forwarding/sending/dispatch.py
@@ -1,14 +1,8 @@
 """Sending of a request to a target, and recording of its outcome."""
 
-from collections.abc import AsyncIterator, Hashable
-from contextlib import (
-    AbstractAsyncContextManager,
-    AsyncExitStack,
-    asynccontextmanager,
-)
-from functools import partial
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
-import httpcore
 import trio
 
 from peridotwell.attempt_errors import (
@@ -16,26 +10,21 @@
     ConnectionFailed,
     RefusedByTarget,
     ResponseLost,
-    ResponseTimeout,
     ResponseTruncated,
     TargetLeft,
     TargetReplaced,
 )
 from peridotwell.domain.target import Target
-from peridotwell.forwarding.adapters import (
-    HeaderFields,
-    RoutedRequest,
-    TargetRequest,
-)
+from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.forwarding.handover.handover_client import HandoverClient
 from peridotwell.forwarding.sending.attempt import Attempt
 from peridotwell.forwarding.sending.attempt_limits import (
     max_router_silence_seconds,
-    max_silence_seconds,
     response_timeouts,
-    source_before_response,
 )
+from peridotwell.forwarding.sending.limited_responses import limit_silence
 from peridotwell.forwarding.sending.target_clients import TargetClients
+from peridotwell.forwarding.sending.target_sender import TargetSender
 from peridotwell.forwarding.streams.end_recorder import EndRecorder
 from peridotwell.forwarding.streams.event_verdicts import EventVerdicts
 from peridotwell.forwarding.targets.crash_tracker import (
@@ -43,19 +32,14 @@
     CrashTracker,
 )
 from peridotwell.forwarding.targets.load_reports import LoadReports
-from peridotwell.forwarding.targets.target_standings import has_left
 from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.evidence.end_marks import EndMarks
-from peridotwell.serving.outstanding_requests import (
-    OutstandingRequest,
-    OutstandingRequests,
-)
+from peridotwell.serving.outstanding_requests import OutstandingRequests
 from peridotwell.serving.target_response import TargetResponse
 
 __all__ = ('FIRST_SERVER_ERROR', 'Dispatcher', 'is_target_error')
 
-BODILESS_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'DELETE', 'TRACE'))
 FIRST_SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
 
@@ -83,9 +67,8 @@
         self._outstanding = outstanding
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
-        self._clients = clients
         self._tracker = tracker
-        self._reports = reports
+        self._sender = TargetSender(clients, tracker, reports, outstanding)
         # Attempts whose target has sent a whole event.
         self._begun: set[Attempt] = set()
 
@@ -126,8 +109,12 @@
         )
         max_seconds = max_router_silence_seconds(request, now)
         try:
-            async with self._limit_silence(
-                attempt, response_context, attempt, max_seconds
+            async with limit_silence(
+                self._tracker.silence_limits,
+                attempt,
+                response_context,
+                attempt,
+                max_seconds,
             ) as response:
                 yield response
         except AttemptError as exc:
@@ -144,7 +131,7 @@
         self._tracker.record_start(request, choice, started_at)
         is_prefilled = False
         try:
-            async with self._track_response(attempt) as response:
+            async with self._sender.open(attempt) as response:
                 is_prefilled = True
                 self._tracker.record_prefill_end(request, choice)
                 self.record_activity(attempt)
@@ -195,94 +182,6 @@
         ):
             log_event('target.set_aside', target=name, code=f'status_{status}')
 
-    @asynccontextmanager
-    async def _track_response(
-        self, attempt: Attempt
-    ) -> AsyncIterator[TargetResponse]:
-        """Yield the response, unless the request is taken back before."""
-        request = attempt.request
-        with self._outstanding.track(
-            attempt.target,
-            request.request_id,
-            _kind(request),
-            attempt.number,
-        ) as outstanding:
-            async with self._open_response(attempt, outstanding) as response:
-                yield response
-
-    @asynccontextmanager
-    async def _open_response(
-        self, attempt: Attempt, outstanding: OutstandingRequest
-    ) -> AsyncIterator[TargetResponse]:
-        request = attempt.request
-        target = attempt.target
-        now = trio.current_time()
-        http_request = httpcore.Request(
-            request.method,
-            httpcore.URL(
-                scheme=b'http',
-                host=target.address.rpartition(':')[0].encode(),
-                port=int(target.address.rpartition(':')[2]),
-                target=request.target_path,
-            ),
-            headers=(
-                *self._reports.adapter.request_fields(
-                    TargetRequest(
-                        request,
-                        target,
-                        now,
-                        attempt.resume_after,
-                        attempt.choice.fetch_from,
-                    ),
-                ),
-                *_length_field(request),
-            ),
-            content=request.body,
-        )
-        response_context = self._clients.client(target).send(
-            http_request,
-            response_timeouts(attempt, now),
-            new_connection=not self._tracker.may_reuse_connection(
-                request, target, now
-            ),
-            require_request_id=True,
-            before_send=partial(
-                _begin_sending, self._tracker, target, outstanding
-            ),
-        )
-        max_seconds = max_silence_seconds(request, now)
-        source = source_before_response(attempt)
-        async with self._limit_silence(
-            attempt, outstanding.open(response_context), source, max_seconds
-        ) as response:
-            self._reports.record(target, response)
-            yield response
-
-    @asynccontextmanager
-    async def _limit_silence(
-        self,
-        attempt: Attempt,
-        response_context: AbstractAsyncContextManager[TargetResponse],
-        source: Hashable,
-        max_seconds: float,
-    ) -> AsyncIterator[TargetResponse]:
-        """Yield the response; leave a target that sends nothing if possible.
-
-        Before the response, data from `source` count as a sign of life.
-        """
-        limits = self._tracker.silence_limits
-        async with AsyncExitStack() as stack:
-            with limits.limit(source, max_seconds, attempt.may_leave) as wait:
-                response = await stack.enter_async_context(response_context)
-            if wait.scope.cancelled_caught:
-                raise ResponseTimeout('The target did not respond in time.')
-            with limits.limit(attempt, max_seconds, attempt.may_leave) as wait:
-                wait.after_read()
-                response.observer = wait
-                yield response
-            if wait.scope.cancelled_caught:
-                raise ResponseTimeout('The target stopped sending the body.')
-
     def _record_end(self, attempt: Attempt, seconds: float) -> None:
         self._begun.discard(attempt)
         self._tracker.record_end(attempt.target, seconds)
@@ -336,25 +235,6 @@
             )
 
 
-def _begin_sending(
-    tracker: TargetTracker, target: Target, outstanding: OutstandingRequest
-) -> None:
-    """Raise TargetLeft if a target has left since it was chosen.
-
-    The same if its data centre was evacuated.
-    """
-    directory = tracker.directory
-    if has_left(target, directory, tracker.notices):
-        raise TargetLeft(f'{target.name} has left: choose another target.')
-    if directory.evacuations.covers(target):
-        directory.evacuations.diverted += 1
-        raise TargetLeft(
-            f'The data centre of {target.name} is evacuated: choose another '
-            'target.'
-        )
-    outstanding.record_sent(trio.current_time())
-
-
 def _log_failure(attempt: Attempt, exc: AttemptError) -> None:
     log_failure(
         'attempt.failed',
@@ -383,15 +263,3 @@
     A gateway timeout is excluded, because it reports a missed deadline.
     """
     return status >= FIRST_SERVER_ERROR and status != GATEWAY_TIMEOUT
-
-
-def _kind(request: RoutedRequest) -> str:
-    """Return the kind of a request for the logs."""
-    kind = request.route.kind.value
-    return f'{kind}_resumable' if request.route.resumable else kind
-
-
-def _length_field(request: RoutedRequest) -> HeaderFields:
-    if not request.body and request.method in BODILESS_METHODS:
-        return ()
-    return ((b'content-length', str(len(request.body)).encode()),)
