--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -19,7 +19,7 @@
     ResponseTruncated,
 )
 from peridotwell.domain.prompt import Prompt
-from peridotwell.domain.target import Target, wire_id
+from peridotwell.domain.target import Target
 from peridotwell.errors import ForwardedRequestQuarantined
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
 from peridotwell.forwarding.adapters import RoutedRequest
@@ -27,6 +27,7 @@
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.crash_blame import format_parts, shared_part_ids
 from peridotwell.policy.crashed_requests import RECORD_TTL_SECONDS
+from peridotwell.policy.untold_restarts import UntoldRestarts
 from peridotwell.serving.target_presence import HAS_ENDED, TargetSign
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
@@ -57,6 +58,7 @@
     fingerprint: int
     prompt: Prompt | None
     has_begun: bool
+    arrived_at: float
 
 
 class CrashTracker:
@@ -71,6 +73,7 @@
         self._blame = update_exchange.state.crash_blame
         self._update_exchange = update_exchange
         self._logged_groups: tuple[frozenset[int], ...] = ()
+        self._restarts = UntoldRestarts()
         # By target: one connection shows whether all its requests lost it.
         self._to_check: dict[Target, list[_Suspect]] = {}
         self._has_checks = trio.Event()
@@ -118,6 +121,7 @@
                     request.fingerprint,
                     request.prompt,
                     broken.has_begun,
+                    request.arrived_at,
                 )
             )
             self._has_checks.set()
@@ -153,15 +157,20 @@
         sign = await self._clients.client(target).process_sign()
         if sign not in IS_LOST:
             return
-        for suspect in suspects:
-            self._record_loss(target, suspect)
-
-    def _record_loss(self, target: Target, suspect: _Suspect) -> None:
-        incarnation_id = wire_id(f'{target.name}|{target.incarnation}')
         now = trio.current_time()
-        record = self._crashed.record_loss(
-            suspect.fingerprint, incarnation_id, now
+        process_id = self._restarts.record_crash(
+            target,
+            max(suspect.arrived_at for suspect in suspects),
+            now,
+            is_told=self._directory.belief.is_current(now),
         )
+        for suspect in suspects:
+            self._record_loss(target, suspect, process_id, now)
+
+    def _record_loss(
+        self, target: Target, suspect: _Suspect, process_id: int, now: float
+    ) -> None:
+        record = self._crashed.record_loss(suspect.fingerprint, process_id, now)
         log_failure(
             'request.lost_target',
             request=suspect.request_id,
@@ -173,13 +182,13 @@
         )
         self._update_exchange.crashed_request_sync.share((record,))
         if not suspect.has_begun:
-            self._record_part_losses(suspect, incarnation_id, now)
+            self._record_part_losses(suspect, process_id, now)
 
     def _record_part_losses(
-        self, suspect: _Suspect, incarnation_id: int, now: float
+        self, suspect: _Suspect, process_id: int, now: float
     ) -> None:
         changed = self._blame.record_loss(
-            incarnation_id,
+            process_id,
             suspect.fingerprint,
             shared_part_ids(suspect.prompt),
             now,
