--- a/tests/peridotwell_platform/test_stream_ends.py
+++ b/tests/peridotwell_platform/test_stream_ends.py
@@ -3,7 +3,7 @@
 import pytest
 
 from peridotwell.forwarding.answering import response_recorder
-from peridotwell.forwarding.streams import stream_log
+from peridotwell.forwarding.streams.streams import stream_log
 from peridotwell.serving import target_presence
 from tests.peridotwell_platform.stream_ends import (
     caller_of,
