Targets that may have restarted go on with no streams until the store tells

Cause: the version of a stream, and of the target that goes on with it, was that of the target's entry. Nothing asked whether the process behind the address is still the one that the entry describes.

Now the ends of connections are kept as signs by target. After one, the entry counts again once the store's answers show that it held later than a process was found at the address. Until then no stream goes on there, and one that begins there has no version: it goes on nowhere, and others are told none. The store is asked once after a sign, never without one.

--- a/peridotwell/attempt_errors.py
+++ b/peridotwell/attempt_errors.py
@@ -7,6 +7,7 @@
     'ConnectionFailed',
     'RouterUnable',
     'TargetLeft',
+    'TargetDoubted',
     'RequestTakenBack',
     'RefusedByTarget',
     'TargetReplaced',
@@ -51,6 +52,15 @@
     may_have_run = False
 
 
+class TargetDoubted(TargetLeft):
+    """The target may have started again; nothing was sent.
+
+    It may have another software version than its entry tells.
+    """
+
+    code = 'target_doubted'
+
+
 class RequestTakenBack(TargetLeft):
     """The target left after the request was sent, and was silent since.
 
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -220,7 +220,7 @@
         ReachabilityProber(tracker, settings.name, state.own_reach),
         crash_tracker,
         tracker.silence_limits,
-        StreamAffinity(state.directory, update_exchange),
+        StreamAffinity(state.directory, update_exchange, clients.restarts),
         adapters.callers,
         adapters.targets,
         table_check,
--- a/peridotwell/forwarding/attempt.py
+++ b/peridotwell/forwarding/attempt.py
@@ -27,6 +27,13 @@
     resume_after: str = ''
     runs_left: int = 1
 
+    @property
+    def goes_on(self) -> bool:
+        """Whether it goes on with a stream that an earlier attempt began."""
+        return bool(self.resume_after) or (
+            self.request.resumed_stream is not None
+        )
+
     @property
     def target(self) -> Target:
         """The target of the attempt."""
--- a/peridotwell/forwarding/crash_tracker.py
+++ b/peridotwell/forwarding/crash_tracker.py
@@ -151,6 +151,7 @@
             # It may be switched off: that is no fault of its requests.
             return
         sign = await self._clients.client(target).process_sign()
+        self._clients.restarts.record_sign(target, sign, trio.current_time())
         if sign not in IS_LOST:
             return
         for suspect in suspects:
--- a/peridotwell/forwarding/dispatch.py
+++ b/peridotwell/forwarding/dispatch.py
@@ -6,7 +6,6 @@
     AsyncExitStack,
     asynccontextmanager,
 )
-from functools import partial
 
 import httpcore
 import trio
@@ -39,8 +38,8 @@
 from peridotwell.forwarding.event_verdicts import EventVerdicts
 from peridotwell.forwarding.handover_client import HandoverClient
 from peridotwell.forwarding.load_reports import LoadReports
+from peridotwell.forwarding.send_check import SendCheck
 from peridotwell.forwarding.target_clients import TargetClients
-from peridotwell.forwarding.target_standings import has_left
 from peridotwell.forwarding.target_tracker import TargetTracker
 from peridotwell.logs import log_event, log_failure
 from peridotwell.policy.end_marks import EndMarks
@@ -213,6 +212,10 @@
     ) -> AsyncIterator[TargetResponse]:
         request = attempt.request
         target = attempt.target
+        client = self._clients.client(target)
+        if attempt.goes_on:
+            await client.close_unusable()
+            await self._clients.restarts.settle(target)
         now = trio.current_time()
         http_request = httpcore.Request(
             request.method,
@@ -236,15 +239,15 @@
             ),
             content=request.body,
         )
-        response_context = self._clients.client(target).send(
+        response_context = client.send(
             http_request,
             response_timeouts(attempt, now),
             new_connection=not self._tracker.may_reuse_connection(
                 request, target, now
             ),
             require_request_id=True,
-            before_send=partial(
-                _begin_sending, self._tracker, target, outstanding
+            before_send=SendCheck(
+                self._tracker, self._clients.restarts, attempt, outstanding
             ),
         )
         max_seconds = max_silence_seconds(request, now)
@@ -289,6 +292,7 @@
             # It says nothing of the target but what is known.
             _log_failure(attempt, exc)
             return
+        self._clients.record_failure(attempt.target, exc)
         name = attempt.target.name
         now = trio.current_time()
         if isinstance(exc, RefusedByTarget):
@@ -333,25 +337,6 @@
             )
 
 
-def _begin_sending(
-    tracker: TargetTracker, target: Target, outstanding: OutstandingRequest
-) -> None:
-    """Raise TargetLeft if a target has left since it was chosen.
-
-    The same if its data centre was evacuated.
-    """
-    directory = tracker.directory
-    if has_left(target, directory, tracker.notices):
-        raise TargetLeft(f'{target.name} has left: choose another target.')
-    if directory.evacuations.covers(target):
-        directory.evacuations.diverted += 1
-        raise TargetLeft(
-            f'The data centre of {target.name} is evacuated: choose another '
-            'target.'
-        )
-    outstanding.record_sent(trio.current_time())
-
-
 def _log_failure(attempt: Attempt, exc: AttemptError) -> None:
     log_failure(
         'attempt.failed',
--- a/peridotwell/forwarding/stream_affinity.py
+++ b/peridotwell/forwarding/stream_affinity.py
@@ -20,7 +20,12 @@
     decode_versions,
 )
 from peridotwell.forwarding.adapters import RoutedRequest
+from peridotwell.forwarding.restart_watch import RestartWatch
 from peridotwell.forwarding.resumption_log import log_taken_up
+from peridotwell.forwarding.unproven_starts import (
+    UnprovenStart,
+    UnprovenStarts,
+)
 from peridotwell.logs import log_event
 from peridotwell.policy.stream_versions import (
     MEMORY_SECONDS,
@@ -46,7 +51,10 @@
     """
 
     def __init__(
-        self, directory: ServiceDirectory, update_exchange: UpdateExchange
+        self,
+        directory: ServiceDirectory,
+        update_exchange: UpdateExchange,
+        restarts: RestartWatch,
     ) -> None:
         self._directory = directory
         self._update_exchange = update_exchange
@@ -56,8 +64,11 @@
         self._has_read_record = False
         # When another router was last known.
         self._had_others_at = -math.inf
+        self._restarts = restarts
+        self._unproven = UnprovenStarts(restarts)
         directory.on_change(self._record_serving)
         directory.sightings.on_gap(self._record_gap)
+        directory.belief.on_evidence(self._record_proven)
 
     def record_start(
         self, request: RoutedRequest, target: Target, now: float
@@ -68,11 +79,14 @@
         stream = request.stream_id
         if self._versions.version(stream, now) is not None:
             return
-        self._versions.record_own(stream, target.software_id, now)
-        if self._services.is_mixed(request.service, now):
-            self._update_exchange.share_stream_versions(
-                [(stream, target.software_id)]
-            )
+        found_at = self._restarts.found_at(target, now)
+        start = UnprovenStart(stream, request.service, target, found_at)
+        if not self._unproven.record(start):
+            self._record_own(start, now)
+
+    def is_unproven(self, request: RoutedRequest) -> bool:
+        """Return whether it is unknown which version began a stream here."""
+        return request.stream_id in self._unproven
 
     async def version_of(self, request: RoutedRequest) -> int | None:
         """Return the id of the version at which a stream goes on.
@@ -143,6 +157,9 @@
             self._directory.belief.answered_until,
             self._services.is_confirmed(service, now),
         )
+        if self.is_unproven(request):
+            # Another one may have begun it than those that are listed.
+            known = replace(known, only=None)
         if self._is_alone(now) and known.only is not None:
             # No other router can have begun the stream.
             known = replace(known, told_until=now)
@@ -191,6 +208,19 @@
         self._services.record_earlier(recorded or {}, trio.current_time())
         log_event('versions.read', services=len(recorded or {}))
 
+    def _record_proven(self, now: float) -> None:
+        for start in self._unproven.pop_proven(now):
+            self._record_own(start, now)
+
+    def _record_own(self, start: UnprovenStart, now: float) -> None:
+        """Record a stream that began here, and tell others if need be."""
+        version = start.target.software_id
+        self._versions.record_own(start.stream, version, now)
+        if self._services.is_mixed(start.service, now):
+            self._update_exchange.share_stream_versions(
+                [(start.stream, version)]
+            )
+
     def _record_serving(self) -> None:
         now = trio.current_time()
         self._is_alone(now)
--- a/peridotwell/forwarding/streams.py
+++ b/peridotwell/forwarding/streams.py
@@ -184,7 +184,7 @@
             events=events,
         )
         now = trio.current_time()
-        if not self._order.may_go_on:
+        if not _may_go_on(self._order, self._affinity, self._request):
             self._rest = RestAsked.no_ids
             return False
         if self._attempts.after_run(now) is RetryDecision.give_up:
@@ -283,7 +283,8 @@
             raise without_target(exc, self._attempts) from None
 
     def _may_leave(self, target: Target, now: float) -> bool:
-        if self._is_begun_elsewhere or not self._order.may_go_on:
+        may_go_on = _may_go_on(self._order, self._affinity, self._request)
+        if self._is_begun_elsewhere or not may_go_on:
             return False
         try:
             self._dispatcher.check(self._request)
@@ -323,8 +324,9 @@
     def _raise_unless_retried(self, failure: AttemptError, now: float) -> None:
         """Return if another target may resume. Raises RequestError if not."""
         decision = self._attempts.after_failure(failure, now)
-        may_go_on = self._order.may_go_on and not self._is_begun_elsewhere
-        if decision is RetryDecision.other_target and may_go_on:
+        may_go_on = _may_go_on(self._order, self._affinity, self._request)
+        is_elsewhere = decision is RetryDecision.other_target
+        if is_elsewhere and may_go_on and not self._is_begun_elsewhere:
             return
         if self._caller_response.has_begun:
             raise StreamBroken(f'The stream was cut: {failure}') from failure
@@ -408,6 +410,16 @@
             )
 
 
+def _may_go_on(
+    order: EventOrder, affinity: StreamAffinity, request: RoutedRequest
+) -> bool:
+    """Return whether another target may send what follows.
+
+    It needs the ids of events, and the version that sent the first one.
+    """
+    return order.may_go_on and not affinity.is_unproven(request)
+
+
 def _resumed_after(request: RoutedRequest) -> str:
     """Return the id of the last event that the caller has, or ''."""
     stream = request.resumed_stream
--- a/peridotwell/forwarding/target_clients.py
+++ b/peridotwell/forwarding/target_clients.py
@@ -1,21 +1,26 @@
-"""HTTP clients for targets, one for each incarnation and address."""
+"""HTTP clients for targets, one for each start and address."""
 
 import trio
 
+from peridotwell.attempt_errors import AttemptError
 from peridotwell.domain.target import Target
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.adapters import TargetAdapter
+from peridotwell.forwarding.restart_watch import RestartWatch
 from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.target_client import NoticeListener, TargetClient
 
 __all__ = ('TargetClients',)
 
-TargetKey = tuple[str, str, str]
+TargetKey = tuple[str, str, str, str]
 CLOSE_TIMEOUT_SECONDS = 1
 
 
 class TargetClients:
-    """The HTTP clients of this router for all targets."""
+    """The HTTP clients of this router for all targets.
+
+    `restarts` is told when all connections to a target have ended.
+    """
 
     def __init__(
         self,
@@ -25,6 +30,7 @@
         buffers: ResponseBuffers | None = None,
     ) -> None:
         self._buffers = buffers or ResponseBuffers()
+        self.restarts = RestartWatch(directory)
         self._on_notice = on_notice
         self._directory = directory
         self._adapter = adapter
@@ -44,12 +50,19 @@
                 self._on_notice,
                 self._buffers,
                 self._status_path,
+                self.restarts.record_closed,
             )
             self._clients[key] = client
             # The target may have left since it was chosen.
             self._may_have_gone = True
         return client
 
+    def record_failure(self, target: Target, exc: AttemptError) -> None:
+        """Record what the failure of an attempt shows of a target's process."""
+        self.restarts.record_failure(
+            target, exc, is_connected=self.client(target).is_connected()
+        )
+
     async def close_gone(self) -> None:
         """Close the clients of targets that have left or restarted.
 
@@ -81,4 +94,4 @@
 
 
 def _target_key(target: Target) -> TargetKey:
-    return target.name, target.incarnation, target.address
+    return target.name, target.incarnation, target.software, target.address
--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -96,7 +96,8 @@
     All requests go to the same address. Idle connections are closed after
     `idle_seconds`, or at once without `keeps_idle`. `reads_at_once` is for a
     peer whose responses are read in as few turns of the event loop as possible.
-    A body over `max_body_bytes` is an error.
+    A body over `max_body_bytes` is an error. `on_ended` is called with the
+    number of idle connections that are found ended by the peer.
     """
 
     def __init__(
@@ -107,12 +108,14 @@
         keeps_idle: bool = True,
         reads_at_once: bool = False,
         max_body_bytes: float = math.inf,
+        on_ended: Callable[[int], None] | None = None,
     ) -> None:
         super().__init__(max_connections=max_connections)
         self._network = SocketNetwork(reads_at_once=reads_at_once)
         self._idle_seconds = idle_seconds
         self._keeps_idle = keeps_idle
         self._max_body_bytes = max_body_bytes
+        self._on_ended = on_ended
         self._max_used = max_connections
         self._places = trio.Semaphore(max_connections)
         self._used: set[TargetConnection] = set()
@@ -187,21 +190,35 @@
     async def _take_idle(self) -> TargetConnection | None:
         """Return an idle connection that its peer has not closed, if any."""
         await self._sweep(trio.current_time())
-        while self._idle:
+        unusable = []
+        usable = None
+        while self._idle and usable is None:
             conn = self._idle.pop()
             if _is_usable(conn):
-                return conn
-            await _close((conn,))
-        return None
+                usable = conn
+            else:
+                unusable.append(conn)
+        await self._close_found(unusable)
+        return usable
+
+    async def _close_found(self, idle: Sequence[TargetConnection]) -> None:
+        ended = sum(conn.has_peer_ended() for conn in idle)
+        if ended and self._on_ended is not None:
+            self._on_ended(ended)
+        await _close(idle)
 
     async def _sweep(self, now: float) -> None:
         """Close the idle connections that have expired, if that is due."""
         if now - self._swept_at < SWEEP_SECONDS:
             return
         self._swept_at = now
+        await self.close_unusable()
+
+    async def close_unusable(self) -> None:
+        """Close the idle connections that have expired or ended."""
         expired = [conn for conn in self._idle if not _is_usable(conn)]
         self._idle = [conn for conn in self._idle if conn not in expired]
-        await _close(expired)
+        await self._close_found(expired)
 
     async def _connect(self, request: httpcore.Request) -> TargetConnection:
         origin = request.url.origin
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -42,6 +42,7 @@
 
 __all__ = (
     'ResponseTimeouts',
+    'ClosedListener',
     'NoticeListener',
     'ResponseReader',
     'StandardResponseReader',
@@ -52,6 +53,8 @@
 # Called with a target, its notice, and when the request was sent that the
 # response with the notice is for.
 NoticeListener = Callable[[Target, TargetNotice, float], None]
+# Called with a target that has ended all connections to it, and their number.
+ClosedListener = Callable[[Target, int], None]
 MAX_CONNECTIONS = 1024
 IDLE_CONNECTION_SECONDS = 20
 # TCP first retransmits a lost SYN packet after 1 s. The timeout is shorter, so
@@ -141,8 +144,10 @@
         on_notice: NoticeListener | None = None,
         buffers: ResponseBuffers | None = None,
         find_status_path: Callable[[Target], str] | None = None,
+        on_closed: ClosedListener | None = None,
     ) -> None:
         self.target = target
+        self._on_closed = on_closed
         self._buffers = buffers or ResponseBuffers()
         self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
@@ -150,7 +155,9 @@
         self._end_check = EndCheck(target, self, CONNECT_TIMEOUT_SECONDS)
         self._ownership = ResponseOwnership()
         self._pool = ConnectionPool(
-            MAX_CONNECTIONS, idle_seconds=IDLE_CONNECTION_SECONDS
+            MAX_CONNECTIONS,
+            idle_seconds=IDLE_CONNECTION_SECONDS,
+            on_ended=self._handle_ended,
         )
         self._single_use_pool = ConnectionPool(
             MAX_CONNECTIONS, keeps_idle=False
@@ -166,6 +173,17 @@
             (*self._pool.used, *self._single_use_pool.used), self._pool.idle
         )
 
+    async def close_unusable(self) -> None:
+        """Close the idle connections that have expired or ended."""
+        await self._pool.close_unusable()
+
+    def is_connected(self) -> bool:
+        """Whether a connection is open at both ends, as far as is known."""
+        known = self.connections()
+        return any(
+            not conn.has_peer_ended() for conn in (*known.used, *known.idle)
+        )
+
     def status_path(self) -> str:
         """Return the path of status checks."""
         if self._find_status_path is None:
@@ -244,6 +262,14 @@
             finally:
                 response.share.release_unless_kept()
 
+    def _handle_ended(self, ended: int) -> None:
+        """Report that idle connections have ended, if no other one is open."""
+        if self._on_closed is None or self.is_connected():
+            return
+        known = self.connections()
+        count = ended + len(known.used) + len(known.idle)
+        self._on_closed(self.target, count)
+
     def _handle_notice(self, response: TargetResponse, sent_at: float) -> None:
         if self._on_notice is None:
             return
--- a/tests/forwarding/test_target_clients.py
+++ b/tests/forwarding/test_target_clients.py
@@ -3,6 +3,7 @@
 import pytest
 
 from peridotwell.domain.target import Pool, Target, TargetKind
+from peridotwell.fleet.replica.store_belief import StoreBelief
 from peridotwell.forwarding.target_clients import TargetClients
 
 
@@ -11,6 +12,7 @@
 
     def __init__(self, *targets):
         self.targets = targets
+        self.belief = StoreBelief()
         self._listeners = []
 
     def on_change(self, listener):
