--- a/peridotwell/forwarding/sending/dispatch.py
+++ b/peridotwell/forwarding/sending/dispatch.py
@@ -68,6 +68,7 @@
         self._crash_tracker = crash_tracker
         self._handover_client = handover_client
         self._tracker = tracker
+        self._clients = clients
         self._sender = TargetSender(clients, tracker, reports, outstanding)
         # Attempts whose target has sent a whole event.
         self._begun: set[Attempt] = set()
@@ -191,6 +192,7 @@
             # It says nothing of the target but what is known.
             _log_failure(attempt, exc)
             return
+        self._clients.record_failure(attempt.target, exc)
         name = attempt.target.name
         now = trio.current_time()
         if isinstance(exc, RefusedByTarget):
--- a/peridotwell/forwarding/sending/target_sender.py
+++ b/peridotwell/forwarding/sending/target_sender.py
@@ -2,13 +2,10 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from functools import partial
 
 import httpcore
 import trio
 
-from peridotwell.attempt_errors import TargetLeft
-from peridotwell.domain.target import Target
 from peridotwell.forwarding.adapters import (
     HeaderFields,
     RoutedRequest,
@@ -21,9 +18,9 @@
     source_before_response,
 )
 from peridotwell.forwarding.sending.limited_responses import limit_silence
+from peridotwell.forwarding.sending.send_check import SendCheck
 from peridotwell.forwarding.sending.target_clients import TargetClients
 from peridotwell.forwarding.targets.load_reports import LoadReports
-from peridotwell.forwarding.targets.target_standings import has_left
 from peridotwell.forwarding.targets.target_tracker import TargetTracker
 from peridotwell.serving.outstanding_requests import (
     OutstandingRequest,
@@ -77,16 +74,20 @@
     ) -> AsyncIterator[TargetResponse]:
         request = attempt.request
         target = attempt.target
+        client = self._clients.client(target)
+        if attempt.goes_on:
+            await client.close_unusable()
+            await self._clients.restarts.settle(target)
         now = trio.current_time()
-        response_context = self._clients.client(target).send(
+        response_context = client.send(
             self._http_request(attempt, now),
             response_timeouts(attempt, now),
             new_connection=not self._tracker.may_reuse_connection(
                 request, target, now
             ),
             require_request_id=True,
-            before_send=partial(
-                _begin_sending, self._tracker, target, outstanding
+            before_send=SendCheck(
+                self._tracker, self._clients.restarts, attempt, outstanding
             ),
         )
         async with limit_silence(
@@ -126,25 +127,6 @@
         )
 
 
-def _begin_sending(
-    tracker: TargetTracker, target: Target, outstanding: OutstandingRequest
-) -> None:
-    """Raise TargetLeft if a target has left since it was chosen.
-
-    The same if its data centre was evacuated.
-    """
-    directory = tracker.directory
-    if has_left(target, directory, tracker.notices):
-        raise TargetLeft(f'{target.name} has left: choose another target.')
-    if directory.evacuations.covers(target):
-        directory.evacuations.diverted += 1
-        raise TargetLeft(
-            f'The data centre of {target.name} is evacuated: choose another '
-            'target.'
-        )
-    outstanding.record_sent(trio.current_time())
-
-
 def _kind(request: RoutedRequest) -> str:
     """Return the kind of a request for the logs."""
     kind = request.route.kind.value
