Router processes out of step: tests that fail on streams of two versions

Now four router processes, each with proxies of its own to the store and to every other router: one cut off alone and two together, behind by 0.5 and 1.2 s without a cut, standing still for 0.6, 1.5 and 4 s, while a target of a new version joins.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -20,6 +20,7 @@
 from tests.ports import find_free_port
 from tests.soak.control import Remote, Worker
 from tests.soak.records import AnyRecord, Record, RouterStarted, now
+from tests.soak.routed_router import PEER_WAYS_VARIABLE
 from tests.soak.router_logs import read_log_line
 from tests.soak.site import Site
 
@@ -54,7 +55,8 @@
 
     `disturbed_at` is the time at which it was last killed, paused, resumed or
     restarted; `address` is the host:port for callers, `paths` its ways to the
-    targets, by their names.
+    targets, by their names. `peer_ways` is the file of its ways to other
+    routers, if it has any of its own.
     """
 
     name: str
@@ -64,17 +66,20 @@
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = float('-inf')
     is_stopping: bool = False
+    peer_ways: Path | None = None
 
     def start(self, log_path: Path) -> None:
         """Start the process, which appends to the log file."""
+        program = ['platform/start.py']
+        env = {**os.environ, 'PERIDOTWELL_SETTINGS': str(self.settings_path)}
+        if self.peer_ways:
+            program = ['-m', 'tests.soak.routed_router']
+            env[PEER_WAYS_VARIABLE] = str(self.peer_ways)
         with log_path.open('ab') as out:
             self.process = subprocess.Popen(
-                [sys.executable, 'platform/start.py'],
+                [sys.executable, *program],
                 cwd=ROOT,
-                env={
-                    **os.environ,
-                    'PERIDOTWELL_SETTINGS': str(self.settings_path),
-                },
+                env=env,
                 stdout=out,
                 stderr=out,
             )
