--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,7 +15,7 @@
 from tests.soak.site import Site
 from tests.soak.versions import BASE_KEY, MILLISECONDS, Versions
 
-__all__ = ('Callers',)
+__all__ = ('Callers', 'exchange', 'request_headers')
 
 KINDS = ('read', 'book', 'draft', 'ask')
 # Requests with routes and keys that are added and dropped, or never were.
@@ -136,7 +136,7 @@
             route, key = self._versions.draw(self.version)
         sent = Sent(now(), request_id, router, route, key, self._process)
         self._records.append(sent)
-        answer = await _exchange(
+        answer = await exchange(
             pool,
             self._routers[router],
             sent,
@@ -147,15 +147,23 @@
         return answer
 
 
-async def _exchange(
-    pool, address: str, sent: Sent, deadline: float, after: int
+async def exchange(
+    pool,
+    address: str,
+    sent: Sent,
+    deadline: float,
+    after: int = 0,
+    resumes: str = '',
 ) -> Answered:
-    """Send a request; return how it ended."""
+    """Send a request; return how it ended.
+
+    It may ask for what follows an event of a stream that another request began.
+    """
     request = partial(
         pool.stream,
         'POST',
         f'http://{address}/{sent.route}/x',
-        headers=_request_headers(sent, deadline, after),
+        headers=request_headers(sent, deadline, after, resumes),
         content=b'question',
     )
     body = bytearray()
@@ -198,10 +206,13 @@
     return 'length' if b'content-length' in fields else 'open'
 
 
-def _request_headers(
-    sent: Sent, deadline: float, after: int
+def request_headers(
+    sent: Sent, deadline: float, after: int = 0, resumes: str = ''
 ) -> list[tuple[str, str]]:
+    """Return the header fields of a request."""
     resumed = [('last-event-id', str(after))] if after else []
+    if resumes:
+        resumed.append(('resumes', resumes))
     return [
         *resumed,
         ('host', 'a.example'),
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -55,8 +55,8 @@
 
     `disturbed_at` is the time at which it was last killed, paused, resumed or
     restarted; `address` is the host:port for callers, `paths` its ways to the
-    targets, by their names. `peer_ways` is the file of its ways to other
-    routers, if it has any of its own.
+    targets, by their names. `peer_address` is the host:port for other routers,
+    and `peer_ways` the file of its ways to them, if it has any of its own.
     """
 
     name: str
@@ -66,6 +66,7 @@
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = float('-inf')
     is_stopping: bool = False
+    peer_address: str = ''
     peer_ways: Path | None = None
 
     def start(self, log_path: Path) -> None:
@@ -102,7 +103,7 @@
     """A simulated target, which runs in a worker process.
 
     `state` is ready, draining or gone: without an entry, though it may still
-    serve. `starts` is the number of its starts.
+    serve. `starts` is the number of its starts, `version` that of its software.
     """
 
     name: str
@@ -114,6 +115,7 @@
     state: str = 'ready'
     says_leaving: bool = False
     starts: int = 1
+    version: str = ''
     # Unix milliseconds of its start.
     born: int = field(default_factory=lambda: int(time.time() * 1000))
 
@@ -147,6 +149,8 @@
     # The names of the faults that were injected, in order.
     injected: list[str] = field(default_factory=list)
     version: int = 0
+    # Whether the ways between routers can be cut.
+    has_peer_ways: bool = False
     # Whether the operator writes nothing for a time.
     _rests: bool = False
 
@@ -231,6 +235,8 @@
             'state': state,
             'born': target.born,
         }
+        if target.version:
+            entry['version'] = target.version
         await self.store.call(
             'publish_target', target.name, target.starts, entry
         )
@@ -343,8 +349,10 @@
     for target in cluster.targets:
         await cluster.publish_target(target, 'ready')
     for number, name in enumerate(names):
-        router = _create_router(cluster, number, stores[name])
-        cluster.routers.append(router)
+        cluster.routers.append(_create_router(cluster, number, stores[name]))
+    if cluster.has_peer_ways:
+        await _open_peer_ways(cluster)
+    for router in cluster.routers:
         cluster.start_router(router)
     for first in range(0, routers, ROUTERS_PER_CALLERS):
         await _start_callers(cluster, first, seed)
@@ -415,4 +423,20 @@
         target: Remote(worker, f'{name} {target}')
         for target, worker in cluster.target_workers.items()
     }
-    return Router(name, path, f'{ip}:{ports["callers"]}', ways)
+    return Router(
+        name,
+        path,
+        f'{ip}:{ports["callers"]}',
+        ways,
+        peer_address=f'{ip}:{ports["peers"]}',
+    )
+
+
+async def _open_peer_ways(cluster: SoakCluster) -> None:
+    """Let each router reach the others by ways of its own."""
+    addresses = {router.name: router.peer_address for router in cluster.routers}
+    peer_ways = Remote(cluster.workers[0], 'peer ways')
+    ways = await peer_ways.call('open', addresses)
+    for router in cluster.routers:
+        router.peer_ways = cluster.folder / f'{router.name}.json'
+        router.peer_ways.write_bytes(msgspec.json.encode(ways[router.name]))
--- a/tests/soak/day_faults.py
+++ b/tests/soak/day_faults.py
@@ -17,6 +17,7 @@
 from tests.soak.control import Remote
 from tests.soak.faults import STOP_TIMEOUT_SECONDS
 from tests.soak.leaving_faults import LEAVING_FAULTS, LeavingFaults
+from tests.soak.out_of_step import OutOfStepFaults
 from tests.soak.records import RouterDisturbed, StoreDisturbed, now
 
 __all__ = ('DAY_FAULTS', 'DayFaults')
@@ -82,6 +83,7 @@
         self._random = random.Random(f'day {seed}')
         self._leaving = LeavingFaults(cluster, seed, names)
         self._bursts = BurstFaults(cluster, seed, names)
+        self._out_of_step = OutOfStepFaults(cluster, seed, names)
         self._lost: Router | None = None
         self._lost_at = float(0)
         # Held by faults of the store, and until all routers in touch have heard
@@ -93,6 +95,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._leaving.run, injected)
             nursery.start_soon(self._bursts.run, injected)
+            nursery.start_soon(self._out_of_step.run, injected)
             for group in (CHANGES, STORES, RESTARTS, ANSWERS):
                 chosen = [name for name in group if name in self._names]
                 if chosen:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -8,6 +8,7 @@
 from tests.soak.leaving_rule import judge_leaving
 from tests.soak.order_rule import judge_order
 from tests.soak.records import Record
+from tests.soak.software_rule import judge_software
 from tests.soak.start_rule import judge_starts
 
 __all__ = ('judge',)
@@ -16,6 +17,7 @@
     judge_configuration,
     judge_answers,
     judge_order,
+    judge_software,
     judge_leaving,
     judge_starts,
 )
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -19,6 +19,7 @@
     'Arrived',
     'TakenBack',
     'Replied',
+    'TakenUp',
     'TargetDisturbed',
     'VersionWritten',
     'EntryWritten',
@@ -138,6 +139,16 @@
     target: str = ''
     framing: str = ''
     cut: str = ''
+    # The software version of the target.
+    version: str = ''
+
+
+class TakenUp(Record, frozen=True):
+    """A caller takes up a stream, of which it has an event with a receipt."""
+
+    at: float
+    request_id: str
+    receipt: str
 
 
 class TargetDisturbed(Record, frozen=True):
@@ -243,6 +254,7 @@
     | Arrived
     | TakenBack
     | Replied
+    | TakenUp
     | TargetDisturbed
     | VersionWritten
     | EntryWritten
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,7 @@
 from tests.soak.guarantees import GuaranteeChecker
 from tests.soak.judge import judge
 from tests.soak.order_rule import count_allowances
+from tests.soak.out_of_step import OUT_OF_STEP
 from tests.soak.records import Late, select
 from tests.soak.replay import replay
 from tests.soak.site import DAY, FIELD, Site
@@ -59,13 +60,14 @@
 DAY_PARTS = flags.DEFINE_list(
     'day',
     [],
-    f'Run a day of such a deployment, with some of these faults, or "all": '
-    f'{", ".join(DAY_FAULTS)}.',
+    f'Run a day of such a deployment, with some of these faults, or "all" but '
+    f'the last one: {", ".join((*DAY_FAULTS, OUT_OF_STEP))}.',
 )
 flags.register_validator(
     'day',
-    lambda names: names == ['all'] or set(names) <= set(DAY_FAULTS),
-    f'A fault of a day is "all" or one of: {", ".join(DAY_FAULTS)}.',
+    lambda names: names == ['all'] or set(names) <= {*DAY_FAULTS, OUT_OF_STEP},
+    f'A fault of a day is "all" or one of: '
+    f'{", ".join((*DAY_FAULTS, OUT_OF_STEP))}.',
 )
 PLAIN = flags.DEFINE_bool(
     'plain', False, 'All versions of a day have one shape; else it is drawn.'
@@ -132,6 +134,7 @@
     verdict; 0: the usual limit.
     """
     cluster = SoakCluster(folder, site or Site())
+    cluster.has_peer_ways = OUT_OF_STEP in day
     limit = limit or default_limit(seconds, _share_of(routers))
 
     async def run() -> None:
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -10,6 +10,7 @@
 
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform.stand_in import StoreCopy, StoreStandIn
+from tests.soak.peer_ways import PeerWays
 from tests.soak.proxy import ProxyGroup, start_proxy
 from tests.soak.records import EntryWritten, Record, VersionWritten, now
 from tests.soak.router_paths import RouterView
@@ -52,6 +53,8 @@
         self._still: set[str] = set()
         self._objects = objects
         objects['proxies'] = self._proxies
+        self._peer_ways = PeerWays(nursery)
+        objects['peer ways'] = self._peer_ways
 
     async def start(
         self, paths: dict[str, dict[str, str]], site: dict[str, Any]
@@ -185,6 +188,7 @@
     def clear_faults(self) -> None:
         """Let the store answer again."""
         self._proxies.clear_faults()
+        self._peer_ways.clear_faults()
         self._store.faults.clear()
         for view in self._views:
             view.clear_faults()
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -64,7 +64,8 @@
     target that `stutters` sends answers a second time, one that `cuts` breaks
     them off, and some `odd_answers` repeat events, leave some out, or end
     early; an `oddity_share` of its answers have one `oddity`. While it stands
-    still, it neither reads nor sends. Its `ways` are the routers' proxies.
+    still, it neither reads nor sends. Its `ways` are the routers' proxies. Its
+    software has a `version`.
     """
 
     name: str
@@ -93,6 +94,7 @@
     dead_until: float = 0
     connections: set[trio.SocketStream] = field(default_factory=set)
     starts: int = 1
+    version: str = ''
     runs: int = 0
 
     @property
@@ -270,6 +272,7 @@
                     self.name,
                     manner.framing,
                     manner.cut,
+                    self.version,
                 )
             )
             await send_answer(stream, answer, manner)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 
 from tests.soak.burst_faults import BURST_FAULTS
 from tests.soak.leaving_faults import LEAVING_FAULTS
+from tests.soak.out_of_step import OUT_OF_STEP
 from tests.soak.run import soak
 from tests.soak.site import DAY, FIELD
 
@@ -44,6 +45,7 @@
 # Faults of targets alone.
 ONLY_TARGETS = ('store', 'routers', 'paths', 'brittle')
 TARGETS_SECONDS = 8
+OUT_OF_STEP_SECONDS = 10
 ONLY_CHANGES = ('store', 'routers', 'paths', 'brittle', 'field')
 
 
@@ -139,3 +141,21 @@
     )
     assert not report.violations, report
     assert report.outcomes['draft 200'] > 0
+
+
+# Guards against streams of two versions at routers that are cut off, a data
+# centre together, while a target of a new version joins (issue 78).
+def test_guarantees_hold_when_routers_are_out_of_step(tmp_path):
+    report = trio.run(
+        soak,
+        7807,
+        OUT_OF_STEP_SECONDS,
+        tmp_path,
+        6,
+        6,
+        ONLY_TARGETS,
+        replace(DAY, callers=2),
+        (OUT_OF_STEP,),
+    )
+    assert not report.violations, report
+    assert report.outcomes['ask 200'] > 0
