--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -20,6 +20,7 @@
 from tests.ports import find_free_port
 from tests.soak.control import Remote, Worker
 from tests.soak.records import AnyRecord, Record, RouterStarted, now
+from tests.soak.routed_router import PEER_WAYS_VARIABLE
 from tests.soak.router_logs import read_log_line
 from tests.soak.site import Site
 
@@ -54,7 +55,8 @@
 
     `disturbed_at` is the time at which it was last killed, paused, resumed or
     restarted; `address` is the host:port for callers, `paths` its ways to the
-    targets, by their names.
+    targets, by their names. `peer_address` is the host:port for other routers,
+    and `peer_ways` the file of its ways to them, if it has any of its own.
     """
 
     name: str
@@ -64,17 +66,21 @@
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = float('-inf')
     is_stopping: bool = False
+    peer_address: str = ''
+    peer_ways: Path | None = None
 
     def start(self, log_path: Path) -> None:
         """Start the process, which appends to the log file."""
+        program = ['platform/start.py']
+        env = {**os.environ, 'PERIDOTWELL_SETTINGS': str(self.settings_path)}
+        if self.peer_ways:
+            program = ['-m', 'tests.soak.routed_router']
+            env[PEER_WAYS_VARIABLE] = str(self.peer_ways)
         with log_path.open('ab') as out:
             self.process = subprocess.Popen(
-                [sys.executable, 'platform/start.py'],
+                [sys.executable, *program],
                 cwd=ROOT,
-                env={
-                    **os.environ,
-                    'PERIDOTWELL_SETTINGS': str(self.settings_path),
-                },
+                env=env,
                 stdout=out,
                 stderr=out,
             )
@@ -97,7 +103,7 @@
     """A simulated target, which runs in a worker process.
 
     `state` is ready, draining or gone: without an entry, though it may still
-    serve. `starts` is the number of its starts.
+    serve. `starts` is the number of its starts, `version` that of its software.
     """
 
     name: str
@@ -109,6 +115,7 @@
     state: str = 'ready'
     says_leaving: bool = False
     starts: int = 1
+    version: str = ''
     # Unix milliseconds of its start.
     born: int = field(default_factory=lambda: int(time.time() * 1000))
 
@@ -142,6 +149,8 @@
     # The names of the faults that were injected, in order.
     injected: list[str] = field(default_factory=list)
     version: int = 0
+    # Whether the ways between routers can be cut.
+    has_peer_ways: bool = False
     # Whether the operator writes nothing for a time.
     _rests: bool = False
 
@@ -226,6 +235,8 @@
             'state': state,
             'born': target.born,
         }
+        if target.version:
+            entry['version'] = target.version
         await self.store.call(
             'publish_target', target.name, target.starts, entry
         )
@@ -338,8 +349,10 @@
     for target in cluster.targets:
         await cluster.publish_target(target, 'ready')
     for number, name in enumerate(names):
-        router = _create_router(cluster, number, stores[name])
-        cluster.routers.append(router)
+        cluster.routers.append(_create_router(cluster, number, stores[name]))
+    if cluster.has_peer_ways:
+        await _open_peer_ways(cluster)
+    for router in cluster.routers:
         cluster.start_router(router)
     for first in range(0, routers, ROUTERS_PER_CALLERS):
         await _start_callers(cluster, first, seed)
@@ -410,4 +423,20 @@
         target: Remote(worker, f'{name} {target}')
         for target, worker in cluster.target_workers.items()
     }
-    return Router(name, path, f'{ip}:{ports["callers"]}', ways)
+    return Router(
+        name,
+        path,
+        f'{ip}:{ports["callers"]}',
+        ways,
+        peer_address=f'{ip}:{ports["peers"]}',
+    )
+
+
+async def _open_peer_ways(cluster: SoakCluster) -> None:
+    """Let each router reach the others by ways of its own."""
+    addresses = {router.name: router.peer_address for router in cluster.routers}
+    peer_ways = Remote(cluster.workers[0], 'peer ways')
+    ways = await peer_ways.call('open', addresses)
+    for router in cluster.routers:
+        router.peer_ways = cluster.folder / f'{router.name}.json'
+        router.peer_ways.write_bytes(msgspec.json.encode(ways[router.name]))
