Streams at a router that knows no other go on by the store's word only

What callers saw: 8 of 8 streams of two versions at a router that has known no other for long and is cut off from the store while another one starts. Change: such a router needs the store's answer like any other for a stream that it did not begin.

--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -214,19 +214,24 @@
             if search.taken_up_at is not None and self._needs_store(turn):
                 self._directory.belief.require(search.taken_up_at)
             self._end_if_over(search, now)
-            if turn >= UNHEARD_TURNS and self._is_unheard(search):
+            if self._is_in_vain(search, turn, now):
                 return
             with trio.move_on_after(ASK_SECONDS):
                 await search.ended.wait()
                 return
 
-    def _is_unheard(self, search: StreamSearch) -> bool:
-        """Return whether nobody hears the store that could show its state."""
-        return (
-            search.taken_up_at is not None
-            and self._directory.belief.is_away()
-            and not search.hears_store(HEARD_SECONDS)
-        )
+    def _is_in_vain(self, search: StreamSearch, turn: int, now: float) -> bool:
+        """Return whether a question is given up at a turn.
+
+        While several versions serve, the store can't tell that of the stream,
+        nor can it tell anything if nobody hears it.
+        """
+        if search.taken_up_at is None or turn < UNHEARD_TURNS:
+            return False
+        is_away = self._directory.belief.is_away()
+        if self._services.only_version(search.service, now) is None:
+            return is_away or now - search.asked_at >= MAX_WAIT_SECONDS
+        return is_away and not search.hears_store(HEARD_SECONDS)
 
     def _needs_store(self, turn: int) -> bool:
         """Return whether the store itself is to be asked.
@@ -234,8 +239,9 @@
         It is if other routers have not shown enough: in a small fleet, not all
         have answered; in a large one, the relay has not, or there is none.
         """
-        if not needs_relays(self._peers.known_count()):
-            return turn >= 1
+        routers = self._peers.known_count()
+        if not needs_relays(routers):
+            return turn >= 1 or routers == 1
         return turn >= 2 or self._topology.relay is None
 
     def _ask_all(
--- a/peridotwell/forwarding/streams/stream_affinity.py
+++ b/peridotwell/forwarding/streams/stream_affinity.py
@@ -159,14 +159,11 @@
             self._services.only_version(service, now),
             self._lookup.belief.told_until(service),
             self._directory.belief.answered_until,
-            self._services.is_confirmed(service, now),
+            self._is_confirmed(service, now),
         )
         if self.is_unproven(request):
             # Another one may have begun it than those that are listed.
             known = replace(known, only=None)
-        if self._is_alone(now) and known.only is not None:
-            # No other router can have begun the stream.
-            known = replace(known, told_until=now)
         return decide(known, request.arrived_at)
 
     def _keep(
--- a/tests/forwarding/streams/test_stream_affinity.py
+++ b/tests/forwarding/streams/test_stream_affinity.py
@@ -134,7 +134,20 @@
     assert await routers[0].required() == 1
 
 
-async def test_a_router_alone_resumes(autojump_clock, routers):
+# Guards against a router that takes itself for the only one because it has
+# heard of no other: only the store shows that.
+async def test_a_router_alone_resumes_if_it_hears_the_store(
+    autojump_clock, routers
+):
+    with pytest.raises(NoTarget):
+        await routers[0].required()
+    routers[0].hear_store()
+    assert await routers[0].required() == 1
+
+
+async def test_a_router_alone_resumes_its_own_streams(autojump_clock, routers):
+    now = trio.current_time()
+    routers[0].knowledge.stream_versions.record_own(STREAM, 1, now)
     assert await routers[0].required() == 1
 
 
