--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -9,12 +9,13 @@
 
 import math
 from collections.abc import Iterator
+from dataclasses import replace
 from itertools import count
 
 import trio
 
 from peridotwell.fleet.relays.relay_topology import RelayTopology
-from peridotwell.fleet.relays.stream_search import StreamSearch
+from peridotwell.fleet.relays.stream_search import StreamSearch, StreamSearches
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_contact import decode_seconds
 from peridotwell.fleet.transport.frames import (
@@ -72,7 +73,7 @@
         self._services = services
         self._directory = directory
         self._metrics = metrics
-        self._searches: list[StreamSearch] = []
+        self._searches = StreamSearches()
         # Questions that are answered once more after the store's answer, and
         # when they came.
         self._owed: list[tuple[StreamPull, float]] = []
@@ -86,20 +87,19 @@
         Learn too whether the service has had one version up to `taken_up_at`.
         """
         now = trio.current_time()
-        search = self._joined(stream, taken_up_at)
+        search = self._searches.joined(stream, service, taken_up_at)
         if search is not None:
             with trio.move_on_after(MAX_WAIT_SECONDS):
                 await search.ended.wait()
             return
         search = StreamSearch(stream, service, now, taken_up_at)
-        self._searches.append(search)
+        self._searches.add(search)
         self._metrics.count('stream.lookups')
         try:
             with trio.move_on_after(_wait_seconds(search)):
                 await self._ask_until_ended(search)
         finally:
-            search.ended.set()
-            self._searches.remove(search)
+            self._searches.end(search)
 
     def is_shown(self, service: str, taken_up_at: float, now: float) -> bool:
         """Return whether a service is known to have had one version.
@@ -121,7 +121,7 @@
 
     def answer(self, pull: StreamPull, now: float) -> None:
         """Tell another router what is known of a stream."""
-        self._send_answer(pull, now)
+        self._send_answer(pull, now, now)
         belief = self._directory.belief
         if pull.wants_current and not belief.is_away():
             belief.require(now)
@@ -137,16 +137,12 @@
             self._services.record_seen(
                 {push.service: frozenset((push.only_version,))}, now
             )
-        if push.is_confirmed:
-            self._services.record_confirmation(push.service, evidence)
         if push.version is not None:
             self._versions.record(push.stream, push.version, evidence)
-        for search in tuple(self._searches):
-            sent_at = search.sent_at(push)
-            if sent_at is not None:
-                search.answers[push.sender] = push
-                self._believe(search, push, sent_at, evidence)
-                self._end_if_over(search, now)
+        for search in self._searches.answered(push):
+            search.answers[push.sender] = push
+            self._believe(search, push, evidence)
+            self._end_if_over(search, now)
 
     def apply_told(self, update: RouterUpdate, now: float) -> None:
         """Record the versions of streams that another router tells unasked."""
@@ -158,54 +154,33 @@
             self._versions.record(stream, version, evidence)
 
     def _believe(
-        self,
-        search: StreamSearch,
-        push: StreamPush,
-        sent_at: float,
-        evidence: Evidence,
+        self, search: StreamSearch, push: StreamPush, evidence: Evidence
     ) -> None:
         """Record up to when an answer shows that there is one version.
 
-        It answers a question that was sent at a time, and is not older.
-
         A router that hears the store shows it alone. Without the store, it
         takes all of them: each knows the versions at which it began streams.
         """
-        only = self._services.only_version(search.service, evidence.learned_at)
+        now = evidence.learned_at
+        service = search.service
+        known_until = search.known_until(push)
+        if push.is_confirmed:
+            self._services.record_confirmation(service, evidence, known_until)
+        only = self._services.only_version(service, now)
         if only is None or not push.question:
             return
-        age = push.knowledge_age_seconds
-        if push.is_confirmed and push.only_version == only and age is not None:
+        if push.is_confirmed and push.only_version == only:
             self.belief.record(
-                search.service,
-                Evidence(
-                    evidence.source,
-                    sent_at - max(age, 0),
-                    evidence.source_heard_at,
-                ),
+                service, replace(evidence, learned_at=known_until)
             )
         routers = [peer.wire_id for peer in self._peers.known_peers()]
-        if search.names_only(only, routers):
+        if self._services.remembers(service, now) and search.names_only(
+            only, routers
+        ):
             self.belief.record(
-                search.service,
-                Evidence(
-                    evidence.source, search.asked_at, evidence.source_heard_at
-                ),
+                service, replace(evidence, learned_at=search.asked_at)
             )
 
-    def _joined(
-        self, stream: int, taken_up_at: float | None
-    ) -> StreamSearch | None:
-        """Return a search that answers the same question, or None."""
-        return next(
-            (
-                search
-                for search in self._searches
-                if search.stream == stream and search.covers(taken_up_at)
-            ),
-            None,
-        )
-
     async def _ask_until_ended(self, search: StreamSearch) -> None:
         """Ask routers, and the store, until there is nothing more to learn."""
         for turn in count():
@@ -285,6 +260,7 @@
             trio.current_time(),
             wants_current=wants_current,
         )
+        self._searches.record_question(search, pull.question)
         is_sent = self._transport.send(peer.hello.peer_address, pull)
         # One that was never heard may be about to be connected.
         return is_sent or peer.last_received_at < 0
@@ -325,18 +301,21 @@
         waiting = []
         for pull, since in self._owed:
             if answered_until >= since:
-                self._send_answer(pull, now)
+                self._send_answer(pull, since, now)
             elif now - since < OWED_SECONDS:
                 waiting.append((pull, since))
         self._owed = waiting
-        for search in tuple(self._searches):
+        for search in self._searches:
             self._end_if_over(search, now)
 
-    def _send_answer(self, pull: StreamPull, now: float) -> None:
+    def _send_answer(
+        self, pull: StreamPull, asked_at: float, now: float
+    ) -> None:
+        """Send what is known, and its age when the question came."""
         peer = self._peers.peer(pull.sender)
         if peer is None:
             return
-        age = now - self._directory.belief.answered_until
+        age = max(asked_at - self._directory.belief.answered_until, 0)
         push = StreamPush(
             self._peers.own.sender,
             pull.stream,
--- a/peridotwell/fleet/relays/stream_search.py
+++ b/peridotwell/fleet/relays/stream_search.py
@@ -1,14 +1,14 @@
 """One question to other routers about a stream, and their answers to it."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from itertools import count
 
 import trio
 
 from peridotwell.fleet.transport.frames import StreamPull, StreamPush
 
-__all__ = ('StreamSearch',)
+__all__ = ('StreamSearch', 'StreamSearches')
 
 _numbers = count(1)
 
@@ -48,15 +48,22 @@
             sender, self.stream, self.service, number, wants_current
         )
 
-    def sent_at(self, push: StreamPush) -> float | None:
-        """Return when the question was sent that an answer answers, or None.
+    @property
+    def questions(self) -> Iterable[int]:
+        """The numbers of the questions that were sent."""
+        return self._sent_at.keys()
+
+    def known_until(self, push: StreamPush) -> float:
+        """Return up to when the sender of an answer knows the store.
 
-        Builds that repeat no question answer the last one, or an earlier one of
-        the same stream.
+        That is by this router's clock, and at least: its age was told for the
+        moment at which the question came, which is not before it was sent.
         """
-        if not push.question and push.stream == self.stream:
+        sent_at = self._sent_at.get(push.question)
+        age = push.knowledge_age_seconds
+        if sent_at is None or age is None:
             return -math.inf
-        return self._sent_at.get(push.question)
+        return sent_at - max(age, 0)
 
     def covers(self, taken_up_at: float | None) -> bool:
         """Return whether its end also answers for a stream taken up then."""
@@ -93,3 +100,58 @@
             and push.only_version == version
             for push in answers
         )
+
+
+class StreamSearches:
+    """The searches that are open, and the questions of each."""
+
+    def __init__(self) -> None:
+        self._open: list[StreamSearch] = []
+        # By the number of the question.
+        self._by_question: dict[int, StreamSearch] = {}
+
+    def __iter__(self) -> Iterator[StreamSearch]:
+        """Yield the searches that are open now."""
+        yield from tuple(self._open)
+
+    def add(self, search: StreamSearch) -> None:
+        """Add a search that begins."""
+        self._open.append(search)
+
+    def record_question(self, search: StreamSearch, question: int) -> None:
+        """Record the number of a question that a search sends."""
+        self._by_question[question] = search
+
+    def end(self, search: StreamSearch) -> None:
+        """Remove a search; wake those that wait for its end."""
+        search.ended.set()
+        self._open.remove(search)
+        for question in search.questions:
+            self._by_question.pop(question, None)
+
+    def joined(
+        self, stream: int, service: str, taken_up_at: float | None
+    ) -> StreamSearch | None:
+        """Return a search that answers the same question, or None."""
+        return next(
+            (
+                search
+                for search in self._open
+                if search.stream == stream
+                and search.service == service
+                and search.covers(taken_up_at)
+            ),
+            None,
+        )
+
+    def answered(self, push: StreamPush) -> tuple[StreamSearch, ...]:
+        """Return the searches that an answer is for.
+
+        Builds that repeat no question answer any about the same stream.
+        """
+        if push.question:
+            search = self._by_question.get(push.question)
+            return () if search is None else (search,)
+        return tuple(
+            search for search in self._open if search.stream == push.stream
+        )
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -362,7 +362,8 @@
     follows: `only_version` is the only version of the service that the sender
     has seen lately, None if it has seen several, or none. It has seen all since
     the oldest streams began if it `remembers`. `knowledge_age_seconds` is the
-    age of what the store has told it, None without an answer.
+    age, when the question came, of what the store has told it, None without an
+    answer.
     """
 
     stream: int
--- a/peridotwell/forwarding/streams/stream_affinity.py
+++ b/peridotwell/forwarding/streams/stream_affinity.py
@@ -136,7 +136,10 @@
         )
 
     def _is_confirmed(self, service: str, now: float) -> bool:
-        return self._is_alone(now) or self._services.is_confirmed(service, now)
+        services = self._services
+        return services.is_confirmed(service, now) or (
+            self._is_alone(now) and services.remembers(service, now)
+        )
 
     def _is_alone(self, now: float) -> bool:
         """Return whether no other router can have begun a recent stream.
@@ -217,11 +220,20 @@
         """Record a stream that began here, and tell others if need be."""
         version = start.target.software_id
         self._versions.record_own(start.stream, version, now)
-        if self._services.is_mixed(start.service, now):
+        if self._may_be_asked_for(start.service, now):
             self._update_exchange.share_stream_versions(
                 [(start.stream, version)]
             )
 
+    def _may_be_asked_for(self, service: str, now: float) -> bool:
+        """Return whether others are told which version begins streams.
+
+        In a small fleet that costs little, and they know it also when this
+        router has died before a second version serves.
+        """
+        relays = self._update_exchange.relay_protocol
+        return not relays.is_enabled() or self._services.is_mixed(service, now)
+
     def _record_serving(self) -> None:
         now = trio.current_time()
         self._is_alone(now)
--- a/peridotwell/forwarding/targets/restart_watch.py
+++ b/peridotwell/forwarding/targets/restart_watch.py
@@ -129,6 +129,8 @@
     def _record_end(
         self, target: Target, *, is_certain: bool, sign: str
     ) -> None:
+        answered_until = self._directory.belief.answered_until
+        self._signs.record_known(target, answered_until)
         self._signs.record_end(target, is_certain=is_certain)
         if is_certain:
             log_failure(
--- a/peridotwell/policy/versions/restart_signs.py
+++ b/peridotwell/policy/versions/restart_signs.py
@@ -58,6 +58,12 @@
         self._signs[target.name] = replace(known, found_at=now)
         return True
 
+    def record_known(self, target: Target, known_until: float) -> None:
+        """Forget a sign that an entry outlives which holds up to a time."""
+        known = self._sign(target)
+        if known is not None and known_until > known.found_at:
+            self._signs.pop(target.name)
+
     def found_at(self, target: Target) -> float | None:
         """Return when a process was found after the last sign, or None."""
         known = self._sign(target)
--- a/peridotwell/policy/versions/service_versions.py
+++ b/peridotwell/policy/versions/service_versions.py
@@ -12,6 +12,8 @@
 
 __all__ = ('ServiceVersions',)
 
+# In less time, no version comes and goes.
+MAX_UNSEEN_SECONDS = 1.0
 # A source of evidence besides other routers, which are named.
 STORE_RECORD = 'store_record'
 
@@ -35,6 +37,8 @@
         self._nothing_served = False
         # From then on this router has followed all services for long enough.
         self._complete_at = math.inf
+        # Until then, versions may have come and gone unseen.
+        self._unseen_until = -math.inf
         # From then on it has been up for as long as streams last; before, it
         # remembers only services whose earlier versions it was told.
         self._remembers_from = math.inf
@@ -52,12 +56,14 @@
     def record_nothing_earlier(self) -> None:
         """Record that nothing has served before all routers started."""
         self._nothing_served = True
+        self._remembers_from = -math.inf
 
     def record_gap(self, now: float) -> None:
         """Record that versions may have come and gone unseen until `now`."""
         self._confirmed.clear()
         self._nothing_served = False
         self._complete_at = now + MEMORY_SECONDS
+        self._unseen_until = now
 
     def set_serving(
         self, versions: Mapping[str, frozenset[int]], now: float
@@ -68,6 +74,7 @@
         """
         if self._complete_at == math.inf:
             self._complete_at = now + MEMORY_SECONDS
+            self._unseen_until = now
         if self._remembers_from == math.inf:
             self._remembers_from = now + MEMORY_SECONDS
         has_become_mixed = self.record_seen(versions, now)
@@ -84,7 +91,7 @@
         """
         has_become_mixed = False
         for service, seen in versions.items():
-            served = self._serving.get(service, seen) | seen
+            served = self._serving.setdefault(service, seen) | seen
             if len(served) > 1:
                 was_mixed = self.is_mixed(service, now)
                 has_become_mixed |= not was_mixed
@@ -131,8 +138,21 @@
             return MEMORY_SECONDS
         return max(self._mixed_until.get(service, 0) - now, 0)
 
-    def record_confirmation(self, service: str, evidence: Evidence) -> None:
-        """Record that another router has told all versions of a service."""
+    def record_confirmation(
+        self,
+        service: str,
+        evidence: Evidence,
+        known_until: float | None = None,
+    ) -> None:
+        """Record that another router has told all versions of a service.
+
+        It knows them up to `known_until`, by default that of the evidence. One
+        that may have missed the same as this router confirms nothing.
+        """
+        if known_until is None:
+            known_until = evidence.learned_at
+        if known_until + MAX_UNSEEN_SECONDS < self._unseen_until:
+            return
         self._confirmed[service] = evidence
         self._remembered.add(service)
 
@@ -164,8 +184,4 @@
 
         That is also those of its process before, if it has just started.
         """
-        return (
-            self._nothing_served
-            or service in self._remembered
-            or now >= self._remembers_from
-        )
+        return service in self._remembered or now >= self._remembers_from
--- a/tests/fleet/relays/test_stream_lookup.py
+++ b/tests/fleet/relays/test_stream_lookup.py
@@ -273,3 +273,21 @@
     for push in late:
         fleet[0].sharing.receive(encode_frame(push), trio.current_time())
     assert not lookup.is_shown(SERVICE, taken_up_at, trio.current_time())
+
+
+# Guards against a router that was cut off, and confirms to another one that
+# was cut off with it what both have missed.
+async def test_a_router_that_missed_the_same_confirms_nothing(
+    autojump_clock, fleet, nursery
+):
+    serve(fleet, VERSION, VERSION, VERSION)
+    fleet[2].transport.is_cut = True
+    await trio.sleep(5)
+    now = trio.current_time()
+    services = fleet[0].knowledge.service_versions
+    services.record_gap(now)
+    fleet[0].directory.belief.record(
+        Evidence(now, 2, EvidenceSource.snapshot), now
+    )
+    assert not await take_up(fleet, nursery, fleet)
+    assert not services.is_confirmed(SERVICE, trio.current_time())
--- a/tests/forwarding/streams/test_stream_affinity.py
+++ b/tests/forwarding/streams/test_stream_affinity.py
@@ -104,6 +104,7 @@
     autojump_clock, nursery, routers
 ):
     routers[1].know_versions()
+    routers[1].hear_store()
     await meet(routers)
     nursery.start_soon(answer_questions, routers)
     assert await routers[0].required() == 1
@@ -131,6 +132,7 @@
     await meet(routers)
     nursery.start_soon(answer_questions, routers)
     routers[1].knowledge.service_versions.record_nothing_earlier()
+    routers[1].hear_store()
     assert await routers[0].required() == 1
 
 
@@ -139,6 +141,7 @@
 async def test_a_router_alone_resumes_if_it_hears_the_store(
     autojump_clock, routers
 ):
+    routers[0].know_versions()
     with pytest.raises(NoTarget):
         await routers[0].required()
     routers[0].hear_store()
@@ -200,6 +203,7 @@
 ):
     caplog.set_level('INFO', 'peridotwell')
     routers[1].know_versions()
+    routers[1].hear_store()
     await meet(routers)
     nursery.start_soon(answer_questions, routers)
     first, second = routers
