Versions of streams: one rule in one place, and names that tell things apart

Cause: is_shown repeated the rule of decide, two classes were called Evidence, and the log gave a wrong reason for streams that began at a target that may have started again (a review by somebody who had not seen the work). Change: what is known is gathered once and decided in one place; that from where a fact is known is a Provenance; the basis unproven. Questions that are owed an answer are dropped in time.

--- a/peridotwell/fleet/relays/stream_lookup.py
+++ b/peridotwell/fleet/relays/stream_lookup.py
@@ -29,8 +29,15 @@
 from peridotwell.policy.placement.rendezvous import first_by_score
 from peridotwell.policy.updates.relays import needs_relays
 from peridotwell.policy.versions.service_versions import ServiceVersions
-from peridotwell.policy.versions.stream_versions import Evidence, StreamVersions
-from peridotwell.policy.versions.version_belief import VersionBelief
+from peridotwell.policy.versions.stream_versions import (
+    Provenance,
+    StreamVersions,
+)
+from peridotwell.policy.versions.version_belief import (
+    KnownVersions,
+    VersionBelief,
+    decide,
+)
 
 __all__ = ('StreamLookup',)
 
@@ -106,13 +113,16 @@
 
         That is up to `taken_up_at`, by the store or by other routers.
         """
-        if self._services.only_version(service, now) is None:
-            return False
-        if self.belief.told_until(service) >= taken_up_at:
-            return True
-        answered_until = self._directory.belief.answered_until
-        return answered_until >= taken_up_at and self._services.is_confirmed(
-            service, now
+        return decide(self.known_versions(service, now), taken_up_at).goes_on
+
+    def known_versions(self, service: str, now: float) -> KnownVersions:
+        """Return what is known of the versions of a service."""
+        return KnownVersions(
+            None,
+            self._services.only_version(service, now),
+            self.belief.told_until(service),
+            self._directory.belief.answered_until,
+            self._services.is_confirmed(service, now),
         )
 
     def count_unknown(self) -> None:
@@ -125,11 +135,14 @@
         belief = self._directory.belief
         if pull.wants_current and not belief.is_away():
             belief.require(now)
-            self._owed.append((pull, now))
+            self._owed = [
+                *(owed for owed in self._owed if now - owed[1] < OWED_SECONDS),
+                (pull, now),
+            ]
 
     def apply(self, push: StreamPush, now: float) -> None:
         """Record what another router knows of a stream."""
-        evidence = Evidence(
+        evidence = Provenance(
             self._peers.name(push.sender), now, _heard_at(push, now)
         )
         self._services.record_mixed(push.service, push.mixed_seconds, now)
@@ -147,14 +160,14 @@
     def apply_told(self, update: RouterUpdate, now: float) -> None:
         """Record the versions of streams that another router tells unasked."""
         heard_seconds = decode_seconds(update.store_answer_age_deciseconds)
-        evidence = Evidence(
+        evidence = Provenance(
             self._peers.name(update.sender), now, now - heard_seconds
         )
         for stream, version in update.stream_versions:
             self._versions.record(stream, version, evidence)
 
     def _believe(
-        self, search: StreamSearch, push: StreamPush, evidence: Evidence
+        self, search: StreamSearch, push: StreamPush, evidence: Provenance
     ) -> None:
         """Record up to when an answer shows that there is one version.
 
@@ -302,7 +315,7 @@
         for pull, since in self._owed:
             if answered_until >= since:
                 self._send_answer(pull, since, now)
-            elif now - since < OWED_SECONDS:
+            else:
                 waiting.append((pull, since))
         self._owed = waiting
         for search in self._searches:
--- a/peridotwell/forwarding/streams/resumption_log.py
+++ b/peridotwell/forwarding/streams/resumption_log.py
@@ -2,7 +2,7 @@
 
 from peridotwell.forwarding.adapters import RoutedRequest
 from peridotwell.logs import log_event, log_failure
-from peridotwell.policy.versions.stream_versions import Evidence
+from peridotwell.policy.versions.stream_versions import Provenance
 from peridotwell.policy.versions.version_belief import Basis
 
 __all__ = ('log_taken_up',)
@@ -12,7 +12,7 @@
     request: RoutedRequest,
     version: int | None,
     basis: Basis,
-    evidence: Evidence | None,
+    evidence: Provenance | None,
     store_heard_seconds: float | None,
     now: float,
 ) -> None:
--- a/peridotwell/forwarding/streams/stream_affinity.py
+++ b/peridotwell/forwarding/streams/stream_affinity.py
@@ -30,11 +30,10 @@
 from peridotwell.policy.versions.stream_versions import (
     MEMORY_SECONDS,
     STORE,
-    Evidence,
+    Provenance,
 )
 from peridotwell.policy.versions.version_belief import (
     Basis,
-    KnownVersions,
     decide,
 )
 from peridotwell.store.revisions import was_restored
@@ -157,16 +156,13 @@
 
     def _basis(self, request: RoutedRequest, now: float) -> Basis:
         service = request.service
-        known = KnownVersions(
-            self._known_version(request, now),
-            self._services.only_version(service, now),
-            self._lookup.belief.told_until(service),
-            self._directory.belief.answered_until,
-            self._is_confirmed(service, now),
+        known = replace(
+            self._lookup.known_versions(service, now),
+            stream=self._known_version(request, now),
+            is_confirmed=self._is_confirmed(service, now),
         )
-        if self.is_unproven(request):
-            # Another one may have begun it than those that are listed.
-            known = replace(known, only=None)
+        if self.is_unproven(request) and known.stream is None:
+            return Basis.unproven
         return decide(known, request.arrived_at)
 
     def _keep(
@@ -179,7 +175,9 @@
                 request.stream_id, version, replace(evidence, learned_at=now)
             )
 
-    def _evidence(self, request: RoutedRequest, now: float) -> Evidence | None:
+    def _evidence(
+        self, request: RoutedRequest, now: float
+    ) -> Provenance | None:
         """Return what shows the version of a stream, or of its service."""
         if self._known_version(request, now) is not None:
             return self._versions.evidence(request.stream_id, now)
@@ -190,7 +188,7 @@
         if math.isinf(answered_until):
             return told
         contact = self._directory.store_contact
-        return Evidence(STORE, answered_until, contact.answered_at)
+        return Provenance(STORE, answered_until, contact.answered_at)
 
     def _log_taken_up(
         self,
--- a/peridotwell/policy/versions/service_versions.py
+++ b/peridotwell/policy/versions/service_versions.py
@@ -8,7 +8,10 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from peridotwell.policy.versions.stream_versions import MEMORY_SECONDS, Evidence
+from peridotwell.policy.versions.stream_versions import (
+    MEMORY_SECONDS,
+    Provenance,
+)
 
 __all__ = ('ServiceVersions',)
 
@@ -33,7 +36,7 @@
         self._mixed_until: dict[str, float] = {}
         # Until then, versions that only other routers know may matter.
         self._unknown_until: dict[str, float] = {}
-        self._confirmed: dict[str, Evidence] = {}
+        self._confirmed: dict[str, Provenance] = {}
         self._nothing_served = False
         # From then on this router has followed all services for long enough.
         self._complete_at = math.inf
@@ -50,7 +53,7 @@
         """Record, by service, the versions that served before the start."""
         self._serving.update(versions)
         for service in versions:
-            self._confirmed[service] = Evidence(STORE_RECORD, now)
+            self._confirmed[service] = Provenance(STORE_RECORD, now)
             self._remembered.add(service)
 
     def record_nothing_earlier(self) -> None:
@@ -141,7 +144,7 @@
     def record_confirmation(
         self,
         service: str,
-        evidence: Evidence,
+        evidence: Provenance,
         known_until: float | None = None,
     ) -> None:
         """Record that another router has told all versions of a service.
--- a/peridotwell/policy/versions/stream_versions.py
+++ b/peridotwell/policy/versions/stream_versions.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ('MEMORY_SECONDS', 'STORE', 'Evidence', 'StreamVersions')
+__all__ = ('MEMORY_SECONDS', 'STORE', 'Provenance', 'StreamVersions')
 
 # Longer than a stream and its caller's attempts to resume it last.
 MEMORY_SECONDS = 30.0
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True)
-class Evidence:
+class Provenance:
     """From where, and when, this router has learned a fact.
 
     `source_heard_at` is when the store last answered the source, by this
@@ -49,7 +49,7 @@
     """The version that began a stream."""
 
     version: int
-    evidence: Evidence
+    evidence: Provenance
 
     @property
     def expires_at(self) -> float:
@@ -67,9 +67,9 @@
 
     def record_own(self, stream: int, version: int, now: float) -> None:
         """Record which version began a stream at this router."""
-        self.record(stream, version, Evidence(OWN, now))
+        self.record(stream, version, Provenance(OWN, now))
 
-    def record(self, stream: int, version: int, evidence: Evidence) -> None:
+    def record(self, stream: int, version: int, evidence: Provenance) -> None:
         """Record which version began a stream, unless that is known."""
         self._remove_expired(evidence.learned_at)
         if self.version(stream, evidence.learned_at) is not None:
@@ -84,7 +84,7 @@
         known = self._versions.get(stream)
         return known.version if known and now < known.expires_at else None
 
-    def evidence(self, stream: int, now: float) -> Evidence | None:
+    def evidence(self, stream: int, now: float) -> Provenance | None:
         """Return what the version of a stream is known from, or None."""
         known = self._versions.get(stream)
         return known.evidence if known and now < known.expires_at else None
--- a/peridotwell/policy/versions/version_belief.py
+++ b/peridotwell/policy/versions/version_belief.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from peridotwell.policy.versions.stream_versions import Evidence
+from peridotwell.policy.versions.stream_versions import Provenance
 
 __all__ = ('Basis', 'KnownVersions', 'VersionBelief', 'decide')
 
@@ -28,6 +28,8 @@
     not_confirmed = 'not_confirmed'
     # Nor whether another one serves now.
     not_current = 'not_current'
+    # It began here, at a target that may have started again unheard.
+    unproven = 'unproven'
 
     @property
     def goes_on(self) -> bool:
@@ -72,9 +74,9 @@
     """Up to when other routers show that a service has had one version."""
 
     def __init__(self) -> None:
-        self._evidence: dict[str, Evidence] = {}
+        self._evidence: dict[str, Provenance] = {}
 
-    def record(self, service: str, evidence: Evidence) -> None:
+    def record(self, service: str, evidence: Provenance) -> None:
         """Record what held at the time of the evidence."""
         if evidence.learned_at > self.told_until(service):
             self._evidence[service] = evidence
@@ -84,6 +86,6 @@
         evidence = self._evidence.get(service)
         return evidence.learned_at if evidence else -math.inf
 
-    def evidence(self, service: str) -> Evidence | None:
+    def evidence(self, service: str) -> Provenance | None:
         """Return what shows it, or None."""
         return self._evidence.get(service)
--- a/tests/fleet/relays/test_stream_lookup.py
+++ b/tests/fleet/relays/test_stream_lookup.py
@@ -10,7 +10,7 @@
     decode_frame,
     encode_frame,
 )
-from peridotwell.policy.versions.stream_versions import Evidence as Told
+from peridotwell.policy.versions.stream_versions import Provenance
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 
 SERVICE = 's'
@@ -169,7 +169,7 @@
     for router, version in zip(fleet, versions, strict=True):
         services = router.knowledge.service_versions
         services.set_serving({SERVICE: frozenset((version,))}, now)
-        services.record_confirmation(SERVICE, Told('record', now))
+        services.record_confirmation(SERVICE, Provenance('record', now))
         router.directory.belief.record(
             Evidence(now - 0.1, 2, EvidenceSource.watch), now
         )
--- a/tests/policy/versions/test_service_versions.py
+++ b/tests/policy/versions/test_service_versions.py
@@ -3,7 +3,10 @@
 import pytest
 
 from peridotwell.policy.versions.service_versions import ServiceVersions
-from peridotwell.policy.versions.stream_versions import MEMORY_SECONDS, Evidence
+from peridotwell.policy.versions.stream_versions import (
+    MEMORY_SECONDS,
+    Provenance,
+)
 
 OLD, NEW = 1, 2
 MODEL = 'model'
@@ -37,7 +40,7 @@
     versions = ServiceVersions()
     serve(versions, NEW, now=0)
     assert not versions.is_confirmed(MODEL, 1)
-    versions.record_confirmation(MODEL, Evidence('r1', 1))
+    versions.record_confirmation(MODEL, Provenance('r1', 1))
     assert versions.is_confirmed(MODEL, 1)
 
 
@@ -95,7 +98,7 @@
 def test_a_gap_makes_earlier_versions_unknown_for_as_long_as_streams_last():
     versions = ServiceVersions()
     serve(versions, OLD, now=0)
-    versions.record_confirmation(MODEL, Evidence('r1', 0))
+    versions.record_confirmation(MODEL, Provenance('r1', 0))
     versions.record_gap(MEMORY_SECONDS + 1)
     assert not versions.is_confirmed(MODEL, MEMORY_SECONDS + 1)
     assert versions.remembers(MODEL, MEMORY_SECONDS + 1)
@@ -107,6 +110,6 @@
     versions = ServiceVersions()
     serve(versions, OLD, now=0)
     if is_told:
-        versions.record_confirmation(MODEL, Evidence('r1', 1))
+        versions.record_confirmation(MODEL, Provenance('r1', 1))
     assert versions.remembers(MODEL, 1) is is_told
     assert versions.remembers(MODEL, MEMORY_SECONDS)
--- a/tests/policy/versions/test_version_belief.py
+++ b/tests/policy/versions/test_version_belief.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from peridotwell.policy.versions.stream_versions import Evidence
+from peridotwell.policy.versions.stream_versions import Provenance
 from peridotwell.policy.versions.version_belief import (
     Basis,
     KnownVersions,
@@ -54,6 +54,6 @@
     belief = VersionBelief()
     assert belief.told_until('s') == -math.inf
     for at in (3, 5, 4, math.nan):
-        belief.record('s', Evidence('r1', at))
+        belief.record('s', Provenance('r1', at))
     assert belief.told_until('s') == 5
     assert belief.told_until('other') == -math.inf
