Streams that break off just after another one wait for the store, and go on

Cause: it was not yet known whether the target had started again, and an unproven stream did not go on within its answer.

--- a/peridotwell/forwarding/streams/stream_affinity.py
+++ b/peridotwell/forwarding/streams/stream_affinity.py
@@ -91,6 +91,11 @@
         """Return whether it is unknown which version began a stream here."""
         return request.stream_id in self._unproven
 
+    async def settle(self, request: RoutedRequest, target: Target) -> None:
+        """Wait a short time for the store to tell which version began it."""
+        if self.is_unproven(request):
+            await self._restarts.settle(target)
+
     async def version_of(self, request: RoutedRequest) -> int | None:
         """Return the id of the version at which a stream goes on.
 
--- a/peridotwell/forwarding/streams/streams.py
+++ b/peridotwell/forwarding/streams/streams.py
@@ -266,6 +266,7 @@
             try:
                 return await self._send(attempt)
             except AttemptError as exc:
+                await self._affinity.settle(self._request, choice.target)
                 self._raise_unless_retried(exc, trio.current_time())
 
     async def _choose(self) -> Choice:
