--- /dev/null
+++ b/review/harness_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for scripts of the second review: store, replicas and clients."""
