Ends without a mark: the next process at an address answers for no other

Cause: after an end without a mark the router asked at the target's address whether a process serves. Whatever process was there answered for the one that had sent the response. In the same way, any connection that was open counted, also one opened to the next process.

Evidence: `end.checked` said `answered` for both streams.

Change: while responses without a mark are in work at a target, the router keeps two connections open to it (`ProcessWitness`). One that was opened before a response and answers shows that its process lives; if both have ended with the response, another process answers (`replaced`). Connections that were opened later than a response was seen say nothing of its process: for ends, crash tracking and restart signs alike.

One check of test_stream_ends.py names the sign that is told now: the process is known to be the same, where before some process had answered.

--- a/peridotwell/forwarding/lifecycle/background_tasks.py
+++ b/peridotwell/forwarding/lifecycle/background_tasks.py
@@ -50,6 +50,7 @@
             (0, components.forwarding.prober.run),
             (0, components.forwarding.request_recall.run),
             (0, components.forwarding.waiting_room.run),
+            (0, components.clients.witness_keeper.run),
             (0, self._receive),
             (0, self._update),
             (CLEANUP_SECONDS, self._remove_gone),
--- a/peridotwell/forwarding/sending/dispatch.py
+++ b/peridotwell/forwarding/sending/dispatch.py
@@ -145,7 +145,7 @@
                 trio.current_time() - started_at,
             )
         except AttemptError as exc:
-            self._record_failure(attempt, exc)
+            self._record_failure(attempt, exc, started_at)
             raise
         finally:
             if not is_prefilled:
@@ -187,12 +187,14 @@
         self._begun.discard(attempt)
         self._tracker.record_end(attempt.target, seconds)
 
-    def _record_failure(self, attempt: Attempt, exc: AttemptError) -> None:
+    def _record_failure(
+        self, attempt: Attempt, exc: AttemptError, started_at: float
+    ) -> None:
         if isinstance(exc, TargetLeft):
             # It says nothing of the target but what is known.
             _log_failure(attempt, exc)
             return
-        self._clients.record_failure(attempt.target, exc)
+        self._clients.record_failure(attempt.target, exc, started_at)
         name = attempt.target.name
         now = trio.current_time()
         if isinstance(exc, RefusedByTarget):
--- a/peridotwell/forwarding/sending/target_clients.py
+++ b/peridotwell/forwarding/sending/target_clients.py
@@ -9,6 +9,7 @@
 from peridotwell.forwarding.targets.restart_watch import RestartWatch
 from peridotwell.serving.response_buffers import ResponseBuffers
 from peridotwell.serving.target_client import NoticeListener, TargetClient
+from peridotwell.serving.witness_keeper import WitnessKeeper
 
 __all__ = ('TargetClients',)
 
@@ -31,6 +32,7 @@
     ) -> None:
         self._buffers = buffers or ResponseBuffers()
         self.restarts = RestartWatch(directory)
+        self.witness_keeper = WitnessKeeper()
         self._on_notice = on_notice
         self._directory = directory
         self._adapter = adapter
@@ -51,16 +53,23 @@
                 self._buffers,
                 self._status_path,
                 self.restarts.record_closed,
+                self.witness_keeper,
             )
             self._clients[key] = client
             # The target may have left since it was chosen.
             self._may_have_gone = True
         return client
 
-    def record_failure(self, target: Target, exc: AttemptError) -> None:
-        """Record what the failure of an attempt shows of a target's process."""
+    def record_failure(
+        self, target: Target, exc: AttemptError, started_at: float
+    ) -> None:
+        """Record what the failure of an attempt shows of a target's process.
+
+        `started_at` is when the attempt began.
+        """
+        client = self.client(target)
         self.restarts.record_failure(
-            target, exc, is_connected=self.client(target).is_connected()
+            target, exc, is_connected=client.is_connected(started_at)
         )
 
     async def close_gone(self) -> None:
--- a/peridotwell/forwarding/targets/crash_tracker.py
+++ b/peridotwell/forwarding/targets/crash_tracker.py
@@ -28,7 +28,7 @@
 from peridotwell.policy.crashes.crash_blame import format_parts, shared_part_ids
 from peridotwell.policy.crashes.crashed_requests import RECORD_TTL_SECONDS
 from peridotwell.policy.crashes.untold_restarts import UntoldRestarts
-from peridotwell.serving.target_presence import HAS_ENDED, TargetSign
+from peridotwell.policy.evidence.target_sign import HAS_ENDED, TargetSign
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
 
@@ -154,14 +154,16 @@
         if self._directory.evacuations.covers(target):
             # It may be switched off: that is no fault of its requests.
             return
-        sign = await self._clients.client(target).process_sign()
+        arrived_at = max(suspect.arrived_at for suspect in suspects)
+        client = self._clients.client(target)
+        sign = await client.process_sign(arrived_at)
         self._clients.restarts.record_sign(target, sign, trio.current_time())
         if sign not in IS_LOST:
             return
         now = trio.current_time()
         process_id = self._restarts.record_crash(
             target,
-            max(suspect.arrived_at for suspect in suspects),
+            arrived_at,
             now,
             is_told=self._directory.belief.is_current(now),
         )
--- a/peridotwell/forwarding/targets/restart_watch.py
+++ b/peridotwell/forwarding/targets/restart_watch.py
@@ -17,8 +17,8 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.sending.connection_check import can_connect
 from peridotwell.logs import log_failure
+from peridotwell.policy.evidence.target_sign import HAS_ENDED, TargetSign
 from peridotwell.policy.versions.restart_signs import RestartSigns
-from peridotwell.serving.target_presence import HAS_ENDED, TargetSign
 
 __all__ = ('RestartWatch',)
 
--- a/peridotwell/serving/connection_pool.py
+++ b/peridotwell/serving/connection_pool.py
@@ -97,7 +97,8 @@
     `idle_seconds`, or at once without `keeps_idle`. `reads_at_once` is for a
     peer whose responses are read in as few turns of the event loop as possible.
     A body over `max_body_bytes` is an error. `on_ended` is called with the
-    number of idle connections that are found ended by the peer.
+    number of idle connections that are found ended by the peer, and when the
+    last one of them was used.
     """
 
     def __init__(
@@ -108,7 +109,7 @@
         keeps_idle: bool = True,
         reads_at_once: bool = False,
         max_body_bytes: float = math.inf,
-        on_ended: Callable[[int], None] | None = None,
+        on_ended: Callable[[int, float], None] | None = None,
     ) -> None:
         super().__init__(max_connections=max_connections)
         self._network = SocketNetwork(reads_at_once=reads_at_once)
@@ -202,9 +203,9 @@
         return usable
 
     async def _close_found(self, idle: Sequence[TargetConnection]) -> None:
-        ended = sum(conn.has_peer_ended() for conn in idle)
+        ended = [conn.used_at for conn in idle if conn.has_peer_ended()]
         if ended and self._on_ended is not None:
-            self._on_ended(ended)
+            self._on_ended(len(ended), max(ended))
         await _close(idle)
 
     async def _sweep(self, now: float) -> None:
--- a/peridotwell/serving/sign_of_life.py
+++ b/peridotwell/serving/sign_of_life.py
@@ -76,9 +76,9 @@
     return isinstance(exc.__cause__, ConnectionError)
 
 
-def status_request(target: Target, path: str) -> bytes:
-    """Return the bytes of a status check."""
+def status_request(target: Target, path: str, *, is_last: bool = True) -> bytes:
+    """Return the bytes of a status check, the last one on its connection."""
+    close = 'Connection: close\r\n' if is_last else ''
     return (
-        f'GET {path} HTTP/1.1\r\nHost: {target.address}\r\n'
-        'Connection: close\r\n\r\n'
+        f'GET {path} HTTP/1.1\r\nHost: {target.address}\r\n{close}\r\n'
     ).encode('latin-1')
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -26,6 +26,7 @@
 )
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
+from peridotwell.policy.evidence.target_sign import TargetSign
 from peridotwell.policy.health.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.running_time import move_on_after_running
 from peridotwell.serving.connection_pool import BEFORE_SEND, ConnectionPool
@@ -36,9 +37,9 @@
     Connections,
     ConnectionSource,
     EndCheck,
-    TargetSign,
 )
-from peridotwell.serving.target_response import TargetResponse
+from peridotwell.serving.target_response import BodyEnd, TargetResponse
+from peridotwell.serving.witness_keeper import WitnessKeeper
 
 __all__ = (
     'ResponseTimeouts',
@@ -145,6 +146,7 @@
         buffers: ResponseBuffers | None = None,
         find_status_path: Callable[[Target], str] | None = None,
         on_closed: ClosedListener | None = None,
+        witness_keeper: WitnessKeeper | None = None,
     ) -> None:
         self.target = target
         self._on_closed = on_closed
@@ -152,6 +154,7 @@
         self._on_notice = on_notice
         self._reader = reader or StandardResponseReader()
         self._find_status_path = find_status_path
+        self._witness_keeper = witness_keeper
         self._end_check = EndCheck(target, self, CONNECT_TIMEOUT_SECONDS)
         self._ownership = ResponseOwnership()
         self._pool = ConnectionPool(
@@ -177,11 +180,16 @@
         """Close the idle connections that have expired or ended."""
         await self._pool.close_unusable()
 
-    def is_connected(self) -> bool:
-        """Whether a connection is open at both ends, as far as is known."""
+    def is_connected(self, seen_at: float) -> bool:
+        """Whether a connection is open at both ends, as far as is known.
+
+        One that was opened later than a time at which the target was seen may
+        lead to another process.
+        """
         known = self.connections()
         return any(
-            not conn.has_peer_ended() for conn in (*known.used, *known.idle)
+            conn.opened_at <= seen_at and not conn.has_peer_ended()
+            for conn in (*known.used, *known.idle)
         )
 
     def status_path(self) -> str:
@@ -190,12 +198,13 @@
             return HEALTH_PATH
         return self._find_status_path(self.target)
 
-    async def process_sign(self) -> TargetSign:
-        """Return what shows whether the target's process still serves."""
-        return await self._end_check.sign()
+    async def process_sign(self, seen_at: float) -> TargetSign:
+        """Return whether the process still serves that did at a time."""
+        return await self._end_check.sign(seen_at)
 
     async def aclose(self) -> None:
         """Close idle connections; running requests keep theirs open."""
+        await self._end_check.witness.aclose()
         await self._single_use_pool.aclose()
         await self._pool.aclose()
 
@@ -243,7 +252,7 @@
                 self._buffers,
                 self.target.name,
             )
-            response.check_end = partial(self._end_check.check, request_id)
+            self._prepare_check(response, request_id, trio.current_time())
             response.earlier_ids = self._ownership.earlier_ids(resp)
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
@@ -262,9 +271,21 @@
             finally:
                 response.share.release_unless_kept()
 
-    def _handle_ended(self, ended: int) -> None:
-        """Report that idle connections have ended, if no other one is open."""
-        if self._on_closed is None or self.is_connected():
+    def _prepare_check(
+        self, response: TargetResponse, request_id: str, now: float
+    ) -> None:
+        """Let the process be watched whose end may cut a response."""
+        response.check_end = partial(self._end_check.check, request_id, now)
+        is_unmarked = response.body_end is BodyEnd.connection
+        if is_unmarked and self._witness_keeper is not None:
+            self._witness_keeper.need(self._end_check.witness, now)
+
+    def _handle_ended(self, ended: int, used_at: float) -> None:
+        """Report that idle connections have ended, if no other one is open.
+
+        `used_at` is when a request was last sent on one of them.
+        """
+        if self._on_closed is None or self.is_connected(used_at):
             return
         known = self.connections()
         count = ended + len(known.used) + len(known.idle)
--- a/peridotwell/serving/target_presence.py
+++ b/peridotwell/serving/target_presence.py
@@ -6,11 +6,11 @@
 address of that process at once: another process, or a proxy.
 """
 
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
-from enum import Enum
+from dataclasses import dataclass, field
 from weakref import WeakKeyDictionary
 
 import httpcore
@@ -19,17 +19,18 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Target
 from peridotwell.logs import log_failure
+from peridotwell.policy.evidence.process_spans import ProcessSpans
 from peridotwell.policy.evidence.simultaneous_ends import count_telling_ends
+from peridotwell.policy.evidence.target_sign import HAS_ENDED, TargetSign
+from peridotwell.serving.process_witness import ProcessWitness
 from peridotwell.serving.sign_of_life import status_request
 from peridotwell.serving.socket_network import SocketNetwork
 from peridotwell.serving.target_connection import TargetConnection
 
 __all__ = (
-    'HAS_ENDED',
     'Connections',
     'ConnectionSource',
     'EndCheck',
-    'TargetSign',
     'ask_for_status',
 )
 
@@ -47,26 +48,6 @@
 MAX_ENDS = 256
 
 
-class TargetSign(Enum):
-    """What shows whether the process of a target still serves."""
-
-    # A connection from before is still open.
-    same_process = 'same_process'
-    # All connections from before have ended in one moment.
-    ended_together = 'ended_together'
-    # The answers to a status check on a new connection.
-    answered = 'answered'
-    silent = 'silent'
-    closed = 'closed'
-    refused = 'refused'
-    unreachable = 'unreachable'
-
-
-HAS_ENDED = frozenset(
-    (TargetSign.ended_together, TargetSign.closed, TargetSign.refused)
-)
-
-
 @dataclass(frozen=True)
 class Connections:
     """Connections to a target: `used` by responses that go on, and idle."""
@@ -88,17 +69,24 @@
 
 
 class EndCheck:
-    """Finds out whether a target that ended a response still serves.
+    """Finds out whether the process that ended a response still serves.
 
     One question is asked for all responses that end in the same moment.
+    `witness` shows which process serves, while connections are kept for it.
     """
 
     def __init__(
-        self, target: Target, source: ConnectionSource, connect_seconds: float
+        self,
+        target: Target,
+        source: ConnectionSource,
+        connect_seconds: float,
     ) -> None:
         self._target = target
         self._source = source
         self._connect_seconds = connect_seconds
+        self.witness = ProcessWitness(
+            target, source.status_path, connect_seconds
+        )
         # The question that responses join which end now.
         self._question: _Question | None = None
         self._ended_at: WeakKeyDictionary[TargetConnection, float] = (
@@ -106,45 +94,69 @@
         )
         self._ends: deque[float] = deque(maxlen=MAX_ENDS)
 
-    async def check(self, request_id: str) -> None:
-        """Raise ResponseTruncated if the process has ended.
+    async def check(self, request_id: str, seen_at: float) -> TargetSign:
+        """Return what shows the process that sent a response.
 
-        A target that cannot be reached or does not answer may be a sound one.
+        `seen_at` is when its head came. Raises ResponseTruncated if the process
+        has ended. One that cannot be reached or does not answer may be sound.
         """
-        sign = await self.sign()
+        findings = await self._find()
+        sign = await self._sign(findings, seen_at)
+        now = trio.current_time()
         log_failure(
             'end.checked',
             request=request_id,
             target=self._target.name,
             answer=sign.value,
             incarnation=self._target.incarnation,
+            seen_seconds=round(now - seen_at, 3),
+            process_seconds=findings.process_seconds(now),
         )
         if sign in HAS_ENDED:
             raise ResponseTruncated(
                 'The target ended with its response, which has no other mark '
                 f'of its end and may be cut ({sign.value}).'
             )
-
-    async def sign(self) -> TargetSign:
-        """Return what is found out, for one or several responses.
+        return sign
+
+    async def sign(self, seen_at: float) -> TargetSign:
+        """Return what shows the process that sent something at a time."""
+        return await self._sign(await self._find(), seen_at)
+
+    async def _sign(self, findings: '_Findings', seen_at: float) -> TargetSign:
+        """Return what is known, or else ask whatever serves at the address."""
+        known = findings.sign(seen_at, trio.current_time())
+        if known is not None:
+            return known
+        async with findings.lock:
+            if findings.status is None:
+                findings.status = await ask_for_status(
+                    self._target,
+                    self._source.status_path(),
+                    self._connect_seconds,
+                )
+        return findings.status
+
+    async def _find(self) -> '_Findings':
+        """Return what connections show, for one or several responses.
 
         Who asks may be cancelled: then the next one asks.
         """
         while self._question is not None:
             question = self._question
             await question.is_over.wait()
-            if question.sign is not None:
-                return question.sign
+            if question.findings is not None:
+                return question.findings
         question = _Question()
         self._question = question
         try:
-            question.sign = await self._ask(question)
+            question.findings = await self._ask(question)
         finally:
             self._end_moment(question)
             question.is_over.set()
-        return question.sign
+        return question.findings
 
-    async def _ask(self, question: '_Question') -> TargetSign:
+    async def _ask(self, question: '_Question') -> '_Findings':
         asked_at = trio.current_time()
         self._note_ended(asked_at)
         await trio.sleep(MOMENT_SECONDS)
@@ -152,12 +164,11 @@
         self._note_ended(trio.current_time())
         have_ended = self._have_ended_together(asked_at)
         await trio.sleep(SETTLE_SECONDS - MOMENT_SECONDS)
-        if _any_open(self._source.connections(), asked_at):
-            return TargetSign.same_process
-        if have_ended:
-            return TargetSign.ended_together
-        path = self._source.status_path()
-        return await ask_for_status(self._target, path, self._connect_seconds)
+        return _Findings(
+            await self.witness.ask(),
+            _oldest_open(self._source.connections()),
+            ended_together=have_ended,
+        )
 
     def _end_moment(self, question: '_Question') -> None:
         """Let responses that end later ask a question of their own."""
@@ -195,11 +206,56 @@
 
 
 class _Question:
-    """A question that is asked; `sign` is the answer, None if it has none."""
+    """A question that is asked; it has no findings if nobody asks it on."""
 
     def __init__(self) -> None:
         self.is_over = trio.Event()
-        self.sign: TargetSign | None = None
+        self.findings: _Findings | None = None
+
+
+@dataclass
+class _Findings:
+    """What connections show of the processes of a target.
+
+    `oldest_open_at` is when the oldest one was opened that still stands,
+    `status` how a new one was answered, None while none was opened.
+    """
+
+    spans: ProcessSpans
+    oldest_open_at: float
+    ended_together: bool
+    status: TargetSign | None = None
+    lock: trio.Lock = field(default_factory=trio.Lock)
+
+    def sign(self, seen_at: float, now: float) -> TargetSign | None:
+        """Return what they show of the process that sent what came at a time.
+
+        None if they show nothing of it.
+        """
+        if self.spans.is_same(seen_at):
+            return TargetSign.same_process
+        if self.spans.has_ended(seen_at, now):
+            return TargetSign.replaced
+        if self.oldest_open_at <= seen_at:
+            return TargetSign.same_process
+        return TargetSign.ended_together if self.ended_together else None
+
+    def process_seconds(self, now: float) -> float | None:
+        """Return for how long the process has served that is known to."""
+        serving = self.spans.serving
+        return None if serving is None else round(now - serving.since, 3)
+
+
+def _oldest_open(known: Connections) -> float:
+    """Return when the oldest connection was opened that is still open."""
+    return min(
+        (
+            conn.opened_at
+            for conn in (*known.used, *known.idle)
+            if not conn.has_peer_ended()
+        ),
+        default=math.inf,
+    )
 
 
 def _any_open(known: Connections, before: float) -> bool:
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -19,6 +19,7 @@
     ResponseTimeout,
     ResponseTruncated,
 )
+from peridotwell.policy.evidence.target_sign import TargetSign
 from peridotwell.policy.room.buffer_budget import BufferShare
 from peridotwell.serving.event_stream import (
     NO_LIMIT,
@@ -85,7 +86,8 @@
     A body that ends with its connection counts as truncated if it was left
     unread for long meanwhile, since targets cut off such responses.
     `check_end` is awaited after a body that ends with its connection; it raises
-    ResponseTruncated if that was no ordinary end. `share` is the memory that
+    ResponseTruncated if that was no ordinary end, and returns what shows the
+    process of the target, which is `end_sign` then. `share` is the memory that
     the response takes, among those of its `group`; ResponseOverBudget is raised
     if there is no more of it.
     """
@@ -109,7 +111,8 @@
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
         self.earlier_ids: Collection[str] = ()
-        self.check_end: Callable[[], Awaitable[None]] | None = None
+        self.check_end: Callable[[], Awaitable[TargetSign]] | None = None
+        self.end_sign: TargetSign | None = None
         self._has_no_body = (
             method == NO_BODY_METHOD or resp.status in NO_BODY_STATUSES
         )
@@ -170,7 +173,7 @@
         if self.body_end is BodyEnd.connection:
             unread.require_short()
             if self.check_end is not None:
-                await self.check_end()
+                self.end_sign = await self.check_end()
 
     def _search_following(self) -> FollowingResponse | None:
         """Return a search for another response, if that may be in the body.
--- a/tests/peridotwell_platform/test_stream_ends.py
+++ b/tests/peridotwell_platform/test_stream_ends.py
@@ -101,4 +101,4 @@
     ((event, fields),) = checks
     assert event == 'end.checked'
     assert fields['target'] == 'raw-0'
-    assert fields['answer'] == 'answered'
+    assert fields['answer'] == 'same_process'
--- a/tests/serving/test_target_presence.py
+++ b/tests/serving/test_target_presence.py
@@ -7,13 +7,13 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Pool, Target, TargetKind
 from peridotwell.policy.evidence.simultaneous_ends import MIN_ENDED_TOGETHER
+from peridotwell.policy.evidence.target_sign import TargetSign
 from peridotwell.serving import target_presence
 from peridotwell.serving.target_presence import (
     MOMENT_SECONDS,
     Connections,
     ConnectionSource,
     EndCheck,
-    TargetSign,
     ask_for_status,
 )
 from tests.ports import find_free_port
@@ -61,7 +61,7 @@
 
 async def check_end(port, source=None):
     check = EndCheck(target(port), source or Source(), TIMEOUT_SECONDS)
-    await check.check('r')
+    await check.check('r', trio.current_time())
 
 
 async def answer(stream):
@@ -167,7 +167,7 @@
     async with trio.open_nursery() as asking:
         for connection in used:
             connection.has_ended = True
-            asking.start_soon(check.check, 'r')
+            asking.start_soon(check.check, 'r', trio.current_time())
             await trio.sleep(MOMENT_SECONDS * 1.5)
 
 
@@ -178,12 +178,12 @@
     used = [Connection(has_ended=False) for _ in range(MIN_ENDED_TOGETHER + 1)]
     check = EndCheck(target(port), Source(used=used), TIMEOUT_SECONDS)
     used[0].has_ended = True
-    nursery.start_soon(check.check, 'sound')
+    nursery.start_soon(check.check, 'sound', trio.current_time())
     await trio.sleep(MOMENT_SECONDS * 1.5)
     for connection in used:
         connection.has_ended = True
     with pytest.raises(ResponseTruncated):
-        await check.check('cut')
+        await check.check('cut', trio.current_time())
 
 
 # Guards against whole responses that count as cut because a few end together,
@@ -232,13 +232,13 @@
     check = EndCheck(target(port), Source(), TIMEOUT_SECONDS)
     with trio.CancelScope() as first_one_left:
         async with trio.open_nursery() as asking:
-            asking.start_soon(check.check, 'r')
+            asking.start_soon(check.check, 'r', trio.current_time())
             await trio.sleep(0.01)
-            nursery.start_soon(check.check, 'r')
+            nursery.start_soon(check.check, 'r', trio.current_time())
             first_one_left.cancel()
     async with trio.open_nursery() as asking:
         for _ in range(20):
-            asking.start_soon(check.check, 'r')
+            asking.start_soon(check.check, 'r', trio.current_time())
     assert len(seen) == 1
 
 
