Streams without a mark: a process that lives has ended them, whatever others do

What callers saw (LOST): whole streams that cannot be resumed were reset beside a planned stop, all of their events had been passed on.

Cause: an end without a mark that nobody could check counted as a break where the target marks most of its other ends. `end.checked` said `same_process` for all of them, and the passed end was `cut`.

Change: one decision (`policy/evidence/end_verdict.py`), by typed evidence. An ordinary end, not within an event, of a process that is known to be the same is whole, passed on without a mark as it came. It is a break if the process has ended as many responses as go on in one moment, or was found to end responses early in the last minute: a marked end that is missing, or a part of an event, of a process that lives. Responses that a silent target begins all at once run in step, and count as one. `stream.ended` tells the verdict.

Also: an end is judged by the process of the target that sent it. Before, a continuation at another target that failed behind its head lent its own marks, and the doubted stream then passed for whole.

--- a/peridotwell/forwarding/answering/buffered_responses.py
+++ b/peridotwell/forwarding/answering/buffered_responses.py
@@ -78,7 +78,7 @@
     @property
     def is_end_marked(self) -> bool:
         """Whether the target marked the end of the response."""
-        return self.origin.body_end is not BodyEnd.connection
+        return self.origin.is_end_marked
 
     @property
     def has_doubtful_end(self) -> bool:
--- a/peridotwell/forwarding/sending/dispatch.py
+++ b/peridotwell/forwarding/sending/dispatch.py
@@ -75,7 +75,12 @@
 
     def stream_ends(self, service: str) -> EndRecorder:
         """Return what is known of the ends of a service's streams."""
-        return EndRecorder(self.end_marks, service, is_stream=True)
+        return EndRecorder(
+            self.end_marks,
+            service,
+            is_stream=True,
+            early_ends=self._crash_tracker.early_ends,
+        )
 
     def check(self, request: RoutedRequest) -> None:
         """Raise ForwardedRequestQuarantined if the request crashes targets."""
--- a/peridotwell/forwarding/streams/end_recorder.py
+++ b/peridotwell/forwarding/streams/end_recorder.py
@@ -1,7 +1,11 @@
 """Records how responses of one kind end, and logs what that changes."""
 
+from peridotwell.domain.target import Target
 from peridotwell.logs import log_failure
+from peridotwell.policy.evidence.early_ends import EarlyEnds
 from peridotwell.policy.evidence.end_marks import EndCounts, EndGroup, EndMarks
+from peridotwell.policy.evidence.end_verdict import EndEvidence, EndVerdict
+from peridotwell.policy.evidence.process_evidence import ProcessEvidence
 from peridotwell.serving.target_response import BodyEnd, ResponseOrigin
 
 __all__ = ('EndRecorder',)
@@ -11,9 +15,15 @@
     """What is known of the ends of a service's streams, or of its others."""
 
     def __init__(
-        self, end_marks: EndMarks, service: str, *, is_stream: bool
+        self,
+        end_marks: EndMarks,
+        service: str,
+        *,
+        is_stream: bool,
+        early_ends: EarlyEnds | None = None,
     ) -> None:
         self._end_marks = end_marks
+        self._early_ends = early_ends or EarlyEnds()
         self._group = EndGroup(service, is_stream)
 
     @property
@@ -44,14 +54,20 @@
         )
         self._log_change('ends.marks_unusual', counts)
 
-    def record_unchecked(self, target: str) -> bool:
+    def judge(
+        self, target: Target, process: ProcessEvidence, now: float
+    ) -> EndVerdict:
         """Record an end without a mark that nobody checks.
 
-        Returns whether it is believed, by what was known before.
+        Returns whether it is whole, by what was known before.
         """
-        is_believed = self._end_marks.is_believed(self._group, target)
-        self._end_marks.record_unmarked(self._group, target)
-        return is_believed
+        evidence = EndEvidence(
+            process,
+            is_habit=self._end_marks.is_believed(self._group, target.name),
+            has_early_ends=self._early_ends.are_recent(target, now),
+        )
+        self._end_marks.record_unmarked(self._group, target.name)
+        return evidence.verdict()
 
     def _log_change(self, event: str, counts: EndCounts | None) -> None:
         if counts is not None:
--- a/peridotwell/forwarding/streams/stream_log.py
+++ b/peridotwell/forwarding/streams/stream_log.py
@@ -5,6 +5,7 @@
 
 from peridotwell.forwarding.streams.event_order import EventOrder
 from peridotwell.logs import log_failure
+from peridotwell.policy.evidence.end_verdict import EndVerdict
 from peridotwell.serving.target_response import BodyEnd
 
 __all__ = ('CUT', 'RestAsked', 'StreamEnd', 'log_unusual_end')
@@ -37,7 +38,8 @@
 
     `target_end` and `passed_end` are what marked its end, as the target sent it
     and as the caller got it. `parts` is the number of targets that sent events,
-    `rest` what came of the doubt about an end without a mark.
+    `rest` what came of the doubt about an end without a mark, `verdict` how one
+    was judged that nobody checked.
     """
 
     target_end: str
@@ -46,6 +48,7 @@
     parts: int
     is_handed_over: bool
     rest: RestAsked = RestAsked.no_doubt
+    verdict: EndVerdict | None = None
 
     @property
     def is_usual(self) -> bool:
@@ -69,6 +72,7 @@
             'parts': self.parts,
             'handed_over': self.is_handed_over,
             'rest': self.rest.value,
+            'verdict': self.verdict.value if self.verdict else '',
         }
 
 
--- a/peridotwell/forwarding/streams/streams.py
+++ b/peridotwell/forwarding/streams/streams.py
@@ -12,7 +12,6 @@
     ForwardedRequestQuarantined,
     NoTarget,
     RequestError,
-    RunState,
 )
 from peridotwell.forwarding.adapters import RoutedRequest, TargetAdapter
 from peridotwell.forwarding.answering.buffered_responses import (
@@ -26,14 +25,16 @@
 )
 from peridotwell.forwarding.answering.caller_response import CallerResponse
 from peridotwell.forwarding.choosing.waiting_room import WaitingRoom
-from peridotwell.forwarding.handover.handover_protocol import origin_of
 from peridotwell.forwarding.sending.attempt import Attempt
 from peridotwell.forwarding.sending.dispatch import Dispatcher
 from peridotwell.forwarding.sending.retries import Attempts, RetryDecision
 from peridotwell.forwarding.streams.event_order import EventOrder
 from peridotwell.forwarding.streams.stream_affinity import StreamAffinity
+from peridotwell.forwarding.streams.stream_ending import (
+    StreamBroken,
+    StreamEnding,
+)
 from peridotwell.forwarding.streams.stream_log import (
-    CUT,
     RestAsked,
     StreamEnd,
     log_unusual_end,
@@ -42,7 +43,6 @@
 from peridotwell.policy.placement.choice import Choice
 from peridotwell.serving.stream_head import StreamHead
 from peridotwell.serving.target_response import (
-    BodyEnd,
     ResponseOrigin,
     TargetResponse,
 )
@@ -54,18 +54,6 @@
 REST_SECONDS = 1.0
 
 
-class StreamBroken(RequestError):
-    """A stream broke off after the caller had received its beginning.
-
-    The connection is closed without the end of the body, so that the caller
-    does not take the stream for complete.
-    """
-
-    code = 'stream_broken'
-    status = 502
-    default_run_state = RunState.unknown
-
-
 class StreamForwarder:
     """Forwards one event stream over all its attempts."""
 
@@ -81,7 +69,6 @@
     ) -> None:
         self.choice: Choice | None = None
         self.status = 0
-        self.origin: ResponseOrigin | None = None
         self.body_bytes = 0
         self.first_part_at = float(0)
         self._request = request
@@ -97,10 +84,7 @@
             request.service,
             _resumed_after(request),
         )
-        self._ends = dispatcher.stream_ends(request.service)
-        # What marked the end of what the last target sent.
-        self._target_end = CUT
-        self._rest = RestAsked.no_doubt
+        self._ending = StreamEnding(dispatcher.stream_ends(request.service))
         # The version that began a stream that the caller has taken up.
         self._begun_version: int | None = None
         # Number of targets that sent events.
@@ -110,17 +94,23 @@
         # Set when the caller has received the beginning.
         self._head: StreamHead | None = None
 
+    @property
+    def origin(self) -> ResponseOrigin | None:
+        """How the response of the last target came."""
+        return self._ending.origin
+
     @property
     def end(self) -> StreamEnd:
         """How the stream ended."""
         is_handed_over = self.choice is not None and self.choice.is_handover
         return StreamEnd(
-            self._target_end,
+            self._ending.target_end,
             self._caller_response.passed_end,
             self._order,
             self._parts,
             is_handed_over,
-            self._rest,
+            self._ending.rest,
+            self._ending.verdict,
         )
 
     async def run(self) -> BufferedResponse | None:
@@ -142,7 +132,7 @@
             while self._may_be_cut():
                 if not await self._go_on():
                     break
-            self._check_end()
+            self._check_end(trio.current_time())
             self._order.record_complete()
             await self._caller_response.end()
         return error_response
@@ -154,18 +144,18 @@
         has received. Only a resumable stream can be asked for again. Another
         router has done so itself.
         """
-        if self._is_end_marked or self._rest is RestAsked.no_rest:
+        if self._ending.is_marked or self._ending.rest is RestAsked.no_rest:
             return False
         if self._is_begun_elsewhere:
-            self._rest = RestAsked.handed_over
+            self._ending.rest = RestAsked.handed_over
             return False
         if self._caller_response.is_end_marked:
             return True
         if not self._request.route.resumable:
-            self._rest = RestAsked.not_resumable
+            self._ending.rest = RestAsked.not_resumable
             return False
-        if not self._ends.are_marks_usual:
-            self._rest = RestAsked.marks_unusual
+        if not self._ending.are_marks_usual:
+            self._ending.rest = RestAsked.marks_unusual
             return False
         return True
 
@@ -185,12 +175,12 @@
         )
         now = trio.current_time()
         if not _may_go_on(self._order, self._affinity, self._request):
-            self._rest = RestAsked.no_ids
+            self._ending.rest = RestAsked.no_ids
             return False
         if self._attempts.after_run(now) is RetryDecision.give_up:
-            self._rest = RestAsked.no_attempts
+            self._ending.rest = RestAsked.no_attempts
             return False
-        self._rest = RestAsked.no_answer
+        self._ending.rest = RestAsked.no_answer
         wait_until = min(
             now + REST_SECONDS, self._request.deadline_at - ANSWER_SECONDS
         )
@@ -204,49 +194,27 @@
 
         An answer that there is none counts too.
         """
-        doubted = self.choice.target.name if self.choice else ''
+        doubted = self.choice.target if self.choice else None
         try:
             error_response = await self._forward()
         except RequestError:
             if self._order.events > events:
-                self._ends.record_check(doubted, is_whole=False)
+                self._ending.record_check(doubted, is_whole=False)
                 raise
             return False
         is_whole = self._order.events == events
         if is_whole and error_response is not None:
             return False
-        self._rest = RestAsked.no_rest if is_whole else RestAsked.came
-        if not (is_whole and self._ends.may_be_cut(self.origin)):
-            self._ends.record_check(doubted, is_whole=is_whole)
+        self._ending.rest = RestAsked.no_rest if is_whole else RestAsked.came
+        self._ending.record_check(doubted, is_whole=is_whole)
         return True
 
-    def _check_end(self) -> None:
-        """Raise StreamBroken at an end that may be a break.
-
-        Nobody has told whether the stream goes on, and the end has no mark,
-        unlike what the caller has received, or unlike others of the target.
-        """
-        if self._is_end_marked:
-            return
-        if self._caller_response.is_end_marked:
-            raise StreamBroken(
-                'The stream ended without a mark, and may go on.'
-            )
-        is_checked = self._rest is RestAsked.no_rest
-        if is_checked or self.choice is None or self._is_begun_elsewhere:
-            return
-        if not self._ends.record_unchecked(self.choice.target.name):
-            raise StreamBroken(
-                'The stream ended without a mark, unlike others of the '
-                'target, and may go on.'
-            )
-
-    @property
-    def _is_end_marked(self) -> bool:
-        """Whether the end that came last has a mark."""
-        return (
-            self.origin is None
-            or self.origin.body_end is not BodyEnd.connection
+    def _check_end(self, now: float) -> None:
+        """Raise StreamBroken at an end that may be a break."""
+        self._ending.check(
+            now,
+            is_passed_end_marked=self._caller_response.is_end_marked,
+            is_elsewhere=self._is_begun_elsewhere,
         )
 
     async def _forward(self) -> BufferedResponse | None:
@@ -339,15 +307,14 @@
                 self._head.check_continuation(response)
             check_response(response, self._adapter)
             self.status = response.status
-            self.origin = origin_of(
+            origin = self._ending.begin(
                 response, is_handover=attempt.choice.is_handover
             )
             if response.status not in SUCCESSES:
                 return await self._error_response(response, attempt)
-            await self._forward_events(response, attempt, self.origin)
+            await self._forward_events(response, attempt, origin)
         self._dispatcher.record_completion(attempt, self.status)
-        if self._is_end_marked:
-            self._ends.record(attempt.target.name, self.origin.body_end)
+        self._ending.record_mark()
         return None
 
     async def _error_response(
@@ -377,7 +344,7 @@
         attempt: Attempt,
         origin: ResponseOrigin,
     ) -> None:
-        self._target_end = CUT
+        self._ending.begin_events()
         parts = self._order.new_events(
             response.split_events(),
             None if attempt.choice.is_handover else attempt.target,
@@ -395,14 +362,14 @@
                     await self._caller_response.begin(
                         response.status,
                         self._adapter.caller_fields(response),
-                        is_end_marked=origin.body_end is not BodyEnd.connection,
+                        is_end_marked=origin.is_end_marked,
                     )
                 self._dispatcher.record_event(attempt)
                 self.body_bytes += len(part)
                 await self._caller_response.send_part(part)
         if not self._caller_response.has_begun:
             raise ResponseTruncated('The stream ended before its first event.')
-        self._target_end = origin.body_end.value
+        self._ending.record(response, attempt.target)
 
     def _record_start(self, attempt: Attempt) -> None:
         if not attempt.choice.is_handover:
--- a/peridotwell/forwarding/targets/crash_tracker.py
+++ b/peridotwell/forwarding/targets/crash_tracker.py
@@ -28,7 +28,9 @@
 from peridotwell.policy.crashes.crash_blame import format_parts, shared_part_ids
 from peridotwell.policy.crashes.crashed_requests import RECORD_TTL_SECONDS
 from peridotwell.policy.crashes.untold_restarts import UntoldRestarts
-from peridotwell.policy.evidence.target_sign import HAS_ENDED, TargetSign
+from peridotwell.policy.evidence.early_ends import EarlyEnds
+from peridotwell.policy.evidence.process_evidence import HAS_ENDED, TargetSign
+from peridotwell.serving.ended_early import ResponseEndedEarly
 
 __all__ = ('BrokenAttempt', 'CrashTracker')
 
@@ -59,14 +61,19 @@
     prompt: Prompt | None
     has_begun: bool
     arrived_at: float
+    ended_early: bool
 
 
 class CrashTracker:
-    """Records crashes of targets and refuses requests that cause them."""
+    """Records crashes of targets and refuses requests that cause them.
+
+    `early_ends` has the targets that live and end responses early.
+    """
 
     def __init__(
         self, update_exchange: UpdateExchange, clients: TargetClients
     ) -> None:
+        self.early_ends = EarlyEnds()
         self._clients = clients
         self._directory = update_exchange.state.directory
         self._crashed = update_exchange.state.crashed_requests
@@ -122,6 +129,7 @@
                     request.prompt,
                     broken.has_begun,
                     request.arrived_at,
+                    isinstance(exc, ResponseEndedEarly),
                 )
             )
             self._has_checks.set()
@@ -158,6 +166,8 @@
         client = self._clients.client(target)
         sign = await client.process_sign(arrived_at)
         self._clients.restarts.record_sign(target, sign, trio.current_time())
+        if sign is TargetSign.same_process:
+            self._record_early_ends(target, suspects)
         if sign not in IS_LOST:
             return
         now = trio.current_time()
@@ -170,6 +180,19 @@
         for suspect in suspects:
             self._record_loss(target, suspect, process_id, now)
 
+    def _record_early_ends(
+        self, target: Target, suspects: list[_Suspect]
+    ) -> None:
+        """Record that a process that lives has ended responses early."""
+        if not any(suspect.ended_early for suspect in suspects):
+            return
+        if self.early_ends.record(target, trio.current_time()):
+            log_failure(
+                'target.ends_early',
+                target=target.name,
+                incarnation=target.incarnation,
+            )
+
     def _record_loss(
         self, target: Target, suspect: _Suspect, process_id: int, now: float
     ) -> None:
--- a/peridotwell/forwarding/targets/restart_watch.py
+++ b/peridotwell/forwarding/targets/restart_watch.py
@@ -17,7 +17,7 @@
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.forwarding.sending.connection_check import can_connect
 from peridotwell.logs import log_failure
-from peridotwell.policy.evidence.target_sign import HAS_ENDED, TargetSign
+from peridotwell.policy.evidence.process_evidence import HAS_ENDED, TargetSign
 from peridotwell.policy.versions.restart_signs import RestartSigns
 
 __all__ = ('RestartWatch',)
--- a/peridotwell/policy/evidence/simultaneous_ends.py
+++ b/peridotwell/policy/evidence/simultaneous_ends.py
@@ -6,10 +6,12 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-__all__ = ('TellingEnds', 'count_telling_ends')
+from peridotwell.policy.evidence.process_evidence import ResponseTimes
+
+__all__ = ('TellingEnds', 'count_burst', 'count_telling_ends')
 
 # Younger responses may end together since they began together.
 LONG_RESPONSE_SECONDS = 0.2
@@ -20,6 +22,11 @@
 EARLIER_WEIGHT = 2
 
 
+# Responses that have waited, and whose heads come together, run in step: a
+# target that was silent begins all of them at once.
+STEP_SECONDS = 0.02
+
+
 @dataclass(frozen=True)
 class TellingEnds:
     """Numbers of responses that chance would not let end together."""
@@ -58,3 +65,23 @@
             young += 1
             counted_at = started_at
     return TellingEnds(long, young)
+
+
+def count_burst(
+    responses: Iterable[ResponseTimes], ended_at: float, moment_seconds: float
+) -> TellingEnds:
+    """Return how many responses ended together though they run on their own.
+
+    Of those that have waited and began together, one counts.
+    """
+    return count_telling_ends(_starts(responses), ended_at, moment_seconds)
+
+
+def _starts(responses: Iterable[ResponseTimes]) -> Iterator[float]:
+    step_at = -math.inf
+    for response in sorted(responses, key=lambda each: each.seen_at):
+        if not response.has_waited:
+            yield response.sent_at
+        elif response.seen_at - step_at >= STEP_SECONDS:
+            step_at = response.seen_at
+            yield step_at
--- a/peridotwell/serving/event_stream.py
+++ b/peridotwell/serving/event_stream.py
@@ -19,6 +19,7 @@
     ResponseTruncated,
 )
 from peridotwell.domain.counts import is_count
+from peridotwell.serving.ended_early import ResponseEndedEarly
 from peridotwell.serving.fair_turns import Pace
 
 __all__ = (
@@ -146,10 +147,10 @@
     def finish(self) -> bytes:
         """Return what follows the last event, which may be empty lines.
 
-        Raises ResponseTruncated if that is a part of an event.
+        Raises ResponseEndedEarly if that is a part of an event.
         """
         if self._unfinished.strip(b'\r\n'):
-            raise ResponseTruncated('The stream ended within an event.')
+            raise ResponseEndedEarly('The stream ended within an event.')
         return bytes(self._unfinished)
 
     def _check_speed(self, now: float, last_event_at: float) -> None:
--- a/peridotwell/serving/target_client.py
+++ b/peridotwell/serving/target_client.py
@@ -26,7 +26,10 @@
 )
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.target import Target
-from peridotwell.policy.evidence.target_sign import TargetSign
+from peridotwell.policy.evidence.process_evidence import (
+    ResponseTimes,
+    TargetSign,
+)
 from peridotwell.policy.health.target_notices import NO_NOTICE, TargetNotice
 from peridotwell.running_time import move_on_after_running
 from peridotwell.serving.connection_pool import BEFORE_SEND, ConnectionPool
@@ -252,7 +255,8 @@
                 self._buffers,
                 self.target.name,
             )
-            self._prepare_check(response, request_id, trio.current_time())
+            times = ResponseTimes(sent_at, trio.current_time())
+            self._prepare_check(response, request_id, times)
             response.earlier_ids = self._ownership.earlier_ids(resp)
             refusal = self._reader.refusal_reason(response)
             response.earlier_requests = self._ownership.check(
@@ -272,13 +276,13 @@
                 response.share.release_unless_kept()
 
     def _prepare_check(
-        self, response: TargetResponse, request_id: str, now: float
+        self, response: TargetResponse, request_id: str, times: ResponseTimes
     ) -> None:
         """Let the process be watched whose end may cut a response."""
-        response.check_end = partial(self._end_check.check, request_id, now)
+        response.check_end = partial(self._end_check.check, request_id, times)
         is_unmarked = response.body_end is BodyEnd.connection
         if is_unmarked and self._witness_keeper is not None:
-            self._witness_keeper.need(self._end_check.witness, now)
+            self._witness_keeper.need(self._end_check.witness, times.seen_at)
 
     def _handle_ended(self, ended: int, used_at: float) -> None:
         """Report that idle connections have ended, if no other one is open.
--- a/peridotwell/serving/target_presence.py
+++ b/peridotwell/serving/target_presence.py
@@ -19,9 +19,17 @@
 from peridotwell.attempt_errors import ResponseTruncated
 from peridotwell.domain.target import Target
 from peridotwell.logs import log_failure
+from peridotwell.policy.evidence.process_evidence import (
+    HAS_ENDED,
+    ProcessEvidence,
+    ResponseTimes,
+    TargetSign,
+)
 from peridotwell.policy.evidence.process_spans import ProcessSpans
-from peridotwell.policy.evidence.simultaneous_ends import count_telling_ends
-from peridotwell.policy.evidence.target_sign import HAS_ENDED, TargetSign
+from peridotwell.policy.evidence.simultaneous_ends import (
+    count_burst,
+    count_telling_ends,
+)
 from peridotwell.serving.process_witness import ProcessWitness
 from peridotwell.serving.sign_of_life import status_request
 from peridotwell.serving.socket_network import SocketNetwork
@@ -94,14 +102,16 @@
         )
         self._ends: deque[float] = deque(maxlen=MAX_ENDS)
 
-    async def check(self, request_id: str, seen_at: float) -> TargetSign:
-        """Return what shows the process that sent a response.
+    async def check(
+        self, request_id: str, times: ResponseTimes
+    ) -> ProcessEvidence:
+        """Return what is known of the process that sent a response.
 
-        `seen_at` is when its head came. Raises ResponseTruncated if the process
-        has ended. One that cannot be reached or does not answer may be sound.
+        Raises ResponseTruncated if the process has ended. One that cannot be
+        reached or does not answer may be sound.
         """
-        findings = await self._find()
-        sign = await self._sign(findings, seen_at)
+        findings = await self._find(times)
+        sign = await self._sign(findings, times.seen_at)
         now = trio.current_time()
         log_failure(
             'end.checked',
@@ -109,15 +119,16 @@
             target=self._target.name,
             answer=sign.value,
             incarnation=self._target.incarnation,
-            seen_seconds=round(now - seen_at, 3),
+            seen_seconds=round(now - times.seen_at, 3),
             process_seconds=findings.process_seconds(now),
+            burst=findings.is_burst,
         )
         if sign in HAS_ENDED:
             raise ResponseTruncated(
                 'The target ended with its response, which has no other mark '
                 f'of its end and may be cut ({sign.value}).'
             )
-        return sign
+        return ProcessEvidence(sign, findings.is_burst)
 
     async def sign(self, seen_at: float) -> TargetSign:
         """Return what shows the process that sent something at a time."""
@@ -137,17 +148,19 @@
                 )
         return findings.status
 
-    async def _find(self) -> '_Findings':
+    async def _find(self, times: ResponseTimes | None = None) -> '_Findings':
         """Return what connections show, for one or several responses.
 
         Who asks may be cancelled: then the next one asks.
         """
         while self._question is not None:
             question = self._question
+            question.add(times)
             await question.is_over.wait()
             if question.findings is not None:
                 return question.findings
         question = _Question()
+        question.add(times)
         self._question = question
         try:
             question.findings = await self._ask(question)
@@ -162,12 +175,15 @@
         await trio.sleep(MOMENT_SECONDS)
         self._end_moment(question)
         self._note_ended(trio.current_time())
-        have_ended = self._have_ended_together(asked_at)
+        known = self._source.connections()
+        have_ended = self._have_ended_together(known, asked_at)
+        is_burst = self._is_burst(question, asked_at)
         await trio.sleep(SETTLE_SECONDS - MOMENT_SECONDS)
         return _Findings(
             await self.witness.ask(),
             _oldest_open(self._source.connections()),
             ended_together=have_ended,
+            is_burst=is_burst,
         )
 
     def _end_moment(self, question: '_Question') -> None:
@@ -181,9 +197,20 @@
                 self._ended_at[conn] = now
                 self._ends.append(now)
 
-    def _have_ended_together(self, asked_at: float) -> bool:
-        """Whether all connections that were open at a moment have ended."""
+    def _is_burst(self, question: '_Question', asked_at: float) -> bool:
+        """Whether more responses have ended in a moment than by chance.
+
+        As many as go on, or more, have ended then.
+        """
         known = self._source.connections()
+        going_on = sum(not conn.has_peer_ended() for conn in known.used)
+        if len(question.times) < going_on:
+            return False
+        ended = count_burst(question.times, asked_at, MOMENT_SECONDS)
+        return ended.show_end(self._count_earlier(asked_at))
+
+    def _have_ended_together(self, known: Connections, asked_at: float) -> bool:
+        """Whether all connections that were open at a moment have ended."""
         if _any_open(known, asked_at):
             return False
         ends = {
@@ -198,11 +225,14 @@
             asked_at,
             max(MOMENT_SECONDS, noted_seconds),
         )
-        earlier = sum(
+        return ended.show_end(self._count_earlier(asked_at))
+
+    def _count_earlier(self, asked_at: float) -> int:
+        """Return how many connections have ended shortly before."""
+        return sum(
             asked_at - EARLIER_SECONDS <= ended_at < asked_at
             for ended_at in self._ends
         )
-        return ended.show_end(earlier)
 
 
 class _Question:
@@ -211,6 +241,13 @@
     def __init__(self) -> None:
         self.is_over = trio.Event()
         self.findings: _Findings | None = None
+        # Of the responses that have ended in its moment.
+        self.times: list[ResponseTimes] = []
+
+    def add(self, times: ResponseTimes | None) -> None:
+        """Add a response, if the question is asked for one."""
+        if times is not None:
+            self.times.append(times)
 
 
 @dataclass
@@ -218,12 +255,14 @@
     """What connections show of the processes of a target.
 
     `oldest_open_at` is when the oldest one was opened that still stands,
-    `status` how a new one was answered, None while none was opened.
+    `is_burst` whether most have ended in one moment, `status` how a new one was
+    answered, None while none was opened.
     """
 
     spans: ProcessSpans
     oldest_open_at: float
     ended_together: bool
+    is_burst: bool
     status: TargetSign | None = None
     lock: trio.Lock = field(default_factory=trio.Lock)
 
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -19,8 +19,12 @@
     ResponseTimeout,
     ResponseTruncated,
 )
-from peridotwell.policy.evidence.target_sign import TargetSign
+from peridotwell.policy.evidence.process_evidence import (
+    NO_EVIDENCE,
+    ProcessEvidence,
+)
 from peridotwell.policy.room.buffer_budget import BufferShare
+from peridotwell.serving.ended_early import ResponseEndedEarly
 from peridotwell.serving.event_stream import (
     NO_LIMIT,
     EventLimit,
@@ -61,6 +65,11 @@
     body_end: BodyEnd
     earlier_requests: int
 
+    @property
+    def is_end_marked(self) -> bool:
+        """Whether anything but the end of the connection marks the end."""
+        return self.body_end is not BodyEnd.connection
+
 
 class ReadObserver(ABC):
     """Is told when data of a response body is waited for."""
@@ -86,10 +95,10 @@
     A body that ends with its connection counts as truncated if it was left
     unread for long meanwhile, since targets cut off such responses.
     `check_end` is awaited after a body that ends with its connection; it raises
-    ResponseTruncated if that was no ordinary end, and returns what shows the
-    process of the target, which is `end_sign` then. `share` is the memory that
-    the response takes, among those of its `group`; ResponseOverBudget is raised
-    if there is no more of it.
+    ResponseTruncated if that was no ordinary end, and returns what is known of
+    the process of the target, which is `process` then. `share` is the memory
+    that the response takes, among those of its `group`; ResponseOverBudget is
+    raised if there is no more of it.
     """
 
     def __init__(
@@ -111,8 +120,8 @@
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
         self.earlier_ids: Collection[str] = ()
-        self.check_end: Callable[[], Awaitable[TargetSign]] | None = None
-        self.end_sign: TargetSign | None = None
+        self.check_end: Callable[[], Awaitable[ProcessEvidence]] | None = None
+        self.process: ProcessEvidence = NO_EVIDENCE
         self._has_no_body = (
             method == NO_BODY_METHOD or resp.status in NO_BODY_STATUSES
         )
@@ -163,7 +172,12 @@
             raise ResponseTimeout(
                 'The target stopped sending the response body.'
             ) from exc
-        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+        except httpcore.ProtocolError as exc:
+            self._raise_if_ended()
+            raise ResponseEndedEarly(
+                f'The response ended early: {exc}'
+            ) from exc
+        except httpcore.NetworkError as exc:
             self._raise_if_ended()
             raise ResponseTruncated(
                 f'The response was truncated: {exc}'
@@ -173,7 +187,7 @@
         if self.body_end is BodyEnd.connection:
             unread.require_short()
             if self.check_end is not None:
-                self.end_sign = await self.check_end()
+                self.process = await self.check_end()
 
     def _search_following(self) -> FollowingResponse | None:
         """Return a search for another response, if that may be in the body.
--- a/tests/policy/evidence/test_simultaneous_ends.py
+++ b/tests/policy/evidence/test_simultaneous_ends.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from peridotwell.policy.evidence.process_evidence import ResponseTimes
 from peridotwell.policy.evidence.simultaneous_ends import (
     TellingEnds,
+    count_burst,
     count_telling_ends,
 )
 
@@ -59,3 +61,13 @@
     assert TellingEnds(long=3, young=3).show_end(3)
     assert TellingEnds(young=4).show_end(2)
     assert not TellingEnds(young=3).show_end(0)
+
+
+# Guards against sound responses that count as cut since their target, which was
+# silent, began all of them at once.
+def test_responses_that_began_in_step_count_once():
+    ended_at = 10.0
+    waiting = [ResponseTimes(8 + number / 10, 9.5) for number in range(9)]
+    own = [ResponseTimes(8 + each / 10, 8 + each / 10) for each in range(4)]
+    assert not count_burst(waiting, ended_at, 0.02).show_end(0)
+    assert count_burst(own, ended_at, 0.02).show_end(0)
