Bursts of ends: all responses of a process, and those of a silent target count once

A target that was silent begins all that have waited at once, and they run in step.

Change: a burst needs that no response goes on, and of a group of responses that a silent target began at once, one counts.

--- a/peridotwell/policy/evidence/end_verdict.py
+++ b/peridotwell/policy/evidence/end_verdict.py
@@ -21,7 +21,7 @@
     # The process lives, and nothing speaks against it.
     same_process = 'same_process'
     # Breaks: it is not known which process ended the response, the process has
-    # ended most of its responses in one moment, or some of late too early.
+    # ended all of its responses in one moment, or some of late too early.
     unknown_process = 'unknown_process'
     burst = 'burst'
     early_ends = 'early_ends'
--- a/peridotwell/policy/evidence/process_evidence.py
+++ b/peridotwell/policy/evidence/process_evidence.py
@@ -12,7 +12,7 @@
 )
 
 # A target that begins its response later was slow to do so.
-MAX_WAIT_SECONDS = 0.05
+MAX_WAIT_SECONDS = 0.25
 
 
 class TargetSign(Enum):
@@ -47,7 +47,7 @@
 class ProcessEvidence:
     """What is known of the process that sent a response.
 
-    `is_burst` tells whether many of its responses have ended in one moment.
+    `is_burst` tells whether all of its responses have ended in one moment.
     """
 
     sign: TargetSign | None = None
--- a/peridotwell/policy/evidence/simultaneous_ends.py
+++ b/peridotwell/policy/evidence/simultaneous_ends.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from peridotwell.policy.evidence.process_evidence import ResponseTimes
@@ -22,9 +22,8 @@
 EARLIER_WEIGHT = 2
 
 
-# Responses that have waited, and whose heads come together, run in step: a
-# target that was silent begins all of them at once.
-STEP_SECONDS = 0.02
+# Heads that come within such a time of each other belong to one group.
+STEP_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -72,16 +71,28 @@
 ) -> TellingEnds:
     """Return how many responses ended together though they run on their own.
 
-    Of those that have waited and began together, one counts.
+    A target that was silent begins all that have waited at once, and they run
+    in step: one of them counts.
     """
-    return count_telling_ends(_starts(responses), ended_at, moment_seconds)
+    starts = (start for group in _groups(responses) for start in _starts(group))
+    return count_telling_ends(starts, ended_at, moment_seconds)
 
 
-def _starts(responses: Iterable[ResponseTimes]) -> Iterator[float]:
-    step_at = -math.inf
+def _groups(
+    responses: Iterable[ResponseTimes],
+) -> Iterator[Sequence[ResponseTimes]]:
+    """Yield the responses whose heads came one shortly after the other."""
+    group: list[ResponseTimes] = []
     for response in sorted(responses, key=lambda each: each.seen_at):
-        if not response.has_waited:
-            yield response.sent_at
-        elif response.seen_at - step_at >= STEP_SECONDS:
-            step_at = response.seen_at
-            yield step_at
+        if group and response.seen_at - group[-1].seen_at > STEP_SECONDS:
+            yield group
+            group = []
+        group.append(response)
+    yield group
+
+
+def _starts(group: Sequence[ResponseTimes]) -> Sequence[float]:
+    """Return when the responses of a group began that run on their own."""
+    if any(response.has_waited for response in group):
+        return (group[0].seen_at,)
+    return tuple(response.sent_at for response in group)
--- a/peridotwell/serving/target_presence.py
+++ b/peridotwell/serving/target_presence.py
@@ -198,13 +198,11 @@
                 self._ends.append(now)
 
     def _is_burst(self, question: '_Question', asked_at: float) -> bool:
-        """Whether more responses have ended in a moment than by chance.
-
-        As many as go on, or more, have ended then.
-        """
-        known = self._source.connections()
-        going_on = sum(not conn.has_peer_ended() for conn in known.used)
-        if len(question.times) < going_on:
+        """Whether all responses have ended, more in a moment than by chance."""
+        if any(
+            conn.used_at < asked_at and not conn.has_peer_ended()
+            for conn in self._source.connections().used
+        ):
             return False
         ended = count_burst(question.times, asked_at, MOMENT_SECONDS)
         return ended.show_end(self._count_earlier(asked_at))
@@ -255,8 +253,8 @@
     """What connections show of the processes of a target.
 
     `oldest_open_at` is when the oldest one was opened that still stands,
-    `is_burst` whether most have ended in one moment, `status` how a new one was
-    answered, None while none was opened.
+    `is_burst` whether all responses have ended in one moment, `status` how a
+    new connection was answered, None while none was opened.
     """
 
     spans: ProcessSpans
