--- a/peridotwell/policy/evidence/process_spans.py
+++ b/peridotwell/policy/evidence/process_spans.py
@@ -11,6 +11,8 @@
 
 # The ends of a process's connections may arrive so far apart after a cut.
 MAX_SKEW_SECONDS = 3.0
+# A response of which parts come so much later is of a process that lives.
+OUTLIVE_SECONDS = 0.3
 
 
 @dataclass(frozen=True)
@@ -35,14 +37,16 @@
         """Return whether what came at a time came from what serves now."""
         return self.serving is not None and self.serving.since <= seen_at
 
-    def has_ended(self, seen_at: float, now: float) -> bool:
-        """Return whether what came at a time came from a process that ended.
+    def has_ended(self, seen_at: float, last_at: float, now: float) -> bool:
+        """Return whether a response came from a process that has ended.
 
-        Targets also close connections that nobody uses: if all have ended long
-        ago, that says nothing of a response that ends now.
+        Its head came at `seen_at`, its last part at `last_at`. Targets also
+        close connections that nobody uses: if all have ended long ago, or parts
+        have come since, that says nothing of a response that ends now.
         """
         return not self.is_same(seen_at) and any(
             span.since <= seen_at < span.lost_at
+            and last_at - span.lost_at < OUTLIVE_SECONDS
             and now - span.lost_at <= MAX_SKEW_SECONDS
             for span in self.lost
         )
--- a/peridotwell/serving/target_presence.py
+++ b/peridotwell/serving/target_presence.py
@@ -103,15 +103,16 @@
         self._ends: deque[float] = deque(maxlen=MAX_ENDS)
 
     async def check(
-        self, request_id: str, times: ResponseTimes
+        self, request_id: str, times: ResponseTimes, last_at: float
     ) -> ProcessEvidence:
         """Return what is known of the process that sent a response.
 
-        Raises ResponseTruncated if the process has ended. One that cannot be
-        reached or does not answer may be sound.
+        `last_at` is when its last part came. Raises ResponseTruncated if the
+        process has ended. One that cannot be reached or does not answer may be
+        sound.
         """
         findings = await self._find(times)
-        sign = await self._sign(findings, times.seen_at)
+        sign = await self._sign(findings, times.seen_at, last_at)
         now = trio.current_time()
         log_failure(
             'end.checked',
@@ -132,11 +133,13 @@
 
     async def sign(self, seen_at: float) -> TargetSign:
         """Return what shows the process that sent something at a time."""
-        return await self._sign(await self._find(), seen_at)
+        return await self._sign(await self._find(), seen_at, seen_at)
 
-    async def _sign(self, findings: '_Findings', seen_at: float) -> TargetSign:
+    async def _sign(
+        self, findings: '_Findings', seen_at: float, last_at: float
+    ) -> TargetSign:
         """Return what is known, or else ask whatever serves at the address."""
-        known = findings.sign(seen_at, trio.current_time())
+        known = findings.sign(seen_at, last_at, trio.current_time())
         if known is not None:
             return known
         async with findings.lock:
@@ -264,14 +267,17 @@
     status: TargetSign | None = None
     lock: trio.Lock = field(default_factory=trio.Lock)
 
-    def sign(self, seen_at: float, now: float) -> TargetSign | None:
-        """Return what they show of the process that sent what came at a time.
+    def sign(
+        self, seen_at: float, last_at: float, now: float
+    ) -> TargetSign | None:
+        """Return what they show of the process that sent a response.
 
-        None if they show nothing of it.
+        Its head came at `seen_at`, its last part at `last_at`. None if they
+        show nothing of it.
         """
         if self.spans.is_same(seen_at):
             return TargetSign.same_process
-        if self.spans.has_ended(seen_at, now):
+        if self.spans.has_ended(seen_at, last_at, now):
             return TargetSign.replaced
         if self.oldest_open_at <= seen_at:
             return TargetSign.same_process
--- a/peridotwell/serving/target_response.py
+++ b/peridotwell/serving/target_response.py
@@ -94,7 +94,8 @@
     `earlier_ids` the ids of the latest of them.
     A body that ends with its connection counts as truncated if it was left
     unread for long meanwhile, since targets cut off such responses.
-    `check_end` is awaited after a body that ends with its connection; it raises
+    `check_end` is awaited after a body that ends with its connection, with the
+    time at which its last part came; it raises
     ResponseTruncated if that was no ordinary end, and returns what is known of
     the process of the target, which is `process` then. `share` is the memory
     that the response takes, among those of its `group`; ResponseOverBudget is
@@ -120,7 +121,9 @@
         self.observer: ReadObserver | None = None
         self.earlier_requests = 0
         self.earlier_ids: Collection[str] = ()
-        self.check_end: Callable[[], Awaitable[ProcessEvidence]] | None = None
+        self.check_end: Callable[[float], Awaitable[ProcessEvidence]] | None = (
+            None
+        )
         self.process: ProcessEvidence = NO_EVIDENCE
         self._has_no_body = (
             method == NO_BODY_METHOD or resp.status in NO_BODY_STATUSES
@@ -187,7 +190,7 @@
         if self.body_end is BodyEnd.connection:
             unread.require_short()
             if self.check_end is not None:
-                self.process = await self.check_end()
+                self.process = await self.check_end(unread.began_at)
 
     def _search_following(self) -> FollowingResponse | None:
         """Return a search for another response, if that may be in the body.
--- a/peridotwell/serving/witness_connection.py
+++ b/peridotwell/serving/witness_connection.py
@@ -16,7 +16,7 @@
 READ_BYTES = 65536
 # Some targets close a connection behind an answer, and do not tell before.
 CLOSE_SECONDS = 0.01
-# An answer that is longer takes the connection out of use.
+# Of an answer that is longer, the rest counts as the next one.
 MAX_LATE_READS = 4
 
 
@@ -32,14 +32,15 @@
 class WitnessConnection:
     """A connection that is kept to ask one process for signs of life.
 
-    `is_spent` is set once it takes no further status check, `is_last` if that
-    is since the target closes it behind an answer.
+    `used_at` is when it was last asked. `is_spent` is set while it is not
+    answered, and once the target closes it behind an answer (`is_last`).
     """
 
     def __init__(
         self, stream: httpcore.AsyncNetworkStream, opened_at: float
     ) -> None:
         self.opened_at = opened_at
+        self.used_at = opened_at
         self.is_spent = False
         self.is_last = False
         self._stream = stream
@@ -68,12 +69,13 @@
     async def ask(self, request: bytes) -> WitnessAnswer:
         """Send a status check, and return what shows the process.
 
-        One that was not answered yet is not sent again.
+        Also behind one that was not answered: bytes that reach a process which
+        has ended bring the end of the connection.
         """
         try:
-            if not self.is_spent:
-                await self._read_late()
-                await self._stream.write(request, ANSWER_SECONDS)
+            self.used_at = trio.current_time()
+            await self._read_late()
+            await self._stream.write(request, ANSWER_SECONDS)
             return await self._read_answer()
         except httpcore.TimeoutException:
             self.is_spent = True
@@ -93,7 +95,6 @@
             if not self._stream.get_extra_info('is_readable'):
                 return
             await self._read()
-        self.is_spent = True
 
     async def _read_answer(self) -> WitnessAnswer:
         """Read an answer, and find out if it is the last one.
@@ -104,7 +105,7 @@
         if not _is_last(answer):
             await trio.sleep(CLOSE_SECONDS)
         self.is_last = _is_last(answer) or self.has_ended()
-        self.is_spent |= self.is_last
+        self.is_spent = self.is_last
         return WitnessAnswer.answered
 
     async def _read(self) -> bytes:
--- a/tests/serving/test_process_witness.py
+++ b/tests/serving/test_process_witness.py
@@ -16,10 +16,11 @@
 class Process:
     """Answers status checks; all its connections end with it."""
 
-    def __init__(self, answer=ANSWER, most=100):
+    def __init__(self, answer=ANSWER, most=100, idle_seconds=60):
         self.connections = 0
         self._answer = answer
         self._most = most
+        self._idle_seconds = idle_seconds
         self._ended = trio.Event()
 
     def restart(self):
@@ -39,7 +40,10 @@
 
     async def _answer_all(self, stream):
         for _ in range(self._most):
-            if not await read_request(stream):
+            with trio.move_on_after(self._idle_seconds) as idle:
+                if not await read_request(stream):
+                    return
+            if idle.cancelled_caught:
                 return
             if not self._answer:
                 await trio.sleep_forever()
@@ -67,7 +71,7 @@
     seen_at = trio.current_time()
     spans = await witness.ask()
     assert spans.is_same(seen_at)
-    assert not spans.has_ended(seen_at, trio.current_time())
+    assert not spans.has_ended(seen_at, seen_at, trio.current_time())
 
 
 # Guards against the answer of the next process at an address, taken for that of
@@ -80,10 +84,10 @@
     await trio.sleep(0.01)
     spans = await witness.ask()
     assert not spans.is_same(seen_at)
-    assert spans.has_ended(seen_at, trio.current_time())
+    assert spans.has_ended(seen_at, seen_at, trio.current_time())
     await witness.look(trio.current_time())
     spans = await witness.ask()
-    assert spans.has_ended(seen_at, trio.current_time())
+    assert spans.has_ended(seen_at, seen_at, trio.current_time())
     assert spans.is_same(trio.current_time())
 
 
@@ -114,3 +118,21 @@
     await witness.look(trio.current_time())
     assert process.connections == CONNECTIONS
     assert not (await witness.ask()).is_same(trio.current_time())
+
+
+# Guards against sound responses that count as cut since their target closes all
+# idle connections in the same moment.
+async def test_idle_connections_are_asked_before_their_target_closes_them(
+    nursery,
+):
+    witness = await start(nursery, Process(idle_seconds=0.5))
+    for _ in range(10):
+        await trio.sleep(0.25)
+        await witness.look(trio.current_time())
+    # The first ones have ended, and showed how long they are kept.
+    seen_at = trio.current_time()
+    for _ in range(8):
+        await trio.sleep(0.25)
+        await witness.look(trio.current_time())
+    spans = await witness.ask()
+    assert spans.is_same(seen_at)
--- a/tests/serving/test_target_presence.py
+++ b/tests/serving/test_target_presence.py
@@ -68,7 +68,7 @@
 
 async def check_end(port, source=None):
     check = EndCheck(target(port), source or Source(), TIMEOUT_SECONDS)
-    await check.check('r', now())
+    await check.check('r', now(), trio.current_time())
 
 
 async def answer(stream):
@@ -174,7 +174,7 @@
     async with trio.open_nursery() as asking:
         for connection in used:
             connection.has_ended = True
-            asking.start_soon(check.check, 'r', now())
+            asking.start_soon(check.check, 'r', now(), trio.current_time())
             await trio.sleep(MOMENT_SECONDS * 1.5)
 
 
@@ -185,12 +185,12 @@
     used = [Connection(has_ended=False) for _ in range(MIN_ENDED_TOGETHER + 1)]
     check = EndCheck(target(port), Source(used=used), TIMEOUT_SECONDS)
     used[0].has_ended = True
-    nursery.start_soon(check.check, 'sound', now())
+    nursery.start_soon(check.check, 'sound', now(), trio.current_time())
     await trio.sleep(MOMENT_SECONDS * 1.5)
     for connection in used:
         connection.has_ended = True
     with pytest.raises(ResponseTruncated):
-        await check.check('cut', now())
+        await check.check('cut', now(), trio.current_time())
 
 
 # Guards against whole responses that count as cut because a few end together,
@@ -239,13 +239,13 @@
     check = EndCheck(target(port), Source(), TIMEOUT_SECONDS)
     with trio.CancelScope() as first_one_left:
         async with trio.open_nursery() as asking:
-            asking.start_soon(check.check, 'r', now())
+            asking.start_soon(check.check, 'r', now(), trio.current_time())
             await trio.sleep(0.01)
-            nursery.start_soon(check.check, 'r', now())
+            nursery.start_soon(check.check, 'r', now(), trio.current_time())
             first_one_left.cancel()
     async with trio.open_nursery() as asking:
         for _ in range(20):
-            asking.start_soon(check.check, 'r', now())
+            asking.start_soon(check.check, 'r', now(), trio.current_time())
     assert len(seen) == 1
 
 
