--- a/peridotwell/forwarding/streams/end_recorder.py
+++ b/peridotwell/forwarding/streams/end_recorder.py
@@ -54,6 +54,15 @@
         )
         self._log_change('ends.marks_unusual', counts)
 
+    def record_early_end(self, target: Target, now: float) -> None:
+        """Record that another target has sent what a stream lacked."""
+        if self._early_ends.record(target, now):
+            log_failure(
+                'target.ends_early',
+                target=target.name,
+                incarnation=target.incarnation,
+            )
+
     def judge(
         self, target: Target, process: ProcessEvidence, now: float
     ) -> EndVerdict:
--- a/peridotwell/forwarding/streams/stream_ending.py
+++ b/peridotwell/forwarding/streams/stream_ending.py
@@ -82,16 +82,20 @@
         if self._end_origin.is_end_marked:
             self._ends.record(self._target.name, self._end_origin.body_end)
 
-    def record_check(self, target: Target | None, *, is_whole: bool) -> None:
+    def record_check(
+        self, target: Target | None, now: float, *, is_whole: bool
+    ) -> None:
         """Record whether another target has told that the stream is whole.
 
         One that may be cut itself tells nothing by sending no rest.
         """
         if is_whole and self._ends.may_be_cut(self.origin):
             return
-        self._ends.record_check(
-            target.name if target else '', is_whole=is_whole
-        )
+        if target is None:
+            return
+        self._ends.record_check(target.name, is_whole=is_whole)
+        if not is_whole:
+            self._ends.record_early_end(target, now)
 
     def check(
         self, now: float, *, is_passed_end_marked: bool, is_elsewhere: bool
--- a/peridotwell/forwarding/streams/streams.py
+++ b/peridotwell/forwarding/streams/streams.py
@@ -199,14 +199,18 @@
             error_response = await self._forward()
         except RequestError:
             if self._order.events > events:
-                self._ending.record_check(doubted, is_whole=False)
+                self._ending.record_check(
+                    doubted, trio.current_time(), is_whole=False
+                )
                 raise
             return False
         is_whole = self._order.events == events
         if is_whole and error_response is not None:
             return False
         self._ending.rest = RestAsked.no_rest if is_whole else RestAsked.came
-        self._ending.record_check(doubted, is_whole=is_whole)
+        self._ending.record_check(
+            doubted, trio.current_time(), is_whole=is_whole
+        )
         return True
 
     def _check_end(self, now: float) -> None:
