Witnesses: a client that closes waits for the question that is asked

Cause, by reading: closing took the connections away while a question was being asked, which then replaced one that was gone. Change: it takes the same lock. The new test is green, and was green without the change too: it doesn't reach that moment. Run on this commit: that file and test_replaced_processes.py.

--- a/peridotwell/serving/process_witness.py
+++ b/peridotwell/serving/process_witness.py
@@ -106,7 +106,8 @@
     async def aclose(self) -> None:
         """Close the connections; no more are opened."""
         self._is_closed = True
-        await self._close_all()
+        async with self._lock:
+            await self._close_all()
 
     async def _add_missing(self, now: float) -> None:
         usable = sum(not each.conn.is_spent for each in self._witnesses)
--- a/tests/serving/test_process_witness.py
+++ b/tests/serving/test_process_witness.py
@@ -136,3 +136,13 @@
         await witness.look(trio.current_time())
     spans = await witness.ask()
     assert spans.is_same(seen_at)
+
+
+# Guards against a task that fails since its witness is closed while it asks.
+async def test_a_witness_is_closed_after_its_question(nursery):
+    witness = await start(nursery, Process(LAST_ANSWER, most=1))
+    async with trio.open_nursery() as asking:
+        asking.start_soon(witness.ask)
+        await trio.lowlevel.checkpoint()
+        await witness.aclose()
+    assert not (await witness.ask()).is_same(trio.current_time())
