--- a/tests/peridotwell_platform/cut_fleet.py
+++ b/tests/peridotwell_platform/cut_fleet.py
@@ -15,6 +15,7 @@
 import msgspec
 import trio
 
+from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.serving.asgi import serve_http
 from tests.peridotwell_platform import router_setup, stand_in
@@ -148,6 +149,7 @@
     scope: trio.CancelScope
     view: StoreView
     transport: PeerTransport
+    directory: ServiceDirectory
     nursery: trio.Nursery
     # The other routers that it does not reach.
     cut_from: set[str] = field(default_factory=set)
@@ -212,6 +214,7 @@
                 scope,
                 view,
                 router.router._components.transport,
+                router.router._components.directory,
                 nursery,
             )
         )
--- a/tests/peridotwell_platform/stand_in.py
+++ b/tests/peridotwell_platform/stand_in.py
@@ -40,6 +40,7 @@
     revision: int
     leases: frozenset[int]
     last_lease: int
+    events: tuple
 
 
 class StoreStandIn:
@@ -65,7 +66,10 @@
         self.read_fault = None
         # The status of transactions that write nothing, None to execute them.
         self.empty_status = None
+        # None if the answers tell none.
         self.era = 1
+        # Whether a restore is told by the next era.
+        self.is_era_rising = True
         # After a number of further calls, the copy to go back to.
         self.restore_after_calls = None
         # Watches hear nothing, and wait on, until the next loss of history.
@@ -81,18 +85,24 @@
             self.revision,
             frozenset(self.leases),
             self._last_lease,
+            tuple(self.events),
         )
 
     def restore(self, copy: StoreCopy) -> None:
         """Go back to a copy; revisions and leases are given out again."""
-        self.items = dict(copy.items)
-        self.revision = copy.revision
+        self.show(copy)
         self.leases = set(copy.leases)
         self._last_lease = copy.last_lease
-        self.events = [
-            each for each in self.events if each['rev'] <= copy.revision
-        ]
-        self.era += 1
+        if self.is_era_rising and self.era is not None:
+            self.era += 1
+
+    def show(self, copy: StoreCopy) -> None:
+        """Answer reads as of a copy, as a store does that lags behind."""
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.events = list(copy.events)
+        self._changed.set()
+        self._changed = trio.Event()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         self._notify_watches(self._write(key, value, lease))
@@ -172,8 +182,8 @@
         if fault == 'garbage':
             await exchange.respond(200, b'{"items":')
             return
-        era = ('store-era', str(self.era))
-        await exchange.respond_json(document, status, (era,))
+        fields = () if self.era is None else (('store-era', str(self.era)),)
+        await exchange.respond_json(document, status, fields)
 
     def _restore_if_due(self) -> None:
         if self.restore_after_calls is None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,8 @@
 # Longest time between the starts of two faults; most faults last longer.
 MAX_GAP_SECONDS = 1.2
 MAX_FAULT_SECONDS = 2.5
+# How old a copy may be from which the store comes back.
+MAX_COPY_SECONDS = 8.0
 LEAVING_SECONDS = 4.0
 # A router must stop within this time after SIGTERM.
 STOP_TIMEOUT_SECONDS = 5.5
@@ -290,17 +292,26 @@
             await self._cluster.store.call('drop_history')
 
     async def _restore_store(self) -> None:
-        """Let the store come back from a copy some seconds old."""
+        """Let the store come back from a copy some seconds old.
+
+        In turn all is written again, and only what was lost since an older
+        copy.
+        """
         store = self._cluster.store
         number = next(self._copy_numbers)
+        is_old = number % 2 == 0
         await store.call('copy', number)
-        await self._wait_for_duration()
+        await trio.sleep(
+            self._random.uniform(MAX_FAULT_SECONDS, MAX_COPY_SECONDS)
+            if is_old
+            else self._duration()
+        )
         with self._disturbed(StoreDisturbed, False, True):
             await self._proxies.call('hold', 'requests', 'responses')
             await trio.sleep(self._random.uniform(0, 1))
             await store.call('restore', number)
             await trio.sleep(self._random.uniform(0, 1))
-            await store.call('write_again')
+            await store.call('write_lost' if is_old else 'write_again')
 
     async def _change_configuration(self) -> None:
         await self._cluster.configure()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,7 +31,7 @@
 from tests.soak.out_of_step import OUT_OF_STEP
 from tests.soak.records import Late, select
 from tests.soak.replay import replay
-from tests.soak.site import DAY, FIELD, Site
+from tests.soak.site import DAY, ERAS, FIELD, Site
 from tests.soak.sound_streams import count_sound_cut, judge_sound_streams
 from tests.soak.start_rule import record_busy
 from tests.soak.time_limit import default_limit, run_within
@@ -75,6 +75,12 @@
 CALLERS = flags.DEFINE_integer(
     'callers', 0, 'Number of callers of each router; 0: that of the deployment.'
 )
+ERA = flags.DEFINE_enum(
+    'eras',
+    'drawn',
+    ('drawn', *ERAS),
+    "What the store's answers tell of restores; drawn: by the seed.",
+)
 LIMIT = flags.DEFINE_float(
     'limit', 0, 'Seconds after which a run is ended; 0: the usual limit.'
 )
@@ -291,7 +297,12 @@
     site = FIELD if FIELD_SITE.value else Site()
     if DAY_PARTS.value:
         site = replace(DAY, shapes=0 if PLAIN.value else seed)
-    return replace(site, callers=CALLERS.value or site.callers)
+    drawn = ERAS[seed % len(ERAS)]
+    return replace(
+        site,
+        callers=CALLERS.value or site.callers,
+        eras=drawn if ERA.value == 'drawn' else ERA.value,
+    )
 
 
 def _print(seed: int, report: Report) -> None:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, replace
 
-__all__ = ('DAY', 'FIELD', 'STREAMING', 'Site')
+__all__ = ('DAY', 'ERAS', 'FIELD', 'MISSING', 'RISING', 'STREAMING', 'Site')
 
 STREAMING = 'streaming'
+RISING, CONSTANT, MISSING = ERAS = ('rising', 'constant', 'missing')
 
 
 @dataclass(frozen=True)
@@ -17,6 +18,8 @@
     of targets are written again every `beat_seconds`; 0: when they change.
     With `has_brief_names`, some routes and keys come and go with the versions.
     The versions have `shapes` that are drawn from this seed; 0: all have one.
+    `eras` is what the store's answers tell of restores: an era that rises, one
+    that stays constant, or none.
     """
 
     data_centres: tuple[str, ...] = ('north', 'south')
@@ -27,6 +30,7 @@
     beat_seconds: float = 1.0
     has_brief_names: bool = False
     shapes: int = 0
+    eras: str = RISING
 
     def service_of(self, kind: str) -> str:
         """Return the service of the routes of a kind."""
--- a/tests/soak/store_host.py
+++ b/tests/soak/store_host.py
@@ -1,5 +1,6 @@
 """The store of a soak run, in a worker process of its own."""
 
+import base64
 import math
 import random
 from dataclasses import replace
@@ -14,7 +15,7 @@
 from tests.soak.proxy import ProxyGroup, start_proxy
 from tests.soak.records import EntryWritten, Record, VersionWritten, now
 from tests.soak.router_paths import RouterView
-from tests.soak.site import Site
+from tests.soak.site import MISSING, RISING, Site
 from tests.soak.versions import Alteration, document, moved_to
 
 __all__ = ('StoreHost',)
@@ -67,6 +68,9 @@
         'way r0'.
         """
         self._site = msgspec.convert(site, Site)
+        self._store.is_era_rising = self._site.eras == RISING
+        if self._site.eras == MISSING:
+            self._store.era = None
         if self._site.beat_seconds:
             self._nursery.start_soon(self._run_heartbeats)
         addresses = {}
@@ -211,6 +215,21 @@
         for name in self._entries:
             self._write_target(name)
 
+    def write_lost(self) -> None:
+        """Write again only what a restored store has lost.
+
+        So its revisions stay below those that it had given out, for long.
+        """
+        lost = [
+            name
+            for name, entry in self._entries.items()
+            if self._content(f'servers/{name}') != _encoded(entry)
+        ]
+        if self._content('op/config') != self._configuration(self._version):
+            self._write_configuration()
+        for name in lost:
+            self._write_target(name)
+
     async def _run_heartbeats(self) -> None:
         while True:
             await trio.sleep(self._site.beat_seconds)
@@ -236,10 +255,17 @@
         self._is_behind = True
 
     def _write_version(self, version: int) -> None:
-        content = msgspec.json.encode(
+        self._store.put('op/config', self._configuration(version))
+
+    def _configuration(self, version: int) -> bytes:
+        return msgspec.json.encode(
             document(version, self._site, self._alteration)
         )
-        self._store.put('op/config', content)
+
+    def _content(self, key: str) -> bytes:
+        """Return the content of an entry of the store; b'' if it has none."""
+        item = self._store.items.get(key)
+        return b'' if item is None else base64.b64decode(item['value'])
 
     async def _write_late(self, version: int, seconds: float) -> None:
         with trio.CancelScope() as scope:
@@ -250,7 +276,12 @@
     def _write_target(self, name: str) -> None:
         key = f'servers/{name}'
         entry = self._entries[name]
-        if entry['state'] != 'gone':
-            self._store.put(key, msgspec.json.encode(entry))
+        if content := _encoded(entry):
+            self._store.put(key, content)
         elif key in self._store.items:
             self._store.delete(key)
+
+
+def _encoded(entry: dict) -> bytes:
+    """Return what the store holds of a target; b'' for one that is gone."""
+    return b'' if entry['state'] == 'gone' else msgspec.json.encode(entry)
--- a/tests/soak/test_store_host.py
+++ b/tests/soak/test_store_host.py
@@ -30,3 +30,28 @@
     with trio.fail_after(2):
         while entries['t0']['seq'] < 3:
             await trio.sleep(BEAT_SECONDS)
+
+
+# Guards against a restore that no soak could tell from none: all was written
+# again at once, and the store was soon past what it had given out (issue 87).
+async def test_only_what_a_restored_store_lost_is_written_again(nursery):
+    host = StoreHost(nursery, [], {})
+    await host.start({}, asdict(Site(beat_seconds=0)))
+    entries = {
+        name: {'service': 'svc', 'state': 'ready', 'born': 1}
+        for name in ('t0', 't1', 't2')
+    }
+    for name, entry in entries.items():
+        host.publish_target(name, 1, entry)
+    host.configure(1)
+    host.copy(0)
+    copied = host._store.revision
+    for _ in range(5):
+        host.publish_target('t0', 1, {**entries['t0'], 'state': 'draining'})
+    host.publish_target('t2', 1, {**entries['t2'], 'state': 'gone'})
+    told, items = host._store.revision, dict(host._store.items)
+    host.restore(0)
+    host.write_lost()
+    assert host._store.revision == copied + 2 < told
+    values = {key: item['value'] for key, item in host._store.items.items()}
+    assert values == {key: item['value'] for key, item in items.items()}
