Store: a restore that no era tells is inferred from what is told

Cause: a revision was taken for the order of events.

Change: routers remember what they were told at recent revisions (StoreHistory). Another content, or a latest change that is no longer told (RestoreDetector, ContinuityCheck, the first call after an outage), is a restore: all entries are read anew, in a later era that routers tell each other. A store that lags, or one late answer, tells the same and infers nothing.

--- a/peridotwell/domain/routing_table.py
+++ b/peridotwell/domain/routing_table.py
@@ -16,6 +16,7 @@
     canonical_host,
     canonical_path,
 )
+from peridotwell.domain.store_order import StoreOrder
 
 __all__ = (
     'Regions',
@@ -172,7 +173,7 @@
     """
 
     version: int
-    revision: int
+    revision: StoreOrder
     routes: tuple[Route, ...] = ()
     services: Mapping[str, ServiceProperties] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
--- a/peridotwell/fleet/relays/relay_topology.py
+++ b/peridotwell/fleet/relays/relay_topology.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.fleet.transport.frames import Hello, UpdateBatch
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.logs import log_event
@@ -36,7 +37,7 @@
 
     received_at: float
     follows_store: bool
-    revision: int
+    revision: StoreOrder
 
 
 class RelayTopology:
--- a/peridotwell/fleet/relays/update_exchange.py
+++ b/peridotwell/fleet/relays/update_exchange.py
@@ -357,6 +357,8 @@
         if not self.peers.record_update(update, now):
             self._metrics.count('peer.stale_update')
             return False
+        belief = self.state.directory.belief
+        belief.peer_revisions.hear(update.revision)
         for counts, pairs in (
             (self.state.peer_requests, update.outstanding_requests),
             (self.state.peer_prefill_tokens, update.prefill_tokens),
--- a/peridotwell/fleet/replica/change_forwarding.py
+++ b/peridotwell/fleet/replica/change_forwarding.py
@@ -17,6 +17,7 @@
 )
 from functools import partial
 
+from peridotwell.domain.store_order import NO_ORDER
 from peridotwell.fleet.replica.entry_patches import (
     PatchError,
     apply_patch,
@@ -47,11 +48,11 @@
 
     def __init__(self, directory: ServiceDirectory) -> None:
         self._directory = directory
-        self._sent_revision = 0
+        self._sent_revision = NO_ORDER
         self._sent_large: dict[str, Entry] = {}
         # The last large changes: the revision that they build on, and all
         # differences since.
-        self._large_base = 0
+        self._large_base = NO_ORDER
         self._large_patches: tuple[EntryPatch, ...] = ()
 
     def next_changes(
--- a/peridotwell/fleet/replica/deferred_removals.py
+++ b/peridotwell/fleet/replica/deferred_removals.py
@@ -10,6 +10,8 @@
 import math
 from collections.abc import Collection
 
+from peridotwell.domain.store_order import StoreOrder
+
 __all__ = (
     'LATER_REMOVAL_SECONDS',
     'REREGISTRATION_SECONDS',
@@ -47,7 +49,7 @@
         self._grace_ends_at = max(self._grace_ends_at, now + seconds)
         self._outage_revision = max(self._outage_revision, revision)
 
-    def record_answer(self, revision: int) -> None:
+    def record_answer(self, revision: StoreOrder) -> None:
         """Record that the store has told its removals up to a revision."""
         self._outage_revision = min(self._outage_revision, revision)
 
@@ -67,7 +69,7 @@
         return max(0, self._grace_ends_at - now)
 
     def defer(
-        self, key: str, revision: int, now: float, name: str = ''
+        self, key: str, revision: StoreOrder, now: float, name: str = ''
     ) -> float:
         """Defer the removal of a key that was deleted at a revision.
 
--- a/peridotwell/fleet/replica/departed_targets.py
+++ b/peridotwell/fleet/replica/departed_targets.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass, replace
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.domain.target import ReportNumber, Target
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
@@ -52,7 +53,7 @@
         self._departures: dict[str, _Departure] = {}
         self._held: dict[str, _Held] = {}
 
-    def record(self, key: str, target: Target, revision: int) -> None:
+    def record(self, key: str, target: Target, revision: StoreOrder) -> None:
         """Record that a target leaves or was removed at a revision."""
         previous = self._departures.pop(key, None)
         was_final = (
--- a/peridotwell/fleet/replica/dropped_names.py
+++ b/peridotwell/fleet/replica/dropped_names.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.routing_table import Route, RoutingTable
+from peridotwell.domain.store_order import NO_ORDER
 
 __all__ = ('Drop', 'DroppedNames')
 
@@ -38,7 +39,7 @@
         self._routes: dict[tuple[str, str], tuple[Route, Drop]] = {}
         self._keys: dict[str, Drop] = {}
         # Finds a dropped route as one in force is found.
-        self._table = RoutingTable(0, 0)
+        self._table = RoutingTable(0, NO_ORDER)
 
     def record(
         self, previous: RoutingTable, table: RoutingTable, now: float
@@ -54,7 +55,7 @@
             self._keys[api_key] = drop
         _remove(self._keys, table.customers)
         self._table = RoutingTable(
-            0, 0, tuple(route for route, _ in self._routes.values())
+            0, NO_ORDER, tuple(route for route, _ in self._routes.values())
         )
 
     def find_path(self, host: str, path: str) -> Drop | None:
--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Sequence
 
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.fleet.relays.relay_protocol import RelayProtocol
 from peridotwell.fleet.replica.change_forwarding import urgent_entries
 from peridotwell.fleet.replica.packed_entries import (
@@ -30,7 +31,7 @@
 PULL_INTERVAL_SECONDS = 0.5
 # All entries are requested for a higher version, and seldom.
 VERSION_PULL_INTERVAL_SECONDS = 2.0
-ALL_REVISIONS = 0
+ALL_REVISIONS = NO_ORDER
 # A snapshot takes up to this time on a slow link. A peer's answer is as large
 # and would delay it.
 SNAPSHOT_SECONDS = 1.0
@@ -169,7 +170,7 @@
             self._own,
             directory.known_revision,
             directory.replica.changes_since(
-                0 if is_complete else pull.revision
+                NO_ORDER if is_complete else pull.revision
             ),
             is_complete,
             directory.deferred_removals.remaining_seconds(now),
@@ -210,7 +211,7 @@
             return
         self._directory.store_contact.doubt_as_peer(
             push.removal_grace_seconds,
-            max((entry.revision for entry in push.entries), default=0),
+            max((entry.revision for entry in push.entries), default=NO_ORDER),
             now,
         )
         if push.is_complete:
@@ -240,7 +241,7 @@
             and self._directory.store_contact.answered_at > since
         )
 
-    def _peer_ahead(self, revision: int, now: float) -> Peer | None:
+    def _peer_ahead(self, revision: StoreOrder, now: float) -> Peer | None:
         """Return a peer with a later revision than `revision`, or None.
 
         This is the peer with the latest revision; in a large fleet, any peer
--- a/peridotwell/fleet/replica/evacuations.py
+++ b/peridotwell/fleet/replica/evacuations.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.domain.target import Target
 from peridotwell.fleet.replica.entry_source import EntrySource
 from peridotwell.forwarding.adapters import EntryDecoder
@@ -21,9 +22,9 @@
     """An entry in force; `deletion` tells who has deleted it, if known."""
 
     data_centre: str
-    revision: int
+    revision: StoreOrder
     source: EntrySource
-    deletion: tuple[int, EntrySource] | None = None
+    deletion: tuple[StoreOrder, EntrySource] | None = None
 
 
 class Evacuations:
@@ -83,7 +84,7 @@
         return True
 
     def record_deletion(
-        self, key: str, revision: int, source: EntrySource
+        self, key: str, revision: StoreOrder, source: EntrySource
     ) -> None:
         """Record who has deleted an entry, which may stay in force for now."""
         order = self._orders.get(key)
--- a/peridotwell/fleet/replica/recent_refusals.py
+++ b/peridotwell/fleet/replica/recent_refusals.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from peridotwell.domain.routing_table import RoutingTable
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.logs import log_failure
 
 __all__ = ('RecentRefusals', 'Refusal', 'RefusedByOlder')
@@ -32,7 +33,7 @@
     path: str
     api_key: str = field(repr=False)
     version: int
-    known_revision: int
+    known_revision: StoreOrder
     knowledge_age: float | None
 
     def is_allowed_by(self, table: RoutingTable) -> bool:
--- a/peridotwell/fleet/replica/service_directory.py
+++ b/peridotwell/fleet/replica/service_directory.py
@@ -33,12 +33,17 @@
 from peridotwell.logs import log_event
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes, Snapshot
-from peridotwell.store.revisions import era_of, is_of_later_era
+from peridotwell.store.revisions import (
+    NO_ORDER,
+    StoreOrder,
+    era_of,
+    is_of_later_era,
+)
 
 __all__ = ('ServiceDirectory',)
 
 # Less than every revision.
-NO_REVISION = -1
+NO_REVISION = StoreOrder(-1)
 
 
 class ServiceDirectory:
@@ -56,9 +61,9 @@
         # When the snapshot was requested that the store is sending, or None.
         self.snapshot_requested_at: float | None = None
         # The last revision read from the store's change feed.
-        self.feed_revision = 0
+        self.feed_revision = NO_ORDER
         # The last known revision, from the store or from a peer.
-        self.known_revision = 0
+        self.known_revision = NO_ORDER
         self.is_loaded = False
         self.refusals = self.table_in_force.refusals
         # Number of entries of targets and routers that could not be read.
@@ -136,7 +141,7 @@
     def apply_peer_changes(
         self,
         entries: Iterable[SharedEntry],
-        revision: int,
+        revision: StoreOrder,
         now: float,
         source: EntrySource = EntrySource.peer_changes,
     ) -> None:
@@ -147,11 +152,13 @@
         """
         if self.is_loaded and source.is_peer:
             self.sightings.record_listing(self.belief.age(now))
+        self.belief.peer_revisions.hear(revision)
         written = []
         for entry in entries:
             if entry.value is None:
                 self._apply_deletion(entry.key, entry.revision, source, now)
             else:
+                self.replica.history.record_shared(entry)
                 written.append(Entry(entry.key, entry.value, entry.revision))
         self._apply_entries(written, revision, source, now)
         self._finish_changes(revision, now)
@@ -159,23 +166,28 @@
     def apply_peer_snapshot(
         self,
         entries: Iterable[SharedEntry],
-        revision: int,
+        revision: StoreOrder,
         now: float,
     ) -> None:
         """Apply all entries that another router knows."""
+        self.belief.peer_revisions.hear(revision)
         if self.is_loaded:
             self.sightings.record_listing(self.belief.age(now))
-        store_entries = tuple(
-            Entry(entry.key, entry.value, entry.revision)
-            for entry in entries
-            if entry.value is not None
-        )
+        store_entries = []
+        for entry in entries:
+            if entry.value is not None:
+                self.replica.history.record_shared(entry)
+                store_entries.append(
+                    Entry(entry.key, entry.value, entry.revision)
+                )
         self._apply_all_entries(
-            Snapshot(store_entries, revision), EntrySource.peer_snapshot, now
+            Snapshot(tuple(store_entries), revision),
+            EntrySource.peer_snapshot,
+            now,
         )
 
     def handle_store_contact(
-        self, report: StoreContactReport, revision: int, now: float
+        self, report: StoreContactReport, revision: StoreOrder, now: float
     ) -> None:
         """Remove deleted targets if a peer's contact shows that they are gone.
 
@@ -219,7 +231,7 @@
         self.replica.record_snapshot(snapshot.revision)
         self._finish_changes(snapshot.revision, now)
 
-    def _finish_changes(self, revision: int, now: float) -> None:
+    def _finish_changes(self, revision: StoreOrder, now: float) -> None:
         self.known_revision = max(self.known_revision, revision)
         self.is_loaded = True
         self.remove_expired(now)
@@ -229,7 +241,7 @@
     def _apply_entries(
         self,
         entries: Sequence[Entry],
-        revision: int,
+        revision: StoreOrder,
         source: EntrySource,
         now: float,
     ) -> None:
@@ -303,7 +315,7 @@
         )
 
     def _apply_deletion(
-        self, key: str, revision: int, source: EntrySource, now: float
+        self, key: str, revision: StoreOrder, source: EntrySource, now: float
     ) -> None:
         if not (
             _is_removable(key, self._decoder)
--- a/peridotwell/fleet/replica/store_belief.py
+++ b/peridotwell/fleet/replica/store_belief.py
@@ -13,6 +13,8 @@
 
 import trio
 
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
+from peridotwell.fleet.replica.peer_revisions import PeerRevisions
 from peridotwell.logs import log_event
 
 __all__ = ('Evidence', 'EvidenceSource', 'StoreBelief')
@@ -42,7 +44,7 @@
     """Shows the store at `revision`, with every change up to `known_until`."""
 
     known_until: float
-    revision: int
+    revision: StoreOrder
     source: EvidenceSource
 
 
@@ -55,10 +57,11 @@
 
     def __init__(self) -> None:
         self.evidence: Evidence | None = None
+        self.peer_revisions = PeerRevisions()
         # Up to when answers of the store itself tell all changes.
         self.answered_until = -math.inf
         # The latest revision that a read of a single entry has shown.
-        self.read_revision = 0
+        self.read_revision = NO_ORDER
         self.due = trio.Event()
         # Set, and replaced, when evidence comes, or a call gets no answer.
         self._news = trio.Event()
@@ -91,7 +94,7 @@
         for listener in self._listeners:
             listener(now)
 
-    def record_read(self, revision: int) -> None:
+    def record_read(self, revision: StoreOrder) -> None:
         """Record the revision of an entry that was read by itself."""
         self.read_revision = max(self.read_revision, revision)
 
--- a/peridotwell/fleet/replica/store_contact.py
+++ b/peridotwell/fleet/replica/store_contact.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.fleet.replica.deferred_removals import (
     REREGISTRATION_SECONDS,
     DeferredRemovals,
@@ -63,6 +64,8 @@
         self.answered_at = -math.inf
         # When the store was first heard after the last outage.
         self._returned_at = -math.inf
+        # When it seemed to be restored, without having told it.
+        self._inferred_at: float | None = None
         self._since = math.inf
         # When a call of any kind last succeeded.
         self._heard_at = -math.inf
@@ -101,10 +104,22 @@
     def record_restore(self, now: float) -> None:
         """Record that the store was restored from an older copy.
 
-        Its return counts, if an outage has ended just before.
+        Its return counts, if an outage has ended just before, or when its
+        answers began to be older, if the restore was inferred.
         """
         has_returned = now - self._returned_at < REREGISTRATION_SECONDS
-        self._start_anew(self._returned_at if has_returned else now, now)
+        returned_at = self._returned_at if has_returned else now
+        if self._inferred_at is not None:
+            returned_at = min(returned_at, self._inferred_at)
+            self._inferred_at = None
+        self._start_anew(returned_at, now)
+
+    def infer_restore(self, since: float) -> None:
+        """Record that the store seems to have been restored at a time.
+
+        The restore itself is recorded with the next answer.
+        """
+        self._inferred_at = since
 
     def answer_age(self, now: float) -> float | None:
         """Return the age of the last answer in seconds, None before it."""
@@ -112,7 +127,9 @@
             return None
         return round(now - self.answered_at, 3)
 
-    def doubt_as_peer(self, seconds: float, revision: int, now: float) -> None:
+    def doubt_as_peer(
+        self, seconds: float, revision: StoreOrder, now: float
+    ) -> None:
         """Doubt removals for as long as the peer does that tells them.
 
         They are those up to a revision. An outage may have ended the leases,
--- a/peridotwell/fleet/replica/store_follower.py
+++ b/peridotwell/fleet/replica/store_follower.py
@@ -12,8 +12,14 @@
 from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.logs import log_event
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import Changes, HistoryGone
+from peridotwell.store.change_feed import (
+    Changes,
+    HistoryGone,
+    ToldChange,
+    told_changes,
+)
 from peridotwell.store.overlapping_calls import first_outcome
+from peridotwell.store.revisions import StoreOrder, order_before
 
 __all__ = ('StoreFollower',)
 
@@ -69,6 +75,9 @@
         # The relay has told the changes until now.
         self._is_resuming = False
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
+        # The latest change when the store was lost. Until it is told again,
+        # the changes before it may be others.
+        self._lost_after: ToldChange | None = None
         # Of the watch that waits for changes, and when it was sent.
         self._watch = trio.CancelScope()
         self._watched_since = math.inf
@@ -77,6 +86,11 @@
         """Ask again: the connection of the watch may have gone silent."""
         self._watch.cancel()
 
+    def read_anew(self) -> None:
+        """Read all entries next: changes may not have been told."""
+        self._needs_snapshot = True
+        self._watch.cancel()
+
     def restart_overdue_watch(self, asked_at: float) -> None:
         """Ask again if the store has answered a later call before the watch.
 
@@ -118,8 +132,9 @@
             return
         if self._is_resuming:
             self._resume()
-        if self._needs_snapshot:
+        if self._needs_snapshot and self._reader.agreed_revision is None:
             await self._reader.read_snapshot()
+            self._lost_after = None
             self._record_success()
             self._needs_snapshot = False
             # A snapshot takes long to transfer on a slow link.
@@ -147,12 +162,7 @@
 
     async def _wait_for_changes(self, now: float) -> Changes:
         if not self.is_connected:
-            probe = partial(self._read_changes, PROBE_TIMEOUT_SECONDS)
-            return await first_outcome(
-                probe,
-                PROBE_INTERVAL_SECONDS,
-                is_receiving=self._reader.is_receiving,
-            )
+            return await self._resume_changes()
         self._watched_since = now
         self._watch = trio.CancelScope()
         try:
@@ -162,11 +172,39 @@
             self._watched_since = math.inf
         raise StoreResponseLost('the watch is given up: it may be silent')
 
+    async def _resume_changes(self) -> Changes:
+        """Read the changes from the one on that was the latest before.
+
+        All entries are read if it is not told again: the store may have been
+        restored, and have passed its revision since.
+        """
+        changes: Changes = await first_outcome(
+            partial(self._read_changes, PROBE_TIMEOUT_SECONDS),
+            PROBE_INTERVAL_SECONDS,
+            is_receiving=self._reader.is_receiving,
+        )
+        lost = self._lost_after
+        self._lost_after = None
+        if lost is not None and lost not in told_changes(changes):
+            self._needs_snapshot = True
+        return changes
+
     async def _read_changes(self, wait_seconds: float) -> Changes:
         return await self._reader.read_changes(
-            self._directory.feed_revision, wait_seconds, EvidenceSource.watch
+            self._position(), wait_seconds, EvidenceSource.watch
         )
 
+    def _position(self) -> StoreOrder:
+        """Return the revision after which changes are asked for."""
+        agreed = self._reader.agreed_revision
+        if agreed is not None:
+            return agreed
+        followed = self._directory.feed_revision
+        lost = self._lost_after
+        if self.is_connected or lost is None:
+            return followed
+        return min(followed, order_before(lost.revision))
+
     def _watch_seconds(self, now: float) -> float:
         return RELAY_WATCH_SECONDS if self._is_relied_on(now) else WATCH_SECONDS
 
@@ -184,6 +222,7 @@
         self._directory.store_contact.record_failure()
         if self.is_connected:
             log_event('store.lost', code=exc.code, error=str(exc))
+            self._lost_after = self._directory.replica.history.latest
         self.is_connected = False
 
     def _record_success(self) -> None:
--- a/peridotwell/fleet/replica/store_reader.py
+++ b/peridotwell/fleet/replica/store_reader.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.errors import StoreError, StoreResponseLost
+from peridotwell.fleet.replica.restore_detector import RestoreDetector
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_belief import Evidence, EvidenceSource
 from peridotwell.logs import log_failure
@@ -15,7 +17,7 @@
     HistoryGone,
     Snapshot,
 )
-from peridotwell.store.revisions import is_of_later_era
+from peridotwell.store.revisions import era_of, is_of_later_era
 
 __all__ = ('StoreReader',)
 
@@ -42,24 +44,37 @@
         self._directory = directory
         self._metrics = metrics
         self._on_gap = on_gap
+        self._detector = RestoreDetector(feed, directory, metrics)
+        directory.belief.peer_revisions.on_later(feed.follow_era)
+
+    @property
+    def agreed_revision(self) -> StoreOrder | None:
+        """From where to follow a store that answers with stale changes.
+
+        None if its answers are not stale, or nothing is known of them.
+        """
+        return self._detector.agreed_revision
 
     async def read_changes(
-        self, after: int, wait_seconds: float, source: EvidenceSource
+        self, after: StoreOrder, wait_seconds: float, source: EvidenceSource
     ) -> Changes:
         """Read the changes after a revision; wait up to `wait_seconds`.
 
-        Raises StoreError.
+        Raises StoreError, and HistoryGone, which is one, also if they show
+        that the store was restored.
         """
         asked_at = trio.current_time()
         shown = self._shown_revision()
         try:
             changes = await self._feed.wait_for_changes(after, wait_seconds)
         except HistoryGone:
+            self._detector.record_gone()
             raise
         except StoreError:
             self._directory.belief.record_failure(asked_at)
             raise
         now = trio.current_time()
+        self._detector.check(changes, shown, now)
         self._apply_changes(changes, after, now)
         if changes.has_gap(after):
             self._report_gap()
@@ -80,6 +95,7 @@
         finally:
             self._directory.snapshot_requested_at = None
         now = trio.current_time()
+        self._detector.check(snapshot, shown, now)
         self._count_restore(snapshot)
         self._directory.apply_snapshot(snapshot, now)
         evidence = Evidence(
@@ -101,7 +117,9 @@
         """Let the next call open a connection of its own."""
         await self._feed.renew_connections()
 
-    def _apply_changes(self, changes: Changes, after: int, now: float) -> None:
+    def _apply_changes(
+        self, changes: Changes, after: StoreOrder, now: float
+    ) -> None:
         """Apply the changes after a revision.
 
         If only peers have told the changes up to it, the store is still asked
@@ -112,7 +130,7 @@
         if after > followed:
             self._directory.feed_revision = followed
 
-    def _shown_revision(self) -> int:
+    def _shown_revision(self) -> StoreOrder:
         """Return the revision that the store has reached for sure."""
         directory = self._directory
         return max(directory.known_revision, directory.belief.read_revision)
@@ -133,6 +151,10 @@
             revision=evidence.revision,
             known=shown,
             source=evidence.source.value,
+            era=era_of(evidence.revision),
+            told=self._detector.repetition.value,
+            seconds=round(now - evidence.known_until, 3),
+            age=self._directory.belief.logged_age(now),
         )
         raise StoreResponseLost(
             f'the answer is of revision {evidence.revision}, although '
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Iterable, Iterator
 
+from peridotwell.domain.store_order import StoreOrder
+from peridotwell.fleet.replica.store_history import StoreHistory
 from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Snapshot
@@ -19,10 +21,11 @@
     """Entries by key, each at the latest known revision."""
 
     def __init__(self) -> None:
+        self.history = StoreHistory()
         self._entries: dict[str, Entry] = {}
         # Entries in force that a later one of their key may not replace.
         self._kept: dict[str, Entry] = {}
-        self._deleted: dict[str, int] = {}
+        self._deleted: dict[str, StoreOrder] = {}
         # Deletions up to this revision may be missing from `_deleted`.
         self._complete_since = 0
 
@@ -33,7 +36,7 @@
             return False
         return entry.revision > self._deleted.get(entry.key, 0)
 
-    def is_known_gone(self, entry: Entry, known_revision: int) -> bool:
+    def is_known_gone(self, entry: Entry, known_revision: StoreOrder) -> bool:
         """Return whether an entry is not listed at the known revision.
 
         Answers may arrive late, after those of others or of the store.
@@ -43,7 +46,10 @@
         )
 
     def listed_entries(
-        self, entries: Iterable[Entry], revision: int, known_revision: int
+        self,
+        entries: Iterable[Entry],
+        revision: StoreOrder,
+        known_revision: StoreOrder,
     ) -> Iterator[Entry]:
         """Yield the entries of an answer at `revision` that are not gone.
 
@@ -95,14 +101,14 @@
         """
         self._kept[entry.key] = entry
 
-    def is_newer_deletion(self, key: str, revision: int) -> bool:
+    def is_newer_deletion(self, key: str, revision: StoreOrder) -> bool:
         """Return whether a deletion is newer than what is known of its key."""
         known = self._entries.get(key)
         if known is None:
             return revision > self._deleted.get(key, 0)
         return revision >= known.revision
 
-    def record_deletion(self, key: str, revision: int) -> None:
+    def record_deletion(self, key: str, revision: StoreOrder) -> None:
         """Record a deletion; the entry is kept until `remove` is called.
 
         It may be told before an older entry of its key is.
@@ -126,15 +132,15 @@
             if entry.key not in listed and entry.revision <= snapshot.revision
         ]
 
-    def record_snapshot(self, revision: int) -> None:
+    def record_snapshot(self, revision: StoreOrder) -> None:
         """Record a snapshot: it does not contain earlier deletions."""
         self._complete_since = max(self._complete_since, revision)
 
-    def has_all_deletions_since(self, revision: int) -> bool:
+    def has_all_deletions_since(self, revision: StoreOrder) -> bool:
         """Return whether every deletion after a revision is known."""
         return revision >= self._complete_since
 
-    def changes_since(self, revision: int) -> tuple[SharedEntry, ...]:
+    def changes_since(self, revision: StoreOrder) -> tuple[SharedEntry, ...]:
         """Return the changes after a revision, including deletions.
 
         An entry that is kept although it was deleted counts as deleted.
--- a/peridotwell/fleet/replica/version_record.py
+++ b/peridotwell/fleet/replica/version_record.py
@@ -13,6 +13,7 @@
 
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.counts import Count
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.errors import StoreConflict
 from peridotwell.fleet.transport.peers import Peers
 from peridotwell.policy.placement.rendezvous import first_by_score
@@ -68,7 +69,7 @@
         self._lease = ''
         self._renewed_at = float(0)
         # The revision of the last record that this router has written.
-        self._revision = 0
+        self._revision = NO_ORDER
         self._written_at = -math.inf
         self._started_at: float | None = None
 
@@ -76,7 +77,7 @@
         self,
         services: Iterable[str],
         known: Entry | None,
-        known_revision: int,
+        known_revision: StoreOrder,
         now: float,
     ) -> None:
         """Write the versions of `services`, or renew the lease, if needed.
@@ -147,7 +148,7 @@
             self._revision = await self._store.write(
                 VERSIONS_KEY,
                 content,
-                expected=known.revision if known else 0,
+                expected=known.revision if known else NO_ORDER,
                 lease=self._lease,
             )
             self._written_at = now
--- a/peridotwell/fleet/replica/versions_not_taken.py
+++ b/peridotwell/fleet/replica/versions_not_taken.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from peridotwell.domain.routing_table import RoutingTable
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.store.revisions import store_revision
 
 __all__ = ('SeenVersion', 'VersionsNotTaken')
@@ -22,7 +23,7 @@
     """
 
     version: int | None
-    revision: int
+    revision: StoreOrder
 
     def is_newer_than(self, table: RoutingTable | None) -> bool:
         """Return whether this version is newer than the one in force."""
@@ -61,7 +62,7 @@
     def __init__(self) -> None:
         # Number of versions that were not taken since the start.
         self.count = 0
-        self._by_revision: dict[int, SeenVersion] = {}
+        self._by_revision: dict[StoreOrder, SeenVersion] = {}
 
     def record(self, seen: SeenVersion, table: RoutingTable | None) -> None:
         """Record that a version was not taken while `table` is in force.
@@ -77,7 +78,7 @@
             )
             self._by_revision.pop(least.revision)
 
-    def is_known(self, revision: int) -> bool:
+    def is_known(self, revision: StoreOrder) -> bool:
         """Return whether the version of a revision was not taken before."""
         return revision in self._by_revision
 
--- a/peridotwell/fleet/transport/frames.py
+++ b/peridotwell/fleet/transport/frames.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from peridotwell.decoding import DECODING_ERRORS
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.errors import PeridotwellError
 from peridotwell.fleet.membership.target_membership import TargetObservation
 from peridotwell.policy.brittle.brittle_records import BrittleRecord
@@ -207,7 +208,7 @@
     `target_paces` tell how long work takes on targets.
     """
 
-    revision: int
+    revision: StoreOrder
     sequence: int
     is_leaving: bool = False
     is_full: bool = False
@@ -233,7 +234,7 @@
     """One entry of the store; without a value, it was deleted at `revision`."""
 
     key: str
-    revision: int
+    revision: StoreOrder
     value: bytes | None
 
 
@@ -244,7 +245,7 @@
     of earlier builds cannot.
     """
 
-    revision: int
+    revision: StoreOrder
     takes_packed: bool = False
 
 
@@ -257,11 +258,11 @@
     entries, compressed, in place of `entries`.
     """
 
-    revision: int
+    revision: StoreOrder
     entries: tuple[SharedEntry, ...]
     is_complete: bool = False
     removal_grace_seconds: float = 0
-    base_revision: int = 0
+    base_revision: StoreOrder = NO_ORDER
     packed: bytes = b''
 
 
@@ -269,8 +270,8 @@
     """An entry at `revision`, as the difference from it at `base_revision`."""
 
     key: str
-    base_revision: int
-    revision: int
+    base_revision: StoreOrder
+    revision: StoreOrder
     patch: bytes
 
 
@@ -283,8 +284,8 @@
     routers of `large_receivers` get the large ones in a message of their own.
     """
 
-    base_revision: int
-    revision: int
+    base_revision: StoreOrder
+    revision: StoreOrder
     entries: tuple[SharedEntry, ...]
     removal_grace_seconds: float = 0
     patches: tuple[EntryPatch, ...] = ()
@@ -311,7 +312,7 @@
     """
 
     follows_store: bool
-    revision: int
+    revision: StoreOrder
     updates: tuple[RouterUpdate, ...]
     store_changes: StoreChanges | None = None
     listed: tuple[CachedPrompt, ...] = ()
--- a/peridotwell/fleet/transport/router_registry.py
+++ b/peridotwell/fleet/transport/router_registry.py
@@ -5,6 +5,7 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.addresses import is_endpoint
 from peridotwell.domain.counts import Count
+from peridotwell.domain.store_order import NO_ORDER
 from peridotwell.errors import StoreConflict, StoreResponseLost
 from peridotwell.fleet.transport.frames import Hello
 from peridotwell.store.base import EntryStore, KeyValueStore
@@ -104,7 +105,7 @@
                 await self._store.write(
                     key,
                     document,
-                    expected=entry.revision if entry else 0,
+                    expected=entry.revision if entry else NO_ORDER,
                     lease=lease,
                 )
             except (StoreConflict, StoreResponseLost):
--- a/peridotwell/forwarding/adapters.py
+++ b/peridotwell/forwarding/adapters.py
@@ -14,6 +14,7 @@
     RoutingTable,
     ServiceProperties,
 )
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.domain.target import Target, wire_id
 from peridotwell.policy.placement.prompt_cache_index import CachedPart
 from peridotwell.serving.http_exchange import HttpExchange
@@ -217,7 +218,9 @@
         """
 
     @abstractmethod
-    def decode_table(self, content: bytes, revision: int) -> RoutingTable:
+    def decode_table(
+        self, content: bytes, revision: StoreOrder
+    ) -> RoutingTable:
         """Decode a configuration. Raises EntryError."""
 
     @abstractmethod
--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -7,6 +7,7 @@
 
 from peridotwell.fleet.relays.forwarding_state import ForwardingState
 from peridotwell.fleet.relays.update_exchange import UpdateExchange
+from peridotwell.fleet.replica.continuity_check import ContinuityCheck
 from peridotwell.fleet.replica.evacuation_check import EvacuationCheck
 from peridotwell.fleet.replica.service_directory import ServiceDirectory
 from peridotwell.fleet.replica.store_check import StoreCheck
@@ -74,6 +75,7 @@
     directory: ServiceDirectory
     follower: StoreFollower
     store_check: StoreCheck
+    continuity_check: ContinuityCheck
     evacuation_check: EvacuationCheck
     registration: RouterRegistration
     version_record: VersionRecordWriter
@@ -146,6 +148,13 @@
         store_check=StoreCheck(
             reader, directory, metrics, follower.restart_overdue_watch
         ),
+        continuity_check=ContinuityCheck(
+            store,
+            directory,
+            metrics,
+            update_exchange.relay_protocol.must_follow_store,
+            follower.read_anew,
+        ),
         evacuation_check=evacuation_check,
         registration=RouterRegistration(
             store,
--- a/peridotwell/forwarding/lifecycle/background_tasks.py
+++ b/peridotwell/forwarding/lifecycle/background_tasks.py
@@ -43,6 +43,7 @@
         for period, task in (
             (0, components.follower.run),
             (0, components.store_check.run),
+            (0, components.continuity_check.run),
             (0, components.evacuation_check.run),
             (0, components.forwarding.table_check.run),
             (0, components.forwarding.crash_tracker.run),
--- a/peridotwell/store/base.py
+++ b/peridotwell/store/base.py
@@ -7,6 +7,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from peridotwell.domain.store_order import StoreOrder
+
 __all__ = ('Entry', 'StoreCounters', 'EntryStore', 'KeyValueStore')
 
 
@@ -16,7 +18,7 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: StoreOrder
 
 
 @dataclass
@@ -60,9 +62,9 @@
         key: str,
         value: bytes,
         *,
-        expected: int,
+        expected: StoreOrder,
         lease: str = '',
-    ) -> int:
+    ) -> StoreOrder:
         """Write `value` if the entry's revision is `expected` (0: no entry).
 
         An entry with a `lease` is deleted when the lease expires. Returns the
@@ -92,7 +94,7 @@
     async def watch(
         self,
         prefix: str,
-        after: int,
+        after: StoreOrder,
         wait_seconds: float,
     ) -> tuple[Entry, ...]:
         """Wait for entries under `prefix` that are newer than `after`.
--- a/peridotwell/store/change_feed.py
+++ b/peridotwell/store/change_feed.py
@@ -1,10 +1,12 @@
 """Interfaces to follow a store: a snapshot, then each later change."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import trio
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.errors import StoreError
 from peridotwell.store.base import Entry, EntryStore
 
@@ -14,6 +16,8 @@
     'Changes',
     'ChangeFeed',
     'ChangeFeedStore',
+    'ToldChange',
+    'told_changes',
 )
 
 
@@ -26,12 +30,24 @@
     code = 'store_history_gone'
 
 
+@dataclass(frozen=True)
+class ToldChange:
+    """What the store has told of a write at its revision.
+
+    Without a value, it was a deletion.
+    """
+
+    key: str
+    revision: StoreOrder
+    value: bytes | None
+
+
 @dataclass(frozen=True)
 class Snapshot:
     """All entries of a store, each in its state at `revision` or later."""
 
     entries: tuple[Entry, ...]
-    revision: int
+    revision: StoreOrder
 
 
 @dataclass(frozen=True)
@@ -42,10 +58,10 @@
     """
 
     entries: tuple[Entry, ...]
-    deleted: tuple[tuple[str, int], ...]
-    revision: int
+    deleted: tuple[tuple[str, StoreOrder], ...]
+    revision: StoreOrder
 
-    def has_gap(self, after: int) -> bool:
+    def has_gap(self, after: StoreOrder) -> bool:
         """Return whether a revision after `after` has no change here.
 
         It may have been replaced by a later change, or been left out.
@@ -55,6 +71,15 @@
         return sum(each > after for each in told) < self.revision - after
 
 
+def told_changes(answer: Changes | Snapshot) -> Iterator[ToldChange]:
+    """Yield the changes of an answer, each at the revision of its write."""
+    for entry in answer.entries:
+        yield ToldChange(entry.key, entry.revision, entry.value)
+    if isinstance(answer, Changes):
+        for key, revision in answer.deleted:
+            yield ToldChange(key, revision, None)
+
+
 class ChangeFeed(ABC):
     """Reads all entries of a store and waits for changes.
 
@@ -67,7 +92,7 @@
 
     @abstractmethod
     async def wait_for_changes(
-        self, after: int, wait_seconds: float
+        self, after: StoreOrder, wait_seconds: float
     ) -> Changes:
         """Wait for changes after the revision `after`.
 
@@ -75,6 +100,30 @@
         HistoryGone if the store no longer has the changes.
         """
 
+    async def tells_again(self, change: ToldChange) -> bool:
+        """Return whether the store still tells a change at its revision.
+
+        Raises HistoryGone if it no longer tells the changes of that time. A
+        store that is never restored need not be asked.
+        """
+        await trio.lowlevel.checkpoint()
+        return True
+
+    def begin_era(self, revision: StoreOrder) -> bool:
+        """Order what is read from now on after `revision`.
+
+        The store was restored since, and does not say so. Returns whether it
+        is possible; it is not for a store without eras.
+        """
+        return False
+
+    def follow_era(self, revision: StoreOrder) -> bool:
+        """Count the restores that others have inferred up to a revision.
+
+        Returns whether they are more than were counted.
+        """
+        return False
+
     def is_receiving(self, now: float) -> bool:
         """Return whether parts of an answer arrive, at the time `now`.
 
--- a/peridotwell/store/claims.py
+++ b/peridotwell/store/claims.py
@@ -16,6 +16,7 @@
 from peridotwell.decoding import DECODING_ERRORS
 from peridotwell.domain.caller_request import CallerRequest
 from peridotwell.domain.idempotency_key import key_timestamp
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.errors import (
     ClaimUnavailable,
     IdempotencyKeyReused,
@@ -88,7 +89,7 @@
 
     key: str
     record: ClaimRecord
-    revision: int
+    revision: StoreOrder
     lease: str
 
 
@@ -143,7 +144,7 @@
             self._holder,
             ends_by,
         )
-        claim = Claim(_record_key(request), record, 0, lease)
+        claim = Claim(_record_key(request), record, NO_ORDER, lease)
         try:
             return await self._create(claim, wall_time)
         except StoreError as exc:
@@ -189,7 +190,7 @@
         The nonce distinguishes this router's write from others. A stale read
         is harmless, because the compare-and-swap based on it fails.
         """
-        expected = 0
+        expected = NO_ORDER
         for _ in range(CLAIM_ATTEMPTS):
             try:
                 revision = await self._write(claim, claim.record, expected)
@@ -198,7 +199,7 @@
             else:
                 return replace(claim, revision=revision)
             if entry is None:
-                expected = 0
+                expected = NO_ORDER
                 continue
             expected = entry.revision
             stored = _decode_record(entry)
@@ -228,8 +229,8 @@
         self,
         claim: Claim,
         record: ClaimRecord,
-        expected: int,
-    ) -> int:
+        expected: StoreOrder,
+    ) -> StoreOrder:
         return await self._store.write(
             claim.key,
             msgspec.json.encode(record),
--- a/peridotwell/store/configuration.py
+++ b/peridotwell/store/configuration.py
@@ -15,6 +15,7 @@
     HistoryEntry,
     decode_configuration,
 )
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.errors import (
     ChangeRefused,
     StoreConflict,
@@ -84,7 +85,7 @@
     def __init__(self, store: KeyValueStore) -> None:
         self.current = Configuration()
         self.document = msgspec.json.encode(self.current)
-        self.revision = 0
+        self.revision = NO_ORDER
         self.is_loaded = False
         self._store = store
 
@@ -141,7 +142,7 @@
                 'force: try again in a few seconds.',
             )
         document = msgspec.json.encode(apply_change(stored, change, wall_time))
-        revision = entry.revision if entry else 0
+        revision = entry.revision if entry else NO_ORDER
         await self._write(document, revision, change.change_id)
         self.apply(document)
         return decode_configuration(document)
@@ -149,7 +150,7 @@
     async def _write(
         self,
         document: bytes,
-        expected: int,
+        expected: StoreOrder,
         change_id: str,
     ) -> None:
         """Write by compare-and-swap; after a lost response, read back."""
@@ -167,7 +168,7 @@
                 return
         raise _outcome_unknown(change_id)
 
-    async def _is_written(self, expected: int, change_id: str) -> bool:
+    async def _is_written(self, expected: StoreOrder, change_id: str) -> bool:
         """Whether this change was written; False if it may be retried.
 
         Raises ChangeRefused if another write came first.
--- a/peridotwell/store/http_store.py
+++ b/peridotwell/store/http_store.py
@@ -8,6 +8,7 @@
 
 import httpcore
 
+from peridotwell.domain.store_order import StoreOrder
 from peridotwell.errors import (
     StoreConflict,
     StoreError,
@@ -57,19 +58,19 @@
         key: str,
         value: bytes,
         *,
-        expected: int,
+        expected: StoreOrder,
         lease: str = '',
-    ) -> int:
+    ) -> StoreOrder:
         """Write `value` if the entry's revision is `expected` (0: no entry)."""
         self.counters.writes += 1
         query = urlencode({'expected': expected, 'lease': lease})
         resp = await self._call('PUT', f'/kv/{quote(key)}?{query}', value)
-        return decode_response(resp.content, int)
+        return StoreOrder(decode_response(resp.content, int))
 
     async def watch(
         self,
         prefix: str,
-        after: int,
+        after: StoreOrder,
         wait_seconds: float,
     ) -> tuple[Entry, ...]:
         """Wait for entries under `prefix` that are newer than `after`."""
@@ -135,11 +136,11 @@
         )
 
 
-def _read_revision(resp: httpcore.Response) -> int:
+def _read_revision(resp: httpcore.Response) -> StoreOrder:
     header = dict(resp.headers).get(b'x-revision', b'')
     if not header.isdigit():
         raise StoreResponseLost('the response has no valid x-revision header')
-    return int(header)
+    return StoreOrder(int(header))
 
 
 def _decode_entries(content: bytes) -> tuple[Entry, ...]:
--- a/tests/fleet/replica/test_store_reader.py
+++ b/tests/fleet/replica/test_store_reader.py
@@ -9,7 +9,7 @@
 from peridotwell.fleet.replica.store_reader import StoreReader
 from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.metrics import Metrics
-from peridotwell.store.change_feed import Changes, Snapshot
+from peridotwell.store.change_feed import Changes, Snapshot, told_changes
 from tests.fleet.replica.test_service_directory import (
     Decoder,
     ScriptedFeed,
@@ -25,6 +25,7 @@
     loaded = ServiceDirectory(Decoder())
     listed = (entry('table', b'1', 1), entry('t/x', b'ready', 2))
     loaded.apply_snapshot(Snapshot(listed, 5), 0)
+    loaded.replica.history.record(told_changes(Snapshot(listed, 5)))
     shared = SharedEntry('table', KNOWN, b'2')
     loaded.apply_peer_changes((shared,), KNOWN, 0)
     return loaded
@@ -60,6 +61,27 @@
     assert directory.known_revision == KNOWN
 
 
+# Guards against stale answers that tell nobody whether the store was restored
+# or only lags behind.
+@pytest.mark.parametrize(
+    ('changes', 'told'),
+    [
+        (Changes((entry('t/x', b'ready', 2),), (), 5), 'same'),
+        (Changes((entry('t/x', b'leaving', 2),), (), 5), 'other'),
+        (Changes((), (('t/x', 6),), OLDER), 'unknown'),
+    ],
+)
+async def test_the_log_tells_what_a_stale_answer_repeats(
+    directory, caplog, changes, told
+):
+    with pytest.raises(StoreResponseLost):
+        await read(directory, changes)
+    logged = {each.msg['event']: each.msg for each in caplog.records}
+    stale = logged['store.stale_answer']
+    assert (stale['told'], stale['era']) == (told, 0)
+    assert ('store.contradiction' in logged) == (told == 'other')
+
+
 async def test_the_entries_of_such_an_answer_are_applied(directory):
     with pytest.raises(StoreResponseLost):
         await read(directory, STALE[1])
