--- a/peridotwell/forwarding/assembly.py
+++ b/peridotwell/forwarding/assembly.py
@@ -208,6 +208,7 @@
         state.cache_index,
         settings.data_centre,
         settings.bounds,
+        clients.known_same,
     )
     peer_paths = PeerPaths(update_exchange.peers)
     handover_client = HandoverClient(update_exchange.peers, peer_paths, buffers)
--- a/peridotwell/forwarding/choosing/target_selection.py
+++ b/peridotwell/forwarding/choosing/target_selection.py
@@ -1,6 +1,6 @@
 """Selection of the target that runs a request."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from peridotwell.domain.bounds import DeploymentBounds
 from peridotwell.domain.target import Target
@@ -27,9 +27,14 @@
 # after about this time.
 RETRY_AFTER_SECONDS = 0.5
 
+KnownSame = Callable[[Sequence[Target]], Sequence[Target]]
+
 
 class TargetSelector:
-    """Selects targets among those of a service."""
+    """Selects targets among those of a service.
+
+    `known_same` returns those whose entries are known to be of their processes.
+    """
 
     def __init__(
         self,
@@ -37,8 +42,10 @@
         caches: PromptCacheIndex,
         data_centre: str,
         bounds: DeploymentBounds,
+        known_same: KnownSame = tuple,
     ) -> None:
         self._tracker = tracker
+        self._known_same = known_same
         self._data_centre = data_centre
         self._targets = UsableTargets(tracker)
         self._path_check = PathCheck(tracker)
@@ -63,7 +70,8 @@
 
         A first attempt raises NoRoom if targets may take it soon. `tried` has
         the names of the targets of earlier attempts. `software` is the id of
-        the software version that the target must have, or None.
+        the software version that the target must have, or None. With one, the
+        targets come first that are known to have it still.
         With `only_reachable`, raises NoReachableTarget if the targets that
         take requests cannot be reached from here.
         """
@@ -74,6 +82,8 @@
         if only_reachable:
             self._path_check.check(request, accepting, tried, now)
         targets = self._targets.usable(accepting, tried, now)
+        if software is not None:
+            targets = self._known_same(targets) or targets
         is_first = not tried and software is None
         if is_first and not accepting:
             self._check_waits(request, listed, now)
--- a/peridotwell/forwarding/sending/target_clients.py
+++ b/peridotwell/forwarding/sending/target_clients.py
@@ -1,5 +1,7 @@
 """HTTP clients for targets, one for each start and address."""
 
+from collections.abc import Sequence
+
 import trio
 
 from peridotwell.attempt_errors import AttemptError
@@ -60,6 +62,21 @@
             self._may_have_gone = True
         return client
 
+    def known_same(self, targets: Sequence[Target]) -> Sequence[Target]:
+        """Return the targets whose entries are known to be of their processes.
+
+        That is all, unless the store is away: then a connection from before
+        its last answer shows it.
+        """
+        belief = self._directory.belief
+        if not belief.is_away():
+            return targets
+        return tuple(
+            target
+            for target in targets
+            if self._was_connected(target, belief.answered_until)
+        )
+
     def record_failure(
         self, target: Target, exc: AttemptError, started_at: float
     ) -> None:
@@ -93,6 +110,11 @@
             with trio.move_on_after(CLOSE_TIMEOUT_SECONDS):
                 await client.aclose()
 
+    def _was_connected(self, target: Target, at: float) -> bool:
+        """Return whether a connection to a target is open since a time."""
+        client = self._clients.get(_target_key(target))
+        return client is not None and client.is_connected(at)
+
     def _status_path(self, target: Target) -> str:
         table = self._directory.table
         service = table.services.get(target.pool.name) if table else None
--- a/tests/peridotwell_platform/test_restarted_targets.py
+++ b/tests/peridotwell_platform/test_restarted_targets.py
@@ -33,6 +33,8 @@
 MAX_BATCHES = 20
 # The store is known to be away after less.
 AWAY_SECONDS = 4.0
+# All routers have heard the store again after this time.
+HEARD_SECONDS = 1.5
 
 
 class RestartingTarget(stand_in.TargetStandIn):
@@ -95,11 +97,27 @@
 
 
 async def connect(fleet):
-    """Let all routers have connections to all targets."""
+    """Let all routers have connections to all targets.
+
+    Scripts that are left over would break off the reads, and end these.
+    """
+    for target in fleet.targets:
+        target.script.clear()
     for number in range(len(fleet.routers)):
-        async with trio.open_nursery() as nursery:
-            for _ in range(READS):
-                nursery.start_soon(fleet.send, number, '/read/x')
+        for target in fleet.targets:
+            target.requests.clear()
+        for _ in range(MAX_BATCHES):
+            await read(fleet, number)
+            if all(target.requests for target in fleet.targets):
+                break
+        assert all(target.requests for target in fleet.targets)
+
+
+async def read(fleet, number):
+    """Send reads to a router, all at once."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(READS):
+            nursery.start_soon(fleet.send, number, '/read/x')
 
 
 async def begin_streams(fleet, number, prefix, count=STREAMS):
@@ -268,3 +286,25 @@
     await trio.sleep(AWAY_SECONDS)
     streams = await begin_streams(fleet, LATE, 's')
     assert statuses(await taken_up(fleet, LATE, streams)) == [200] * STREAMS
+
+
+# Guards against streams that go on at another version while the store is away:
+# at processes that a router never had a connection to, beside one that it has.
+async def test_streams_go_on_at_a_process_that_is_known(fleet):
+    await fleet.start_router()
+    number = len(fleet.routers) - 1
+    await trio.sleep(SETTLE_SECONDS)
+    for each in fleet.targets:
+        each.requests.clear()
+    await fleet.send(number, '/read/x')
+    [known] = [each for each in fleet.targets if each.requests]
+    streams = await begin_streams(fleet, 0, 's')
+    await trio.sleep(HEARD_SECONDS)
+    fleet.cut_from_store(*range(len(fleet.routers)))
+    await trio.sleep(AWAY_SECONDS)
+    others = [each for each in fleet.targets if each is not known]
+    for each in others:
+        await each.restart(fleet.nursery, NEW)
+    outcomes = await taken_up(fleet, number, streams)
+    assert statuses(outcomes) == [200] * len(streams)
+    assert not any(went_on_at(outcomes, each) for each in others)
