--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -121,6 +121,8 @@
     def __init__(self, router: RouterProcess) -> None:
         self.statuses: list[int] = []
         self.sound: list[int] = []
+        # What came in place of a sound answer.
+        self.faults: list[str] = []
         self.seconds: list[float] = []
         # When the sound requests began that have no answer yet.
         self._waiting: dict[int, float] = {}
@@ -175,7 +177,7 @@
         self._waiting[number] = trio.current_time()
         status = 0
         async with httpcore.AsyncConnectionPool() as pool:
-            with suppress(httpcore.NetworkError, httpcore.TimeoutException):
+            try:
                 resp = await router_setup.call(
                     pool,
                     f'127.0.0.1:{self._router.port}',
@@ -186,8 +188,15 @@
                     ),
                     b'',
                 )
+            except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+                self.faults.append(f'sound-{number}: {error!r}')
+            else:
                 if len(resp.content) == SOUND_BYTES:
                     status = resp.status
+                else:
+                    self.faults.append(
+                        f'sound-{number}: {resp.status} {resp.content[:300]!r}'
+                    )
         self.sound.append(status)
         started_at = self._waiting.pop(number)
         self.seconds.append(trio.current_time() - started_at)
@@ -196,7 +205,9 @@
         """Check that each sound request was answered, and in time."""
         assert self.sound
         failed = [status for status in self.sound if status != 200]
-        assert not failed, f'{len(failed)} of {len(self.sound)}: {failed}'
+        assert not failed, (
+            f'{len(failed)} of {len(self.sound)}: {failed}, {self.faults}'
+        )
         now = trio.current_time()
         waiting = (now - started_at for started_at in self._waiting.values())
         assert max((*self.seconds, *waiting)) < ANSWER_SECONDS
