Tests: the store of the endless answers has a process of its own

The test's process serves the store beside a hundred callers that send 4 MB each, so the store answered too late for a belief of 1.6 s; the router was right to refuse.

Change: the store is a process (store_process.py). No bound is changed.

--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -28,6 +28,7 @@
 TARGET = Path(__file__).parent / 'endless_target.py'
 MEMORY_MB = 300
 FLOOD_TARGET = 'tests.processes.endless_target'
+STORE = 'tests.processes.store_process'
 MAX_GROWTH_MB = 100
 KILOBYTES_PER_MEGABYTE = 1024
 REQUESTS = 100
@@ -80,28 +81,37 @@
         return int(line[0]) / KILOBYTES_PER_MEGABYTE
 
 
-def _target_entry(service: str, port: int) -> bytes:
+def _target_entry(service: str, port: int) -> dict:
     entry = msgspec.json.decode(router_setup.target_entry(f'127.0.0.1:{port}'))
-    return msgspec.json.encode({**entry, 'service': service})
+    return {**entry, 'service': service}
 
 
 @pytest.fixture
-async def router(nursery, tmp_path):
-    """A router process with a sound target and one that never ends."""
-    store, address = await router_setup.start_store(nursery, CONFIG)
+async def router(tmp_path):
+    """A router process with a sound target and one that never ends.
+
+    The store has its own process too: this one is too busy to answer in time.
+    """
     ports = {name: find_free_port() for name in ('front', 'ready', 'peers')}
     targets = {'svc': find_free_port(), 'flood': find_free_port()}
-    for service, port in targets.items():
-        store.put(f'servers/{service}', _target_entry(service, port))
+    store_port = find_free_port()
+    entries = tmp_path / 'entries.json'
+    documents = {'op/config': CONFIG} | {
+        f'servers/{service}': _target_entry(service, port)
+        for service, port in targets.items()
+    }
+    entries.write_bytes(msgspec.json.encode(documents))
     path = tmp_path / 'node.toml'
-    settings = SETTINGS.format(grace=5, store=address, **ports)
+    store = f'127.0.0.1:{store_port}'
+    settings = SETTINGS.format(grace=5, store=store, **ports)
     path.write_text(f'{settings}[limits]\nmemory_mb = {MEMORY_MB}\n')
     with (
+        running('-m', STORE, store_port, entries),
         running('-m', 'tests.processes.endless_target', targets['svc']),
         running('-m', FLOOD_TARGET, targets['flood']),
         running('platform/start.py', PERIDOTWELL_SETTINGS=str(path)) as process,
     ):
-        for port in targets.values():
+        for port in (store_port, *targets.values()):
             await wait_for_port(port)
         await wait_until_ready(ports['ready'])
         yield RouterProcess(process.pid, ports['front'])
