--- a/tests/fleet/replica/test_entry_sync.py
+++ b/tests/fleet/replica/test_entry_sync.py
@@ -7,6 +7,7 @@
 from peridotwell.fleet.transport.frames import EntriesPush, SharedEntry
 from peridotwell.store.base import Entry
 from peridotwell.store.change_feed import Changes
+from peridotwell.store.revisions import ordered_revision
 from tests.fleet.relays.test_update_exchange import Router, run_ticks
 from tests.fleet.replica.test_service_directory import Decoder
 
@@ -15,7 +16,11 @@
 TOLD_AT = CHANGED_AT + 0.3
 # From the change on: the router waits before it asks, and asks twice.
 MAX_SECONDS = 1.5
+# A router with a peer ahead has the entries this long after the change.
+SOON_SECONDS = 0.9
 NEWER = Changes((Entry('table', b'2', 9),), (), 9)
+RESTORED = ordered_revision(2, 8)
+NEWER_AFTER_RESTORE = Changes((Entry('table', b'2', RESTORED),), (), RESTORED)
 
 
 # Guards against a router that goes by an older configuration for seconds,
@@ -36,6 +41,24 @@
     assert fleet[0].directory.table.version == 2
 
 
+# Guards against a router that has nothing in force that was written after a
+# restore of the store, which others tell it: it asks the store for all entries,
+# which it can't reach, and its peers only when it has waited for that.
+def test_a_restore_that_others_tell_is_not_waited_for_at_the_store():
+    fleet = make_fleet(NEWER_AFTER_RESTORE)
+    fleet[0].directory.snapshot_requested_at = TOLD_AT
+    run_ticks(fleet, TOLD_AT, CHANGED_AT + SOON_SECONDS)
+    assert fleet[0].directory.table.version == 2
+
+
+# Guards against the same entries twice on a slow link.
+def test_entries_that_the_store_is_sending_are_not_asked_for():
+    fleet = make_fleet()
+    fleet[0].directory.snapshot_requested_at = TOLD_AT
+    run_ticks(fleet, TOLD_AT, CHANGED_AT + SOON_SECONDS)
+    assert fleet[0].directory.table.version == 1
+
+
 def push(base_revision):
     """Return the changes after a revision, up to revision 9."""
     target = SharedEntry('t/x', 9, b'leaving')
@@ -68,7 +91,7 @@
     assert not directory.known_revision
 
 
-def make_fleet():
+def make_fleet(changes=NEWER):
     """Return three routers, of which two have told that they know a change."""
     routers = {}
     fleet = [Router(name, routers) for name in 'abc']
@@ -76,7 +99,7 @@
         router.sharing.discovery.add_peers(each.hello for each in fleet)
     run_ticks(fleet, 0, CHANGED_AT)
     for router in fleet[1:]:
-        router.directory.apply_changes(NEWER, CHANGED_AT)
+        router.directory.apply_changes(changes, CHANGED_AT)
     run_ticks(fleet, CHANGED_AT, TOLD_AT)
     assert fleet[0].directory.table.version == 1
     return fleet
