Entries: a restore that a peer tells is not waited for at the store

Change: a peer of a later era is asked all the same. Peers tell the order up to which they know the store in a field of its own, with its type, in place of a number that is a configuration's version elsewhere.

--- a/peridotwell/fleet/replica/entry_sync.py
+++ b/peridotwell/fleet/replica/entry_sync.py
@@ -23,6 +23,7 @@
 from peridotwell.fleet.transport.peer_transport import PeerTransport
 from peridotwell.fleet.transport.peers import Peer, Peers, choose_peer
 from peridotwell.logs import log_event
+from peridotwell.store.revisions import is_of_later_era
 
 __all__ = ('EntrySync',)
 
@@ -63,7 +64,7 @@
 
         In a large fleet, none are requested if the store has answered
         meanwhile, to reduce the load of the relays, nor while it sends a
-        snapshot.
+        snapshot, unless the peer tells of a restore.
         """
         self._pull_if_lower(now)
         own = self._directory.known_revision
@@ -78,7 +79,7 @@
             self._behind_since = now
         is_late = (
             now - self._behind_since >= BEHIND_SECONDS
-            and not self._is_reading_snapshot(now)
+            and not self._may_get_snapshot(peer_ahead, now)
             and not self._relay_protocol.expects_changes(now)
         )
         if is_late and now - self._pulled_at >= PULL_INTERVAL_SECONDS:
@@ -93,7 +94,7 @@
                 'entries.pulled',
                 router=peer_ahead.hello.name,
                 revision=own,
-                ahead=peer_ahead.version,
+                ahead=peer_ahead.known_revision,
             )
 
     def told_table_version(self) -> int:
@@ -123,7 +124,7 @@
             self._lower_since = now
         known = self._directory.known_revision
         peer = choose_peer(
-            self._own, [each for each in higher if each.version <= known]
+            self._own, [each for each in higher if each.known_revision <= known]
         )
         is_due = (
             now - self._lower_since >= BEHIND_SECONDS
@@ -138,7 +139,7 @@
                 'entries.pulled',
                 router=peer.hello.name,
                 revision=known,
-                ahead=peer.version,
+                ahead=peer.known_revision,
                 version=peer.table_version,
             )
 
@@ -227,10 +228,19 @@
             push.entries, known if is_missing_some else push.revision, now
         )
 
-    def _is_reading_snapshot(self, now: float) -> bool:
+    def _may_get_snapshot(self, peer_ahead: Peer, now: float) -> bool:
+        """Return whether the store may be sending what a peer knows.
+
+        A restore that the peer has told is the reason to ask the store, which
+        this router may not reach: nothing is known of an answer.
+        """
         requested_at = self._directory.snapshot_requested_at
         return (
-            requested_at is not None and now - requested_at < SNAPSHOT_SECONDS
+            requested_at is not None
+            and now - requested_at < SNAPSHOT_SECONDS
+            and not is_of_later_era(
+                peer_ahead.known_revision, self._directory.known_revision
+            )
         )
 
     def _store_has_answered(self) -> bool:
@@ -252,13 +262,13 @@
         peers_ahead = [
             peer
             for peer in self._peers.known_peers()
-            if peer.version > revision and self._peers.is_live(peer, now)
+            if peer.known_revision > revision and self._peers.is_live(peer, now)
         ]
         if self._relay_protocol.is_enabled():
             return choose_peer(self._own, _with_fast_links(peers_ahead))
         return max(
             peers_ahead,
-            key=lambda peer: (peer.wire_id != self._asked, peer.version),
+            key=lambda peer: (peer.wire_id != self._asked, peer.known_revision),
             default=None,
         )
 
--- a/peridotwell/fleet/transport/peers.py
+++ b/peridotwell/fleet/transport/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.domain.target import Pool, Target, wire_id
 from peridotwell.fleet.transport.frames import Heartbeat, Hello, RouterUpdate
 from peridotwell.policy.placement.rendezvous import rendezvous_score
@@ -22,14 +23,15 @@
 class Peer:
     """Another router and the state that it last reported.
 
-    `version` is its configuration version or, for a forwarding router, the
-    store revision that it has read. `table_version` is the number of the
-    configuration in force at a forwarding router, 0 if it is not known.
+    `version` is its configuration version. A forwarding router tells instead
+    the order up to which it knows the store, and, as `table_version`, the
+    number of the configuration in force, 0 if it is not known.
     """
 
     hello: Hello
     last_received_at: float = -1
     version: int = 0
+    known_revision: StoreOrder = NO_ORDER
     view_hash: int = 0
     view_changed_at: float = -1
     state_digest: int = 0
@@ -118,7 +120,7 @@
             return False
         peer.last_sequence = update.sequence
         self._record_received(peer, now, is_leaving=update.is_leaving)
-        peer.version = update.revision
+        peer.known_revision = update.revision
         peer.table_version = update.table_version
         if update.unreachable_targets is not None:
             peer.unreachable_targets = frozenset(update.unreachable_targets)
