Store: connections that its process has ended are a loss of contact

Change: the pool tells when idle connections are found ended by the store; ContinuityCheck then asks for the latest change again.

Unit test red without the change by construction (no such listener); tests/fleet, store and those of restores green.

--- a/peridotwell/fleet/replica/continuity_check.py
+++ b/peridotwell/fleet/replica/continuity_check.py
@@ -25,8 +25,10 @@
 class ContinuityCheck:
     """Asks for one change again, once a second while there are new ones.
 
-    `on_break` is called if the store tells it no more: then all entries are to
-    be read. Only routers that follow the store ask.
+    And for the latest one when connections are found ended by the store: it may
+    have started again, with just the revision of before. `on_break` is called
+    if the store tells it no more: then all entries are to be read. Only routers
+    that follow the store ask.
     """
 
     def __init__(
@@ -44,9 +46,16 @@
         self._on_break = on_break
         # The latest change as of the last check.
         self._mark: ToldChange | None = None
+        self._is_ended = trio.Event()
+        feed.on_ended(self._record_ended)
 
     async def run(self) -> None:
         """Check again and again until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._check_changes)
+            nursery.start_soon(self._check_ends)
+
+    async def _check_changes(self) -> None:
         while True:
             history = self._directory.replica.history
             await history.wait_for_later(self._mark)
@@ -54,6 +63,21 @@
                 await self._wait_for_era()
             await self.check(trio.current_time())
 
+    async def _check_ends(self) -> None:
+        """Ask for the latest change after connections have ended."""
+        while True:
+            await self._is_ended.wait()
+            self._is_ended = trio.Event()
+            latest = self._directory.replica.history.latest
+            is_asked = self._is_following(trio.current_time())
+            if latest is None or not is_asked or await self._ask(latest):
+                continue
+            await trio.sleep(INTERVAL_SECONDS)
+            self._record_ended()
+
+    def _record_ended(self) -> None:
+        self._is_ended.set()
+
     async def _wait_for_era(self) -> None:
         """Wait for the interval, or until a change of a later era is told.
 
@@ -78,14 +102,18 @@
         self._mark = latest
         if mark is None or not is_asked or not self._is_following(now):
             return
+        if not await self._ask(mark):
+            self._mark = mark
+
+    async def _ask(self, mark: ToldChange) -> bool:
+        """Ask for a change again; return whether there is an answer."""
         self._metrics.count('store.continuity_checks')
         try:
             is_told = await self._feed.tells_again(mark)
         except HistoryGone:
             is_told = False
         except StoreError:
-            self._mark = mark
-            return
+            return False
         if not is_told:
             self._metrics.count('store.continuity_breaks')
             log_failure(
@@ -94,3 +122,4 @@
                 revision=store_revision(mark.revision),
             )
             self._on_break()
+        return True
--- a/peridotwell/store/change_feed.py
+++ b/peridotwell/store/change_feed.py
@@ -1,7 +1,7 @@
 """Interfaces to follow a store: a snapshot, then each later change."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import trio
@@ -124,6 +124,14 @@
         """
         return False
 
+    def on_ended(self, listener: Callable[[], None]) -> bool:
+        """Call `listener` when connections are found ended by the store.
+
+        Its process may have ended, while no call waited. Returns whether the
+        store has connections.
+        """
+        return False
+
     def is_receiving(self, now: float) -> bool:
         """Return whether parts of an answer arrive, at the time `now`.
 
--- a/peridotwell/store/http_client.py
+++ b/peridotwell/store/http_client.py
@@ -1,6 +1,7 @@
 """An HTTP client for stores that classifies errors by their effect."""
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 import httpcore
@@ -38,7 +39,9 @@
             max_connections,
             reads_at_once=True,
             max_body_bytes=MAX_RESPONSE_BYTES,
+            on_ended=self._handle_ended,
         )
+        self._ended_listeners: list[Callable[[], None]] = []
         # The number of bodies that are on their way, since when there are any,
         # the bytes that have come since, and when the last ones did.
         self._bodies = 0
@@ -46,6 +49,10 @@
         self._received_bytes = 0
         self._part_at = -math.inf
 
+    def on_ended(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when idle connections are found ended."""
+        self._ended_listeners.append(listener)
+
     def is_receiving(self, now: float) -> bool:
         """Return whether a response has begun, and its parts still arrive."""
         begun_seconds = now - self._begun_at - PART_SECONDS
@@ -102,6 +109,10 @@
                 f'no response to {method}: {exc!r}'
             ) from exc
 
+    def _handle_ended(self, number: int, used_at: float) -> None:
+        for listener in self._ended_listeners:
+            listener()
+
     async def _read_body(self, resp: httpcore.Response) -> bytes:
         self._part_at = trio.current_time()
         if not self._bodies:
--- a/tests/fleet/replica/test_continuity_check.py
+++ b/tests/fleet/replica/test_continuity_check.py
@@ -26,6 +26,12 @@
 class _AskedFeed(ScriptedFeed):
     """Answers the questions with the given results, in order."""
 
+    listener = None
+
+    def on_ended(self, listener):
+        self.listener = listener
+        return True
+
     async def tells_again(self, change):
         with trio.fail_after(ANSWER_SECONDS):
             return await self._next(change)
@@ -104,6 +110,22 @@
     assert setup.breaks == 1
 
 
+# Guards against a restore that nobody notices: the store's process has ended
+# while no call waited, and has reached the revision of before again.
+async def test_the_latest_change_is_asked_for_once_connections_have_ended(
+    nursery, autojump_clock
+):
+    setup = _Setup(StoreResponseLost('lost'), False)
+    setup.history.record((FIRST,))
+    nursery.start_soon(setup.run)
+    await trio.sleep(2 * INTERVAL_SECONDS)
+    assert not setup.feed.requested
+    setup.feed.listener()
+    await trio.sleep(1.5 * INTERVAL_SECONDS)
+    assert setup.feed.requested == [FIRST, FIRST]
+    assert setup.breaks == 1
+
+
 async def test_a_question_without_an_answer_is_asked_again():
     setup = _Setup(StoreResponseLost('lost'), True)
     setup.history.record((FIRST,))
