--- a/tests/fleet/replica/test_store_history.py
+++ b/tests/fleet/replica/test_store_history.py
@@ -7,6 +7,7 @@
     Repetition,
     StoreHistory,
 )
+from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.store.change_feed import (
     Changes,
     Snapshot,
@@ -55,6 +56,33 @@
     assert history.compare((WRITTEN,)) is Repetition.same
 
 
+# Guards against a restore that is inferred, and removals that wait for it,
+# since a peer reads an entry otherwise than this router.
+def test_a_value_that_a_peer_told_otherwise_shows_no_restore(history):
+    history.record_shared(SharedEntry('t/a', 8, b'told by a peer'))
+    own = ToldChange('t/a', 8, b'ready')
+    assert history.contradiction((own,)) is None
+    assert history.compare((own,)) is Repetition.unknown
+    history.record((own,))
+    assert history.compare((own,)) is Repetition.same
+    assert history.latest == own
+    assert history.contradiction((ToldChange('t/a', 8, b'leaving'),))
+
+
+def test_another_key_than_a_peer_told_shows_a_restore(history):
+    history.record_shared(SharedEntry('t/a', 8, b'ready'))
+    assert history.compare((ToldChange('t/a', 8, b'ready'),)) is (
+        Repetition.same
+    )
+    assert history.contradiction((ToldChange('t/c', 8, b'ready'),))
+
+
+def test_what_a_peer_tells_replaces_nothing_that_the_store_told(history):
+    history.record_shared(SharedEntry('t/a', 5, b'told by a peer'))
+    assert history.compare((WRITTEN,)) is Repetition.same
+    assert history.contradiction((ToldChange('t/a', 5, b'leaving'),))
+
+
 def test_the_latest_revisions_are_kept(history):
     later = range(10, 10 + MAX_REVISIONS)
     history.record(ToldChange('t/a', each, b'x') for each in later)
--- a/tests/peridotwell_platform/test_restores_out_of_step.py
+++ b/tests/peridotwell_platform/test_restores_out_of_step.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from peridotwell.store.revisions import era_of, inferred_restores
 from tests.peridotwell_platform import cut_fleet
 from tests.peridotwell_platform.test_untold_restores import (
     IN_FORCE_SECONDS,
@@ -143,6 +144,21 @@
     assert await wait_until(partial(fleet.has_not, 'i-2'))
 
 
+# Guards against a restore that is inferred where there was none: routers read
+# the address of a target otherwise than the one that told them the entry.
+async def test_what_another_router_told_infers_no_restore(nursery):
+    fleet = await cut_fleet.start_fleet(nursery)
+    fleet.cut_from_store(LATE)
+    address = fleet.addresses['i-1']
+    fleet.store.put('servers/i-1', cut_fleet.target_entry(address))
+    await trio.sleep(OUT_SECONDS)
+    fleet.join()
+    await trio.sleep(IN_FORCE_SECONDS)
+    for router in fleet.routers:
+        revision = router.directory.known_revision
+        assert not inferred_restores(era_of(revision))
+
+
 # Guards against a router whose news arrive late, and that infers a restore
 # which the others have inferred already for one more of its own.
 async def test_late_answers_of_a_restored_store_open_one_era(fleet, copy):
