Store: a value that a peer told otherwise shows no restore

Cause: what a peer tells at a revision counted as what the store had told there.

Change: the store's own word replaces a peer's. Another key at a revision that a peer told still shows a restore, another value of its key does not. Orders in three modules of fleet/replica have their type.

--- a/peridotwell/fleet/replica/peer_revisions.py
+++ b/peridotwell/fleet/replica/peer_revisions.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 
-from peridotwell.domain.store_order import StoreOrder
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 
 __all__ = ('PeerRevisions',)
 
@@ -14,7 +14,7 @@
     """Tells its listeners the latest revision of any peer."""
 
     def __init__(self) -> None:
-        self._latest = 0
+        self._latest = NO_ORDER
         self._listeners: list[Callable[[StoreOrder], object]] = []
 
     def on_later(self, listener: Callable[[StoreOrder], object]) -> None:
--- a/peridotwell/fleet/replica/store_history.py
+++ b/peridotwell/fleet/replica/store_history.py
@@ -50,16 +50,15 @@
         # Set, and replaced, when there is a later one.
         self._news = trio.Event()
         self._digests: dict[StoreOrder, int] = {}
+        # The keys of changes that only peers have told.
+        self._peer_keys: dict[StoreOrder, str] = {}
 
     def record(self, changes: Iterable[ToldChange]) -> None:
         """Record changes at the revisions of the store's writes."""
         for each in sorted(changes, key=_revision):
-            self._digests.setdefault(each.revision, _digest(each))
-            if self.latest is None or each.revision > self.latest.revision:
-                self.latest = each
-                self._announce()
-        while len(self._digests) > MAX_REVISIONS:
-            self._digests.pop(next(iter(self._digests)))
+            if self._peer_keys.pop(each.revision, None) is not None:
+                self._digests.pop(each.revision)
+            self._record(each)
 
     async def wait_for_later(self, change: ToldChange | None) -> None:
         """Wait until the latest change is another one."""
@@ -69,18 +68,23 @@
     def record_shared(self, entry: SharedEntry) -> None:
         """Record an entry that a peer has told.
 
-        The revision of a deletion may be that of the peer's snapshot.
+        The revision of a deletion may be that of the peer's snapshot. What the
+        store itself tells there is believed rather: a peer may read the value
+        otherwise, such as the address of a target.
         """
-        if entry.value is not None:
-            self.record((ToldChange(entry.key, entry.revision, entry.value),))
+        if entry.value is None or entry.revision in self._digests:
+            return
+        self._peer_keys[entry.revision] = entry.key
+        self._record(ToldChange(entry.key, entry.revision, entry.value))
 
     def contradiction(
         self, changes: Iterable[ToldChange]
     ) -> Contradiction | None:
         """Return the first change that differs from what was told before."""
         for each in changes:
-            known = self._digests.get(each.revision)
-            if known is not None and known != _digest(each):
+            known = self._digests.get(each.revision, _digest(each))
+            is_of_key = self._peer_keys.get(each.revision) == each.key
+            if known != _digest(each) and not is_of_key:
                 return Contradiction(each.key, each.revision, each.revision)
         return None
 
@@ -92,10 +96,20 @@
         told = sorted(changes, key=_revision)
         if self.contradiction(told) is not None:
             return Repetition.other
-        if told and told[-1].revision in self._digests:
+        if told and self._digests.get(told[-1].revision) == _digest(told[-1]):
             return Repetition.same
         return Repetition.unknown
 
+    def _record(self, change: ToldChange) -> None:
+        self._digests.setdefault(change.revision, _digest(change))
+        if self.latest is None or change.revision >= self.latest.revision:
+            self.latest = change
+            self._announce()
+        while len(self._digests) > MAX_REVISIONS:
+            revision = next(iter(self._digests))
+            self._digests.pop(revision)
+            self._peer_keys.pop(revision, None)
+
     def _announce(self) -> None:
         self._news.set()
         self._news = trio.Event()
--- a/peridotwell/fleet/replica/store_reader.py
+++ b/peridotwell/fleet/replica/store_reader.py
@@ -135,7 +135,9 @@
         directory = self._directory
         return max(directory.known_revision, directory.belief.read_revision)
 
-    def _record(self, evidence: Evidence, shown: int, now: float) -> None:
+    def _record(
+        self, evidence: Evidence, shown: StoreOrder, now: float
+    ) -> None:
         """Record an answer to a call that was sent when `shown` was known.
 
         Raises StoreResponseLost if it is older: it does not tell what the
--- a/peridotwell/fleet/replica/store_replica.py
+++ b/peridotwell/fleet/replica/store_replica.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from peridotwell.domain.store_order import StoreOrder
+from peridotwell.domain.store_order import NO_ORDER, StoreOrder
 from peridotwell.fleet.replica.store_history import StoreHistory
 from peridotwell.fleet.transport.frames import SharedEntry
 from peridotwell.store.base import Entry
@@ -27,14 +27,14 @@
         self._kept: dict[str, Entry] = {}
         self._deleted: dict[str, StoreOrder] = {}
         # Deletions up to this revision may be missing from `_deleted`.
-        self._complete_since = 0
+        self._complete_since = NO_ORDER
 
     def is_newer(self, entry: Entry) -> bool:
         """Return whether an entry is newer than the known state of its key."""
         known = self._entries.get(entry.key)
         if known is not None and entry.revision <= known.revision:
             return False
-        return entry.revision > self._deleted.get(entry.key, 0)
+        return entry.revision > self._deleted.get(entry.key, NO_ORDER)
 
     def is_known_gone(self, entry: Entry, known_revision: StoreOrder) -> bool:
         """Return whether an entry is not listed at the known revision.
@@ -105,7 +105,7 @@
         """Return whether a deletion is newer than what is known of its key."""
         known = self._entries.get(key)
         if known is None:
-            return revision > self._deleted.get(key, 0)
+            return revision > self._deleted.get(key, NO_ORDER)
         return revision >= known.revision
 
     def record_deletion(self, key: str, revision: StoreOrder) -> None:
